Add streams of typed messages between hosts

Cause: the parts need one interface to send through, and connections may go silent while new ones work. Ruled out: a connection to every peer all the time (1,900 hosts would each hold 3,800 sockets and ping them); TCP keepalive alone (minutes, and no sign from the peer's process). Change: a stream for each direction, opened on first use, closed when idle, with a ping answered by the peer's process while in use.

--- /dev/null
+++ b/oleanderpier/peers/mesh.py
@@ -0,0 +1,275 @@
+"""Streams of typed messages between the hosts of the fleet.
+
+Each direction between two hosts has a stream of its own, opened when the
+first message is sent and closed when nothing has been sent for a while.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from eliot import log_message
+from msgpack import UnpackException
+
+from oleanderpier.exception import MessageError
+from oleanderpier.peers.messages import Hello, Ping, Pong, Stamp
+from oleanderpier.results import Code
+from oleanderpier.utils import (
+    Timers,
+    encode_message,
+    make_unpacker,
+    unpack_message,
+)
+
+__all__ = ["Address", "LogicalClock", "Mesh"]
+
+CONNECT_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 1.0
+PONG_TIMEOUT_S = 2.5
+IDLE_CLOSE_S = 30.0
+FIRST_BACKOFF_S = 0.1
+LAST_BACKOFF_S = 2.0
+MAX_PENDING_BYTES = 1 << 20
+READ_BYTES = 1 << 16
+
+
+class Address(NamedTuple):
+    """Where a host's peer port is.
+
+    Attributes:
+        address: The IP number.
+        port: The TCP port.
+    """
+
+    address: str
+    port: int
+
+
+class LogicalClock(Protocol):
+    """The clock whose stamps travel with the messages."""
+
+    def tick(self) -> int:
+        """Return the stamp of a new event, later than all before."""
+
+    def observe(self, stamp: int) -> None:
+        """Move on past a stamp that another host sent."""
+
+
+class Mesh:
+    """Sends to other hosts and hands what they send to its subscribers.
+
+    Args:
+        host: The name of this host.
+        incarnation: Differs between two runs of one host.
+        timers: The timer service.
+        clock: The logical clock of this process.
+    """
+
+    def __init__(
+        self, host: str, incarnation: str, timers: Timers, clock: LogicalClock
+    ) -> None:
+        self.host = host
+        self.incarnation = incarnation
+        self.bytes_sent = 0
+        self._timers = timers
+        self._clock = clock
+        self._addresses: dict[str, Address] = {}
+        self._streams: dict[str, _Stream] = {}
+        self._handlers: dict[type, Callable[[str, Any], None]] = {}
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    def subscribe(
+        self, message_class: type, handler: Callable[[str, Any], None]
+    ) -> None:
+        """Hand messages of a class to a handler of (sender, message)."""
+        self._handlers[message_class] = handler
+
+    def update_addresses(self, addresses: dict[str, Address]) -> None:
+        """Learn where hosts are; hosts learnt earlier stay known."""
+        self._addresses.update(addresses)
+
+    def send(self, host: str, message: Any) -> bool:
+        """Hand a message to the stream towards a host, best effort.
+
+        Returns:
+            Whether the message was taken: the host's address is known, and
+            not too much is pending.
+        """
+        if host == self.host:
+            asyncio.get_running_loop().call_soon(self._dispatch, host, message)
+            return True
+        if host not in self._addresses:
+            return False
+        stream = self._streams.get(host)
+        if stream is None:
+            stream = self._streams[host] = _Stream(host)
+            self._start(self._keep_stream(stream))
+        data = encode_message(Stamp(self._clock.tick())) + encode_message(message)
+        self.bytes_sent += len(data)
+        return stream.write(data, self._timers.now())
+
+    async def listen(self, address: str, port: int) -> None:
+        """Accept streams of other hosts."""
+        self._server = await asyncio.start_server(self._serve_stream, address, port)
+
+    async def close(self) -> None:
+        """Close every stream and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _keep_stream(self, stream: "_Stream") -> None:
+        """Connect until the stream has been idle; one task for each peer."""
+        backoff_s = FIRST_BACKOFF_S
+        try:
+            while stream.is_wanted(self._timers.now()):
+                if await self._use_stream(stream):
+                    backoff_s = FIRST_BACKOFF_S
+                    continue
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(2 * backoff_s, LAST_BACKOFF_S)
+        finally:
+            stream.detach()
+            del self._streams[stream.host]
+
+    async def _use_stream(self, stream: "_Stream") -> bool:
+        """Hold one connection until it fails, falls silent or is idle."""
+        address = self._addresses[stream.host]
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(*address)
+        except OSError:
+            return False
+        stream.attach(writer, Hello(self.host, self.incarnation))
+        try:
+            await self._watch_stream(stream, reader)
+        except (OSError, MessageError, UnpackException, ValueError) as error:
+            _log_closed(stream.host, Code.PEER_UNREACHABLE, error)
+        finally:
+            stream.detach()
+            writer.close()
+        return True
+
+    async def _watch_stream(
+        self, stream: "_Stream", reader: asyncio.StreamReader
+    ) -> None:
+        """Ping while the stream is in use; raise TimeoutError if it is silent."""
+        unpacker = make_unpacker()
+        sequence = 0
+        while stream.is_wanted(self._timers.now()):
+            await stream.wait_used(IDLE_CLOSE_S)
+            sequence += 1
+            stream.ping(Ping(sequence))
+            async with asyncio.timeout(PONG_TIMEOUT_S):
+                await _read_pong(reader, unpacker, sequence)
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    async def _serve_stream(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Read one peer's stream to its end; one task for each connection."""
+        self._tasks.add(asyncio.current_task())
+        sender = "unknown"
+        try:
+            unpacker = make_unpacker()
+            while data := await reader.read(READ_BYTES):
+                unpacker.feed(data)
+                for items in unpacker:
+                    message = unpack_message(items)
+                    if isinstance(message, Hello):
+                        sender = message.host
+                    elif isinstance(message, Ping):
+                        writer.write(encode_message(Pong(message.sequence)))
+                    else:
+                        self._dispatch(sender, message)
+        except (MessageError, UnpackException, ValueError) as error:
+            _log_closed(sender, Code.MESSAGE_MALFORMED, error)
+        except OSError as error:
+            _log_closed(sender, Code.PEER_UNREACHABLE, error)
+        finally:
+            self._tasks.discard(asyncio.current_task())
+            writer.close()
+
+    def _dispatch(self, sender: str, message: Any) -> None:
+        if isinstance(message, Stamp):
+            self._clock.observe(message.stamp)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise MessageError(f"no part takes {type(message).__name__}")
+        handler(sender, message)
+
+
+class _Stream:
+    """The sending side towards one host."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self._writer: asyncio.StreamWriter | None = None
+        self._pending = bytearray()
+        self._used_at = 0.0
+        self._used = asyncio.Event()
+
+    def is_wanted(self, now: float) -> bool:
+        return now - self._used_at < IDLE_CLOSE_S
+
+    def write(self, data: bytes, now: float) -> bool:
+        self._used_at = now
+        self._used.set()
+        if self._writer is None:
+            return self._keep_pending(data)
+        if self._writer.transport.get_write_buffer_size() > MAX_PENDING_BYTES:
+            return False
+        self._writer.write(data)
+        return True
+
+    def ping(self, ping: Ping) -> None:
+        self._writer.write(encode_message(ping))
+
+    def attach(self, writer: asyncio.StreamWriter, hello: Hello) -> None:
+        writer.write(encode_message(hello) + bytes(self._pending))
+        self._pending.clear()
+        self._writer = writer
+
+    def detach(self) -> None:
+        self._writer = None
+
+    async def wait_used(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._used.wait()
+        except TimeoutError:
+            return
+        self._used.clear()
+
+    def _keep_pending(self, data: bytes) -> bool:
+        if len(self._pending) + len(data) > MAX_PENDING_BYTES:
+            return False
+        self._pending += data
+        return True
+
+
+async def _read_pong(
+    reader: asyncio.StreamReader, unpacker: Any, sequence: int
+) -> None:
+    while True:
+        for items in unpacker:
+            message = unpack_message(items)
+            if isinstance(message, Pong) and message.sequence == sequence:
+                return
+        data = await reader.read(READ_BYTES)
+        if not data:
+            raise ConnectionResetError("the peer closed the stream")
+        unpacker.feed(data)
+
+
+def _log_closed(host: str, code: Code, error: Exception) -> None:
+    log_message("peers:stream_closed", host=host, code=int(code), reason=repr(error))
--- /dev/null
+++ b/oleanderpier/peers/messages.py
@@ -0,0 +1,53 @@
+"""The messages that keep a stream between two hosts."""
+
+from typing import NamedTuple
+
+from oleanderpier.utils import register_message
+
+__all__ = ["Hello", "Ping", "Pong", "Stamp"]
+
+
+@register_message(1)
+class Hello(NamedTuple):
+    """Opens a stream and says who speaks.
+
+    Attributes:
+        host: The name of the sending host.
+        incarnation: Differs between two runs of one host.
+    """
+
+    host: str
+    incarnation: str
+
+
+@register_message(2)
+class Ping(NamedTuple):
+    """Asks the other end for a sign of life.
+
+    Attributes:
+        sequence: Rises by one with each ping of a stream.
+    """
+
+    sequence: int
+
+
+@register_message(3)
+class Pong(NamedTuple):
+    """Answers a ping.
+
+    Attributes:
+        sequence: The sequence of the ping.
+    """
+
+    sequence: int
+
+
+@register_message(4)
+class Stamp(NamedTuple):
+    """Carries the sender's logical clock ahead of the next messages.
+
+    Attributes:
+        stamp: The clock's value.
+    """
+
+    stamp: int
