--- /dev/null
+++ b/oleanderpier/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The daemon: the parts of one entry host put together."""
+
+from oleanderpier.daemon.program import *  # noqa: F403
--- /dev/null
+++ b/oleanderpier/daemon/program.py
@@ -0,0 +1,82 @@
+"""The command ``oleanderpierd``: one daemon of an entry host."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+import click
+import uvloop
+from eliot import log_message, to_file
+
+from oleanderpier.daemon.node import Node
+from oleanderpier.results import Code, Failure
+from oleanderpier.settings import Settings, read_settings
+
+__all__ = ["list_uring_descriptors", "run"]
+
+INVALID_STATUS = 2
+URING_STATUS = 3
+DESCRIPTORS = Path("/proc/self/fd")
+
+
+def list_uring_descriptors() -> list[str]:
+    """Return the descriptors of this process that belong to io_uring."""
+    found = []
+    for entry in DESCRIPTORS.iterdir():
+        try:
+            target = os.readlink(entry)
+        except OSError:
+            continue
+        if "io_uring" in target:
+            found.append(f"{entry.name}: {target}")
+    return found
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="The JSON file with this host's settings.",
+)
+def run(path: Path) -> None:
+    """Run the daemon of one entry host until SIGTERM or SIGINT.
+
+    Exit status 0 after a graceful shutdown, 2 for bad settings, 3 if the
+    event loop opened an io_uring descriptor.
+    """
+    result = read_settings(path)
+    if result.is_error():
+        _exit_with(result.error, INVALID_STATUS)
+    # uvloop reads the variable when the loop is made.
+    os.environ["UV_USE_IO_URING"] = "0"
+    to_file(sys.stderr)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(result.ok))
+
+
+async def _serve(settings: Settings) -> None:
+    descriptors = list_uring_descriptors()
+    if descriptors:
+        _exit_with(Failure(Code.URING_OPEN, ", ".join(descriptors)), URING_STATUS)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    node = Node(settings)
+    await node.start()
+    log_message("daemon:started", host=settings["host"])
+    await stopped.wait()
+    await node.drain()
+    await node.stop()
+    log_message("daemon:stopped", host=settings["host"])
+
+
+def _exit_with(failure: Failure, status: int) -> None:
+    record = {"code": int(failure.code), "name": failure.code.name}
+    click.echo(json.dumps({**record, "text": failure.text}), err=True)
+    sys.exit(status)
