--- a/oleanderpier/utils/schema.py
+++ b/oleanderpier/utils/schema.py
@@ -1,5 +1,6 @@
 """Checks JSON documents against ``TypedDict`` schemas."""
 
+import re
 from typing import Any, get_args, get_origin, get_type_hints, is_typeddict
 
 import msgspec
@@ -8,6 +9,8 @@
 
 __all__ = ["check_mapping"]
 
+_MISSING_FIELD = re.compile("Object missing required field `(.+)`")
+
 
 def check_mapping(schema: type, value: Any) -> Any:
     """Return a value that matches a ``TypedDict`` schema in every field.
@@ -29,11 +32,20 @@
     try:
         return msgspec.convert(value, schema)
     except msgspec.ValidationError as error:
-        allowed, _, path = str(error).partition(" - at `")
-        path = path.rstrip("`") or "$"
+        path, allowed = _split_message(str(error))
         raise SettingsError(path, _describe_value(value, path), allowed) from error
 
 
+def _split_message(message: str) -> tuple[str, str]:
+    """Return the path and what is allowed there, from a message of msgspec."""
+    allowed, _, path = message.partition(" - at `")
+    path = path.rstrip("`") or "$"
+    missing = _MISSING_FIELD.fullmatch(allowed)
+    if missing:
+        return f"{path}.{missing[1]}", "a value, for the field is required"
+    return path, allowed.removeprefix("Expected ").partition(", got ")[0]
+
+
 def _describe_value(value: Any, path: str) -> str:
     """Return what stands at a path such as ``$.hosts[2].peer_port``."""
     for step in path.replace("]", "").replace("[", ".").split(".")[1:]:
