Add a stand-in for the platform with its contract tests

Cause: the fleet reads and watches published values; tests need a platform that is down, stale, late, over its rate or tells callers different things. Ruled out: checking what is published here, since bad values must get through to be refused by the fleet. Change: standins.platform, counting each call and each watch once.

--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,303 @@
+"""Stand-in for the platform's configuration service.
+
+Callers read and watch values; only the operator's own side (``PUT``) writes.
+
+Run it as ``python -m standins.platform --port 7000 --publish hosts=hosts.json``.
+A caller is known by its ``User-Agent`` header, or else by its IP number.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, NotRequired, TypedDict
+
+import click
+import msgspec
+from aiohttp import web
+
+from oleanderpier.exception import SettingsError
+from oleanderpier.utils import check_mapping
+
+__all__ = ["Calls", "Faults", "Platform", "make_application", "run"]
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WAIT_S = 120.0
+SHUTDOWN_S = 0.2
+
+
+class Differing(TypedDict):
+    """Values that some callers get in place of the published ones.
+
+    Attributes:
+        callers: Who gets them; every other caller, by first call, if left out.
+        values: The value by name.
+    """
+
+    callers: NotRequired[list[str]]
+    values: dict[str, Any]
+
+
+class Faults(TypedDict, total=False):
+    """What is wrong with the platform; each order replaces the one before.
+
+    Attributes:
+        down: Connections are closed without an answer, waiting ones too.
+        stale: Values published from now on are not shown.
+        late_s: Seconds by which each answer is late.
+        differs: Other values for some callers.
+    """
+
+    down: bool
+    stale: bool
+    late_s: Annotated[float, msgspec.Meta(ge=0)]
+    differs: Differing
+
+
+class Value(NamedTuple):
+    """A value as published; it need not be a valid document.
+
+    Attributes:
+        version: Its ``version`` field, None if it has none.
+        data: The bytes.
+    """
+
+    version: Any
+    data: bytes
+
+
+class Calls(TypedDict):
+    """How often the platform was called; a watch counts as one call."""
+
+    calls: int
+    refused: int
+    waiting: int
+    by_name: dict[str, int]
+    by_caller: dict[str, int]
+
+
+class RateLimit:
+    """A token bucket that holds one second's worth of calls.
+
+    Args:
+        calls_per_s: The rate for all callers together; None for no bound.
+    """
+
+    def __init__(self, calls_per_s: float | None) -> None:
+        self.calls_per_s = calls_per_s
+        self._tokens = calls_per_s or 0.0
+        self._filled = time.monotonic()
+
+    def take(self) -> bool:
+        """Return whether one more call is within the rate."""
+        if self.calls_per_s is None:
+            return True
+        now = time.monotonic()
+        gained = (now - self._filled) * self.calls_per_s
+        self._tokens = min(max(self.calls_per_s, 1.0), self._tokens + gained)
+        self._filled = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class Platform:
+    """Published values, the faults in force and the count of calls.
+
+    Args:
+        calls_per_s: Calls a second taken from all callers; None for no bound.
+    """
+
+    def __init__(self, calls_per_s: float | None = None) -> None:
+        self.faults = Faults()
+        self._rate = RateLimit(calls_per_s)
+        self._values: dict[str, Value] = {}
+        self._shown: dict[str, Value] = {}
+        self._changed = asyncio.Event()
+        self._by_name: Counter[str] = Counter()
+        self._by_caller: Counter[str] = Counter()
+        self._refused = 0
+        self._waiting = 0
+
+    def publish(self, name: str, data: bytes) -> None:
+        """Publish a value, valid or not, under a name."""
+        self._values[name] = make_value(data)
+        self._refresh()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace the faults in force."""
+        self.faults = faults
+        self._refresh()
+
+    def admit(self, caller: str, name: str) -> bool:
+        """Count a call and return whether it is within the rate."""
+        self._by_caller[caller] += 1
+        self._by_name[name] += 1
+        admitted = self._rate.take()
+        self._refused += not admitted
+        return admitted
+
+    def find_value(self, caller: str, name: str) -> Value | None:
+        """Return what a caller is shown under a name."""
+        differs = self.faults.get("differs")
+        if differs and name in differs["values"] and self._is_misled(caller, differs):
+            return make_value(msgspec.json.encode(differs["values"][name]))
+        return self._shown.get(name)
+
+    async def watch(
+        self, caller: str, name: str, after: str | None, wait_s: float
+    ) -> Value | None:
+        """Return a caller's value as soon as its version is not ``after``.
+
+        Returns:
+            The value, or None if the wait ended first or the platform is down.
+        """
+        deadline = time.monotonic() + wait_s
+        self._waiting += 1
+        try:
+            while not self.faults.get("down"):
+                value = self.find_value(caller, name)
+                if value is not None and str(value.version) != after:
+                    return value
+                if not await self._wait_for_change(deadline):
+                    return None
+        finally:
+            self._waiting -= 1
+        return None
+
+    def count_calls(self) -> Calls:
+        """Return how often the platform was called so far."""
+        return Calls(
+            calls=self._by_name.total(),
+            refused=self._refused,
+            waiting=self._waiting,
+            by_name=dict(self._by_name),
+            by_caller=dict(self._by_caller),
+        )
+
+    async def _wait_for_change(self, deadline: float) -> bool:
+        try:
+            async with asyncio.timeout(deadline - time.monotonic()):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _refresh(self) -> None:
+        if not self.faults.get("stale"):
+            self._shown = dict(self._values)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _is_misled(self, caller: str, differs: Differing) -> bool:
+        callers = differs.get("callers", list(self._by_caller)[::2])
+        return caller in callers
+
+
+def make_value(data: bytes) -> Value:
+    """Return a value with its version, if it has one."""
+    try:
+        decoded = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        decoded = None
+    version = decoded.get("version") if isinstance(decoded, dict) else None
+    return Value(version, data)
+
+
+def make_application(platform: Platform) -> web.Application:
+    """Return the HTTP application of a platform."""
+
+    async def get_value(request: web.Request) -> web.Response:
+        return await answer_watch(platform, request)
+
+    async def put_value(request: web.Request) -> web.Response:
+        platform.publish(request.match_info["name"], await request.read())
+        return web.Response(status=204)
+
+    async def post_faults(request: web.Request) -> web.Response:
+        try:
+            faults = check_mapping(Faults, msgspec.json.decode(await request.read()))
+        except (SettingsError, msgspec.DecodeError) as error:
+            return web.Response(status=400, text=str(error))
+        platform.set_faults(faults)
+        return web.json_response(faults)
+
+    async def get_calls(request: web.Request) -> web.Response:
+        return web.json_response(platform.count_calls())
+
+    application = web.Application(client_max_size=MAX_VALUE_BYTES)
+    application.router.add_get("/v1/values/{name}", get_value)
+    application.router.add_put("/values/{name}", put_value)
+    application.router.add_post("/faults", post_faults)
+    application.router.add_get("/calls", get_calls)
+    return application
+
+
+async def answer_watch(platform: Platform, request: web.Request) -> web.Response:
+    """Answer a read or watch of one value."""
+    name = request.match_info["name"]
+    caller = request.headers.get("User-Agent") or request.remote or "unknown"
+    admitted = platform.admit(caller, name)
+    await asyncio.sleep(platform.faults.get("late_s", 0.0))
+    if platform.faults.get("down"):
+        return close_connection(request)
+    if not admitted:
+        return web.Response(status=429, headers={"Retry-After": "1"})
+    if platform.find_value(caller, name) is None:
+        return web.Response(status=404)
+    try:
+        wait_s = min(float(request.query.get("wait_s", "0")), MAX_WAIT_S)
+    except ValueError:
+        return web.Response(status=400, text="wait_s: a number of seconds is allowed")
+    value = await platform.watch(caller, name, request.query.get("after"), wait_s)
+    if platform.faults.get("down"):
+        return close_connection(request)
+    if value is None:
+        return web.Response(status=304)
+    return web.Response(body=value.data, content_type="application/json")
+
+
+def close_connection(request: web.Request) -> web.Response:
+    """Cut the caller's connection, so that no answer arrives."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
+
+
+async def serve(
+    address: str, port: int, calls_per_s: float | None, files: Iterable[str]
+) -> None:
+    """Serve until cancelled, after publishing files given as ``name=path``."""
+    platform = Platform(calls_per_s)
+    for item in files:
+        name, _, path = item.partition("=")
+        platform.publish(name, Path(path).read_bytes())
+    runner = web.AppRunner(
+        make_application(platform),
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_S,
+        access_log=None,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, address, port).start()
+    click.echo(f"platform listens on {address}:{port}")
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await runner.cleanup()
+
+
+@click.command()
+@click.option("--address", default="127.0.0.1", show_default=True, help="IP number.")
+@click.option("--port", type=click.IntRange(1, 65535), required=True, help="TCP port.")
+@click.option("--calls-per-s", type=float, help="Bound on all callers' calls.")
+@click.option("--publish", multiple=True, metavar="NAME=FILE", help="Publish a file.")
+def run(address: str, port: int, calls_per_s: float | None, publish: tuple) -> None:
+    """Serve the stand-in for the platform until interrupted."""
+    asyncio.run(serve(address, port, calls_per_s, publish))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/standins/tests/test_platform.py
@@ -0,0 +1,118 @@
+"""Contract tests of the platform interface, on the stand-in."""
+
+import asyncio
+
+from aiohttp import ClientError
+from aiohttp.test_utils import TestClient, TestServer
+from testtools import TestCase
+
+from standins.platform import Platform, make_application
+
+OLD = {"version": 1, "hosts": []}
+NEW = {"version": 2, "hosts": []}
+OTHER = {"version": 9, "hosts": []}
+URL = "/v1/values/hosts"
+
+
+class PlatformTest(TestCase):
+    """Reads, watches, faults and the count of calls."""
+
+    def run_with(self, scenario, **options):
+        """Run a coroutine function against a platform that published OLD."""
+
+        async def run():
+            server = TestServer(make_application(Platform(**options)))
+            async with TestClient(server) as client:
+                await client.put("/values/hosts", json=OLD)
+                await scenario(client)
+
+        asyncio.run(run())
+
+    async def read(self, client, caller="h1", **query):
+        """Return the status and version of one read."""
+        headers = {"User-Agent": caller}
+        async with client.get(URL, params=query, headers=headers) as answer:
+            value = await answer.json() if answer.status == 200 else {}
+            return answer.status, value.get("version")
+
+    def test_read_and_watch(self):
+        """A watch ends with a new version, or with 304 after its wait."""
+
+        async def scenario(client):
+            self.assertEqual((200, 1), await self.read(client))
+            self.assertEqual((304, None), await self.read(client, after=1, wait_s=0.01))
+            watch = asyncio.create_task(self.read(client, after=1, wait_s=60))
+            await self.wait_for_watch(client)
+            await client.put("/values/hosts", json=NEW)
+            self.assertEqual((200, 2), await watch)
+            missing = await client.get("/v1/values/configuration")
+            self.assertEqual(404, missing.status)
+            bad = await client.get(URL, params={"wait_s": "soon"})
+            self.assertEqual(400, bad.status)
+            written = await client.put(URL, json=NEW)
+            self.assertEqual(405, written.status)
+
+        self.run_with(scenario)
+
+    def test_calls(self):
+        """A watch counts as one call; what is over the rate is refused."""
+
+        async def scenario(client):
+            statuses = [(await self.read(client))[0] for _ in range(4)]
+            self.assertEqual([200, 200, 429, 429], statuses)
+            calls = await (await client.get("/calls")).json()
+            self.assertEqual(4, calls["calls"])
+            self.assertEqual(2, calls["refused"])
+            self.assertEqual({"h1": 4}, calls["by_caller"])
+
+        self.run_with(scenario, calls_per_s=2.0)
+
+    def test_down(self):
+        """No answer arrives while it is down, not to a waiting watch either."""
+
+        async def scenario(client):
+            watch = asyncio.create_task(self.read(client, after=1, wait_s=60))
+            await self.wait_for_watch(client)
+            await client.post("/faults", json={"down": True})
+            with self.assertRaises(ClientError):
+                await watch
+            with self.assertRaises(ClientError):
+                await self.read(client)
+            await client.post("/faults", json={})
+            self.assertEqual((200, 1), await self.read(client))
+
+        self.run_with(scenario)
+
+    def test_stale_and_late(self):
+        """A stale platform shows what it had; a late one still answers."""
+
+        async def scenario(client):
+            await client.post("/faults", json={"stale": True, "late_s": 0.01})
+            await client.put("/values/hosts", json=NEW)
+            self.assertEqual((200, 1), await self.read(client))
+            await client.post("/faults", json={})
+            self.assertEqual((200, 2), await self.read(client))
+
+        self.run_with(scenario)
+
+    def test_differs(self):
+        """Named callers, or every other one, get another value."""
+
+        async def scenario(client):
+            order = {"values": {"hosts": OTHER}}
+            await client.post("/faults", json={"differs": order})
+            seen = [await self.read(client, caller) for caller in ("h1", "h2", "h1")]
+            self.assertEqual([(200, 9), (200, 1), (200, 9)], seen)
+            named = {"differs": {**order, "callers": ["h2"]}}
+            await client.post("/faults", json=named)
+            seen = [await self.read(client, caller) for caller in ("h1", "h2")]
+            self.assertEqual([(200, 1), (200, 9)], seen)
+            misspelt = await client.post("/faults", json={"stail": True})
+            self.assertEqual(400, misspelt.status)
+
+        self.run_with(scenario)
+
+    async def wait_for_watch(self, client):
+        """Return once a watch waits at the platform."""
+        while (await (await client.get("/calls")).json())["waiting"] == 0:
+            await asyncio.sleep(0.01)
