--- a/oleanderpier/events/__init__.py
+++ b/oleanderpier/events/__init__.py
@@ -1,1 +1,5 @@
-"""Events of the fleet."""
+"""The time line: typed events, kept by each process and merged by cause."""
+
+from oleanderpier.events.clock import *  # noqa: F403
+from oleanderpier.events.merge import *  # noqa: F403
+from oleanderpier.events.ring import *  # noqa: F403
