--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, as ratios to a baseline of the same run."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,338 @@
+"""A stand-in for the model engine, with faults by command.
+
+Beside the calls of ``docs/INTERFACES.md`` it serves ``POST /faults``,
+``GET /counts`` (what became of the work) and ``GET /orders``.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import weakref
+from collections import Counter
+from collections.abc import Iterator
+from typing import Annotated, NamedTuple, TypedDict
+
+import click
+import msgspec
+from aiohttp import web
+
+from oleanderpier.utils import LoopTimers, hash_text
+from standins.faults import EngineFaults, vary_events
+from standins.generation import PrefixCache, Slots, compose_answer, count_tokens
+from standins.http import HEADERS_SSE, FaultSwitch, make_refusal, read_json, serve
+
+__all__ = ["Engine", "EngineOptions", "make_engine_app"]
+
+HEARTBEAT = b": heartbeat\n\n"
+HEARTBEAT_S = 0.25
+LOAD_LAG_S = 0.1
+SILENT_POLL_S = 0.05
+MAX_ORDERS = 1000
+
+
+class GenerateBody(TypedDict):
+    """The body of ``POST /v1/generate``."""
+
+    request: str
+    chat: str
+    model: str
+    messages: list[str]
+    offset: Annotated[int, msgspec.Meta(ge=0)]
+    max_tokens: Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+    priority: int
+
+
+class OrderBody(TypedDict):
+    """The body of ``POST /v1/orders``."""
+
+    fence: int
+    kind: str
+    subject: str
+
+
+class EngineOptions(NamedTuple):
+    """How an engine behaves while it shows no fault.
+
+    Attributes:
+        failure_domain: Where it stands.
+        token_interval_s: Time between two tokens, in seconds.
+        prefill_token_s: Time for a prompt token that is not cached.
+        slots: How many requests run at once.
+        cache_tokens: Size of the prefix cache.
+    """
+
+    name: str
+    failure_domain: str = ""
+    token_interval_s: float = 0.01
+    prefill_token_s: float = 0.0001
+    slots: int = 16
+    cache_tokens: int = 200_000
+
+
+class Engine:
+    """A model engine: its slots, its prefix cache and its running work.
+
+    Args:
+        options: How it behaves.
+    """
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.switch = FaultSwitch(EngineFaults)
+        self.slots = Slots(options.slots)
+        generator = random.Random(hash_text(options.name))
+        self.cache = PrefixCache(options.cache_tokens, LoopTimers(), generator)
+        self.counts: Counter[str] = Counter()
+        self.work: dict[str, asyncio.Task[None]] = {}
+        self._timers = LoopTimers()
+        self._connections: weakref.WeakSet = weakref.WeakSet()
+        self._silent: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
+        self._orders: list[OrderBody] = []
+        self._fence = 0
+        self._load: dict = {}
+        self._load_at = -LOAD_LAG_S
+
+    async def handle_generate(self, request: web.Request) -> web.StreamResponse:
+        """Serve ``POST /v1/generate``."""
+        body = await read_json(request, GenerateBody)
+        faults = self.switch.strike()
+        if faults.get("refuse"):
+            return make_refusal(503, "refused")
+        self._silence_next(request, faults)
+        self.cancel(body["request"])
+        response = web.StreamResponse(headers=HEADERS_SSE)
+        stream = _Stream(request, response, dict(faults), self._silent)
+        task = asyncio.create_task(self._run(body, stream))
+        self.work[body["request"]] = task
+        self.counts["started"] += 1
+        await asyncio.wait({task})
+        if self.work.get(body["request"]) is task:
+            del self.work[body["request"]]
+        if task.cancelled() and request.transport is not None:
+            request.transport.close()
+        return response
+
+    async def handle_cancel(self, request: web.Request) -> web.Response:
+        """Serve ``DELETE /v1/generate/{request}``."""
+        self.counts["cancel_requests"] += 1
+        self.cancel(request.match_info["request"])
+        return web.Response(status=204)
+
+    def cancel(self, request_id: str) -> None:
+        """End the work of a request; unknown ones are left alone."""
+        task = self.work.pop(request_id, None)
+        if task is not None:
+            self.counts["cancelled"] += task.cancel()
+
+    async def handle_load(self, request: web.Request) -> web.Response:
+        """Serve ``GET /v1/load``, a report that lags."""
+        if self._timers.now() - self._load_at >= LOAD_LAG_S:
+            self._load_at = self._timers.now()
+            sequence = self._load.get("sequence", 0) + 1
+            self._load = {
+                "running": self.slots.running,
+                "waiting": self.slots.waiting,
+                "slots": self.slots.count,
+                "sequence": sequence,
+            }
+        return web.json_response(self._load)
+
+    async def handle_cache_events(self, request: web.Request) -> web.Response:
+        """Serve ``GET /v1/cache/events``."""
+        after = int(request.query.get("after", "0"))
+        events = [event._asdict() for event in self.cache.list_events(after)]
+        return web.json_response({"events": events})
+
+    async def handle_export(self, request: web.Request) -> web.Response:
+        """Serve ``GET /v1/cache/{chat}``."""
+        held = self.cache.export(request.match_info["chat"])
+        if held is None:
+            return make_refusal(404, "nothing is held of this chat")
+        return web.Response(body=json.dumps(held).encode())
+
+    async def handle_import(self, request: web.Request) -> web.Response:
+        """Serve ``PUT /v1/cache/{chat}``."""
+        self.cache.store(request.match_info["chat"], json.loads(await request.read()))
+        return web.Response(status=204)
+
+    async def handle_order(self, request: web.Request) -> web.Response:
+        """Serve ``POST /v1/orders``."""
+        order = await read_json(request, OrderBody)
+        checks = self.switch.faults.get("fencing", "honoured") == "honoured"
+        if checks and order["fence"] < self._fence:
+            return make_refusal(409, f"a fence of {self._fence} was seen")
+        self._fence = max(self._fence, order["fence"])
+        self._orders.append(order)
+        del self._orders[:-MAX_ORDERS]
+        return web.json_response({"fence": self._fence})
+
+    async def handle_orders(self, request: web.Request) -> web.Response:
+        """Serve ``GET /orders``: the orders obeyed, in order."""
+        return web.json_response({"orders": self._orders})
+
+    async def handle_counts(self, request: web.Request) -> web.Response:
+        """Serve ``GET /counts``."""
+        live = {"running": self.slots.running, "waiting": self.slots.waiting}
+        return web.json_response({**self.counts, **live})
+
+    @web.middleware
+    async def track_connections(self, request: web.Request, handler):
+        """Remember each connection; apply ``silent_after`` to the open ones."""
+        known = request.transport in self._connections
+        self._connections.add(request.transport)
+        response = await handler(request)
+        if request.path == "/faults" and request.method == "POST":
+            self._silence_open(request.transport, known)
+        return response
+
+    def _silence_open(self, commander: asyncio.Transport, known: bool) -> None:
+        """Silence the connections that are open, but the commander's own."""
+        self._silent.clear()
+        if "silent_after" not in self.switch.faults:
+            return
+        for transport in self._connections:
+            if transport is not commander:
+                self._silent[transport] = self.switch.faults["silent_after"]
+
+    def _silence_next(self, request: web.Request, faults: EngineFaults) -> None:
+        if "silent_after" in faults and "times" in faults:
+            self._silent.setdefault(request.transport, faults["silent_after"])
+
+    async def _run(self, body: GenerateBody, stream: "_Stream") -> None:
+        heartbeat = asyncio.create_task(stream.send_heartbeats())
+        try:
+            await stream.begin()
+            await self.slots.take(body["priority"])
+            try:
+                await self._generate(body, stream)
+                self.counts["finished"] += 1
+            finally:
+                self.slots.release()
+        except ConnectionError:
+            self.counts["dropped"] += 1
+        finally:
+            heartbeat.cancel()
+
+    async def _generate(self, body: GenerateBody, stream: "_Stream") -> None:
+        messages, total = body["messages"], body["max_tokens"]
+        reused = self.cache.count_reused(body["chat"], messages)
+        missing = count_tokens(messages) - reused
+        await asyncio.sleep(missing * self.options.prefill_token_s)
+        self.cache.store(body["chat"], messages)
+        texts = compose_answer(messages, total)
+        events = _format_events(body, texts, stream.faults.get("short", 0))
+        foreign = _format_event("another-request", body["offset"], "not yours")
+        for event in vary_events(events, foreign, stream.faults):
+            await asyncio.sleep(self.options.token_interval_s)
+            await stream.send(event)
+        self.cache.store(body["chat"], [*messages, "".join(texts)])
+        end = json.dumps({"total": total, "reused": reused})
+        await stream.send(f"event: end\nid: {body['request']}:{total}\n", end)
+        await stream.finish()
+
+
+class _Stream:
+    """The connection on which one answer is sent, with its faults."""
+
+    def __init__(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        faults: EngineFaults,
+        silent: weakref.WeakKeyDictionary,
+    ) -> None:
+        self.faults = faults
+        self._request = request
+        self._response = response
+        self._silent = silent
+        self._sent = 0
+
+    async def begin(self) -> None:
+        """Send the head of the answer."""
+        await self._wait_while_silent()
+        await self._response.prepare(self._request)
+
+    async def send(self, event: bytes | str, data: str = "") -> None:
+        """Send one event.
+
+        Raises:
+            ConnectionError: The other side has left, or ``die_after`` struck.
+        """
+        await asyncio.sleep(self.faults.get("late_s", 0.0))
+        if self._sent == self.faults.get("die_after", -1):
+            self._request.transport.abort()
+            raise ConnectionResetError
+        await self._wait_while_silent()
+        if isinstance(event, str):
+            event = f"{event}data: {data}\n\n".encode()
+        await self._response.write(event)
+        self._sent += 1
+        if self._request.transport in self._silent:
+            self._silent[self._request.transport] -= 1
+
+    async def finish(self) -> None:
+        """End the answer's body."""
+        await self._response.write_eof()
+
+    async def send_heartbeats(self) -> None:
+        """Send a comment line every ``HEARTBEAT_S``."""
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await asyncio.sleep(HEARTBEAT_S)
+                await self._wait_while_silent()
+                if self._response.prepared:
+                    await self._response.write(HEARTBEAT)
+
+    async def _wait_while_silent(self) -> None:
+        transport = self._request.transport
+        while self._silent.get(transport, 1) <= 0:
+            await asyncio.sleep(SILENT_POLL_S)
+            if self._request.transport is None:
+                raise ConnectionResetError
+
+
+def _format_event(request_id: str, offset: int, text: str) -> bytes:
+    data = json.dumps({"text": text})
+    return f"id: {request_id}:{offset}\ndata: {data}\n\n".encode()
+
+
+def _format_events(body: GenerateBody, texts: list[str], short: int) -> Iterator[bytes]:
+    for offset in range(body["offset"], len(texts) - short):
+        yield _format_event(body["request"], offset, texts[offset])
+
+
+def make_engine_app(engine: Engine) -> web.Application:
+    """Return the HTTP side of an engine."""
+    app = web.Application(
+        middlewares=[engine.track_connections], client_max_size=1 << 26
+    )
+    app.router.add_post("/v1/generate", engine.handle_generate)
+    app.router.add_delete("/v1/generate/{request}", engine.handle_cancel)
+    app.router.add_get("/v1/load", engine.handle_load)
+    app.router.add_get("/v1/cache/events", engine.handle_cache_events)
+    app.router.add_get("/v1/cache/{chat}", engine.handle_export)
+    app.router.add_put("/v1/cache/{chat}", engine.handle_import)
+    app.router.add_post("/v1/orders", engine.handle_order)
+    app.router.add_get("/orders", engine.handle_orders)
+    app.router.add_get("/counts", engine.handle_counts)
+    engine.switch.add_routes(app)
+    return app
+
+
+@click.command()
+@click.option("--port", type=int, required=True, help="Port to listen on.")
+@click.option("--name", required=True, help="Name of the server.")
+@click.option("--address", default="127.0.0.1", show_default=True)
+@click.option("--failure-domain", default="", help="Where the server stands.")
+@click.option("--token-interval-s", default=0.01, show_default=True)
+@click.option("--slots", default=16, show_default=True)
+@click.option("--cache-tokens", default=200_000, show_default=True)
+def main(port: int, address: str, **options) -> None:
+    """Serve a stand-in of the model engine."""
+    app = make_engine_app(Engine(EngineOptions(**options)))
+    asyncio.run(serve(app, address, port))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/generation.py
@@ -0,0 +1,186 @@
+"""What a model engine computes: tokens, its prefix cache, its slots."""
+
+import asyncio
+import heapq
+import itertools
+import json
+import random
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from oleanderpier.utils import Timers, hash_text
+
+__all__ = ["CacheEvent", "PrefixCache", "Slots", "compose_answer", "count_tokens"]
+
+WORDS = [
+    "landing",
+    "slip",
+    "share",
+    "weld",
+    "seam",
+    "scan",
+    "crew",
+    "ledger",
+    "clause",
+    "plate",
+    "depth",
+    "trip",
+]
+MAX_CACHE_EVENTS = 4096
+
+
+def compose_answer(messages: Sequence[str], max_tokens: int) -> list[str]:
+    """Return the texts of the tokens that answer a chat.
+
+    Token ``i`` depends on the messages and ``i`` alone, so that any engine
+    goes on where another stopped.
+
+    Args:
+        messages: The chat so far.
+        max_tokens: How many tokens the answer has.
+
+    Returns:
+        One text a token.
+
+    Examples:
+        >>> compose_answer(["hello"], 5)[:3] == compose_answer(["hello"], 3)
+        True
+    """
+    seed = hash_text(json.dumps(list(messages)))
+    return [_make_token(seed, index) for index in range(max_tokens)]
+
+
+def _make_token(seed: int, index: int) -> str:
+    number = (seed + index * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+    return f"{WORDS[(number >> 32) % len(WORDS)]}-{number % 1000} "
+
+
+def count_tokens(messages: Sequence[str]) -> int:
+    """Return the length of a prompt in tokens, one a word.
+
+    Examples:
+        >>> count_tokens(["two words", "three"])
+        3
+    """
+    return sum(len(message.split()) for message in messages)
+
+
+class CacheEvent(NamedTuple):
+    """A change of the prefix cache, as it is published."""
+
+    sequence: int
+    kind: str
+    chat: str
+    tokens: int
+
+
+class PrefixCache:
+    """The prompts whose prefixes an engine holds, bounded in tokens.
+
+    Args:
+        limit_tokens: How many tokens it holds at most.
+        timers: The clock by which events are published late.
+        generator: Decides which events are lost.
+        event_delay_s: How late an event is published.
+        event_loss: Which part of the events is never published.
+    """
+
+    def __init__(
+        self,
+        limit_tokens: int,
+        timers: Timers,
+        generator: random.Random,
+        event_delay_s: float = 0.2,
+        event_loss: float = 0.02,
+    ) -> None:
+        self._limit_tokens = limit_tokens
+        self._timers = timers
+        self._generator = generator
+        self._event_delay_s = event_delay_s
+        self._event_loss = event_loss
+        self._held: OrderedDict[str, list[str]] = OrderedDict()
+        self._tokens = 0
+        self._sequence = itertools.count(1)
+        self._events: deque[tuple[float, CacheEvent]] = deque(maxlen=MAX_CACHE_EVENTS)
+
+    def count_reused(self, chat: str, messages: Sequence[str]) -> int:
+        """Return how many tokens of a prompt the cache holds."""
+        held = self._held.get(chat, [])
+        pairs = zip(held, messages, strict=False)
+        same = list(itertools.takewhile(lambda pair: pair[0] == pair[1], pairs))
+        return count_tokens([message for _, message in same])
+
+    def store(self, chat: str, messages: Sequence[str]) -> None:
+        """Hold a chat's messages, evicting the chats used least recently."""
+        self._tokens -= count_tokens(self._held.pop(chat, []))
+        self._held[chat] = list(messages)
+        tokens = count_tokens(messages)
+        self._tokens += tokens
+        self._publish("stored", chat, tokens)
+        while self._tokens > self._limit_tokens and self._held:
+            self._evict()
+
+    def export(self, chat: str) -> list[str] | None:
+        """Return what is held of a chat, or None."""
+        return self._held.get(chat)
+
+    def list_events(self, after: int) -> list[CacheEvent]:
+        """Return the events published so far with a sequence above a number."""
+        due = self._timers.now() - self._event_delay_s
+        return [
+            event for at, event in self._events if at <= due and event.sequence > after
+        ]
+
+    def _evict(self) -> None:
+        chat, messages = self._held.popitem(last=False)
+        tokens = count_tokens(messages)
+        self._tokens -= tokens
+        self._publish("evicted", chat, tokens)
+
+    def _publish(self, kind: str, chat: str, tokens: int) -> None:
+        event = CacheEvent(next(self._sequence), kind, chat, tokens)
+        if self._generator.random() >= self._event_loss:
+            self._events.append((self._timers.now(), event))
+
+
+class Slots:
+    """An engine's places for running work; the lowest priority goes first.
+
+    Args:
+        count: How many run at once.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.running = 0
+        self._order = itertools.count()
+        self._queue: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def waiting(self) -> int:
+        """How much work waits for a place."""
+        return sum(not future.done() for _, _, future in self._queue)
+
+    async def take(self, priority: int) -> None:
+        """Wait for a place; the caller gives it back with ``release``."""
+        if self.running < self.count:
+            self.running += 1
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._queue, (priority, next(self._order), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Give a place back, to the first that waits."""
+        while self._queue:
+            _, _, future = heapq.heappop(self._queue)
+            if not future.done():
+                future.set_result(None)
+                return
+        self.running -= 1
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,82 @@
+"""What the stand-ins' HTTP sides share."""
+
+import asyncio
+import json
+import signal
+from typing import Any
+
+from aiohttp import web
+
+from oleanderpier.exception import SettingsError
+from oleanderpier.utils import check_mapping
+
+__all__ = ["FaultSwitch", "make_refusal", "read_json", "serve"]
+
+HEADERS_SSE = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+
+
+class FaultSwitch:
+    """The faults in force, and how many times they still strike.
+
+    ``POST /faults`` puts faults in force in place of those before.
+
+    Args:
+        schema: The ``TypedDict`` of the faults.
+    """
+
+    def __init__(self, schema: type) -> None:
+        self._schema = schema
+        self.faults: Any = {}
+
+    def strike(self) -> Any:
+        """Return the faults for one more stream or call, counting it."""
+        if "times" not in self.faults:
+            return self.faults
+        if self.faults["times"] == 0:
+            return {}
+        self.faults["times"] -= 1
+        return self.faults
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve ``GET`` and ``POST /faults``."""
+        app.router.add_get("/faults", self._get)
+        app.router.add_post("/faults", self._post)
+
+    async def _get(self, request: web.Request) -> web.Response:
+        return web.json_response(self.faults)
+
+    async def _post(self, request: web.Request) -> web.Response:
+        self.faults = await read_json(request, self._schema)
+        return web.json_response(self.faults)
+
+
+def make_refusal(status: int, text: str) -> web.Response:
+    """Return an answer that refuses a request."""
+    return web.json_response({"text": text}, status=status)
+
+
+async def read_json(request: web.Request, schema: type) -> Any:
+    """Return a request's JSON body, checked against a ``TypedDict``.
+
+    Raises:
+        web.HTTPBadRequest: The body does not match.
+    """
+    try:
+        value = json.loads(await request.read())
+        return value if schema is dict else check_mapping(schema, value)
+    except (ValueError, SettingsError) as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
+
+
+async def serve(app: web.Application, address: str, port: int) -> None:
+    """Serve an application until SIGTERM or SIGINT."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
+    await runner.setup()
+    await web.TCPSite(runner, address, port).start()
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    print(f"listening on {address}:{port}", flush=True)
+    await stopped.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/standins/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests of the stand-ins."""
