Serve the whole path, thin, over separate processes

Cause: nothing served a request end to end. Ruled out: a demo that runs inside one process (it would not show kills).

--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,296 @@
+"""Starts a small fleet with its stand-ins as separate processes."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from asyncio.subprocess import DEVNULL, Process
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+
+__all__ = ["Fleet", "Place", "find_free_port"]
+
+ADDRESS = "127.0.0.1"
+FAILURE_DOMAINS = ("duluth", "alpena", "erie-port")
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+LIMITS = {"address_keep_s": 3.0, "drain_s": 30.0, "platform_wait_s": 5.0}
+
+
+class Place(NamedTuple):
+    """Where a process listens.
+
+    Attributes:
+        name: The host or backend server.
+        failure_domain: Where it stands.
+        port: The TCP port of its main interface.
+    """
+
+    name: str
+    failure_domain: str
+    port: int
+
+    @property
+    def url(self) -> str:
+        """The base of its HTTP interface."""
+        return f"http://{ADDRESS}:{self.port}"
+
+
+def find_free_port() -> int:
+    """Return a TCP port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+class Fleet:
+    """The processes of a small fleet.
+
+    Args:
+        folder: Where settings and logs go.
+        hosts: How many daemons.
+        engines: How many model engines.
+        services: How many plain services.
+        limits: Limits in the daemons' settings, over the defaults here.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        hosts: int = 5,
+        engines: int = 3,
+        services: int = 1,
+        limits: dict[str, Any] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.session: aiohttp.ClientSession
+        self.processes: dict[str, Process] = {}
+        self.platform = Place("platform", "", find_free_port())
+        self.engines = _make_places("engine", engines)
+        self.services = _make_places("ledger", services)
+        self.hosts = _make_hosts(hosts)
+        self.limits = {**LIMITS, **(limits or {})}
+        self._versions: dict[str, int] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        """Start every process and wait until all hosts are ready."""
+        self.session = aiohttp.ClientSession()
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End every process that still runs, by its own id."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes.values():
+            await process.wait()
+        await self.session.close()
+
+    async def publish(self, name: str, **fields: Any) -> int:
+        """Publish a document under the next version, and return that."""
+        version = self._versions.get(name, 0) + 1
+        self._versions[name] = version
+        url = f"{self.platform.url}/values/{name}"
+        body = {"version": version, **fields}
+        async with self.session.put(url, json=body) as answer:
+            answer.raise_for_status()
+        return version
+
+    async def start_host(self, name: str) -> None:
+        """Start the daemon of a host, anew if it ran before."""
+        host = next(host for host in self.hosts if host["name"] == name)
+        seeds = [
+            {
+                "name": peer["name"],
+                "address": peer["address"],
+                "peer_port": peer["peer_port"],
+            }
+            for peer in self.hosts
+            if peer["name"] != name
+        ]
+        settings = {
+            "host": name,
+            "region": "great-lakes",
+            **{key: host[key] for key in host if key not in ("name", "state")},
+            "platform": {"address": ADDRESS, "port": self.platform.port},
+            "seed_peers": seeds,
+            "limits": self.limits,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        program = Path(sys.executable).parent / "oleanderpierd"
+        await self._start(name, str(program), "--settings", str(path))
+
+    async def wait_ready(self, names: list[str]) -> None:
+        """Wait until the hosts say that they are ready."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for name in names:
+                while (await self.read_status(name)).get("state") != "ready":
+                    await asyncio.sleep(POLL_S)
+
+    async def read_status(self, name: str) -> dict[str, Any]:
+        """Return a host's status, an empty one if it does not answer."""
+        host = next(host for host in self.hosts if host["name"] == name)
+        url = f"http://{ADDRESS}:{host['operator_port']}/v1/status"
+        try:
+            async with self.session.get(url) as answer:
+                return await answer.json()
+        except (aiohttp.ClientError, OSError):
+            return {}
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process of the fleet."""
+        self.processes[name].send_signal(number)
+
+    async def set_faults(self, place: Place, **faults: Any) -> None:
+        """Tell a stand-in which faults to show from now on."""
+        async with self.session.post(f"{place.url}/faults", json=faults) as answer:
+            answer.raise_for_status()
+
+    async def read_json(self, url: str) -> Any:
+        """Return the JSON that an address answers with."""
+        async with self.session.get(url) as answer:
+            return await answer.json()
+
+    async def count_executions(self) -> dict[str, int]:
+        """Return how often each key was executed, over all services."""
+        total: dict[str, int] = {}
+        for service in self.services:
+            counts = await self.read_json(f"{service.url}/executions")
+            for key, count in counts.items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def list_backend_servers(self) -> list[dict[str, Any]]:
+        """Return the entries of the document of backend servers."""
+        engines = [_describe(place, "engine", ["shares"]) for place in self.engines]
+        operations = ["payout-post", "balance-lookup"]
+        services = [_describe(place, "service", operations) for place in self.services]
+        return engines + services
+
+    async def _start_all(self) -> None:
+        await self._start_module("standins.platform", self.platform)
+        for place in self.engines:
+            await self._start_module("standins.engine", place)
+        for place in self.services:
+            await self._start_module("standins.service", place)
+        await self._wait_listening()
+        await self.publish("hosts", hosts=self.hosts)
+        await self.publish(
+            "backend_servers", backend_servers=self.list_backend_servers()
+        )
+        await self.publish("configuration", **CONFIGURATION)
+        for host in self.hosts:
+            await self.start_host(host["name"])
+        await self.wait_ready([host["name"] for host in self.hosts])
+
+    async def _start_module(self, module: str, place: Place) -> None:
+        words = ["-m", module, "--port", str(place.port)]
+        if place is not self.platform:
+            words += ["--name", place.name]
+        await self._start(place.name, sys.executable, *words)
+
+    async def _start(self, name: str, *words: str) -> None:
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                *words, stdin=DEVNULL, stdout=log, stderr=log, env=dict(os.environ)
+            )
+
+    async def _wait_listening(self) -> None:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for place in (self.platform, *self.engines, *self.services):
+                while not await _is_listening(place.port):
+                    await asyncio.sleep(POLL_S)
+
+
+CONFIGURATION = {
+    "classes": [
+        {
+            "name": "trip-summary",
+            "kind": "engine",
+            "needs": "shares",
+            "repeatable": True,
+            "first_token_s": 1.6,
+            "between_tokens_s": 0.049,
+            "whole_s": 60.0,
+        },
+        {
+            "name": "payout-post",
+            "kind": "service",
+            "needs": "payout-post",
+            "repeatable": False,
+            "first_token_s": 2.0,
+            "between_tokens_s": 1.0,
+            "whole_s": 10.0,
+        },
+        {
+            "name": "balance-lookup",
+            "kind": "service",
+            "needs": "balance-lookup",
+            "repeatable": True,
+            "first_token_s": 1.0,
+            "between_tokens_s": 1.0,
+            "whole_s": 5.0,
+        },
+    ],
+    "workspaces": [{"name": "duluth-boats"}, {"name": "co-op"}, {"name": "auditors"}],
+    "load_multiple": 1.25,
+}
+
+
+async def _is_listening(port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(ADDRESS, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
+def _make_places(prefix: str, count: int) -> list[Place]:
+    return [
+        Place(f"{prefix}-{index}", _choose_domain(index), find_free_port())
+        for index in range(count)
+    ]
+
+
+def _make_hosts(count: int) -> list[dict[str, Any]]:
+    return [
+        {
+            "name": f"host-{index}",
+            "failure_domain": _choose_domain(index),
+            "address": ADDRESS,
+            "caller_port": find_free_port(),
+            "peer_port": find_free_port(),
+            "operator_port": find_free_port(),
+            "state": "live",
+        }
+        for index in range(count)
+    ]
+
+
+def _choose_domain(index: int) -> str:
+    return FAILURE_DOMAINS[index % len(FAILURE_DOMAINS)]
+
+
+def _describe(place: Place, kind: str, provides: list[str]) -> dict[str, Any]:
+    return {
+        "name": place.name,
+        "failure_domain": place.failure_domain,
+        "kind": kind,
+        "address": ADDRESS,
+        "port": place.port,
+        "provides": provides,
+        "slots": 16,
+        "state": "live",
+        "checks_fencing": True,
+    }
--- a/oleanderpier/events/clock.py
+++ b/oleanderpier/events/clock.py
@@ -55,6 +55,15 @@
         self._timers = timers
         self._last = Stamp(0, 0)
 
+    @property
+    def last(self) -> Stamp:
+        """The highest stamp given out or taken in so far."""
+        return self._last
+
+    def merge(self, stamp: Stamp) -> None:
+        """Take in the stamp of a message that came, without an event here."""
+        self._last = max(self._last, Stamp(*stamp))
+
     def tick(self) -> Stamp:
         """Return the stamp of a local event or of a message to be sent."""
         return self._advance(self._last)
--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -6,13 +6,14 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from eliot import log_message
 from msgpack import UnpackException
 
+from oleanderpier.events import Clock, Stamp
 from oleanderpier.exception import MessageError
-from oleanderpier.peers.messages import Hello, Ping, Pong, Stamp
+from oleanderpier.peers.messages import ClockStamp, Hello, Ping, Pong
 from oleanderpier.results import Code
 from oleanderpier.utils import (
     Timers,
@@ -21,7 +22,7 @@
     unpack_message,
 )
 
-__all__ = ["Address", "LogicalClock", "Mesh"]
+__all__ = ["Address", "Mesh"]
 
 CONNECT_TIMEOUT_S = 1.0
 PING_INTERVAL_S = 1.0
@@ -45,16 +46,6 @@
     port: int
 
 
-class LogicalClock(Protocol):
-    """The clock whose stamps travel with the messages."""
-
-    def tick(self) -> int:
-        """Return the stamp of a new event, later than all before."""
-
-    def observe(self, stamp: int) -> None:
-        """Move on past a stamp that another host sent."""
-
-
 class Mesh:
     """Sends to other hosts and hands what they send to its subscribers.
 
@@ -66,7 +57,7 @@
     """
 
     def __init__(
-        self, host: str, incarnation: str, timers: Timers, clock: LogicalClock
+        self, host: str, incarnation: int, timers: Timers, clock: Clock
     ) -> None:
         self.host = host
         self.incarnation = incarnation
@@ -105,7 +96,7 @@
         if stream is None:
             stream = self._streams[host] = _Stream(host)
             self._start(self._keep_stream(stream))
-        data = encode_message(Stamp(self._clock.tick())) + encode_message(message)
+        data = stream.stamp(self._clock.last) + encode_message(message)
         self.bytes_sent += len(data)
         return stream.write(data, self._timers.now())
 
@@ -199,8 +190,8 @@
             writer.close()
 
     def _dispatch(self, sender: str, message: Any) -> None:
-        if isinstance(message, Stamp):
-            self._clock.observe(message.stamp)
+        if isinstance(message, ClockStamp):
+            self._clock.merge(Stamp(*message))
             return
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -216,11 +207,19 @@
         self._writer: asyncio.StreamWriter | None = None
         self._pending = bytearray()
         self._used_at = 0.0
+        self._stamped = Stamp(0, 0)
         self._used = asyncio.Event()
 
     def is_wanted(self, now: float) -> bool:
         return now - self._used_at < IDLE_CLOSE_S
 
+    def stamp(self, stamp: Stamp) -> bytes:
+        """Return the bytes that carry a stamp, none if it was sent before."""
+        if stamp == self._stamped:
+            return b""
+        self._stamped = stamp
+        return encode_message(ClockStamp(*stamp))
+
     def write(self, data: bytes, now: float) -> bool:
         self._used_at = now
         self._used.set()
@@ -241,6 +240,7 @@
 
     def detach(self) -> None:
         self._writer = None
+        self._stamped = Stamp(0, 0)
 
     async def wait_used(self, timeout_s: float) -> None:
         try:
--- a/oleanderpier/peers/messages.py
+++ b/oleanderpier/peers/messages.py
@@ -4,7 +4,7 @@
 
 from oleanderpier.utils import register_message
 
-__all__ = ["Hello", "Ping", "Pong", "Stamp"]
+__all__ = ["ClockStamp", "Hello", "Ping", "Pong"]
 
 
 @register_message(1)
@@ -17,7 +17,7 @@
     """
 
     host: str
-    incarnation: str
+    incarnation: int
 
 
 @register_message(2)
@@ -43,11 +43,13 @@
 
 
 @register_message(4)
-class Stamp(NamedTuple):
+class ClockStamp(NamedTuple):
     """Carries the sender's logical clock ahead of the next messages.
 
     Attributes:
-        stamp: The clock's value.
+        time_us: The stamp's time, in microseconds since 1970.
+        count: The stamp's count.
     """
 
-    stamp: int
+    time_us: int
+    count: int
--- a/oleanderpier/peers/tests/test_mesh.py
+++ b/oleanderpier/peers/tests/test_mesh.py
@@ -6,7 +6,8 @@
 import msgpack
 from testtools import TestCase
 
-from oleanderpier.peers import Address, Hello, Mesh, Stamp, mesh
+from oleanderpier.events import Clock, Stamp
+from oleanderpier.peers import Address, Hello, Mesh, mesh
 from oleanderpier.utils import LoopTimers, encode_message, register_message
 
 WAIT_S = 10.0
@@ -19,22 +20,6 @@
     text: str
 
 
-class CountingClock:
-    """A logical clock that only counts."""
-
-    def __init__(self):
-        self.value = 0
-
-    def tick(self):
-        """Return the next value."""
-        self.value += 1
-        return self.value
-
-    def observe(self, stamp):
-        """Move past a value."""
-        self.value = max(self.value, stamp)
-
-
 class SilentProxy:
     """Passes bytes on; can make the connections that are open go silent."""
 
@@ -66,7 +51,7 @@
 
 async def make_mesh(name):
     """Return a listening mesh, its port and the list of what it receives."""
-    instance = Mesh(name, "1", LoopTimers(), CountingClock())
+    instance = Mesh(name, 1, LoopTimers(), Clock(LoopTimers()))
     received = []
     instance.subscribe(Hello, lambda sender, message: None)
     instance.subscribe(Note, lambda sender, note: received.append((sender, note.text)))
@@ -116,7 +101,7 @@
                 msgpack.packb([3, 1]),
             ):
                 reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(encode_message(Hello("bad", "1")) + data)
+                writer.write(encode_message(Hello("bad", 1)) + data)
                 self.assertEqual(b"", await asyncio.wait_for(reader.read(), WAIT_S))
                 writer.close()
             one, _, _ = await make_mesh("one")
@@ -155,9 +140,19 @@
 
         self.assertEqual(2, asyncio.run(run()))
 
-    def test_stamps_move_the_clock(self):
-        """A receiver's clock moves past what the sender stamped."""
-        clock = CountingClock()
-        instance = Mesh("one", "1", LoopTimers(), clock)
-        instance._dispatch("two", Stamp(41))
-        self.assertEqual(42, clock.tick())
+    def test_stamps_carry_causes(self):
+        """An event after a message is later than those before it was sent."""
+
+        async def run():
+            one, _, _ = await make_mesh("one")
+            two, port, received = await make_mesh("two")
+            one.update_addresses({"two": Address("127.0.0.1", port)})
+            one._clock.observe(Stamp(1 << 52, 3))
+            one.send("two", Note("caused"))
+            await wait_for(lambda: received)
+            await one.close()
+            await two.close()
+            return one._clock.last, two._clock.tick()
+
+        cause, effect = asyncio.run(run())
+        self.assertTrue(cause < effect)
