Add the operators' command-line tool

Cause: operators need to check files, see hosts, targets and routes, and one time line over all processes.

--- /dev/null
+++ b/oleanderpier/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command-line tool, ``oleanderpier``."""
+
+from oleanderpier.cli.program import *  # noqa: F403
--- /dev/null
+++ b/oleanderpier/cli/program.py
@@ -0,0 +1,30 @@
+"""The program and its commands."""
+
+import click
+
+from oleanderpier.cli.checks import check
+from oleanderpier.cli.routes import explain
+from oleanderpier.cli.status import status
+from oleanderpier.cli.targets import targets
+from oleanderpier.cli.timeline import events
+
+__all__ = ["program", "run"]
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="oleanderpier")
+def program() -> None:
+    """Look into a fleet of oleanderpier hosts; nothing is changed.
+
+    Exit status: 0 if all went well, 1 if a host did not answer or an answer
+    was a refusal, 2 if the command or a file is wrong.
+    """
+
+
+for command in (check, status, targets, explain, events):
+    program.add_command(command)
+
+
+def run() -> None:
+    """Run the program with the arguments of the process."""
+    program(prog_name="oleanderpier")
--- /dev/null
+++ b/oleanderpier/cli/routes.py
@@ -0,0 +1,91 @@
+"""The command that explains where a chat goes."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import click
+
+from oleanderpier.cli.questions import (
+    Question,
+    add_options,
+    ask,
+    end,
+    list_unanswered,
+    print_unanswered,
+)
+from oleanderpier.cli.tables import print_json, print_table
+from oleanderpier.operators import ExplainAnswer, Reply
+
+__all__ = ["explain"]
+
+CHOICE_HEADERS = ["RANK", "BACKEND SERVER", "STATE", "IN_FLIGHT", "REASON"]
+
+
+class Group(NamedTuple):
+    """Hosts that agree on the owner and the choice, and one's answer."""
+
+    hosts: list[str]
+    answer: ExplainAnswer
+
+
+@click.command()
+@click.option("--chat", required=True, help="The chat.")
+@click.option("--class", "work_class", required=True, help="The class of work.")
+@add_options
+def explain(question: Question, chat: str, work_class: str) -> None:
+    """Explain where a chat would go now, and why.
+
+    All hosts are asked. Those that agree are shown together; more than one
+    group means that hosts differ in what they know.
+    """
+    query = {"chat": chat, "class": work_class}
+    replies = ask(question, "/v1/explain", ExplainAnswer, **query)
+    unanswered = list_unanswered(replies)
+    groups = group_answers(replies)
+    if question.as_json:
+        print_json({"groups": groups, "unanswered": unanswered})
+        end(unanswered)
+    for group in groups:
+        print_group(group)
+    print_unanswered(unanswered)
+    end(unanswered)
+
+
+def group_answers(replies: Iterable[Reply]) -> list[Group]:
+    """Return the answers in groups that agree, the largest group first."""
+    groups: dict[tuple[str, str | None], Group] = {}
+    for reply in replies:
+        if reply.result.is_error():
+            continue
+        answer = reply.result.ok
+        key = (answer["owner"], answer["chosen"])
+        group = groups.setdefault(key, Group([], answer))
+        group.hosts.append(reply.operator.host)
+    return sorted(groups.values(), key=lambda group: -len(group.hosts))
+
+
+def print_group(group: Group) -> None:
+    """Print what hosts agree on, with the choices of the first of them."""
+    answer = group.answer
+    click.echo(f"asked:   {', '.join(group.hosts)}")
+    click.echo(f"chat:    {answer['chat']}")
+    click.echo(f"class:   {answer['work_class']}, which needs {answer['pool']}")
+    click.echo(f"owner:   {answer['owner']}")
+    click.echo(f"chosen:  {answer['chosen'] or 'none; the request is refused'}")
+    print_table(CHOICE_HEADERS, list_choices(answer))
+    click.echo()
+
+
+def list_choices(answer: ExplainAnswer) -> list[Sequence[str | int]]:
+    """Return the table rows of the choices, best first."""
+    choices = sorted(answer["choices"], key=lambda choice: choice["rank"])
+    return [
+        (
+            choice["rank"],
+            choice["backend_server"],
+            choice["state"],
+            choice["in_flight"],
+            choice["reason"],
+        )
+        for choice in choices
+    ]
--- /dev/null
+++ b/oleanderpier/cli/tables.py
@@ -0,0 +1,64 @@
+"""Prints tables for people and JSON for programs."""
+
+from collections.abc import Iterable, Sequence
+from functools import singledispatch
+from typing import Any
+
+import click
+import msgspec
+
+__all__ = ["format_seconds", "make_objects", "print_json", "print_table"]
+
+
+def print_table(headers: Sequence[str], rows: Iterable[Sequence[Any]]) -> None:
+    """Print rows under headers, each column as wide as its widest cell."""
+    lines = [headers, *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        click.echo("  ".join(cells).rstrip())
+
+
+def print_json(value: Any) -> None:
+    """Print a value as indented JSON."""
+    data = msgspec.json.encode(make_objects(value))
+    click.echo(msgspec.json.format(data, indent=2).decode())
+
+
+@singledispatch
+def make_objects(value: Any) -> Any:
+    """Return a value in which each ``NamedTuple`` has become a mapping.
+
+    Examples:
+        >>> from oleanderpier.events import Stamp
+        >>> make_objects([Stamp(1, 2)])
+        [{'time_us': 1, 'count': 2}]
+    """
+    return value
+
+
+@make_objects.register
+def _(value: dict) -> dict:
+    return {key: make_objects(item) for key, item in value.items()}
+
+
+@make_objects.register
+def _(value: list) -> list:
+    return [make_objects(item) for item in value]
+
+
+@make_objects.register
+def _(value: tuple) -> dict | list:
+    if hasattr(value, "_asdict"):
+        return make_objects(value._asdict())
+    return make_objects(list(value))
+
+
+def format_seconds(seconds: float | None) -> str:
+    """Return a time for a table cell.
+
+    Examples:
+        >>> format_seconds(0.049), format_seconds(1.6), format_seconds(None)
+        ('0.049', '1.6', '-')
+    """
+    return "-" if seconds is None else f"{seconds:.3g}"
--- a/oleanderpier/events/ring.py
+++ b/oleanderpier/events/ring.py
@@ -1,5 +1,6 @@
 """A process's newest events, bounded in memory."""
 
+import itertools
 from collections import deque
 from typing import NamedTuple
 
@@ -41,7 +42,7 @@
     """Events after a sequence number.
 
     Attributes:
-        events: Those that are kept, oldest first.
+        events: The newest that are kept and wanted, oldest first.
         lost: How many are no longer kept.
         last: The last sequence number that was given out, 0 for none.
     """
@@ -109,13 +110,15 @@
         self._events.append(event)
         return event
 
-    def list_after(self, sequence: int) -> Tail:
+    def list_after(self, sequence: int, limit: int | None = None) -> Tail:
         """Return the events above a sequence number.
 
         Args:
             sequence: The last one that the reader has; 0 for all.
+            limit: How many of the newest are wanted; None for all.
         """
         wanted = max(0, self._last - max(0, sequence))
-        skipped = max(0, len(self._events) - wanted)
-        events = list(self._events)[skipped:]
-        return Tail(events, wanted - len(events), self._last)
+        kept = min(wanted, len(self._events))
+        shown = kept if limit is None else min(kept, max(0, limit))
+        events = list(itertools.islice(reversed(self._events), shown))
+        return Tail(events[::-1], wanted - kept, self._last)
--- a/oleanderpier/events/tests/test_ring.py
+++ b/oleanderpier/events/tests/test_ring.py
@@ -41,6 +41,13 @@
                 self.assertEqual(sequences, [event.sequence for event in tail.events])
                 self.assertEqual((lost, recorded), (tail.lost, tail.last))
 
+    def test_limit(self):
+        """A reader that wants few gets the newest, and no false gap."""
+        tail = self.make_ring(recorded=20).list_after(14, limit=2)
+        self.assertEqual([19, 20], [event.sequence for event in tail.events])
+        self.assertEqual(0, tail.lost)
+        self.assertEqual([], self.make_ring(recorded=20).list_after(0, limit=0).events)
+
     def test_bounded(self):
         """Neither the number of events nor the length of a text grows."""
         tail = self.make_ring(recorded=1000).list_after(0)
--- a/oleanderpier/operators/__init__.py
+++ b/oleanderpier/operators/__init__.py
@@ -1,3 +1,4 @@
 """The operators' read-only interface: what hosts answer, and a client."""
 
 from oleanderpier.operators.answers import *  # noqa: F403
+from oleanderpier.operators.client import *  # noqa: F403
--- a/oleanderpier/operators/answers.py
+++ b/oleanderpier/operators/answers.py
@@ -4,8 +4,13 @@
 measured yet.
 """
 
-from typing import Any, Literal, TypedDict
+from typing import Literal, TypedDict
 
+from oleanderpier.configuration import (
+    BackendServersDocument,
+    ConfigurationDocument,
+    HostsDocument,
+)
 from oleanderpier.events import Event, Stamp
 
 __all__ = [
@@ -13,6 +18,7 @@
     "ChoiceRow",
     "ClassRow",
     "ConfigurationAnswer",
+    "Documents",
     "EventRow",
     "EventsAnswer",
     "ExplainAnswer",
@@ -116,12 +122,20 @@
     classes: list[ClassRow]
 
 
+class Documents(TypedDict, total=False):
+    """The documents in force; one with nothing in force is absent."""
+
+    configuration: ConfigurationDocument
+    hosts: HostsDocument
+    backend_servers: BackendServersDocument
+
+
 class ConfigurationAnswer(TypedDict):
-    """``GET /v1/configuration``: the documents in force, by name."""
+    """``GET /v1/configuration``: the documents in force."""
 
     host: str
     versions: dict[str, InForce]
-    documents: dict[str, Any]
+    documents: Documents
     refused_documents: list[RefusedDocument]
 
 
@@ -141,10 +155,10 @@
 
 
 class EventsAnswer(TypedDict):
-    """``GET /v1/events?after=N``.
+    """``GET /v1/events?after=N&limit=M``.
 
     Attributes:
-        events: Those with a sequence above N, oldest first.
+        events: The newest M with a sequence above N, oldest first.
         lost: How many above N are no longer kept.
         last: The last sequence that was given out, 0 for none.
     """
