--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -13,7 +13,7 @@
 
 from oleanderpier.events import Clock, Stamp
 from oleanderpier.exception import MessageError
-from oleanderpier.peers.messages import ClockStamp, Hello, Ping, Pong
+from oleanderpier.peers.messages import ClockStamp, Hello, KeepAlive, KeepAliveAnswer
 from oleanderpier.results import Code
 from oleanderpier.utils import (
     Timers,
@@ -152,13 +152,13 @@
     async def _watch_stream(
         self, stream: "_Stream", reader: asyncio.StreamReader
     ) -> None:
-        """Ping while the stream is in use; raise TimeoutError if it is silent."""
+        """KeepAlive while the stream is in use; raise TimeoutError if it is silent."""
         unpacker = make_unpacker()
         sequence = 0
         while stream.is_wanted(self._timers.now()):
             await stream.wait_used(IDLE_CLOSE_S)
             sequence += 1
-            stream.ping(Ping(sequence))
+            stream.ping(KeepAlive(sequence))
             async with asyncio.timeout(PONG_TIMEOUT_S):
                 await _read_pong(reader, unpacker, sequence)
             await asyncio.sleep(PING_INTERVAL_S)
@@ -177,8 +177,8 @@
                     message = unpack_message(items)
                     if isinstance(message, Hello):
                         sender = message.host
-                    elif isinstance(message, Ping):
-                        writer.write(encode_message(Pong(message.sequence)))
+                    elif isinstance(message, KeepAlive):
+                        writer.write(encode_message(KeepAliveAnswer(message.sequence)))
                     else:
                         self._dispatch(sender, message)
         except (MessageError, UnpackException, ValueError) as error:
@@ -230,7 +230,7 @@
         self._writer.write(data)
         return True
 
-    def ping(self, ping: Ping) -> None:
+    def ping(self, ping: KeepAlive) -> None:
         self._writer.write(encode_message(ping))
 
     def attach(self, writer: asyncio.StreamWriter, hello: Hello) -> None:
@@ -263,7 +263,7 @@
     while True:
         for items in unpacker:
             message = unpack_message(items)
-            if isinstance(message, Pong) and message.sequence == sequence:
+            if isinstance(message, KeepAliveAnswer) and message.sequence == sequence:
                 return
         data = await reader.read(READ_BYTES)
         if not data:
--- a/oleanderpier/peers/messages.py
+++ b/oleanderpier/peers/messages.py
@@ -4,7 +4,7 @@
 
 from oleanderpier.utils import register_message
 
-__all__ = ["ClockStamp", "Hello", "Ping", "Pong"]
+__all__ = ["ClockStamp", "Hello", "KeepAlive", "KeepAliveAnswer"]
 
 
 @register_message(1)
@@ -21,7 +21,7 @@
 
 
 @register_message(2)
-class Ping(NamedTuple):
+class KeepAlive(NamedTuple):
     """Asks the other end for a sign of life.
 
     Attributes:
@@ -32,7 +32,7 @@
 
 
 @register_message(3)
-class Pong(NamedTuple):
+class KeepAliveAnswer(NamedTuple):
     """Answers a ping.
 
     Attributes:
