--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with regression bounds."""
--- /dev/null
+++ b/oleanderpier/membership/members.py
@@ -0,0 +1,611 @@
+"""Failure detection between hosts, and what each knows of the others.
+
+References:
+    A. Das, I. Gupta and A. Motivala, "SWIM: scalable weakly-consistent
+    infection-style process group membership protocol", DSN 2002.
+
+    A. Dadgar, J. Phillips and J. Currey, "Lifeguard: local health awareness
+    for more accurate failure detection", arXiv:1707.00788, 2017.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from random import Random
+from typing import Any, NamedTuple
+
+from eliot import log_message
+
+from oleanderpier.configuration.documents import Published
+from oleanderpier.membership.adoptions import Adoptions
+from oleanderpier.membership.messages import (
+    Ack,
+    MemberFact,
+    MemberFacts,
+    MemberState,
+    Ping,
+    ProbeAnswer,
+    ProbeRequest,
+    TableAsk,
+    TableSummary,
+)
+from oleanderpier.membership.rumours import RumourQueue, count_tellings
+from oleanderpier.membership.summaries import Summary, find_bucket
+from oleanderpier.utils import Outbox, Timers
+
+__all__ = ["MemberCard", "Members"]
+
+PERIOD_S = 1.0
+ACK_TIMEOUT_S = 0.4
+LATE_S = 0.5
+LONG_PAUSE_S = 5.0
+INDIRECT_PROBES = 3
+SUSPECT_PERIODS = 3.0
+SUSPECT_MAX_MULTIPLE = 3.0
+CONFIRMATIONS = 3
+MAX_LATENESS_LEVEL = 8
+FACTS_A_MESSAGE = 16
+REJOIN_PERIODS = 5
+SYNC_PERIODS = 30
+FORGET_S = 600.0
+ANNOUNCE_S = 60.0
+LEAVE_FAN_OUT = 8
+
+_PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+class MemberCard(NamedTuple):
+    """Where a host is to be found.
+
+    Attributes:
+        host: The host's name.
+        failure_domain: Its failure domain.
+        address: IP number of its peer port.
+        peer_port: Its peer port.
+    """
+
+    host: str
+    failure_domain: str
+    address: str
+    peer_port: int
+
+
+class Probe:
+    """A ping that waits for its answer.
+
+    Attributes:
+        deadline_s: When the target becomes suspect, on the monotonic clock.
+    """
+
+    def __init__(self, target: str, sequence: int, deadline_s: float):
+        self.target = target
+        self.sequence = sequence
+        self.deadline_s = deadline_s
+
+
+class Suspicion:
+    """A suspect host's time to refute, which shrinks with each accuser.
+
+    Attributes:
+        began_s: When the host became suspect, on the monotonic clock.
+        accusers: Which hosts suspect it.
+    """
+
+    def __init__(self, began_s: float, accuser: str):
+        self.began_s = began_s
+        self.accusers = {accuser}
+
+    def find_deadline(self, hosts: int, lateness_level: int) -> float:
+        """Return when the host is dead, on the monotonic clock.
+
+        Args:
+            hosts: How many hosts there are.
+            lateness_level: How late this host itself is.
+        """
+        shortest = SUSPECT_PERIODS * PERIOD_S * max(1.0, math.log10(max(1, hosts)))
+        longest = shortest * SUSPECT_MAX_MULTIPLE
+        wanted = max(1, min(CONFIRMATIONS, hosts - 2))
+        share = math.log(len(self.accusers)) / math.log(wanted + 1)
+        timeout = max(shortest, longest - (longest - shortest) * share)
+        return self.began_s + timeout * (1 + max(0, lateness_level - 1) / 2)
+
+
+class Members:
+    """What this host knows of the others' state.
+
+    Args:
+        card: This host.
+        timers: The timer service.
+        generator: The source of randomness.
+        outbox: Where messages to other hosts go.
+        seeds: Hosts to begin with; some may be gone.
+
+    Examples:
+        >>> from oleanderpier.utils import ManualTimers
+        >>> card = MemberCard("h1", "duluth", "10.0.0.1", 7000)
+        >>> members = Members(card, ManualTimers(), Random(1), outbox=None)
+        >>> members.list_alive()
+        ['h1']
+    """
+
+    def __init__(
+        self,
+        card: MemberCard,
+        timers: Timers,
+        generator: Random,
+        outbox: Outbox,
+        seeds: Iterable[MemberCard] = (),
+    ) -> None:
+        self._timers = timers
+        self._generator = generator
+        self._outbox = outbox
+        self._started_s = timers.now()
+        self._facts: dict[str, MemberFact] = {}
+        self._gone_s: dict[str, float] = {}
+        self._suspicions: dict[str, Suspicion] = {}
+        self._listed: set[str] = set()
+        self._rumours: RumourQueue[MemberFact] = RumourQueue()
+        self._summary = Summary()
+        self._adoptions = Adoptions(card.host, timers)
+        self._callbacks: list[Callable[[str, MemberState], None]] = []
+        self._contact_callbacks: list[Callable[[str], None]] = []
+        self._alive: list[str] | None = None
+        self._heard: set[str] = set()
+        self._probe: Probe | None = None
+        self._relayed: dict[int, tuple[str, int]] = {}
+        self._sequence = 0
+        self._walk: list[str] = []
+        self._lateness_level = 0
+        self._ticks = 0
+        self._last_tick_s = timers.now()
+        self.host = card.host
+        own = MemberFact(
+            card.host, MemberState.ALIVE, int(timers.wall()), 0, 0, "", *card[1:]
+        )
+        self._store(own)
+        self._rumours.add(own.host, own)
+        for seed in seeds:
+            self._presume(seed)
+
+    def start(self) -> None:
+        """Begin to probe, and ask a few hosts for what they know."""
+        delay_s = self._generator.random() * PERIOD_S
+        self._last_tick_s = self._timers.now() + delay_s - PERIOD_S
+        self._timers.call_later(delay_s, self._begin)
+
+    def list_alive(self) -> list[str]:
+        """Return the hosts that are not known to be gone, this one included.
+
+        Suspect hosts are among them, until they are found dead.
+        """
+        if self._alive is None:
+            facts = self._facts.values()
+            self._alive = [fact.host for fact in facts if fact.state in _PRESENT]
+        return list(self._alive)
+
+    def find_state(self, host: str) -> MemberState | None:
+        """Return a host's state, or None if it is not known."""
+        fact = self._facts.get(host)
+        return fact.state if fact else None
+
+    def find_card(self, host: str) -> MemberCard | None:
+        """Return where a host is to be found, or None if it is not known."""
+        fact = self._facts.get(host)
+        if fact is None or fact.peer_port == 0:
+            return None
+        return MemberCard(fact.host, fact.failure_domain, fact.address, fact.peer_port)
+
+    def find_domain(self, host: str) -> str | None:
+        """Return a host's failure domain, or None if it is not known."""
+        fact = self._facts.get(host)
+        return fact.failure_domain if fact else None
+
+    def find_started(self, host: str) -> int | None:
+        """Return the second at which a host's process started.
+
+        None if it is not known; 0 if the host was never heard of, only listed.
+        """
+        fact = self._facts.get(host)
+        return fact.started if fact else None
+
+    def find_adoption(self, host: str, list_version: int) -> float | None:
+        """Return since when a host has a hosts list or a newer one.
+
+        Args:
+            host: The host.
+            list_version: The version of the hosts list.
+
+        Returns:
+            The wall time at which this host learnt of it, in seconds since
+            1970; None while nothing is known, and again after the host's
+            restart until it has said what it has.
+        """
+        return self._adoptions.find(host, list_version)
+
+    def list_heard(self) -> list[str]:
+        """Return the hosts from which this one has heard directly."""
+        return sorted(self._heard)
+
+    def subscribe(self, callback: Callable[[str, MemberState], None]) -> None:
+        """Call back with a host and its state whenever that changes.
+
+        A host that restarted and was never missed is told as alive again.
+        """
+        self._callbacks.append(callback)
+
+    def subscribe_contacts(self, callback: Callable[[str], None]) -> None:
+        """Call back with each host that is pinged, about one a second.
+
+        What a part sends to the host then travels with the ping.
+        """
+        self._contact_callbacks.append(callback)
+
+    def adopt_list(self, published: Published) -> None:
+        """Take in the hosts list in force.
+
+        Args:
+            published: A ``hosts`` document.
+        """
+        entries = published.body["hosts"]
+        self._listed = {entry["name"] for entry in entries}
+        for entry in entries:
+            self._presume(
+                MemberCard(
+                    entry["name"],
+                    entry["failure_domain"],
+                    entry["address"],
+                    entry["peer_port"],
+                )
+            )
+        self._adoptions.adopt(published)
+        own = self._facts[self.host]
+        young = self._timers.now() - self._started_s < ANNOUNCE_S
+        if young or own.list_version == 0:
+            self._announce(
+                incarnation=own.incarnation + 1,
+                list_version=published.version,
+                list_digest=published.digest,
+            )
+
+    def leave(self) -> None:
+        """Tell the others that this host leaves for good."""
+        self._announce(state=MemberState.LEFT)
+        news = MemberFacts([self._facts[self.host]])
+        for host in self.choose_hosts(LEAVE_FAN_OUT):
+            self._outbox.send(host, news)
+
+    def choose_hosts(self, limit: int, *, domain: str | None = None) -> list[str]:
+        """Return some other hosts at random that are not known to be gone.
+
+        Args:
+            limit: At most so many.
+            domain: Only hosts of this failure domain; None takes all.
+        """
+        hosts = [host for host in self.list_alive() if host != self.host]
+        if domain is not None:
+            hosts = [host for host in hosts if self.find_domain(host) == domain]
+        return self._generator.sample(hosts, min(limit, len(hosts)))
+
+    def handle(self, sender: str, message: Any) -> None:
+        """Take in a message of another host.
+
+        Args:
+            sender: The host that sent it.
+            message: One of the classes of ``membership.messages``.
+        """
+        self._receive(message, sender)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str) -> None:
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @_receive.register
+    def _handle_ping(self, message: Ping, sender: str) -> None:
+        self._read_news(message, sender)
+        self._outbox.send(sender, self._make_news(Ack, message.sequence))
+
+    @_receive.register
+    def _handle_ack(self, message: Ack, sender: str) -> None:
+        self._read_news(message, sender)
+        asker, sequence = self._relayed.pop(message.sequence, ("", 0))
+        if asker:
+            answer = ProbeAnswer(sequence, sender, message.started, message.incarnation)
+            self._outbox.send(asker, answer)
+        self._end_probe(message.sequence, sender)
+
+    @_receive.register
+    def _handle_request(self, message: ProbeRequest, sender: str) -> None:
+        self._sequence += 1
+        sequence = self._sequence
+        self._relayed[sequence] = (sender, message.sequence)
+        self._timers.call_later(
+            PERIOD_S * (1 + MAX_LATENESS_LEVEL),
+            lambda: self._relayed.pop(sequence, None),
+        )
+        self._outbox.send(message.target, self._make_news(Ping, sequence))
+
+    @_receive.register
+    def _handle_answer(self, message: ProbeAnswer, sender: str) -> None:
+        self._note_life(message.target, (message.started, message.incarnation))
+        self._end_probe(message.sequence, message.target)
+
+    @_receive.register
+    def _handle_facts(self, message: MemberFacts, sender: str) -> None:
+        for fact in message.facts:
+            self._apply(fact)
+
+    @_receive.register
+    def _handle_summary(self, message: TableSummary, sender: str) -> None:
+        buckets = self._summary.list_differences(message.buckets)
+        if not buckets:
+            return
+        self._outbox.send(sender, TableAsk(buckets))
+        if not message.answered:
+            self._send_summary(sender, answered=True)
+
+    @_receive.register
+    def _handle_ask(self, message: TableAsk, sender: str) -> None:
+        wanted = set(message.buckets)
+        facts = [
+            fact
+            for fact in self._facts.values()
+            if fact.started and find_bucket(fact.host) in wanted
+        ]
+        self._outbox.send(sender, MemberFacts(facts))
+
+    def _begin(self) -> None:
+        for host in self.choose_hosts(INDIRECT_PROBES):
+            self._ping(host)
+            self._send_summary(host, answered=False)
+        self._tick()
+        self._timers.subscribe(PERIOD_S, self._tick)
+
+    def _tick(self) -> None:
+        self._ticks += 1
+        self._allow_for_lateness()
+        self._judge_probe()
+        self._judge_suspicions()
+        self._start_probe()
+        if self._ticks % REJOIN_PERIODS == 0:
+            self._ping_gone()
+        if self._ticks % SYNC_PERIODS == 0:
+            self._forget_gone()
+            self._sync_table()
+
+    def _allow_for_lateness(self) -> None:
+        """Lengthen every timeout by the time that this process lost."""
+        now_s = self._timers.now()
+        late_s = now_s - self._last_tick_s - PERIOD_S
+        self._last_tick_s = now_s
+        if late_s < LATE_S:
+            return
+        log_message("membership:late", late_s=round(late_s, 3))
+        self._probe = None
+        self._raise_lateness(math.ceil(late_s / PERIOD_S))
+        for suspicion in self._suspicions.values():
+            suspicion.began_s += late_s
+        if late_s > LONG_PAUSE_S:
+            self._sync_table()
+
+    def _raise_lateness(self, levels: int) -> None:
+        level = self._lateness_level + levels
+        self._lateness_level = max(0, min(MAX_LATENESS_LEVEL, level))
+
+    def _judge_probe(self) -> None:
+        probe = self._probe
+        if probe is None or self._timers.now() < probe.deadline_s:
+            return
+        self._probe = None
+        self._raise_lateness(1)
+        fact = self._facts.get(probe.target)
+        if fact is not None and fact.state in _PRESENT:
+            suspect = fact._replace(state=MemberState.SUSPECT, accuser=self.host)
+            self._apply(suspect)
+
+    def _judge_suspicions(self) -> None:
+        now_s = self._timers.now()
+        hosts = len(self.list_alive())
+        for host, suspicion in list(self._suspicions.items()):
+            if now_s >= suspicion.find_deadline(hosts, self._lateness_level):
+                fact = self._facts[host]
+                self._apply(fact._replace(state=MemberState.DEAD, accuser=""))
+
+    def _start_probe(self) -> None:
+        if self._probe is not None:
+            return
+        target = self._choose_target()
+        if target is None:
+            return
+        sequence = self._ping(target)
+        scale = 1 + self._lateness_level
+        deadline_s = self._timers.now() + PERIOD_S * scale * 0.99
+        self._probe = Probe(target, sequence, deadline_s)
+        self._timers.call_later(
+            ACK_TIMEOUT_S * scale, lambda: self._probe_indirectly(sequence)
+        )
+
+    def _choose_target(self) -> str | None:
+        """Walk through all hosts in random order, again and again."""
+        for _ in range(2):
+            while self._walk:
+                host = self._walk.pop()
+                if host != self.host and self.find_state(host) in _PRESENT:
+                    return host
+            self._walk = self.list_alive()
+            self._generator.shuffle(self._walk)
+        return None
+
+    def _probe_indirectly(self, sequence: int) -> None:
+        probe = self._probe
+        if probe is None or probe.sequence != sequence:
+            return
+        for helper in self._choose_helpers(probe.target):
+            self._outbox.send(helper, ProbeRequest(sequence, probe.target))
+
+    def _choose_helpers(self, target: str) -> list[str]:
+        """Return hosts to probe through, one from another failure domain."""
+        hosts = [h for h in self.list_alive() if h not in (self.host, target)]
+        self._generator.shuffle(hosts)
+        domain = self.find_domain(self.host)
+        hosts.sort(key=lambda host: self.find_domain(host) == domain)
+        return hosts[:1] + self._generator.sample(
+            hosts[1:], min(INDIRECT_PROBES - 1, len(hosts[1:]))
+        )
+
+    def _ping(self, host: str) -> int:
+        self._sequence += 1
+        self._outbox.send(host, self._make_news(Ping, self._sequence))
+        for callback in self._contact_callbacks:
+            callback(host)
+        return self._sequence
+
+    def _ping_gone(self) -> None:
+        """Try one host that was found dead, so that partitions heal."""
+        gone = [
+            fact.host for fact in self._facts.values() if fact.state is MemberState.DEAD
+        ]
+        if gone:
+            self._ping(self._generator.choice(gone))
+
+    def _make_news(self, message_class: type, sequence: int) -> Any:
+        facts = self._rumours.take(
+            FACTS_A_MESSAGE, count_tellings(len(self.list_alive()))
+        )
+        own = self._facts[self.host]
+        return message_class(
+            sequence, own.started, own.incarnation, facts, self._adoptions.export()
+        )
+
+    def _read_news(self, message: Ping | Ack, sender: str) -> None:
+        self._heard.add(sender)
+        for fact in message.facts:
+            self._apply(fact)
+        if message.adoption is not None:
+            self._adoptions.merge(sender, message.adoption)
+        self._note_life(sender, (message.started, message.incarnation))
+
+    def _note_life(self, host: str, life: tuple[int, int]) -> None:
+        """Compare a host's own word with what is known of it."""
+        fact = self._facts.get(host)
+        if fact is None:
+            self._outbox.send(host, TableAsk([find_bucket(host)]))
+        elif life > fact.life and fact.state is not MemberState.LEFT:
+            started, incarnation = life
+            alive = fact._replace(
+                state=MemberState.ALIVE,
+                started=started,
+                incarnation=incarnation,
+                accuser="",
+            )
+            self._apply(alive)
+        elif fact.state is not MemberState.ALIVE or life < fact.life:
+            self._outbox.send(host, MemberFacts([fact]))
+
+    def _end_probe(self, sequence: int, target: str) -> None:
+        probe = self._probe
+        if probe is None or (probe.sequence, probe.target) != (sequence, target):
+            return
+        self._probe = None
+        self._raise_lateness(-1)
+
+    def _apply(self, fact: MemberFact) -> None:
+        if fact.host == self.host:
+            self._refute(fact)
+            return
+        known = self._facts.get(fact.host)
+        if known is None or fact.order > known.order:
+            self._accept(fact, known)
+        elif fact.order == known.order and fact.state is MemberState.SUSPECT:
+            self._confirm(fact)
+
+    def _accept(self, fact: MemberFact, known: MemberFact | None) -> None:
+        self._store(fact)
+        if known is not None or fact.state in _PRESENT:
+            self._rumours.add(fact.host, fact)
+        restarted = known is not None and 0 < known.started < fact.started
+        if restarted:
+            self._adoptions.restart(fact.host)
+        self._adoptions.note(fact.host, fact.list_version, fact.list_digest)
+        if known is None or restarted or known.state != fact.state:
+            self._log(fact)
+            self._notify(fact)
+
+    def _confirm(self, fact: MemberFact) -> None:
+        suspicion = self._suspicions[fact.host]
+        new = fact.accuser not in suspicion.accusers
+        if new and len(suspicion.accusers) <= CONFIRMATIONS:
+            suspicion.accusers.add(fact.accuser)
+            self._rumours.add(fact.host, fact)
+
+    def _refute(self, fact: MemberFact) -> None:
+        own = self._facts[self.host]
+        if fact.order <= own.order:
+            return
+        if fact.state is MemberState.SUSPECT:
+            self._raise_lateness(1)
+        started, incarnation = fact.life
+        self._announce(started=started, incarnation=incarnation + 1)
+
+    def _announce(self, **changes: Any) -> None:
+        own = self._facts[self.host]._replace(**changes)
+        self._store(own)
+        self._rumours.add(own.host, own)
+
+    def _presume(self, card: MemberCard) -> None:
+        """Take a listed host for alive until probes show otherwise."""
+        known = self._facts.get(card.host)
+        if known is None:
+            fact = MemberFact(card.host, MemberState.ALIVE, 0, 0, 0, "", *card[1:])
+            self._store(fact)
+            self._notify(fact)
+
+    def _store(self, fact: MemberFact) -> None:
+        known = self._facts.get(fact.host)
+        self._facts[fact.host] = fact
+        self._alive = None
+        if fact.state in _PRESENT:
+            self._gone_s.pop(fact.host, None)
+        else:
+            self._gone_s[fact.host] = self._timers.now()
+        if fact.state is MemberState.SUSPECT:
+            suspicion = Suspicion(self._timers.now(), fact.accuser)
+            self._suspicions[fact.host] = suspicion
+        else:
+            self._suspicions.pop(fact.host, None)
+        self._summary.replace(fact.host, _compare_by(known), _compare_by(fact))
+
+    def _notify(self, fact: MemberFact) -> None:
+        for callback in list(self._callbacks):
+            callback(fact.host, fact.state)
+
+    def _log(self, fact: MemberFact) -> None:
+        log_message(
+            "membership:state",
+            host=fact.host,
+            state=fact.state.name.lower(),
+            started=fact.started,
+            incarnation=fact.incarnation,
+        )
+
+    def _send_summary(self, host: str, *, answered: bool) -> None:
+        buckets = self._summary.list_hashes()
+        self._outbox.send(host, TableSummary(answered, buckets))
+
+    def _sync_table(self) -> None:
+        for host in self.choose_hosts(1):
+            self._send_summary(host, answered=False)
+
+    def _forget_gone(self) -> None:
+        """Drop hosts long gone, unless the hosts list still has them."""
+        limit_s = self._timers.now() - FORGET_S
+        for host, gone_s in list(self._gone_s.items()):
+            if gone_s < limit_s and host not in self._listed:
+                del self._facts[host]
+                del self._gone_s[host]
+
+
+def _compare_by(fact: MemberFact | None) -> tuple[int, int] | None:
+    """Return what two hosts' tables have to agree on."""
+    if fact is None or fact.started == 0 or fact.state not in _PRESENT:
+        return None
+    return fact.life
--- /dev/null
+++ b/oleanderpier/membership/rumours.py
@@ -0,0 +1,65 @@
+"""A bounded queue of news, each item told a limited number of times."""
+
+import math
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+__all__ = ["RumourQueue", "count_tellings"]
+
+TELLINGS_FACTOR = 3
+
+Item = TypeVar("Item")
+
+
+def count_tellings(hosts: int) -> int:
+    """Return how often a host repeats news so that nearly all hear it.
+
+    Args:
+        hosts: How many hosts there are.
+
+    Examples:
+        >>> count_tellings(8), count_tellings(1900)
+        (3, 12)
+    """
+    return TELLINGS_FACTOR * max(1, math.ceil(math.log10(hosts + 1)))
+
+
+class RumourQueue(Generic[Item]):
+    """News to pass on, the least often told first.
+
+    Newer news of a subject replaces older news of it.
+
+    Examples:
+        >>> queue = RumourQueue()
+        >>> queue.add("h1", "h1 is alive")
+        >>> queue.take(4, tellings=2), queue.take(4, tellings=2), queue.take(4, 2)
+        (['h1 is alive'], ['h1 is alive'], [])
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[Hashable, tuple[int, Item]] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def add(self, subject: Hashable, item: Item) -> None:
+        """Queue news of a subject, to be told as often as a new one is."""
+        self._items[subject] = (0, item)
+
+    def take(self, limit: int, tellings: int) -> list[Item]:
+        """Return the next items and count them as told once more.
+
+        Args:
+            limit: At most so many items.
+            tellings: An item told so often leaves the queue.
+        """
+        if not self._items:
+            return []
+        subjects = sorted(self._items, key=lambda subject: self._items[subject][0])
+        taken = []
+        for subject in subjects[:limit]:
+            told, item = self._items.pop(subject)
+            taken.append(item)
+            if told + 1 < tellings:
+                self._items[subject] = (told + 1, item)
+        return taken
--- /dev/null
+++ b/oleanderpier/membership/tests/fakes.py
@@ -0,0 +1,197 @@
+"""A fake network and hosts that are driven by hand in one process."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from oleanderpier.membership import MemberCard, Members
+from oleanderpier.utils import ManualTimers, Subscription, encode_message
+
+MIN_LATENCY_S = 0.0005
+MAX_LATENCY_S = 0.003
+
+
+class HostTimers:
+    """The timers of one host, which stop while its process is paused."""
+
+    def __init__(self, timers: ManualTimers):
+        self.timers = timers
+        self.paused = False
+        self.stopped = False
+        self.held: list[Callable[[], None]] = []
+
+    def now(self) -> float:
+        """Return the monotonic clock in seconds."""
+        return self.timers.now()
+
+    def wall(self) -> float:
+        """Return the wall clock in seconds since 1970."""
+        return self.timers.wall()
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
+        """Call back once, after a delay, or after the pause if that is later."""
+        subscription = Subscription()
+        self.timers.call_later(delay_s, lambda: self._run(callback, subscription))
+        return subscription
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[], None]
+    ) -> Subscription:
+        """Call back again and again, an interval in seconds apart."""
+        subscription = Subscription()
+
+        def fire() -> None:
+            if not subscription.cancelled:
+                self.call_later(interval_s, fire)
+                callback()
+
+        self.call_later(interval_s, fire)
+        return subscription
+
+    def resume(self) -> None:
+        """End a pause and run what fell due meanwhile."""
+        self.paused = False
+        held, self.held = self.held, []
+        for callback in held:
+            callback()
+
+    def _run(self, callback: Callable[[], None], subscription: Subscription) -> None:
+        if self.stopped or subscription.cancelled:
+            return
+        if self.paused:
+            self.held.append(lambda: self._run(callback, subscription))
+        else:
+            callback()
+
+
+class FakeHost:
+    """A host on the fake network: its timers, its outbox and its aggregates.
+
+    Attributes:
+        handlers: From message class to the function that takes it.
+    """
+
+    def __init__(self, network: "FakeNetwork", name: str):
+        self.network = network
+        self.name = name
+        self.timers = HostTimers(network.timers)
+        self.handlers: dict[type, Callable[[str, Any], None]] = {}
+        self.parts: dict[str, Any] = {}
+
+    def send(self, host: str, message: Any) -> bool:
+        """Send a message over the fake network."""
+        return self.network.carry(self.name, host, message)
+
+    def take(self, aggregate: Any, *classes: type) -> None:
+        """Let an aggregate handle messages of some classes."""
+        for message_class in classes:
+            self.handlers[message_class] = aggregate.handle
+
+    def deliver(self, sender: str, message: Any) -> None:
+        """Hand over a message, after the pause if there is one."""
+        if self.timers.paused:
+            self.timers.held.append(lambda: self.deliver(sender, message))
+        elif not self.timers.stopped:
+            self.handlers[type(message)](sender, message)
+
+
+class FakeNetwork:
+    """Carries messages with latency, loss and cuts, and counts their bytes.
+
+    Attributes:
+        loss: Which part of the messages is lost.
+        cuts: Pairs of sender and receiver between which nothing passes.
+        sent_bytes: Bytes sent by each class of message.
+        sent_counts: Messages sent by each class of message.
+    """
+
+    def __init__(self, seed: int, *, loss: float = 0.0):
+        self.timers = ManualTimers()
+        self.generator = Random(seed)
+        self.loss = loss
+        self.cuts: set[tuple[str, str]] = set()
+        self.hosts: dict[str, FakeHost] = {}
+        self.sent_bytes: Counter[str] = Counter()
+        self.sent_counts: Counter[str] = Counter()
+        self.host_bytes: Counter[str] = Counter()
+
+    def add(self, name: str) -> FakeHost:
+        """Start a host, in place of an earlier one of the same name."""
+        if name in self.hosts:
+            self.hosts[name].timers.stopped = True
+        self.hosts[name] = FakeHost(self, name)
+        return self.hosts[name]
+
+    def carry(self, sender: str, receiver: str, message: Any) -> bool:
+        """Deliver a message later, if nothing loses it."""
+        size = len(encode_message(message))
+        self.sent_bytes[type(message).__name__] += size
+        self.sent_counts[type(message).__name__] += 1
+        self.host_bytes[sender] += size
+        lost = self.generator.random() < self.loss
+        if lost or (sender, receiver) in self.cuts or receiver not in self.hosts:
+            return False
+        host = self.hosts[receiver]
+        delay_s = self.generator.uniform(MIN_LATENCY_S, MAX_LATENCY_S)
+        self.timers.call_later(delay_s, lambda: host.deliver(sender, message))
+        return True
+
+    def cut(self, senders: list[str], receivers: list[str]) -> None:
+        """Lose all that goes from some hosts to others, in this direction."""
+        self.cuts |= {(one, two) for one in senders for two in receivers}
+
+    def stop(self, name: str) -> None:
+        """End a host's process without a word."""
+        self.hosts[name].timers.stopped = True
+
+    def pause(self, name: str) -> None:
+        """Pause a host's process."""
+        self.hosts[name].timers.paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self.hosts[name].timers.resume()
+
+
+def make_cards(hosts: int, domains: int) -> list[MemberCard]:
+    """Return cards of hosts that are spread evenly over failure domains."""
+    return [
+        MemberCard(f"h{i}", f"domain-{i % domains}", f"10.0.{i >> 8}.{i & 255}", 7000)
+        for i in range(hosts)
+    ]
+
+
+def make_hosts_value(cards: list[MemberCard], version: int) -> dict[str, Any]:
+    """Return a hosts document that lists the cards."""
+    entries = [
+        {
+            "name": card.host,
+            "failure_domain": card.failure_domain,
+            "address": card.address,
+            "caller_port": 8000,
+            "peer_port": card.peer_port,
+            "operator_port": 9000,
+            "state": "live",
+        }
+        for card in cards
+    ]
+    return {"version": version, "hosts": entries}
+
+
+def add_members(
+    network: FakeNetwork, card: MemberCard, seeds: list[MemberCard]
+) -> Members:
+    """Start a host with its membership."""
+    from oleanderpier.membership import messages
+
+    host = network.add(card.host)
+    generator = Random(network.generator.random())
+    members = Members(card, host.timers, generator, host, seeds)
+    classes = [messages.Ping, messages.Ack, messages.ProbeRequest]
+    classes += [messages.ProbeAnswer, messages.MemberFacts]
+    classes += [messages.TableSummary, messages.TableAsk]
+    host.take(members, *classes)
+    host.parts["members"] = members
+    members.start()
+    return members
