Spread documents from host to host, choose watchers by rank

Cause: what is published has to be in force everywhere in seconds. Ruled out: a watch on each host, whose calls grow with the fleet. Change: deltas, parts, Spread, WatchDuty; checks of 10,000 entries are linear.

--- a/oleanderpier/configuration/__init__.py
+++ b/oleanderpier/configuration/__init__.py
@@ -1,4 +1,8 @@
 """Published documents: their schemas, and which version is in force."""
 
+from oleanderpier.configuration.deltas import *  # noqa: F403
 from oleanderpier.configuration.documents import *  # noqa: F403
+from oleanderpier.configuration.duty import *  # noqa: F403
+from oleanderpier.configuration.messages import *  # noqa: F403
+from oleanderpier.configuration.spread import *  # noqa: F403
 from oleanderpier.configuration.store import *  # noqa: F403
--- a/oleanderpier/configuration/documents.py
+++ b/oleanderpier/configuration/documents.py
@@ -5,7 +5,15 @@
 hosts can tell whose list is newer) and ``backend_servers``.
 """
 
-from typing import Annotated, Any, Literal, NamedTuple, TypedDict, get_type_hints
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    NamedTuple,
+    TypedDict,
+    get_origin,
+    get_type_hints,
+)
 
 import msgspec
 import xxhash
@@ -24,6 +32,8 @@
     "WorkClass",
     "Workspace",
     "check_document",
+    "list_entry_fields",
+    "publish_body",
 ]
 
 DocumentName = Literal["configuration", "hosts", "backend_servers"]
@@ -172,17 +182,37 @@
     """
     body = check_mapping(_SCHEMAS[name], value)
     _check_names(name, body)
+    return publish_body(name, body)
+
+
+def publish_body(name: DocumentName, body: Any) -> Published:
+    """Return a body that was already checked as a document with its digest.
+
+    Args:
+        name: Which document it is.
+        body: The checked body.
+    """
     canonical = msgspec.json.encode(body, order="sorted")
     digest = xxhash.xxh3_64_hexdigest(canonical)
     return Published(name, body["version"], digest, body)
 
 
+def list_entry_fields(name: DocumentName) -> list[str]:
+    """Return the fields of a document that are lists of named entries.
+
+    Examples:
+        >>> list_entry_fields("hosts")
+        ['hosts']
+    """
+    hints = get_type_hints(_SCHEMAS[name])
+    return [field for field, hint in hints.items() if get_origin(hint) is list]
+
+
 def _check_names(name: str, body: Any) -> None:
-    for field in get_type_hints(_SCHEMAS[name]):
-        if not isinstance(body[field], list):
-            continue
-        names = [item["name"] for item in body[field]]
-        for index, item_name in enumerate(names):
-            if item_name in names[:index]:
+    for field in list_entry_fields(name):
+        seen = set()
+        for index, item in enumerate(body[field]):
+            if item["name"] in seen:
                 path = f"$.{field}[{index}].name"
-                raise SettingsError(path, repr(item_name), "a name used once")
+                raise SettingsError(path, repr(item["name"]), "a name used once")
+            seen.add(item["name"])
--- a/oleanderpier/configuration/store.py
+++ b/oleanderpier/configuration/store.py
@@ -6,11 +6,8 @@
 from eliot import log_message
 from expression import Error, Ok, Result
 
-from oleanderpier.configuration.documents import (
-    DocumentName,
-    Published,
-    check_document,
-)
+from oleanderpier.configuration.deltas import check_value
+from oleanderpier.configuration.documents import DocumentName, Published
 from oleanderpier.exception import SettingsError
 from oleanderpier.results import Code, Failure
 
@@ -122,7 +119,7 @@
             leaves the last good one in force.
         """
         try:
-            published = check_document(name, value)
+            published = check_value(name, value, self.get(name))
         except SettingsError as error:
             return self.refuse(name, _read_version(value), str(error))
         return self.offer(published)
--- /dev/null
+++ b/oleanderpier/configuration/tests/fakes.py
@@ -0,0 +1,192 @@
+"""A fake platform, and hosts that watch it and spread what they read."""
+
+import copy
+from random import Random
+from typing import Any
+
+from oleanderpier.configuration import (
+    DOCUMENT_NAMES,
+    DocumentAsk,
+    DocumentDelta,
+    DocumentPart,
+    DocumentRefused,
+    Documents,
+    DocumentVersions,
+    PlatformSeen,
+    Spread,
+    WatchDuty,
+)
+from oleanderpier.membership import MemberCard
+from oleanderpier.membership.tests.fakes import (
+    FakeNetwork,
+    add_members,
+    make_hosts_value,
+)
+
+WAIT_S = 20.0
+PAUSE_S = 1.0
+
+
+class FakePlatform:
+    """Values that can be published, watched and made stale, and call counts."""
+
+    def __init__(self, network: FakeNetwork):
+        self.network = network
+        self.values: dict[str, Any] = {}
+        self.down = False
+        self.unreachable: set[str] = set()
+        self.calls = 0
+        self.waiting: list[Any] = []
+
+    def publish(self, name: str, value: Any) -> None:
+        """Put a value up, and answer the watches that wait for it."""
+        self.values[name] = copy.deepcopy(value)
+        waiting, self.waiting = self.waiting, []
+        for watch in waiting:
+            watch.look(name)
+
+    def read(self, host: str) -> bool:
+        """Count a call and return whether it is answered."""
+        self.calls += 1
+        return not (self.down or host in self.unreachable)
+
+
+class FakeWatch:
+    """Stands for the task that watches one document over HTTP."""
+
+    def __init__(self, platform: FakePlatform, host: Any, name: str):
+        self.platform = platform
+        self.host = host
+        self.name = name
+        self.after: int | None = None
+        self.generation = 0
+        self.running = False
+        host.parts["duty"].subscribe(self.switch)
+
+    def switch(self, on: bool) -> None:
+        """Begin or end to watch."""
+        self.generation += 1
+        self.running = on
+        if on:
+            self.call()
+
+    def call(self) -> None:
+        """Make one call and wait for a change, or for its time to pass."""
+        if not self.platform.read(self.host.name):
+            self.again(self.host.parts["random"].uniform(1.0, 15.0))
+            return
+        self.platform.waiting.append(self)
+        self.look(self.name)
+        generation = self.generation
+        self.host.timers.call_later(WAIT_S, lambda: self.expire(generation))
+
+    def look(self, name: str) -> None:
+        """Take the value if it differs from the one last read."""
+        value = self.platform.values.get(self.name)
+        if not self.running or name != self.name:
+            self.platform.waiting.append(self)
+        elif value is not None and value.get("version") != self.after:
+            self.answer(value)
+        elif self not in self.platform.waiting:
+            self.platform.waiting.append(self)
+
+    def answer(self, value: Any) -> None:
+        """Offer what was read, and call again."""
+        self.generation += 1
+        self.after = value.get("version")
+        self.host.parts["documents"].offer_value(self.name, copy.deepcopy(value))
+        self.host.parts["duty"].confirm()
+        self.again(PAUSE_S)
+
+    def expire(self, generation: int) -> None:
+        """End a call that nothing answered."""
+        if generation == self.generation and self.running:
+            self.host.parts["duty"].confirm()
+            self.again(0.0)
+
+    def again(self, delay_s: float) -> None:
+        """Call once more after a delay."""
+        if self in self.platform.waiting:
+            self.platform.waiting.remove(self)
+        self.generation += 1
+        generation = self.generation
+
+        def call() -> None:
+            if generation == self.generation and self.running:
+                self.call()
+
+        self.host.timers.call_later(delay_s, call)
+
+
+def add_host(
+    network: FakeNetwork,
+    platform: FakePlatform,
+    card: MemberCard,
+    seeds: list[MemberCard],
+) -> Any:
+    """Start a host with membership, documents, spread and watches."""
+    members = add_members(network, card, seeds)
+    host = network.hosts[card.host]
+    generator = Random(network.generator.random())
+    documents = Documents()
+    spread = Spread(documents, members, host.timers, generator, host)
+    duty = WatchDuty(members, host.timers, generator, host)
+    host.parts.update(documents=documents, spread=spread, duty=duty, random=generator)
+    documents.subscribe("hosts", members.adopt_list)
+    host.take(spread, DocumentAsk, DocumentDelta, DocumentPart)
+    host.take(spread, DocumentRefused, DocumentVersions)
+    host.take(duty, PlatformSeen)
+    host.parts["watches"] = [FakeWatch(platform, host, n) for n in DOCUMENT_NAMES]
+    spread.start()
+    duty.start()
+    return host
+
+
+def make_value(version: int, workspaces: int = 10) -> dict[str, Any]:
+    """Return a configuration document."""
+    return {
+        "version": version,
+        "classes": [],
+        "workspaces": [{"name": f"workspace-{i}"} for i in range(workspaces)],
+        "load_multiple": 1.25,
+    }
+
+
+def make_server(index: int, **changes: Any) -> dict[str, Any]:
+    """Return a backend server's entry."""
+    entry = {
+        "name": f"engine-{index}",
+        "failure_domain": f"domain-{index % 3}",
+        "kind": "engine",
+        "address": f"10.1.{index >> 8}.{index & 255}",
+        "port": 9000,
+        "provides": [f"model-{index % 5}"],
+        "slots": 64,
+        "state": "live",
+        "checks_fencing": True,
+    }
+    return {**entry, **changes}
+
+
+def start_fleet(
+    network: FakeNetwork, cards: list[MemberCard], servers: int = 12
+) -> FakePlatform:
+    """Publish the three documents and start all hosts."""
+    platform = FakePlatform(network)
+    platform.publish("hosts", make_hosts_value(cards, 1))
+    platform.publish("configuration", make_value(1))
+    entries = [make_server(i) for i in range(servers)]
+    platform.publish("backend_servers", {"version": 1, "backend_servers": entries})
+    for card in cards:
+        add_host(network, platform, card, cards)
+    return platform
+
+
+def list_versions(network: FakeNetwork, name: str) -> dict[str, Any]:
+    """Return each running host's order of a document, None for none."""
+    orders = {}
+    for host in network.hosts.values():
+        if not host.timers.stopped:
+            current = host.parts["documents"].get(name)
+            orders[host.name] = current.order if current else None
+    return orders
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -468,9 +468,8 @@
             self._ping(self._generator.choice(gone))
 
     def _make_news(self, message_class: type, sequence: int) -> Any:
-        facts = self._rumours.take(
-            FACTS_A_MESSAGE, count_tellings(len(self.list_alive()))
-        )
+        tellings = count_tellings(len(self._facts))
+        facts = self._rumours.take(FACTS_A_MESSAGE, tellings)
         own = self._facts[self.host]
         return message_class(
             sequence, own.started, own.incarnation, facts, self._adoptions.export()
--- a/oleanderpier/utils/schema.py
+++ b/oleanderpier/utils/schema.py
@@ -1,5 +1,6 @@
 """Checks JSON documents against ``TypedDict`` schemas."""
 
+from functools import cache
 from typing import Any, get_args, get_origin, get_type_hints, is_typeddict
 
 import msgspec
@@ -44,13 +45,19 @@
     return repr(value)[:80]
 
 
+@cache
+def _read_hints(schema: type) -> dict[str, Any]:
+    """Return a schema's fields; large lists ask for them entry by entry."""
+    return get_type_hints(schema)
+
+
 def _refuse_unknown_keys(schema: Any, value: Any, path: str) -> None:
     if get_origin(schema) is list and isinstance(value, list):
         for index, item in enumerate(value):
             _refuse_unknown_keys(get_args(schema)[0], item, f"{path}[{index}]")
     if not is_typeddict(schema) or not isinstance(value, dict):
         return
-    hints = get_type_hints(schema)
+    hints = _read_hints(schema)
     for key, item in value.items():
         if key not in hints:
             known = ", ".join(sorted(hints))
