--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements, as ratios to a baseline of the same run."""
+"""Benchmarks with regression bounds."""
