Add claims: majority grants by witnesses of a published host list

Cause: a call that may not be repeated must run at most once in the fleet, and not run must be true of the key, not just of the host that says it. Change: keys (UUIDv7), host list history, witnesses, attempts, look-ups and the daemon's call function.

--- /dev/null
+++ b/oleanderpier/claims/calls.py
@@ -0,0 +1,128 @@
+"""Runs one call that may not be repeated: claim, send once, settle."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from eliot import log_message
+from expression import Error, Ok, Result
+
+from oleanderpier.claims.claims import Claims
+from oleanderpier.claims.entries import Outcome, Right
+from oleanderpier.results import Code, Failure
+
+__all__ = ["Answer", "NotSent", "Send", "Unknown", "run_call"]
+
+_tasks: set[asyncio.Task] = set()
+
+
+class Answer(NamedTuple):
+    """The whole answer of the backend server."""
+
+    body: bytes
+
+
+class NotSent(NamedTuple):
+    """No byte of the request has left this process, and none will.
+
+    Attributes:
+        failure: Why, with a not-run code.
+    """
+
+    failure: Failure
+
+
+class Unknown(NamedTuple):
+    """A byte may have left, and no whole answer came back.
+
+    Attributes:
+        failure: Why, with a may-have-run code.
+    """
+
+    failure: Failure
+
+
+Send = Callable[[float], Awaitable[Result[Answer, NotSent | Unknown]]]
+
+
+async def run_call(
+    claims: Claims, key: str, send: Send, timeout_s: float
+) -> Result[Outcome, Failure]:
+    """Run a call at most once in the whole fleet.
+
+    Whatever may refuse the call as not run (admission, the choice of a backend
+    server) belongs into ``send``: before the claim, a refusal would say not
+    run of a key that another host may be running.
+
+    Args:
+        claims: This host's claims.
+        key: The caller's key, a UUID of version 7.
+        send: Sends the request once, given the seconds that are left. It
+            returns ``NotSent`` only while no byte can have left. An exception
+            counts as ``Unknown``.
+        timeout_s: When the caller is answered at the latest. A send that is
+            still running then goes on, and its late answer can be looked up.
+
+    Returns:
+        What became of the key, now or the first time; or why nothing is known.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_s
+    claimed = await _claim(claims, key, timeout_s)
+    if claimed.is_error():
+        reason = claimed.error
+        return Ok(reason) if isinstance(reason, Outcome) else Error(reason)
+    right = claimed.ok
+    left_s = deadline_s - loop.time()
+    if left_s <= 0:
+        claims.void(right)
+        return Error(Failure(Code.TARGET_UNREACHABLE, "the claim took too long", 0.0))
+    task = asyncio.ensure_future(_send_once(claims, right, send, left_s))
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+    done, _ = await asyncio.wait({task}, timeout=left_s)
+    if done:
+        return task.result()
+    late = Failure(Code.TARGET_MISSED, "no answer within the target", timeout_s)
+    claims.settle(right, late.code, b"")
+    return Error(late)
+
+
+async def _claim(
+    claims: Claims, key: str, timeout_s: float
+) -> Result[Right, Failure | Outcome]:
+    """Wait for the claim; a right that nobody waits for is given up."""
+    future = asyncio.get_running_loop().create_future()
+
+    def notify(result: Result[Right, Failure | Outcome]) -> None:
+        if not future.done():
+            future.set_result(result)
+        elif result.is_ok():
+            claims.void(result.ok)
+
+    claims.claim(key, timeout_s, notify)
+    try:
+        return await future
+    except asyncio.CancelledError:
+        if future.done() and not future.cancelled() and future.result().is_ok():
+            claims.void(future.result().ok)
+        raise
+
+
+async def _send_once(
+    claims: Claims, right: Right, send: Send, left_s: float
+) -> Result[Outcome, Failure]:
+    """Send and say what came of it; goes on when the caller is gone."""
+    try:
+        sent = await send(left_s)
+    except Exception as error:
+        log_message("claims:send_raised", reason=repr(error))
+        sent = Error(Unknown(Failure(Code.ANSWER_LOST, "the send failed", 0.0)))
+    if sent.is_ok():
+        claims.settle(right, Code.DONE, sent.ok.body)
+        return Ok(Outcome(Code.DONE, sent.ok.body))
+    if isinstance(sent.error, NotSent):
+        claims.void(right)
+    else:
+        claims.settle(right, sent.error.failure.code, b"")
+    return Error(sent.error.failure)
--- /dev/null
+++ b/oleanderpier/claims/history.py
@@ -0,0 +1,351 @@
+"""The host lists that still count for claims, kept in step between hosts.
+
+Versions of the list follow each other without gaps, but a host may miss some.
+A list stays in use until it is closed: a majority of its hosts, among them a
+majority of a key's witnesses, had a newer list at one instant before the key
+was made, and so refuse claims under the older one.
+"""
+
+from functools import singledispatchmethod
+from itertools import pairwise
+from typing import Any
+
+from eliot import log_message
+
+from oleanderpier.claims.adoptions import Adoptions
+from oleanderpier.claims.limits import (
+    BOOTSTRAP_WAIT_S,
+    CLOCK_SKEW_S,
+    CLOSE_DELAY_S,
+    CLOSURES_KEPT,
+    LIST_LIFE_S,
+    LIST_SYNC_S,
+    RECORD_LIFE_S,
+    START_MARGIN_S,
+    WITNESS_COUNT,
+)
+from oleanderpier.claims.lists import (
+    HostList,
+    WitnessSet,
+    choose_witnesses,
+    count_majority,
+    read_host_list,
+)
+from oleanderpier.claims.messages import (
+    Closure,
+    HistoryAsk,
+    HistoryTell,
+    ListAsk,
+    ListTell,
+)
+from oleanderpier.configuration import HostsDocument
+from oleanderpier.utils import Outbox, Timers
+
+__all__ = ["HostLists"]
+
+
+class HostLists:
+    """The published lists that one host knows, and whether it may act on them.
+
+    A process that remembers nothing asks the hosts of its list first: one
+    that answers from memory tells it which older lists are still in use, and
+    a majority of answers shows that its own list is not long out of date.
+
+    Args:
+        host: This host's name.
+        incarnation: Which process of the host this is.
+        timers: The timer service.
+        outbox: Sends to other hosts.
+    """
+
+    def __init__(self, host: str, incarnation: str, timers: Timers, outbox: Outbox):
+        self._host = host
+        self._incarnation = incarnation
+        self._timers = timers
+        self._outbox = outbox
+        self._lists: dict[int, HostList] = {}
+        self._adopted_s: dict[int, float] = {}
+        self._closures: dict[int, list[Closure]] = {}
+        self._heard: set[int] = set()
+        self._skipped: set[int] = set()
+        self._tells: dict[str, HistoryTell] = {}
+        self._adoptions = Adoptions()
+        self._floor = 0
+        self._established = False
+        self._askers: set[str] = set()
+        timers.subscribe(LIST_SYNC_S, self.synchronize)
+
+    @property
+    def newest(self) -> HostList:
+        """The newest list; empty with version 0 before there is one."""
+        if not self._lists:
+            return HostList(0, ())
+        return self._lists[max(self._lists)]
+
+    @property
+    def known(self) -> list[HostList]:
+        """Every list in use whose hosts are known, the newest first."""
+        return [self._lists[version] for version in sorted(self._lists, reverse=True)]
+
+    @property
+    def heard(self) -> int:
+        """The newest version that this host has heard of, or 0."""
+        return max(self._heard, default=0)
+
+    @property
+    def ready(self) -> bool:
+        """Whether this host may grant and make claims under its newest list."""
+        if not self._floor or self.heard != self.newest.version:
+            return False
+        return self._has_confirmed()
+
+    def adopt(self, document: HostsDocument) -> None:
+        """Take over a published list; older than the newest has no effect."""
+        self._add_list(read_host_list(document))
+
+    def hear(self, host: str, incarnation: str, version: int) -> None:
+        """Note the newest version that a process of a host has heard of.
+
+        The daemon calls this for each heartbeat; hosts put their ``heard``
+        into theirs.
+        """
+        self._adoptions.hear(host, incarnation, version, self._timers.wall())
+        self.hear_version(host, version)
+
+    def hear_version(self, host: str, version: int) -> None:
+        """Note that a version exists, and ask the host that knows it for it."""
+        if version <= self.heard:
+            return
+        self._heard.add(version)
+        if host != self._host:
+            self._outbox.send(host, HistoryAsk(self._incarnation, version))
+
+    def list_required(self, key: bytes, key_time: float) -> list[WitnessSet] | None:
+        """Return the witness sets of which a claim needs a majority each.
+
+        Args:
+            key: The key's 16 bytes.
+            key_time: When it was made, in seconds since 1970.
+
+        Returns:
+            One set for each list in use, the newest first; None while this
+            host does not know all of them.
+        """
+        if not self.ready or self._find_missing():
+            return None
+        versions = sorted(self._lists, reverse=True)
+        sets = [choose_witnesses(key, self._lists[version]) for version in versions]
+        return sets[:1] + [
+            witnesses for witnesses in sets[1:] if not self._closes(witnesses, key_time)
+        ]
+
+    def handle(self, sender: str, message: Any) -> None:
+        """Take a message about lists from another host."""
+        self._receive(message, sender)
+
+    def synchronize(self) -> None:
+        """Ask for what is missing, prove lists closed, and drop old ones."""
+        self.hear(self._host, self._incarnation, self.heard)
+        self._establish()
+        self._close_lists()
+        self._skip_versions()
+        self._raise_floor()
+        for host in self._list_unasked():
+            self._outbox.send(host, HistoryAsk(self._incarnation, self.heard))
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str) -> None:
+        raise TypeError(f"no list message: {message!r}")
+
+    @_receive.register
+    def _(self, message: HistoryAsk, sender: str) -> None:
+        self.hear(sender, message.incarnation, message.list_version)
+        self._outbox.send(sender, self._describe())
+        if not self._established:
+            self._askers.add(sender)
+
+    @_receive.register
+    def _(self, message: HistoryTell, sender: str) -> None:
+        self._tells[sender] = message
+        self.hear(sender, message.incarnation, max(message.heard, default=0))
+        self._take_floor()
+        self._establish()
+        wanted = set(self._find_missing()) | {self.heard}
+        for version in sorted(wanted & set(message.listed) - set(self._lists)):
+            self._outbox.send(sender, ListAsk(version))
+
+    @_receive.register
+    def _(self, message: ListAsk, sender: str) -> None:
+        found = self._lists.get(message.version)
+        if found is not None:
+            closures = self._closures.get(found.version, [])
+            self._outbox.send(
+                sender, ListTell(found.version, list(found.hosts), closures)
+            )
+
+    @_receive.register
+    def _(self, message: ListTell, sender: str) -> None:
+        closures = self._closures.setdefault(message.version, [])
+        closures += [closure for closure in message.closures if closure not in closures]
+        self._add_list(HostList(message.version, tuple(message.hosts)))
+
+    def _add_list(self, added: HostList) -> None:
+        """Keep a list that is newer than all others or missing between them."""
+        if added.version in self._lists:
+            return
+        if added.version < self.newest.version and not self._is_missing(added.version):
+            return
+        self._lists[added.version] = added
+        self._adopted_s[added.version] = self._timers.now()
+        self.hear_version(self._host, added.version)
+        self._take_floor()
+        self.synchronize()
+
+    def _describe(self) -> HistoryTell:
+        return HistoryTell(
+            self._incarnation,
+            self._established,
+            sorted(self._heard),
+            sorted(self._lists),
+            sorted(self._skipped),
+            self._floor,
+        )
+
+    def _is_missing(self, version: int) -> bool:
+        return version in self._find_missing()
+
+    def _find_missing(self) -> list[int]:
+        """Return versions in use whose hosts this host does not know."""
+        if not self._floor:
+            return []
+        span = range(self._floor, self.newest.version)
+        return [u for u in span if u not in self._lists and u not in self._skipped]
+
+    def _has_confirmed(self) -> bool:
+        """Whether enough hosts of the newest list have answered."""
+        newest = self.newest
+        told = [host for host in newest.names if host in self._tells]
+        remembering = sum(self._tells[host].established for host in told)
+        listed_self = self._host in newest.names
+        majority = count_majority(len(newest.hosts))
+        if remembering + (listed_self and self._established) >= majority:
+            return True
+        waited_s = self._timers.now() - self._adopted_s[newest.version]
+        return len(told) + listed_self >= majority and waited_s >= BOOTSTRAP_WAIT_S
+
+    def _establish(self) -> None:
+        """Note that this process is ready, and correct what it told before."""
+        if self._established or not self.ready:
+            return
+        self._established = True
+        log_message("claims:established", version=self.heard, floor=self._floor)
+        for host in sorted(self._askers):
+            self._outbox.send(host, self._describe())
+        self._askers.clear()
+
+    def _take_floor(self) -> None:
+        """Learn from which version on lists are in use."""
+        if self._floor or not self._lists:
+            return
+        tells = list(self._tells.values())
+        floors = [tell.floor for tell in tells if tell.established and tell.floor]
+        if floors:
+            self._floor = max(floors)
+            for tell in tells:
+                self._skipped.update(tell.skipped if tell.established else ())
+        elif self.newest.version == 1:
+            self._floor = 1
+        elif self._has_confirmed():
+            versions = [version for tell in tells for version in tell.listed]
+            self._floor = min([*versions, *self._lists])
+
+    def _close_lists(self) -> None:
+        """Prove older lists closed from what hosts said before and after."""
+        at_s = self._timers.wall() - CLOSE_DELAY_S
+        versions = sorted(self._lists)
+        for version, following in pairwise(versions):
+            names = self._lists[version].names
+            holders = self._adoptions.find_holders(names, following, at_s)
+            closures = self._closures.setdefault(version, [])
+            known = max((len(closure.holders) for closure in closures), default=0)
+            if len(holders) >= max(count_majority(len(names)), known + 1):
+                closures.append(Closure(following, at_s, holders))
+                del closures[1:-CLOSURES_KEPT]
+
+    def _closes(self, witnesses: WitnessSet, key_time: float) -> bool:
+        """Whether no claim of the key can win under the witnesses' list."""
+        following = min(v for v in self._lists if v > witnesses.version)
+        majority = count_majority(len(witnesses.hosts))
+        return any(
+            closure.version >= following
+            and key_time > closure.at_s + 2 * CLOCK_SKEW_S
+            and len(set(witnesses.hosts) & set(closure.holders)) >= majority
+            for closure in self._closures.get(witnesses.version, [])
+        )
+
+    def _skip_versions(self) -> None:
+        """Pass over versions that a majority below the gap never heard of."""
+        for version in self._find_missing():
+            below = max((u for u in self._lists if u < version), default=0)
+            following = min(u for u in self._lists if u > version)
+            if below and self._count_unaware(below, version, following):
+                self._skipped.add(version)
+                log_message("claims:version_skipped", version=version)
+
+    def _count_unaware(self, below: int, version: int, following: int) -> bool:
+        names = self._lists[below].names
+        tells = [self._tells[name] for name in names if name in self._tells]
+        unaware = sum(
+            tell.established
+            and max(tell.heard, default=0) >= following
+            and version not in tell.heard
+            for tell in tells
+        )
+        unaware += self._host in names and version not in self._heard
+        return unaware >= count_majority(len(names))
+
+    def _raise_floor(self) -> None:
+        """Drop lists that no living key can be claimed under any more."""
+        for version in sorted(self._lists)[:-1]:
+            if version != self._floor or not self._is_out_of_use(version):
+                return
+            following = min(u for u in self._lists if u > version)
+            if any(u in self._find_missing() for u in range(version, following)):
+                return
+            self._drop_list(version, following)
+
+    def _is_out_of_use(self, version: int) -> bool:
+        following = min(u for u in self._lists if u > version)
+        if self._timers.now() - self._adopted_s[following] > LIST_LIFE_S:
+            return True
+        size = len(self._lists[version].hosts)
+        spare = count_majority(min(size, WITNESS_COUNT)) - 1
+        expired_s = self._timers.wall() - RECORD_LIFE_S - START_MARGIN_S
+        return any(
+            closure.at_s < expired_s and size - len(closure.holders) <= spare
+            for closure in self._closures.get(version, [])
+        )
+
+    def _drop_list(self, version: int, following: int) -> None:
+        del self._lists[version]
+        del self._adopted_s[version]
+        self._closures.pop(version, None)
+        self._floor = following
+        self._skipped = {u for u in self._skipped if u >= following}
+        self._heard = {u for u in self._heard if u >= following}
+        self._adoptions.drop_below(following)
+        names = {name for kept in self._lists.values() for name in kept.names}
+        self._tells = {host: self._tells[host] for host in names & set(self._tells)}
+
+    def _list_unasked(self) -> list[str]:
+        """Return the hosts whose answer is needed now."""
+        if self.newest.version == 0:
+            return []
+        hosts: set[str] = set()
+        if not self.ready:
+            hosts.update(self.newest.names)
+        for version in self._find_missing():
+            below = max((u for u in self._lists if u < version), default=0)
+            hosts.update(self._lists[below].names if below else self.newest.names)
+        hosts.discard(self._host)
+        return sorted(hosts)
--- /dev/null
+++ b/oleanderpier/claims/messages.py
@@ -0,0 +1,211 @@
+"""What hosts say to each other about claims and host lists."""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from oleanderpier.utils import register_message
+
+__all__ = [
+    "Ask",
+    "Claim",
+    "ClaimId",
+    "Closure",
+    "Granted",
+    "Held",
+    "HistoryAsk",
+    "HistoryTell",
+    "ListAsk",
+    "ListTell",
+    "ListedHost",
+    "Probe",
+    "Refusal",
+    "Refused",
+    "Release",
+    "Settle",
+    "Told",
+]
+
+
+class Refusal(IntEnum):
+    """Why a witness grants nothing."""
+
+    OLD_LIST = 1
+    NOT_READY = 2
+    KEY_TOO_OLD = 3
+    KEY_AHEAD = 4
+    RELEASED = 5
+
+
+class ClaimId(NamedTuple):
+    """One attempt of one process to get the right to send a key.
+
+    Attributes:
+        host: The claimant.
+        incarnation: Which process of that host.
+        sequence: Rises with each attempt of the process.
+    """
+
+    host: str
+    incarnation: str
+    sequence: int
+
+
+class ListedHost(NamedTuple):
+    """A host of a published list."""
+
+    name: str
+    failure_domain: str
+
+
+class Closure(NamedTuple):
+    """A proof that hosts of one list had a newer list at the same time.
+
+    Attributes:
+        version: Every holder refuses claims under lists older than this.
+        at_s: Wall clock at which all of them held it, in seconds.
+        holders: Names of the hosts.
+    """
+
+    version: int
+    at_s: float
+    holders: list[str]
+
+
+@register_message(60)
+class Claim(NamedTuple):
+    """Asks a witness to grant a key to an attempt."""
+
+    key: bytes
+    claim_id: ClaimId
+    list_version: int
+
+
+@register_message(61)
+class Granted(NamedTuple):
+    """The witness granted the key to this attempt, and to no other."""
+
+    key: bytes
+    claim_id: ClaimId
+    list_version: int
+
+
+@register_message(62)
+class Held(NamedTuple):
+    """The witness granted the key to another attempt before.
+
+    Attributes:
+        code: What came of it; None while that is not known.
+        body: The answer, if it is small and the code is done.
+    """
+
+    key: bytes
+    claim_id: ClaimId
+    list_version: int
+    code: int | None
+    body: bytes
+
+
+@register_message(63)
+class Refused(NamedTuple):
+    """The witness neither granted the key nor knows of another attempt."""
+
+    key: bytes
+    claim_id: ClaimId
+    list_version: int
+    reason: Refusal
+
+
+@register_message(64)
+class Release(NamedTuple):
+    """The claimant gave up this attempt and all earlier ones, for good."""
+
+    key: bytes
+    claim_id: ClaimId
+
+
+@register_message(65)
+class Settle(NamedTuple):
+    """The holder of a key says what came of it."""
+
+    key: bytes
+    claim_id: ClaimId
+    code: int
+    body: bytes
+
+
+@register_message(66)
+class Probe(NamedTuple):
+    """A witness asks a claimant whether its attempt still stands."""
+
+    key: bytes
+    claim_id: ClaimId
+
+
+@register_message(67)
+class Ask(NamedTuple):
+    """Asks a witness what it knows of a key, without claiming it."""
+
+    key: bytes
+
+
+@register_message(68)
+class Told(NamedTuple):
+    """What a witness knows of a key.
+
+    Attributes:
+        known: Whether it granted the key or was told what came of it.
+        code: What came of it; None while that is not known.
+    """
+
+    key: bytes
+    known: bool
+    code: int | None
+    body: bytes
+
+
+@register_message(70)
+class HistoryAsk(NamedTuple):
+    """Asks a host which host lists it knows.
+
+    Attributes:
+        list_version: The newest version that the asking host has heard of.
+    """
+
+    incarnation: str
+    list_version: int
+
+
+@register_message(71)
+class HistoryTell(NamedTuple):
+    """Which host lists a host knows.
+
+    Attributes:
+        established: Whether its process was ready to grant at any time.
+        heard: Versions that were the newest it had heard of, from its floor on.
+        listed: Versions whose hosts it knows.
+        skipped: Versions under which nobody can claim.
+        floor: Older versions are out of use; 0 if it does not know.
+    """
+
+    incarnation: str
+    established: bool
+    heard: list[int]
+    listed: list[int]
+    skipped: list[int]
+    floor: int
+
+
+@register_message(72)
+class ListAsk(NamedTuple):
+    """Asks a host for one host list."""
+
+    version: int
+
+
+@register_message(73)
+class ListTell(NamedTuple):
+    """One host list, with the proofs that its hosts had a newer one."""
+
+    version: int
+    hosts: list[ListedHost]
+    closures: list[Closure]
--- a/oleanderpier/utils/__init__.py
+++ b/oleanderpier/utils/__init__.py
@@ -1,6 +1,7 @@
 """Helpers that every other package uses."""
 
 from oleanderpier.utils.codec import *  # noqa: F403
+from oleanderpier.utils.keys import *  # noqa: F403
 from oleanderpier.utils.outbox import *  # noqa: F403
 from oleanderpier.utils.ranking import *  # noqa: F403
 from oleanderpier.utils.schema import *  # noqa: F403
