--- a/oleanderpier/utils/keys.py
+++ b/oleanderpier/utils/keys.py
@@ -15,7 +15,6 @@
 VERSION_MASK = 0xF << VERSION_SHIFT
 VARIANT_SHIFT = 62
 VARIANT_MASK = 0x3 << VARIANT_SHIFT
-RFC_VARIANT = 0x2
 
 
 def pack_key(key: str) -> bytes | None:
@@ -75,7 +74,6 @@
         1700000000.25
     """
     value = round(wall_s * 1000) << RANDOM_BITS | rng.getrandbits(RANDOM_BITS)
-    # Before Python 3.14 the constructor sets no version above 5.
     value = value & ~VERSION_MASK | KEY_VERSION << VERSION_SHIFT
-    value = value & ~VARIANT_MASK | RFC_VARIANT << VARIANT_SHIFT
+    value = value & ~VARIANT_MASK | 1 << VARIANT_SHIFT + 1
     return str(uuid.UUID(int=value))
