Join membership, documents and claims in the daemon

Cause: the thin path had no claims (payouts refused) and no membership (a draining host stayed in the directory). Ruled out: a directory of its own; the members that are alive and listed as live are the directory. Change: the daemon wires the parts; messages reach them by number range.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -5,7 +5,9 @@
 
 import aiohttp
 from aiohttp import web
+from expression import Error, Ok
 
+from oleanderpier.claims import Answer, NotSent, Unknown, run_call
 from oleanderpier.daemon.requests import (
     CallRequest,
     ChatRequest,
@@ -14,7 +16,7 @@
     refuse_request,
 )
 from oleanderpier.exception import SettingsError
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, describe_code
 
 if TYPE_CHECKING:
     from oleanderpier.daemon.node import Node
@@ -120,19 +122,43 @@
     if failure is not None:
         return refuse_request(failure)
     work_class = node.find_class(body["class"])
-    if not work_class["repeatable"]:
-        return refuse_request(Failure(Code.NO_BACKEND_SERVER, "no claims yet"))
+    if work_class["repeatable"]:
+        result = await send_once(node, work_class, body)
+        result = result.map_error(lambda error: error.failure)
+    else:
+        if "key" not in body:
+            return refuse_request(Failure(Code.KEY_REQUIRED, ""))
+        result = await run_call(
+            node.claims,
+            body["key"],
+            lambda left_s: send_once(node, work_class, body),
+            work_class["first_token_s"],
+        )
+    if result.is_error():
+        return refuse_request(result.error)
+    outcome = result.ok
+    code = getattr(outcome, "code", Code.DONE)
+    told = make_refusal(Failure(code, ""))
+    value = json.loads(outcome.body) if outcome.body else None
+    return web.json_response(
+        {**told, "host": node.host, "body": value},
+        status=describe_code(code).http_status,
+    )
+
+
+async def send_once(node: "Node", work_class: Any, body: Any) -> Any:
+    """Send a call to a plain service, once."""
     server = node.choose_backend_server(work_class, body["workspace"])
     if server is None:
-        return refuse_request(Failure(Code.NO_BACKEND_SERVER, "", RETRY_AFTER_S))
+        failure = Failure(Code.NO_BACKEND_SERVER, "", RETRY_AFTER_S)
+        return Error(NotSent(failure))
     url = f"http://{server['address']}:{server['port']}/v1/calls/{work_class['needs']}"
+    headers = {"Idempotency-Key": body["key"]} if "key" in body else {}
     try:
-        async with node.session.post(url, json=body["body"]) as answer:
-            value = await answer.json()
+        async with node.session.post(url, json=body["body"], headers=headers) as answer:
+            return Ok(Answer(await answer.read()))
     except aiohttp.ClientError as error:
-        return refuse_request(Failure(Code.ANSWER_LOST, repr(error), RETRY_AFTER_S))
-    done = make_refusal(Failure(Code.DONE, ""))
-    return web.json_response({**done, "host": node.host, "body": value})
+        return Error(Unknown(Failure(Code.ANSWER_LOST, repr(error), RETRY_AFTER_S)))
 
 
 def check_names(node: "Node", body: Any) -> Failure | None:
--- a/oleanderpier/daemon/operators.py
+++ b/oleanderpier/daemon/operators.py
@@ -6,6 +6,7 @@
 from prometheus_client import REGISTRY
 from prometheus_client.exposition import generate_latest
 
+from oleanderpier.configuration import DOCUMENT_NAMES
 from oleanderpier.operators import EventsAnswer, StatusAnswer, make_event_row
 
 if TYPE_CHECKING:
@@ -54,10 +55,17 @@
         started_s=node.started_s,
         versions={
             name: {"version": published.version, "digest": published.digest}
-            for name, published in node.documents.items()
+            for name in DOCUMENT_NAMES
+            if (published := node.documents.get(name))
         },
-        refused_documents=[],
-        members=[],
+        refused_documents=[
+            {"name": item.name, "version": item.version, "text": item.text}
+            for item in node.documents.list_refused()
+        ],
+        members=[
+            {"host": host, "state": node.members.find_state(host).name.lower()}
+            for host in sorted(node.members.list_known())
+        ],
         backend_servers=[
             {"name": name, "state": "live", "in_flight": count}
             for name, count in sorted(node.in_flight.items())
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -183,6 +183,10 @@
             self._alive = [fact.host for fact in facts if fact.state in _PRESENT]
         return list(self._alive)
 
+    def list_known(self) -> list[str]:
+        """Return every host of which something is known, gone ones included."""
+        return list(self._facts)
+
     def find_state(self, host: str) -> MemberState | None:
         """Return a host's state, or None if it is not known."""
         fact = self._facts.get(host)
--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -18,6 +18,7 @@
 from oleanderpier.utils import (
     Timers,
     encode_message,
+    list_messages,
     make_unpacker,
     unpack_message,
 )
@@ -65,6 +66,7 @@
         self._timers = timers
         self._clock = clock
         self._addresses: dict[str, Address] = {}
+        self._incarnations: dict[str, int] = {}
         self._streams: dict[str, _Stream] = {}
         self._handlers: dict[type, Callable[[str, Any], None]] = {}
         self._server: asyncio.Server | None = None
@@ -76,6 +78,17 @@
         """Hand messages of a class to a handler of (sender, message)."""
         self._handlers[message_class] = handler
 
+    def subscribe_range(
+        self, numbers: range, handler: Callable[[str, Any], None]
+    ) -> None:
+        """Hand every message whose number is in a range to one handler."""
+        for message_class in list_messages(numbers):
+            self.subscribe(message_class, handler)
+
+    def find_incarnation(self, host: str) -> int | None:
+        """Return the incarnation in which a host last opened a stream."""
+        return self._incarnations.get(host)
+
     def update_addresses(self, addresses: dict[str, Address]) -> None:
         """Learn where hosts are; hosts learnt earlier stay known."""
         self._addresses.update(addresses)
@@ -177,6 +190,7 @@
                     message = unpack_message(items)
                     if isinstance(message, Hello):
                         sender = message.host
+                        self._incarnations[sender] = message.incarnation
                     elif isinstance(message, KeepAlive):
                         writer.write(encode_message(KeepAliveAnswer(message.sequence)))
                     else:
@@ -185,6 +199,9 @@
             _log_closed(sender, Code.MESSAGE_MALFORMED, error)
         except OSError as error:
             _log_closed(sender, Code.PEER_UNREACHABLE, error)
+        except Exception as error:
+            # A fault in one handler must not take the other streams down.
+            _log_closed(sender, Code.HANDLER_FAILED, error)
         finally:
             self._tasks.discard(asyncio.current_task())
             writer.close()
--- a/oleanderpier/utils/codec.py
+++ b/oleanderpier/utils/codec.py
@@ -14,6 +14,7 @@
 __all__ = [
     "decode_message",
     "encode_message",
+    "list_messages",
     "make_unpacker",
     "register_message",
     "unpack_message",
@@ -44,6 +45,11 @@
     return register
 
 
+def list_messages(numbers: range) -> list[type]:
+    """Return the message classes whose numbers lie in a range."""
+    return [_CLASSES[number] for number in sorted(_CLASSES) if number in numbers]
+
+
 def encode_message(message: Any) -> bytes:
     """Return a message's bytes for the wire.
 
