Notice a closed stream at once and never raise from send

Cause: a daemon killed while others wrote to it left callers of other hosts without an answer. uvloop raises RuntimeError on a write to a closed transport; it went up through the claim's timer, which never ended. Ruled out: a lost wake-up in the claims (their timers ran; the send raised). Change: the peer's task reads all the time, so that an end is seen at once; keep alives are driven by the timer service; a closing transport keeps bytes pending.

--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -26,8 +26,8 @@
 __all__ = ["Address", "Mesh"]
 
 CONNECT_TIMEOUT_S = 1.0
-PING_INTERVAL_S = 1.0
-PONG_TIMEOUT_S = 2.5
+KEEP_ALIVE_INTERVAL_S = 0.5
+ANSWER_TIMEOUT_S = 1.5
 IDLE_CLOSE_S = 30.0
 FIRST_BACKOFF_S = 0.1
 LAST_BACKOFF_S = 2.0
@@ -153,29 +153,19 @@
         except OSError:
             return False
         stream.attach(writer, Hello(self.host, self.incarnation))
+        watch = self._timers.subscribe(
+            KEEP_ALIVE_INTERVAL_S, lambda: stream.keep_alive(self._timers.now())
+        )
         try:
-            await self._watch_stream(stream, reader)
+            await _read_answers(stream, reader)
         except (OSError, MessageError, UnpackException, ValueError) as error:
             _log_closed(stream.host, Code.PEER_UNREACHABLE, error)
         finally:
+            watch.cancel()
             stream.detach()
             writer.close()
         return True
 
-    async def _watch_stream(
-        self, stream: "_Stream", reader: asyncio.StreamReader
-    ) -> None:
-        """KeepAlive while the stream is in use; raise TimeoutError if it is silent."""
-        unpacker = make_unpacker()
-        sequence = 0
-        while stream.is_wanted(self._timers.now()):
-            await stream.wait_used(IDLE_CLOSE_S)
-            sequence += 1
-            stream.ping(KeepAlive(sequence))
-            async with asyncio.timeout(PONG_TIMEOUT_S):
-                await _read_pong(reader, unpacker, sequence)
-            await asyncio.sleep(PING_INTERVAL_S)
-
     async def _serve_stream(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -225,7 +215,9 @@
         self._pending = bytearray()
         self._used_at = 0.0
         self._stamped = Stamp(0, 0)
-        self._used = asyncio.Event()
+        self._asked = 0
+        self._asked_at = 0.0
+        self._answered = 0
 
     def is_wanted(self, now: float) -> bool:
         return now - self._used_at < IDLE_CLOSE_S
@@ -238,35 +230,47 @@
         return encode_message(ClockStamp(*stamp))
 
     def write(self, data: bytes, now: float) -> bool:
+        """Write to the connection, or keep the bytes until there is one."""
         self._used_at = now
-        self._used.set()
-        if self._writer is None:
+        if self._writer is None or self._writer.transport.is_closing():
             return self._keep_pending(data)
         if self._writer.transport.get_write_buffer_size() > MAX_PENDING_BYTES:
             return False
         self._writer.write(data)
         return True
 
-    def ping(self, ping: KeepAlive) -> None:
-        self._writer.write(encode_message(ping))
+    def keep_alive(self, now: float) -> None:
+        """Close the connection if it is idle or silent, else ask for a sign."""
+        transport = self._writer.transport
+        if transport.is_closing():
+            return
+        if not self.is_wanted(now):
+            transport.close()
+        elif self._asked == self._answered:
+            if self._used_at >= self._asked_at:
+                self._asked += 1
+                self._asked_at = now
+                self._writer.write(encode_message(KeepAlive(self._asked)))
+        elif now - self._asked_at > ANSWER_TIMEOUT_S:
+            transport.abort()
+
+    def note_answer(self, answer: KeepAliveAnswer) -> None:
+        """Take the peer's sign of life."""
+        self._answered = answer.sequence
 
     def attach(self, writer: asyncio.StreamWriter, hello: Hello) -> None:
+        """Use a new connection, and send what is pending."""
         writer.write(encode_message(hello) + bytes(self._pending))
         self._pending.clear()
         self._writer = writer
+        self._answered = self._asked
+        self._asked_at = 0.0
 
     def detach(self) -> None:
+        """Use no connection from now on."""
         self._writer = None
         self._stamped = Stamp(0, 0)
 
-    async def wait_used(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._used.wait()
-        except TimeoutError:
-            return
-        self._used.clear()
-
     def _keep_pending(self, data: bytes) -> bool:
         if len(self._pending) + len(data) > MAX_PENDING_BYTES:
             return False
@@ -274,18 +278,15 @@
         return True
 
 
-async def _read_pong(
-    reader: asyncio.StreamReader, unpacker: Any, sequence: int
-) -> None:
-    while True:
+async def _read_answers(stream: _Stream, reader: asyncio.StreamReader) -> None:
+    unpacker = make_unpacker()
+    while data := await reader.read(READ_BYTES):
+        unpacker.feed(data)
         for items in unpacker:
             message = unpack_message(items)
-            if isinstance(message, KeepAliveAnswer) and message.sequence == sequence:
-                return
-        data = await reader.read(READ_BYTES)
-        if not data:
-            raise ConnectionResetError("the peer closed the stream")
-        unpacker.feed(data)
+            if not isinstance(message, KeepAliveAnswer):
+                raise MessageError(f"unexpected {type(message).__name__}")
+            stream.note_answer(message)
 
 
 def _log_closed(host: str, code: Code, error: Exception) -> None:
--- a/oleanderpier/peers/tests/test_mesh.py
+++ b/oleanderpier/peers/tests/test_mesh.py
@@ -116,8 +116,8 @@
 
     def test_silent_stream_is_replaced(self):
         """A connection that went silent is given up; a new one delivers."""
-        self.patch(mesh, "PONG_TIMEOUT_S", 0.2)
-        self.patch(mesh, "PING_INTERVAL_S", 0.05)
+        self.patch(mesh, "ANSWER_TIMEOUT_S", 0.2)
+        self.patch(mesh, "KEEP_ALIVE_INTERVAL_S", 0.05)
 
         async def run():
             one, _, _ = await make_mesh("one")
@@ -140,6 +140,29 @@
 
         self.assertEqual(2, asyncio.run(run()))
 
+    def test_restarted_peer_is_reached_again(self):
+        """Sending to a peer that is gone never raises; a new one is reached."""
+
+        async def run():
+            one, _, _ = await make_mesh("one")
+            two, port, received = await make_mesh("two")
+            one.update_addresses({"two": Address("127.0.0.1", port)})
+            one.send("two", Note("before"))
+            await wait_for(lambda: received)
+            await two.close()
+            for count in range(20):
+                one.send("two", Note(f"lost {count}"))
+                await asyncio.sleep(0.01)
+            three, port, received = await make_mesh("two")
+            one.update_addresses({"two": Address("127.0.0.1", port)})
+            while not received:
+                one.send("two", Note("after"))
+                await asyncio.sleep(0.05)
+            await one.close()
+            await three.close()
+
+        asyncio.run(asyncio.wait_for(run(), WAIT_S))
+
     def test_stamps_carry_causes(self):
         """An event after a message is later than those before it was sent."""
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,89 @@
+"""Checks of a daemon as a process: descriptors, children, settings, demo."""
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+
+from demo.__main__ import run_demo
+from demo.fleet import Fleet
+
+PROGRAM = Path(sys.executable).parent / "oleanderpierd"
+
+
+def list_descriptors(pid: int) -> list[str]:
+    """Return what the descriptors of a process point to."""
+    folder = Path(f"/proc/{pid}/fd")
+    return [os.readlink(entry) for entry in folder.iterdir()]
+
+
+def list_children(pid: int) -> list[str]:
+    """Return the processes that a process has started."""
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return [
+        child for task in tasks for child in (task / "children").read_text().split()
+    ]
+
+
+def list_shared_mappings(pid: int) -> list[str]:
+    """Return a process's writable shared mappings."""
+    lines = Path(f"/proc/{pid}/maps").read_text().splitlines()
+    return [
+        line
+        for line in lines
+        if line.split()[1].startswith("rw") and "s" in line.split()[1]
+    ]
+
+
+class DaemonTest(TestCase):
+    """What the brief asks of each process."""
+
+    def setUp(self):
+        """Make a folder that is removed afterwards."""
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_running_daemon(self):
+        """It holds no io_uring, shares no memory and starts no process."""
+
+        async def run():
+            async with Fleet(self.folder, hosts=1, engines=1, services=0) as fleet:
+                pid = fleet.processes["host-0"].pid
+                return (
+                    list_descriptors(pid),
+                    list_children(pid),
+                    list_shared_mappings(pid),
+                )
+
+        descriptors, children, mappings = asyncio.run(run())
+        self.assertTrue(any("socket" in target for target in descriptors))
+        self.assertEqual([], [t for t in descriptors if "io_uring" in t])
+        self.assertEqual([], children)
+        self.assertEqual([], mappings)
+
+    def test_bad_settings_end_it(self):
+        """Exit status 2, with the code, the path, what is found and allowed."""
+        path = self.folder / "bad.json"
+        path.write_text(json.dumps({"host": "h1", "caller_port": "many"}))
+        ended = subprocess.run(
+            [PROGRAM, "--settings", path], capture_output=True, text=True, check=False
+        )
+        self.assertEqual(2, ended.returncode)
+        told = json.loads(ended.stderr)
+        self.assertEqual(301, told["code"])
+        self.assertIn("$.", told["text"])
+        self.assertIn("found", told["text"])
+        self.assertIn("allowed", told["text"])
+
+    def test_demo(self):
+        """Every outcome of the demo is right."""
+        for outcome in asyncio.run(run_demo(self.folder)):
+            with self.subTest(what=outcome.what):
+                self.assertEqual(outcome.total, outcome.right)
