--- a/oleanderpier/cli/status.py
+++ b/oleanderpier/cli/status.py
@@ -21,6 +21,7 @@
 
 __all__ = ["status"]
 
+NOTABLE_STATES = ("suspect", "dead")
 DOCUMENT_NAMES = get_args(DocumentName)
 HEADERS = [
     "HOST",
@@ -80,7 +81,7 @@
     notes += [
         f"{member['host']} is {member['state']}"
         for member in answer["members"]
-        if member["state"] != "alive"
+        if member["state"] in NOTABLE_STATES
     ]
     return "; ".join(notes)
 
--- a/oleanderpier/operators/client.py
+++ b/oleanderpier/operators/client.py
@@ -7,7 +7,6 @@
 import msgspec
 from aiohttp import ClientError, ClientSession
 from expression import Error, Ok, Result
-from yarl import URL
 
 from oleanderpier.operators.answers import ConfigurationAnswer
 from oleanderpier.results import Code, Failure
@@ -48,6 +47,16 @@
     result: Result[Any, Failure]
 
 
+def format_address(address: str) -> str:
+    """Return an IP number as it stands in a URL.
+
+    Examples:
+        >>> format_address("::1"), format_address("127.0.0.1")
+        ('[::1]', '127.0.0.1')
+    """
+    return f"[{address}]" if ":" in address else address
+
+
 async def ask_operator(
     session: ClientSession,
     operator: Operator,
@@ -65,11 +74,9 @@
             does not know are left out, as a newer host may send more.
         query: The query of the call.
     """
-    url = URL.build(
-        scheme="http", host=operator.address, port=operator.port, path=path
-    ).with_query(query)
+    url = f"http://{format_address(operator.address)}:{operator.port}{path}"
     try:
-        async with session.get(url) as response:
+        async with session.get(url, params=query) as response:
             data = await response.read()
             status = response.status
     except (ClientError, OSError, TimeoutError) as error:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,7 +20,7 @@
 from oleanderpier.exception import SettingsError
 from oleanderpier.utils import check_mapping
 
-__all__ = ["Calls", "Faults", "Platform", "make_application", "run"]
+__all__ = ["Calls", "Faults", "Platform", "main", "make_application"]
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_S = 120.0
@@ -294,10 +294,10 @@
 @click.option("--port", type=click.IntRange(1, 65535), required=True, help="TCP port.")
 @click.option("--calls-per-s", type=float, help="Bound on all callers' calls.")
 @click.option("--publish", multiple=True, metavar="NAME=FILE", help="Publish a file.")
-def run(address: str, port: int, calls_per_s: float | None, publish: tuple) -> None:
+def main(address: str, port: int, calls_per_s: float | None, publish: tuple) -> None:
     """Serve the stand-in for the platform until interrupted."""
     asyncio.run(serve(address, port, calls_per_s, publish))
 
 
 if __name__ == "__main__":
-    run()
+    main()
