Say so when no list of hosts could be read

Cause: a trial against daemons that serve no list showed one host of three and exit status 0. Ruled out: a warning on stderr alone, which scripts would miss. Change: a row '(other hosts)' and exit status 1; a named host that is in no list is such a row, too. Conclusion: test_nothing_reachable expects the row.

--- a/oleanderpier/cli/questions.py
+++ b/oleanderpier/cli/questions.py
@@ -11,10 +11,11 @@
 
 from oleanderpier.cli.tables import print_table
 from oleanderpier.operators import (
+    Directory,
     Operator,
     Reply,
     ask_all,
-    list_operators,
+    find_directory,
 )
 from oleanderpier.results import Code, Failure
 from oleanderpier.settings import read_settings
@@ -28,10 +29,13 @@
     "end",
     "list_answers",
     "list_unanswered",
+    "list_unknown",
+    "open_directory",
     "open_session",
     "print_unanswered",
 ]
 
+OTHER_HOSTS = "(other hosts)"
 OPERATOR_HELP = "Operator address of a host; may be repeated."
 SETTINGS_HELP = "Settings file of a host to ask; may be repeated."
 
@@ -139,26 +143,34 @@
 
     async def run() -> list[Reply]:
         async with open_session(question) as session:
-            operators = await find_operators(session, question)
-            names = [operator.host for operator in operators]
-            unknown = [make_unknown(host) for host in hosts if host not in names]
-            asked = [each for each in operators if not hosts or each.host in hosts]
-            return unknown + await ask_all(session, asked, path, schema, **query)
+            directory = await open_directory(session, question)
+            asked = select_operators(directory, hosts)
+            replies = await ask_all(session, asked, path, schema, **query)
+            return replies + list_unknown(directory, hosts)
 
     return run_coroutine(run())
 
 
-async def find_operators(session: ClientSession, question: Question) -> list[Operator]:
-    """Return every host that is to be asked."""
+async def open_directory(session: ClientSession, question: Question) -> Directory:
+    """Return the hosts that may be asked."""
     if question.only:
-        return question.seeds
-    return await list_operators(session, question.seeds)
+        return Directory(question.seeds, listed=True)
+    return await find_directory(session, question.seeds)
 
 
-def make_unknown(host: str) -> Reply:
-    """Return the reply of a host whose address is not known."""
+def select_operators(directory: Directory, hosts: Sequence[str]) -> list[Operator]:
+    """Return the hosts with the names given, all if no names are given."""
+    return [each for each in directory.operators if not hosts or each.host in hosts]
+
+
+def list_unknown(directory: Directory, hosts: Sequence[str] = ()) -> list[Reply]:
+    """Return failures for the hosts whose addresses are not known."""
+    names = [operator.host for operator in directory.operators]
+    unknown = [host for host in hosts if host not in names]
+    if not directory.listed and not hosts:
+        unknown = [OTHER_HOSTS]
     failure = Failure(Code.PEER_UNREACHABLE, "in no list of hosts that could be read")
-    return Reply(Operator(host, "", 0), Error(failure))
+    return [Reply(Operator(host, "", 0), Error(failure)) for host in unknown]
 
 
 def list_answers(replies: Sequence[Reply]) -> list[Any]:
--- a/oleanderpier/cli/tests/test_program.py
+++ b/oleanderpier/cli/tests/test_program.py
@@ -141,13 +141,15 @@
         self.assertEqual(1, self.ask("status", "h9").exit_code)
 
     def test_nothing_reachable(self):
-        """The hosts that were named are shown where none can be reached."""
+        """Where no list of hosts is read, the output says that some may miss."""
         closed = f"127.0.0.1:{find_closed_port()}"
         for command in ("status", "targets", "events"):
             result = invoke(command, "--operator", closed, "--json")
             self.assertEqual(1, result.exit_code)
             unanswered = json.loads(result.output)["unanswered"]
-            self.assertEqual([closed], [row["host"] for row in unanswered])
+            self.assertEqual(
+                [closed, "(other hosts)"], [row["host"] for row in unanswered]
+            )
 
     def test_settings(self):
         """A settings file names a host; a bad one ends with status 2."""
--- a/oleanderpier/cli/tests/test_timeline.py
+++ b/oleanderpier/cli/tests/test_timeline.py
@@ -8,7 +8,7 @@
 from oleanderpier.cli.tests.stubs import StubFleet, StubHost
 from oleanderpier.cli.timeline import Reader
 from oleanderpier.events import Ring
-from oleanderpier.operators import Operator
+from oleanderpier.operators import Directory, Operator
 
 
 class ReaderTest(TestCase):
@@ -21,8 +21,9 @@
 
         async def read_rounds():
             operators = [Operator("h1", "127.0.0.1", host.port)]
+            directory = Directory(operators, listed=True)
             async with ClientSession() as session:
-                reader = Reader(session, operators, limit=None)
+                reader = Reader(session, directory, limit=None)
                 for prepare in (self.record_two, self.record_one, self.restart):
                     prepare(host)
                     batches.append((await reader.read_batch()).events)
--- a/oleanderpier/cli/timeline.py
+++ b/oleanderpier/cli/timeline.py
@@ -1,7 +1,7 @@
 """The command that shows the merged time line of all hosts."""
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from datetime import UTC, datetime
 from typing import NamedTuple
 
@@ -14,14 +14,16 @@
     Unanswered,
     add_options,
     end,
-    find_operators,
     list_unanswered,
+    list_unknown,
+    open_directory,
     open_session,
     print_unanswered,
 )
 from oleanderpier.cli.tables import print_json, print_table
 from oleanderpier.events import Event, ReorderBuffer, Stamp, merge_events
 from oleanderpier.operators import (
+    Directory,
     EventsAnswer,
     Operator,
     Reply,
@@ -95,21 +97,21 @@
 
     Args:
         session: Has the timeout that holds.
-        operators: Whom to ask.
+        directory: Whom to ask.
         limit: How many events of one host are wanted a round; None for all.
     """
 
     def __init__(
-        self, session: ClientSession, operators: Sequence[Operator], limit: int | None
+        self, session: ClientSession, directory: Directory, limit: int | None
     ) -> None:
         self._session = session
-        self._operators = operators
+        self._directory = directory
         self._query = {} if limit is None else {"limit": limit}
         self._positions: dict[Operator, tuple[int, int]] = {}
 
     async def read_batch(self) -> Batch:
         """Ask all hosts for what is new since the last round."""
-        replies = await map_operators(self._read_host, self._operators)
+        replies = await map_operators(self._read_host, self._directory.operators)
         answers = [reply.result.ok for reply in replies if reply.result.is_ok()]
         lists = [map(make_event, answer["events"]) for answer in answers]
         gaps = [Gap(answer["host"], answer["lost"]) for answer in answers]
@@ -117,7 +119,7 @@
             merge_events(lists),
             min((answer["horizon"] for answer in answers), default=Stamp(0, 0)),
             [gap for gap in gaps if gap.lost],
-            list_unanswered(replies),
+            list_unanswered(replies + list_unknown(self._directory)),
         )
 
     async def _read_host(self, operator: Operator) -> Reply:
@@ -180,8 +182,8 @@
 ) -> list[Unanswered]:
     """Print one batch of events, or batch after batch until interrupted."""
     async with open_session(question) as session:
-        operators = await find_operators(session, question)
-        reader = Reader(session, operators, shown.find_host_limit())
+        directory = await open_directory(session, question)
+        reader = Reader(session, directory, shown.find_host_limit())
         batch = await reader.read_batch()
         if not follow:
             print_batch(batch, shown, question.as_json)
--- a/oleanderpier/operators/client.py
+++ b/oleanderpier/operators/client.py
@@ -12,11 +12,12 @@
 from oleanderpier.results import Code, Failure
 
 __all__ = [
+    "Directory",
     "Operator",
     "Reply",
     "ask_all",
     "ask_operator",
-    "list_operators",
+    "find_directory",
     "map_operators",
 ]
 
@@ -47,6 +48,18 @@
     result: Result[Any, Failure]
 
 
+class Directory(NamedTuple):
+    """The hosts that can be asked.
+
+    Attributes:
+        listed: Whether a list of hosts was read; there may be more hosts
+            otherwise.
+    """
+
+    operators: list[Operator]
+    listed: bool
+
+
 def format_address(address: str) -> str:
     """Return an IP number as it stands in a URL.
 
@@ -119,9 +132,9 @@
     return await asyncio.gather(*map(ask_in_turn, operators))
 
 
-async def list_operators(
+async def find_directory(
     session: ClientSession, seeds: Iterable[Operator]
-) -> list[Operator]:
+) -> Directory:
     """Return every host in the newest list of hosts that the seeds know.
 
     A seed that is in no list stays, so that it is not lost from sight.
@@ -133,13 +146,16 @@
         for reply in replies
         if reply.result.is_ok() and "hosts" in reply.result.ok["documents"]
     ]
-    newest = max(lists, key=lambda each: each["version"], default={"hosts": []})
+    if not lists:
+        return Directory(seeds, listed=False)
+    newest = max(lists, key=lambda each: each["version"])
     known = [
         Operator(host["name"], host["address"], host["operator_port"])
         for host in newest["hosts"]
     ]
     places = {operator[1:] for operator in known}
-    return known + [seed for seed in seeds if seed[1:] not in places]
+    unlisted = [seed for seed in seeds if seed[1:] not in places]
+    return Directory(known + unlisted, listed=True)
 
 
 def _read_refusal(status: int, data: bytes) -> Failure:
