--- a/oleanderpier/cli/program.py
+++ b/oleanderpier/cli/program.py
@@ -8,12 +8,12 @@
 from oleanderpier.cli.targets import targets
 from oleanderpier.cli.timeline import events
 
-__all__ = ["program", "run"]
+__all__ = ["run"]
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="oleanderpier")
-def program() -> None:
+def run() -> None:
     """Look into a fleet of oleanderpier hosts; nothing is changed.
 
     Exit status: 0 if all went well, 1 if a host did not answer or an answer
@@ -22,9 +22,4 @@
 
 
 for command in (check, status, targets, explain, events):
-    program.add_command(command)
-
-
-def run() -> None:
-    """Run the program with the arguments of the process."""
-    program(prog_name="oleanderpier")
+    run.add_command(command)
--- a/oleanderpier/cli/tests/test_program.py
+++ b/oleanderpier/cli/tests/test_program.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 from testtools import TestCase
 
-from oleanderpier.cli import program
+from oleanderpier.cli import run
 from oleanderpier.cli.tests.stubs import StubFleet, StubHost
 
 SETTINGS = {
@@ -26,7 +26,7 @@
 
 def invoke(*arguments):
     """Run the program and return click's result."""
-    return CliRunner().invoke(program, [str(argument) for argument in arguments])
+    return CliRunner().invoke(run, [str(argument) for argument in arguments])
 
 
 def find_closed_port():
