Give the code for a failed handler its rows

Cause: the test of the pages found a code that they did not have. Conclusion: the tables of the pages equal those of the code again.

--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -50,6 +50,7 @@
     PLATFORM_UNREACHABLE = 305
     URING_OPEN = 306
     PEER_UNREACHABLE = 307
+    HANDLER_FAILED = 308
 
 
 class Failure(NamedTuple):
@@ -104,6 +105,7 @@
     Code.PLATFORM_UNREACHABLE: (500, "The platform's service does not answer."),
     Code.URING_OPEN: (500, "The process holds an io_uring descriptor."),
     Code.PEER_UNREACHABLE: (500, "A peer does not answer."),
+    Code.HANDLER_FAILED: (500, "A part failed on a peer's message."),
 }
 
 _FATES = {
