--- a/oleanderpier/settings/schema.py
+++ b/oleanderpier/settings/schema.py
@@ -76,12 +76,6 @@
             Meta(description="Seconds for which one watch at the platform waits."),
         ]
     ]
-    connect_timeout_s: NotRequired[
-        Annotated[
-            Seconds,
-            Meta(description="Seconds to wait for a TCP connection to open."),
-        ]
-    ]
 
 
 class Settings(TypedDict):
@@ -113,5 +107,4 @@
     address_keep_s=30.0,
     drain_s=600.0,
     platform_wait_s=30.0,
-    connect_timeout_s=1.0,
 )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import signal
 import time
 from collections import Counter
 from collections.abc import Iterable
@@ -269,7 +270,7 @@
 async def serve(
     address: str, port: int, calls_per_s: float | None, files: Iterable[str]
 ) -> None:
-    """Serve until cancelled, after publishing files given as ``name=path``."""
+    """Serve until SIGTERM or SIGINT, publishing files given as ``name=path``."""
     platform = Platform(calls_per_s)
     for item in files:
         name, _, path = item.partition("=")
@@ -283,10 +284,11 @@
     await runner.setup()
     await web.TCPSite(runner, address, port).start()
     click.echo(f"platform listens on {address}:{port}")
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await runner.cleanup()
 
 
 @click.command()
