Show the owner's explanation of where a chat goes

Cause: only the host that owns a pool knows its servers' load, so hosts were shown as differing where they just knew less. Change: hosts are grouped by the owner they see, with the owner's own answer. Conclusion: the test tells an owner that did not answer from a refusal.

--- a/oleanderpier/cli/tests/test_program.py
+++ b/oleanderpier/cli/tests/test_program.py
@@ -184,10 +184,15 @@
         self.assertEqual("h2", rows["classes"][0]["first_token"]["worst_host"])
 
     def test_explain(self):
-        """Hosts that differ in what they would choose are shown apart."""
+        """The owner's answer is shown; hosts that differ on it stand apart."""
         options = ("--chat", "c1", "--class", "review", "--json")
+        one, two = (host.answers["/v1/explain"] for host in (self.one, self.two))
+        one.update(owner="h2", chosen=None)
+        two.update(owner="h2")
         agreed = json.loads(self.ask("explain", *options).output)
         self.assertEqual([["h1", "h2"]], [each["hosts"] for each in agreed["groups"]])
+        self.assertEqual("e1", agreed["groups"][0]["answer"]["chosen"])
+        one.update(owner="h3")
         choice = {
             "backend_server": "e2",
             "rank": 1,
@@ -195,9 +200,10 @@
             "state": "live",
             "reason": "holds the prefix",
         }
-        self.two.answers["/v1/explain"].update(chosen="e2", choices=[choice])
+        two.update(chosen="e2", choices=[choice])
         table = self.ask("explain", *options[:-1]).output
-        self.assertRegex(table, r"(?m)^chosen: +e1$")
+        self.assertRegex(table, r"(?m)^chosen: +not known")
+        self.assertRegex(table, r"(?m)^chosen: +e2$")
         self.assertRegex(table, r"(?m)^1 +e2 +live +3 +holds the prefix$")
 
     def test_refusal(self):
--- a/oleanderpier/operators/answers.py
+++ b/oleanderpier/operators/answers.py
@@ -98,7 +98,8 @@
     """A class of work: its targets, and what was measured on this host.
 
     Attributes:
-        first_token_p95_s: 95th percentile since the start of the daemon.
+        first_token_p95_s: 95th percentile over the last minute or two; so are
+            the others.
         requests: Requests that arrived.
         refused: Of these, those that were not run.
         late: Of these, those that missed a target.
@@ -195,7 +196,9 @@
     Attributes:
         pool: What the class needs, a model or an operation.
         owner: The host that admits the chat.
-        chosen: The backend server; None if the request would be refused.
+        choices: Empty where only the owner knows them.
+        chosen: The backend server; None if the owner would refuse the request,
+            or if only the owner knows.
     """
 
     chat: str
