Serve the operators' interface from what a daemon reports

Cause: the client's answers had no server of their own, and the tests' stub could differ from what daemons serve. Ruled out: leaving the queries' checks to each daemon. Change: make_operator_app over a Reports protocol; the stub of the commands' tests serves through it; make_refusal stands with the result codes.

--- a/oleanderpier/cli/tests/stubs.py
+++ b/oleanderpier/cli/tests/stubs.py
@@ -4,16 +4,34 @@
 import threading
 
 from aiohttp import web
+from expression import Error, Ok
+from prometheus_client import CollectorRegistry
 
 from oleanderpier.events import Clock, Ring
-from oleanderpier.operators import make_events_answer
+from oleanderpier.operators import make_events_answer, make_operator_app
+from oleanderpier.results import Code, Failure
 from oleanderpier.utils import ManualTimers
 
 STARTED_S = 1_700_000_000.0
+WORK_CLASS = {
+    "name": "review",
+    "kind": "engine",
+    "needs": "m1",
+    "repeatable": True,
+    "first_token_s": 1.6,
+    "between_tokens_s": 0.049,
+    "whole_s": 60.0,
+}
+CONFIGURATION = {
+    "version": 1,
+    "classes": [WORK_CLASS],
+    "workspaces": [],
+    "load_multiple": 1.25,
+}
 
 
 class StubHost:
-    """What one host answers; tests change the answers by path."""
+    """What one host reports; tests change the answers."""
 
     def __init__(self, name, wall_s=STARTED_S):
         self.name = name
@@ -21,36 +39,50 @@
         self.clock = Clock(self.timers)
         self.ring = Ring(name, 1, self.clock, self.timers, kept=3)
         self.port = 0
-        self.answers = {
-            "/v1/status": {
-                "host": name,
-                "incarnation": 1,
-                "failure_domain": "duluth",
-                "state": "ready",
-                "started_s": STARTED_S,
-                "versions": {"hosts": {"version": 4, "digest": "00ff"}},
-                "refused_documents": [],
-                "members": [],
-                "backend_servers": [{"name": "e1", "state": "live", "in_flight": 2}],
-                "in_progress": 5,
-            },
-            "/v1/targets": {"host": name, "classes": []},
-            "/v1/explain": {
-                "chat": "c1",
-                "work_class": "review",
-                "pool": "m1",
-                "owner": "h1",
-                "choices": [],
-                "chosen": "e1",
-            },
+        self.status = {
+            "host": name,
+            "incarnation": 1,
+            "failure_domain": "duluth",
+            "state": "ready",
+            "started_s": STARTED_S,
+            "versions": {"hosts": {"version": 4, "digest": "00ff"}},
+            "refused_documents": [],
+            "members": [],
+            "backend_servers": [{"name": "e1", "state": "live", "in_flight": 2}],
+            "in_progress": 5,
+        }
+        self.targets = {"host": name, "classes": []}
+        self.configuration = {}
+        self.explanation = {
+            "chat": "c1",
+            "work_class": "review",
+            "pool": "m1",
+            "owner": "h1",
+            "choices": [],
+            "chosen": "e1",
         }
 
-    def answer(self, request):
-        """Return the answer to a request."""
-        if request.path == "/v1/events":
-            query = {name: int(value) for name, value in request.query.items()}
-            return make_events_answer(self.ring, query["after"], query.get("limit"))
-        return self.answers[request.path]
+    def report_status(self):
+        """Return the state of the host."""
+        return self.status
+
+    def report_targets(self):
+        """Return targets and what was measured."""
+        return self.targets
+
+    def report_configuration(self):
+        """Return the documents in force."""
+        return self.configuration
+
+    def report_events(self, after, limit):
+        """Return events of the host's ring."""
+        return make_events_answer(self.ring, after, limit)
+
+    def explain(self, chat, work_class):
+        """Return where a chat goes; there is one class."""
+        if work_class != WORK_CLASS["name"]:
+            return Error(Failure(Code.CLASS_UNKNOWN, f"no class {work_class!r}"))
+        return Ok(self.explanation)
 
 
 class StubFleet:
@@ -81,17 +113,11 @@
         for host in self.hosts:
             await self._start_host(host)
         for host in self.hosts:
-            host.answers["/v1/configuration"] = self._describe_hosts(host)
+            host.configuration = self._describe_hosts(host)
 
     async def _start_host(self, host):
-        async def answer(request):
-            value = host.answer(request)
-            status = 404 if "fate" in value else 200
-            return web.json_response(value, status=status)
-
-        application = web.Application()
-        application.router.add_get("/{path:.*}", answer)
-        runner = web.AppRunner(application, access_log=None)
+        app = make_operator_app(host, CollectorRegistry())
+        runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         self.runners.append(runner)
         await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -117,6 +143,9 @@
         return {
             "host": host.name,
             "versions": {},
-            "documents": {"hosts": {"version": 4, "hosts": hosts}},
+            "documents": {
+                "hosts": {"version": 4, "hosts": hosts},
+                "configuration": CONFIGURATION,
+            },
             "refused_documents": [],
         }
--- a/oleanderpier/cli/tests/test_program.py
+++ b/oleanderpier/cli/tests/test_program.py
@@ -129,7 +129,7 @@
     def test_hosts_without_an_answer(self):
         """A host that is down, refuses or babbles is a row, not a crash."""
         closed = f"127.0.0.1:{find_closed_port()}"
-        self.two.answers["/v1/status"] = {"host": 7}
+        self.two.status = {"host": 7}
         for command in ("status", "targets", "events"):
             with self.subTest(command=command):
                 result = self.ask(command, "--operator", closed)
@@ -165,12 +165,12 @@
 
     def test_targets(self):
         """Counts are added up, and the worst host's percentile is shown."""
-        self.one.answers["/v1/targets"]["classes"] = [
+        self.one.targets["classes"] = [
             make_class("review", first_token_p95_s=0.5),
             make_class("verdict", whole_p95_s=9.0),
             make_class("quiet"),
         ]
-        self.two.answers["/v1/targets"]["classes"] = [
+        self.two.targets["classes"] = [
             make_class("review", first_token_p95_s=2.0),
         ]
         table = self.ask("targets").output
@@ -186,7 +186,7 @@
     def test_explain(self):
         """The owner's answer is shown; hosts that differ on it stand apart."""
         options = ("--chat", "c1", "--class", "review", "--json")
-        one, two = (host.answers["/v1/explain"] for host in (self.one, self.two))
+        one, two = self.one.explanation, self.two.explanation
         one.update(owner="h2", chosen=None)
         two.update(owner="h2")
         agreed = json.loads(self.ask("explain", *options).output)
@@ -208,16 +208,9 @@
 
     def test_refusal(self):
         """A refusal is shown with its code."""
-        self.two.answers["/v1/explain"] = {
-            "code": 103,
-            "name": "CLASS_UNKNOWN",
-            "fate": "not_run",
-            "text": "no class nap",
-            "retry_after_s": None,
-        }
         result = self.ask("explain", "--chat", "c1", "--class", "nap")
         self.assertEqual(1, result.exit_code)
-        self.assertIn("refused: 103 CLASS_UNKNOWN: no class nap", result.output)
+        self.assertIn("refused: 103 CLASS_UNKNOWN: no class 'nap'", result.output)
 
     def test_events_in_causal_order(self):
         """An effect stands after its cause though its wall clock is behind."""
--- a/oleanderpier/operators/__init__.py
+++ b/oleanderpier/operators/__init__.py
@@ -2,3 +2,4 @@
 
 from oleanderpier.operators.answers import *  # noqa: F403
 from oleanderpier.operators.client import *  # noqa: F403
+from oleanderpier.operators.server import *  # noqa: F403
--- a/oleanderpier/results/__init__.py
+++ b/oleanderpier/results/__init__.py
@@ -1,3 +1,4 @@
 """Result codes: what became of a request, and why."""
 
 from oleanderpier.results.codes import *  # noqa: F403
+from oleanderpier.results.refusals import *  # noqa: F403
