--- a/oleanderpier/cli/tests/test_program.py
+++ b/oleanderpier/cli/tests/test_program.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 from testtools import TestCase
 
-from oleanderpier.cli import program
+from oleanderpier.cli import run
 from oleanderpier.cli.tests.stubs import StubFleet, StubHost
 
 SETTINGS = {
@@ -26,7 +26,7 @@
 
 def invoke(*arguments):
     """Run the program and return click's result."""
-    return CliRunner().invoke(program, [str(argument) for argument in arguments])
+    return CliRunner().invoke(run, [str(argument) for argument in arguments])
 
 
 def find_closed_port():
@@ -129,7 +129,7 @@
     def test_hosts_without_an_answer(self):
         """A host that is down, refuses or babbles is a row, not a crash."""
         closed = f"127.0.0.1:{find_closed_port()}"
-        self.two.answers["/v1/status"] = {"host": 7}
+        self.two.status = {"host": 7}
         for command in ("status", "targets", "events"):
             with self.subTest(command=command):
                 result = self.ask(command, "--operator", closed)
@@ -141,13 +141,15 @@
         self.assertEqual(1, self.ask("status", "h9").exit_code)
 
     def test_nothing_reachable(self):
-        """The hosts that were named are shown where none can be reached."""
+        """Where no list of hosts is read, the output says that some may miss."""
         closed = f"127.0.0.1:{find_closed_port()}"
         for command in ("status", "targets", "events"):
             result = invoke(command, "--operator", closed, "--json")
             self.assertEqual(1, result.exit_code)
             unanswered = json.loads(result.output)["unanswered"]
-            self.assertEqual([closed], [row["host"] for row in unanswered])
+            self.assertEqual(
+                [closed, "(other hosts)"], [row["host"] for row in unanswered]
+            )
 
     def test_settings(self):
         """A settings file names a host; a bad one ends with status 2."""
@@ -163,12 +165,12 @@
 
     def test_targets(self):
         """Counts are added up, and the worst host's percentile is shown."""
-        self.one.answers["/v1/targets"]["classes"] = [
+        self.one.targets["classes"] = [
             make_class("review", first_token_p95_s=0.5),
             make_class("verdict", whole_p95_s=9.0),
             make_class("quiet"),
         ]
-        self.two.answers["/v1/targets"]["classes"] = [
+        self.two.targets["classes"] = [
             make_class("review", first_token_p95_s=2.0),
         ]
         table = self.ask("targets").output
@@ -182,10 +184,15 @@
         self.assertEqual("h2", rows["classes"][0]["first_token"]["worst_host"])
 
     def test_explain(self):
-        """Hosts that differ in what they would choose are shown apart."""
+        """The owner's answer is shown; hosts that differ on it stand apart."""
         options = ("--chat", "c1", "--class", "review", "--json")
+        one, two = self.one.explanation, self.two.explanation
+        one.update(owner="h2", chosen=None)
+        two.update(owner="h2")
         agreed = json.loads(self.ask("explain", *options).output)
         self.assertEqual([["h1", "h2"]], [each["hosts"] for each in agreed["groups"]])
+        self.assertEqual("e1", agreed["groups"][0]["answer"]["chosen"])
+        one.update(owner="h3")
         choice = {
             "backend_server": "e2",
             "rank": 1,
@@ -193,23 +200,17 @@
             "state": "live",
             "reason": "holds the prefix",
         }
-        self.two.answers["/v1/explain"].update(chosen="e2", choices=[choice])
+        two.update(chosen="e2", choices=[choice])
         table = self.ask("explain", *options[:-1]).output
-        self.assertRegex(table, r"(?m)^chosen: +e1$")
+        self.assertRegex(table, r"(?m)^chosen: +not known")
+        self.assertRegex(table, r"(?m)^chosen: +e2$")
         self.assertRegex(table, r"(?m)^1 +e2 +live +3 +holds the prefix$")
 
     def test_refusal(self):
         """A refusal is shown with its code."""
-        self.two.answers["/v1/explain"] = {
-            "code": 103,
-            "name": "CLASS_UNKNOWN",
-            "fate": "not_run",
-            "text": "no class nap",
-            "retry_after_s": None,
-        }
         result = self.ask("explain", "--chat", "c1", "--class", "nap")
         self.assertEqual(1, result.exit_code)
-        self.assertIn("refused: 103 CLASS_UNKNOWN: no class nap", result.output)
+        self.assertIn("refused: 103 CLASS_UNKNOWN: no class 'nap'", result.output)
 
     def test_events_in_causal_order(self):
         """An effect stands after its cause though its wall clock is behind."""
--- a/oleanderpier/operators/client.py
+++ b/oleanderpier/operators/client.py
@@ -7,17 +7,17 @@
 import msgspec
 from aiohttp import ClientError, ClientSession
 from expression import Error, Ok, Result
-from yarl import URL
 
 from oleanderpier.operators.answers import ConfigurationAnswer
 from oleanderpier.results import Code, Failure
 
 __all__ = [
+    "Directory",
     "Operator",
     "Reply",
     "ask_all",
     "ask_operator",
-    "list_operators",
+    "find_directory",
     "map_operators",
 ]
 
@@ -48,6 +48,28 @@
     result: Result[Any, Failure]
 
 
+class Directory(NamedTuple):
+    """The hosts that can be asked.
+
+    Attributes:
+        listed: Whether a list of hosts was read; there may be more hosts
+            otherwise.
+    """
+
+    operators: list[Operator]
+    listed: bool
+
+
+def format_address(address: str) -> str:
+    """Return an IP number as it stands in a URL.
+
+    Examples:
+        >>> format_address("::1"), format_address("127.0.0.1")
+        ('[::1]', '127.0.0.1')
+    """
+    return f"[{address}]" if ":" in address else address
+
+
 async def ask_operator(
     session: ClientSession,
     operator: Operator,
@@ -65,11 +87,9 @@
             does not know are left out, as a newer host may send more.
         query: The query of the call.
     """
-    url = URL.build(
-        scheme="http", host=operator.address, port=operator.port, path=path
-    ).with_query(query)
+    url = f"http://{format_address(operator.address)}:{operator.port}{path}"
     try:
-        async with session.get(url) as response:
+        async with session.get(url, params=query) as response:
             data = await response.read()
             status = response.status
     except (ClientError, OSError, TimeoutError) as error:
@@ -112,9 +132,9 @@
     return await asyncio.gather(*map(ask_in_turn, operators))
 
 
-async def list_operators(
+async def find_directory(
     session: ClientSession, seeds: Iterable[Operator]
-) -> list[Operator]:
+) -> Directory:
     """Return every host in the newest list of hosts that the seeds know.
 
     A seed that is in no list stays, so that it is not lost from sight.
@@ -126,13 +146,16 @@
         for reply in replies
         if reply.result.is_ok() and "hosts" in reply.result.ok["documents"]
     ]
-    newest = max(lists, key=lambda each: each["version"], default={"hosts": []})
+    if not lists:
+        return Directory(seeds, listed=False)
+    newest = max(lists, key=lambda each: each["version"])
     known = [
         Operator(host["name"], host["address"], host["operator_port"])
         for host in newest["hosts"]
     ]
     places = {operator[1:] for operator in known}
-    return known + [seed for seed in seeds if seed[1:] not in places]
+    unlisted = [seed for seed in seeds if seed[1:] not in places]
+    return Directory(known + unlisted, listed=True)
 
 
 def _read_refusal(status: int, data: bytes) -> Failure:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import signal
 import time
 from collections import Counter
 from collections.abc import Iterable
@@ -20,7 +21,7 @@
 from oleanderpier.exception import SettingsError
 from oleanderpier.utils import check_mapping
 
-__all__ = ["Calls", "Faults", "Platform", "make_application", "run"]
+__all__ = ["Calls", "Faults", "Platform", "main", "make_application"]
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_WAIT_S = 120.0
@@ -269,7 +270,7 @@
 async def serve(
     address: str, port: int, calls_per_s: float | None, files: Iterable[str]
 ) -> None:
-    """Serve until cancelled, after publishing files given as ``name=path``."""
+    """Serve until SIGTERM or SIGINT, publishing files given as ``name=path``."""
     platform = Platform(calls_per_s)
     for item in files:
         name, _, path = item.partition("=")
@@ -283,10 +284,11 @@
     await runner.setup()
     await web.TCPSite(runner, address, port).start()
     click.echo(f"platform listens on {address}:{port}")
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+    await runner.cleanup()
 
 
 @click.command()
@@ -294,10 +296,10 @@
 @click.option("--port", type=click.IntRange(1, 65535), required=True, help="TCP port.")
 @click.option("--calls-per-s", type=float, help="Bound on all callers' calls.")
 @click.option("--publish", multiple=True, metavar="NAME=FILE", help="Publish a file.")
-def run(address: str, port: int, calls_per_s: float | None, publish: tuple) -> None:
+def main(address: str, port: int, calls_per_s: float | None, publish: tuple) -> None:
     """Serve the stand-in for the platform until interrupted."""
     asyncio.run(serve(address, port, calls_per_s, publish))
 
 
 if __name__ == "__main__":
-    run()
+    main()
