Try claims against a table of faults and seeded schedules

Cause: the promise has to be seen failing on naive ways first. Change: fake fleet, two baselines, named faults, random schedules.

--- /dev/null
+++ b/oleanderpier/claims/tests/baselines.py
@@ -0,0 +1,112 @@
+"""Two naive ways that the fault table shows failing."""
+
+import random
+from typing import Any, NamedTuple
+
+from expression import Error, Ok
+
+from oleanderpier.claims import Outcome
+from oleanderpier.claims.tests.fleet import HEARTBEAT_S, Heartbeat, Process
+from oleanderpier.results import Code
+from oleanderpier.utils import rank_candidates
+
+class Unshared:
+    """Baseline: one attempt, and no host knows of another's."""
+
+    def __init__(self, process: Process, rng: random.Random):
+        self._process = process
+
+    def adopt(self, document: Any) -> None:
+        self.names = [host["name"] for host in document["hosts"]]
+
+    def claim(self, key: str, timeout_s: float, notify: Any) -> None:
+        notify(Ok(key))
+
+    def settle(self, right: Any, code: Code, body: bytes) -> None:
+        pass
+
+    def void(self, right: Any) -> None:
+        pass
+
+
+class OwnerAsk(NamedTuple):
+    """Asks a key's owner for the right, or tells it what came of it."""
+
+    key: str
+    code: int | None
+
+
+class OwnerAnswer(NamedTuple):
+    """What the owner says: the right, or what it knows."""
+
+    key: str
+    granted: bool
+    code: int | None
+
+
+class HashedOwner(Unshared):
+    """Baseline: the best ranked host that seems alive grants a key once."""
+
+    def __init__(self, process: Process, rng: random.Random):
+        super().__init__(process, rng)
+        self._heard: dict[str, float] = {}
+        self._codes: dict[str, int | None] = {}
+        self._open: dict[str, list[Any]] = {}
+        process.subscribe(HEARTBEAT_S, self._beat)
+
+    def _beat(self) -> None:
+        for host in self.names:
+            self._process.send(host, Heartbeat("", 0))
+
+    def claim(self, key: str, timeout_s: float, notify: Any) -> None:
+        self._open.setdefault(key, []).append(notify)
+        self._process.call_later(1.0, lambda: self._expire(key, notify))
+        self._send(key, None)
+
+    def settle(self, right: Any, code: Code, body: bytes) -> None:
+        self._send(right, code)
+
+    def void(self, right: Any) -> None:
+        self._send(right, Code.KEY_VOID)
+
+    def _expire(self, key: str, notify: Any) -> None:
+        if notify in self._open.get(key, []):
+            self._open[key].remove(notify)
+            notify(Error(Outcome(Code.CLAIM_NO_MAJORITY, b"")))
+
+    def _send(self, key: str, code: int | None) -> None:
+        limit_s = self._process.now() - 3 * HEARTBEAT_S
+        live = [name for name in self.names if self._heard.get(name, 0.0) >= limit_s]
+        owner = rank_candidates(key, {*live, self._process.name})[0]
+        if owner == self._process.name:
+            self.handle(owner, OwnerAsk(key, code))
+        else:
+            self._process.send(owner, OwnerAsk(key, code))
+
+    def handle(self, sender: str, message: Any) -> None:
+        self._heard[sender] = self._process.now()
+        if isinstance(message, OwnerAsk):
+            self._own(sender, message)
+        elif isinstance(message, OwnerAnswer):
+            self._take(message)
+
+    def _own(self, sender: str, message: OwnerAsk) -> None:
+        if message.code is not None:
+            self._codes[message.key] = message.code
+            return
+        granted = message.key not in self._codes
+        answer = OwnerAnswer(
+            message.key, granted, self._codes.setdefault(message.key, None)
+        )
+        if sender == self._process.name:
+            self._take(answer)
+        else:
+            self._process.send(sender, answer)
+
+    def _take(self, message: OwnerAnswer) -> None:
+        waiting = self._open.get(message.key)
+        if not waiting:
+            return
+        code = Code.CLAIM_HELD if message.code is None else Code(message.code)
+        failed = Error(Outcome(code, b""))
+        waiting.pop(0)(Ok(message.key) if message.granted else failed)
--- /dev/null
+++ b/oleanderpier/claims/tests/faults.py
@@ -0,0 +1,230 @@
+"""The table of named faults, for the claims and for the baselines."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from oleanderpier.claims.tests.fleet import Fleet, SharedClaims
+from oleanderpier.claims.tests.schedules import STEPS, WARM_UP_S
+from oleanderpier.utils import make_key
+
+KEYS = 8
+ROUND_S = 14.0
+
+Case = Callable[[Fleet], None]
+
+
+def ask_all(fleet: Fleet, *hosts: str, keys: int = KEYS) -> None:
+    """Send each of some fresh keys to every one of the hosts at once."""
+    for _ in range(keys):
+        key = fleet.make_key()
+        for host in hosts:
+            fleet.request(host, key)
+
+
+def _fail_at(step: str, failure: str, fleet: Fleet) -> None:
+    """Fail one host at one step, and ask another one shortly after."""
+    key = fleet.make_key()
+    fleet.at_step["host-0", step] = getattr(fleet, failure)
+    fleet.request("host-0", key)
+    fleet.timers.call_later(0.3, lambda: fleet.request("host-1", key))
+
+
+def _lose_owner(failure: str, fleet: Fleet) -> None:
+    """Send keys at one host, fail each host in turn, and ask again."""
+    ask_all(fleet, "host-0", keys=3 * KEYS)
+    fleet.timers.advance(1.0)
+    for name in fleet.names[2:5]:
+        getattr(fleet, failure)(name)
+    fleet.timers.advance(5.0)
+
+
+def _split(groups: list[list[int]], fleet: Fleet) -> None:
+    names = [[f"host-{index}" for index in group] for group in groups]
+    fleet.split(*names)
+    fleet.timers.advance(5.0)
+    ask_all(fleet, *(group[0] for group in names))
+    fleet.timers.call_later(10.0, fleet.cut.clear)
+
+
+def _cut_one_way(deaf: bool, fleet: Fleet) -> None:
+    others = fleet.names[1:]
+    pairs = {(name, "host-0") if deaf else ("host-0", name) for name in others}
+    fleet.cut |= pairs
+    fleet.timers.advance(5.0)
+    ask_all(fleet, "host-0", "host-1")
+
+
+def _part(fleet: Fleet, *indexes: int) -> None:
+    """Cut some hosts off from all others, whether those run yet or not."""
+    apart = [f"host-{index}" for index in indexes]
+    fleet.split(apart, [f"host-{i}" for i in range(40) if i not in indexes])
+    fleet.timers.advance(0.1)
+
+
+def _publish(fleet: Fleet, *indexes: int) -> None:
+    """Publish a list, and start those of its hosts that do not run yet."""
+    fleet.publish([f"host-{index}" for index in indexes])
+    for name in fleet.names:
+        if name not in fleet.processes:
+            fleet.start(name)
+
+
+def _differ(steps: int, fleet: Fleet) -> None:
+    """Half of the hosts see lists that are some steps newer."""
+    _part(fleet, 0, 1, 2, 3)
+    for fresh in range(9, 9 + 3 * steps, 3):
+        _publish(fleet, 3, 4, 5, 6, 7, fresh, fresh + 1, fresh + 2)
+    fleet.show(["host-4", "host-5", "host-6", "host-7"])
+    fleet.timers.advance(1.0)
+    ask_all(fleet, "host-0", "host-4", "host-9")
+    fleet.timers.advance(6.0)
+    ask_all(fleet, "host-0", "host-4", "host-9", keys=3 * KEYS)
+    fleet.timers.call_later(8.0, fleet.cut.clear)
+
+
+def _miss_version(fleet: Fleet) -> None:
+    """One host sees version 3 without 2, which a part of the fleet still has."""
+    _part(fleet, 7)
+    _publish(fleet, 3, 4, 5, 6, 7, 9, 10, 11)
+    fleet.show([f"host-{index}" for index in range(7)])
+    fleet.timers.advance(8.0)
+    _part(fleet, 3, 9, 10, 11)
+    _publish(fleet, 3, 4, 5, 6, 7, 12, 13, 14)
+    fleet.show(["host-7"])
+    fleet.timers.advance(6.0)
+    ask_all(fleet, "host-7", "host-3", keys=6 * KEYS)
+    fleet.timers.advance(5.0)
+
+
+def _forget_list(fleet: Fleet) -> None:
+    """Close a list, then restart hosts one by one that see only the old one."""
+    _publish(fleet, 1, 2, 3, 4, 5, 6, 7, 9)
+    fleet.show([f"host-{index}" for index in range(1, 8)])
+    fleet.timers.advance(8.0)
+    _part(fleet, 0, 1, 2, 3)
+    for name in ("host-1", "host-2", "host-3"):
+        fleet.start(name, 1)
+        fleet.timers.advance(5.0)
+    ask_all(fleet, "host-0", "host-4", keys=6 * KEYS)
+
+
+def _change_after_claim(fleet: Fleet) -> None:
+    """Replace half of a list, closing the old one, after keys were claimed."""
+    for index in (9, 10, 11, 12):
+        fleet.start(f"host-{index}")
+    fleet.timers.advance(6.0)
+    fleet.answer_s = 40.0
+    ask_all(fleet, "host-0", keys=6 * KEYS)
+    fleet.timers.advance(0.5)
+    _publish(fleet, 4, 5, 6, 7, 9, 10, 11, 12)
+    fleet.show(sorted(fleet.processes))
+
+
+def _replace_in_turn(fresh_names: bool, fleet: Fleet) -> None:
+    """Replace every host in turn while the same keys are asked again."""
+    keys = [fleet.make_key() for _ in range(KEYS)]
+    for index, name in enumerate(list(fleet.names)):
+        for key in keys:
+            fleet.request(name, key)
+        fleet.timers.advance(0.5)
+        fresh = f"host-{index + 9}" if fresh_names else name
+        fleet.publish([*(other for other in fleet.names if other != name), fresh])
+        fleet.start(fresh)
+        fleet.show([host for host in fleet.names if fleet.processes[host].alive])
+        fleet.timers.advance(4.0)
+        if fresh_names:
+            fleet.kill(name)
+
+
+def _replace_all(fleet: Fleet) -> None:
+    """Replace every process at once, just after keys were asked."""
+    ask_all(fleet, "host-0", "host-1")
+    fleet.timers.advance(0.01)
+    for name in fleet.names:
+        fleet.start(name)
+
+
+def _answer(loss: float, answer_s: float, fleet: Fleet) -> None:
+    fleet.answer_loss, fleet.answer_s = loss, answer_s
+    ask_all(fleet, "host-0", "host-1")
+    fleet.timers.advance(5.0)
+
+
+def _refuse(fleet: Fleet) -> None:
+    fleet.refusal = 0.7
+    ask_all(fleet, "host-0", "host-1", keys=3 * KEYS)
+
+
+def _disturb(fleet: Fleet) -> None:
+    fleet.loss, fleet.duplicate, fleet.reorder = 0.2, 0.3, 0.4
+    ask_all(fleet, "host-0", "host-1", "host-2")
+    fleet.timers.advance(10.0)
+
+
+def _restart_claimant(fleet: Fleet) -> None:
+    """Answers to a process reach its successor, which claims the same keys."""
+    fleet.reorder = fleet.duplicate = 1.0
+    ask_all(fleet, "host-0", keys=3 * KEYS)
+    fleet.timers.advance(1.5)
+    fleet.reorder = fleet.duplicate = 0.0
+    fleet.start("host-0")
+    fleet.timers.advance(0.2)
+    fleet.cut = {("host-0", name) for name in fleet.names}
+    for call in list(fleet.calls):
+        fleet.request("host-0", call.key)
+
+
+def _ask_early(fleet: Fleet) -> None:
+    """A caller's clock is ahead, so some hosts refuse its key for a while."""
+    ahead = make_key(fleet.timers.wall() + 2.5, fleet.rng)
+    for name in fleet.names:
+        fleet.request(name, ahead)
+
+
+CASES: dict[str, Case] = {
+    "duplicate at two hosts": lambda fleet: ask_all(fleet, "host-0", "host-1"),
+    "duplicate at all hosts": lambda fleet: ask_all(fleet, *fleet.names),
+    **{
+        f"{failure} at {step}": partial(_fail_at, step, failure)
+        for failure in ("kill", "pause", "start")
+        for step in STEPS
+    },
+    "three hosts killed": partial(_lose_owner, "kill"),
+    "three hosts paused": partial(_lose_owner, "pause"),
+    "three hosts restarted": partial(_lose_owner, "start"),
+    "split 4/3": partial(_split, [[0, 1, 2, 3], [4, 5, 6]]),
+    "split 3/3/2": partial(_split, [[0, 1, 2], [3, 4, 5], [6, 7]]),
+    "host hears nothing": partial(_cut_one_way, True),
+    "host is not heard": partial(_cut_one_way, False),
+    "lists one step apart": partial(_differ, 1),
+    "lists two steps apart": partial(_differ, 2),
+    "version missed": _miss_version,
+    "list forgotten": _forget_list,
+    "list replaced after the claim": _change_after_claim,
+    "rolling restart": partial(_replace_in_turn, False),
+    "rolling replacement": partial(_replace_in_turn, True),
+    "all replaced at once": _replace_all,
+    "answer lost": partial(_answer, 1.0, 0.01),
+    "answer late": partial(_answer, 0.0, 6.0),
+    "service refuses": _refuse,
+    "messages lost, doubled, crossed": _disturb,
+    "answers to a predecessor": _restart_claimant,
+    "key ahead of the clocks": _ask_early,
+}
+
+
+def run_case(name: str, seed: int, make_node: Any = SharedClaims) -> Fleet:
+    """Run one case, then ask again with every key, twice; return the fleet."""
+    fleet = Fleet(seed, make_node, hosts=7 if name == "split 4/3" else 8)
+    fleet.timers.advance(WARM_UP_S)
+    CASES[name](fleet)
+    for _ in range(3):
+        fleet.timers.advance(ROUND_S)
+        fleet.cut.clear()
+        live = [host for host in fleet.names if fleet.processes[host].alive]
+        for key in sorted({call.key for call in fleet.calls}):
+            for host in fleet.rng.sample(live, 2):
+                fleet.request(host, key)
+    fleet.timers.advance(ROUND_S)
+    return fleet
--- /dev/null
+++ b/oleanderpier/claims/tests/fleet.py
@@ -0,0 +1,275 @@
+"""Hosts, a network that fails, and a plain service, all driven by hand."""
+
+import random
+from collections import Counter
+from typing import Any, NamedTuple
+
+from oleanderpier.claims import Claims, HostLists
+from oleanderpier.results import Code, Fate, describe_code
+from oleanderpier.utils import ManualTimers, decode_message, encode_message, make_key
+
+CALL_TIMEOUT_S = 4.0
+DOMAINS = ("duluth", "alpena", "erie-port")
+HEARTBEAT_S = 1.0
+SKEWS_S = (0.0, 0.9, -0.9, 0.4, -0.4, 0.7, -0.7, 0.1)
+
+
+class Heartbeat(NamedTuple):
+    """What membership tells other hosts about list versions."""
+
+    incarnation: str
+    version: int
+
+
+class SharedClaims:
+    """The claims under test, with the lists and heartbeats they need."""
+
+    def __init__(self, process: "Process", rng: random.Random):
+        self._process = process
+        self.lists = HostLists(process.name, process.incarnation, process, process)
+        args = (process.name, process.incarnation, process, rng, process, self.lists)
+        self.claims = Claims(*args)
+        process.subscribe(HEARTBEAT_S, self._beat)
+        self.claim, self.settle = self.claims.claim, self.claims.settle
+        self.void, self.look_up = self.claims.void, self.claims.look_up
+        self.adopt = self.lists.adopt
+
+    def handle(self, sender: str, message: Any) -> None:
+        """Take a message or a heartbeat."""
+        if isinstance(message, Heartbeat):
+            self.lists.hear(sender, *message)
+        else:
+            self.claims.handle(sender, message)
+
+    def _beat(self) -> None:
+        heartbeat = Heartbeat(self._process.incarnation, self.lists.heard)
+        for host in self.lists.newest.names:
+            if host != self._process.name:
+                self._process.send(host, heartbeat)
+
+
+class Process:
+    """One process of a host: its timers, its outbox, and whether it runs."""
+
+    def __init__(self, fleet: "Fleet", name: str, incarnation: str, skew_s: float):
+        self.fleet, self.name, self.incarnation = fleet, name, incarnation
+        self.alive, self.paused = True, False
+        self._skew_s = skew_s
+        self._queue: list[Any] = []
+        self.node = fleet.make_node(self, random.Random(f"{fleet.seed}{incarnation}"))
+
+    def now(self) -> float:
+        return self.fleet.timers.now()
+
+    def wall(self) -> float:
+        return self.fleet.timers.wall() + self._skew_s
+
+    def call_later(self, delay_s: float, callback: Any) -> Any:
+        subscription = None
+
+        def run() -> None:
+            if not subscription.cancelled:
+                callback()
+
+        subscription = self.fleet.timers.call_later(delay_s, lambda: self.do(run))
+        return subscription
+
+    def subscribe(self, interval_s: float, callback: Any) -> Any:
+        return self.fleet.timers.subscribe(interval_s, lambda: self.do(callback))
+
+    def send(self, host: str, message: Any) -> bool:
+        return self.fleet.carry(self.name, host, message)
+
+    def do(self, callback: Any) -> None:
+        """Run a callback now, after the pause, or never."""
+        if self.alive and self.paused:
+            self._queue.append(callback)
+        elif self.alive:
+            callback()
+
+    def resume(self) -> None:
+        """End a pause: everything that waited is handled late, in order."""
+        self.paused = False
+        queue, self._queue = self._queue, []
+        for callback in queue:
+            self.do(callback)
+
+
+class Call(NamedTuple):
+    """One request of a caller, and every code it was told."""
+
+    key: str
+    host: str
+    told: list[Code]
+
+
+class Fleet:
+    """Eight hosts in three failure domains before one plain service."""
+
+    def __init__(self, seed: int, make_node: Any = SharedClaims, hosts: int = 8):
+        self.seed, self.make_node = seed, make_node
+        self.rng = random.Random(seed)
+        self.timers = ManualTimers()
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = self.duplicate = self.reorder = 0.0
+        self.answer_loss, self.refusal = 0.0, 0.0
+        self.answer_s = 0.01
+        self.executions: Counter[str] = Counter()
+        self.calls: list[Call] = []
+        self.sizes: Counter[str] = Counter()
+        self.counts: Counter[str] = Counter()
+        self.at_step: dict[tuple[str, str], Any] = {}
+        self.documents: list[Any] = []
+        self.processes: dict[str, Process] = {}
+        self._started = 0
+        self._arrival: dict[tuple[str, str], float] = {}
+        self.publish([f"host-{index}" for index in range(hosts)])
+        for name in self.names:
+            self.start(name)
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the newest list."""
+        return [host["name"] for host in self.documents[-1]["hosts"]]
+
+    def publish(self, names: list[str]) -> None:
+        """Publish a list; ``show`` makes hosts see it."""
+        domains = {name: DOMAINS[int(name[5:]) % 3] for name in names}
+        hosts = [{"name": name, "failure_domain": domains[name]} for name in names]
+        self.documents.append({"version": len(self.documents) + 1, "hosts": hosts})
+
+    def show(self, names: list[str], version: int = 0) -> None:
+        """Let hosts see a published version, by default the newest."""
+        for name in names:
+            process = self.processes[name]
+            document = self.documents[version - 1]
+            process.do(lambda node=process.node, seen=document: node.adopt(seen))
+
+    def start(self, name: str, version: int = 0) -> None:
+        """Start a process that remembers nothing, in place of any before."""
+        self.kill(name)
+        self._started += 1
+        skew_s = SKEWS_S[self._started % len(SKEWS_S)]
+        process = Process(self, name, f"i{self._started}", skew_s)
+        self.processes[name] = process
+        self.show([name], version)
+
+    def kill(self, name: str) -> None:
+        """Kill a host's process."""
+        if name in self.processes:
+            self.processes[name].alive = False
+
+    def pause(self, name: str, pause_s: float = 30.0) -> None:
+        """Pause a host's process for a while."""
+        process = self.processes[name]
+        if process.alive and not process.paused:
+            process.paused = True
+            self.timers.call_later(pause_s, process.resume)
+
+    def split(self, *groups: list[str]) -> None:
+        """Cut every pair of hosts that are in different groups."""
+        place = {name: index for index, group in enumerate(groups) for name in group}
+        self.cut = {(a, b) for a in place for b in place if place[a] != place[b]}
+
+    def carry(self, sender: str, host: str, message: Any) -> bool:
+        """Carry a message to whatever process the host runs by then."""
+        if host not in self.processes or not self.processes[host].alive:
+            return False
+        if type(message).__module__.startswith("oleanderpier.claims.messages"):
+            data = encode_message(message)
+            self.counts[type(message).__name__] += 1
+            self.sizes[type(message).__name__] += len(data)
+            message = decode_message(data)
+        for _ in range(1 + (self.rng.random() < self.duplicate)):
+            if (sender, host) not in self.cut and self.rng.random() >= self.loss:
+                self._deliver(sender, host, message)
+        return True
+
+    def _deliver(self, sender: str, host: str, message: Any) -> None:
+        delay_s = self.rng.uniform(0.0005, 0.002)
+        due = self.timers.now() + delay_s
+        if self.rng.random() < self.reorder:
+            due += self.rng.uniform(0.0, 3.0)
+        else:
+            due = max(due, self._arrival.get((sender, host), 0.0))
+            self._arrival[sender, host] = due
+
+        def arrive() -> None:
+            process = self.processes[host]
+            process.do(lambda: process.node.handle(sender, message))
+
+        self.timers.call_later(due - self.timers.now(), arrive)
+
+    def make_key(self) -> str:
+        """Return a key that a caller makes now."""
+        return make_key(self.timers.wall(), self.rng)
+
+    def request(self, host: str, key: str) -> Call:
+        """Let a caller send a call to a host, as the daemon would run it."""
+        call = Call(key, host, [])
+        self.calls.append(call)
+        process = self.processes[host]
+        deadline_s = self.timers.now() + CALL_TIMEOUT_S
+        self._step(process, "claim")
+
+        def notify(result: Any) -> None:
+            if result.is_ok():
+                self._step(process, "check")
+                process.call_later(0.0005, lambda: check(result.ok))
+            else:
+                call.told.append(result.error.code)
+
+        def check(right: Any) -> None:
+            if process.now() >= deadline_s or self.rng.random() < self.refusal:
+                process.node.void(right)
+                call.told.append(Code.TARGET_UNREACHABLE)
+                return
+            self._step(process, "send")
+            process.call_later(0.0005, lambda: self._send(process, call, right))
+
+        process.do(lambda: process.node.claim(key, CALL_TIMEOUT_S, notify))
+        return call
+
+    def _send(self, process: Process, call: Call, right: Any) -> None:
+        def run() -> None:
+            self.executions[call.key] += 1
+            self._step(process, "answer")
+            if self.rng.random() >= self.answer_loss:
+                self.timers.call_later(self.answer_s, lambda: process.do(answer))
+
+        def answer() -> None:
+            self._step(process, "settle")
+            process.do(lambda: process.node.settle(right, Code.DONE, b"paid"))
+            if not call.told:
+                process.do(lambda: call.told.append(Code.DONE))
+
+        def miss() -> None:
+            if not call.told:
+                process.node.settle(right, Code.TARGET_MISSED, b"")
+                call.told.append(Code.TARGET_MISSED)
+
+        self.timers.call_later(0.001, run)
+        process.call_later(CALL_TIMEOUT_S, miss)
+
+    def _step(self, process: Process, step: str) -> None:
+        """Bring about the failure that is set for a host's step."""
+        failure = self.at_step.pop((process.name, step), None)
+        if failure is not None:
+            failure(process.name)
+
+    def look_up(self, host: str, key: str) -> list[Any]:
+        """Ask a host what became of a key; return where the result appears."""
+        told: list[Any] = []
+        node = self.processes[host].node
+        node.look_up(key, lambda result: told.append(result.default_with(lambda e: e)))
+        return told
+
+    def find_violations(self) -> list[str]:
+        """Return what was promised and did not hold."""
+        twice = [f"ran twice: {key}" for key, n in self.executions.items() if n > 1]
+        return twice + [
+            f"told {code.name} but ran: {call.key}"
+            for call in self.calls
+            for code in call.told
+            if describe_code(code).fate is Fate.NOT_RUN and self.executions[call.key]
+        ]
--- /dev/null
+++ b/oleanderpier/claims/tests/schedules.py
@@ -0,0 +1,139 @@
+"""Seeded schedules of requests and failures; ``python -m`` runs many of them.
+
+Usage: ``python -m oleanderpier.claims.tests.schedules FIRST COUNT``.
+"""
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from oleanderpier.claims.tests.baselines import HashedOwner, Unshared
+from oleanderpier.claims.tests.fleet import Fleet, SharedClaims
+
+CALLERS = 6
+SCHEDULE_S = 45.0
+STEPS = ("claim", "check", "send", "answer", "settle")
+WARM_UP_S = 9.0
+
+
+def _pick(fleet: Fleet, rng: random.Random) -> str:
+    return rng.choice(sorted(fleet.processes))
+
+
+def _split(fleet: Fleet, rng: random.Random) -> None:
+    names = sorted(fleet.processes, key=lambda _: rng.random())
+    first, second = rng.choice([(4, 8), (3, 6), (1, 8), (2, 5), (5, 8)])
+    fleet.split(names[:first], names[first:second], names[second:])
+
+
+def _cut_one_way(fleet: Fleet, rng: random.Random) -> None:
+    hosts = rng.sample(sorted(fleet.processes), 3)
+    fleet.cut |= {(hosts[0], name) for name in fleet.processes if name != hosts[0]}
+    fleet.cut |= {(hosts[1], hosts[2])}
+
+
+def _restart(fleet: Fleet, rng: random.Random) -> None:
+    stale = rng.random() < 0.3
+    fleet.start(_pick(fleet, rng), max(1, len(fleet.documents) - stale))
+
+
+def _replace(fleet: Fleet, rng: random.Random) -> None:
+    """Publish a list with one host replaced, and let hosts see it unevenly."""
+    names = list(fleet.names)
+    old = rng.choice(names)
+    fresh = f"host-{3 * len(fleet.documents) + 6 + int(old[5:]) % 3}"
+    fleet.publish([fresh if name == old else name for name in names])
+    version = len(fleet.documents)
+    fleet.start(fresh)
+    for name in sorted(fleet.processes):
+        see = partial(fleet.show, [name], version)
+        fleet.timers.call_later(rng.choice([0.0, 0.5, 3.0, 12.0]), see)
+    fleet.timers.call_later(rng.uniform(0.0, 12.0), partial(fleet.kill, old))
+
+
+def _disturb(fleet: Fleet, rng: random.Random) -> None:
+    fleet.loss, fleet.duplicate = rng.choice([0.0, 0.05, 0.3]), rng.choice([0.0, 0.2])
+    fleet.reorder = rng.choice([0.0, 0.1, 0.5])
+
+
+def _fail_service(fleet: Fleet, rng: random.Random) -> None:
+    fleet.answer_loss, fleet.refusal = rng.choice([0.0, 0.5]), rng.choice([0.0, 0.3])
+    fleet.answer_s = rng.choice([0.01, 6.0])
+
+
+def _fail_at_step(fleet: Fleet, rng: random.Random) -> None:
+    failure: Callable[[str], None] = rng.choice([fleet.kill, fleet.pause, fleet.start])
+    fleet.at_step[_pick(fleet, rng), rng.choice(STEPS)] = failure
+
+
+def _pause(fleet: Fleet, rng: random.Random) -> None:
+    fleet.pause(_pick(fleet, rng), rng.choice([1.0, 5.0, 30.0]))
+
+
+def _heal(fleet: Fleet, rng: random.Random) -> None:
+    fleet.cut.clear()
+
+
+FAULTS = (
+    _split,
+    _split,
+    _cut_one_way,
+    _restart,
+    _replace,
+    _replace,
+    _disturb,
+    _fail_service,
+    _fail_at_step,
+    _fail_at_step,
+    _pause,
+    _heal,
+    _heal,
+)
+
+
+def _call(fleet: Fleet, rng: random.Random, key: str, left: int) -> None:
+    """Let a caller ask one or two hosts, and again later with the same key."""
+    for _ in range(rng.choice([1, 1, 2])):
+        fleet.request(_pick(fleet, rng), key)
+    if left:
+        again = partial(_call, fleet, rng, key, left - 1)
+        fleet.timers.call_later(rng.choice([0.0, 0.001, 0.02, 1.0, 8.0]), again)
+
+
+def run_schedule(seed: int, make_node: Any = SharedClaims) -> Fleet:
+    """Run one schedule and return its fleet, for the caller to judge."""
+    fleet = Fleet(seed, make_node)
+    rng = random.Random(f"schedule-{seed}")
+    fleet.timers.advance(WARM_UP_S)
+    for _ in range(rng.randint(4, 14)):
+        start = partial(rng.choice(FAULTS), fleet, rng)
+        fleet.timers.call_later(rng.uniform(0.0, SCHEDULE_S / 2), start)
+    for _ in range(CALLERS):
+
+        def begin() -> None:
+            _call(fleet, rng, fleet.make_key(), 3)
+
+        fleet.timers.call_later(rng.uniform(0.0, SCHEDULE_S / 2), begin)
+    fleet.timers.advance(SCHEDULE_S)
+    return fleet
+
+
+def main(first: int, count: int) -> None:
+    """Print how many of the schedules break a promise, for each way."""
+    for make_node in (Unshared, HashedOwner, SharedClaims):
+        broken, told, ran, keys = [], Counter(), 0, 0
+        for seed in range(first, first + count):
+            fleet = run_schedule(seed, make_node)
+            broken += [seed] if fleet.find_violations() else []
+            told.update(code.name for call in fleet.calls for code in call.told)
+            ran += len(fleet.executions)
+            keys += len({call.key for call in fleet.calls})
+        print(f"{make_node.__name__}: {len(broken)} of {count} schedules broken")
+        print(f"  first seeds {broken[:5]}; {ran} of {keys} keys ran; {dict(told)}")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]))
