--- a/oleanderpier/claims/claims.py
+++ b/oleanderpier/claims/claims.py
@@ -68,6 +68,9 @@
         rng: Source of the backoff between attempts.
         outbox: Sends to other hosts.
         lists: The host lists that this host knows.
+
+    Attributes:
+        lists: The host lists that this host knows.
     """
 
     def __init__(
@@ -84,13 +87,21 @@
         self._timers = timers
         self._rng = rng
         self._outbox = outbox
-        self._lists = lists
+        self.lists = lists
         self._witness = Witness(timers, lists)
         self._entries: dict[bytes, Entry] = {}
         self._look_ups = LookUps(timers, lists, self._send)
         self._sequence = 0
         timers.subscribe(SWEEP_S, self._drop_expired)
 
+    @property
+    def ready(self) -> bool:
+        """Whether this host, as a witness, can grant a key made now.
+
+        Callers do better not to be sent to a host before.
+        """
+        return self.lists.ready and self._witness.ready
+
     def claim(self, key: str, timeout_s: float, notify: Notify) -> None:
         """Try to get the right to send a key.
 
@@ -159,6 +170,10 @@
         else:
             self._look_ups.start(packed, notify)
 
+    def list_keys(self) -> list[bytes]:
+        """Return every key that this host remembers anything of."""
+        return sorted({*self._entries, *self._witness.list_keys()})
+
     def handle(self, sender: str, message: Any) -> None:
         """Take a message from another host, or from this one."""
         self._receive(message, sender)
@@ -178,11 +193,11 @@
     @_receive.register(ListAsk)
     @_receive.register(ListTell)
     def _(self, message: Any, sender: str) -> None:
-        self._lists.handle(sender, message)
+        self.lists.handle(sender, message)
 
     @_receive.register
     def _(self, message: Claim, sender: str) -> None:
-        self._lists.hear_version(sender, message.list_version)
+        self.lists.hear_version(sender, message.list_version)
         answer = self._witness.grant(message)
         self._send(sender, answer)
         if isinstance(answer, Held):
@@ -273,7 +288,7 @@
 
     def _start_attempt(self, entry: Entry) -> None:
         key_time = read_key_time(entry.key)
-        required = self._lists.list_required(entry.key, key_time)
+        required = self.lists.list_required(entry.key, key_time)
         entry.rounds += 1
         if required is None:
             self._try_again(entry)
@@ -281,7 +296,7 @@
         self._sequence += 1
         claim_id = ClaimId(self._host, self._incarnation, self._sequence)
         entry.attempt = Attempt(claim_id, required)
-        self._ask_witnesses(entry, entry.attempt, self._lists.newest.version)
+        self._ask_witnesses(entry, entry.attempt, self.lists.newest.version)
 
     def _ask_witnesses(self, entry: Entry, attempt: Attempt, version: int) -> None:
         """Send the claim to whoever has not answered, until it is decided."""
@@ -307,7 +322,7 @@
     ) -> Entry | None:
         """Return the entry whose open attempt an answer belongs to."""
         if sender != self._host:
-            self._lists.hear_version(sender, message.list_version)
+            self.lists.hear_version(sender, message.list_version)
         entry = self._entries.get(message.key)
         if entry is None or entry.phase is not Phase.CLAIMING or not entry.attempt:
             return None
--- a/oleanderpier/claims/records.py
+++ b/oleanderpier/claims/records.py
@@ -74,6 +74,12 @@
         self._records: dict[bytes, Record] = {}
         self._released: dict[bytes, dict[tuple[str, str], int]] = {}
 
+    @property
+    def ready(self) -> bool:
+        """Whether a key that a caller makes now is young enough to grant."""
+        age_s = self._timers.wall() - self._start_s
+        return age_s > START_MARGIN_S + CLOCK_SKEW_S
+
     def find(self, key: bytes) -> Record | None:
         """Return what is remembered of a key."""
         return self._records.get(key)
@@ -119,6 +125,10 @@
             return Told(key, False, None, b"")
         return Told(key, True, record.code, record.body)
 
+    def list_keys(self) -> list[bytes]:
+        """Return every key that anything is remembered of."""
+        return [*self._records, *self._released]
+
     def drop_expired(self) -> None:
         """Forget keys that every host refuses for their age."""
         oldest_s = self._timers.wall() - RECORD_LIFE_S
--- /dev/null
+++ b/oleanderpier/claims/tests/test_calls.py
@@ -0,0 +1,101 @@
+"""The daemon's call: claimed, sent once, settled."""
+
+import asyncio
+import random
+import time
+
+from expression import Error, Ok
+from testtools import TestCase
+
+from oleanderpier.claims import Answer, NotSent, Unknown, run_call
+from oleanderpier.claims.tests.fleet import Fleet
+from oleanderpier.claims.tests.schedules import WARM_UP_S
+from oleanderpier.results import Code, Failure
+from oleanderpier.utils import make_key
+
+REFUSED = Failure(Code.NO_BACKEND_SERVER, "connection refused", 1.0)
+LOST = Failure(Code.ANSWER_LOST, "the answer was cut", 1.0)
+
+
+class CallsTest(TestCase):
+    """What callers are told, and how often the request is sent."""
+
+    def setUp(self):
+        """Make a fleet of one host, which answers at once."""
+        super().setUp()
+        self.fleet = Fleet(1, hosts=1)
+        self.fleet.timers.advance(WARM_UP_S)
+        self.claims = self.fleet.processes["host-0"].node.claims
+        self.key = make_key(self.fleet.timers.wall(), random.Random(1))
+        self.sent = 0
+
+    def run_call(self, result, delay_s=0.0, timeout_s=1.0, calls=2):
+        """Run the call with a send that ends as told; return the answers."""
+
+        async def send(left_s):
+            self.sent += 1
+            await asyncio.sleep(delay_s)
+            if isinstance(result, Exception):
+                raise result
+            return result
+
+        async def run():
+            answers = [
+                await run_call(self.claims, self.key, send, timeout_s)
+                for _ in range(calls)
+            ]
+            await asyncio.sleep(delay_s)
+            return answers
+
+        return asyncio.run(run())
+
+    def test_table(self):
+        """Each end of the send, and what the same key is told again."""
+        table = [
+            (Ok(Answer(b"paid")), Code.DONE, Code.DONE),
+            (Error(NotSent(REFUSED)), Code.NO_BACKEND_SERVER, Code.KEY_VOID),
+            (Error(Unknown(LOST)), Code.ANSWER_LOST, Code.ANSWER_LOST),
+            (OSError("reset"), Code.ANSWER_LOST, Code.ANSWER_LOST),
+        ]
+        for result, first, again in table:
+            self.sent = 0
+            self.key = self.fleet.make_key()
+            answers = self.run_call(result)
+            codes = [
+                a.merge().code for a in (x.map_error(lambda e: e) for x in answers)
+            ]
+            self.assertEqual(([first, again], 1), (codes, self.sent))
+
+    def test_late_answer(self):
+        """A late answer is kept for whoever asks again."""
+        answers = self.run_call(Ok(Answer(b"paid")), 0.1, 0.02, calls=1)
+        self.assertEqual(Code.TARGET_MISSED, answers[0].error.code)
+        told = self.fleet.look_up("host-0", self.key)
+        self.assertEqual((Code.DONE, b"paid"), tuple(told[0]))
+
+    def test_no_time_left(self):
+        """Without time left after the claim nothing is sent, and never will be."""
+        claim = self.claims.claim
+        self.claims.claim = lambda *args: (time.sleep(0.02), claim(*args))
+        answers = self.run_call(Ok(Answer(b"paid")), timeout_s=0.01, calls=1)
+        self.assertEqual(Code.TARGET_UNREACHABLE, answers[0].error.code)
+        self.assertEqual(Code.KEY_VOID, self.run_call(Ok(Answer(b"")))[0].ok.code)
+        self.assertEqual(0, self.sent)
+
+    def test_caller_leaves(self):
+        """The send goes on, and is made once, when the caller is gone."""
+
+        async def send(left_s):
+            self.sent += 1
+            await asyncio.sleep(0.02)
+            return Ok(Answer(b"paid"))
+
+        async def run():
+            call = asyncio.ensure_future(run_call(self.claims, self.key, send, 1.0))
+            await asyncio.sleep(0.01)
+            call.cancel()
+            await asyncio.sleep(0.03)
+            return await run_call(self.claims, self.key, send, 1.0)
+
+        self.assertEqual((Code.DONE, b"paid"), tuple(asyncio.run(run()).ok))
+        self.assertEqual(1, self.sent)
--- /dev/null
+++ b/oleanderpier/claims/tests/test_faults.py
@@ -0,0 +1,62 @@
+"""At most once, and not run is true: named faults and seeded schedules."""
+
+from testtools import TestCase
+
+from oleanderpier.claims.tests.baselines import HashedOwner, Unshared
+from oleanderpier.claims.tests.faults import CASES, run_case
+from oleanderpier.claims.tests.schedules import run_schedule
+from oleanderpier.results import Code
+
+SCHEDULES = 150
+BASELINE_SCHEDULES = 10
+
+
+class FaultsTest(TestCase):
+    """Every named fault, against the claims and both baselines."""
+
+    def test_claims_hold(self):
+        """No fault makes a key run twice, or run after it was told not run."""
+        broken = {name: run_case(name, 1).find_violations() for name in CASES}
+        self.assertEqual({name: [] for name in CASES}, broken)
+
+    def test_unshared_breaks(self):
+        """Without sharing, every fault with a duplicate breaks the promise."""
+        kept = [n for n in CASES if not run_case(n, 1, Unshared).find_violations()]
+        self.assertEqual([], kept)
+
+    def test_hashed_owner_breaks(self):
+        """A hashed owner fails wherever hosts differ on who is alive."""
+        broken = {n for n in CASES if run_case(n, 1, HashedOwner).find_violations()}
+        expected = {"split 4/3", "split 3/3/2", "host hears nothing", "rolling restart"}
+        expected |= {"rolling replacement", "all replaced at once", "pause at claim"}
+        expected |= {"lists one step apart", "three hosts killed"}
+        self.assertEqual(set(), expected - broken)
+
+    def test_repeated_answer(self):
+        """A caller that asks again hears what happened the first time."""
+        for name in ("duplicate at all hosts", "split 4/3", "three hosts restarted"):
+            fleet = run_case(name, 2)
+            last = {call.key: call.told for call in fleet.calls}
+            self.assertEqual({(Code.DONE,)}, {tuple(told) for told in last.values()})
+            self.assertEqual(len(last), len(fleet.executions))
+
+
+class SchedulesTest(TestCase):
+    """Seeded schedules of requests and faults."""
+
+    def test_claims_hold(self):
+        """No schedule breaks a promise, and keys do run."""
+        ran = keys = 0
+        for seed in range(SCHEDULES):
+            fleet = run_schedule(seed)
+            self.assertEqual([], fleet.find_violations(), f"seed {seed}")
+            ran += len(fleet.executions)
+            keys += len({call.key for call in fleet.calls})
+        self.assertGreater(ran, keys / 2)
+
+    def test_baselines_break(self):
+        """The same schedules break both baselines."""
+        for make_node in (Unshared, HashedOwner):
+            fleets = [run_schedule(s, make_node) for s in range(BASELINE_SCHEDULES)]
+            broken = [fleet for fleet in fleets if fleet.find_violations()]
+            self.assertGreater(len(broken), BASELINE_SCHEDULES / 2)
--- /dev/null
+++ b/oleanderpier/claims/tests/test_liveness.py
@@ -0,0 +1,120 @@
+"""Claims are granted fast, and wherever a majority can be had."""
+
+from itertools import combinations
+
+from testtools import TestCase
+
+from oleanderpier.claims import START_MARGIN_S, ListedHost
+from oleanderpier.claims.limits import CLOCK_SKEW_S
+from oleanderpier.claims.lists import HostList, choose_witnesses, count_majority
+from oleanderpier.claims.tests.fleet import DOMAINS, Fleet
+from oleanderpier.claims.tests.schedules import WARM_UP_S
+from oleanderpier.results import Code
+from oleanderpier.utils import pack_key
+
+ROUND_TRIP_S = 0.004
+SEND_AND_ANSWER_S = 0.0125
+
+
+def make_fleet(hosts: int = 8) -> Fleet:
+    """Return a fleet that is ready, with its counts at zero."""
+    fleet = Fleet(1, hosts=hosts)
+    fleet.timers.advance(WARM_UP_S)
+    fleet.counts.clear()
+    fleet.sizes.clear()
+    return fleet
+
+
+class LivenessTest(TestCase):
+    """Rounds, messages and shares of claims that succeed."""
+
+    def test_one_round_trip(self):
+        """Without faults each claim is decided after one round trip."""
+        fleet = make_fleet()
+        calls = [fleet.request("host-0", fleet.make_key()) for _ in range(100)]
+        fleet.timers.advance(ROUND_TRIP_S + SEND_AND_ANSWER_S)
+        self.assertEqual([[Code.DONE]] * 100, [call.told for call in calls])
+        fleet.timers.advance(1.0)
+        self.assertEqual({"Claim", "Granted", "Settle"}, set(fleet.counts))
+        self.assertLessEqual(max(fleet.counts.values()), 100 * 7)
+        self.assertLessEqual(sum(fleet.sizes.values()), 100 * 1024)
+
+    def test_larger_side(self):
+        """Every key runs on the larger side of any split 4/3 or 5/3."""
+        for hosts, size in ((7, 4), (8, 5)):
+            listed = [ListedHost(f"host-{i}", DOMAINS[i % 3]) for i in range(hosts)]
+            known = HostList(1, tuple(listed))
+            fleet = Fleet(1, hosts=hosts)
+            keys = [pack_key(fleet.make_key()) for _ in range(50)]
+            chosen = [set(choose_witnesses(key, known).hosts) for key in keys]
+            for side in combinations(known.names, size):
+                shares = [len(hosts & set(side)) for hosts in chosen]
+                self.assertGreaterEqual(min(shares), count_majority(7))
+
+    def test_split(self):
+        """On the side of four, keys run; the three are told when to come back."""
+        fleet = make_fleet(hosts=7)
+        fleet.split(fleet.names[:4], fleet.names[4:])
+        calls = [fleet.request("host-0", fleet.make_key()) for _ in range(50)]
+        minority = fleet.request("host-4", fleet.make_key())
+        fleet.timers.advance(6.0)
+        self.assertEqual([[Code.DONE]] * 50, [call.told for call in calls])
+        self.assertEqual([Code.CLAIM_NO_MAJORITY], minority.told)
+
+    def test_start(self):
+        """A fleet that just started grants new keys within seconds."""
+        fleet = Fleet(1)
+        fleet.timers.advance(START_MARGIN_S)
+        claims = fleet.processes["host-3"].node.claims
+        self.assertFalse(claims.ready)
+        fleet.timers.advance(CLOCK_SKEW_S + 0.1)
+        self.assertTrue(claims.ready)
+        call = fleet.request("host-3", fleet.make_key())
+        fleet.timers.advance(1.0)
+        self.assertEqual([Code.DONE], call.told)
+
+    def test_rolling_replacement(self):
+        """Fresh keys run at every moment while all hosts are replaced."""
+        fleet = make_fleet()
+        calls = []
+        for index, name in enumerate(fleet.names):
+            fresh = f"host-{index + 9}"
+            fleet.publish([*(other for other in fleet.names if other != name), fresh])
+            fleet.start(fresh)
+            fleet.timers.advance(0.25)
+            fleet.show(fleet.names)
+            for _ in range(24):
+                fleet.timers.advance(0.25)
+                host = fleet.rng.choice(fleet.names)
+                calls.append(fleet.request(host, fleet.make_key()))
+            fleet.kill(name)
+        fleet.timers.advance(5.0)
+        self.assertEqual({(Code.DONE,)}, {tuple(call.told) for call in calls})
+        self.assertEqual([], fleet.find_violations())
+
+    def test_memory(self):
+        """Hosts forget keys and lists once no living key can need them."""
+        fleet = make_fleet()
+        fleet.publish(["host-9", *fleet.names[1:]])
+        fleet.start("host-9")
+        fleet.show(fleet.names)
+        for _ in range(20):
+            fleet.request("host-1", fleet.make_key())
+        fleet.timers.advance(640.0)
+        for name in fleet.names:
+            claims = fleet.processes[name].node.claims
+            self.assertEqual([], claims.list_keys())
+            self.assertEqual([2], [known.version for known in claims.lists.known])
+
+    def test_look_up(self):
+        """Any host tells what became of a key, without claiming it."""
+        fleet = make_fleet()
+        done, unknown = fleet.make_key(), fleet.make_key()
+        fleet.request("host-0", done)
+        fleet.timers.advance(1.0)
+        told = [fleet.look_up(name, done) for name in fleet.names]
+        nothing = fleet.look_up("host-1", unknown)
+        fleet.timers.advance(3.0)
+        self.assertEqual({(Code.DONE, b"paid")}, {tuple(items[0]) for items in told})
+        self.assertEqual(Code.CLAIM_NO_MAJORITY, nothing[0].code)
+        self.assertEqual(0, fleet.executions[unknown])
