Count only answers from memory that leave no room for a newer list

Cause: a process that forgot a newer list counted itself among those that know of none, and a restarted one could testify that a version was never used. Ruled out: counting every answer, which an exact split of seven hosts defeats. Change: a newcomer counts answers of others that were ready before; a version is passed over on the word of processes that were ready below it.

--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -14,6 +14,7 @@
 
 from oleanderpier.claims.adoptions import Adoptions
 from oleanderpier.claims.limits import (
+    BOOTSTRAP_LIMIT_S,
     BOOTSTRAP_WAIT_S,
     CLOCK_SKEW_S,
     CLOSE_DELAY_S,
@@ -79,7 +80,8 @@
         self._tells: dict[str, HistoryTell] = {}
         self._adoptions = Adoptions()
         self._floor = 0
-        self._established = False
+        self._confirmed = 0
+        self._established = 0
         self._askers: set[str] = set()
         timers.subscribe(LIST_SYNC_S, self.synchronize)
 
@@ -103,9 +105,8 @@
     @property
     def ready(self) -> bool:
         """Whether this host may grant and make claims under its newest list."""
-        if not self._floor or self.heard != self.newest.version:
-            return False
-        return self._has_confirmed()
+        newest = self.newest.version
+        return self._floor > 0 and self.heard == newest == self._confirmed
 
     def adopt(self, document: HostsDocument) -> None:
         """Take over a published list; older than the newest has no effect."""
@@ -158,7 +159,7 @@
     def synchronize(self) -> None:
         """Ask for what is missing, prove lists closed, and drop old ones."""
         self.hear(self._host, self._incarnation, self.heard)
-        self._establish()
+        self._confirm()
         self._close_lists()
         self._skip_versions()
         self._raise_floor()
@@ -181,8 +182,7 @@
         self._tells[sender] = message
         self.hear(sender, message.incarnation, max(message.heard, default=0))
         self._skipped.update(message.skipped if message.established else ())
-        self._take_floor()
-        self._establish()
+        self._confirm()
         wanted = set(self._find_missing()) | {self.heard}
         for version in sorted(wanted & set(message.listed) - set(self._lists)):
             self._outbox.send(sender, ListAsk(version))
@@ -205,6 +205,7 @@
         for version, at_s, holders in message.closures:
             closed = _Closed(version, at_s, frozenset(holders))
             known += [closed] if closed not in known else []
+            self.hear_version(sender, version)
         self._add_list(HostList(message.version, tuple(message.hosts)))
 
     def _add_list(self, added: HostList) -> None:
@@ -219,7 +220,6 @@
         self._lists[added.version] = added
         self._adopted_s[added.version] = self._timers.now()
         self.hear_version(self._host, added.version)
-        self._take_floor()
         self.synchronize()
 
     def _describe(self) -> HistoryTell:
@@ -243,22 +243,38 @@
         return [u for u in span if u not in self._lists and u not in self._skipped]
 
     def _has_confirmed(self) -> bool:
-        """Whether enough hosts of the newest list have answered."""
+        """Whether enough hosts of the newest list have answered.
+
+        Those that answer from memory must leave fewer than a majority who
+        may have had a newer list and forgotten it, this host among them.
+        """
         newest = self.newest
-        told = [host for host in newest.names if host in self._tells]
-        remembering = sum(self._tells[host].established for host in told)
-        listed_self = self._host in newest.names
+        others = [host for host in newest.names if host != self._host]
+        told = [self._tells[host] for host in others if host in self._tells]
+        answered = len(told) + (self._host in newest.names)
         majority = count_majority(len(newest.hosts))
-        if remembering + (listed_self and self._established) >= majority:
+        remembering = sum(tell.established > 0 for tell in told)
+        if not newest.hosts or answered < majority:
+            return False
+        if remembering > len(newest.hosts) - majority:
             return True
-        waited_s = self._timers.now() - self._adopted_s[newest.version]
-        return len(told) + listed_self >= majority and waited_s >= BOOTSTRAP_WAIT_S
+        whole = answered == len(newest.hosts) or not remembering
+        wait_s = BOOTSTRAP_WAIT_S if whole else BOOTSTRAP_LIMIT_S
+        return self._timers.now() - self._adopted_s[newest.version] >= wait_s
+
+    def _confirm(self) -> None:
+        """Note whether enough hosts of the newest list have answered."""
+        newest = self.newest.version
+        if newest != self._confirmed and self._has_confirmed():
+            self._confirmed = newest
+        self._take_floor()
+        self._establish()
 
     def _establish(self) -> None:
         """Note that this process is ready, and correct what it told before."""
         if self._established or not self.ready:
             return
-        self._established = True
+        self._established = self.heard
         log_message("claims:established", version=self.heard, floor=self._floor)
         for host in sorted(self._askers):
             self._outbox.send(host, self._describe())
@@ -269,12 +285,12 @@
         if self._floor or not self._lists:
             return
         tells = list(self._tells.values())
-        floors = [tell.floor for tell in tells if tell.established and tell.floor]
+        floors = [tell.floor for tell in tells if tell.established]
         if floors:
             self._floor = max(floors)
         elif self.newest.version == 1:
             self._floor = 1
-        elif self._has_confirmed():
+        elif self._confirmed == self.newest.version:
             versions = [version for tell in tells for version in tell.listed]
             self._floor = min([*versions, *self._lists])
 
@@ -322,12 +338,16 @@
         names = self._lists[below].names
         tells = [self._tells[name] for name in names if name in self._tells]
         unaware = sum(
-            tell.established
+            0 < tell.established <= below
             and max(tell.heard, default=0) >= following
             and version not in tell.heard
             for tell in tells
         )
-        unaware += self._host in names and version not in self._heard
+        unaware += (
+            self._host in names
+            and 0 < self._established <= below
+            and version not in self._heard
+        )
         return unaware >= count_majority(len(names))
 
     def _raise_floor(self) -> None:
--- a/oleanderpier/claims/messages.py
+++ b/oleanderpier/claims/messages.py
@@ -180,7 +180,8 @@
     """Which host lists a host knows.
 
     Attributes:
-        established: Whether its process was ready to grant at any time.
+        established: The version under which its process was first ready to
+            grant; 0 if it never was, and so does not answer from memory.
         heard: Versions that were the newest it had heard of, from its floor on.
         listed: Versions whose hosts it knows.
         skipped: Versions under which nobody can claim.
@@ -188,7 +189,7 @@
     """
 
     incarnation: str
-    established: bool
+    established: int
     heard: list[int]
     listed: list[int]
     skipped: list[int]
