--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -8,12 +8,13 @@
 
 from functools import singledispatchmethod
 from itertools import pairwise
-from typing import Any
+from typing import Any, NamedTuple
 
 from eliot import log_message
 
 from oleanderpier.claims.adoptions import Adoptions
 from oleanderpier.claims.limits import (
+    BOOTSTRAP_LIMIT_S,
     BOOTSTRAP_WAIT_S,
     CLOCK_SKEW_S,
     CLOSE_DELAY_S,
@@ -44,6 +45,14 @@
 __all__ = ["HostLists"]
 
 
+class _Closed(NamedTuple):
+    """A closure whose holders can be looked up fast."""
+
+    version: int
+    at_s: float
+    holders: frozenset[str]
+
+
 class HostLists:
     """The published lists that one host knows, and whether it may act on them.
 
@@ -65,13 +74,14 @@
         self._outbox = outbox
         self._lists: dict[int, HostList] = {}
         self._adopted_s: dict[int, float] = {}
-        self._closures: dict[int, list[Closure]] = {}
+        self._closures: dict[int, list[_Closed]] = {}
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
         self._tells: dict[str, HistoryTell] = {}
         self._adoptions = Adoptions()
         self._floor = 0
-        self._established = False
+        self._confirmed = 0
+        self._established = 0
         self._askers: set[str] = set()
         timers.subscribe(LIST_SYNC_S, self.synchronize)
 
@@ -95,9 +105,8 @@
     @property
     def ready(self) -> bool:
         """Whether this host may grant and make claims under its newest list."""
-        if not self._floor or self.heard != self.newest.version:
-            return False
-        return self._has_confirmed()
+        newest = self.newest.version
+        return self._floor > 0 and self.heard == newest == self._confirmed
 
     def adopt(self, document: HostsDocument) -> None:
         """Take over a published list; older than the newest has no effect."""
@@ -133,11 +142,15 @@
         """
         if not self.ready or self._find_missing():
             return None
-        versions = sorted(self._lists, reverse=True)
-        sets = [choose_witnesses(key, self._lists[version]) for version in versions]
-        return sets[:1] + [
-            witnesses for witnesses in sets[1:] if not self._closes(witnesses, key_time)
-        ]
+        required = [choose_witnesses(key, self.newest)]
+        for version in sorted(self._lists, reverse=True)[1:]:
+            closures = self._list_closures(version, key_time)
+            if any(self._covers_all(version, closed) for closed in closures):
+                continue
+            witnesses = choose_witnesses(key, self._lists[version])
+            if not any(_covers(closed, witnesses) for closed in closures):
+                required.append(witnesses)
+        return required
 
     def handle(self, sender: str, message: Any) -> None:
         """Take a message about lists from another host."""
@@ -146,7 +159,7 @@
     def synchronize(self) -> None:
         """Ask for what is missing, prove lists closed, and drop old ones."""
         self.hear(self._host, self._incarnation, self.heard)
-        self._establish()
+        self._confirm()
         self._close_lists()
         self._skip_versions()
         self._raise_floor()
@@ -168,8 +181,8 @@
     def _(self, message: HistoryTell, sender: str) -> None:
         self._tells[sender] = message
         self.hear(sender, message.incarnation, max(message.heard, default=0))
-        self._take_floor()
-        self._establish()
+        self._skipped.update(message.skipped if message.established else ())
+        self._confirm()
         wanted = set(self._find_missing()) | {self.heard}
         for version in sorted(wanted & set(message.listed) - set(self._lists)):
             self._outbox.send(sender, ListAsk(version))
@@ -178,27 +191,35 @@
     def _(self, message: ListAsk, sender: str) -> None:
         found = self._lists.get(message.version)
         if found is not None:
-            closures = self._closures.get(found.version, [])
+            closures = [
+                Closure(version, at_s, sorted(holders))
+                for version, at_s, holders in self._closures.get(found.version, [])
+            ]
             self._outbox.send(
                 sender, ListTell(found.version, list(found.hosts), closures)
             )
 
     @_receive.register
     def _(self, message: ListTell, sender: str) -> None:
-        closures = self._closures.setdefault(message.version, [])
-        closures += [closure for closure in message.closures if closure not in closures]
+        known = self._closures.setdefault(message.version, [])
+        for version, at_s, holders in message.closures:
+            closed = _Closed(version, at_s, frozenset(holders))
+            known += [closed] if closed not in known else []
+            self.hear_version(sender, version)
         self._add_list(HostList(message.version, tuple(message.hosts)))
 
     def _add_list(self, added: HostList) -> None:
         """Keep a list that is newer than all others or missing between them."""
-        if added.version in self._lists:
+        known = self._lists.get(added.version)
+        if known is not None:
+            if known != added:
+                log_message("claims:list_conflict", version=added.version)
             return
         if added.version < self.newest.version and not self._is_missing(added.version):
             return
         self._lists[added.version] = added
         self._adopted_s[added.version] = self._timers.now()
         self.hear_version(self._host, added.version)
-        self._take_floor()
         self.synchronize()
 
     def _describe(self) -> HistoryTell:
@@ -222,22 +243,38 @@
         return [u for u in span if u not in self._lists and u not in self._skipped]
 
     def _has_confirmed(self) -> bool:
-        """Whether enough hosts of the newest list have answered."""
+        """Whether enough hosts of the newest list have answered.
+
+        Those that answer from memory must leave fewer than a majority who
+        may have had a newer list and forgotten it, this host among them.
+        """
         newest = self.newest
-        told = [host for host in newest.names if host in self._tells]
-        remembering = sum(self._tells[host].established for host in told)
-        listed_self = self._host in newest.names
+        others = [host for host in newest.names if host != self._host]
+        told = [self._tells[host] for host in others if host in self._tells]
+        answered = len(told) + (self._host in newest.names)
         majority = count_majority(len(newest.hosts))
-        if remembering + (listed_self and self._established) >= majority:
+        remembering = sum(tell.established > 0 for tell in told)
+        if not newest.hosts or answered < majority:
+            return False
+        if remembering > len(newest.hosts) - majority:
             return True
-        waited_s = self._timers.now() - self._adopted_s[newest.version]
-        return len(told) + listed_self >= majority and waited_s >= BOOTSTRAP_WAIT_S
+        whole = answered == len(newest.hosts) or not remembering
+        wait_s = BOOTSTRAP_WAIT_S if whole else BOOTSTRAP_LIMIT_S
+        return self._timers.now() - self._adopted_s[newest.version] >= wait_s
+
+    def _confirm(self) -> None:
+        """Note whether enough hosts of the newest list have answered."""
+        newest = self.newest.version
+        if newest != self._confirmed and self._has_confirmed():
+            self._confirmed = newest
+        self._take_floor()
+        self._establish()
 
     def _establish(self) -> None:
         """Note that this process is ready, and correct what it told before."""
         if self._established or not self.ready:
             return
-        self._established = True
+        self._established = self.heard
         log_message("claims:established", version=self.heard, floor=self._floor)
         for host in sorted(self._askers):
             self._outbox.send(host, self._describe())
@@ -248,14 +285,12 @@
         if self._floor or not self._lists:
             return
         tells = list(self._tells.values())
-        floors = [tell.floor for tell in tells if tell.established and tell.floor]
+        floors = [tell.floor for tell in tells if tell.established]
         if floors:
             self._floor = max(floors)
-            for tell in tells:
-                self._skipped.update(tell.skipped if tell.established else ())
         elif self.newest.version == 1:
             self._floor = 1
-        elif self._has_confirmed():
+        elif self._confirmed == self.newest.version:
             versions = [version for tell in tells for version in tell.listed]
             self._floor = min([*versions, *self._lists])
 
@@ -264,24 +299,31 @@
         at_s = self._timers.wall() - CLOSE_DELAY_S
         versions = sorted(self._lists)
         for version, following in pairwise(versions):
+            closures = self._closures.setdefault(version, [])
+            if any(self._covers_all(version, closed) for closed in closures):
+                continue
             names = self._lists[version].names
             holders = self._adoptions.find_holders(names, following, at_s)
-            closures = self._closures.setdefault(version, [])
-            known = max((len(closure.holders) for closure in closures), default=0)
+            known = max((len(closed.holders) for closed in closures), default=0)
             if len(holders) >= max(count_majority(len(names)), known + 1):
-                closures.append(Closure(following, at_s, holders))
+                closures.append(_Closed(following, at_s, frozenset(holders)))
                 del closures[1:-CLOSURES_KEPT]
 
-    def _closes(self, witnesses: WitnessSet, key_time: float) -> bool:
-        """Whether no claim of the key can win under the witnesses' list."""
-        following = min(v for v in self._lists if v > witnesses.version)
-        majority = count_majority(len(witnesses.hosts))
-        return any(
-            closure.version >= following
-            and key_time > closure.at_s + 2 * CLOCK_SKEW_S
-            and len(set(witnesses.hosts) & set(closure.holders)) >= majority
-            for closure in self._closures.get(witnesses.version, [])
-        )
+    def _list_closures(self, version: int, key_time: float) -> list[_Closed]:
+        """Return what closed a list before a key can have been granted."""
+        following = min(u for u in self._lists if u > version)
+        return [
+            closed
+            for closed in self._closures.get(version, [])
+            if closed.version >= following and key_time > closed.at_s + 2 * CLOCK_SKEW_S
+        ]
+
+    def _covers_all(self, version: int, closed: _Closed) -> bool:
+        """Whether the holders include a majority of any key's witnesses."""
+        size = len(self._lists[version].hosts)
+        spare = (min(size, WITNESS_COUNT) - 1) // 2
+        following = min(u for u in self._lists if u > version)
+        return closed.version >= following and size - len(closed.holders) <= spare
 
     def _skip_versions(self) -> None:
         """Pass over versions that a majority below the gap never heard of."""
@@ -296,12 +338,16 @@
         names = self._lists[below].names
         tells = [self._tells[name] for name in names if name in self._tells]
         unaware = sum(
-            tell.established
+            0 < tell.established <= below
             and max(tell.heard, default=0) >= following
             and version not in tell.heard
             for tell in tells
         )
-        unaware += self._host in names and version not in self._heard
+        unaware += (
+            self._host in names
+            and 0 < self._established <= below
+            and version not in self._heard
+        )
         return unaware >= count_majority(len(names))
 
     def _raise_floor(self) -> None:
@@ -318,12 +364,10 @@
         following = min(u for u in self._lists if u > version)
         if self._timers.now() - self._adopted_s[following] > LIST_LIFE_S:
             return True
-        size = len(self._lists[version].hosts)
-        spare = count_majority(min(size, WITNESS_COUNT)) - 1
         expired_s = self._timers.wall() - RECORD_LIFE_S - START_MARGIN_S
         return any(
-            closure.at_s < expired_s and size - len(closure.holders) <= spare
-            for closure in self._closures.get(version, [])
+            closed.at_s < expired_s and self._covers_all(version, closed)
+            for closed in self._closures.get(version, [])
         )
 
     def _drop_list(self, version: int, following: int) -> None:
@@ -349,3 +393,9 @@
             hosts.update(self._lists[below].names if below else self.newest.names)
         hosts.discard(self._host)
         return sorted(hosts)
+
+
+def _covers(closed: _Closed, witnesses: WitnessSet) -> bool:
+    """Whether the holders include a majority of a key's witnesses."""
+    holding = closed.holders.intersection(witnesses.hosts)
+    return len(holding) >= count_majority(len(witnesses.hosts))
