Add the state of backend servers with shared probes

Cause: each backend server was to be probed without one probe for each host. Ruled out: probes by every host; trust in one host's word alone. Change: BackendServers, probers by rendezvous, facts ordered by sequence.

--- a/oleanderpier/membership/__init__.py
+++ b/oleanderpier/membership/__init__.py
@@ -1,5 +1,8 @@
-"""Membership of the fleet."""
+"""Membership of the fleet, and the state of backend servers."""
 
 from oleanderpier.membership.adoptions import *  # noqa: F403
 from oleanderpier.membership.members import *  # noqa: F403
 from oleanderpier.membership.messages import *  # noqa: F403
+from oleanderpier.membership.probers import *  # noqa: F403
+from oleanderpier.membership.server_messages import *  # noqa: F403
+from oleanderpier.membership.servers import *  # noqa: F403
--- a/oleanderpier/membership/rumours.py
+++ b/oleanderpier/membership/rumours.py
@@ -37,14 +37,18 @@
     """
 
     def __init__(self) -> None:
-        self._items: dict[Hashable, tuple[int, Item]] = {}
+        self._levels: list[dict[Hashable, Item]] = [{}]
+        self._told: dict[Hashable, int] = {}
 
     def __len__(self) -> int:
-        return len(self._items)
+        return len(self._told)
 
     def add(self, subject: Hashable, item: Item) -> None:
         """Queue news of a subject, to be told as often as a new one is."""
-        self._items[subject] = (0, item)
+        told = self._told.get(subject)
+        if told is not None:
+            del self._levels[told][subject]
+        self._put(subject, item, 0)
 
     def take(self, limit: int, tellings: int) -> list[Item]:
         """Return the next items and count them as told once more.
@@ -53,13 +57,23 @@
             limit: At most so many items.
             tellings: An item told so often leaves the queue.
         """
-        if not self._items:
-            return []
-        subjects = sorted(self._items, key=lambda subject: self._items[subject][0])
-        taken = []
-        for subject in subjects[:limit]:
-            told, item = self._items.pop(subject)
-            taken.append(item)
+        taken = self._pop(limit)
+        for subject, item, told in taken:
             if told + 1 < tellings:
-                self._items[subject] = (told + 1, item)
+                self._put(subject, item, told + 1)
+        return [item for _, item, _ in taken]
+
+    def _put(self, subject: Hashable, item: Item, told: int) -> None:
+        while len(self._levels) <= told:
+            self._levels.append({})
+        self._levels[told][subject] = item
+        self._told[subject] = told
+
+    def _pop(self, limit: int) -> list[tuple[Hashable, Item, int]]:
+        taken = []
+        for told, level in enumerate(self._levels):
+            while level and len(taken) < limit:
+                subject = next(iter(level))
+                taken.append((subject, level.pop(subject), told))
+                del self._told[subject]
         return taken
--- a/oleanderpier/membership/tests/fakes.py
+++ b/oleanderpier/membership/tests/fakes.py
@@ -5,7 +5,23 @@
 from random import Random
 from typing import Any
 
-from oleanderpier.membership import MemberCard, Members
+from oleanderpier.membership import (
+    Ack,
+    BackendServers,
+    MemberCard,
+    MemberFacts,
+    Members,
+    Outcome,
+    Ping,
+    ProbeAnswer,
+    ProbeRequest,
+    ServerAsk,
+    ServerDoubt,
+    ServerFacts,
+    ServerSummary,
+    TableAsk,
+    TableSummary,
+)
 from oleanderpier.utils import ManualTimers, Subscription, encode_message
 
 MIN_LATENCY_S = 0.0005
@@ -183,15 +199,61 @@
     network: FakeNetwork, card: MemberCard, seeds: list[MemberCard]
 ) -> Members:
     """Start a host with its membership."""
-    from oleanderpier.membership import messages
-
     host = network.add(card.host)
     generator = Random(network.generator.random())
     members = Members(card, host.timers, generator, host, seeds)
-    classes = [messages.Ping, messages.Ack, messages.ProbeRequest]
-    classes += [messages.ProbeAnswer, messages.MemberFacts]
-    classes += [messages.TableSummary, messages.TableAsk]
-    host.take(members, *classes)
+    host.take(members, Ping, Ack, ProbeRequest, ProbeAnswer)
+    host.take(members, MemberFacts, TableSummary, TableAsk)
     host.parts["members"] = members
     members.start()
     return members
+
+
+class FakeServers:
+    """Backend servers that answer probes, or not, after a while.
+
+    Attributes:
+        down: Servers that refuse connections.
+        silent: Servers that answer nothing.
+        slow: Servers that answer late.
+        leaving: Servers that say that they leave.
+        cuts: Pairs of host and server between which nothing passes.
+        probes: How often each server was probed.
+    """
+
+    def __init__(self, network: FakeNetwork):
+        self.network = network
+        self.down: set[str] = set()
+        self.silent: set[str] = set()
+        self.slow: set[str] = set()
+        self.leaving: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.probes: Counter[str] = Counter()
+
+    def find_outcome(self, host: str, server: str) -> tuple[float, Outcome]:
+        """Return after what time a probe ends, in seconds, and how."""
+        if server in self.silent or (host, server) in self.cuts:
+            return 2.0, Outcome.TIMED_OUT
+        if server in self.down:
+            return 0.001, Outcome.REFUSED
+        if server in self.leaving:
+            return 0.002, Outcome.LEAVING
+        if server in self.slow:
+            return 1.7, Outcome.SLOW
+        return 0.002, Outcome.ANSWERED
+
+    def add(self, host: FakeHost) -> BackendServers:
+        """Give a host its view of the backend servers."""
+
+        def probe(server: str) -> None:
+            self.probes[server] += 1
+            delay_s, outcome = self.find_outcome(host.name, server)
+            host.timers.call_later(delay_s, lambda: view.report_probe(server, outcome))
+
+        generator = Random(self.network.generator.random())
+        members = host.parts["members"]
+        view = BackendServers(members, host.timers, generator, host, probe)
+        host.take(view, ServerAsk, ServerDoubt, ServerFacts, ServerSummary)
+        host.parts["servers"] = view
+        view.start()
+        return view
