--- a/oleanderpier/configuration/__init__.py
+++ b/oleanderpier/configuration/__init__.py
@@ -6,3 +6,4 @@
 from oleanderpier.configuration.messages import *  # noqa: F403
 from oleanderpier.configuration.spread import *  # noqa: F403
 from oleanderpier.configuration.store import *  # noqa: F403
+from oleanderpier.configuration.watch import *  # noqa: F403
--- a/oleanderpier/membership/servers.py
+++ b/oleanderpier/membership/servers.py
@@ -12,7 +12,7 @@
 from oleanderpier.configuration.documents import BackendServer, Published
 from oleanderpier.membership.members import Members
 from oleanderpier.membership.messages import MemberState
-from oleanderpier.membership.probers import choose_probers, list_duties
+from oleanderpier.membership.probers import ProbeDuties, choose_probers
 from oleanderpier.membership.rumours import RumourQueue
 from oleanderpier.membership.server_messages import (
     ServerAsk,
@@ -156,6 +156,8 @@
         self._changed_s: dict[str, float] = {}
         self._records: dict[str, ProbeRecord] = {}
         self._paths: dict[str, PathRecord] = {}
+        domain = members.find_domain(members.host) or ""
+        self._choice = ProbeDuties(members.host, domain)
         self._duties: dict[str, bool] = {}
         self._duties_stale = True
         self._rumours: RumourQueue[ServerFact] = RumourQueue()
@@ -459,13 +461,7 @@
         return dict(index)
 
     def _on_member(self, host: str, state: MemberState) -> None:
-        own_domain = self._members.find_domain(self._members.host)
-        if self._members.find_domain(host) == own_domain or self._is_small():
-            self._duties_stale = True
-
-    def _is_small(self) -> bool:
-        """Return whether a domain may empty by the loss of one host."""
-        return len(self._members.list_alive()) < 256
+        self._duties_stale = True
 
     def _group_hosts(self) -> dict[str, list[str]]:
         groups = defaultdict(list)
@@ -484,10 +480,8 @@
 
     def _take_duties(self) -> None:
         self._duties_stale = False
-        own = self._members.host
-        domain = self._members.find_domain(own) or ""
-        groups = self._group_hosts()
-        self._duties = list_duties(own, domain, list(self._entries or {}), groups)
+        servers = list(self._entries or {})
+        self._duties = self._choice.find(servers, self._group_hosts())
         for server in list(self._records):
             if server not in self._duties:
                 del self._records[server]
--- a/oleanderpier/membership/tests/fakes.py
+++ b/oleanderpier/membership/tests/fakes.py
@@ -36,6 +36,7 @@
         self.paused = False
         self.stopped = False
         self.held: list[Callable[[], None]] = []
+        self.held_messages: list[Callable[[], None]] = []
 
     def now(self) -> float:
         """Return the monotonic clock in seconds."""
@@ -66,9 +67,10 @@
         return subscription
 
     def resume(self) -> None:
-        """End a pause and run what fell due meanwhile."""
+        """End a pause: run what fell due, and only then take in messages."""
         self.paused = False
-        held, self.held = self.held, []
+        held = self.held + self.held_messages
+        self.held, self.held_messages = [], []
         for callback in held:
             callback()
 
@@ -107,7 +109,7 @@
     def deliver(self, sender: str, message: Any) -> None:
         """Hand over a message, after the pause if there is one."""
         if self.timers.paused:
-            self.timers.held.append(lambda: self.deliver(sender, message))
+            self.timers.held_messages.append(lambda: self.deliver(sender, message))
         elif not self.timers.stopped:
             self.handlers[type(message)](sender, message)
 
@@ -118,6 +120,7 @@
     Attributes:
         loss: Which part of the messages is lost.
         cuts: Pairs of sender and receiver between which nothing passes.
+        extra_s: What a slow host takes longer to take in a message.
         sent_bytes: Bytes sent by each class of message.
         sent_counts: Messages sent by each class of message.
     """
@@ -127,6 +130,7 @@
         self.generator = Random(seed)
         self.loss = loss
         self.cuts: set[tuple[str, str]] = set()
+        self.extra_s: dict[str, float] = {}
         self.hosts: dict[str, FakeHost] = {}
         self.sent_bytes: Counter[str] = Counter()
         self.sent_counts: Counter[str] = Counter()
@@ -150,6 +154,7 @@
             return False
         host = self.hosts[receiver]
         delay_s = self.generator.uniform(MIN_LATENCY_S, MAX_LATENCY_S)
+        delay_s += self.extra_s.get(receiver, 0.0)
         self.timers.call_later(delay_s, lambda: host.deliver(sender, message))
         return True
 
