--- a/standins/engine.py
+++ b/standins/engine.py
@@ -25,7 +25,6 @@
 __all__ = ["Engine", "EngineOptions", "make_engine_app"]
 
 HEARTBEAT = b": heartbeat\n\n"
-HEARTBEAT_S = 0.25
 LOAD_LAG_S = 0.1
 SILENT_POLL_S = 0.05
 MAX_ORDERS = 1000
@@ -60,6 +59,7 @@
         prefill_token_s: Time for a prompt token that is not cached.
         slots: How many requests run at once.
         cache_tokens: Size of the prefix cache.
+        heartbeat_s: Time between two comment lines.
     """
 
     name: str
@@ -68,6 +68,7 @@
     prefill_token_s: float = 0.0001
     slots: int = 16
     cache_tokens: int = 200_000
+    heartbeat_s: float = 0.25
 
 
 class Engine:
@@ -200,7 +201,8 @@
             self._silent.setdefault(request.transport, faults["silent_after"])
 
     async def _run(self, body: GenerateBody, stream: "_Stream") -> None:
-        heartbeat = asyncio.create_task(stream.send_heartbeats())
+        beats = stream.send_heartbeats(self.options.heartbeat_s)
+        heartbeat = asyncio.create_task(beats)
         try:
             await stream.begin()
             await self.slots.take(body["priority"])
@@ -275,11 +277,11 @@
         """End the answer's body."""
         await self._response.write_eof()
 
-    async def send_heartbeats(self) -> None:
-        """Send a comment line every ``HEARTBEAT_S``."""
+    async def send_heartbeats(self, interval_s: float) -> None:
+        """Send a comment line again and again."""
         with contextlib.suppress(ConnectionError):
             while True:
-                await asyncio.sleep(HEARTBEAT_S)
+                await asyncio.sleep(interval_s)
                 await self._wait_while_silent()
                 if self._response.prepared:
                     await self._response.write(HEARTBEAT)
