--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, each runnable as a module."""
--- /dev/null
+++ b/oleanderpier/placement/admission.py
@@ -0,0 +1,443 @@
+"""The owner's side: gives the permits of one pool and counts them exactly."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from functools import singledispatchmethod
+from itertools import count, islice
+from typing import Any, NamedTuple
+
+from eliot import log_message
+
+from oleanderpier.placement.affinity import ChatHomes
+from oleanderpier.placement.loads import PoolLoads, ServerLoad
+from oleanderpier.placement.messages import (
+    Ask,
+    FailureNotice,
+    Grant,
+    Holding,
+    Holdings,
+    LeavingNotice,
+    Migrate,
+    NotOwner,
+    Queued,
+    Recount,
+    Refusal,
+    Release,
+    Renewal,
+)
+from oleanderpier.placement.pools import Pool
+from oleanderpier.placement.queues import FairQueue, Waiting
+from oleanderpier.results import Code
+from oleanderpier.utils import Timers, rank_candidates
+
+__all__ = ["Admission"]
+
+GRACE_S = 0.3
+LEASE_S = 20.0
+RENEWAL_RACE_S = 2.0
+MIGRATION_S = 2.0
+TICK_S = 0.5
+PAUSE_S = 2.0
+QUEUE_PART_OF_TARGET = 0.5
+LOOKAHEAD = 8
+HOLD_TIME_WEIGHT = 0.05
+MIN_RETRY_AFTER_S = 0.1
+MAX_LOAD_PERCENT = 1_000
+
+
+class HeldPermit(NamedTuple):
+    """A permit as its owner counts it."""
+
+    backend_server: str
+    chat: int
+    workspace: int
+    granted_s: float
+
+
+class Admission:
+    """Admits requests to one pool's backend servers.
+
+    After taking a pool over (``begin_grace``), it first asks all hosts what
+    they hold, and queues asks until they have answered or GRACE_S has passed.
+
+    Args:
+        pool: The pool and its servers.
+        hosts: The hosts believed to be alive.
+        timers: The timer service.
+        answer: Sends a message to an entry host.
+    """
+
+    def __init__(
+        self,
+        pool: Pool,
+        hosts: Iterable[str],
+        timers: Timers,
+        answer: Callable[[str, Any], Any],
+    ):
+        self.pool = pool
+        self.homes = ChatHomes()
+        self.loads = PoolLoads()
+        self._timers = timers
+        self._answer = answer
+        self._queue = FairQueue()
+        self._order = count()
+        self._permits: dict[str, dict[int, HeldPermit]] = {}
+        self._renewed_s: dict[str, float] = {}
+        self._workspaces: Counter[int] = Counter()
+        self._mean_hold_s: float | None = None
+        self._migrating: dict[tuple[str, int], float] = {}
+        self._awaited: set[str] = set()
+        self._open_s = 0.0
+        self._ticked_s = timers.now()
+        self._hosts = set(hosts)
+        self.loads.update(pool.servers, timers.now())
+        self._ticks = timers.subscribe(TICK_S, self._tick)
+
+    def close(self, owner: str) -> None:
+        """End the ownership; asks that wait are sent to the next owner."""
+        self._ticks.cancel()
+        for waiting in self._queue:
+            self._queue.remove(waiting)
+            self._answer(waiting.sender, NotOwner(waiting.ask.number, owner))
+
+    def begin_grace(self) -> None:
+        """Ask every host what it holds, and admit nothing for a while."""
+        self._awaited = set(self._hosts)
+        self._open_s = self._timers.now() + GRACE_S
+        self._timers.call_later(GRACE_S, self._serve)
+        for host in sorted(self._hosts):
+            self._answer(host, Recount(self.pool.number))
+
+    def update_pool(self, pool: Pool) -> None:
+        """Take the pool's newly published servers."""
+        self.pool = pool
+        self.loads.update(pool.servers, self._timers.now())
+        self._recount_servers()
+        self._serve()
+
+    def update_hosts(self, hosts: Iterable[str]) -> None:
+        """Take the live hosts; permits of those that died are dropped."""
+        alive = set(hosts)
+        for host in self._hosts - alive:
+            self._drop_host(host)
+        self._hosts = alive
+        self._serve()
+
+    def update_load_multiple(self, load_multiple: float) -> None:
+        """Take the multiple of the mean that no server may exceed."""
+        self.loads.load_multiple = load_multiple
+        self._serve()
+
+    @singledispatchmethod
+    def handle(self, message: Any, sender: str) -> None:
+        """Take a message about this pool from a host."""
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    @handle.register
+    def _handle_ask(self, message: Ask, sender: str) -> None:
+        if message.number in self._permits.get(sender, {}):
+            self._drop_permit(sender, message.number)
+        now = self._timers.now()
+        patience_s = message.target_ms / 1000 * QUEUE_PART_OF_TARGET
+        waiting = Waiting(now + patience_s, next(self._order), sender, message)
+        if now >= self._open_s and not self._queue:
+            taking = self.loads.find_open(now)
+            if taking:
+                self._grant(waiting, taking)
+                return
+        self._enqueue(waiting)
+        self._serve()
+
+    @handle.register
+    def _handle_release(self, message: Release, sender: str) -> None:
+        now = self._timers.now()
+        for number in message.done:
+            permit = self._drop_permit(sender, number)
+            if permit is not None:
+                self._note_hold_time(now - permit.granted_s)
+                self._note_success(permit)
+        for number in message.failed:
+            permit = self._drop_permit(sender, number)
+            if permit is not None:
+                self._note_failure(permit)
+        for number in message.abandoned:
+            self._drop_permit(sender, number)
+        self._serve()
+
+    @handle.register
+    def _handle_renewal(self, message: Renewal, sender: str) -> None:
+        now = self._timers.now()
+        self._renewed_s[sender] = now
+        held = self._permits.get(sender, {})
+        named = set(message.numbers)
+        for number, permit in list(held.items()):
+            if number not in named and now - permit.granted_s > RENEWAL_RACE_S:
+                self._drop_permit(sender, number)
+        if named - held.keys():
+            self._answer(sender, Recount(self.pool.number))
+        self._serve()
+
+    @handle.register
+    def _handle_holdings(self, message: Holdings, sender: str) -> None:
+        now = self._timers.now()
+        self._renewed_s[sender] = now
+        named = {holding.number for holding in message.holdings}
+        for number, permit in list(self._permits.get(sender, {}).items()):
+            if number not in named and now - permit.granted_s > RENEWAL_RACE_S:
+                self._drop_permit(sender, number)
+        for holding in message.holdings:
+            self._take_holding(sender, holding)
+        self._awaited.discard(sender)
+        if not self._awaited:
+            self._open_s = min(self._open_s, now)
+        self._serve()
+
+    @handle.register
+    def _handle_leaving(self, message: LeavingNotice, sender: str) -> None:
+        load = self.loads.servers.get(message.backend_server)
+        if load is not None:
+            load.note_leaving(self._timers.now())
+
+    @handle.register
+    def _handle_failure(self, message: FailureNotice, sender: str) -> None:
+        self.note_failure(message.backend_server)
+
+    def note_failure(self, backend_server: str) -> None:
+        """Avoid a backend server that failed a request or a probe."""
+        load = self.loads.servers.get(backend_server)
+        if load is None:
+            return
+        now = self._timers.now()
+        until_s = load.note_failure(now)
+        log_message(
+            "placement:server_avoided",
+            backend_server=backend_server,
+            failures=load.failures,
+            for_s=round(until_s - now, 3),
+        )
+
+    def list_permits(self) -> Iterator[tuple[str, int, HeldPermit]]:
+        """Yield the entry host, number and record of every permit."""
+        for host, held in self._permits.items():
+            for number, permit in held.items():
+                yield host, number, permit
+
+    def count_waiting(self) -> int:
+        """Return how many asks wait."""
+        return len(self._queue)
+
+    def is_open(self) -> bool:
+        """Return whether the grace after the takeover is over."""
+        return self._timers.now() >= self._open_s
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        now = self._timers.now()
+        wait_s = self._predict_wait(waiting)
+        if now + wait_s > waiting.deadline_s:
+            self._refuse(waiting, wait_s)
+            return
+        self._queue.push(waiting)
+        self._answer(waiting.sender, Queued(waiting.ask.number))
+        self._timers.call_later(waiting.deadline_s - now, lambda: self._expire(waiting))
+
+    def _expire(self, waiting: Waiting) -> None:
+        before = len(self._queue)
+        self._queue.remove(waiting)
+        if len(self._queue) < before:
+            self._refuse(waiting, self._predict_wait(waiting))
+
+    def _refuse(self, waiting: Waiting, wait_s: float) -> None:
+        number, workspace = waiting.ask.number, waiting.ask.workspace
+        code = Code.TARGET_UNREACHABLE
+        if self._is_over_share(workspace):
+            code = Code.WORKSPACE_OVER_SHARE
+        now = self._timers.now()
+        if not any(s.is_usable(now) for s in self.loads.servers.values()):
+            code = Code.NO_BACKEND_SERVER
+        retry_ms = round(max(wait_s, MIN_RETRY_AFTER_S) * 1000)
+        self._answer(
+            waiting.sender, Refusal(number, code, retry_ms, self._measure_load())
+        )
+
+    def _is_over_share(self, workspace: int) -> bool:
+        """Return whether a workspace has more than its part while others wait."""
+        slots, _ = self.loads.sum_usable(self._timers.now())
+        active = +self._workspaces
+        others = set(self._queue.list_workspaces()) | set(active) - {workspace}
+        if not others - {workspace}:
+            return False
+        share = slots / len(others | {workspace})
+        wanted = self._workspaces[workspace] + self._queue.count_waiting(workspace)
+        return wanted > share
+
+    def _predict_wait(self, waiting: Waiting) -> float:
+        """Return the seconds until an ask would be granted, as far as known."""
+        now = self._timers.now()
+        opens_s = max(0.0, self._open_s - now)
+        slots, in_flight = self.loads.sum_usable(now)
+        if not slots:
+            usable_s = [
+                s.avoided_until_s
+                for s in self.loads.servers.values()
+                if not s.is_leaving(now)
+            ]
+            return max(opens_s, min(usable_s, default=now + LEASE_S) - now)
+        ahead = self._queue.count_ahead(waiting, self._workspaces) + 1
+        ahead -= max(0, slots - in_flight)
+        if ahead <= 0 or not in_flight or self._mean_hold_s is None:
+            return opens_s
+        return opens_s + ahead * self._mean_hold_s / in_flight
+
+    def _serve(self) -> None:
+        """Grant whatever the servers may take, and keep them to the bound."""
+        self._grant_waiting()
+        if self.pool.kind == "engine" and self.is_open():
+            excess = self.loads.find_excess(self._timers.now())
+            for name, over in excess.items():
+                self._migrate(name, over)
+
+    def _migrate(self, backend_server: str, over: int) -> None:
+        """Have the newest streams of a server resumed elsewhere."""
+        now = self._timers.now()
+        held = [
+            (permit.granted_s, host, number)
+            for host, number, permit in self.list_permits()
+            if permit.backend_server == backend_server
+        ]
+        for _, host, number in sorted(held, reverse=True):
+            asked_s = self._migrating.get((host, number))
+            if over <= 0:
+                return
+            if asked_s is None:
+                self._migrating[host, number] = now
+                self._answer(host, Migrate(number))
+                over -= 1
+            elif now - asked_s < MIGRATION_S:
+                over -= 1
+
+    def _grant_waiting(self) -> None:
+        now = self._timers.now()
+        while self._queue and now >= self._open_s:
+            taking = self.loads.find_open(now)
+            if not taking:
+                return
+            waiting = self._pick_waiting(taking)
+            self._queue.remove(waiting)
+            self._grant(waiting, taking)
+
+    def _pick_waiting(self, taking: dict[str, ServerLoad]) -> Waiting:
+        """Return the ask that is next in turn.
+
+        Of the first few of its workspace, the one whose prefix is on a server
+        with a free slot goes first.
+        """
+        turn = self._queue.iterate_fairly(self._workspaces)
+        first = next(turn)
+        for waiting in (first, *islice(turn, LOOKAHEAD - 1)):
+            homes = self.homes.find(waiting.ask.chat)
+            if homes and homes[0] in taking:
+                return waiting
+        return first
+
+    def _grant(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> None:
+        ask, sender = waiting.ask, waiting.sender
+        server = self._choose_server(ask.chat, taking)
+        now = self._timers.now()
+        permit = HeldPermit(server, ask.chat, ask.workspace, now)
+        self._add_permit(sender, ask.number, permit)
+        if ask.chat:
+            self.homes.record(ask.chat, server)
+        self._answer(sender, Grant(ask.number, server, self._measure_load()))
+
+    def _choose_server(self, chat: int, taking: dict[str, ServerLoad]) -> str:
+        for home in self.homes.find(chat):
+            if home in taking:
+                return home
+        if not chat:
+            return min(taking, key=lambda name: (_fill(taking[name]), name))
+        first = rank_candidates(str(chat), taking)[:2]
+        return min(first, key=lambda name: _fill(taking[name]))
+
+    def _measure_load(self) -> int:
+        slots, in_flight = self.loads.sum_usable(self._timers.now())
+        if not slots:
+            return MAX_LOAD_PERCENT
+        percent = 100 * (in_flight + len(self._queue)) // slots
+        return min(MAX_LOAD_PERCENT, percent)
+
+    def _add_permit(self, host: str, number: int, permit: HeldPermit) -> None:
+        self._drop_permit(host, number)
+        self._permits.setdefault(host, {})[number] = permit
+        self._renewed_s.setdefault(host, permit.granted_s)
+        self._workspaces[permit.workspace] += 1
+        self.loads.add(permit.backend_server)
+
+    def _drop_permit(self, host: str, number: int) -> HeldPermit | None:
+        permit = self._permits.get(host, {}).pop(number, None)
+        if permit is None:
+            return None
+        self._migrating.pop((host, number), None)
+        self._workspaces[permit.workspace] -= 1
+        if not self._workspaces[permit.workspace]:
+            del self._workspaces[permit.workspace]
+        self.loads.remove(permit.backend_server, permit.granted_s)
+        return permit
+
+    def _take_holding(self, host: str, holding: Holding) -> None:
+        if holding.number in self._permits.get(host, {}):
+            return
+        now = self._timers.now()
+        server, chat = holding.backend_server, holding.chat
+        permit = HeldPermit(server, chat, holding.workspace, now)
+        self._add_permit(host, holding.number, permit)
+        if chat and not self.homes.find(chat):
+            self.homes.record(chat, server)
+
+    def _drop_host(self, host: str) -> None:
+        self._awaited.discard(host)
+        self._renewed_s.pop(host, None)
+        for number in list(self._permits.get(host, {})):
+            self._drop_permit(host, number)
+        self._permits.pop(host, None)
+        for waiting in self._queue:
+            if waiting.sender == host:
+                self._queue.remove(waiting)
+
+    def _note_hold_time(self, hold_s: float) -> None:
+        if self._mean_hold_s is None:
+            self._mean_hold_s = hold_s
+        self._mean_hold_s += HOLD_TIME_WEIGHT * (hold_s - self._mean_hold_s)
+
+    def _note_success(self, permit: HeldPermit) -> None:
+        load = self.loads.servers.get(permit.backend_server)
+        if load is not None and permit.granted_s >= load.avoided_until_s:
+            load.failures = 0
+
+    def _note_failure(self, permit: HeldPermit) -> None:
+        load = self.loads.servers.get(permit.backend_server)
+        if load is not None and permit.granted_s >= load.avoided_until_s:
+            self.note_failure(permit.backend_server)
+
+    def _recount_servers(self) -> None:
+        for load in self.loads.servers.values():
+            load.in_flight = 0
+        for _, _, permit in self.list_permits():
+            self.loads.add(permit.backend_server)
+
+    def _tick(self) -> None:
+        """Drop expired leases, and start over if the process was paused."""
+        now = self._timers.now()
+        paused = now - self._ticked_s > TICK_S + PAUSE_S
+        self._ticked_s = now
+        if paused:
+            self.begin_grace()
+            return
+        for host, renewed_s in list(self._renewed_s.items()):
+            if self._permits.get(host) and now - renewed_s > LEASE_S:
+                self._drop_host(host)
+        self._serve()
+
+
+def _fill(load: ServerLoad) -> float:
+    """Return the part of a server's slots that is taken."""
+    return load.in_flight / load.slots
--- /dev/null
+++ b/oleanderpier/placement/queues.py
@@ -0,0 +1,109 @@
+"""The asks that wait at a pool's owner, fair between workspaces.
+
+The next grant goes to the waiting workspace with the fewest permits in
+flight, and within it to the ask with the earliest deadline: a class with a
+tighter target passes others, and a workspace that surges waits behind its own.
+"""
+
+import bisect
+import heapq
+from collections import Counter
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from oleanderpier.placement.messages import Ask
+
+__all__ = ["FairQueue", "Waiting"]
+
+
+class Waiting(NamedTuple):
+    """An ask in the queue; sorts by deadline.
+
+    Attributes:
+        deadline_s: When it is refused if it still waits.
+        order: Its place among all asks of the owner.
+        sender: The entry host.
+        ask: The ask itself.
+    """
+
+    deadline_s: float
+    order: int
+    sender: str
+    ask: Ask
+
+
+class FairQueue:
+    """Waiting asks, by workspace and deadline."""
+
+    def __init__(self) -> None:
+        self._workspaces: dict[int, list[Waiting]] = {}
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[Waiting]:
+        for waiting in list(self._workspaces.values()):
+            yield from list(waiting)
+
+    def count_waiting(self, workspace: int) -> int:
+        """Return how many asks of a workspace wait."""
+        return len(self._workspaces.get(workspace, ()))
+
+    def list_workspaces(self) -> list[int]:
+        """Return the workspaces that have asks waiting."""
+        return list(self._workspaces)
+
+    def push(self, waiting: Waiting) -> None:
+        """Add an ask."""
+        bisect.insort(self._workspaces.setdefault(waiting.ask.workspace, []), waiting)
+        self._length += 1
+
+    def remove(self, waiting: Waiting) -> None:
+        """Take an ask out, if it is still in."""
+        asks = self._workspaces.get(waiting.ask.workspace, [])
+        index = bisect.bisect_left(asks, waiting)
+        if index == len(asks) or asks[index] != waiting:
+            return
+        del asks[index]
+        self._length -= 1
+        if not asks:
+            del self._workspaces[waiting.ask.workspace]
+
+    def iterate_fairly(self, in_flight: Counter[int]) -> Iterator[Waiting]:
+        """Yield the asks in the order in which they should be granted.
+
+        Args:
+            in_flight: Permits in flight by workspace.
+        """
+        heap = [
+            (in_flight[workspace], asks[0], 0, asks)
+            for workspace, asks in self._workspaces.items()
+        ]
+        heapq.heapify(heap)
+        while heap:
+            level, waiting, index, asks = heap[0]
+            yield waiting
+            if index + 1 < len(asks):
+                following = (level + 1, asks[index + 1], index + 1, asks)
+                heapq.heapreplace(heap, following)
+            else:
+                heapq.heappop(heap)
+
+    def count_ahead(self, waiting: Waiting, in_flight: Counter[int]) -> int:
+        """Return how many grants come before a newly arrived ask's.
+
+        Args:
+            waiting: The ask, which need not be in the queue.
+            in_flight: Permits in flight by workspace.
+        """
+        workspace = waiting.ask.workspace
+        own = self._workspaces.get(workspace, [])
+        own_ahead = bisect.bisect_left(own, waiting)
+        level = in_flight[workspace] + own_ahead + 1
+        others = (
+            min(len(asks), max(0, level - in_flight[other]))
+            for other, asks in self._workspaces.items()
+            if other != workspace
+        )
+        return own_ahead + sum(others)
