--- a/bench/placement.py
+++ b/bench/placement.py
@@ -17,7 +17,15 @@
 
 import click
 import msgspec
-from oleanderpier.placement import FairQueue, Outcome, Permit, PermitRequest, Placement
+from oleanderpier.placement import (
+    BOUND_MEAN,
+    FairQueue,
+    Outcome,
+    Permit,
+    PermitRequest,
+    Placement,
+    limit_server,
+)
 from oleanderpier.placement.messages import Ask, shorten_name
 from oleanderpier.placement.queues import Waiting
 from oleanderpier.utils import (
@@ -39,8 +47,8 @@
 SAMPLE_S = 0.25
 DOCUMENT_SPREAD_S = 2.0
 DRAIN_S = 15.0
+REACTION_S = 0.01
 LOAD_MULTIPLE = 1.25
-BOUND_MEAN = 8.0
 CLASSES = {"quick-verdict": 1.6, "season-review": 6.0}
 
 
@@ -81,8 +89,10 @@
         ratio_p50, ratio_p99, ratio_worst: Max/mean in flight over engines, in
             samples with a mean of at least 8.
         samples: How many such samples there were.
-        over_bound: Samples in which an engine held more than
-            ``ceil(1.25 * mean)``.
+        over_bound: Samples in which an engine held more than 1.25 * mean.
+        stayed_over: Those of them that were so 10 ms later, too.
+        migrated: Streams that were resumed on another engine, as a part of
+            all requests.
         refused, late: By class, as part of all requests of the class.
         quiet_on_time, surging_on_time: Requests on time during the surge, as a
             part of those asked, of quiet and of surging workspaces.
@@ -97,6 +107,8 @@
     ratio_worst: float
     samples: int
     over_bound: int
+    stayed_over: int
+    migrated: float
     refused: dict[str, float]
     late: dict[str, float]
     quiet_on_time: float
@@ -230,6 +242,8 @@
         self._tokens = Counter()
         self._ratios: list[float] = []
         self._over_bound = 0
+        self._stayed_over = 0
+        self._views: list[tuple[float, frozenset[str]]] = []
         self._asked, self._refused, self._late = Counter(), Counter(), Counter()
         self._surge = defaultdict(Counter)
 
@@ -279,6 +293,8 @@
             ratios[-1],
             len(self._ratios),
             self._over_bound,
+            self._stayed_over,
+            self.router.migrations / max(1, self._turns),
             part(self._refused),
             part(self._late),
             *on_time,
@@ -411,18 +427,46 @@
         self.router.place(turn, entry, assigned)
 
     def _sample(self) -> None:
-        loads = [engine.in_flight for engine in self.list_live()]
-        mean = sum(loads) / len(loads)
-        if mean < BOUND_MEAN or self.timers.now() < self.scenario.warm_s:
+        if self.timers.now() < self.scenario.warm_s:
             return
-        self._ratios.append(max(loads) / mean)
-        self._over_bound += max(loads) > math.ceil(LOAD_MULTIPLE * mean)
+        ratio = self._measure_ratio()
+        if ratio is None:
+            return
+        self._ratios.append(ratio)
+        if ratio > LOAD_MULTIPLE:
+            self._over_bound += 1
+            self.timers.call_later(REACTION_S, self._sample_again)
+
+    def _sample_again(self) -> None:
+        ratio = self._measure_ratio()
+        self._stayed_over += ratio is not None and ratio > LOAD_MULTIPLE
+
+    def _measure_ratio(self) -> float | None:
+        """Return max/mean in flight, or None if the mean is too low.
+
+        While a new list spreads, hosts go by the one before or by the new
+        one; the lesser ratio counts.
+        """
+        now = self.timers.now()
+        live = frozenset(engine.name for engine in self.list_live())
+        if not self._views or self._views[-1][1] != live:
+            self._views.append((now, live))
+        while len(self._views) > 1 and now - self._views[1][0] > DOCUMENT_SPREAD_S:
+            del self._views[0]
+        ratios = [self._compare_loads(names) for _, names in self._views]
+        return None if None in ratios else min(ratios)
+
+    def _compare_loads(self, names: frozenset[str]) -> float | None:
+        loads = [self.engines[name].in_flight for name in names if name in self.engines]
+        mean = sum(loads) / len(loads)
+        return max(loads) / mean if mean >= BOUND_MEAN else None
 
 
 class Router:
     """Base of the routers that decide at once, at the entry host alone."""
 
     name = ""
+    migrations = 0
 
     def __init__(self, world: World):
         self.world = world
@@ -577,9 +621,9 @@
 
     def _serve(self) -> None:
         while self._queue:
-            total = sum(self._in_flight[name] for name in self.names) + 1
+            total = sum(self._in_flight[name] for name in self.names)
             mean = total / len(self.names)
-            limit = max(math.ceil(LOAD_MULTIPLE * mean), LOAD_MULTIPLE * BOUND_MEAN)
+            limit = limit_server(mean, BOUND_MEAN, LOAD_MULTIPLE)
             limit = min(self.world.scenario.slots, limit)
             taking = [name for name in self.names if self._in_flight[name] < limit]
             if not taking:
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -36,6 +36,7 @@
 LEASE_S = 20.0
 RENEWAL_RACE_S = 2.0
 MIGRATION_S = 2.0
+SETTLE_S = 1.0
 TICK_S = 0.5
 PAUSE_S = 2.0
 QUEUE_PART_OF_TARGET = 0.5
@@ -297,22 +298,24 @@
                 self._migrate(name, over)
 
     def _migrate(self, backend_server: str, over: int) -> None:
-        """Have the newest streams of a server resumed elsewhere."""
+        """Have streams of a server resumed elsewhere, the newest first.
+
+        Those that began a moment ago come last, or one would be moved on and
+        on; those that were already asked for are waited for.
+        """
         now = self._timers.now()
         held = [
-            (permit.granted_s, host, number)
+            (now - permit.granted_s < SETTLE_S, -permit.granted_s, host, number)
             for host, number, permit in self.list_permits()
             if permit.backend_server == backend_server
         ]
-        for _, host, number in sorted(held, reverse=True):
+        for _, _, host, number in sorted(held):
             asked_s = self._migrating.get((host, number))
-            if over <= 0:
-                return
-            if asked_s is None:
+            if over > 0 and asked_s is None:
                 self._migrating[host, number] = now
                 self._answer(host, Migrate(number))
                 over -= 1
-            elif now - asked_s < MIGRATION_S:
+            elif asked_s is not None and now - asked_s < MIGRATION_S:
                 over -= 1
 
     def _grant_waiting(self) -> None:
--- a/oleanderpier/placement/loads.py
+++ b/oleanderpier/placement/loads.py
@@ -1,11 +1,11 @@
 """What is in flight on each backend server of a pool, and how much may be.
 
 The bound: while the mean is at least BOUND_MEAN requests a server, none is
-given more than ``ceil(load_multiple * mean)``; below that one more is allowed,
-up to what holds at BOUND_MEAN. A server's mean is in proportion to its slots,
-so that a small one is not overrun; for servers of one size it is the plain
-mean. The least filled server is always below the bound: the bound alone never
-stops a pool with free slots.
+given more than ``load_multiple * mean``, where the mean is taken before the new
+request; below that one more is allowed, up to what holds at BOUND_MEAN. A
+server's mean is in proportion to its slots, so that a small one is not
+overrun; for servers of one size it is the plain mean. The least filled server
+may always take one more: the bound alone never stops a pool with free slots.
 """
 
 import math
@@ -13,7 +13,7 @@
 from oleanderpier.configuration import BackendServer
 from oleanderpier.placement.records import ServerState
 
-__all__ = ["PoolLoads", "ServerLoad"]
+__all__ = ["BOUND_MEAN", "PoolLoads", "ServerLoad", "limit_server"]
 
 BOUND_MEAN = 8.0
 ROUNDING = 1e-9
@@ -160,10 +160,8 @@
         total = sum(s.in_flight for s in usable)
         if not usable or total / len(usable) < BOUND_MEAN:
             return {}
-        scale = self.load_multiple * total / sum(s.slots for s in usable)
-        excess = {
-            s.name: s.in_flight - math.ceil(scale * s.slots - ROUNDING) for s in usable
-        }
+        limits = self._limit_all(usable)
+        excess = {s.name: s.in_flight - limits[s.name] for s in usable}
         return {name: over for name, over in excess.items() if over > 0}
 
     def describe(self, now: float) -> list[ServerState]:
@@ -183,14 +181,28 @@
     def _limit_all(self, usable: list[ServerLoad]) -> dict[str, int]:
         if not usable:
             return {}
-        total = sum(s.in_flight for s in usable) + 1
-        slots = sum(s.slots for s in usable)
-        scale = self.load_multiple * total / slots
-        full = self.load_multiple * BOUND_MEAN * len(usable) / slots
-        return {s.name: _limit_one(scale * s.slots, full * s.slots) for s in usable}
+        part = 1 / sum(s.slots for s in usable)
+        mean = part * sum(s.in_flight for s in usable)
+        full = part * BOUND_MEAN * len(usable)
+        return {
+            s.name: limit_server(mean * s.slots, full * s.slots, self.load_multiple)
+            for s in usable
+        }
+
 
+def limit_server(mean: float, bound_mean: float, load_multiple: float) -> int:
+    """Return how many requests a server may hold.
 
-def _limit_one(bound: float, bound_at_mean: float) -> int:
-    """Return a server's limit, rounded up, with one more at a low mean."""
-    limit = math.ceil(bound - ROUNDING)
-    return max(limit, min(limit + 1, math.ceil(bound_at_mean - ROUNDING)))
+    Args:
+        mean: Its part of what is in flight.
+        bound_mean: That part while BOUND_MEAN requests a server are in flight.
+        load_multiple: No server carries more than this multiple of the mean.
+
+    Examples:
+        >>> [limit_server(mean, 8.0, 1.25) for mean in (1.0, 7.9, 8.0, 12.0)]
+        [2, 10, 10, 15]
+    """
+    limit = math.floor(load_multiple * mean + ROUNDING)
+    if mean < bound_mean:
+        limit = min(limit + 1, math.floor(load_multiple * bound_mean + ROUNDING))
+    return max(limit, math.floor(mean + ROUNDING) + 1)
--- a/oleanderpier/placement/placement.py
+++ b/oleanderpier/placement/placement.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message
 
-from oleanderpier.configuration import BackendServer, ConfigurationDocument
+from oleanderpier.configuration import BackendServer, ConfigurationDocument, WorkClass
 from oleanderpier.placement.admission import Admission
 from oleanderpier.placement.client import Notify, PermitClient
 from oleanderpier.placement.loads import DEFAULT_LOAD_MULTIPLE
@@ -87,7 +87,8 @@
         self._client = PermitClient(
             host, timers, rng, self._send, self._owners, on_migrate
         )
-        self._classes = {}
+        self._classes: dict[str, WorkClass] = {}
+        self._inbox: list[Any] = []
 
     def request(self, request: PermitRequest, notify: Notify) -> None:
         """Ask for a permit; ``notify`` gets it or a failure, exactly once."""
@@ -251,7 +252,15 @@
         admission.begin_grace()
 
     def _send(self, host: str, message: Any) -> None:
-        if host == self._host:
-            self.handle(host, message)
-        else:
+        """Send to a host; what goes to this one is taken after the current call."""
+        if host != self._host:
             self._outbox.send(host, message)
+            return
+        self._inbox.append(message)
+        if len(self._inbox) == 1:
+            self._timers.call_later(0.0, self._drain_inbox)
+
+    def _drain_inbox(self) -> None:
+        messages, self._inbox = self._inbox, []
+        for message in messages:
+            self.handle(self._host, message)
