--- /dev/null
+++ b/bench/placement/__main__.py
@@ -0,0 +1,77 @@
+"""The command line of the placement bench."""
+
+import json
+
+import click
+
+from bench.placement import FLEET, ROUTERS, USERS, Report, run_scenario
+
+SIZES = {"users": USERS, "fleet": FLEET}
+FLEET_ROUTERS = ("random", "two choices", "all-knowing", "pool owners")
+REQUESTS_A_HOST_TO_COME = 29.0
+
+
+@click.command()
+@click.option("--size", type=click.Choice(list(SIZES)), default="users")
+@click.option("--router", "routers", type=click.Choice(list(ROUTERS)), multiple=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--owner-killed-s", type=float, help="When the first pool's owner dies.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON for programs.")
+def main(
+    size: str,
+    routers: tuple[str, ...],
+    seed: int,
+    owner_killed_s: float | None,
+    as_json: bool,
+) -> None:
+    """Compare routers on one seeded workload."""
+    scenario = SIZES[size]._replace(seed=seed, owner_killed_s=owner_killed_s)
+    default = tuple(ROUTERS) if size == "users" else FLEET_ROUTERS
+    reports = [run_scenario(scenario, name) for name in routers or default]
+    if as_json:
+        click.echo(json.dumps([report._asdict() for report in reports], indent=1))
+        return
+    click.echo(f"size {size}, seed {seed}")
+    _print_table(reports)
+
+
+def _print_table(reports: list[Report]) -> None:
+    known = {report.router: report for report in reports}.get("all-knowing")
+    rows = [_describe_report(report, known) for report in reports]
+    for title in rows[0]:
+        cells = "".join(f"{row[title]:>16}" for row in rows)
+        click.echo(f"{title:<30}{cells}")
+
+
+def _describe_report(report: Report, known: Report | None) -> dict[str, str]:
+    def percents(parts: dict[str, float]) -> str:
+        return " / ".join(f"{100 * part:.1f}" for part in parts.values())
+
+    per_request = report.control_bytes_a_request
+    return {
+        "router": report.router[:15],
+        "requests": str(report.requests),
+        "reuse": f"{report.reuse:.3f}",
+        "reuse / all-knowing": f"{report.reuse / known.reuse:.3f}" if known else "",
+        "max/mean p50": f"{report.ratio_p50:.3f}",
+        "max/mean p99": f"{report.ratio_p99:.3f}",
+        "max/mean worst": f"{report.ratio_worst:.3f}",
+        "max/mean worst, all engines": f"{report.ratio_all:.3f}",
+        "samples": str(report.samples),
+        "over ceil(1.25 mean)": str(report.over_bound),
+        "over 1.25 mean": str(report.over_unrounded),
+        "  still after 10 ms": str(report.stayed_over),
+        "migrated %": f"{100 * report.migrated:.2f}",
+        "refused % quick / review": percents(report.refused),
+        "late % quick / review": percents(report.late),
+        "surge: quiet on time %": f"{100 * report.quiet_on_time:.1f}",
+        "surge: surging on time %": f"{100 * report.surging_on_time:.1f}",
+        "requests/s a host": f"{report.requests_a_host:.2f}",
+        "control bytes/s a host": f"{report.control_bytes:.0f}",
+        "control bytes a request": f"{per_request:.0f}",
+        "bytes/s a host at 29 req/s": f"{per_request * REQUESTS_A_HOST_TO_COME:.0f}",
+    }
+
+
+if __name__ == "__main__":
+    main()
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -353,13 +353,15 @@
         self._answer(sender, Grant(ask.number, server, self._measure_load()))
 
     def _choose_server(self, chat: int, taking: dict[str, ServerLoad]) -> str:
+        """Return the newest home that may take one more, else the least filled.
+
+        Among equally filled servers the chat's rendezvous order decides.
+        """
         for home in self.homes.find(chat):
             if home in taking:
                 return home
-        if not chat:
-            return min(taking, key=lambda name: (_fill(taking[name]), name))
-        first = rank_candidates(str(chat), taking)[:2]
-        return min(first, key=lambda name: _fill(taking[name]))
+        order = rank_candidates(str(chat), taking)
+        return min(order, key=lambda name: _fill(taking[name]))
 
     def _measure_load(self) -> int:
         slots, in_flight = self.loads.sum_usable(self._timers.now())
--- a/oleanderpier/placement/affinity.py
+++ b/oleanderpier/placement/affinity.py
@@ -5,7 +5,7 @@
 __all__ = ["ChatHomes"]
 
 MAX_CHATS = 32_768
-HOMES_PER_CHAT = 2
+HOMES_PER_CHAT = 3
 
 
 class ChatHomes:
--- a/oleanderpier/placement/pools.py
+++ b/oleanderpier/placement/pools.py
@@ -9,6 +9,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable
+from functools import lru_cache
 from typing import NamedTuple
 
 from oleanderpier.configuration import BackendServer
@@ -20,6 +21,7 @@
 SINGLE_POOL_SERVERS = 16
 POOL_SERVERS = 12
 POOL_CHOICES = 3
+LABEL_CACHE = 32_768
 HASH_RANGE = 2.0**64
 
 
@@ -80,13 +82,19 @@
         domains[server["failure_domain"]].append(server)
     parts = defaultdict(list)
     for domain, inside in domains.items():
-        labels = [str(i) for i in range(max(1, round(len(inside) / POOL_SERVERS)))]
+        count = max(1, round(len(inside) / POOL_SERVERS))
         for server in inside:
-            label = rank_candidates(server["name"], labels)[0]
+            label = _choose_label(server["name"], count)
             parts[domain, label].append(server)
     return [(domain, f"@{domain}/{i}", part) for (domain, i), part in parts.items()]
 
 
+@lru_cache(maxsize=LABEL_CACHE)
+def _choose_label(name: str, count: int) -> str:
+    """Return which of a failure domain's pools a server is in."""
+    return rank_candidates(name, map(str, range(count)))[0]
+
+
 def rank_weighted(key: str, weights: dict[str, int]) -> list[str]:
     """Return the candidates in a key's order, heavier ones first more often.
 
