Serve chats and calls through placement, relay and claims

Cause: the thin path chose servers by its own count, passed streams through unchecked, and refused keyed calls before the claim: a payout that had run at one host was told as not run by a starting one. Ruled out: mapping such refusals to other codes one by one; whatever may refuse a keyed call now does so inside the claimed send, which voids the key. Change: permits from placement, checked events with resume from the relay, probes and server states from membership, the platform's watch with its backoff, reports for operators.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -1,22 +1,25 @@
 """The callers' interface: addresses, chats and calls."""
 
-import json
 from typing import TYPE_CHECKING, Any
 
-import aiohttp
+import msgspec
 from aiohttp import web
-from expression import Error, Ok
-
-from oleanderpier.claims import Answer, NotSent, Unknown, run_call
-from oleanderpier.daemon.requests import (
-    CallRequest,
-    ChatRequest,
-    make_refusal,
-    read_request,
-    refuse_request,
-)
+from expression import Error, Ok, Result
+
+from oleanderpier.claims import Answer, NotSent, Outcome, Unknown, run_call
+from oleanderpier.configuration import WorkClass
+from oleanderpier.daemon.requests import CallRequest, ChatRequest, read_request
 from oleanderpier.exception import SettingsError
-from oleanderpier.results import Code, Failure, describe_code
+from oleanderpier.placement import PermitRequest
+from oleanderpier.relay import (
+    AnswerRequest,
+    relay_answer,
+    repeat_call,
+    send_call,
+)
+from oleanderpier.relay import NotSent as CallNotSent
+from oleanderpier.relay.refusals import refuse_request
+from oleanderpier.results import Code, Failure, describe_code, make_refusal
 
 if TYPE_CHECKING:
     from oleanderpier.daemon.node import Node
@@ -24,6 +27,8 @@
 __all__ = ["make_caller_app"]
 
 RETRY_AFTER_S = 1.0
+FAILURE_KEY = web.RequestKey("failure", Failure)
+CLASS_KEY = web.RequestKey("work_class", str)
 
 
 def make_caller_app(node: "Node") -> web.Application:
@@ -33,14 +38,6 @@
         node: The daemon that serves them.
     """
 
-    @web.middleware
-    async def count_request(request: web.Request, handler: Any) -> web.StreamResponse:
-        node.in_progress += 1
-        try:
-            return await handler(request)
-        finally:
-            node.in_progress -= 1
-
     async def get_addresses(request: web.Request) -> web.Response:
         hosts = node.choose_addresses(request.query.get("workspace", ""))
         rows = [
@@ -55,18 +52,20 @@
         return web.json_response({"addresses": rows, "keep_s": keep_s})
 
     async def post_chat(request: web.Request) -> web.StreamResponse:
-        return await serve_chat(node, request)
+        return await node.track_request(serve_chat(node, request))
 
-    async def post_call(request: web.Request) -> web.Response:
-        return await serve_call(node, request)
+    async def post_call(request: web.Request) -> web.StreamResponse:
+        return await node.track_request(serve_call(node, request))
 
-    app = web.Application(
-        client_max_size=node.settings["limits"]["max_body_bytes"],
-        middlewares=[count_request],
-    )
+    async def get_call(request: web.Request) -> web.StreamResponse:
+        result = await node.look_up(request.match_info["key"])
+        return answer_call(node, result)
+
+    app = web.Application(client_max_size=node.settings["limits"]["max_body_bytes"])
     app.router.add_get("/v1/addresses", get_addresses)
     app.router.add_post("/v1/chats", post_chat)
     app.router.add_post("/v1/calls", post_call)
+    app.router.add_get("/v1/calls/{key}", get_call)
     return app
 
 
@@ -75,41 +74,30 @@
     try:
         body = await read_request(ChatRequest, request)
     except SettingsError as error:
-        return refuse_request(Failure(Code.REQUEST_MALFORMED, str(error)))
-    failure = check_names(node, body)
-    if failure is not None:
-        return refuse_request(failure)
-    work_class = node.find_class(body["class"])
-    server = node.choose_backend_server(work_class, body["chat"])
-    if server is None:
-        return refuse_request(Failure(Code.NO_BACKEND_SERVER, "", RETRY_AFTER_S))
-    identity = f"{node.host}-{node.rng.getrandbits(64):016x}"
-    order = {
-        "request": identity,
-        "chat": body["chat"],
-        "model": work_class["needs"],
-        "messages": body["messages"],
-        "offset": 0,
-        "max_tokens": body["max_tokens"],
-        "priority": 0,
-    }
-    url = f"http://{server['address']}:{server['port']}/v1/generate"
-    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-    node.in_flight[server["name"]] += 1
-    try:
-        async with node.session.post(url, json=order) as answer:
-            await response.prepare(request)
-            async for chunk in answer.content.iter_any():
-                await response.write(chunk)
-    except aiohttp.ClientError as error:
-        failure = Failure(Code.STREAM_CUT, repr(error), RETRY_AFTER_S)
-        if not response.prepared:
-            return refuse_request(failure)
-        event = f"event: failed\ndata: {json.dumps(make_refusal(failure))}\n\n"
-        await response.write(event.encode())
-    finally:
-        node.in_flight[server["name"]] -= 1
-    return response
+        return refuse(node, "", Failure(Code.REQUEST_MALFORMED, str(error)))
+    checked = check_request(node, body, "engine")
+    if checked.is_error():
+        return refuse(node, body["class"], checked.error)
+    work_class = checked.ok
+    identity = node.make_identity()
+    place = PermitRequest(identity, body["chat"], body["workspace"], work_class["name"])
+    began_s = node.timers.now()
+    relayed = await relay_answer(
+        node.relay,
+        request,
+        AnswerRequest(
+            identity,
+            work_class,
+            body["chat"],
+            body["messages"],
+            body["max_tokens"],
+            0,
+        ),
+        lambda avoid: node.places.place(place, avoid),
+    )
+    late = node.timers.now() - began_s > work_class["whole_s"]
+    node.record_end(work_class["name"], relayed.code, late, identity)
+    return relayed.response
 
 
 async def serve_call(node: "Node", request: web.Request) -> web.Response:
@@ -117,56 +105,142 @@
     try:
         body = await read_request(CallRequest, request)
     except SettingsError as error:
-        return refuse_request(Failure(Code.REQUEST_MALFORMED, str(error)))
-    failure = check_names(node, body)
-    if failure is not None:
-        return refuse_request(failure)
+        return refuse(node, "", Failure(Code.REQUEST_MALFORMED, str(error)))
+    began_s = node.timers.now()
+    serve = serve_once if "key" in body else serve_repeatable
+    result = await serve(node, body)
     work_class = node.find_class(body["class"])
-    if work_class["repeatable"]:
-        result = await send_once(node, work_class, body)
-        result = result.map_error(lambda error: error.failure)
-    else:
-        if "key" not in body:
-            return refuse_request(Failure(Code.KEY_REQUIRED, ""))
-        result = await run_call(
-            node.claims,
+    if work_class is None:
+        return refuse(node, "", result.error)
+    late = node.timers.now() - began_s > work_class["first_token_s"]
+    code = result.ok.code if result.is_ok() else result.error.code
+    node.record_end(work_class["name"], code, late, body.get("key", ""))
+    return answer_call(node, result)
+
+
+async def serve_repeatable(node: "Node", body: CallRequest) -> Result[Outcome, Failure]:
+    """Run a call that may be repeated, on one service after another."""
+    checked = check_request(node, body, "service")
+    if checked.is_error():
+        return checked
+    work_class = checked.ok
+    if not work_class["repeatable"]:
+        return Error(Failure(Code.KEY_REQUIRED, ""))
+    place = make_place(node, body, work_class)
+    times = node.relay.measures.start_answer(work_class["name"])
+    result = await repeat_call(
+        node.relay.session,
+        node.timers,
+        lambda avoid: node.places.place(place, avoid),
+        work_class["needs"],
+        body["body"],
+        work_class["first_token_s"],
+    )
+    if result.is_ok():
+        times.mark_delivery()
+        times.finish()
+    return result.map(
+        lambda answer: Outcome(Code.DONE, msgspec.json.encode(answer.body))
+    )
+
+
+async def serve_once(node: "Node", body: CallRequest) -> Result[Outcome, Failure]:
+    """Run a call at most once.
+
+    Whatever refuses it does so after the claim: before, another host might
+    be running the same key, and "not run" would be false.
+    """
+    if node.state == "starting":
+        text = "this host is not ready; ask again with the same key"
+        return Error(Failure(Code.CLAIM_NO_MAJORITY, text, RETRY_AFTER_S))
+    known = node.find_class(body["class"])
+    timeout_s = known["first_token_s"] if known else RETRY_AFTER_S
+
+    async def send(left_s: float) -> Result[Answer, NotSent | Unknown]:
+        checked = check_request(node, body, "service")
+        if checked.is_error():
+            return Error(NotSent(checked.error))
+        return await send_claimed(node, body, checked.ok, left_s)
+
+    return await run_call(node.claims, body["key"], send, timeout_s)
+
+
+async def send_claimed(
+    node: "Node", body: CallRequest, work_class: WorkClass, left_s: float
+) -> Result[Answer, NotSent | Unknown]:
+    """Send a call whose key this host holds, once."""
+    deadline_s = node.timers.now() + left_s
+    placed = await node.places.place(make_place(node, body, work_class))
+    if placed.is_error():
+        return Error(NotSent(placed.error))
+    permit = placed.ok
+    left_s = deadline_s - node.timers.now()
+    if left_s <= 0:
+        permit.abandon()
+        return Error(NotSent(Failure(Code.TARGET_UNREACHABLE, "", RETRY_AFTER_S)))
+    try:
+        # A late answer can still be looked up; whole_s bounds the wait for it.
+        sent = await send_call(
+            node.relay.session,
+            permit.backend_server,
+            work_class["needs"],
             body["key"],
-            lambda left_s: send_once(node, work_class, body),
-            work_class["first_token_s"],
+            body["body"],
+            max(left_s, work_class["whole_s"]),
         )
+    finally:
+        permit.release()
+    if sent.is_ok():
+        return Ok(Answer(msgspec.json.encode(sent.ok.body)))
+    if isinstance(sent.error, CallNotSent):
+        return Error(NotSent(sent.error.failure))
+    return Error(Unknown(sent.error.failure))
+
+
+def make_place(node: "Node", body: CallRequest, work_class: WorkClass) -> PermitRequest:
+    """Return what the placement is asked for a call."""
+    return PermitRequest(
+        node.make_identity(), "", body["workspace"], work_class["name"]
+    )
+
+
+def check_request(node: "Node", body: Any, kind: str) -> Result[WorkClass, Failure]:
+    """Return a request's class, or why the request is refused.
+
+    Args:
+        node: The daemon.
+        body: The checked request.
+        kind: Which kind of backend server the interface is for.
+    """
+    if node.state == "starting":
+        return Error(Failure(Code.HOST_NOT_READY, "", RETRY_AFTER_S))
+    if node.has_left:
+        return Error(Failure(Code.HOST_LEAVING, "", 0.0))
+    if not node.has_workspace(body["workspace"]):
+        text = f"no workspace {body['workspace']!r}"
+        return Error(Failure(Code.WORKSPACE_UNKNOWN, text))
+    work_class = node.find_class(body["class"])
+    if work_class is None or work_class["kind"] != kind:
+        text = f"no class {body['class']!r} of kind {kind!r}"
+        return Error(Failure(Code.CLASS_UNKNOWN, text))
+    return Ok(work_class)
+
+
+def refuse(node: "Node", work_class: str, failure: Failure) -> web.Response:
+    """Count a refusal and return the answer that tells of it."""
+    known = work_class if node.find_class(work_class) else ""
+    node.record_end(known, failure.code, False, known)
+    return refuse_request(failure)
+
+
+def answer_call(node: "Node", result: Result[Outcome, Failure]) -> web.Response:
+    """Return the answer that tells what became of a call."""
     if result.is_error():
         return refuse_request(result.error)
-    outcome = result.ok
-    code = getattr(outcome, "code", Code.DONE)
+    code, body = result.ok
     told = make_refusal(Failure(code, ""))
-    value = json.loads(outcome.body) if outcome.body else None
+    value = msgspec.json.decode(body) if body else None
     return web.json_response(
         {**told, "host": node.host, "body": value},
         status=describe_code(code).http_status,
     )
-
-
-async def send_once(node: "Node", work_class: Any, body: Any) -> Any:
-    """Send a call to a plain service, once."""
-    server = node.choose_backend_server(work_class, body["workspace"])
-    if server is None:
-        failure = Failure(Code.NO_BACKEND_SERVER, "", RETRY_AFTER_S)
-        return Error(NotSent(failure))
-    url = f"http://{server['address']}:{server['port']}/v1/calls/{work_class['needs']}"
-    headers = {"Idempotency-Key": body["key"]} if "key" in body else {}
-    try:
-        async with node.session.post(url, json=body["body"], headers=headers) as answer:
-            return Ok(Answer(await answer.read()))
-    except aiohttp.ClientError as error:
-        return Error(Unknown(Failure(Code.ANSWER_LOST, repr(error), RETRY_AFTER_S)))
-
-
-def check_names(node: "Node", body: Any) -> Failure | None:
-    """Return why a request names something that the fleet does not have."""
-    if node.state == "starting":
-        return Failure(Code.HOST_NOT_READY, "", RETRY_AFTER_S)
-    if not node.has_workspace(body["workspace"]):
-        return Failure(Code.WORKSPACE_UNKNOWN, f"no workspace {body['workspace']!r}")
-    if node.find_class(body["class"]) is None:
-        return Failure(Code.CLASS_UNKNOWN, f"no class {body['class']!r}")
-    return None
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -3,16 +3,17 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Awaitable
 from typing import Any
 
 import aiohttp
 from aiohttp import web
-from eliot import log_message
+from expression import Result
+from prometheus_client import CollectorRegistry
 
-from oleanderpier.claims import Claims, HostLists
+from oleanderpier.claims import Claims, HostLists, Outcome
 from oleanderpier.configuration import (
     DOCUMENT_NAMES,
-    BackendServer,
     Documents,
     DocumentVersions,
     Host,
@@ -22,25 +23,49 @@
     Spread,
     WatchDuty,
     WorkClass,
+    watch_platform,
 )
 from oleanderpier.daemon.callers import make_caller_app
-from oleanderpier.daemon.operators import make_operator_app
+from oleanderpier.daemon.places import Places
+from oleanderpier.daemon.probes import CacheEvent, probe_server, read_cache_events
+from oleanderpier.daemon.reports import NodeReports
+from oleanderpier.daemon.tallies import Tallies
 from oleanderpier.events import Clock, Ring
-from oleanderpier.membership import MemberCard, Members, MemberState
+from oleanderpier.membership import (
+    BackendServers,
+    MemberCard,
+    Members,
+    MemberState,
+    ServerState,
+)
+from oleanderpier.membership import Outcome as ServerOutcome
+from oleanderpier.operators import make_operator_app
 from oleanderpier.peers import Address, Mesh
-from oleanderpier.results import Code
+from oleanderpier.placement import Placement
+from oleanderpier.relay import Relay, Step, make_session
+from oleanderpier.results import Code, Failure
 from oleanderpier.settings import Settings
 from oleanderpier.utils import LoopTimers, rank_candidates
 
 __all__ = ["Node"]
 
-MEMBERSHIP_NUMBERS = range(20, 40)
+MEMBERSHIP_NUMBERS = range(20, 27)
+SERVER_NUMBERS = range(27, 40)
 CONFIGURATION_NUMBERS = range(40, 60)
 CLAIM_NUMBERS = range(60, 80)
+PLACEMENT_NUMBERS = range(80, 100)
 MAX_ADDRESSES = 3
 MILLISECONDS_PER_S = 1000
 POLL_S = 0.1
-RETRY_S = 0.5
+CACHE_EVENTS_INTERVAL_S = 1.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+_STEP_OUTCOMES = {
+    Step.UNREACHED: ServerOutcome.REFUSED,
+    Step.REFUSED: ServerOutcome.REFUSED,
+    Step.SILENT: ServerOutcome.TIMED_OUT,
+    Step.CUT: ServerOutcome.TIMED_OUT,
+}
 
 
 class Node:
@@ -52,6 +77,7 @@
     Attributes:
         state: ``starting``, ``ready`` or ``draining``.
         in_progress: How many requests of callers are under way.
+        has_left: Whether callers may no longer hold this host's address.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -59,13 +85,16 @@
         self.host = settings["host"]
         self.state = "starting"
         self.in_progress = 0
+        self.has_left = False
         self.timers = LoopTimers()
         self.started_s = self.timers.wall()
         self.incarnation = int(self.started_s * MILLISECONDS_PER_S)
         self.rng = random.Random(f"{self.host}:{self.incarnation}")
-        self.in_flight: Counter[str] = Counter()
+        self.registry = CollectorRegistry()
+        self.tallies = Tallies(self.registry)
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task] = []
+        self._probes: set[asyncio.Task] = set()
         self._build_parts()
         self._connect_parts()
 
@@ -96,15 +125,26 @@
         incarnation = str(self.incarnation)
         self.lists = HostLists(self.host, incarnation, timers, self.mesh)
         self.claims = Claims(self.host, incarnation, timers, rng, self.mesh, self.lists)
+        self.servers = BackendServers(self.members, timers, rng, self.mesh, self._probe)
+        self.placement = Placement(self.host, timers, rng, self.mesh)
+        self.places = Places(self.placement)
 
     def _connect_parts(self) -> None:
         mesh = self.mesh
         mesh.subscribe_range(MEMBERSHIP_NUMBERS, self.members.handle)
         mesh.subscribe_range(CONFIGURATION_NUMBERS, self.spread.handle)
         mesh.subscribe_range(CLAIM_NUMBERS, self.claims.handle)
+        mesh.subscribe_range(SERVER_NUMBERS, self.servers.handle)
+        mesh.subscribe_range(PLACEMENT_NUMBERS, self.placement.handle)
         mesh.subscribe(PlatformSeen, self.duty.handle)
         mesh.subscribe(DocumentVersions, self._hear_versions)
         self.documents.subscribe("hosts", self._adopt_hosts)
+        self.documents.subscribe("backend_servers", self._adopt_backend_servers)
+        self.documents.subscribe(
+            "configuration",
+            lambda published: self.placement.update_configuration(published.body),
+        )
+        self.servers.subscribe(self._note_server)
         for name in DOCUMENT_NAMES:
             self.documents.subscribe(name, self._record_document)
         self.documents.subscribe_refusals(self._record_refusal)
@@ -114,25 +154,34 @@
             mesh.update_addresses({seed["name"]: address})
 
     async def start(self) -> None:
-        """Listen, and follow what the platform publishes."""
+        """Listen, and begin to take part in the fleet."""
         settings = self.settings
         self.session = aiohttp.ClientSession()
+        self.relay = Relay(make_session(), self.timers, notify=self._note_attempt)
+        self.relay.start()
         await self.mesh.listen(settings["address"], settings["peer_port"])
-        for app, port in (
-            (make_operator_app(self), settings["operator_port"]),
-            (make_caller_app(self), settings["caller_port"]),
-        ):
-            runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
-            await runner.setup()
-            await web.TCPSite(runner, settings["address"], port).start()
-            self._runners.append(runner)
-        self.members.start()
-        self.spread.start()
-        self.duty.start()
-        loop = asyncio.get_running_loop()
-        for name in DOCUMENT_NAMES:
-            self._tasks.append(loop.create_task(self._follow_document(name)))
-        self._tasks.append(loop.create_task(self._become_ready()))
+        reports = NodeReports(self)
+        await self._serve(
+            make_operator_app(reports, self.registry), settings["operator_port"]
+        )
+        await self._serve(make_caller_app(self), settings["caller_port"])
+        self.placement.update_hosts(self.members.list_alive())
+        for part in (self.members, self.spread, self.duty, self.servers):
+            part.start()
+        platform = settings["platform"]
+        url = f"http://{platform['address']}:{platform['port']}"
+        self._start_task(
+            watch_platform(self.session, url, self.documents, self.duty, self.rng)
+        )
+        self._start_task(
+            read_cache_events(
+                self.relay.session,
+                self._list_owned_engines,
+                self._note_cache_event,
+                CACHE_EVENTS_INTERVAL_S,
+            )
+        )
+        self._start_task(self._become_ready())
         self.ring.record("daemon:started", self.host)
 
     async def drain(self) -> None:
@@ -140,10 +189,12 @@
         self.state = "draining"
         self.ring.record("daemon:draining", self.host)
         self.members.leave()
+        self.placement.update_hosts(self._list_placing())
         limits = self.settings["limits"]
-        deadline = self.timers.now() + limits["drain_s"]
+        deadline_s = self.timers.now() + limits["drain_s"]
         await asyncio.sleep(limits["address_keep_s"])
-        while self.in_progress and self.timers.now() < deadline:
+        self.has_left = True
+        while self.in_progress and self.timers.now() < deadline_s:
             await asyncio.sleep(POLL_S)
 
     async def stop(self) -> None:
@@ -153,9 +204,35 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        await self.relay.close()
+        await self.relay.session.close()
         await self.mesh.close()
         await self.session.close()
 
+    async def track_request(self, request: Awaitable[Any]) -> Any:
+        """Serve a caller's request; a drain waits for its end."""
+        self.in_progress += 1
+        try:
+            return await request
+        finally:
+            self.in_progress -= 1
+
+    async def look_up(self, key: str) -> Result[Outcome, Failure]:
+        """Find out what became of a key."""
+        future = asyncio.get_running_loop().create_future()
+        self.claims.look_up(key, future.set_result)
+        return await future
+
+    def record_end(self, work_class: str, code: Code, late: bool, subject: str) -> None:
+        """Count a request that has ended, and record it if it failed."""
+        self.tallies.count(work_class, code, late)
+        if code is not Code.DONE:
+            self.ring.record("request:failed", subject, code, work_class)
+
+    def make_identity(self) -> str:
+        """Return a request id that no other request has."""
+        return f"{self.host}-{self.rng.getrandbits(64):016x}"
+
     def find_class(self, name: str) -> WorkClass | None:
         """Return a class of work by name."""
         return self._find("configuration", "classes", name)
@@ -178,26 +255,35 @@
         ranked = rank_candidates(f"{workspace}:{self.rng.random()}", hosts)
         return [hosts[name] for name in ranked[:MAX_ADDRESSES]]
 
-    def choose_backend_server(
-        self, work_class: WorkClass, key: str
-    ) -> BackendServer | None:
-        """Return the least loaded backend server, ties broken by key."""
+    def count_in_flight(self) -> Counter[str]:
+        """Return how many requests of this host run at each backend server."""
         published = self.documents.get("backend_servers")
-        servers = {
-            server["name"]: server
-            for server in published.body["backend_servers"]
-            if server["state"] == "live" and work_class["needs"] in server["provides"]
-        }
-        ranked = rank_candidates(key, servers)
-        if not ranked:
-            return None
-        return servers[min(ranked, key=lambda name: self.in_flight[name])]
+        listed = published.body["backend_servers"] if published else []
+        counts = Counter({server["name"]: 0 for server in listed})
+        counts.update(permit.backend_server for permit in self.placement.list_held())
+        return counts
 
     def _find(self, document: str, field: str, name: str) -> Any:
         published = self.documents.get(document)
         items = published.body[field] if published else []
         return next((item for item in items if item["name"] == name), None)
 
+    async def _serve(self, app: web.Application, port: int) -> None:
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, self.settings["address"], port).start()
+        self._runners.append(runner)
+
+    def _start_task(self, coroutine: Any) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.append(task)
+        return task
+
     async def _become_ready(self) -> None:
         while not self.spread.is_ready():
             await asyncio.sleep(POLL_S)
@@ -205,24 +291,55 @@
             self.state = "ready"
             self.ring.record("daemon:ready", self.host)
 
-    async def _follow_document(self, name: str) -> None:
-        platform = self.settings["platform"]
-        base = f"http://{platform['address']}:{platform['port']}/v1/values/{name}"
-        while True:
-            if not self.duty.is_on():
-                await asyncio.sleep(POLL_S)
-                continue
-            known = self.documents.get(name)
-            wait_s = self.settings["limits"]["platform_wait_s"]
-            query = {"after": str(known.version if known else 0), "wait_s": str(wait_s)}
-            try:
-                async with self.session.get(base, params=query) as answer:
-                    self.duty.confirm()
-                    if answer.status == 200:
-                        self.documents.offer_value(name, await answer.json())
-            except (aiohttp.ClientError, OSError) as error:
-                log_message("daemon:document_not_read", name=name, reason=repr(error))
-                await asyncio.sleep(RETRY_S)
+    def _probe(self, name: str) -> None:
+        """Probe a backend server in the background."""
+        server = self._find("backend_servers", "backend_servers", name)
+        if server is None:
+            return
+
+        async def probe() -> None:
+            outcome = await probe_server(self.relay.session, server)
+            self.servers.report_probe(name, outcome)
+            if outcome in (ServerOutcome.REFUSED, ServerOutcome.TIMED_OUT):
+                self.placement.report_failure(name)
+
+        task = asyncio.get_running_loop().create_task(probe())
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    def _note_attempt(self, name: str, step: Step) -> None:
+        """Take the relay's word that a backend server failed an attempt."""
+        self.servers.report(name, _STEP_OUTCOMES.get(step, ServerOutcome.TIMED_OUT))
+        self.placement.report_failure(name)
+        self.ring.record("relay:attempt_failed", name, text=step.value)
+
+    def _note_server(self, name: str, state: ServerState) -> None:
+        if state is ServerState.LEAVING:
+            self.placement.note_leaving(name)
+        self.ring.record("membership:server", name, text=state.name.lower())
+
+    def _list_owned_engines(self) -> list[Any]:
+        published = self.documents.get("backend_servers")
+        listed = published.body["backend_servers"] if published else []
+        return [
+            server
+            for server in listed
+            if server["kind"] == "engine"
+            and self.placement.owns_pool_of(server["name"])
+        ]
+
+    def _note_cache_event(self, name: str, event: CacheEvent) -> None:
+        self.placement.note_cache_event(name, event["kind"], event["chat"])
+
+    def _list_placing(self) -> list[str]:
+        """Return the hosts that may own pools."""
+        return self.members.list_alive()
+
+    def _adopt_backend_servers(self, published: Published) -> None:
+        servers = published.body["backend_servers"]
+        self.servers.adopt_list(published)
+        self.places.update_backend_servers(servers)
+        self.placement.update_backend_servers(servers)
 
     def _adopt_hosts(self, published: Published) -> None:
         hosts = published.body["hosts"]
@@ -258,4 +375,5 @@
         if card is not None:
             address = Address(card.address, card.peer_port)
             self.mesh.update_addresses({host: address})
+        self.placement.update_hosts(self._list_placing())
         self.ring.record("membership:state", host, text=state.name.lower())
