Tell the truth of a key that an early check refuses; close streams cleanly

Cause: a call with a key and an unknown class raised in the handler (500, no result code); SIGTERM logged a CancelledError for each open peer stream; unknown messages were logged with the code of malformed ones. Change: every keyed call goes through its claim; the mesh aborts its transports and waits for them; an error class and result code for unknown messages. The limit claim_timeout_s, which nothing read, is gone.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -27,8 +27,6 @@
 __all__ = ["make_caller_app"]
 
 RETRY_AFTER_S = 1.0
-FAILURE_KEY = web.RequestKey("failure", Failure)
-CLASS_KEY = web.RequestKey("work_class", str)
 
 
 def make_caller_app(node: "Node") -> web.Application:
@@ -110,11 +108,12 @@
     serve = serve_once if "key" in body else serve_repeatable
     result = await serve(node, body)
     work_class = node.find_class(body["class"])
-    if work_class is None:
-        return refuse(node, "", result.error)
-    late = node.timers.now() - began_s > work_class["first_token_s"]
+    late = bool(work_class) and (
+        node.timers.now() - began_s > work_class["first_token_s"]
+    )
     code = result.ok.code if result.is_ok() else result.error.code
-    node.record_end(work_class["name"], code, late, body.get("key", ""))
+    name = work_class["name"] if work_class else ""
+    node.record_end(name, code, late, body.get("key", ""))
     return answer_call(node, result)
 
 
--- a/oleanderpier/exception.py
+++ b/oleanderpier/exception.py
@@ -4,6 +4,7 @@
     "MessageError",
     "OleanderpierError",
     "SettingsError",
+    "UnknownMessageError",
 ]
 
 
@@ -15,7 +16,7 @@
     """A settings or configuration document does not match its schema.
 
     Args:
-        path: Where in the document, such as ``$.limits.claim_timeout_s``.
+        path: Where in the document, such as ``$.limits.drain_s``.
         found: What stands there.
         allowed: What may stand there.
     """
@@ -28,4 +29,8 @@
 
 
 class MessageError(OleanderpierError):
-    """A message of a peer is of an unknown kind or malformed."""
+    """A message of a peer is malformed, or of an unknown kind."""
+
+
+class UnknownMessageError(MessageError):
+    """A message of a peer has a number that no part takes."""
--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
+from functools import singledispatch
 from typing import Any, NamedTuple
 
 from eliot import log_message
 from msgpack import UnpackException
 
 from oleanderpier.events import Clock, Stamp
-from oleanderpier.exception import MessageError
+from oleanderpier.exception import MessageError, UnknownMessageError
 from oleanderpier.peers.messages import ClockStamp, Hello, KeepAlive, KeepAliveAnswer
 from oleanderpier.results import Code
 from oleanderpier.utils import (
@@ -70,6 +72,7 @@
         self._streams: dict[str, _Stream] = {}
         self._handlers: dict[type, Callable[[str, Any], None]] = {}
         self._server: asyncio.Server | None = None
+        self._served: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
     def subscribe(
@@ -121,6 +124,10 @@
         """Close every stream and stop listening."""
         if self._server is not None:
             self._server.close()
+        for writer in list(self._served):
+            writer.transport.abort()
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -170,42 +177,54 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Read one peer's stream to its end; one task for each connection."""
-        self._tasks.add(asyncio.current_task())
-        sender = "unknown"
+        self._served.add(writer)
+        sender = _Sender()
         try:
-            unpacker = make_unpacker()
-            while data := await reader.read(READ_BYTES):
-                unpacker.feed(data)
-                for items in unpacker:
-                    message = unpack_message(items)
-                    if isinstance(message, Hello):
-                        sender = message.host
-                        self._incarnations[sender] = message.incarnation
-                    elif isinstance(message, KeepAlive):
-                        writer.write(encode_message(KeepAliveAnswer(message.sequence)))
-                    else:
-                        self._dispatch(sender, message)
-        except (MessageError, UnpackException, ValueError) as error:
-            _log_closed(sender, Code.MESSAGE_MALFORMED, error)
-        except OSError as error:
-            _log_closed(sender, Code.PEER_UNREACHABLE, error)
+            await self._read_stream(reader, writer, sender)
+        except (MessageError, UnpackException, ValueError, OSError) as error:
+            _log_closed(sender.host, _find_code(error), error)
         except Exception as error:
             # A fault in one handler must not take the other streams down.
-            _log_closed(sender, Code.HANDLER_FAILED, error)
+            _log_closed(sender.host, Code.HANDLER_FAILED, error)
         finally:
-            self._tasks.discard(asyncio.current_task())
+            self._served.discard(writer)
             writer.close()
 
+    async def _read_stream(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        sender: "_Sender",
+    ) -> None:
+        unpacker = make_unpacker()
+        while data := await reader.read(READ_BYTES):
+            unpacker.feed(data)
+            for items in unpacker:
+                message = unpack_message(items)
+                if isinstance(message, Hello):
+                    sender.host = message.host
+                    self._incarnations[sender.host] = message.incarnation
+                elif isinstance(message, KeepAlive):
+                    writer.write(encode_message(KeepAliveAnswer(message.sequence)))
+                else:
+                    self._dispatch(sender.host, message)
+
     def _dispatch(self, sender: str, message: Any) -> None:
         if isinstance(message, ClockStamp):
             self._clock.merge(Stamp(*message))
             return
         handler = self._handlers.get(type(message))
         if handler is None:
-            raise MessageError(f"no part takes {type(message).__name__}")
+            raise UnknownMessageError(f"no part takes {type(message).__name__}")
         handler(sender, message)
 
 
+class _Sender:
+    """Who sends on a stream, known once its ``Hello`` has come."""
+
+    host = "unknown"
+
+
 class _Stream:
     """The sending side towards one host."""
 
@@ -289,5 +308,21 @@
             stream.note_answer(message)
 
 
+@singledispatch
+def _find_code(error: Exception) -> Code:
+    """Return the result code of an error that ends a stream."""
+    return Code.MESSAGE_MALFORMED
+
+
+@_find_code.register
+def _(error: UnknownMessageError) -> Code:
+    return Code.MESSAGE_UNKNOWN
+
+
+@_find_code.register
+def _(error: OSError) -> Code:
+    return Code.PEER_UNREACHABLE
+
+
 def _log_closed(host: str, code: Code, error: Exception) -> None:
     log_message("peers:stream_closed", host=host, code=int(code), reason=repr(error))
--- a/oleanderpier/settings/schema.py
+++ b/oleanderpier/settings/schema.py
@@ -33,12 +33,6 @@
 class Limits(TypedDict):
     """Bounds on what the process waits for and keeps."""
 
-    claim_timeout_s: NotRequired[
-        Annotated[
-            Seconds,
-            Meta(description="Seconds to wait for witnesses to grant a claim."),
-        ]
-    ]
     max_body_bytes: NotRequired[
         Annotated[
             int,
@@ -101,7 +95,6 @@
 
 
 DEFAULT_LIMITS = Limits(
-    claim_timeout_s=1.0,
     max_body_bytes=1 << 20,
     events_kept=4096,
     address_keep_s=30.0,
--- a/oleanderpier/utils/codec.py
+++ b/oleanderpier/utils/codec.py
@@ -9,7 +9,7 @@
 import msgpack
 import msgspec
 
-from oleanderpier.exception import MessageError
+from oleanderpier.exception import MessageError, UnknownMessageError
 
 __all__ = [
     "decode_message",
@@ -81,7 +81,7 @@
         raise MessageError("not an array that starts with a message number")
     message_class = _CLASSES.get(items[0])
     if message_class is None:
-        raise MessageError(f"unknown message number {items[0]}")
+        raise UnknownMessageError(f"unknown message number {items[0]}")
     try:
         return msgspec.convert(items[1:], message_class)
     except msgspec.ValidationError as error:
--- a/tests/test_payouts.py
+++ b/tests/test_payouts.py
@@ -139,6 +139,28 @@
     return seen
 
 
+async def run_refusals(folder: Path) -> list[CallAnswer]:
+    """Ask for a key that has run, in ways that a host refuses early."""
+    async with Fleet(folder, hosts=3, engines=1) as fleet:
+        caller = Caller(fleet.session, find_url(fleet, "host-0"), "duluth-boats")
+        await caller.refresh_addresses()
+        key = make_key(time.time(), random.Random(SEED))
+        await caller.ask_call("payout-post", {"n": 1}, key)
+        answers = [await caller.ask_call("no-such-class", {"n": 1}, key)]
+        caller.workspace = "no-such-workspace"
+        answers.append(await caller.ask_call("payout-post", {"n": 1}, key))
+        caller.workspace = "duluth-boats"
+        fleet.send_signal("host-2", signal.SIGKILL)
+        await fleet.processes["host-2"].wait()
+        await fleet.start_host("host-2")
+        url = find_url(fleet, "host-2")
+        early = CallAnswer("", "", None, None)
+        while not early.fate:
+            early = await caller.ask_call("payout-post", {"n": 1}, key, url)
+        answers.append(early)
+        return answers
+
+
 class PayoutTest(TestCase):
     """The promise holds in every case of the table."""
 
@@ -154,3 +176,11 @@
         self.assertEqual([1] * KEYS, [seen.executions for seen in quiet])
         for seen in quiet:
             self.assertIn("done", {answer.fate for answer in seen.answers})
+
+    def test_early_refusals(self):
+        """A key that has run is never told as not run by an early check."""
+        with tempfile.TemporaryDirectory() as folder:
+            answers = asyncio.run(run_refusals(Path(folder)))
+        for answer in answers:
+            with self.subTest(name=answer.name):
+                self.assertIn(answer.fate, ("done", "may_have_run"))
