Let three hosts collect the proofs that a list is closed

Cause: proofs came from heartbeats that every host had to hear from every other within two seconds; where heartbeats are rarer lists never closed. Ruled out: a broadcast by every host; relaying through the failure detector. Change: hosts tell three hosts, ranked by version, that they have a list and ask for proofs; a proof is any instant that most spans of evidence share, sent as one bit a host. Closures are a module of their own. Conclusion: claims need nothing of membership any more; its word still helps.

--- a/oleanderpier/claims/adoptions.py
+++ b/oleanderpier/claims/adoptions.py
@@ -1,5 +1,6 @@
 """Which process of a host has which host list, and from when until when."""
 
+from bisect import bisect_left
 from collections.abc import Iterable
 
 __all__ = ["Adoptions"]
@@ -24,10 +25,10 @@
         >>> adoptions = Adoptions()
         >>> adoptions.hear("host-1", "a", 7, 100.0)
         >>> adoptions.hear("host-1", "a", 7, 104.0)
-        >>> adoptions.find_holders(["host-1", "host-2"], 6, 102.0)
-        ['host-1']
-        >>> adoptions.find_holders(["host-1"], 6, 105.0)
-        []
+        >>> adoptions.hear("host-2", "a", 6, 103.0)
+        >>> adoptions.hear("host-3", "a", 7, 101.0)
+        >>> adoptions.find_instant(["host-1", "host-2", "host-3"], 6)
+        (103.0, ['host-1', 'host-2'])
     """
 
     def __init__(self) -> None:
@@ -48,11 +49,24 @@
         evidence.since_s.setdefault(version, at_s)
         evidence.last_s = at_s
 
-    def find_holders(
-        self, hosts: Iterable[str], version: int, at_s: float
-    ) -> list[str]:
-        """Return the hosts that had a version, or a newer one, at a time."""
-        return [host for host in hosts if self._held(host, version, at_s)]
+    def find_instant(
+        self, hosts: Iterable[str], version: int
+    ) -> tuple[float, list[str]]:
+        """Return when most hosts had a version, or a newer one, at once.
+
+        Returns:
+            The instant, by the wall clock, and the hosts; none if no host is
+            known to have had it.
+        """
+        spans = [(span, host) for host in hosts if (span := self._span(host, version))]
+        ends = sorted(last_s for (_, last_s), _ in spans)
+        starts = sorted(since_s for (since_s, _), _ in spans)
+        counts = [
+            (index + 1 - bisect_left(ends, at_s), at_s)
+            for index, at_s in enumerate(starts)
+        ]
+        at_s = max(counts, default=(0, 0.0))[1]
+        return at_s, [host for span, host in spans if span[0] <= at_s <= span[1]]
 
     def drop_below(self, version: int) -> None:
         """Forget when processes had versions older than this one."""
@@ -60,9 +74,11 @@
             for noted in [noted for noted in evidence.since_s if noted < version]:
                 del evidence.since_s[noted]
 
-    def _held(self, host: str, version: int, at_s: float) -> bool:
+    def _span(self, host: str, version: int) -> tuple[float, float] | None:
+        """Return from when until when a host's process had a version."""
         evidence = self._evidence.get(host)
-        if evidence is None or evidence.last_s < at_s:
-            return False
+        if evidence is None:
+            return None
         times = evidence.since_s.items()
-        return any(noted >= version and since <= at_s for noted, since in times)
+        since_s = [since for noted, since in times if noted >= version]
+        return (min(since_s), evidence.last_s) if since_s else None
--- a/oleanderpier/claims/claims.py
+++ b/oleanderpier/claims/claims.py
@@ -31,9 +31,11 @@
 )
 from oleanderpier.claims.lookups import LookUps
 from oleanderpier.claims.messages import (
+    Adopted,
     Ask,
     Claim,
     ClaimId,
+    ClosureTell,
     Granted,
     Held,
     HistoryAsk,
@@ -188,6 +190,8 @@
     def _receive(self, message: Any, sender: str) -> None:
         raise TypeError(f"no message about claims: {message!r}")
 
+    @_receive.register(Adopted)
+    @_receive.register(ClosureTell)
     @_receive.register(HistoryAsk)
     @_receive.register(HistoryTell)
     @_receive.register(ListAsk)
--- /dev/null
+++ b/oleanderpier/claims/closures.py
@@ -0,0 +1,131 @@
+"""Proofs that claims under an older list can't win any more.
+
+A proof names hosts of the older list that all had a newer one at one instant.
+"""
+
+from typing import NamedTuple
+
+from oleanderpier.claims.adoptions import Adoptions
+from oleanderpier.claims.limits import CLOCK_SKEW_S, CLOSURES_KEPT, WITNESS_COUNT
+from oleanderpier.claims.lists import HostList, WitnessSet, count_majority
+from oleanderpier.claims.messages import Closure
+
+__all__ = ["Closures"]
+
+
+class _Closed(NamedTuple):
+    """A closure whose holders can be looked up fast."""
+
+    version: int
+    at_s: float
+    holders: frozenset[str]
+
+
+class Closures:
+    """Keeps, for each older list, the instants at which its hosts had a newer one.
+
+    Examples:
+        >>> from oleanderpier.claims.messages import ListedHost
+        >>> closures, adoptions = Closures(), Adoptions()
+        >>> known = HostList(1, tuple(ListedHost(n, "duluth") for n in "abc"))
+        >>> for at_s in (100.0, 102.0):
+        ...     for host in "ab":
+        ...         adoptions.hear(host, "i1", 2, at_s)
+        >>> closures.prove(known, 2, adoptions)
+        >>> closures.closes_every_key(known, 2, key_time=104.5)
+        True
+    """
+
+    def __init__(self) -> None:
+        self._closed: dict[int, list[_Closed]] = {}
+
+    def prove(self, known: HostList, following: int, adoptions: Adoptions) -> None:
+        """Look for an instant at which more hosts of a list had a newer one.
+
+        Args:
+            known: The older list.
+            following: The next newer version that is known.
+            adoptions: What hosts said.
+        """
+        if self.is_whole(known, following):
+            return
+        at_s, holders = adoptions.find_instant(known.names, following)
+        proved = self.count_holders(known.version)
+        if len(holders) >= max(count_majority(len(known.hosts)), proved + 1):
+            self._add(known.version, _Closed(following, at_s, frozenset(holders)))
+
+    def take(self, known: HostList, closure: Closure) -> None:
+        """Keep a proof that another host made."""
+        bits = int.from_bytes(closure.holders, "little")
+        names = [name for i, name in enumerate(known.names) if bits >> i & 1]
+        closed = _Closed(closure.version, closure.at_s, frozenset(names))
+        if closed not in self._find(known):
+            self._add(known.version, closed)
+
+    def pack(self, known: HostList) -> list[Closure]:
+        """Return the proofs about a list, for another host."""
+        return [
+            Closure(version, at_s, _pack_names(known.names, holders))
+            for version, at_s, holders in self._find(known)
+        ]
+
+    def count_holders(self, version: int) -> int:
+        """Return how many hosts the best proof about a list names."""
+        closed = self._closed.get(version, [])
+        return max((len(proof.holders) for proof in closed), default=0)
+
+    def is_whole(self, known: HostList, following: int) -> bool:
+        """Whether a proof covers every key, once it is old enough."""
+        return any(
+            _covers_all(closed, known, following) for closed in self._find(known)
+        )
+
+    def closes_every_key(
+        self, known: HostList, following: int, key_time: float
+    ) -> bool:
+        """Whether no key of this time, or later, can be won under the list."""
+        return any(
+            _precedes(closed, key_time) and _covers_all(closed, known, following)
+            for closed in self._find(known)
+        )
+
+    def closes(self, witnesses: WitnessSet, following: int, key_time: float) -> bool:
+        """Whether the key with these witnesses can't be won under their list."""
+        majority = count_majority(len(witnesses.hosts))
+        return any(
+            closed.version >= following
+            and _precedes(closed, key_time)
+            and len(closed.holders.intersection(witnesses.hosts)) >= majority
+            for closed in self._closed.get(witnesses.version, [])
+        )
+
+    def drop(self, version: int) -> None:
+        """Forget the proofs about a list."""
+        self._closed.pop(version, None)
+
+    def _find(self, known: HostList) -> list[_Closed]:
+        return self._closed.get(known.version, [])
+
+    def _add(self, version: int, closed: _Closed) -> None:
+        """Add a proof; the first one serves the oldest keys."""
+        kept = self._closed.setdefault(version, [])
+        kept.append(closed)
+        del kept[1:-CLOSURES_KEPT]
+
+
+def _precedes(closed: _Closed, key_time: float) -> bool:
+    """Whether no holder can have granted a key of this time before."""
+    return key_time > closed.at_s + 2 * CLOCK_SKEW_S
+
+
+def _covers_all(closed: _Closed, known: HostList, following: int) -> bool:
+    """Whether the holders include a majority of any key's witnesses."""
+    size = len(known.hosts)
+    spare = (min(size, WITNESS_COUNT) - 1) // 2
+    return closed.version >= following and size - len(closed.holders) <= spare
+
+
+def _pack_names(names: list[str], holders: frozenset[str]) -> bytes:
+    """Return one bit for each name, the first name's lowest."""
+    bits = sum(1 << index for index, name in enumerate(names) if name in holders)
+    return bits.to_bytes((len(names) + 7) // 8, "little")
--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -8,22 +8,21 @@
 
 from functools import singledispatchmethod
 from itertools import pairwise
-from typing import Any, NamedTuple
+from typing import Any
 
 from eliot import log_message
 
 from oleanderpier.claims.adoptions import Adoptions
+from oleanderpier.claims.closures import Closures
 from oleanderpier.claims.limits import (
     BOOTSTRAP_LIMIT_S,
     BOOTSTRAP_WAIT_S,
-    CLOCK_SKEW_S,
-    CLOSE_DELAY_S,
-    CLOSURES_KEPT,
+    CLOSE_INTERVAL_S,
+    CLOSE_LIMIT_S,
+    COLLECTOR_COUNT,
     LIST_LIFE_S,
     LIST_SYNC_S,
     RECORD_LIFE_S,
-    START_MARGIN_S,
-    WITNESS_COUNT,
 )
 from oleanderpier.claims.lists import (
     HostList,
@@ -33,26 +32,21 @@
     read_host_list,
 )
 from oleanderpier.claims.messages import (
+    Adopted,
     Closure,
+    ClosureTell,
     HistoryAsk,
     HistoryTell,
     ListAsk,
     ListTell,
+    OpenList,
 )
 from oleanderpier.configuration import HostsDocument
-from oleanderpier.utils import Outbox, Timers
+from oleanderpier.utils import Outbox, Timers, rank_candidates
 
 __all__ = ["HostLists"]
 
 
-class _Closed(NamedTuple):
-    """A closure whose holders can be looked up fast."""
-
-    version: int
-    at_s: float
-    holders: frozenset[str]
-
-
 class HostLists:
     """The published lists that one host knows, and whether it may act on them.
 
@@ -74,7 +68,9 @@
         self._outbox = outbox
         self._lists: dict[int, HostList] = {}
         self._adopted_s: dict[int, float] = {}
-        self._closures: dict[int, list[_Closed]] = {}
+        self._closures = Closures()
+        self._close_due_s = 0.0
+        self._close_wait_s = CLOSE_INTERVAL_S
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
         self._tells: dict[str, HistoryTell] = {}
@@ -115,8 +111,8 @@
     def hear(self, host: str, incarnation: str, version: int) -> None:
         """Note the newest version that a process of a host has heard of.
 
-        The daemon calls this for each heartbeat; hosts put their ``heard``
-        into theirs.
+        The daemon may call this for whatever else tells it so, such as a
+        heartbeat that carries the sender's version.
         """
         self._adoptions.hear(host, incarnation, version, self._timers.wall())
         self.hear_version(host, version)
@@ -143,12 +139,11 @@
         if not self.ready or self._find_missing():
             return None
         required = [choose_witnesses(key, self.newest)]
-        for version in sorted(self._lists, reverse=True)[1:]:
-            closures = self._list_closures(version, key_time)
-            if any(self._covers_all(version, closed) for closed in closures):
+        for older, following in self._list_older():
+            if self._closures.closes_every_key(older, following, key_time):
                 continue
-            witnesses = choose_witnesses(key, self._lists[version])
-            if not any(_covers(closed, witnesses) for closed in closures):
+            witnesses = choose_witnesses(key, older)
+            if not self._closures.closes(witnesses, following, key_time):
                 required.append(witnesses)
         return required
 
@@ -191,36 +186,58 @@
     def _(self, message: ListAsk, sender: str) -> None:
         found = self._lists.get(message.version)
         if found is not None:
-            closures = [
-                Closure(version, at_s, sorted(holders))
-                for version, at_s, holders in self._closures.get(found.version, [])
-            ]
-            self._outbox.send(
-                sender, ListTell(found.version, list(found.hosts), closures)
-            )
+            closures = self._closures.pack(found)
+            tell = ListTell(found.version, list(found.hosts), closures)
+            self._outbox.send(sender, tell)
 
     @_receive.register
     def _(self, message: ListTell, sender: str) -> None:
-        known = self._closures.setdefault(message.version, [])
-        for version, at_s, holders in message.closures:
-            closed = _Closed(version, at_s, frozenset(holders))
-            known += [closed] if closed not in known else []
-            self.hear_version(sender, version)
-        self._add_list(HostList(message.version, tuple(message.hosts)))
-
-    def _add_list(self, added: HostList) -> None:
-        """Keep a list that is newer than all others or missing between them."""
+        told = HostList(message.version, tuple(message.hosts))
+        if self._add_list(told):
+            self._take_closures(told, message.closures, sender)
+
+    @_receive.register
+    def _(self, message: Adopted, sender: str) -> None:
+        self.hear(sender, message.incarnation, message.list_version)
+        for version, holders in message.open_lists:
+            known = self._lists.get(version)
+            if known is not None and self._closures.count_holders(version) > holders:
+                closures = self._closures.pack(known)
+                self._outbox.send(sender, ClosureTell(version, closures))
+
+    @_receive.register
+    def _(self, message: ClosureTell, sender: str) -> None:
+        known = self._lists.get(message.version)
+        if known is not None:
+            self._take_closures(known, message.closures, sender)
+
+    def _take_closures(
+        self, known: HostList, closures: list[Closure], sender: str
+    ) -> None:
+        for closure in closures:
+            self._closures.take(known, closure)
+            self.hear_version(sender, closure.version)
+
+    def _add_list(self, added: HostList) -> bool:
+        """Keep a list that is newer than all others or missing between them.
+
+        Returns:
+            Whether the list is now kept, just as it was given.
+        """
         known = self._lists.get(added.version)
         if known is not None:
             if known != added:
                 log_message("claims:list_conflict", version=added.version)
-            return
+            return known == added
         if added.version < self.newest.version and not self._is_missing(added.version):
-            return
+            return False
         self._lists[added.version] = added
         self._adopted_s[added.version] = self._timers.now()
+        self._close_due_s = 0.0
+        self._close_wait_s = CLOSE_INTERVAL_S
         self.hear_version(self._host, added.version)
         self.synchronize()
+        return True
 
     def _describe(self) -> HistoryTell:
         return HistoryTell(
@@ -294,36 +311,31 @@
             versions = [version for tell in tells for version in tell.listed]
             self._floor = min([*versions, *self._lists])
 
+    def _list_older(self) -> list[tuple[HostList, int]]:
+        """Return each older list with the next version, the newest first."""
+        versions = sorted(self._lists, reverse=True)
+        return [(self._lists[u], following) for following, u in pairwise(versions)]
+
     def _close_lists(self) -> None:
-        """Prove older lists closed from what hosts said before and after."""
-        at_s = self._timers.wall() - CLOSE_DELAY_S
-        versions = sorted(self._lists)
-        for version, following in pairwise(versions):
-            closures = self._closures.setdefault(version, [])
-            if any(self._covers_all(version, closed) for closed in closures):
-                continue
-            names = self._lists[version].names
-            holders = self._adoptions.find_holders(names, following, at_s)
-            known = max((len(closed.holders) for closed in closures), default=0)
-            if len(holders) >= max(count_majority(len(names)), known + 1):
-                closures.append(_Closed(following, at_s, frozenset(holders)))
-                del closures[1:-CLOSURES_KEPT]
-
-    def _list_closures(self, version: int, key_time: float) -> list[_Closed]:
-        """Return what closed a list before a key can have been granted."""
-        following = min(u for u in self._lists if u > version)
-        return [
-            closed
-            for closed in self._closures.get(version, [])
-            if closed.version >= following and key_time > closed.at_s + 2 * CLOCK_SKEW_S
+        """Prove older lists closed, or ask the hosts that collect the proofs."""
+        if self._timers.now() < self._close_due_s:
+            return
+        for older, following in self._list_older():
+            self._closures.prove(older, following, self._adoptions)
+        open_lists = [
+            OpenList(older.version, self._closures.count_holders(older.version))
+            for older, following in self._list_older()
+            if not self._closures.is_whole(older, following)
         ]
-
-    def _covers_all(self, version: int, closed: _Closed) -> bool:
-        """Whether the holders include a majority of any key's witnesses."""
-        size = len(self._lists[version].hosts)
-        spare = (min(size, WITNESS_COUNT) - 1) // 2
-        following = min(u for u in self._lists if u > version)
-        return closed.version >= following and size - len(closed.holders) <= spare
+        if not open_lists:
+            return
+        self._close_due_s = self._timers.now() + self._close_wait_s
+        self._close_wait_s = min(2 * self._close_wait_s, CLOSE_LIMIT_S)
+        adopted = Adopted(self._incarnation, self.heard, open_lists)
+        ranked = rank_candidates(f"closing-{self.heard}", self.newest.names)
+        for host in ranked[:COLLECTOR_COUNT]:
+            if host != self._host:
+                self._outbox.send(host, adopted)
 
     def _skip_versions(self) -> None:
         """Pass over versions that a majority below the gap never heard of."""
@@ -364,16 +376,15 @@
         following = min(u for u in self._lists if u > version)
         if self._timers.now() - self._adopted_s[following] > LIST_LIFE_S:
             return True
-        expired_s = self._timers.wall() - RECORD_LIFE_S - START_MARGIN_S
-        return any(
-            closed.at_s < expired_s and self._covers_all(version, closed)
-            for closed in self._closures.get(version, [])
+        expired_s = self._timers.wall() - RECORD_LIFE_S
+        return self._closures.closes_every_key(
+            self._lists[version], following, expired_s
         )
 
     def _drop_list(self, version: int, following: int) -> None:
         del self._lists[version]
         del self._adopted_s[version]
-        self._closures.pop(version, None)
+        self._closures.drop(version)
         self._floor = following
         self._skipped = {u for u in self._skipped if u >= following}
         self._heard = {u for u in self._heard if u >= following}
@@ -393,9 +404,3 @@
             hosts.update(self._lists[below].names if below else self.newest.names)
         hosts.discard(self._host)
         return sorted(hosts)
-
-
-def _covers(closed: _Closed, witnesses: WitnessSet) -> bool:
-    """Whether the holders include a majority of a key's witnesses."""
-    holding = closed.holders.intersection(witnesses.hosts)
-    return len(holding) >= count_majority(len(witnesses.hosts))
--- a/oleanderpier/claims/messages.py
+++ b/oleanderpier/claims/messages.py
@@ -6,10 +6,12 @@
 from oleanderpier.utils import register_message
 
 __all__ = [
+    "Adopted",
     "Ask",
     "Claim",
     "ClaimId",
     "Closure",
+    "ClosureTell",
     "Granted",
     "Held",
     "HistoryAsk",
@@ -17,6 +19,7 @@
     "ListAsk",
     "ListTell",
     "ListedHost",
+    "OpenList",
     "Probe",
     "Refusal",
     "Refused",
@@ -63,12 +66,12 @@
     Attributes:
         version: Every holder refuses claims under lists older than this.
         at_s: Wall clock at which all of them held it, in seconds.
-        holders: Names of the hosts.
+        holders: A bit for each host of the older list, the first one's lowest.
     """
 
     version: int
     at_s: float
-    holders: list[str]
+    holders: bytes
 
 
 @register_message(60)
@@ -210,3 +213,36 @@
     version: int
     hosts: list[ListedHost]
     closures: list[Closure]
+
+
+class OpenList(NamedTuple):
+    """A list that is not proved closed for every key.
+
+    Attributes:
+        holders: How many of its hosts are known to have had a newer one.
+    """
+
+    version: int
+    holders: int
+
+
+@register_message(74)
+class Adopted(NamedTuple):
+    """A process has a list, and asks for proofs that older ones are closed.
+
+    Attributes:
+        list_version: The newest version that it has heard of.
+        open_lists: Those for which a better proof is of use.
+    """
+
+    incarnation: str
+    list_version: int
+    open_lists: list[OpenList]
+
+
+@register_message(75)
+class ClosureTell(NamedTuple):
+    """Proofs that the hosts of one list had a newer one."""
+
+    version: int
+    closures: list[Closure]
--- a/oleanderpier/claims/tests/baselines.py
+++ b/oleanderpier/claims/tests/baselines.py
@@ -6,10 +6,12 @@
 from expression import Error, Ok
 
 from oleanderpier.claims import Outcome
-from oleanderpier.claims.tests.fleet import HEARTBEAT_S, Heartbeat, Process
+from oleanderpier.claims.tests.fleet import Process
 from oleanderpier.results import Code
 from oleanderpier.utils import rank_candidates
 
+HEARTBEAT_S = 1.0
+
 
 class Unshared:
     """Baseline: one attempt, and no host knows of another's."""
@@ -59,7 +61,7 @@
 
     def _beat(self) -> None:
         for host in self.names:
-            self._process.send(host, Heartbeat("", 0))
+            self._process.send(host, None)
 
     def claim(self, key: str, timeout_s: float, notify: Any) -> None:
         """Ask for the right."""
--- a/oleanderpier/claims/tests/fleet.py
+++ b/oleanderpier/claims/tests/fleet.py
@@ -10,43 +10,21 @@
 
 CALL_TIMEOUT_S = 4.0
 DOMAINS = ("duluth", "alpena", "erie-port")
-HEARTBEAT_S = 1.0
 SKEWS_S = (0.0, 0.9, -0.9, 0.4, -0.4, 0.7, -0.7)
 
 
-class Heartbeat(NamedTuple):
-    """What membership tells other hosts about list versions."""
-
-    incarnation: str
-    version: int
-
-
 class SharedClaims:
-    """The claims under test, with the lists and heartbeats they need."""
+    """The claims under test, with the lists they need."""
 
     def __init__(self, process: "Process", rng: random.Random):
-        self._process = process
         self.lists = HostLists(process.name, process.incarnation, process, process)
         args = (process.name, process.incarnation, process, rng, process, self.lists)
         self.claims = Claims(*args)
-        process.subscribe(HEARTBEAT_S, self._beat)
         self.claim, self.settle = self.claims.claim, self.claims.settle
+        self.handle = self.claims.handle
         self.void, self.look_up = self.claims.void, self.claims.look_up
         self.adopt = self.lists.adopt
 
-    def handle(self, sender: str, message: Any) -> None:
-        """Take a message or a heartbeat."""
-        if isinstance(message, Heartbeat):
-            self.lists.hear(sender, *message)
-        else:
-            self.claims.handle(sender, message)
-
-    def _beat(self) -> None:
-        heartbeat = Heartbeat(self._process.incarnation, self.lists.heard)
-        for host in self.lists.newest.names:
-            if host != self._process.name:
-                self._process.send(host, heartbeat)
-
 
 class Process:
     """One process of a host: its timers, its outbox, and whether it runs."""
