Measure a relayed token against a plain pass-through

Cause: the bound is 1.3 times a pass-through of the same run. Ruled out: streams in step with each other, which let the pass-through batch its reads and made the ratio depend on the start; they are spread now. Change: python -m bench.relay, three processes, asyncio and uvloop.

--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,295 @@
+"""Processor time of a relayed token, as a ratio to a plain pass-through.
+
+Three processes: a source that sends paced events, a middle that relays them,
+and this one, which starts them, reads the streams and compares. The middle
+reports its own processor time.
+"""
+
+import asyncio
+import json
+import os
+import statistics
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+import aiohttp
+import click
+from aiohttp import web
+from expression import Ok
+
+from oleanderpier.relay import (
+    AnswerRequest,
+    Relay,
+    format_event,
+    make_session,
+    relay_answer,
+)
+from oleanderpier.relay.tests.passthrough import pass_through
+from oleanderpier.utils import LoopTimers
+
+__all__ = ["Run", "main"]
+
+BOUND = 1.3
+WORK_CLASS = {
+    "name": "review",
+    "kind": "engine",
+    "needs": "drafting",
+    "repeatable": True,
+    "first_token_s": 1.6,
+    "between_tokens_s": 0.049,
+    "whole_s": 600.0,
+}
+TEXT = "a word "
+PHASE_STEP = 0.618
+START_S = 20.0
+
+
+class Run(NamedTuple):
+    """One measured run.
+
+    Attributes:
+        token_us: Processor time of the middle for a token, in microseconds.
+        answer_us: The same for an answer.
+    """
+
+    mode: str
+    token_us: float
+    answer_us: float
+
+
+class _Permit:
+    """A permit that is always to be had."""
+
+    def __init__(self, backend_server: dict) -> None:
+        self.backend_server = backend_server
+
+    def release(self) -> None:
+        """Give nothing back."""
+
+
+def make_source_app() -> web.Application:
+    """Return an engine that sends paced events and little else."""
+
+    async def generate(request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        name, total = body["request"], body["max_tokens"]
+        interval_s = float(body["model"])
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        await asyncio.sleep(interval_s * (int(name) * PHASE_STEP % 1.0))
+        for offset in range(total):
+            if interval_s:
+                await asyncio.sleep(interval_s)
+            await response.write(format_event(name, offset, TEXT))
+        end = json.dumps({"total": total, "reused": 0})
+        await response.write(
+            f"event: end\nid: {name}:{total}\ndata: {end}\n\n".encode()
+        )
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/generate", generate)
+    return app
+
+
+def make_middle_app(mode: str, source_port: int, kept: bool) -> web.Application:
+    """Return the process that is measured.
+
+    Args:
+        mode: ``relay`` or ``pass_through``.
+        source_port: Where the source listens.
+        kept: Whether the pass-through reuses its connections.
+    """
+    server = {"name": "source", "address": "127.0.0.1", "port": source_port}
+    url = f"http://127.0.0.1:{source_port}/v1/generate"
+    shared: dict = {}
+
+    async def open_shared(app: web.Application):
+        plain = aiohttp.TCPConnector(limit=0, force_close=not kept)
+        timeout = aiohttp.ClientTimeout(total=None)
+        async with (
+            make_session() as session,
+            aiohttp.ClientSession(connector=plain, timeout=timeout) as pool,
+        ):
+            shared["pool"] = pool
+            shared["relay"] = Relay(session, LoopTimers())
+            shared["relay"].start()
+            yield
+            await shared["relay"].close()
+
+    async def run_relay(request: web.Request) -> web.StreamResponse:
+        body = await request.json()
+        work_class = {**WORK_CLASS, "needs": body["model"]}
+        answer = AnswerRequest(
+            body["request"], work_class, "c", body["messages"], body["max_tokens"], 1
+        )
+
+        async def place(avoid: frozenset[str]):
+            return Ok(_Permit(server))
+
+        return (await relay_answer(shared["relay"], request, answer, place)).response
+
+    async def run_pass_through(request: web.Request) -> web.StreamResponse:
+        return await pass_through(request, shared["pool"], url, await request.json())
+
+    async def get_usage(request: web.Request) -> web.Response:
+        return web.json_response({"process_s": time.process_time()})
+
+    app = web.Application()
+    app.cleanup_ctx.append(open_shared)
+    handlers = {"relay": run_relay, "pass_through": run_pass_through}
+    app.router.add_post("/v1/chats", handlers[mode])
+    app.router.add_get("/usage", get_usage)
+    return app
+
+
+async def serve_app(app: web.Application) -> None:
+    """Serve an application on a free port, printed, until stdin ends."""
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    print(runner.addresses[0][1], flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    await runner.cleanup()
+
+
+def run_role(role: str, mode: str, source_port: int, kept: bool, loop: str) -> None:
+    """Run the source or the middle in this process."""
+    app = (
+        make_source_app()
+        if role == "source"
+        else make_middle_app(mode, source_port, kept)
+    )
+    if loop == "uvloop":
+        os.environ["UV_USE_IO_URING"] = "0"
+        import uvloop
+
+        uvloop.run(serve_app(app))
+    else:
+        asyncio.run(serve_app(app))
+
+
+class _Process:
+    """A role in a process of its own.
+
+    Args:
+        arguments: Options for ``python -m bench.relay``.
+    """
+
+    def __init__(self, *arguments: str) -> None:
+        command = [sys.executable, "-m", "bench.relay", *arguments]
+        self._process = subprocess.Popen(  # noqa: S603
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        self.port = int(self._process.stdout.readline())
+
+    def stop(self) -> None:
+        """End the process and wait for it."""
+        self._process.stdin.close()
+        self._process.stdout.close()
+        self._process.wait(START_S)
+
+
+async def read_streams(
+    port: int, streams: int, tokens: int, interval_s: float
+) -> float:
+    """Read streams through a middle; return its processor time in seconds."""
+    connector = aiohttp.TCPConnector(limit=0)
+    base = f"http://127.0.0.1:{port}"
+
+    async def read(session: aiohttp.ClientSession, index: int) -> int:
+        body = {"request": str(index), "chat": "c", "model": str(interval_s)}
+        body |= {"messages": ["m"], "offset": 0, "max_tokens": tokens, "priority": 1}
+        async with session.post(f"{base}/v1/chats", json=body) as answer:
+            return (await answer.read()).count(b"\ndata: ")
+
+    async def get_usage(session: aiohttp.ClientSession) -> float:
+        async with session.get(f"{base}/usage") as answer:
+            return (await answer.json())["process_s"]
+
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await read(session, streams)
+        before = await get_usage(session)
+        counts = await asyncio.gather(*(read(session, i) for i in range(streams)))
+        after = await get_usage(session)
+    if set(counts) != {tokens + 1}:
+        raise RuntimeError(f"events read: {sorted(set(counts))}")
+    return after - before
+
+
+def measure_mode(mode: str, loop: str, size: tuple, kept: bool = True) -> Run:
+    """Measure one mode once, with processes of its own."""
+    streams, tokens, interval_s = size
+    source = _Process("--role", "source", "--loop", loop)
+    options = ["--role", "middle", "--mode", mode, "--loop", loop]
+    options += ["--source-port", str(source.port)] + ["--kept"] * kept
+    middle = _Process(*options)
+    try:
+        used_s = asyncio.run(read_streams(middle.port, streams, tokens, interval_s))
+    finally:
+        middle.stop()
+        source.stop()
+    return Run(mode, used_s / streams / tokens * 1e6, used_s / streams * 1e6)
+
+
+def compare_modes(loop: str, size: tuple, repeats: int, kept: bool) -> float:
+    """Print the medians of both modes and return their ratio by token."""
+    runs: dict[str, list[Run]] = {"pass_through": [], "relay": []}
+    for _ in range(repeats):
+        for mode, found in runs.items():
+            found.append(measure_mode(mode, loop, size, kept))
+    middle = {
+        mode: statistics.median(run.token_us for run in found)
+        for mode, found in runs.items()
+    }
+    ratio = middle["relay"] / middle["pass_through"]
+    streams, tokens, interval_s = size
+    for mode, found in runs.items():
+        spread = (
+            f"{min(r.token_us for r in found):.1f}-{max(r.token_us for r in found):.1f}"
+        )
+        print(
+            f"{loop:8} {streams}x{tokens} every {interval_s * 1000:g} ms {mode:13}"
+            f" {middle[mode]:7.1f} us/token ({spread})"
+            f" {middle[mode] * tokens:8.0f} us/answer"
+        )
+    print(f"{loop:8} ratio {ratio:.3f} (bound {BOUND})")
+    return ratio
+
+
+@click.command()
+@click.option(
+    "--role", type=click.Choice(["compare", "source", "middle"]), default="compare"
+)
+@click.option("--mode", default="relay")
+@click.option("--loop", "loops", multiple=True, default=["asyncio", "uvloop"])
+@click.option("--source-port", type=int, default=0)
+@click.option("--kept/--fresh", default=False, help="Pass-through connections.")
+@click.option("--streams", default=60, show_default=True)
+@click.option("--tokens", default=200, show_default=True)
+@click.option("--interval-s", default=0.01, show_default=True)
+@click.option("--repeats", default=5, show_default=True)
+def main(
+    role: str,
+    mode: str,
+    loops: tuple[str, ...],
+    source_port: int,
+    kept: bool,
+    streams: int,
+    tokens: int,
+    interval_s: float,
+    repeats: int,
+) -> None:
+    """Compare the relay with a plain pass-through."""
+    if role != "compare":
+        run_role(role, mode, source_port, kept, loops[0])
+        return
+    size = (streams, tokens, interval_s)
+    ratios = [compare_modes(loop, size, repeats, kept) for loop in loops]
+    sys.exit(int(max(ratios) > BOUND))
+
+
+if __name__ == "__main__":
+    main()
