Test calls, event order, the watch and the stand-ins' contracts

Cause: promises without a failing baseline prove nothing. Ruled out: trusting aiohttp with kept connections: its pool sends a lost PUT a second time by itself (3 requests for 2 calls in the test's baseline). Change: contract tests that another harness can rerun by ENGINE_URL and SERVICE_URL, seeded faults of event order, calls with executions counted.

--- a/oleanderpier/relay/limits.py
+++ b/oleanderpier/relay/limits.py
@@ -1,6 +1,5 @@
 """How long the relay waits, and how much it holds."""
 
-import math
 from typing import NamedTuple
 
 from oleanderpier.configuration import WorkClass
@@ -67,4 +66,4 @@
 
 
 def _count_ticks(settings: RelaySettings, seconds: float) -> int:
-    return max(1, math.ceil(seconds / settings.tick_s))
+    return max(1, round(seconds / settings.tick_s))
--- /dev/null
+++ b/standins/tests/test_engine.py
@@ -0,0 +1,239 @@
+"""Contract of a model engine, and the faults of its stand-in.
+
+The contract runs against another engine where ``ENGINE_URL`` gives its base
+URL; it needs no fault commands.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import web
+from testtools import TestCase
+
+from standins.engine import Engine, EngineOptions, make_engine_app
+from standins.generation import compose_answer
+
+MESSAGES = ["a first message of a chat", "and a second one"]
+
+
+@contextlib.asynccontextmanager
+async def open_engine() -> AsyncIterator[aiohttp.ClientSession]:
+    """Yield a session at the engine under test."""
+    async with contextlib.AsyncExitStack() as stack:
+        url = os.environ.get("ENGINE_URL")
+        if url is None:
+            options = EngineOptions("engine", token_interval_s=0.001, heartbeat_s=0.25)
+            runner = web.AppRunner(
+                make_engine_app(Engine(options)), access_log=None, shutdown_timeout=0.1
+            )
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+        yield await stack.enter_async_context(aiohttp.ClientSession(url))
+
+
+def make_body(request: str, **fields) -> dict:
+    """Return the body of a request to generate."""
+    body = {"request": request, "chat": request, "model": "drafting", "offset": 0}
+    body |= {"messages": MESSAGES, "max_tokens": 6, "priority": 1}
+    return {**body, **fields}
+
+
+async def generate(session: aiohttp.ClientSession, **fields) -> list[dict]:
+    """Return the fields of an answer's events, without heartbeats."""
+    async with session.post("/v1/generate", json=make_body(**fields)) as answer:
+        assert answer.status == 200
+        assert answer.content_type == "text/event-stream"
+        blocks = (await answer.text()).split("\n\n")
+    assert blocks.pop() == ""
+    blocks = [block for block in blocks if not block.startswith(":")]
+    events = [dict(line.split(": ", 1) for line in b.split("\n")) for b in blocks]
+    return [{**event, "data": json.loads(event["data"])} for event in events]
+
+
+class EngineContractTest(TestCase):
+    """What docs/INTERFACES.md says of a model engine."""
+
+    def test_stream(self):
+        """Offsets run without gaps; the end event carries the total."""
+
+        async def run() -> list[dict]:
+            async with open_engine() as session:
+                return await generate(session, request="stream")
+
+        *tokens, end = asyncio.run(run())
+        self.assertEqual([f"stream:{i}" for i in range(6)], [t["id"] for t in tokens])
+        self.assertTrue(all(isinstance(t["data"]["text"], str) for t in tokens))
+        self.assertEqual(("end", "stream:6"), (end["event"], end["id"]))
+        self.assertEqual({"total": 6, "reused": 0}, end["data"])
+
+    def test_resume_at_each_offset(self):
+        """An answer resumed at any offset goes on with the same text."""
+
+        async def run() -> None:
+            async with open_engine() as session:
+                whole = await generate(session, request="resume")
+                for offset in range(7):
+                    part = await generate(session, request="resume", offset=offset)
+                    self.assertEqual(whole[offset:-1], part[:-1])
+                    self.assertEqual(6, part[-1]["data"]["total"])
+
+        asyncio.run(run())
+
+    def test_reuse(self):
+        """A returning chat finds its prefix in the cache."""
+
+        async def run() -> dict:
+            async with open_engine() as session:
+                await generate(session, request="a", chat="returning")
+                longer = [*MESSAGES, "a third"]
+                events = await generate(
+                    session, request="b", chat="returning", messages=longer
+                )
+                return events[-1]["data"]
+
+        self.assertGreater(asyncio.run(run())["reused"], 0)
+
+    def test_heartbeat_and_cancel(self):
+        """Heartbeats come four times a second; cancelled work ends uncounted."""
+
+        async def run() -> tuple:
+            async with open_engine() as session:
+                body = make_body("long", max_tokens=100_000)
+                answer = await session.post("/v1/generate", json=body)
+                seen = b""
+                while seen.count(b"\n:") < 2:
+                    seen += await answer.content.readany()
+                load = await read(session, "/v1/load")
+                cancelled = await session.delete("/v1/generate/long")
+                unknown = await session.delete("/v1/generate/unknown")
+                rest = b""
+                with contextlib.suppress(aiohttp.ClientError):
+                    while chunk := await answer.content.readany():
+                        rest += chunk
+                return load, cancelled.status, unknown.status, rest
+
+        load, cancelled, unknown, rest = asyncio.run(run())
+        self.assertEqual({"running", "waiting", "slots", "sequence"}, set(load))
+        self.assertEqual((204, 204), (cancelled, unknown))
+        self.assertNotIn(b"event: end", rest)
+
+    def test_cache(self):
+        """Cache events come late with rising numbers; KV data can be moved."""
+
+        async def run() -> tuple:
+            async with open_engine() as session:
+                for index in range(20):
+                    await generate(session, request=f"cache-{index}")
+                exported = await session.get("/v1/cache/cache-1")
+                data = await exported.read()
+                imported = await session.put("/v1/cache/moved", data=data)
+                missing = await session.get("/v1/cache/nobody")
+                await asyncio.sleep(0.5)
+                events = (await read(session, "/v1/cache/events?after=0"))["events"]
+                after = events[3]["sequence"]
+                later = await read(session, f"/v1/cache/events?after={after}")
+                statuses = (exported.status, imported.status, missing.status)
+                return events, later["events"], statuses
+
+        events, later, statuses = asyncio.run(run())
+        self.assertEqual((200, 204, 404), statuses)
+        numbers = [event["sequence"] for event in events]
+        self.assertEqual(sorted(set(numbers)), numbers)
+        self.assertEqual({"sequence", "kind", "chat", "tokens"}, set(events[0]))
+        self.assertEqual(events[4:], later)
+
+    def test_orders(self):
+        """An old fence is refused; the same or a newer one is obeyed."""
+        fences = [(5, 200), (4, 409), (5, 200), (6, 200), (5, 409)]
+
+        async def run() -> list[int]:
+            async with open_engine() as session:
+                return [await order(session, fence) for fence, _ in fences]
+
+        self.assertEqual([status for _, status in fences], asyncio.run(run()))
+
+    def test_malformed(self):
+        """A body that does not match is refused with 400."""
+
+        async def run() -> list[int]:
+            async with open_engine() as session:
+                bodies = [{}, make_body("x", offset=-1), make_body("x", extra=1)]
+                posts = [await session.post("/v1/generate", json=b) for b in bodies]
+                return [answer.status for answer in posts]
+
+        self.assertEqual([400, 400, 400], asyncio.run(run()))
+
+
+class EngineFaultTest(TestCase):
+    """Faults by command, which only the stand-in shows."""
+
+    def test_fencing_ignored(self):
+        """Without fencing an old order is obeyed."""
+
+        async def run() -> list[int]:
+            async with open_engine() as session:
+                await session.post("/faults", json={"fencing": "ignored"})
+                return [await order(session, fence) for fence in (5, 4)]
+
+        self.assertEqual([200, 200], asyncio.run(run()))
+
+    def test_open_connection_goes_silent(self):
+        """Only the connections that were open stop, heartbeats too."""
+
+        async def run() -> tuple:
+            async with open_engine() as session:
+                body = make_body("old", max_tokens=100_000)
+                old = await session.post("/v1/generate", json=body)
+                await old.content.readany()
+                await session.post("/faults", json={"silent_after": 3})
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.6):
+                        while await old.content.readany():
+                            pass
+                new = await generate(session, request="new")
+                old.close()
+                return len(new), await read(session, "/counts")
+
+        events, counts = asyncio.run(run())
+        self.assertEqual(7, events)
+        self.assertEqual((2, 1), (counts["started"], counts["finished"]))
+
+    def test_unknown_fault(self):
+        """A misspelt fault is refused and those in force stay."""
+
+        async def run() -> tuple:
+            async with open_engine() as session:
+                await session.post("/faults", json={"skip": 2})
+                refused = await session.post("/faults", json={"skips": 3})
+                return refused.status, await read(session, "/faults")
+
+        self.assertEqual((400, {"skip": 2}), asyncio.run(run()))
+
+    def test_answer_is_computable(self):
+        """The whole answer can be computed from the messages alone."""
+
+        async def run() -> list[dict]:
+            async with open_engine() as session:
+                return await generate(session, request="same")
+
+        texts = [event["data"].get("text") for event in asyncio.run(run())[:-1]]
+        self.assertEqual(compose_answer(MESSAGES, 6), texts)
+
+
+async def read(session: aiohttp.ClientSession, path: str) -> dict:
+    """Return the JSON answer to a GET."""
+    async with session.get(path) as answer:
+        return await answer.json()
+
+
+async def order(session: aiohttp.ClientSession, fence: int) -> int:
+    """Send an order and return the status."""
+    body = {"fence": fence, "kind": "load_model", "subject": "drafting"}
+    async with session.post("/v1/orders", json=body) as answer:
+        return answer.status
--- /dev/null
+++ b/standins/tests/test_service.py
@@ -0,0 +1,118 @@
+"""Contract of a plain service, and the faults of its stand-in.
+
+The contract runs against another service where ``SERVICE_URL`` gives its
+base URL; it needs no fault commands.
+"""
+
+import asyncio
+import contextlib
+import os
+from collections.abc import AsyncIterator
+
+import aiohttp
+from aiohttp import web
+from testtools import TestCase
+
+from standins.service import Service, make_service_app
+
+KEY = "01890a5d-ac96-774b-bcce-b302099a8057"
+
+
+@contextlib.asynccontextmanager
+async def open_service(**options) -> AsyncIterator[aiohttp.ClientSession]:
+    """Yield a session at the service under test."""
+    async with contextlib.AsyncExitStack() as stack:
+        url = os.environ.get("SERVICE_URL")
+        if url is None:
+            app = make_service_app(Service("service", **options))
+            runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+            await runner.setup()
+            stack.push_async_callback(runner.cleanup)
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            url = f"http://127.0.0.1:{runner.addresses[0][1]}"
+        yield await stack.enter_async_context(aiohttp.ClientSession(url))
+
+
+async def call(
+    session: aiohttp.ClientSession, operation: str, key: str = ""
+) -> tuple[int, dict]:
+    """Call an operation; a status of 0 stands for a lost answer."""
+    headers = {"Idempotency-Key": key} if key else {}
+    try:
+        async with (
+            asyncio.timeout(0.5),
+            session.post(
+                f"/v1/calls/{operation}", json={"amount": 3}, headers=headers
+            ) as answer,
+        ):
+            return answer.status, await answer.json()
+    except (TimeoutError, aiohttp.ClientError):
+        return 0, {}
+
+
+async def read(session: aiohttp.ClientSession, path: str) -> dict:
+    """Return the JSON answer to a GET."""
+    async with session.get(path) as answer:
+        return await answer.json()
+
+
+class ServiceContractTest(TestCase):
+    """What docs/INTERFACES.md says of a plain service."""
+
+    def test_calls(self):
+        """Calls with and without a key answer 200 with an object."""
+
+        async def run() -> list:
+            async with open_service() as session:
+                repeatable = await call(session, "balance-lookup")
+                return [repeatable, await call(session, "payout-post", KEY)]
+
+        for status, body in asyncio.run(run()):
+            self.assertEqual((200, dict), (status, type(body)))
+
+    def test_malformed(self):
+        """A body that is no JSON object is refused with 400."""
+
+        async def run() -> int:
+            async with open_service() as session:
+                answer = await session.post("/v1/calls/balance-lookup", data=b"{")
+                return answer.status
+
+        self.assertEqual(400, asyncio.run(run()))
+
+
+class ServiceFaultTest(TestCase):
+    """Executions are counted, whatever becomes of the answer."""
+
+    def test_executions(self):
+        """Each fault with the status seen and the executions counted."""
+        rows = [
+            ({}, 200, {KEY: 1}),
+            ({"late_s": 0.05}, 200, {KEY: 1}),
+            ({"lose_answer": True}, 0, {KEY: 1}),
+            ({"silent": True}, 0, {KEY: 1}),
+            ({"refuse": True}, 503, {}),
+            ({"refuse": True, "times": 0}, 200, {KEY: 1}),
+        ]
+
+        async def run(faults: dict) -> tuple:
+            async with open_service() as session:
+                await session.post("/faults", json=faults)
+                status, _ = await call(session, "payout-post", KEY)
+                return status, await read(session, "/executions")
+
+        for faults, status, executions in rows:
+            self.assertEqual((status, executions), asyncio.run(run(faults)), faults)
+
+    def test_repeated_key(self):
+        """A key runs again, unless the service checks keys."""
+
+        async def run(checks_keys: bool) -> dict:
+            async with open_service(checks_keys=checks_keys) as session:
+                first = await call(session, "certificate-issue", KEY)
+                second = await call(session, "certificate-issue", KEY)
+                self.assertEqual(first, second)
+                return await read(session, "/executions")
+
+        self.assertEqual({KEY: 2}, asyncio.run(run(False)))
+        self.assertEqual({KEY: 1}, asyncio.run(run(True)))
