--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -162,7 +162,10 @@
         step = Step.ATTEMPT
         try:
             while step is not Step.DONE:
-                step = await self._interruptible(_ACTIONS[step](self, step))
+                try:
+                    step = await _ACTIONS[step](self, step)
+                except asyncio.CancelledError:
+                    step = self._take_expiry()
         finally:
             self._relay.watch.remove(watch)
             self._cancel_work()
@@ -182,15 +185,16 @@
         times = self._relay.measures.start_answer(self._answer.work_class["name"])
         return Stream(self._sequence, self._caller, watch, times)
 
-    async def _interruptible(self, action: Awaitable[Step]) -> Step:
-        """Return an action's next step, or why the watch interrupted it."""
-        try:
-            return await action
-        except asyncio.CancelledError:
-            expired = self._stream.watch.take_expiry()
-            if expired is None or self._task.uncancel() > 0:
-                raise
-            return expired
+    def _take_expiry(self) -> Step:
+        """Return why the watch interrupted an action.
+
+        Raises:
+            asyncio.CancelledError: Somebody else cancelled the task.
+        """
+        expired = self._stream.watch.take_expiry()
+        if expired is None or self._task.uncancel() > 0:
+            raise asyncio.CancelledError
+        return expired
 
     async def _attempt(self, step: Step) -> Step:
         self._stream.watch.phase = Phase.PLACING
--- a/oleanderpier/relay/events.py
+++ b/oleanderpier/relay/events.py
@@ -11,6 +11,7 @@
 
 __all__ = ["EventFault", "EventSequence", "format_end", "format_event"]
 
+LINE_FEED = 0x0A
 MAX_EVENT_BYTES = 64 * 1024
 MAX_HELD_EVENTS = 16
 MAX_HELD_BYTES = 64 * 1024
@@ -68,14 +69,13 @@
     """
 
     def __init__(self, request_id: str, next_offset: int = 0) -> None:
-        self.next_offset = next_offset
         self.ended = False
         self.reused = 0
         self.fault: EventFault | None = None
         self.dropped = 0
         self._identity = request_id.encode()
         self._head = b"id: " + self._identity + b":"
-        self._expected = self._format_head()
+        self._expect(next_offset)
         self._partial = b""
         self._held: dict[int, bytes] = {}
         self._held_bytes = 0
@@ -99,23 +99,20 @@
             or the end nothing more is taken.
         """
         if not self._partial and not self._held and self._is_next(data):
-            self._advance()
+            self._expect(self.next_offset + 1)
             return data
         return self._accept_pieces(data)
 
     def _is_next(self, event: bytes) -> bool:
         """Return whether bytes are just the one event that is expected."""
         expected = self._expected
-        if not event.startswith(expected) or not event.endswith(b"\n\n"):
+        if not event.startswith(expected) or event[-1] != LINE_FEED:
             return False
         return event.find(b"\n", len(expected)) == len(event) - 2
 
-    def _advance(self) -> None:
-        self.next_offset += 1
-        self._expected = self._format_head()
-
-    def _format_head(self) -> bytes:
-        return b"%b%d\ndata: " % (self._head, self.next_offset)
+    def _expect(self, offset: int) -> None:
+        self.next_offset = offset
+        self._expected = b"%b%d\ndata: " % (self._head, offset)
 
     def _accept_pieces(self, data: bytes) -> bytes:
         pieces = (self._partial + data).split(b"\n\n")
@@ -133,7 +130,7 @@
         """Yield the events that one more event makes ready."""
         if self._is_next(event):
             yield event
-            self._advance()
+            self._expect(self.next_offset + 1)
             yield from self._release_held()
             return
         fields = _parse_event(event)
@@ -153,7 +150,7 @@
             self.dropped += 1
         elif offset == self.next_offset:
             yield event
-            self._advance()
+            self._expect(self.next_offset + 1)
             yield from self._release_held()
         else:
             self._hold(offset, event)
@@ -180,7 +177,7 @@
     def _release_held(self) -> Iterator[bytes]:
         while self.next_offset in self._held:
             yield self._held.pop(self.next_offset)
-            self._advance()
+            self._expect(self.next_offset + 1)
         if not self._held:
             self._held_bytes = 0
 
--- a/oleanderpier/relay/measures.py
+++ b/oleanderpier/relay/measures.py
@@ -95,7 +95,9 @@
 
     def start_answer(self, work_class: str) -> "AnswerTimes":
         """Return the stop watch of one answer."""
-        measure = self._classes.setdefault(work_class, _ClassMeasure())
+        measure = self._classes.get(work_class)
+        if measure is None:
+            measure = self._classes[work_class] = _ClassMeasure()
         self._answers += 1
         return AnswerTimes(measure, self._timers.now, self._answers & SAMPLE_MASK)
 
