--- a/bench/placement/owners.py
+++ b/bench/placement/owners.py
@@ -129,6 +129,7 @@
         """Kill the owner of the first engine's pool; the rest notice later."""
         owner = self._list_readers(next(iter(self.world.published)))[0]
         self.world.remove_host(owner)
+        self._readers.clear()
         del self.placements[owner]
         for (entry, number), stream in list(self._streams.items()):
             if entry == owner:
@@ -169,9 +170,11 @@
 
         self._request(turn, entry, granted)
 
-    def _request(self, turn: Turn, entry: str, granted: Callable) -> None:
+    def _request(
+        self, turn: Turn, entry: str, granted: Callable, avoid: str = ""
+    ) -> None:
         request = PermitRequest(
-            str(turn.number), turn.chat, turn.workspace, turn.work_class
+            str(turn.number), turn.chat, turn.workspace, turn.work_class, avoid
         )
 
         def notify(result: Any) -> None:
@@ -200,7 +203,7 @@
             )
             placement.release(permit, Outcome.ABANDONED)
 
-        self._request(turn, entry, granted)
+        self._request(turn, entry, granted, avoid=permit.backend_server)
 
 
 class OwnerWithoutMigrationRouter(OwnerRouter):
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -210,6 +210,7 @@
             return
         now = self._timers.now()
         until_s = load.note_failure(now)
+        self._timers.call_later(until_s - now, self._serve)
         log_message(
             "placement:server_avoided",
             backend_server=backend_server,
@@ -344,7 +345,7 @@
 
     def _grant(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> None:
         ask, sender = waiting.ask, waiting.sender
-        server = self._choose_server(ask.chat, taking)
+        server = self._choose_server(ask, taking)
         now = self._timers.now()
         permit = HeldPermit(server, ask.chat, ask.workspace, now)
         self._add_permit(sender, ask.number, permit)
@@ -352,15 +353,16 @@
             self.homes.record(ask.chat, server)
         self._answer(sender, Grant(ask.number, server, self._measure_load()))
 
-    def _choose_server(self, chat: int, taking: dict[str, ServerLoad]) -> str:
+    def _choose_server(self, ask: Ask, taking: dict[str, ServerLoad]) -> str:
         """Return the newest home that may take one more, else the least filled.
 
         Among equally filled servers the chat's rendezvous order decides.
         """
-        for home in self.homes.find(chat):
-            if home in taking:
+        names = [name for name in taking if name != ask.avoid] or list(taking)
+        for home in self.homes.find(ask.chat):
+            if home in names:
                 return home
-        order = rank_candidates(str(chat), taking)
+        order = rank_candidates(str(ask.chat), names)
         return min(order, key=lambda name: _fill(taking[name]))
 
     def _measure_load(self) -> int:
--- a/oleanderpier/placement/client.py
+++ b/oleanderpier/placement/client.py
@@ -54,14 +54,12 @@
         permit: The permit itself.
         chat: Hash of the chat's id, or 0.
         workspace: The workspace's number.
-        owner: Who gave it; "" where this host took its own share.
         migrates: Whether the request may be resumed elsewhere.
     """
 
     permit: Permit
     chat: int
     workspace: int
-    owner: str
     migrates: bool
 
 
@@ -77,27 +75,28 @@
 
     Attributes:
         pools: The pools still to try; the first is being asked.
-        owner: The host that was asked last, or "".
+        number: The number of the ask, a new one each time it is sent, so that
+            a late answer to an earlier one is not taken for this one's.
         tried: The hosts that were asked about the first pool.
         repeats: How often the request was asked anew.
+        avoid: The server that should not run it, or "".
     """
 
     def __init__(
         self,
-        number: int,
         request: PermitRequest,
         work_class: WorkClass,
         pools: list[Pool],
         deadline_s: float,
         notify: Notify,
     ):
-        self.number = number
+        self.number = -1
         self.request = request
         self.work_class = work_class
         self.pools = pools
         self.deadline_s = deadline_s
         self.notify = notify
-        self.owner = ""
+        self.avoid = request.avoid
         self.tried: list[str] = []
         self.repeats = 0
         self.timer = Subscription()
@@ -161,8 +160,9 @@
         self._classes = {item["name"]: item for item in classes}
 
     def update_owners(self, changes: Iterable[OwnerChange]) -> None:
-        """Ask again where the owner that was asked no longer is the owner."""
+        """Ask again where the owner has changed, and renew what is held there."""
         moved = {change.pool for change in changes}
+        self._renew_pools(pool for pool in moved if self._held_of_pool.get(pool))
         for pool in moved:
             self._share_until_s.pop(pool, None)
         for pending in list(self._pending.values()):
@@ -186,12 +186,9 @@
             failure = Failure(Code.NO_BACKEND_SERVER, text, SHARE_RETRY_AFTER_S)
             notify(Error(failure))
             return
-        self._number = (self._number + 1) % NUMBER_RANGE
         deadline_s = self._timers.now() + work_class["first_token_s"]
-        pending = PendingAsk(
-            self._number, request, work_class, pools, deadline_s, notify
-        )
-        self._pending[pending.number] = pending
+        pending = PendingAsk(request, work_class, pools, deadline_s, notify)
+        self._renumber(pending)
         self._start_pool(pending)
 
     def release(self, permit: Permit, outcome: Outcome = Outcome.DONE) -> None:
@@ -227,22 +224,21 @@
     @handle.register
     def _handle_grant(self, message: Grant, sender: str) -> None:
         pending = self._pending.get(message.number)
-        if pending is None or pending.owner != sender:
+        if pending is None:
             self._return_grant(message, sender)
             return
         pool = pending.pools[0]
         self._hints[pool.number] = LoadHint(message.load, self._timers.now())
-        if self._is_leaving(message.backend_server):
-            self._tell_leaving(message.backend_server)
+        if not self._can_use(message.backend_server):
             self._return_grant(message, sender)
-            self._repeat(pending)
+            self._repeat(pending, message.backend_server)
             return
-        self._finish(pending, message.backend_server, sender)
+        self._finish(pending, message.backend_server)
 
     @handle.register
     def _handle_refusal(self, message: Refusal, sender: str) -> None:
         pending = self._pending.get(message.number)
-        if pending is None or pending.owner != sender:
+        if pending is None:
             return
         pool = pending.pools[0]
         self._hints[pool.number] = LoadHint(message.load, self._timers.now())
@@ -255,7 +251,7 @@
     @handle.register
     def _handle_queued(self, message: Queued, sender: str) -> None:
         pending = self._pending.get(message.number)
-        if pending is None or pending.owner != sender:
+        if pending is None:
             return
         pending.timer.cancel()
         left_s = max(0.0, pending.deadline_s - self._timers.now())
@@ -264,7 +260,7 @@
     @handle.register
     def _handle_not_owner(self, message: NotOwner, sender: str) -> None:
         pending = self._pending.get(message.number)
-        if pending is None or pending.owner != sender:
+        if pending is None:
             return
         named = message.owner
         if named and named not in pending.tried:
@@ -337,7 +333,7 @@
             self._ask(pending, owner)
 
     def _ask(self, pending: PendingAsk, owner: str) -> None:
-        pending.owner = owner
+        self._renumber(pending)
         pending.tried.append(owner)
         pending.timer.cancel()
         left_s = pending.deadline_s - self._timers.now()
@@ -352,7 +348,14 @@
             min(ASK_TIMEOUT_S, left_s), lambda: self._ask_another(pending)
         )
         target_ms = max(1, round(left_s * 1000))
-        self._send(owner, Ask(pending.number, pool, chat, workspace, target_ms))
+        ask = Ask(pending.number, pool, chat, workspace, target_ms, pending.avoid)
+        self._send(owner, ask)
+
+    def _renumber(self, pending: PendingAsk) -> None:
+        self._pending.pop(pending.number, None)
+        self._number = (self._number + 1) % NUMBER_RANGE
+        pending.number = self._number
+        self._pending[pending.number] = pending
 
     def _ask_another(self, pending: PendingAsk) -> None:
         """Ask the next host in line, once; then use this host's own share."""
@@ -381,6 +384,7 @@
             server["name"]
             for server in pool.servers
             if server["state"] == "live"
+            and server["name"] != pending.avoid
             and not self._is_leaving(server["name"])
             and taken[server["name"]] < part[server["name"]]
         ]
@@ -389,13 +393,21 @@
             self._fail(pending, Code.TARGET_UNREACHABLE, SHARE_RETRY_AFTER_S)
             return
         chat = hash_text(pending.request.chat)
-        self._finish(pending, rank_candidates(str(chat), free)[0], "")
+        self._finish(pending, rank_candidates(str(chat), free)[0])
 
     def _try_next_pool(self, pending: PendingAsk) -> None:
         del pending.pools[0]
         self._start_pool(pending)
 
-    def _repeat(self, pending: PendingAsk) -> None:
+    def _can_use(self, backend_server: str) -> bool:
+        """Return whether a server is in this host's list and not leaving."""
+        if self._is_leaving(backend_server):
+            self._tell_leaving(backend_server)
+            return False
+        return self._topology.find_pool(backend_server) is not None
+
+    def _repeat(self, pending: PendingAsk, avoid: str) -> None:
+        pending.avoid = avoid
         pending.repeats += 1
         if pending.repeats > MAX_REPEATS:
             self._fail(pending, Code.NO_BACKEND_SERVER, SHARE_RETRY_AFTER_S)
@@ -415,7 +427,7 @@
         text = f"no permit for {pending.work_class['needs']}"
         pending.notify(Error(Failure(code, text, retry_after_s)))
 
-    def _finish(self, pending: PendingAsk, backend_server: str, owner: str) -> None:
+    def _finish(self, pending: PendingAsk, backend_server: str) -> None:
         self._forget(pending)
         request = pending.request
         priority = round(pending.work_class["first_token_s"] * PRIORITY_UNITS_PER_S)
@@ -424,16 +436,13 @@
         chat = hash_text(request.chat) if request.chat else 0
         workspace = shorten_name(request.workspace)
         migrates = pending.work_class["repeatable"]
-        held = HeldPermit(permit, chat, workspace, owner, migrates)
+        held = HeldPermit(permit, chat, workspace, migrates)
         self._held[permit.number] = held
         self._held_of_pool.setdefault(pool, set()).add(permit.number)
         pending.notify(Ok(permit))
 
     def _return_grant(self, grant: Grant, sender: str) -> None:
         """Give back a permit that came too late to be used."""
-        held = self._held.get(grant.number)
-        if held is not None and held.owner == sender:
-            return
         self._send(sender, Release(0, [], [], [grant.number]))
 
     def _send_release(self, owner: str, permit: Permit, outcome: Outcome) -> None:
--- a/oleanderpier/placement/messages.py
+++ b/oleanderpier/placement/messages.py
@@ -47,6 +47,7 @@
         chat: Hash of the chat's id; 0 where nothing ties it to a server.
         workspace: The workspace's number.
         target_ms: How long until the class's target passes.
+        avoid: A backend server that should not run it; "" if none.
     """
 
     number: int
@@ -54,6 +55,7 @@
     chat: int
     workspace: int
     target_ms: int
+    avoid: str = ""
 
 
 @register_message(81)
--- a/oleanderpier/placement/records.py
+++ b/oleanderpier/placement/records.py
@@ -14,12 +14,14 @@
         chat: The chat's id, or "" where no earlier request matters.
         workspace: The workspace's name.
         work_class: The name of the class of work.
+        avoid: A backend server that failed the request or is to be left; "".
     """
 
     request: str
     chat: str
     workspace: str
     work_class: str
+    avoid: str = ""
 
 
 class Permit(NamedTuple):
--- /dev/null
+++ b/oleanderpier/placement/tests/test_admission.py
@@ -0,0 +1,171 @@
+"""Tests of the owner's side under seeded schedules of events."""
+
+import math
+import random
+from collections import Counter
+
+from testtools import TestCase
+
+from oleanderpier.placement import (
+    Admission,
+    Ask,
+    Grant,
+    Holding,
+    Holdings,
+    LeavingNotice,
+    Refusal,
+    Release,
+    Renewal,
+    divide_servers,
+)
+from oleanderpier.placement.tests.fleet import make_server
+from oleanderpier.results import Code
+from oleanderpier.utils import ManualTimers
+
+MULTIPLE = 1.25
+
+
+class Owner:
+    """An admission whose answers are checked against a count of one's own."""
+
+    def __init__(self, servers=6, slots=16, admission_class=Admission):
+        self.timers = ManualTimers()
+        self.servers = [make_server(f"e{i}", slots) for i in range(servers)]
+        self.slots = slots
+        self.held = {}
+        self.refused = []
+        self.broken = []
+        self.waiting = {}
+        pool = divide_servers(self.servers)[0]
+        self.admission = admission_class(pool, ["h0"], self.timers, self._answer)
+        self.admission.begin_grace()
+        self.admission.handle(Holdings(pool.number, []), "h0")
+
+    def ask(self, number, chat=0, workspace=1, target_ms=1600):
+        """Ask as an entry host."""
+        self.waiting[number] = workspace
+        ask = Ask(number, self.admission.pool.number, chat, workspace, target_ms)
+        self.admission.handle(ask, "h0")
+
+    def release(self, number, failed=False):
+        """Release as an entry host."""
+        del self.held[number]
+        done, failures = ([], [number]) if failed else ([number], [])
+        self.admission.handle(Release(1, done, failures, []), "h0")
+
+    def _answer(self, host, message):
+        if isinstance(message, Grant):
+            self.held[message.number] = message.backend_server
+            self.waiting.pop(message.number, None)
+            self._check(message.backend_server)
+        elif isinstance(message, Refusal):
+            self.refused.append(message)
+            self.waiting.pop(message.number, None)
+
+    def _check(self, server):
+        counts = Counter(self.held.values())
+        mean = len(self.held) / len(self.servers)
+        limit = math.ceil(MULTIPLE * mean) if mean >= 8 else MULTIPLE * 8
+        if counts[server] > min(limit, self.slots):
+            self.broken.append((server, counts))
+
+
+class AlwaysHome(Admission):
+    """A naive owner: a chat goes to its server whatever that carries."""
+
+    def _choose_server(self, ask, taking):
+        names = sorted(self.loads.servers)
+        return names[ask.chat % 7 % len(names)]
+
+
+def run_schedule(owner, seed, events=1500):
+    """Run random asks, releases, failures and pauses; return idle moments."""
+    rng, idle = random.Random(seed), 0
+    for number in range(events):
+        rate = 0.75 if (number // 300) % 2 else 0.5
+        if rng.random() < rate or not owner.held:
+            owner.ask(number, chat=rng.randrange(80), workspace=rng.randrange(4))
+        else:
+            owner.release(rng.choice(list(owner.held)), failed=rng.random() < 0.01)
+        owner.timers.advance(rng.expovariate(50))
+        if number % 100 == 0:
+            owner.admission.handle(Renewal(1, list(owner.held)), "h0")
+        now = owner.timers.now()
+        admission = owner.admission
+        idle += bool(admission.count_waiting() and admission.loads.find_open(now))
+    return idle
+
+
+class AdmissionTest(TestCase):
+    """Invariants of a single owner that nobody disputes."""
+
+    def test_no_permit_breaks_the_bound_and_no_slot_idles(self):
+        """Counted by the test itself, over many seeded schedules."""
+        for seed in range(12):
+            owner = Owner()
+            with self.subTest(seed=seed):
+                idle = run_schedule(owner, seed)
+                self.assertEqual(([], 0), (owner.broken, idle))
+                truth = Counter(owner.held.values())
+                loads = owner.admission.loads.servers
+                self.assertEqual(
+                    truth, +Counter({n: s.in_flight for n, s in loads.items()})
+                )
+                self.assertTrue(owner.refused or owner.held)
+
+    def test_the_check_fails_a_naive_owner(self):
+        """Pure affinity breaks the bound on the same schedules."""
+        owner = Owner(admission_class=AlwaysHome)
+        run_schedule(owner, 1)
+        self.assertNotEqual([], owner.broken)
+
+    def test_hopeless_asks_are_refused_at_once(self):
+        """Refusals say when to come back, and whose share is used up."""
+        owner = Owner(servers=1, slots=4)
+        for number in range(4):
+            owner.ask(number, workspace=1)
+        owner.timers.advance(10.0)
+        owner.release(0)
+        owner.ask(4, workspace=1)
+        before = len(owner.refused)
+        owner.ask(5, workspace=1, target_ms=1600)
+        self.assertEqual(before + 1, len(owner.refused))
+        self.assertEqual(Code.TARGET_UNREACHABLE, owner.refused[-1].code)
+        self.assertTrue(2000 <= owner.refused[-1].retry_after_ms <= 10_000)
+        owner.ask(6, workspace=2, target_ms=60_000)
+        owner.ask(7, workspace=1, target_ms=1600)
+        self.assertEqual(Code.WORKSPACE_OVER_SHARE, owner.refused[-1].code)
+
+    def test_waiting_past_the_target_is_refused(self):
+        """An ask whose prediction was wrong is refused when its time is over."""
+        owner = Owner(servers=1, slots=1)
+        owner.ask(0)
+        owner.ask(1, target_ms=1000)
+        owner.timers.advance(1.0)
+        self.assertEqual([1], [refusal.number for refusal in owner.refused])
+        owner.release(0)
+        self.assertEqual({}, owner.held)
+
+    def test_leases(self):
+        """Permits that are not renewed expire; renewed ones stay."""
+        owner = Owner()
+        owner.ask(0)
+        owner.ask(1)
+        for _ in range(8):
+            owner.timers.advance(5.0)
+            owner.admission.handle(Renewal(1, [1]), "h0")
+        self.assertEqual(
+            [1], [number for _, number, _ in owner.admission.list_permits()]
+        )
+        owner.timers.advance(30.0)
+        self.assertEqual([], list(owner.admission.list_permits()))
+
+    def test_leaving_and_unknown_servers_get_nothing(self):
+        """A notice counts at once; permits on unknown servers are no load."""
+        owner = Owner(servers=2)
+        owner.admission.handle(LeavingNotice(1, "e0"), "h0")
+        held = [Holding(900, "gone", 1, 1)]
+        owner.admission.handle(Holdings(1, held), "h0")
+        for number in range(10):
+            owner.ask(number, chat=number)
+        self.assertEqual({"e1"}, set(owner.held.values()))
--- /dev/null
+++ b/oleanderpier/placement/tests/test_loads.py
@@ -0,0 +1,85 @@
+"""Tests of the bound, of ramping up and of avoiding failing servers."""
+
+from testtools import TestCase
+
+from oleanderpier.placement import PoolLoads, limit_server
+from oleanderpier.placement.tests.fleet import make_server
+
+
+def make_loads(in_flight, slots=16):
+    """Return loads with so many permits in flight on each server."""
+    loads = PoolLoads()
+    servers = tuple(make_server(f"e{i}", slots) for i in range(len(in_flight)))
+    loads.update(servers, 0.0)
+    for server, number in zip(servers, in_flight, strict=True):
+        loads.servers[server["name"]].in_flight = number
+    return loads, servers
+
+
+class PoolLoadsTest(TestCase):
+    """Who may take one more request."""
+
+    def test_bound(self):
+        """A server at the multiple of the mean gets nothing more."""
+        cases = [
+            ([8, 8, 8, 10], {"e0", "e1", "e2"}),
+            ([8, 8, 8, 9], {"e0", "e1", "e2", "e3"}),
+            ([12, 12, 12, 15], {"e0", "e1", "e2"}),
+            ([16, 16, 16, 12], {"e3"}),
+            ([16, 16, 16, 16], set()),
+            ([0, 0, 0, 2], {"e0", "e1", "e2"}),
+            ([0, 0, 0, 0], {"e0", "e1", "e2", "e3"}),
+        ]
+        for in_flight, expected in cases:
+            with self.subTest(in_flight=in_flight):
+                loads, _ = make_loads(in_flight)
+                self.assertEqual(expected, set(loads.find_open(0.0)))
+
+    def test_limit_never_exceeds_the_multiple_above_the_low_mean(self):
+        """From the low mean's rule no later mean of 8 is exceeded."""
+        for total in range(1, 600):
+            mean = total / 9
+            limit = limit_server(mean, 8.0, 1.25)
+            self.assertTrue(limit <= 1.25 * max(mean, 8.0), total)
+            self.assertTrue(limit > mean, total)
+
+    def test_slots_weigh(self):
+        """A small server's part of the mean is small."""
+        loads = PoolLoads()
+        loads.update((make_server("big", 32), make_server("small", 8)), 0.0)
+        loads.servers["big"].in_flight = 24
+        loads.servers["small"].in_flight = 7
+        self.assertEqual({"big"}, set(loads.find_open(0.0)))
+
+    def test_newcomer_ramps_up(self):
+        """A joined server gets few at first, and its part after the ramp."""
+        loads, servers = make_loads([10] * 9)
+        loads.update((*servers, make_server("new")), 100.0)
+        for at_s, allowed in ((100.0, 2), (105.0, 9), (110.0, 12)):
+            loads.servers["new"].in_flight = 0
+            while "new" in loads.find_open(at_s):
+                loads.servers["new"].in_flight += 1
+            self.assertEqual(allowed, loads.servers["new"].in_flight)
+
+    def test_ramp_gives_way_to_the_bound(self):
+        """Ramping servers never make the bound leave slots idle."""
+        loads, servers = make_loads([4, 4, 4])
+        newer = tuple(make_server(f"n{i}") for i in range(6))
+        loads.update((*servers, *newer), 100.0)
+        for server in newer:
+            loads.servers[server["name"]].in_flight = 2
+        self.assertEqual({s["name"] for s in newer}, set(loads.find_open(100.0)))
+
+    def test_failures_back_off(self):
+        """Pauses double; after each, one request tries the server."""
+        loads, _ = make_loads([3, 3, 3])
+        server, now = loads.servers["e0"], 0.0
+        for pause_s in (0.5, 1.0, 2.0, 4.0):
+            self.assertEqual(now + pause_s, server.note_failure(now))
+            self.assertEqual(now + pause_s, server.note_failure(now + 0.1))
+            self.assertNotIn("e0", loads.find_open(now + pause_s - 0.01))
+            now += pause_s
+            self.assertIn("e0", loads.find_open(now))
+            loads.add("e0")
+            self.assertNotIn("e0", loads.find_open(now))
+            loads.remove("e0", now)
