Begin a host's lease with its first permit

Ruled out: renewals lost, late answers of other pools. Conclusion: a test with one permit a minute fails before and passes after.

--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -374,8 +374,10 @@
 
     def _add_permit(self, host: str, number: int, permit: HeldPermit) -> None:
         self._drop_permit(host, number)
-        self._permits.setdefault(host, {})[number] = permit
-        self._renewed_s.setdefault(host, permit.granted_s)
+        held = self._permits.setdefault(host, {})
+        if not held:
+            self._renewed_s[host] = permit.granted_s
+        held[number] = permit
         self._workspaces[permit.workspace] += 1
         self.loads.add(permit.backend_server)
 
--- a/oleanderpier/placement/tests/test_admission.py
+++ b/oleanderpier/placement/tests/test_admission.py
@@ -160,6 +160,16 @@
         owner.timers.advance(30.0)
         self.assertEqual([], list(owner.admission.list_permits()))
 
+    def test_lease_begins_with_the_first_permit(self):
+        """A host that comes back after a long time has a whole lease."""
+        owner = Owner()
+        owner.ask(0)
+        owner.release(0)
+        owner.timers.advance(60.0)
+        owner.ask(1)
+        owner.timers.advance(5.0)
+        self.assertEqual(1, len(list(owner.admission.list_permits())))
+
     def test_leaving_and_unknown_servers_get_nothing(self):
         """A notice counts at once; permits on unknown servers are no load."""
         owner = Owner(servers=2)
