Resume a stream elsewhere when its engine exceeds the bound

Cause: the bound on an engine's load held for each new permit only: as others finish, the mean falls and an engine that was at the bound is above it. The pool's owner asks for streams to move, and the daemon ignored that. Ruled out: cutting the stream first and asking afterwards (a refusal would then cut an answer that was well). Change: the relay asks for another engine while the stream goes on, changes over only between two reads, resumes at the offset reached, and gives both permits back.

--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -41,7 +41,7 @@
 from oleanderpier.membership import Outcome as ServerOutcome
 from oleanderpier.operators import make_operator_app
 from oleanderpier.peers import Address, Mesh
-from oleanderpier.placement import Placement
+from oleanderpier.placement import Permit, Placement
 from oleanderpier.relay import Relay, Step, make_session
 from oleanderpier.results import Code, Failure
 from oleanderpier.settings import Settings
@@ -126,7 +126,7 @@
         self.lists = HostLists(self.host, incarnation, timers, self.mesh)
         self.claims = Claims(self.host, incarnation, timers, rng, self.mesh, self.lists)
         self.servers = BackendServers(self.members, timers, rng, self.mesh, self._probe)
-        self.placement = Placement(self.host, timers, rng, self.mesh)
+        self.placement = Placement(self.host, timers, rng, self.mesh, self._move_stream)
         self.places = Places(self.placement)
 
     def _connect_parts(self) -> None:
@@ -313,6 +313,11 @@
         self.placement.report_failure(name)
         self.ring.record("relay:attempt_failed", name, text=step.value)
 
+    def _move_stream(self, permit: Permit) -> None:
+        """Let a stream go on at another engine, so that the bound holds."""
+        self.relay.move(permit.request)
+        self.ring.record("relay:moved", permit.backend_server, text=permit.request)
+
     def _note_server(self, name: str, state: ServerState) -> None:
         if state is ServerState.LEAVING:
             self.placement.note_leaving(name)
--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -36,6 +36,9 @@
     def release(self) -> None:
         """Give the right back; the server no longer works on the request."""
 
+    def abandon(self) -> None:
+        """Give the right back, which says nothing of the server."""
+
 
 Place = Callable[[frozenset[str]], Awaitable[Result[Permit, Failure]]]
 Notify = Callable[[str, Step], None]
@@ -98,6 +101,17 @@
         self.measures = Measures(timers)
         self.watch = IdleWatch(timers, self.settings.tick_s)
         self.cancellations = Cancellations(session)
+        self.answers: dict[str, _AnswerRelay] = {}
+
+    def move(self, request: str) -> None:
+        """Let another engine go on with an answer, if there is one for it.
+
+        Args:
+            request: The request's id; one that has ended is left alone.
+        """
+        answer = self.answers.get(request)
+        if answer is not None:
+            answer.move()
 
     def start(self) -> None:
         """Begin to watch streams and to turn the measures' windows."""
@@ -154,11 +168,20 @@
         self._began_at = 0
         self._fruitless = 0
         self._sent = False
+        self._next_permit: Permit | None = None
+        self._moving: asyncio.Task[None] | None = None
+
+    def move(self) -> None:
+        """Ask for another engine, and change over once there is one."""
+        if self._moving is None and self._permit is not None:
+            self._moving = asyncio.create_task(self._change_over())
+            self._moving.add_done_callback(self._end_move)
 
     async def run(self) -> Relayed:
         """Go from step to step until the answer is done."""
         watch = self._stream.watch
         self._relay.watch.add(watch)
+        self._relay.answers[self._answer.request] = self
         step = Step.ATTEMPT
         try:
             while step is not Step.DONE:
@@ -168,7 +191,9 @@
                     step = self._take_expiry()
         finally:
             self._relay.watch.remove(watch)
+            del self._relay.answers[self._answer.request]
             self._cancel_work()
+            self._drop_move()
         self._relay.measures.counts[f"answer_{self._failure.code.name.lower()}"] += 1
         return Relayed(
             self._response,
@@ -202,7 +227,11 @@
         if placed.is_error():
             self._failure = placed.error
             return Step.UNPLACED
-        self._permit = placed.ok
+        return await self._use_permit(placed.ok)
+
+    async def _use_permit(self, permit: Permit) -> Step:
+        """Stream from the permit's engine until it ends or fails."""
+        self._permit = permit
         self._attempts += 1
         self._began_at = self._sequence.next_offset
         self._sequence.restart()
@@ -289,6 +318,39 @@
             permit.backend_server, self._answer.request, permit.release
         )
 
+    async def _change_over(self) -> None:
+        """Get a permit for another engine, then leave the present one."""
+        placed = await self._place(frozenset({self._permit.backend_server["name"]}))
+        if placed.is_error():
+            return
+        self._next_permit = placed.ok
+        if not self._stream.watch.move():
+            self._abandon_next()
+
+    def _end_move(self, task: asyncio.Task[None]) -> None:
+        self._moving = None
+        if not task.cancelled() and task.exception() is not None:
+            log_message("relay:move_failed", reason=repr(task.exception()))
+
+    def _drop_move(self) -> None:
+        """Give up a change of engine that the answer did not wait for."""
+        if self._moving is not None:
+            self._moving.cancel()
+        self._abandon_next()
+
+    def _abandon_next(self) -> None:
+        permit, self._next_permit = self._next_permit, None
+        if permit is not None:
+            permit.abandon()
+
+    async def _resume_elsewhere(self, step: Step) -> Step:
+        """Go on at the engine that the answer was moved to."""
+        self._cancel_work()
+        permit, self._next_permit = self._next_permit, None
+        self._relay.measures.counts["answer_moved"] += 1
+        self._stream.watch.phase = Phase.PLACING
+        return await self._use_permit(permit)
+
     async def _finish(self, step: Step) -> Step:
         """Send the end event: the answer is whole."""
         self._release()
@@ -351,6 +413,7 @@
     Step.REFUSED: _AnswerRelay._go_on,
     Step.SILENT: _AnswerRelay._go_on,
     Step.CUT: _AnswerRelay._go_on,
+    Step.MOVED: _AnswerRelay._resume_elsewhere,
     Step.DISORDERED: _AnswerRelay._go_on,
     Step.UNPLACED: _AnswerRelay._refuse,
     Step.TOO_LATE: _AnswerRelay._miss_target,
--- a/oleanderpier/relay/tests/servers.py
+++ b/oleanderpier/relay/tests/servers.py
@@ -56,6 +56,10 @@
         """Count a release."""
         self.released += 1
 
+    def abandon(self) -> None:
+        """Count a release."""
+        self.release()
+
 
 class FakePlacement:
     """Gives the first server that is not avoided.
--- a/oleanderpier/relay/watch.py
+++ b/oleanderpier/relay/watch.py
@@ -20,6 +20,7 @@
     REFUSED = "refused"
     SILENT = "silent"
     CUT = "cut"
+    MOVED = "moved"
     DISORDERED = "disordered"
     UNPLACED = "unplaced"
     TOO_LATE = "too_late"
@@ -110,6 +111,18 @@
             return
         self._count_still(late)
 
+    def move(self) -> bool:
+        """Interrupt the answer because another engine goes on with it.
+
+        Returns:
+            Whether it was interrupted. It is while it reads from an engine:
+            at any other time events may be on their way to the caller.
+        """
+        if self.expired is not None or self.phase is not Phase.READING:
+            return False
+        self._expire(Step.MOVED)
+        return True
+
     def take_expiry(self) -> Step | None:
         """Return why the answer was interrupted, and forget it."""
         expired, self.expired = self.expired, None
