Trust no late message as a sign of life

Cause: a message can be read long after its sender died, by a paused host or by the successor of the host it was for; it then counted as evidence that the dead process still held a newer list, or as an answer to the successor. Ruled out: counting arrival times, which a pause shifts. Change: a process is known alive at a time only if it echoes that time of the collector's clock; answers about lists name the process that asked.

--- a/oleanderpier/claims/adoptions.py
+++ b/oleanderpier/claims/adoptions.py
@@ -12,20 +12,23 @@
     def __init__(self, incarnation: str):
         self.incarnation = incarnation
         self.since_s: dict[int, float] = {}
-        self.last_s = 0.0
+        self.alive_s = 0.0
 
 
 class Adoptions:
     """Remembers when processes said which list is the newest they know.
 
     A process that is replaced remembers nothing, so what its predecessor said
-    counts only for times at which the predecessor is known to have lived.
+    counts only for times at which the predecessor is known to have lived. A
+    message may arrive long after its sender died; an echo of this host's own
+    clock shows that the sender lived at that time.
 
     Examples:
         >>> adoptions = Adoptions()
         >>> adoptions.hear("host-1", "a", 7, 100.0)
-        >>> adoptions.hear("host-1", "a", 7, 104.0)
+        >>> adoptions.confirm("host-1", "a", 104.0)
         >>> adoptions.hear("host-2", "a", 6, 103.0)
+        >>> adoptions.confirm("host-2", "a", 103.5)
         >>> adoptions.hear("host-3", "a", 7, 101.0)
         >>> adoptions.find_instant(["host-1", "host-2", "host-3"], 6)
         (103.0, ['host-1', 'host-2'])
@@ -47,7 +50,12 @@
         if evidence is None or evidence.incarnation != incarnation:
             evidence = self._evidence[host] = _Evidence(incarnation)
         evidence.since_s.setdefault(version, at_s)
-        evidence.last_s = at_s
+
+    def confirm(self, host: str, incarnation: str, at_s: float) -> None:
+        """Note that a process lived at a time, if it is the one last heard."""
+        evidence = self._evidence.get(host)
+        if evidence is not None and evidence.incarnation == incarnation:
+            evidence.alive_s = max(evidence.alive_s, at_s)
 
     def find_instant(
         self, hosts: Iterable[str], version: int
@@ -59,7 +67,7 @@
             known to have had it.
         """
         spans = [(span, host) for host in hosts if (span := self._span(host, version))]
-        ends = sorted(last_s for (_, last_s), _ in spans)
+        ends = sorted(alive_s for (_, alive_s), _ in spans)
         starts = sorted(since_s for (since_s, _), _ in spans)
         counts = [
             (index + 1 - bisect_left(ends, at_s), at_s)
@@ -80,5 +88,6 @@
         if evidence is None:
             return None
         times = evidence.since_s.items()
-        since_s = [since for noted, since in times if noted >= version]
-        return (min(since_s), evidence.last_s) if since_s else None
+        starts = (since for noted, since in times if noted >= version)
+        since_s = min(starts, default=evidence.alive_s + 1.0)
+        return (since_s, evidence.alive_s) if since_s <= evidence.alive_s else None
--- a/oleanderpier/claims/claims.py
+++ b/oleanderpier/claims/claims.py
@@ -35,13 +35,13 @@
     Ask,
     Claim,
     ClaimId,
-    ClosureTell,
     Granted,
     Held,
     HistoryAsk,
     HistoryTell,
     ListAsk,
     ListTell,
+    Noted,
     Probe,
     Refused,
     Release,
@@ -191,11 +191,11 @@
         raise TypeError(f"no message about claims: {message!r}")
 
     @_receive.register(Adopted)
-    @_receive.register(ClosureTell)
     @_receive.register(HistoryAsk)
     @_receive.register(HistoryTell)
     @_receive.register(ListAsk)
     @_receive.register(ListTell)
+    @_receive.register(Noted)
     def _(self, message: Any, sender: str) -> None:
         self.lists.handle(sender, message)
 
--- a/oleanderpier/claims/closures.py
+++ b/oleanderpier/claims/closures.py
@@ -28,9 +28,9 @@
         >>> from oleanderpier.claims.messages import ListedHost
         >>> closures, adoptions = Closures(), Adoptions()
         >>> known = HostList(1, tuple(ListedHost(n, "duluth") for n in "abc"))
-        >>> for at_s in (100.0, 102.0):
-        ...     for host in "ab":
-        ...         adoptions.hear(host, "i1", 2, at_s)
+        >>> for host in "ab":
+        ...     adoptions.hear(host, "i1", 2, 100.0)
+        ...     adoptions.confirm(host, "i1", 102.0)
         >>> closures.prove(known, 2, adoptions)
         >>> closures.closes_every_key(known, 2, key_time=104.5)
         True
--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -19,6 +19,7 @@
     BOOTSTRAP_WAIT_S,
     CLOSE_INTERVAL_S,
     CLOSE_LIMIT_S,
+    CLOSE_SOON_S,
     COLLECTOR_COUNT,
     LIST_LIFE_S,
     LIST_SYNC_S,
@@ -34,11 +35,12 @@
 from oleanderpier.claims.messages import (
     Adopted,
     Closure,
-    ClosureTell,
     HistoryAsk,
     HistoryTell,
     ListAsk,
+    ListClosures,
     ListTell,
+    Noted,
     OpenList,
 )
 from oleanderpier.configuration import HostsDocument
@@ -70,7 +72,7 @@
         self._adopted_s: dict[int, float] = {}
         self._closures = Closures()
         self._close_due_s = 0.0
-        self._close_wait_s = CLOSE_INTERVAL_S
+        self._echoes: dict[str, float] = {}
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
         self._tells: dict[str, HistoryTell] = {}
@@ -78,7 +80,7 @@
         self._floor = 0
         self._confirmed = 0
         self._established = 0
-        self._askers: set[str] = set()
+        self._askers: dict[str, str] = {}
         timers.subscribe(LIST_SYNC_S, self.synchronize)
 
     @property
@@ -154,6 +156,7 @@
     def synchronize(self) -> None:
         """Ask for what is missing, prove lists closed, and drop old ones."""
         self.hear(self._host, self._incarnation, self.heard)
+        self._adoptions.confirm(self._host, self._incarnation, self._timers.wall())
         self._confirm()
         self._close_lists()
         self._skip_versions()
@@ -168,12 +171,14 @@
     @_receive.register
     def _(self, message: HistoryAsk, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
-        self._outbox.send(sender, self._describe())
+        self._outbox.send(sender, self._describe(message.incarnation))
         if not self._established:
-            self._askers.add(sender)
+            self._askers[sender] = message.incarnation
 
     @_receive.register
     def _(self, message: HistoryTell, sender: str) -> None:
+        if message.asker != self._incarnation:
+            return
         self._tells[sender] = message
         self.hear(sender, message.incarnation, max(message.heard, default=0))
         self._skipped.update(message.skipped if message.established else ())
@@ -199,17 +204,22 @@
     @_receive.register
     def _(self, message: Adopted, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
-        for version, holders in message.open_lists:
-            known = self._lists.get(version)
-            if known is not None and self._closures.count_holders(version) > holders:
-                closures = self._closures.pack(known)
-                self._outbox.send(sender, ClosureTell(version, closures))
+        self._adoptions.confirm(sender, message.incarnation, message.echo_s)
+        better = [
+            ListClosures(version, self._closures.pack(self._lists[version]))
+            for version, holders in message.open_lists
+            if version in self._lists
+            and self._closures.count_holders(version) > holders
+        ]
+        self._outbox.send(sender, Noted(self._timers.wall(), better))
 
     @_receive.register
-    def _(self, message: ClosureTell, sender: str) -> None:
-        known = self._lists.get(message.version)
-        if known is not None:
-            self._take_closures(known, message.closures, sender)
+    def _(self, message: Noted, sender: str) -> None:
+        self._echoes[sender] = message.at_s
+        for version, closures in message.lists:
+            known = self._lists.get(version)
+            if known is not None:
+                self._take_closures(known, closures, sender)
 
     def _take_closures(
         self, known: HostList, closures: list[Closure], sender: str
@@ -234,13 +244,13 @@
         self._lists[added.version] = added
         self._adopted_s[added.version] = self._timers.now()
         self._close_due_s = 0.0
-        self._close_wait_s = CLOSE_INTERVAL_S
         self.hear_version(self._host, added.version)
         self.synchronize()
         return True
 
-    def _describe(self) -> HistoryTell:
+    def _describe(self, asker: str) -> HistoryTell:
         return HistoryTell(
+            asker,
             self._incarnation,
             self._established,
             sorted(self._heard),
@@ -293,8 +303,8 @@
             return
         self._established = self.heard
         log_message("claims:established", version=self.heard, floor=self._floor)
-        for host in sorted(self._askers):
-            self._outbox.send(host, self._describe())
+        for host, incarnation in self._askers.items():
+            self._outbox.send(host, self._describe(incarnation))
         self._askers.clear()
 
     def _take_floor(self) -> None:
@@ -329,11 +339,13 @@
         ]
         if not open_lists:
             return
-        self._close_due_s = self._timers.now() + self._close_wait_s
-        self._close_wait_s = min(2 * self._close_wait_s, CLOSE_LIMIT_S)
-        adopted = Adopted(self._incarnation, self.heard, open_lists)
+        age_s = self._timers.now() - self._adopted_s[self.newest.version]
+        wait_s = CLOSE_INTERVAL_S if age_s < CLOSE_SOON_S else CLOSE_LIMIT_S
+        self._close_due_s = self._timers.now() + wait_s
         ranked = rank_candidates(f"closing-{self.heard}", self.newest.names)
         for host in ranked[:COLLECTOR_COUNT]:
+            echo_s = self._echoes.get(host, 0.0)
+            adopted = Adopted(self._incarnation, self.heard, echo_s, open_lists)
             if host != self._host:
                 self._outbox.send(host, adopted)
 
@@ -391,6 +403,7 @@
         self._adoptions.drop_below(following)
         names = {name for kept in self._lists.values() for name in kept.names}
         self._tells = {host: self._tells[host] for host in names & set(self._tells)}
+        self._echoes.clear()
 
     def _list_unasked(self) -> list[str]:
         """Return the hosts whose answer is needed now."""
--- a/oleanderpier/claims/messages.py
+++ b/oleanderpier/claims/messages.py
@@ -11,14 +11,15 @@
     "Claim",
     "ClaimId",
     "Closure",
-    "ClosureTell",
     "Granted",
     "Held",
     "HistoryAsk",
     "HistoryTell",
     "ListAsk",
+    "ListClosures",
     "ListTell",
     "ListedHost",
+    "Noted",
     "OpenList",
     "Probe",
     "Refusal",
@@ -183,6 +184,7 @@
     """Which host lists a host knows.
 
     Attributes:
+        asker: The process that asked; no other may go by the answer.
         established: The version under which its process was first ready to
             grant; 0 if it never was, and so does not answer from memory.
         heard: Versions that were the newest it had heard of, from its floor on.
@@ -191,6 +193,7 @@
         floor: Older versions are out of use; 0 if it does not know.
     """
 
+    asker: str
     incarnation: str
     established: int
     heard: list[int]
@@ -232,17 +235,31 @@
 
     Attributes:
         list_version: The newest version that it has heard of.
+        echo_s: What the asked host's clock was when it last answered; or 0.
         open_lists: Those for which a better proof is of use.
     """
 
     incarnation: str
     list_version: int
+    echo_s: float
     open_lists: list[OpenList]
 
 
-@register_message(75)
-class ClosureTell(NamedTuple):
-    """Proofs that the hosts of one list had a newer one."""
+class ListClosures(NamedTuple):
+    """The proofs that the hosts of one list had a newer one."""
 
     version: int
     closures: list[Closure]
+
+
+@register_message(75)
+class Noted(NamedTuple):
+    """Answers ``Adopted``.
+
+    Attributes:
+        at_s: The wall clock of the answering host.
+        lists: Proofs that are better than those that the asking host has.
+    """
+
+    at_s: float
+    lists: list[ListClosures]
