Keep what other hosts said of lists in a module of its own

Change: answers.py; a version counts as unused only by hosts that still keep its time; finish_calls waits for sends that go on without a caller.

--- a/oleanderpier/claims/calls.py
+++ b/oleanderpier/claims/calls.py
@@ -11,7 +11,7 @@
 from oleanderpier.claims.entries import Outcome, Right
 from oleanderpier.results import Code, Failure
 
-__all__ = ["Answer", "NotSent", "Send", "Unknown", "run_call"]
+__all__ = ["Answer", "NotSent", "Send", "Unknown", "finish_calls", "run_call"]
 
 _tasks: set[asyncio.Task] = set()
 
@@ -88,6 +88,21 @@
     return Error(late)
 
 
+async def finish_calls(timeout_s: float) -> int:
+    """Wait for sends that go on without their caller, before the process ends.
+
+    Args:
+        timeout_s: How long to wait at most, in seconds.
+
+    Returns:
+        How many still run; what comes of them will not be known.
+    """
+    if not _tasks:
+        return 0
+    _, running = await asyncio.wait(set(_tasks), timeout=timeout_s)
+    return len(running)
+
+
 async def _claim(
     claims: Claims, key: str, timeout_s: float
 ) -> Result[Right, Failure | Outcome]:
--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -13,10 +13,9 @@
 from eliot import log_message
 
 from oleanderpier.claims.adoptions import Adoptions
+from oleanderpier.claims.answers import Answers
 from oleanderpier.claims.closures import Closures
 from oleanderpier.claims.limits import (
-    BOOTSTRAP_LIMIT_S,
-    BOOTSTRAP_WAIT_S,
     CLOSE_INTERVAL_S,
     CLOSE_LIMIT_S,
     CLOSE_SOON_S,
@@ -29,7 +28,6 @@
     HostList,
     WitnessSet,
     choose_witnesses,
-    count_majority,
     read_host_list,
 )
 from oleanderpier.claims.messages import (
@@ -75,7 +73,7 @@
         self._echoes: dict[str, float] = {}
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
-        self._tells: dict[str, HistoryTell] = {}
+        self._answers = Answers(host)
         self._adoptions = Adoptions()
         self._floor = 0
         self._confirmed = 0
@@ -179,7 +177,7 @@
     def _(self, message: HistoryTell, sender: str) -> None:
         if message.asker != self._incarnation:
             return
-        self._tells[sender] = message
+        self._answers.take(sender, message)
         self.hear(sender, message.incarnation, max(message.heard, default=0))
         self._skipped.update(message.skipped if message.established else ())
         self._confirm()
@@ -269,31 +267,14 @@
         span = range(self._floor, self.newest.version)
         return [u for u in span if u not in self._lists and u not in self._skipped]
 
-    def _has_confirmed(self) -> bool:
-        """Whether enough hosts of the newest list have answered.
-
-        Those that answer from memory must leave fewer than a majority who
-        may have had a newer list and forgotten it, this host among them.
-        """
-        newest = self.newest
-        others = [host for host in newest.names if host != self._host]
-        told = [self._tells[host] for host in others if host in self._tells]
-        answered = len(told) + (self._host in newest.names)
-        majority = count_majority(len(newest.hosts))
-        remembering = sum(tell.established > 0 for tell in told)
-        if not newest.hosts or answered < majority:
-            return False
-        if remembering > len(newest.hosts) - majority:
-            return True
-        whole = answered == len(newest.hosts) or not remembering
-        wait_s = BOOTSTRAP_WAIT_S if whole else BOOTSTRAP_LIMIT_S
-        return self._timers.now() - self._adopted_s[newest.version] >= wait_s
-
     def _confirm(self) -> None:
         """Note whether enough hosts of the newest list have answered."""
-        newest = self.newest.version
-        if newest != self._confirmed and self._has_confirmed():
-            self._confirmed = newest
+        newest = self.newest
+        waited_s = self._timers.now() - self._adopted_s.get(newest.version, 0.0)
+        if newest.version != self._confirmed and self._answers.confirm(
+            newest, waited_s
+        ):
+            self._confirmed = newest.version
         self._take_floor()
         self._establish()
 
@@ -311,15 +292,12 @@
         """Learn from which version on lists are in use."""
         if self._floor or not self._lists:
             return
-        tells = list(self._tells.values())
-        floors = [tell.floor for tell in tells if tell.established]
-        if floors:
-            self._floor = max(floors)
-        elif self.newest.version == 1:
+        if self.newest.version == 1:
             self._floor = 1
+        elif self._answers.find_floor():
+            self._floor = self._answers.find_floor()
         elif self._confirmed == self.newest.version:
-            versions = [version for tell in tells for version in tell.listed]
-            self._floor = min([*versions, *self._lists])
+            self._floor = self._answers.find_oldest(self._lists)
 
     def _list_older(self) -> list[tuple[HostList, int]]:
         """Return each older list with the next version, the newest first."""
@@ -354,26 +332,12 @@
         for version in self._find_missing():
             below = max((u for u in self._lists if u < version), default=0)
             following = min(u for u in self._lists if u > version)
-            if below and self._count_unaware(below, version, following):
+            if below and self._answers.shows_unused(
+                version, self._lists[below], following
+            ):
                 self._skipped.add(version)
                 log_message("claims:version_skipped", version=version)
 
-    def _count_unaware(self, below: int, version: int, following: int) -> bool:
-        names = self._lists[below].names
-        tells = [self._tells[name] for name in names if name in self._tells]
-        unaware = sum(
-            0 < tell.established <= below
-            and max(tell.heard, default=0) >= following
-            and version not in tell.heard
-            for tell in tells
-        )
-        unaware += (
-            self._host in names
-            and 0 < self._established <= below
-            and version not in self._heard
-        )
-        return unaware >= count_majority(len(names))
-
     def _raise_floor(self) -> None:
         """Drop lists that no living key can be claimed under any more."""
         for version in sorted(self._lists)[:-1]:
@@ -386,7 +350,7 @@
 
     def _is_out_of_use(self, version: int) -> bool:
         following = min(u for u in self._lists if u > version)
-        if self._timers.now() - self._adopted_s[following] > LIST_LIFE_S:
+        if self._timers.now() > self._adopted_s[following] + LIST_LIFE_S:
             return True
         expired_s = self._timers.wall() - RECORD_LIFE_S
         return self._closures.closes_every_key(
@@ -402,7 +366,7 @@
         self._heard = {u for u in self._heard if u >= following}
         self._adoptions.drop_below(following)
         names = {name for kept in self._lists.values() for name in kept.names}
-        self._tells = {host: self._tells[host] for host in names & set(self._tells)}
+        self._answers.keep_only(names)
         self._echoes.clear()
 
     def _list_unasked(self) -> list[str]:
--- a/oleanderpier/claims/tests/test_calls.py
+++ b/oleanderpier/claims/tests/test_calls.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok
 from testtools import TestCase
 
-from oleanderpier.claims import Answer, NotSent, Unknown, run_call
+from oleanderpier.claims import Answer, NotSent, Unknown, finish_calls, run_call
 from oleanderpier.claims.tests.fleet import Fleet
 from oleanderpier.claims.tests.schedules import WARM_UP_S
 from oleanderpier.results import Code, Failure
@@ -94,7 +94,8 @@
             call = asyncio.ensure_future(run_call(self.claims, self.key, send, 1.0))
             await asyncio.sleep(0.01)
             call.cancel()
-            await asyncio.sleep(0.03)
+            self.assertEqual(1, await finish_calls(0.0))
+            self.assertEqual(0, await finish_calls(1.0))
             return await run_call(self.claims, self.key, send, 1.0)
 
         self.assertEqual((Code.DONE, b"paid"), tuple(asyncio.run(run()).ok))
