--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -13,12 +13,12 @@
 from eliot import log_message
 
 from oleanderpier.claims.adoptions import Adoptions
+from oleanderpier.claims.answers import Answers
 from oleanderpier.claims.closures import Closures
 from oleanderpier.claims.limits import (
-    BOOTSTRAP_LIMIT_S,
-    BOOTSTRAP_WAIT_S,
     CLOSE_INTERVAL_S,
     CLOSE_LIMIT_S,
+    CLOSE_SOON_S,
     COLLECTOR_COUNT,
     LIST_LIFE_S,
     LIST_SYNC_S,
@@ -28,17 +28,17 @@
     HostList,
     WitnessSet,
     choose_witnesses,
-    count_majority,
     read_host_list,
 )
 from oleanderpier.claims.messages import (
     Adopted,
     Closure,
-    ClosureTell,
     HistoryAsk,
     HistoryTell,
     ListAsk,
+    ListClosures,
     ListTell,
+    Noted,
     OpenList,
 )
 from oleanderpier.configuration import HostsDocument
@@ -70,15 +70,15 @@
         self._adopted_s: dict[int, float] = {}
         self._closures = Closures()
         self._close_due_s = 0.0
-        self._close_wait_s = CLOSE_INTERVAL_S
+        self._echoes: dict[str, float] = {}
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
-        self._tells: dict[str, HistoryTell] = {}
+        self._answers = Answers(host)
         self._adoptions = Adoptions()
         self._floor = 0
         self._confirmed = 0
         self._established = 0
-        self._askers: set[str] = set()
+        self._askers: dict[str, str] = {}
         timers.subscribe(LIST_SYNC_S, self.synchronize)
 
     @property
@@ -154,6 +154,7 @@
     def synchronize(self) -> None:
         """Ask for what is missing, prove lists closed, and drop old ones."""
         self.hear(self._host, self._incarnation, self.heard)
+        self._adoptions.confirm(self._host, self._incarnation, self._timers.wall())
         self._confirm()
         self._close_lists()
         self._skip_versions()
@@ -168,13 +169,15 @@
     @_receive.register
     def _(self, message: HistoryAsk, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
-        self._outbox.send(sender, self._describe())
+        self._outbox.send(sender, self._describe(message.incarnation))
         if not self._established:
-            self._askers.add(sender)
+            self._askers[sender] = message.incarnation
 
     @_receive.register
     def _(self, message: HistoryTell, sender: str) -> None:
-        self._tells[sender] = message
+        if message.asker != self._incarnation:
+            return
+        self._answers.take(sender, message)
         self.hear(sender, message.incarnation, max(message.heard, default=0))
         self._skipped.update(message.skipped if message.established else ())
         self._confirm()
@@ -199,17 +202,22 @@
     @_receive.register
     def _(self, message: Adopted, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
-        for version, holders in message.open_lists:
-            known = self._lists.get(version)
-            if known is not None and self._closures.count_holders(version) > holders:
-                closures = self._closures.pack(known)
-                self._outbox.send(sender, ClosureTell(version, closures))
+        self._adoptions.confirm(sender, message.incarnation, message.echo_s)
+        better = [
+            ListClosures(version, self._closures.pack(self._lists[version]))
+            for version, holders in message.open_lists
+            if version in self._lists
+            and self._closures.count_holders(version) > holders
+        ]
+        self._outbox.send(sender, Noted(self._timers.wall(), better))
 
     @_receive.register
-    def _(self, message: ClosureTell, sender: str) -> None:
-        known = self._lists.get(message.version)
-        if known is not None:
-            self._take_closures(known, message.closures, sender)
+    def _(self, message: Noted, sender: str) -> None:
+        self._echoes[sender] = message.at_s
+        for version, closures in message.lists:
+            known = self._lists.get(version)
+            if known is not None:
+                self._take_closures(known, closures, sender)
 
     def _take_closures(
         self, known: HostList, closures: list[Closure], sender: str
@@ -234,13 +242,13 @@
         self._lists[added.version] = added
         self._adopted_s[added.version] = self._timers.now()
         self._close_due_s = 0.0
-        self._close_wait_s = CLOSE_INTERVAL_S
         self.hear_version(self._host, added.version)
         self.synchronize()
         return True
 
-    def _describe(self) -> HistoryTell:
+    def _describe(self, asker: str) -> HistoryTell:
         return HistoryTell(
+            asker,
             self._incarnation,
             self._established,
             sorted(self._heard),
@@ -259,31 +267,14 @@
         span = range(self._floor, self.newest.version)
         return [u for u in span if u not in self._lists and u not in self._skipped]
 
-    def _has_confirmed(self) -> bool:
-        """Whether enough hosts of the newest list have answered.
-
-        Those that answer from memory must leave fewer than a majority who
-        may have had a newer list and forgotten it, this host among them.
-        """
-        newest = self.newest
-        others = [host for host in newest.names if host != self._host]
-        told = [self._tells[host] for host in others if host in self._tells]
-        answered = len(told) + (self._host in newest.names)
-        majority = count_majority(len(newest.hosts))
-        remembering = sum(tell.established > 0 for tell in told)
-        if not newest.hosts or answered < majority:
-            return False
-        if remembering > len(newest.hosts) - majority:
-            return True
-        whole = answered == len(newest.hosts) or not remembering
-        wait_s = BOOTSTRAP_WAIT_S if whole else BOOTSTRAP_LIMIT_S
-        return self._timers.now() - self._adopted_s[newest.version] >= wait_s
-
     def _confirm(self) -> None:
         """Note whether enough hosts of the newest list have answered."""
-        newest = self.newest.version
-        if newest != self._confirmed and self._has_confirmed():
-            self._confirmed = newest
+        newest = self.newest
+        waited_s = self._timers.now() - self._adopted_s.get(newest.version, 0.0)
+        if newest.version != self._confirmed and self._answers.confirm(
+            newest, waited_s
+        ):
+            self._confirmed = newest.version
         self._take_floor()
         self._establish()
 
@@ -293,23 +284,20 @@
             return
         self._established = self.heard
         log_message("claims:established", version=self.heard, floor=self._floor)
-        for host in sorted(self._askers):
-            self._outbox.send(host, self._describe())
+        for host, incarnation in self._askers.items():
+            self._outbox.send(host, self._describe(incarnation))
         self._askers.clear()
 
     def _take_floor(self) -> None:
         """Learn from which version on lists are in use."""
         if self._floor or not self._lists:
             return
-        tells = list(self._tells.values())
-        floors = [tell.floor for tell in tells if tell.established]
-        if floors:
-            self._floor = max(floors)
-        elif self.newest.version == 1:
+        if self.newest.version == 1:
             self._floor = 1
+        elif self._answers.find_floor():
+            self._floor = self._answers.find_floor()
         elif self._confirmed == self.newest.version:
-            versions = [version for tell in tells for version in tell.listed]
-            self._floor = min([*versions, *self._lists])
+            self._floor = self._answers.find_oldest(self._lists)
 
     def _list_older(self) -> list[tuple[HostList, int]]:
         """Return each older list with the next version, the newest first."""
@@ -329,11 +317,13 @@
         ]
         if not open_lists:
             return
-        self._close_due_s = self._timers.now() + self._close_wait_s
-        self._close_wait_s = min(2 * self._close_wait_s, CLOSE_LIMIT_S)
-        adopted = Adopted(self._incarnation, self.heard, open_lists)
+        age_s = self._timers.now() - self._adopted_s[self.newest.version]
+        wait_s = CLOSE_INTERVAL_S if age_s < CLOSE_SOON_S else CLOSE_LIMIT_S
+        self._close_due_s = self._timers.now() + wait_s
         ranked = rank_candidates(f"closing-{self.heard}", self.newest.names)
         for host in ranked[:COLLECTOR_COUNT]:
+            echo_s = self._echoes.get(host, 0.0)
+            adopted = Adopted(self._incarnation, self.heard, echo_s, open_lists)
             if host != self._host:
                 self._outbox.send(host, adopted)
 
@@ -342,26 +332,12 @@
         for version in self._find_missing():
             below = max((u for u in self._lists if u < version), default=0)
             following = min(u for u in self._lists if u > version)
-            if below and self._count_unaware(below, version, following):
+            if below and self._answers.shows_unused(
+                version, self._lists[below], following
+            ):
                 self._skipped.add(version)
                 log_message("claims:version_skipped", version=version)
 
-    def _count_unaware(self, below: int, version: int, following: int) -> bool:
-        names = self._lists[below].names
-        tells = [self._tells[name] for name in names if name in self._tells]
-        unaware = sum(
-            0 < tell.established <= below
-            and max(tell.heard, default=0) >= following
-            and version not in tell.heard
-            for tell in tells
-        )
-        unaware += (
-            self._host in names
-            and 0 < self._established <= below
-            and version not in self._heard
-        )
-        return unaware >= count_majority(len(names))
-
     def _raise_floor(self) -> None:
         """Drop lists that no living key can be claimed under any more."""
         for version in sorted(self._lists)[:-1]:
@@ -374,7 +350,7 @@
 
     def _is_out_of_use(self, version: int) -> bool:
         following = min(u for u in self._lists if u > version)
-        if self._timers.now() - self._adopted_s[following] > LIST_LIFE_S:
+        if self._timers.now() > self._adopted_s[following] + LIST_LIFE_S:
             return True
         expired_s = self._timers.wall() - RECORD_LIFE_S
         return self._closures.closes_every_key(
@@ -390,7 +366,8 @@
         self._heard = {u for u in self._heard if u >= following}
         self._adoptions.drop_below(following)
         names = {name for kept in self._lists.values() for name in kept.names}
-        self._tells = {host: self._tells[host] for host in names & set(self._tells)}
+        self._answers.keep_only(names)
+        self._echoes.clear()
 
     def _list_unasked(self) -> list[str]:
         """Return the hosts whose answer is needed now."""
