--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -439,9 +439,11 @@
         return None
 
     def _probe_indirectly(self, sequence: int) -> None:
+        """Ping once more, and through others, what has not answered."""
         probe = self._probe
         if probe is None or probe.sequence != sequence:
             return
+        self._outbox.send(probe.target, self._make_news(Ping, sequence))
         for helper in self._choose_helpers(probe.target):
             self._outbox.send(helper, ProbeRequest(sequence, probe.target))
 
