--- /dev/null
+++ b/oleanderpier/orders/engines.py
@@ -0,0 +1,112 @@
+"""Orders over HTTP to model engines."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from functools import singledispatch
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+from expression import Error, Ok, Result
+
+from oleanderpier.configuration import BackendServer
+from oleanderpier.exception import OleanderpierError
+from oleanderpier.orders.issuer import OrderError, Refused
+from oleanderpier.orders.limits import ORDER_TIMEOUT_S, ROUND_RETRY_S
+from oleanderpier.relay import MaybeSent, NotSent
+from oleanderpier.relay.connections import CONNECT_TIMEOUT_S, format_url
+from oleanderpier.results import Code, Failure
+
+__all__ = ["Order", "send_order"]
+
+
+class Order(NamedTuple):
+    """What an engine is to do.
+
+    Attributes:
+        kind: Such as ``load_model``, ``load_adapter`` or ``change_role``.
+        subject: The model, adapter, version or role.
+    """
+
+    kind: str
+    subject: str
+
+
+class _LeaseEndedError(OleanderpierError):
+    """Too little of the lease was left once the connection stood."""
+
+
+async def send_order(
+    session: aiohttp.ClientSession,
+    backend_server: BackendServer,
+    order: Order,
+    fence: int,
+    may_write: Callable[[], bool],
+) -> Result[None, OrderError]:
+    """Send an order once, over a connection of its own, and never again.
+
+    The order is the request's body. It is written only after the connection
+    stands and ``may_write`` said yes; an engine can't obey a head alone.
+
+    Args:
+        session: A session from ``oleanderpier.relay.make_session``.
+        backend_server: The engine.
+        order: What it is to do.
+        fence: The fencing token.
+        may_write: Returns whether the order may still be written.
+
+    Returns:
+        Nothing if the engine obeyed, else what became of the order.
+    """
+    body = {"fence": fence, "kind": order.kind, "subject": order.subject}
+    try:
+        async with asyncio.timeout(ORDER_TIMEOUT_S):
+            async with session.post(
+                format_url(backend_server, "/v1/orders"),
+                data=_write_body(msgspec.json.encode(body), may_write),
+                headers={"Content-Type": "application/json"},
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
+            ) as answer:
+                return _judge_status(backend_server["name"], answer.status)
+    except (aiohttp.ClientError, OSError) as error:
+        withheld = isinstance(error.__cause__, _LeaseEndedError)
+        return Error(_classify(error.__cause__ if withheld else error))
+
+
+async def _write_body(
+    data: bytes, may_write: Callable[[], bool]
+) -> AsyncIterator[bytes]:
+    if not may_write():
+        raise _LeaseEndedError
+    yield data
+
+
+def _judge_status(name: str, status: int) -> Result[None, OrderError]:
+    if status == 200:
+        return Ok(None)
+    if 400 <= status < 500:
+        text = f"{name} answered {status}"
+        return Error(Refused(Failure(Code.ORDER_REFUSED, text)))
+    return Error(_lose_answer(f"{name} answered {status}"))
+
+
+def _lose_answer(text: str) -> MaybeSent:
+    return MaybeSent(Failure(Code.ANSWER_LOST, text, ROUND_RETRY_S))
+
+
+@singledispatch
+def _classify(error: BaseException) -> OrderError:
+    """Return what an error says of the order; in doubt it may be obeyed."""
+    return _lose_answer(repr(error))
+
+
+@_classify.register(aiohttp.ClientConnectorError)
+@_classify.register(aiohttp.ConnectionTimeoutError)
+def _(error: BaseException) -> OrderError:
+    return NotSent(Failure(Code.NO_BACKEND_SERVER, repr(error), ROUND_RETRY_S))
+
+
+@_classify.register
+def _(error: _LeaseEndedError) -> OrderError:
+    return NotSent(Failure(Code.LEASE_NOT_HELD, "too little of the lease is left"))
--- /dev/null
+++ b/oleanderpier/orders/issuer.py
@@ -0,0 +1,79 @@
+"""Gives one order under a lease."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from eliot import log_message
+from expression import Error, Ok, Result
+
+from oleanderpier.orders.budget import Start
+from oleanderpier.orders.lease import Lease
+from oleanderpier.orders.limits import ROUND_RETRY_S
+from oleanderpier.relay import MaybeSent, NotSent
+from oleanderpier.results import Code, Failure
+
+__all__ = ["Obeyed", "OrderError", "Refused", "SendOrder", "issue_order"]
+
+
+class Obeyed(NamedTuple):
+    """The engine obeyed an order.
+
+    Attributes:
+        fence: The order's fencing token.
+    """
+
+    fence: int
+
+
+class Refused(NamedTuple):
+    """The engine answered that it does not obey."""
+
+    failure: Failure
+
+
+OrderError = NotSent | Refused | MaybeSent
+SendOrder = Callable[[int, Callable[[], bool]], Awaitable[Result[None, OrderError]]]
+
+_NOT_HELD = Failure(Code.LEASE_NOT_HELD, "too little of the lease is left")
+_ENDED = Failure(Code.LEASE_ENDED, "the order was obeyed after the lease ended")
+_LOST = Failure(Code.ANSWER_LOST, "the send failed", ROUND_RETRY_S)
+
+
+async def issue_order(
+    lease: Lease, send: SendOrder, start: Start | None = None
+) -> Result[Obeyed, Failure]:
+    """Give one order, if the lease lasts until it has taken effect.
+
+    Args:
+        lease: The lease of the engine.
+        send: Sends the order once, with the fencing token that it is given. It
+            asks the function that it is given right before the first byte of
+            the order, and sends nothing if the answer is no.
+        start: The start that the order uses, where it draws on a budget.
+
+    Returns:
+        The order's fence once it is obeyed, or a failure: ``ANSWER_LOST`` if it
+        may have been obeyed, ``LEASE_ENDED`` if it was obeyed too late to be
+        sure that no other process gave orders before it.
+    """
+    fence = lease.start_order()
+    if fence is None:
+        return Error(_NOT_HELD)
+
+    def may_write() -> bool:
+        return lease.may_write() and (start is None or start.valid)
+
+    try:
+        sent = await send(fence, may_write)
+    except Exception as error:
+        log_message("orders:send_raised", reason=repr(error))
+        sent = Error(MaybeSent(_LOST))
+    certain = sent.is_ok() or not isinstance(sent.error, MaybeSent)
+    lease.finish_order(certain)
+    ended = lease.left_s == 0
+    if ended:
+        code = int(Code.LEASE_ENDED)
+        log_message("orders:lease_ended", subject=lease.subject, fence=fence, code=code)
+    if sent.is_error():
+        return Error(sent.error.failure)
+    return Error(_ENDED) if ended else Ok(Obeyed(fence))
--- /dev/null
+++ b/oleanderpier/orders/lease.py
@@ -0,0 +1,97 @@
+"""The right to give orders for one subject, for as long as it lasts."""
+
+from typing import NamedTuple
+
+from oleanderpier.orders.limits import FENCE_SPAN, MARGIN_S, ORDER_TIMEOUT_S
+from oleanderpier.utils import Timers
+
+__all__ = ["Lease", "Tenure"]
+
+
+class Tenure(NamedTuple):
+    """One renewal of a lease: how long it lasts and which fences it covers.
+
+    Attributes:
+        ends_s: When it ends, by the holder's monotonic clock.
+        fence: The first of ``FENCE_SPAN`` fencing tokens.
+    """
+
+    ends_s: float
+    fence: int
+
+
+class Lease:
+    """A lease that a majority of witnesses granted to this process.
+
+    Once it has ended it stays ended; a new one has to be acquired.
+
+    Args:
+        subject: An engine's name, or that of a budget.
+        timers: The timer service.
+        tenure: What the first round gave.
+
+    Attributes:
+        gained_s: When it was granted, by the monotonic clock.
+    """
+
+    def __init__(self, subject: str, timers: Timers, tenure: Tenure):
+        self.subject = subject
+        self.gained_s = timers.now()
+        self._timers = timers
+        self._tenure = tenure
+        self._used = 0
+        self._unanswered = 0
+        self._released = False
+
+    @property
+    def left_s(self) -> float:
+        """How long it lasts, in seconds; 0 once it has ended."""
+        if self._released:
+            return 0.0
+        return max(self._tenure.ends_s - self._timers.now(), 0.0)
+
+    @property
+    def settled(self) -> bool:
+        """Whether every order that was started has a certain outcome."""
+        return self._unanswered == 0
+
+    def allows(self, duration_s: float) -> bool:
+        """Return whether something may begin that takes up to some seconds."""
+        return self.left_s > duration_s + MARGIN_S
+
+    def may_write(self) -> bool:
+        """Return whether an order may still be written to an engine."""
+        return self.allows(ORDER_TIMEOUT_S)
+
+    def start_order(self) -> int | None:
+        """Return the fencing token of a new order.
+
+        Returns:
+            A token above all earlier ones; None if too little of the lease is
+            left, or the tokens of this renewal are used up.
+        """
+        if not self.may_write() or self._used == FENCE_SPAN:
+            return None
+        fence = self._tenure.fence + self._used
+        self._used += 1
+        self._unanswered += 1
+        return fence
+
+    def finish_order(self, certain: bool) -> None:
+        """Note what came of an order.
+
+        Args:
+            certain: Whether it was obeyed, refused or never sent. Otherwise it
+                may still take effect, and the lease is never given up early.
+        """
+        if certain:
+            self._unanswered -= 1
+
+    def renew(self, tenure: Tenure) -> None:
+        """Go on with a later end and higher fences."""
+        self._tenure = tenure
+        self._used = 0
+
+    def end(self) -> None:
+        """Start nothing under it any more."""
+        self._released = True
--- /dev/null
+++ b/oleanderpier/orders/leases.py
@@ -0,0 +1,345 @@
+"""Leases: at most one process of the fleet gives orders for a subject."""
+
+import random
+from collections.abc import Callable
+from enum import Enum
+from functools import singledispatchmethod
+from typing import Any
+
+from eliot import log_message
+from expression import Error, Ok, Result
+
+from oleanderpier.claims import HostLists
+from oleanderpier.claims.attempt import Attempt, Verdict
+from oleanderpier.orders.lease import Lease, Tenure
+from oleanderpier.orders.limits import (
+    FENCE_SPAN,
+    LEASE_S,
+    MARGIN_S,
+    RENEW_S,
+    ROUND_RESEND_S,
+    ROUND_RETRY_S,
+    ROUND_S,
+)
+from oleanderpier.orders.messages import (
+    LeaseAsk,
+    LeaseGranted,
+    LeaseHeld,
+    LeaseRefused,
+    LeaseRelease,
+    RoundId,
+)
+from oleanderpier.orders.witness import LeaseWitness, read_fence_time
+from oleanderpier.results import Code, Failure
+from oleanderpier.utils import Outbox, Subscription, Timers
+
+__all__ = ["Leases", "NotifyLease"]
+
+NotifyLease = Callable[[Result[Lease, Failure]], None]
+
+
+class _Phase(Enum):
+    """How a subject stands with this process."""
+
+    ASKING = "asking"
+    HOLDING = "holding"
+
+
+class _Entry:
+    """What this process does about one subject."""
+
+    def __init__(self, subject: str, deadline_s: float):
+        self.subject = subject
+        self.deadline_s = deadline_s
+        self.phase = _Phase.ASKING
+        self.waiters: list[NotifyLease] = []
+        self.attempt: Attempt | None = None
+        self.lease: Lease | None = None
+        self.round_s = 0.0
+        self.fence = 0
+        self.list_version = 0
+        self.held_s = 0.0
+        self.timer: Subscription | None = None
+
+
+class Leases:
+    """Gets, renews and gives up leases, and is a witness of others' leases.
+
+    Args:
+        host: This host's name.
+        incarnation: Which process of the host this is; never used twice.
+        timers: The timer service.
+        rng: Source of the waits between rounds.
+        outbox: Sends to other hosts.
+        lists: The host lists that this host knows, shared with the claims.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: str,
+        timers: Timers,
+        rng: random.Random,
+        outbox: Outbox,
+        lists: HostLists,
+    ):
+        self._host = host
+        self._incarnation = incarnation
+        self._timers = timers
+        self._rng = rng
+        self._outbox = outbox
+        self._lists = lists
+        self._witness = LeaseWitness(timers, lists)
+        self._entries: dict[str, _Entry] = {}
+        self._fences: dict[str, int] = {}
+        self._holders: dict[str, str] = {}
+        self._sequence = 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether this host, as a witness, can grant leases."""
+        return self._lists.ready and self._witness.ready
+
+    def acquire(self, subject: str, timeout_s: float, notify: NotifyLease) -> None:
+        """Try to get a subject's lease; it is then renewed until given up.
+
+        Args:
+            subject: An engine's name, or that of a budget.
+            timeout_s: When to give up, in seconds from now.
+            notify: Called once, possibly before this returns: with the lease,
+                or with code ``LEASE_NOT_HELD``.
+        """
+        entry = self._entries.get(subject)
+        if entry is not None and entry.phase is _Phase.HOLDING:
+            if entry.lease.left_s > 0:
+                notify(Ok(entry.lease))
+                return
+            self._lose_lease(entry)
+            entry = None
+        if entry is not None:
+            entry.waiters.append(notify)
+            return
+        entry = _Entry(subject, self._timers.now() + timeout_s)
+        entry.waiters.append(notify)
+        self._entries[subject] = entry
+        self._start_round(entry)
+
+    def release(self, lease: Lease) -> None:
+        """Give a lease up.
+
+        The witnesses are told, so that another process need not wait for its
+        end; but not while an order may still take effect.
+        """
+        lease.end()
+        entry = self._entries.get(lease.subject)
+        if entry is None or entry.lease is not lease:
+            return
+        self._drop(entry)
+        if lease.settled:
+            self._send_release(entry)
+
+    def find_lease(self, subject: str) -> Lease | None:
+        """Return the lease of a subject that this process has now, if any."""
+        entry = self._entries.get(subject)
+        if entry is None or entry.lease is None or not entry.lease.left_s:
+            return None
+        return entry.lease
+
+    def find_holder(self, subject: str) -> str | None:
+        """Return the host that was last known to have a subject's lease."""
+        if self.find_lease(subject) is not None:
+            return self._host
+        return self._holders.get(subject)
+
+    def forget_holder(self, subject: str) -> None:
+        """Stop believing that another host has a subject's lease."""
+        self._holders.pop(subject, None)
+
+    def handle(self, sender: str, message: Any) -> None:
+        """Take a message from another host, or from this one."""
+        self._receive(message, sender)
+
+    def _send(self, host: str, message: Any) -> bool:
+        if host == self._host:
+            self._receive(message, host)
+            return True
+        return self._outbox.send(host, message)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str) -> None:
+        raise TypeError(f"no message about leases: {message!r}")
+
+    @_receive.register
+    def _(self, message: LeaseAsk, sender: str) -> None:
+        self._lists.hear_version(sender, message.list_version)
+        self._send(sender, self._witness.grant(message))
+
+    @_receive.register
+    def _(self, message: LeaseRelease, sender: str) -> None:
+        self._witness.release(message)
+
+    @_receive.register
+    def _(self, message: LeaseGranted, sender: str) -> None:
+        entry = self._find_round(message, sender)
+        if entry is not None:
+            entry.attempt.grant(sender)
+            self._judge(entry)
+
+    @_receive.register
+    def _(self, message: LeaseHeld, sender: str) -> None:
+        entry = self._find_round(message, sender)
+        if entry is not None:
+            self._holders[message.subject] = message.holder
+            entry.held_s = max(entry.held_s, message.remaining_s)
+            entry.attempt.deny(sender, None)
+            self._judge(entry)
+
+    @_receive.register
+    def _(self, message: LeaseRefused, sender: str) -> None:
+        entry = self._find_round(message, sender)
+        if entry is not None:
+            self._note_fence(message.subject, message.fence)
+            entry.held_s = max(entry.held_s, message.retry_after_s)
+            entry.attempt.deny(sender, None)
+            self._judge(entry)
+
+    def _find_round(
+        self, message: LeaseGranted | LeaseHeld | LeaseRefused, sender: str
+    ) -> _Entry | None:
+        """Return the entry whose open round an answer belongs to."""
+        if sender != self._host:
+            self._lists.hear_version(sender, message.list_version)
+        entry = self._entries.get(message.subject)
+        if entry is None or entry.attempt is None or entry.attempt.closed:
+            return None
+        if entry.attempt.claim_id != message.round_id or self._is_late(entry):
+            return None
+        return entry
+
+    def _is_late(self, entry: _Entry) -> bool:
+        return self._timers.now() - entry.round_s > ROUND_S
+
+    def _start_round(self, entry: _Entry) -> None:
+        """Ask a majority of the witnesses, of every list in use."""
+        if entry.phase is _Phase.HOLDING and not entry.lease.left_s:
+            self._lose_lease(entry)
+            return
+        ended_s = self._timers.wall() - LEASE_S - MARGIN_S
+        required = self._lists.list_required(entry.subject.encode(), ended_s)
+        entry.round_s = self._timers.now()
+        entry.held_s = 0.0
+        if required is None:
+            self._lose_round(entry)
+            return
+        self._sequence += 1
+        round_id = RoundId(self._host, self._incarnation, self._sequence)
+        entry.attempt = Attempt(round_id, required)
+        entry.fence = self._choose_fence(entry.subject)
+        entry.list_version = self._lists.newest.version
+        self._ask_witnesses(entry, entry.attempt)
+
+    def _choose_fence(self, subject: str) -> int:
+        """Return the first fence of a round, above all that are known."""
+        known = self._fences.get(subject, 0)
+        return max(known + FENCE_SPAN, read_fence_time(self._timers.wall()))
+
+    def _note_fence(self, subject: str, fence: int) -> None:
+        self._fences[subject] = max(fence, self._fences.get(subject, 0))
+
+    def _ask_witnesses(self, entry: _Entry, attempt: Attempt) -> None:
+        """Send the round to whoever has not answered, until it is decided."""
+        if attempt.closed:
+            return
+        if self._is_late(entry):
+            self._lose_round(entry)
+            return
+        message = LeaseAsk(
+            entry.subject, attempt.claim_id, entry.fence, entry.list_version
+        )
+        for host in sorted(attempt.unanswered, key=lambda host: host == self._host):
+            if not attempt.closed and not self._send(host, message):
+                attempt.deny(host, None)
+        self._judge(entry)
+        if not attempt.closed:
+            self._set_timer(
+                entry, ROUND_RESEND_S, lambda: self._ask_witnesses(entry, attempt)
+            )
+
+    def _judge(self, entry: _Entry) -> None:
+        """Act on the round's verdict."""
+        if entry.attempt.closed:
+            return
+        verdict = entry.attempt.verdict
+        if verdict is Verdict.WON:
+            self._win_round(entry)
+        elif verdict is Verdict.LOST:
+            self._lose_round(entry)
+
+    def _win_round(self, entry: _Entry) -> None:
+        entry.attempt.closed = True
+        if entry.phase is _Phase.HOLDING and not entry.lease.left_s:
+            self._lose_lease(entry)
+            return
+        self._note_fence(entry.subject, entry.fence)
+        tenure = Tenure(entry.round_s + LEASE_S, entry.fence)
+        self._set_timer(entry, RENEW_S, lambda: self._start_round(entry))
+        if entry.phase is _Phase.HOLDING:
+            entry.lease.renew(tenure)
+            return
+        entry.phase = _Phase.HOLDING
+        entry.lease = Lease(entry.subject, self._timers, tenure)
+        log_message("orders:lease_gained", subject=entry.subject, fence=entry.fence)
+        self._notify(entry, Ok(entry.lease))
+
+    def _lose_round(self, entry: _Entry) -> None:
+        """Try again after a wait, if there is time left."""
+        if entry.attempt is not None:
+            entry.attempt.closed = True
+        if entry.phase is _Phase.ASKING:
+            self._send_release(entry)
+        wait_s = ROUND_RETRY_S * self._rng.uniform(0.5, 1.5)
+        late = self._timers.now() + wait_s >= entry.deadline_s
+        if entry.phase is _Phase.ASKING and late:
+            self._give_up(entry)
+            return
+        self._set_timer(entry, wait_s, lambda: self._start_round(entry))
+
+    def _give_up(self, entry: _Entry) -> None:
+        self._drop(entry)
+        text = f"no lease for {entry.subject}"
+        retry_after_s = max(entry.held_s, ROUND_RETRY_S)
+        failure = Failure(Code.LEASE_NOT_HELD, text, retry_after_s)
+        self._notify(entry, Error(failure))
+
+    def _lose_lease(self, entry: _Entry) -> None:
+        self._drop(entry)
+        code = int(Code.LEASE_ENDED)
+        log_message("orders:lease_lost", subject=entry.subject, code=code)
+        if entry.lease.settled:
+            self._send_release(entry)
+
+    def _drop(self, entry: _Entry) -> None:
+        if entry.attempt is not None:
+            entry.attempt.closed = True
+        if entry.timer is not None:
+            entry.timer.cancel()
+        del self._entries[entry.subject]
+
+    def _send_release(self, entry: _Entry) -> None:
+        if entry.attempt is None:
+            return
+        message = LeaseRelease(entry.subject, entry.attempt.claim_id)
+        for host in entry.attempt.witnesses:
+            self._send(host, message)
+
+    def _notify(self, entry: _Entry, result: Result[Lease, Failure]) -> None:
+        waiters, entry.waiters = entry.waiters, []
+        for notify in waiters:
+            notify(result)
+
+    def _set_timer(
+        self, entry: _Entry, delay_s: float, callback: Callable[[], None]
+    ) -> None:
+        if entry.timer is not None:
+            entry.timer.cancel()
+        entry.timer = self._timers.call_later(delay_s, callback)
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -51,6 +51,9 @@
     URING_OPEN = 306
     PEER_UNREACHABLE = 307
     HANDLER_FAILED = 308
+    LEASE_NOT_HELD = 320
+    LEASE_ENDED = 321
+    ORDER_REFUSED = 322
 
 
 class Failure(NamedTuple):
@@ -106,6 +109,9 @@
     Code.URING_OPEN: (500, "The process holds an io_uring descriptor."),
     Code.PEER_UNREACHABLE: (500, "A peer does not answer."),
     Code.HANDLER_FAILED: (500, "A part failed on a peer's message."),
+    Code.LEASE_NOT_HELD: (500, "This host has not the lease that an order needs."),
+    Code.LEASE_ENDED: (500, "A lease ended before its work was done."),
+    Code.ORDER_REFUSED: (500, "An engine refused an order."),
 }
 
 _FATES = {
