Try a claim again where a witness refuses for a passing reason

Cause: during a change of the list, a witness that had not fetched it yet made a claim fail at once, with time left. Change: not ready, and a key ahead of the witness's clock, are tried again like an old list.

--- a/oleanderpier/claims/attempt.py
+++ b/oleanderpier/claims/attempt.py
@@ -8,6 +8,9 @@
 __all__ = ["Attempt", "Verdict"]
 
 
+_PASSING = {Refusal.OLD_LIST, Refusal.NOT_READY, Refusal.KEY_AHEAD}
+
+
 class Verdict(Enum):
     """How an attempt stands."""
 
@@ -52,10 +55,10 @@
         return any(isinstance(denial, Held) for denial in self._denied.values())
 
     @property
-    def outdated(self) -> bool:
-        """Whether a witness knows a newer host list."""
+    def hindered(self) -> bool:
+        """Whether a witness refused for a reason that soon passes."""
         return any(
-            isinstance(denial, Refused) and denial.reason == Refusal.OLD_LIST
+            isinstance(denial, Refused) and denial.reason in _PASSING
             for denial in self._denied.values()
         )
 
--- a/oleanderpier/claims/claims.py
+++ b/oleanderpier/claims/claims.py
@@ -358,7 +358,7 @@
         if attempt.contended and entry.contended_s is None:
             entry.contended_s = self._timers.now()
             entry.deadline_s = min(entry.deadline_s, entry.contended_s + HELD_WAIT_S)
-        if attempt.contended or attempt.outdated:
+        if attempt.contended or attempt.hindered:
             self._try_again(entry)
         else:
             self._give_up(entry)
--- a/oleanderpier/claims/tests/test_liveness.py
+++ b/oleanderpier/claims/tests/test_liveness.py
@@ -51,6 +51,15 @@
                 shares = [len(hosts & set(side)) for hosts in chosen]
                 self.assertGreaterEqual(min(shares), count_majority(7))
 
+    def test_spread(self):
+        """No failure domain has two witnesses while others have none."""
+        listed = [ListedHost(f"host-{i}", f"domain-{i % 22}") for i in range(220)]
+        fleet = Fleet(1)
+        for _ in range(50):
+            key = pack_key(fleet.make_key())
+            chosen = choose_witnesses(key, HostList(1, tuple(listed))).hosts
+            self.assertEqual(7, len({int(name[5:]) % 22 for name in chosen}))
+
     def test_split(self):
         """On the side of four, keys run; the three are told when to come back."""
         fleet = make_fleet(hosts=7)
