--- a/bench/relay.py
+++ b/bench/relay.py
@@ -6,12 +6,16 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
+import resource
 import statistics
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
+from pathlib import Path
 from typing import NamedTuple
 
 import aiohttp
@@ -44,6 +48,8 @@
 TEXT = "a word "
 PHASE_STEP = 0.618
 START_S = 20.0
+PAGE_BYTES = resource.getpagesize()
+OPEN_STREAMS = (50, 200, 800)
 
 
 class Run(NamedTuple):
@@ -135,7 +141,9 @@
         return await pass_through(request, shared["pool"], url, await request.json())
 
     async def get_usage(request: web.Request) -> web.Response:
-        return web.json_response({"process_s": time.process_time()})
+        pages = int(Path("/proc/self/statm").read_text().split()[1])
+        usage = {"process_s": time.process_time(), "bytes": pages * PAGE_BYTES}
+        return web.json_response(usage)
 
     app = web.Application()
     app.cleanup_ctx.append(open_shared)
@@ -192,45 +200,87 @@
         self._process.wait(START_S)
 
 
+async def read_stream(
+    session: aiohttp.ClientSession, name: int, tokens: int, interval_s: float
+) -> int:
+    """Read one stream to its end; return how many events it had."""
+    body = {"request": str(name), "chat": "c", "model": str(interval_s)}
+    body |= {"messages": ["m"], "offset": 0, "max_tokens": tokens, "priority": 1}
+    async with session.post("/v1/chats", json=body) as answer:
+        return (await answer.read()).count(b"\ndata: ")
+
+
+async def get_usage(session: aiohttp.ClientSession) -> dict:
+    """Return the processor time and the memory that a middle has used."""
+    async with session.get("/usage") as answer:
+        return await answer.json()
+
+
+def open_session(port: int) -> aiohttp.ClientSession:
+    """Return a session at a middle."""
+    connector = aiohttp.TCPConnector(limit=0)
+    return aiohttp.ClientSession(f"http://127.0.0.1:{port}", connector=connector)
+
+
 async def read_streams(
     port: int, streams: int, tokens: int, interval_s: float
 ) -> float:
     """Read streams through a middle; return its processor time in seconds."""
-    connector = aiohttp.TCPConnector(limit=0)
-    base = f"http://127.0.0.1:{port}"
-
-    async def read(session: aiohttp.ClientSession, index: int) -> int:
-        body = {"request": str(index), "chat": "c", "model": str(interval_s)}
-        body |= {"messages": ["m"], "offset": 0, "max_tokens": tokens, "priority": 1}
-        async with session.post(f"{base}/v1/chats", json=body) as answer:
-            return (await answer.read()).count(b"\ndata: ")
-
-    async def get_usage(session: aiohttp.ClientSession) -> float:
-        async with session.get(f"{base}/usage") as answer:
-            return (await answer.json())["process_s"]
-
-    async with aiohttp.ClientSession(connector=connector) as session:
-        await read(session, streams)
+    async with open_session(port) as session:
+        await read_stream(session, streams, tokens, interval_s)
         before = await get_usage(session)
-        counts = await asyncio.gather(*(read(session, i) for i in range(streams)))
+        reads = [read_stream(session, i, tokens, interval_s) for i in range(streams)]
+        counts = await asyncio.gather(*reads)
         after = await get_usage(session)
     if set(counts) != {tokens + 1}:
         raise RuntimeError(f"events read: {sorted(set(counts))}")
-    return after - before
+    return after["process_s"] - before["process_s"]
+
+
+async def hold_streams(port: int, streams: int) -> int:
+    """Return a middle's memory in bytes while streams are open."""
+    async with open_session(port) as session:
+        reads = [read_stream(session, i, 20, 0.2) for i in range(streams)]
+        reading = asyncio.gather(*reads)
+        await asyncio.sleep(3.0)
+        usage = await get_usage(session)
+        await reading
+    return usage["bytes"]
+
+
+def measure_memory() -> None:
+    """Print the memory of open streams, each size in a process of its own."""
+    found = {}
+    for streams in OPEN_STREAMS:
+        with run_roles("relay", "uvloop") as port:
+            found[streams] = asyncio.run(hold_streams(port, streams))
+    least = OPEN_STREAMS[0]
+    for streams, size in found.items():
+        slope = (size - found[least]) / (streams - least) if streams > least else 0.0
+        print(
+            f"{streams:5} streams {size / 1e6:7.1f} MB, {slope / 1e3:.1f} KB a stream"
+        )
 
 
-def measure_mode(mode: str, loop: str, size: tuple, kept: bool = True) -> Run:
-    """Measure one mode once, with processes of its own."""
-    streams, tokens, interval_s = size
+@contextlib.contextmanager
+def run_roles(mode: str, loop: str, kept: bool = False) -> Iterator[int]:
+    """Start a source and a middle; yield the port of the middle."""
     source = _Process("--role", "source", "--loop", loop)
     options = ["--role", "middle", "--mode", mode, "--loop", loop]
     options += ["--source-port", str(source.port)] + ["--kept"] * kept
     middle = _Process(*options)
     try:
-        used_s = asyncio.run(read_streams(middle.port, streams, tokens, interval_s))
+        yield middle.port
     finally:
         middle.stop()
         source.stop()
+
+
+def measure_mode(mode: str, loop: str, size: tuple, kept: bool = True) -> Run:
+    """Measure one mode once, with processes of its own."""
+    streams, tokens, interval_s = size
+    with run_roles(mode, loop, kept) as port:
+        used_s = asyncio.run(read_streams(port, streams, tokens, interval_s))
     return Run(mode, used_s / streams / tokens * 1e6, used_s / streams * 1e6)
 
 
@@ -277,6 +327,7 @@
 @click.option("--tokens", default=200, show_default=True)
 @click.option("--interval-s", default=0.01, show_default=True)
 @click.option("--repeats", default=5, show_default=True)
+@click.option("--memory", is_flag=True, help="Measure memory instead.")
 def main(
     role: str,
     mode: str,
@@ -287,11 +338,15 @@
     tokens: int,
     interval_s: float,
     repeats: int,
+    memory: bool,
 ) -> None:
     """Compare the relay with a plain pass-through."""
     if role != "compare":
         run_role(role, mode, source_port, kept, loops[0])
         return
+    if memory:
+        measure_memory()
+        return
     size = (streams, tokens, interval_s)
     ratios = [compare_modes(loop, size, repeats, kept) for loop in loops]
     sys.exit(int(max(ratios) > BOUND))
--- /dev/null
+++ b/oleanderpier/relay/tests/test_processes.py
@@ -0,0 +1,60 @@
+"""Engines as processes of their own, killed or stopped in mid-stream."""
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import AsyncIterator
+
+from testtools import TestCase
+
+from oleanderpier.relay.tests.servers import (
+    make_server,
+    read_answer,
+    run_engines,
+    run_relay,
+)
+from oleanderpier.relay.tests.verdicts import judge_answer
+
+TOKENS = 60
+
+
+@contextlib.asynccontextmanager
+async def start_engine() -> AsyncIterator[tuple]:
+    """Start an engine process; yield it with its backend server."""
+    arguments = ["-m", "standins.engine", "--port", "0", "--name", "process"]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, stdout=asyncio.subprocess.PIPE
+    )
+    try:
+        line = await process.stdout.readline()
+        yield process, make_server("process", int(line.rpartition(b":")[2]))
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
+class ProcessTest(TestCase):
+    """The caller gets the whole answer whatever signal the engine gets."""
+
+    def test_signals(self):
+        """Another engine goes on from the offset that was reached."""
+        for number in (signal.SIGKILL, signal.SIGSTOP):
+            verdict, outcome = asyncio.run(self._run(number))
+            seen = (verdict, outcome.attempts, outcome.total)
+            self.assertEqual(("whole", 2, TOKENS), seen, number)
+
+    async def _run(self, number: signal.Signals) -> tuple:
+        async with contextlib.AsyncExitStack() as stack:
+            process, doomed = await stack.enter_async_context(start_engine())
+            [(_, good)] = await stack.enter_async_context(run_engines(1))
+            running = run_relay([doomed, good], tokens=TOKENS)
+            bench = await stack.enter_async_context(running)
+            reading = asyncio.create_task(read_answer(bench.url))
+            while not bench.placement.permits:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            process.send_signal(number)
+            _, data, hung = await reading
+        return judge_answer(data, TOKENS, hung), bench.outcomes[0]
--- a/standins/http.py
+++ b/standins/http.py
@@ -69,7 +69,7 @@
 
 
 async def serve(app: web.Application, address: str, port: int) -> None:
-    """Serve an application until SIGTERM or SIGINT."""
+    """Serve an application until SIGTERM or SIGINT; port 0 takes a free one."""
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
     await runner.setup()
     await web.TCPSite(runner, address, port).start()
@@ -77,6 +77,6 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    print(f"listening on {address}:{port}", flush=True)
+    print(f"listening on {address}:{runner.addresses[0][1]}", flush=True)
     await stopped.wait()
     await runner.cleanup()
--- a/standins/tests/test_engine.py
+++ b/standins/tests/test_engine.py
@@ -105,18 +105,17 @@
         async def run() -> tuple:
             async with open_engine() as session:
                 body = make_body("long", max_tokens=100_000)
-                answer = await session.post("/v1/generate", json=body)
-                seen = b""
-                while seen.count(b"\n:") < 2:
-                    seen += await answer.content.readany()
-                load = await read(session, "/v1/load")
-                cancelled = await session.delete("/v1/generate/long")
-                unknown = await session.delete("/v1/generate/unknown")
-                rest = b""
-                with contextlib.suppress(aiohttp.ClientError):
-                    while chunk := await answer.content.readany():
-                        rest += chunk
-                return load, cancelled.status, unknown.status, rest
+                seen = rest = b""
+                async with session.post("/v1/generate", json=body) as answer:
+                    while seen.count(b"\n:") < 2:
+                        seen += await answer.content.readany()
+                    load = await read(session, "/v1/load")
+                    cancelled = await send(session, "DELETE", "/v1/generate/long")
+                    unknown = await send(session, "DELETE", "/v1/generate/unknown")
+                    with contextlib.suppress(aiohttp.ClientError):
+                        while chunk := await answer.content.readany():
+                            rest += chunk
+                return load, cancelled[0], unknown[0], rest
 
         load, cancelled, unknown, rest = asyncio.run(run())
         self.assertEqual({"running", "waiting", "slots", "sequence"}, set(load))
@@ -130,16 +129,14 @@
             async with open_engine() as session:
                 for index in range(20):
                     await generate(session, request=f"cache-{index}")
-                exported = await session.get("/v1/cache/cache-1")
-                data = await exported.read()
-                imported = await session.put("/v1/cache/moved", data=data)
-                missing = await session.get("/v1/cache/nobody")
+                exported, data = await send(session, "GET", "/v1/cache/cache-1")
+                imported, _ = await send(session, "PUT", "/v1/cache/moved", data=data)
+                missing, _ = await send(session, "GET", "/v1/cache/nobody")
                 await asyncio.sleep(0.5)
                 events = (await read(session, "/v1/cache/events?after=0"))["events"]
                 after = events[3]["sequence"]
                 later = await read(session, f"/v1/cache/events?after={after}")
-                statuses = (exported.status, imported.status, missing.status)
-                return events, later["events"], statuses
+                return events, later["events"], (exported, imported, missing)
 
         events, later, statuses = asyncio.run(run())
         self.assertEqual((200, 204, 404), statuses)
@@ -164,8 +161,7 @@
         async def run() -> list[int]:
             async with open_engine() as session:
                 bodies = [{}, make_body("x", offset=-1), make_body("x", extra=1)]
-                posts = [await session.post("/v1/generate", json=b) for b in bodies]
-                return [answer.status for answer in posts]
+                return [await post(session, "/v1/generate", body) for body in bodies]
 
         self.assertEqual([400, 400, 400], asyncio.run(run()))
 
@@ -178,7 +174,7 @@
 
         async def run() -> list[int]:
             async with open_engine() as session:
-                await session.post("/faults", json={"fencing": "ignored"})
+                await post(session, "/faults", {"fencing": "ignored"})
                 return [await order(session, fence) for fence in (5, 4)]
 
         self.assertEqual([200, 200], asyncio.run(run()))
@@ -189,15 +185,15 @@
         async def run() -> tuple:
             async with open_engine() as session:
                 body = make_body("old", max_tokens=100_000)
-                old = await session.post("/v1/generate", json=body)
-                await old.content.readany()
-                await session.post("/faults", json={"silent_after": 3})
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(0.6):
-                        while await old.content.readany():
-                            pass
-                new = await generate(session, request="new")
-                old.close()
+                async with session.post("/v1/generate", json=body) as old:
+                    await old.content.readany()
+                    await post(session, "/faults", {"silent_after": 3})
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(0.6):
+                            while await old.content.readany():
+                                pass
+                    new = await generate(session, request="new")
+                    old.close()
                 return len(new), await read(session, "/counts")
 
         events, counts = asyncio.run(run())
@@ -209,9 +205,9 @@
 
         async def run() -> tuple:
             async with open_engine() as session:
-                await session.post("/faults", json={"skip": 2})
-                refused = await session.post("/faults", json={"skips": 3})
-                return refused.status, await read(session, "/faults")
+                await post(session, "/faults", {"skip": 2})
+                refused = await post(session, "/faults", {"skips": 3})
+                return refused, await read(session, "/faults")
 
         self.assertEqual((400, {"skip": 2}), asyncio.run(run()))
 
@@ -235,5 +231,17 @@
 async def order(session: aiohttp.ClientSession, fence: int) -> int:
     """Send an order and return the status."""
     body = {"fence": fence, "kind": "load_model", "subject": "drafting"}
-    async with session.post("/v1/orders", json=body) as answer:
-        return answer.status
+    return await post(session, "/v1/orders", body)
+
+
+async def post(session: aiohttp.ClientSession, path: str, body: dict) -> int:
+    """Send a body and return the status."""
+    return (await send(session, "POST", path, json=body))[0]
+
+
+async def send(
+    session: aiohttp.ClientSession, method: str, path: str, **options
+) -> tuple[int, bytes]:
+    """Send a request; return the status and the body."""
+    async with session.request(method, path, **options) as answer:
+        return answer.status, await answer.read()
--- a/standins/tests/test_service.py
+++ b/standins/tests/test_service.py
@@ -75,8 +75,9 @@
 
         async def run() -> int:
             async with open_service() as session:
-                answer = await session.post("/v1/calls/balance-lookup", data=b"{")
-                return answer.status
+                path = "/v1/calls/balance-lookup"
+                async with session.post(path, data=b"{") as answer:
+                    return answer.status
 
         self.assertEqual(400, asyncio.run(run()))
 
@@ -97,7 +98,8 @@
 
         async def run(faults: dict) -> tuple:
             async with open_service() as session:
-                await session.post("/faults", json=faults)
+                async with session.post("/faults", json=faults):
+                    pass
                 status, _ = await call(session, "payout-post", KEY)
                 return status, await read(session, "/executions")
 
