Let pools that are fuller than the fleet pass requests on

Change: answers tell the pool's load, entry hosts keep a mean of them, and an ask with another pool to go to carries it; the owner refuses above the multiple.

--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -143,6 +143,10 @@
         waiting = Waiting(now + patience_s, next(self._order), sender, message)
         if now >= self._open_s and not self._queue:
             taking = self.loads.find_open(now)
+            taking = self.loads.keep_below(taking, message.fleet_load / 100)
+            if not taking and message.fleet_load:
+                self._pass_on(waiting)
+                return
             if taking:
                 self._grant(waiting, taking)
                 return
@@ -261,6 +265,12 @@
             waiting.sender, Refusal(number, code, retry_ms, self._measure_load())
         )
 
+    def _pass_on(self, waiting: Waiting) -> None:
+        """Refuse what the entry host has a less loaded pool for."""
+        retry_ms = round(MIN_RETRY_AFTER_S * 1000)
+        load, code = self._measure_load(), Code.TARGET_UNREACHABLE
+        self._answer(waiting.sender, Refusal(waiting.ask.number, code, retry_ms, load))
+
     def _is_over_share(self, workspace: int) -> bool:
         """Return whether a workspace has more than its part while others wait."""
         slots, _ = self.loads.sum_usable(self._timers.now())
--- a/oleanderpier/placement/client.py
+++ b/oleanderpier/placement/client.py
@@ -1,7 +1,7 @@
 """The entry host's side: asks for permits, holds them and gives them back."""
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from typing import Any, NamedTuple
@@ -35,8 +35,8 @@
 
 ASK_TIMEOUT_S = 0.5
 RENEWAL_S = 5.0
-LOAD_HINT_S = 5.0
-MOVE_LOAD_PERCENT = 50
+FLEET_LOAD_WEIGHT = 0.03
+FLEET_LOAD_ANSWERS = 20
 SHARE_HOLD_S = 2.0
 SHARE_RETRY_AFTER_S = 1.0
 LEAVING_NOTICE_S = 30.0
@@ -63,11 +63,35 @@
     migrates: bool
 
 
-class LoadHint(NamedTuple):
-    """A pool's load as its owner last told it."""
+class FleetLoad:
+    """The mean load of all pools that provide the same, as answers tell it.
 
-    load: int
-    told_s: float
+    Answers come from pools in proportion to their requests, which weighs
+    fuller ones a little more; that is far less than the multiple allows.
+
+    Examples:
+        >>> fleet_load = FleetLoad()
+        >>> fleet_load.get_percent()
+        0
+        >>> for _ in range(50):
+        ...     fleet_load.note(60)
+        >>> fleet_load.get_percent()
+        60
+    """
+
+    def __init__(self) -> None:
+        self._mean = 0.0
+        self._answers = 0
+
+    def note(self, load: int) -> None:
+        """Take the load that an answer told, in percent of the pool's slots."""
+        self._answers += 1
+        weight = max(FLEET_LOAD_WEIGHT, 1 / self._answers)
+        self._mean += weight * (load - self._mean)
+
+    def get_percent(self) -> int:
+        """Return the mean, or 0 after too few answers."""
+        return round(self._mean) if self._answers >= FLEET_LOAD_ANSWERS else 0
 
 
 class PendingAsk:
@@ -137,7 +161,8 @@
         self._pending: dict[int, PendingAsk] = {}
         self._held: dict[int, HeldPermit] = {}
         self._held_of_pool: dict[int, set[int]] = {}
-        self._hints: dict[int, LoadHint] = {}
+        self._fleet_loads: defaultdict[tuple[str, ...], FleetLoad]
+        self._fleet_loads = defaultdict(FleetLoad)
         self._share_until_s: dict[int, float] = {}
         self._leaving_until_s: dict[str, float] = {}
         timers.subscribe(RENEWAL_S, self._renew)
@@ -227,8 +252,7 @@
         if pending is None:
             self._return_grant(message, sender)
             return
-        pool = pending.pools[0]
-        self._hints[pool.number] = LoadHint(message.load, self._timers.now())
+        self._fleet_loads[pending.pools[0].provides].note(message.load)
         if not self._can_use(message.backend_server):
             self._return_grant(message, sender)
             self._repeat(pending, message.backend_server)
@@ -240,8 +264,7 @@
         pending = self._pending.get(message.number)
         if pending is None:
             return
-        pool = pending.pools[0]
-        self._hints[pool.number] = LoadHint(message.load, self._timers.now())
+        self._fleet_loads[pending.pools[0].provides].note(message.load)
         code = Code(message.code)
         if code is not Code.WORKSPACE_OVER_SHARE and len(pending.pools) > 1:
             self._try_next_pool(pending)
@@ -281,15 +304,8 @@
             self._on_migrate(held.permit)
 
     def _order_pools(self, request: PermitRequest, work_class: WorkClass) -> list[Pool]:
-        """Return the pools to try; a much fuller home goes second."""
         key = request.chat or f"{self._host}|{self._rng.random()}"
-        pools = self._topology.rank_pools(work_class["kind"], work_class["needs"], key)
-        if len(pools) < 2:
-            return pools
-        loads = [self._find_load(pool.number) for pool in pools[:2]]
-        if None in loads or loads[0] < max(MOVE_LOAD_PERCENT, 2 * loads[1]):
-            return pools
-        return [pools[1], pools[0], *pools[2:]]
+        return self._topology.rank_pools(work_class["kind"], work_class["needs"], key)
 
     def _move(self, held: HeldPermit) -> int | None:
         """Return the pool that a permit's server has moved to, if it has."""
@@ -314,12 +330,6 @@
         elif pending.pools[0].number != before:
             self._start_pool(pending)
 
-    def _find_load(self, pool: int) -> int | None:
-        hint = self._hints.get(pool)
-        if hint is None or self._timers.now() - hint.told_s > LOAD_HINT_S:
-            return None
-        return hint.load
-
     def _find_owner(self, pool: int) -> str:
         return self._owners.find_owner(pool)
 
@@ -343,12 +353,23 @@
         request = pending.request
         chat = hash_text(request.chat) if request.chat else 0
         workspace = shorten_name(request.workspace)
-        pool = pending.pools[0].number
+        pool = pending.pools[0]
+        fleet_load = 0
+        if len(pending.pools) > 1:
+            fleet_load = self._fleet_loads[pool.provides].get_percent()
         pending.timer = self._timers.call_later(
             min(ASK_TIMEOUT_S, left_s), lambda: self._ask_another(pending)
         )
         target_ms = max(1, round(left_s * 1000))
-        ask = Ask(pending.number, pool, chat, workspace, target_ms, pending.avoid)
+        ask = Ask(
+            pending.number,
+            pool.number,
+            chat,
+            workspace,
+            target_ms,
+            fleet_load,
+            pending.avoid,
+        )
         self._send(owner, ask)
 
     def _renumber(self, pending: PendingAsk) -> None:
--- a/oleanderpier/placement/loads.py
+++ b/oleanderpier/placement/loads.py
@@ -154,6 +154,23 @@
             taking = [s for s in below if not s.failures]
         return {s.name: s for s in taking}
 
+    def keep_below(
+        self, servers: dict[str, ServerLoad], fleet_load: float
+    ) -> dict[str, ServerLoad]:
+        """Return those that stay below the multiple of the fleet's mean, too.
+
+        Args:
+            servers: Servers of this pool, by name.
+            fleet_load: The part of the slots of all pools that is in use; 0 if
+                not known.
+        """
+        scale = self.load_multiple * fleet_load
+        if not fleet_load or any(
+            fleet_load * s.slots < BOUND_MEAN for s in servers.values()
+        ):
+            return servers
+        return {n: s for n, s in servers.items() if s.in_flight + 1 <= scale * s.slots}
+
     def find_excess(self, now: float) -> dict[str, int]:
         """Return by how much servers exceed the bound since others got free."""
         usable = [s for s in self.servers.values() if s.is_usable(now)]
--- a/oleanderpier/placement/messages.py
+++ b/oleanderpier/placement/messages.py
@@ -47,6 +47,9 @@
         chat: Hash of the chat's id; 0 where nothing ties it to a server.
         workspace: The workspace's number.
         target_ms: How long until the class's target passes.
+        fleet_load: The mean load of all pools that provide the same, percent
+            of slots; a pool that is fuller by the multiple refuses, since the
+            entry host has another pool to ask. 0 if it has none.
         avoid: A backend server that should not run it; "" if none.
     """
 
@@ -55,6 +58,7 @@
     chat: int
     workspace: int
     target_ms: int
+    fleet_load: int = 0
     avoid: str = ""
 
 
