--- a/oleanderpier/placement/__init__.py
+++ b/oleanderpier/placement/__init__.py
@@ -7,6 +7,7 @@
 
 from oleanderpier.placement.admission import *  # noqa: F403
 from oleanderpier.placement.affinity import *  # noqa: F403
+from oleanderpier.placement.asks import *  # noqa: F403
 from oleanderpier.placement.client import *  # noqa: F403
 from oleanderpier.placement.loads import *  # noqa: F403
 from oleanderpier.placement.messages import *  # noqa: F403
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -46,7 +46,7 @@
 MAX_LOAD_PERCENT = 1_000
 
 
-class HeldPermit(NamedTuple):
+class GrantedPermit(NamedTuple):
     """A permit as its owner counts it."""
 
     backend_server: str
@@ -82,7 +82,7 @@
         self._answer = answer
         self._queue = FairQueue()
         self._order = count()
-        self._permits: dict[str, dict[int, HeldPermit]] = {}
+        self._permits: dict[str, dict[int, GrantedPermit]] = {}
         self._renewed_s: dict[str, float] = {}
         self._workspaces: Counter[int] = Counter()
         self._mean_hold_s: float | None = None
@@ -222,7 +222,7 @@
             for_s=round(until_s - now, 3),
         )
 
-    def list_permits(self) -> Iterator[tuple[str, int, HeldPermit]]:
+    def list_permits(self) -> Iterator[tuple[str, int, GrantedPermit]]:
         """Yield the entry host, number and record of every permit."""
         for host, held in self._permits.items():
             for number, permit in held.items():
@@ -357,7 +357,7 @@
         ask, sender = waiting.ask, waiting.sender
         server = self._choose_server(ask, taking)
         now = self._timers.now()
-        permit = HeldPermit(server, ask.chat, ask.workspace, now)
+        permit = GrantedPermit(server, ask.chat, ask.workspace, now)
         self._add_permit(sender, ask.number, permit)
         if ask.chat:
             self.homes.record(ask.chat, server)
@@ -382,7 +382,7 @@
         percent = 100 * (in_flight + len(self._queue)) // slots
         return min(MAX_LOAD_PERCENT, percent)
 
-    def _add_permit(self, host: str, number: int, permit: HeldPermit) -> None:
+    def _add_permit(self, host: str, number: int, permit: GrantedPermit) -> None:
         self._drop_permit(host, number)
         held = self._permits.setdefault(host, {})
         if not held:
@@ -391,7 +391,7 @@
         self._workspaces[permit.workspace] += 1
         self.loads.add(permit.backend_server)
 
-    def _drop_permit(self, host: str, number: int) -> HeldPermit | None:
+    def _drop_permit(self, host: str, number: int) -> GrantedPermit | None:
         permit = self._permits.get(host, {}).pop(number, None)
         if permit is None:
             return None
@@ -407,7 +407,7 @@
             return
         now = self._timers.now()
         server, chat = holding.backend_server, holding.chat
-        permit = HeldPermit(server, chat, holding.workspace, now)
+        permit = GrantedPermit(server, chat, holding.workspace, now)
         self._add_permit(host, holding.number, permit)
         if chat and not self.homes.find(chat):
             self.homes.record(chat, server)
@@ -427,12 +427,12 @@
             self._mean_hold_s = hold_s
         self._mean_hold_s += HOLD_TIME_WEIGHT * (hold_s - self._mean_hold_s)
 
-    def _note_success(self, permit: HeldPermit) -> None:
+    def _note_success(self, permit: GrantedPermit) -> None:
         load = self.loads.servers.get(permit.backend_server)
         if load is not None and permit.granted_s >= load.avoided_until_s:
             load.failures = 0
 
-    def _note_failure(self, permit: HeldPermit) -> None:
+    def _note_failure(self, permit: GrantedPermit) -> None:
         load = self.loads.servers.get(permit.backend_server)
         if load is not None and permit.granted_s >= load.avoided_until_s:
             self.note_failure(permit.backend_server)
--- a/oleanderpier/placement/placement.py
+++ b/oleanderpier/placement/placement.py
@@ -9,7 +9,8 @@
 
 from oleanderpier.configuration import BackendServer, ConfigurationDocument, WorkClass
 from oleanderpier.placement.admission import Admission
-from oleanderpier.placement.client import Notify, PermitClient
+from oleanderpier.placement.asks import Notify
+from oleanderpier.placement.client import PermitClient
 from oleanderpier.placement.loads import DEFAULT_LOAD_MULTIPLE
 from oleanderpier.placement.messages import (
     Ask,
--- a/oleanderpier/placement/tests/test_placement.py
+++ b/oleanderpier/placement/tests/test_placement.py
@@ -5,12 +5,21 @@
 from testtools import TestCase
 
 import oleanderpier.placement.placement as placement_module
-from oleanderpier.placement import Admission, Holdings, Outcome, PermitRequest, Renewal
+from oleanderpier.placement import (
+    Admission,
+    FleetLoad,
+    Holdings,
+    Outcome,
+    PermitRequest,
+    Renewal,
+    Topology,
+)
 from oleanderpier.placement.tests.fleet import Fleet, make_server
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import rank_candidates
 
 SLOTS = 16
+LOAD_MULTIPLE = 1.25
 DETECTION_S = 3.0
 
 
@@ -272,6 +281,36 @@
         fleet.timers.advance(10.0)
         return ([fleet.results[r] for r in names] for names in requests.values())
 
+    def test_fuller_pool_passes_requests_on(self):
+        """A pool above the fleet's mean sends chats elsewhere, if they can."""
+        self.assertTrue(self._crowd_one_pool() <= LOAD_MULTIPLE)
+
+    def test_pools_that_do_not_know_the_fleet(self):
+        """Without the fleet's mean the same chats fill up their pool."""
+        self.patch(FleetLoad, "get_percent", lambda fleet_load: 0)
+        self.assertTrue(self._crowd_one_pool() > LOAD_MULTIPLE)
+
+    def _crowd_one_pool(self):
+        """Return a pool's load to the mean, when its chats are twice as many."""
+        fleet = Fleet()
+        domains = [f"d{i % 4}" for i in range(48)]
+        servers = [make_server(f"e{i}", 32, domain=d) for i, d in enumerate(domains)]
+        fleet.tell_servers(servers)
+        fleet.timers.advance(1.0)
+        topology = Topology(servers)
+        crowded = topology.find_pool(servers[0]["name"])
+        for number in range(1600):
+            chat = f"c{number}"
+            home = topology.rank_pools("engine", "model", chat)[0]
+            if home.number != crowded.number and number % 2:
+                continue
+            fleet.ask(fleet.names[number % 4], chat, hold_s=60.0)
+            fleet.timers.advance(0.005)
+        fleet.timers.advance(0.1)
+        names = [server["name"] for server in crowded.servers]
+        inside = sum(fleet.running[name] for name in names) / len(names)
+        return inside / (sum(fleet.running.values()) / len(servers))
+
     def test_permits_follow_a_server_to_its_new_pool(self):
         """When the list divides anew, the new owners count what runs."""
         fleet = Fleet()
