--- a/bench/placement/__main__.py
+++ b/bench/placement/__main__.py
@@ -5,6 +5,7 @@
 import click
 
 from bench.placement import FLEET, ROUTERS, USERS, Report, run_scenario
+from bench.placement.cost import measure_cost
 
 SIZES = {"users": USERS, "fleet": FLEET}
 FLEET_ROUTERS = ("random", "two choices", "all-knowing", "pool owners")
@@ -16,15 +17,20 @@
 @click.option("--router", "routers", type=click.Choice(list(ROUTERS)), multiple=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--owner-killed-s", type=float, help="When the first pool's owner dies.")
+@click.option("--cost", is_flag=True, help="Measure processor time only.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON for programs.")
 def main(
     size: str,
     routers: tuple[str, ...],
     seed: int,
     owner_killed_s: float | None,
+    cost: bool,
     as_json: bool,
 ) -> None:
     """Compare routers on one seeded workload."""
+    if cost:
+        _print_cost()
+        return
     scenario = SIZES[size]._replace(seed=seed, owner_killed_s=owner_killed_s)
     default = tuple(ROUTERS) if size == "users" else FLEET_ROUTERS
     reports = [run_scenario(scenario, name) for name in routers or default]
@@ -35,6 +41,13 @@
     _print_table(reports)
 
 
+def _print_cost() -> None:
+    cost = measure_cost()
+    ratio = cost.routed_us / cost.ranking_us
+    click.echo(f"routed request     {cost.routed_us:.0f} us on both hosts together")
+    click.echo(f"ranking 9 engines  {cost.ranking_us:.1f} us, ratio {ratio:.1f}")
+
+
 def _print_table(reports: list[Report]) -> None:
     known = {report.router: report for report in reports}.get("all-knowing")
     rows = [_describe_report(report, known) for report in reports]
