--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -26,7 +26,7 @@
     Renewal,
 )
 from oleanderpier.placement.pools import Pool
-from oleanderpier.placement.queues import FairQueue, Waiting
+from oleanderpier.placement.queues import QUEUE_PART_OF_TARGET, FairQueue, Waiting
 from oleanderpier.results import Code
 from oleanderpier.utils import Timers, rank_candidates
 
@@ -39,7 +39,6 @@
 SETTLE_S = 1.0
 TICK_S = 0.5
 PAUSE_S = 2.0
-QUEUE_PART_OF_TARGET = 0.5
 LOOKAHEAD = 8
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
--- a/oleanderpier/placement/client.py
+++ b/oleanderpier/placement/client.py
@@ -28,6 +28,7 @@
 )
 from oleanderpier.placement.owners import OwnerChange, OwnerTable
 from oleanderpier.placement.pools import Pool, Topology
+from oleanderpier.placement.queues import QUEUE_PART_OF_TARGET
 from oleanderpier.placement.records import Outcome, Permit, PermitRequest
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import Timers, hash_text, rank_candidates
@@ -35,6 +36,7 @@
 __all__ = ["PermitClient"]
 
 ASK_TIMEOUT_S = 0.5
+ANSWER_MARGIN_S = 0.1
 RENEWAL_S = 5.0
 SHARE_HOLD_S = 2.0
 SHARE_RETRY_AFTER_S = 1.0
@@ -196,7 +198,10 @@
             return
         pending.timer.cancel()
         left_s = max(0.0, pending.deadline_s - self._timers.now())
-        pending.timer = self._timers.call_later(left_s, lambda: self._expire(pending))
+        answer_s = min(left_s, QUEUE_PART_OF_TARGET * left_s + ANSWER_MARGIN_S)
+        pending.timer = self._timers.call_later(
+            answer_s, lambda: self._ask_another(pending)
+        )
 
     @handle.register
     def _handle_not_owner(self, message: NotOwner, sender: str) -> None:
--- a/oleanderpier/placement/queues.py
+++ b/oleanderpier/placement/queues.py
@@ -13,7 +13,9 @@
 
 from oleanderpier.placement.messages import Ask
 
-__all__ = ["FairQueue", "Waiting"]
+__all__ = ["QUEUE_PART_OF_TARGET", "FairQueue", "Waiting"]
+
+QUEUE_PART_OF_TARGET = 0.5
 
 
 class Waiting(NamedTuple):
