Keep counting the permits of hosts that are leaving

Cause: a leaving host owns nothing, and leaving it out of the live hosts dropped the permits of the streams that it finishes. Change: update_hosts takes the leaving ones apart; a drained owner is in the fault table. A refusal's code is checked on arrival.

--- a/oleanderpier/placement/client.py
+++ b/oleanderpier/placement/client.py
@@ -185,11 +185,11 @@
         if pending is None:
             return
         self._fleet_loads[pending.pools[0].provides].note(message.load)
-        code = Code(message.code)
-        if code is not Code.WORKSPACE_OVER_SHARE and len(pending.pools) > 1:
+        over_share = message.code is Code.WORKSPACE_OVER_SHARE
+        if len(pending.pools) > 1 and not over_share:
             self._try_next_pool(pending)
             return
-        self._fail(pending, code, message.retry_after_ms / 1000)
+        self._fail(pending, message.code, message.retry_after_ms / 1000)
 
     @handle.register
     def _handle_queued(self, message: Queued, sender: str) -> None:
--- a/oleanderpier/placement/messages.py
+++ b/oleanderpier/placement/messages.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from oleanderpier.results import Code
 from oleanderpier.utils import hash_text, register_message
 
 __all__ = [
@@ -89,7 +90,7 @@
     """
 
     number: int
-    code: int
+    code: Code
     retry_after_ms: int
     load: int
 
--- a/oleanderpier/placement/placement.py
+++ b/oleanderpier/placement/placement.py
@@ -89,6 +89,7 @@
             host, timers, rng, self._send, self._owners, on_migrate
         )
         self._classes: dict[str, WorkClass] = {}
+        self._alive: frozenset[str] = frozenset()
         self._inbox: list[Any] = []
 
     def request(self, request: PermitRequest, notify: Notify) -> None:
@@ -107,12 +108,18 @@
         """Return the permits that this host holds."""
         return self._client.list_held()
 
-    def update_hosts(self, alive: Iterable[str]) -> None:
-        """Take the names of the hosts that are alive and not leaving."""
-        hosts = list(alive)
-        changes = self._owners.update(self._topology.pools, hosts)
+    def update_hosts(self, alive: Iterable[str], leaving: Iterable[str] = ()) -> None:
+        """Take the names of the live hosts.
+
+        Args:
+            alive: Hosts whose permits count, also those that are leaving.
+            leaving: Hosts that finish what they have and own no pool.
+        """
+        self._alive = frozenset(alive)
+        owners = self._alive.difference(leaving)
+        changes = self._owners.update(self._topology.pools, owners)
         for admission in self._admissions.values():
-            admission.update_hosts(hosts)
+            admission.update_hosts(self._alive)
         self._open_admissions(changes)
         self._close_admissions(changes)
         self._client.update_owners(changes)
@@ -245,8 +252,7 @@
 
     def _open_admission(self, change: OwnerChange) -> None:
         pool = self._topology.pools[change.pool]
-        hosts = self._owners.hosts
-        admission = Admission(pool, hosts, self._timers, self._send)
+        admission = Admission(pool, self._alive, self._timers, self._send)
         admission.update_load_multiple(self._load_multiple)
         self._admissions[change.pool] = admission
         log_message("placement:owner_changed", pool=pool.name, before=change.before)
--- a/oleanderpier/placement/tests/fleet.py
+++ b/oleanderpier/placement/tests/fleet.py
@@ -181,10 +181,10 @@
         if name in self.placements:
             self.placements[name].update_hosts(alive)
 
-    def tell_all_hosts(self, alive):
+    def tell_all_hosts(self, alive, leaving=()):
         """Have all hosts believe that just some hosts are alive."""
         for name in list(self.placements):
-            self.tell_hosts(name, alive)
+            self.placements[name].update_hosts(alive, leaving)
 
     def tell_servers(self, servers, names=None):
         """Publish a list of servers to some hosts."""
--- a/oleanderpier/placement/tests/test_placement.py
+++ b/oleanderpier/placement/tests/test_placement.py
@@ -61,6 +61,14 @@
     fleet.tell_all_hosts(fleet.names)
 
 
+def drain_owner(fleet):
+    """The owner is leaving, and finishes what it has."""
+    owner = fleet.find_owners()[0]
+    fleet.tell_all_hosts(fleet.names, leaving=[owner])
+    fleet.load(33, 5.0)
+    fleet.tell_all_hosts(fleet.names)
+
+
 def split_views(fleet):
     """Two hosts think that they own the pool, for five seconds."""
     owner = fleet.find_owners()[0]
@@ -140,6 +148,7 @@
     (kill_owner, 2.0),
     (restart_owner, 1.0),
     (join_host, 1.0),
+    (drain_owner, 1.0),
     (split_views, 2.0),
     (cut_owner, 2.0),
     (kill_entry_host, 1.0),
