Hold a chat's ask back for a moment for its server

Cause: a chat whose server is at the bound moved at once; a release there is usually a few tens of milliseconds away, and its prefix is worth more. Change: an ask waits a twentieth of its target, at most 0.25 s, while other servers have free slots. Below a mean of 8 three more are allowed in place of one, since a second returning chat was turned away from an idle server.

--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -39,6 +39,8 @@
 SETTLE_S = 1.0
 TICK_S = 0.5
 PAUSE_S = 2.0
+HOME_PART_OF_TARGET = 0.05
+HOME_WAIT_S = 0.25
 LOOKAHEAD = 8
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
@@ -81,6 +83,7 @@
         self._answer = answer
         self._queue = FairQueue()
         self._order = count()
+        self._held_back: dict[int, Waiting] = {}
         self._permits: dict[str, dict[int, GrantedPermit]] = {}
         self._renewed_s: dict[str, float] = {}
         self._workspaces: Counter[int] = Counter()
@@ -96,9 +99,10 @@
     def close(self, owner: str) -> None:
         """End the ownership; asks that wait are sent to the next owner."""
         self._ticks.cancel()
-        for waiting in self._queue:
+        for waiting in [*self._queue, *self._held_back.values()]:
             self._queue.remove(waiting)
             self._answer(waiting.sender, NotOwner(waiting.ask.number, owner))
+        self._held_back.clear()
 
     def begin_grace(self) -> None:
         """Ask every host what it holds, and admit nothing for a while."""
@@ -140,8 +144,15 @@
         now = self._timers.now()
         patience_s = message.target_ms / 1000 * QUEUE_PART_OF_TARGET
         waiting = Waiting(now + patience_s, next(self._order), sender, message)
+        self._admit(waiting)
+
+    def _admit(self, waiting: Waiting, may_wait: bool = True) -> None:
+        message = waiting.ask
+        now = self._timers.now()
         if now >= self._open_s and not self._queue:
             taking = self.loads.find_open(now)
+            if may_wait and self._wait_for_home(waiting, taking):
+                return
             taking = self.loads.keep_below(taking, message.fleet_load / 100)
             if not taking and message.fleet_load:
                 self._pass_on(waiting)
@@ -301,6 +312,7 @@
 
     def _serve(self) -> None:
         """Grant whatever the servers may take, and keep them to the bound."""
+        self._grant_homes()
         self._grant_waiting()
         if self.pool.kind == "engine" and self.is_open():
             excess = self.loads.find_excess(self._timers.now())
@@ -328,6 +340,36 @@
             elif asked_s is not None and now - asked_s < MIGRATION_S:
                 over -= 1
 
+    def _wait_for_home(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> bool:
+        """Hold an ask back for a moment if only other servers may take it.
+
+        Returns:
+            Whether it is held back.
+        """
+        ask = waiting.ask
+        homes = self.homes.find(ask.chat)
+        if not homes or not taking or ask.avoid:
+            return False
+        if any(home in taking for home in homes):
+            return False
+        wait_s = min(HOME_WAIT_S, ask.target_ms / 1000 * HOME_PART_OF_TARGET)
+        self._held_back[waiting.order] = waiting
+        self._timers.call_later(wait_s, lambda: self._stop_waiting(waiting))
+        return True
+
+    def _stop_waiting(self, waiting: Waiting) -> None:
+        if self._held_back.pop(waiting.order, None) is not None:
+            self._admit(waiting, may_wait=False)
+
+    def _grant_homes(self) -> None:
+        """Grant what was held back for a server that may take it now."""
+        for waiting in list(self._held_back.values()):
+            taking = self.loads.find_open(self._timers.now())
+            homes = self.homes.find(waiting.ask.chat)
+            if self.is_open() and any(home in taking for home in homes):
+                del self._held_back[waiting.order]
+                self._grant(waiting, taking)
+
     def _grant_waiting(self) -> None:
         now = self._timers.now()
         while self._queue and now >= self._open_s:
@@ -417,9 +459,10 @@
         for number in list(self._permits.get(host, {})):
             self._drop_permit(host, number)
         self._permits.pop(host, None)
-        for waiting in self._queue:
+        for waiting in [*self._queue, *self._held_back.values()]:
             if waiting.sender == host:
                 self._queue.remove(waiting)
+                self._held_back.pop(waiting.order, None)
 
     def _note_hold_time(self, hold_s: float) -> None:
         if self._mean_hold_s is None:
--- a/oleanderpier/placement/loads.py
+++ b/oleanderpier/placement/loads.py
@@ -2,7 +2,8 @@
 
 The bound: while the mean is at least BOUND_MEAN requests a server, none is
 given more than ``load_multiple * mean``, where the mean is taken before the new
-request; below that one more is allowed, up to what holds at BOUND_MEAN. A
+request; below that LOW_MEAN_EXTRA more are allowed, up to what holds at
+BOUND_MEAN, so that chats find their server while there is room everywhere. A
 server's mean is in proportion to its slots, so that a small one is not
 overrun; for servers of one size it is the plain mean. The least filled server
 may always take one more: the bound alone never stops a pool with free slots.
@@ -16,6 +17,7 @@
 __all__ = ["BOUND_MEAN", "PoolLoads", "ServerLoad", "limit_server"]
 
 BOUND_MEAN = 8.0
+LOW_MEAN_EXTRA = 3
 ROUNDING = 1e-9
 DEFAULT_LOAD_MULTIPLE = 1.25
 RAMP_S = 10.0
@@ -217,9 +219,11 @@
 
     Examples:
         >>> [limit_server(mean, 8.0, 1.25) for mean in (1.0, 7.9, 8.0, 12.0)]
-        [2, 10, 10, 15]
+        [4, 10, 10, 15]
     """
     limit = math.floor(load_multiple * mean + ROUNDING)
     if mean < bound_mean:
-        limit = min(limit + 1, math.floor(load_multiple * bound_mean + ROUNDING))
+        limit = min(
+            limit + LOW_MEAN_EXTRA, math.floor(load_multiple * bound_mean + ROUNDING)
+        )
     return max(limit, math.floor(mean + ROUNDING) + 1)
