--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -26,7 +26,7 @@
     Renewal,
 )
 from oleanderpier.placement.pools import Pool
-from oleanderpier.placement.queues import FairQueue, Waiting
+from oleanderpier.placement.queues import QUEUE_PART_OF_TARGET, FairQueue, Waiting
 from oleanderpier.results import Code
 from oleanderpier.utils import Timers, rank_candidates
 
@@ -39,14 +39,15 @@
 SETTLE_S = 1.0
 TICK_S = 0.5
 PAUSE_S = 2.0
-QUEUE_PART_OF_TARGET = 0.5
+HOME_PART_OF_TARGET = 0.05
+HOME_WAIT_S = 0.25
 LOOKAHEAD = 8
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
 MAX_LOAD_PERCENT = 1_000
 
 
-class HeldPermit(NamedTuple):
+class GrantedPermit(NamedTuple):
     """A permit as its owner counts it."""
 
     backend_server: str
@@ -82,7 +83,8 @@
         self._answer = answer
         self._queue = FairQueue()
         self._order = count()
-        self._permits: dict[str, dict[int, HeldPermit]] = {}
+        self._held_back: dict[int, Waiting] = {}
+        self._permits: dict[str, dict[int, GrantedPermit]] = {}
         self._renewed_s: dict[str, float] = {}
         self._workspaces: Counter[int] = Counter()
         self._mean_hold_s: float | None = None
@@ -97,9 +99,10 @@
     def close(self, owner: str) -> None:
         """End the ownership; asks that wait are sent to the next owner."""
         self._ticks.cancel()
-        for waiting in self._queue:
+        for waiting in [*self._queue, *self._held_back.values()]:
             self._queue.remove(waiting)
             self._answer(waiting.sender, NotOwner(waiting.ask.number, owner))
+        self._held_back.clear()
 
     def begin_grace(self) -> None:
         """Ask every host what it holds, and admit nothing for a while."""
@@ -141,8 +144,19 @@
         now = self._timers.now()
         patience_s = message.target_ms / 1000 * QUEUE_PART_OF_TARGET
         waiting = Waiting(now + patience_s, next(self._order), sender, message)
+        self._admit(waiting)
+
+    def _admit(self, waiting: Waiting, may_wait: bool = True) -> None:
+        message = waiting.ask
+        now = self._timers.now()
         if now >= self._open_s and not self._queue:
             taking = self.loads.find_open(now)
+            if may_wait and self._wait_for_home(waiting, taking):
+                return
+            taking = self.loads.keep_below(taking, message.fleet_load / 100)
+            if not taking and message.fleet_load:
+                self._pass_on(waiting)
+                return
             if taking:
                 self._grant(waiting, taking)
                 return
@@ -218,7 +232,7 @@
             for_s=round(until_s - now, 3),
         )
 
-    def list_permits(self) -> Iterator[tuple[str, int, HeldPermit]]:
+    def list_permits(self) -> Iterator[tuple[str, int, GrantedPermit]]:
         """Yield the entry host, number and record of every permit."""
         for host, held in self._permits.items():
             for number, permit in held.items():
@@ -261,6 +275,12 @@
             waiting.sender, Refusal(number, code, retry_ms, self._measure_load())
         )
 
+    def _pass_on(self, waiting: Waiting) -> None:
+        """Refuse what the entry host has a less loaded pool for."""
+        retry_ms = round(MIN_RETRY_AFTER_S * 1000)
+        load, code = self._measure_load(), Code.TARGET_UNREACHABLE
+        self._answer(waiting.sender, Refusal(waiting.ask.number, code, retry_ms, load))
+
     def _is_over_share(self, workspace: int) -> bool:
         """Return whether a workspace has more than its part while others wait."""
         slots, _ = self.loads.sum_usable(self._timers.now())
@@ -292,6 +312,7 @@
 
     def _serve(self) -> None:
         """Grant whatever the servers may take, and keep them to the bound."""
+        self._grant_homes()
         self._grant_waiting()
         if self.pool.kind == "engine" and self.is_open():
             excess = self.loads.find_excess(self._timers.now())
@@ -319,6 +340,36 @@
             elif asked_s is not None and now - asked_s < MIGRATION_S:
                 over -= 1
 
+    def _wait_for_home(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> bool:
+        """Hold an ask back for a moment if only other servers may take it.
+
+        Returns:
+            Whether it is held back.
+        """
+        ask = waiting.ask
+        homes = self.homes.find(ask.chat)
+        if not homes or not taking or ask.avoid:
+            return False
+        if any(home in taking for home in homes):
+            return False
+        wait_s = min(HOME_WAIT_S, ask.target_ms / 1000 * HOME_PART_OF_TARGET)
+        self._held_back[waiting.order] = waiting
+        self._timers.call_later(wait_s, lambda: self._stop_waiting(waiting))
+        return True
+
+    def _stop_waiting(self, waiting: Waiting) -> None:
+        if self._held_back.pop(waiting.order, None) is not None:
+            self._admit(waiting, may_wait=False)
+
+    def _grant_homes(self) -> None:
+        """Grant what was held back for a server that may take it now."""
+        for waiting in list(self._held_back.values()):
+            taking = self.loads.find_open(self._timers.now())
+            homes = self.homes.find(waiting.ask.chat)
+            if self.is_open() and any(home in taking for home in homes):
+                del self._held_back[waiting.order]
+                self._grant(waiting, taking)
+
     def _grant_waiting(self) -> None:
         now = self._timers.now()
         while self._queue and now >= self._open_s:
@@ -347,7 +398,7 @@
         ask, sender = waiting.ask, waiting.sender
         server = self._choose_server(ask, taking)
         now = self._timers.now()
-        permit = HeldPermit(server, ask.chat, ask.workspace, now)
+        permit = GrantedPermit(server, ask.chat, ask.workspace, now)
         self._add_permit(sender, ask.number, permit)
         if ask.chat:
             self.homes.record(ask.chat, server)
@@ -372,7 +423,7 @@
         percent = 100 * (in_flight + len(self._queue)) // slots
         return min(MAX_LOAD_PERCENT, percent)
 
-    def _add_permit(self, host: str, number: int, permit: HeldPermit) -> None:
+    def _add_permit(self, host: str, number: int, permit: GrantedPermit) -> None:
         self._drop_permit(host, number)
         held = self._permits.setdefault(host, {})
         if not held:
@@ -381,7 +432,7 @@
         self._workspaces[permit.workspace] += 1
         self.loads.add(permit.backend_server)
 
-    def _drop_permit(self, host: str, number: int) -> HeldPermit | None:
+    def _drop_permit(self, host: str, number: int) -> GrantedPermit | None:
         permit = self._permits.get(host, {}).pop(number, None)
         if permit is None:
             return None
@@ -397,7 +448,7 @@
             return
         now = self._timers.now()
         server, chat = holding.backend_server, holding.chat
-        permit = HeldPermit(server, chat, holding.workspace, now)
+        permit = GrantedPermit(server, chat, holding.workspace, now)
         self._add_permit(host, holding.number, permit)
         if chat and not self.homes.find(chat):
             self.homes.record(chat, server)
@@ -408,21 +459,22 @@
         for number in list(self._permits.get(host, {})):
             self._drop_permit(host, number)
         self._permits.pop(host, None)
-        for waiting in self._queue:
+        for waiting in [*self._queue, *self._held_back.values()]:
             if waiting.sender == host:
                 self._queue.remove(waiting)
+                self._held_back.pop(waiting.order, None)
 
     def _note_hold_time(self, hold_s: float) -> None:
         if self._mean_hold_s is None:
             self._mean_hold_s = hold_s
         self._mean_hold_s += HOLD_TIME_WEIGHT * (hold_s - self._mean_hold_s)
 
-    def _note_success(self, permit: HeldPermit) -> None:
+    def _note_success(self, permit: GrantedPermit) -> None:
         load = self.loads.servers.get(permit.backend_server)
         if load is not None and permit.granted_s >= load.avoided_until_s:
             load.failures = 0
 
-    def _note_failure(self, permit: HeldPermit) -> None:
+    def _note_failure(self, permit: GrantedPermit) -> None:
         load = self.loads.servers.get(permit.backend_server)
         if load is not None and permit.granted_s >= load.avoided_until_s:
             self.note_failure(permit.backend_server)
