Split the table and the suspicions from members; take a life only with its fact

Ruled out: marking the host alive from a ping's header alone. Change: a higher life than known is asked for as a whole fact; a clock set back over a restart still counts as a new process.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -99,17 +99,16 @@
         summary = Summary()
         digest = self.documents[0].digest
         for host in self.hosts:
-            fact = host.parts["members"]._facts[host.name]
+            fact = host.parts["members"]._own
             fact = fact._replace(list_version=1, list_digest=digest)
             facts[host.name] = fact
             summary.replace(host.name, None, fact.life)
         for index, host in enumerate(self.hosts):
             members = host.parts["members"]
             members._ticks = 100 + index
-            members._facts = dict(facts)
-            members._alive = None
-            members._summary._hashes = summary.list_hashes()
+            members._table.load(facts, summary)
             members._rumours.take(1, 1)
+            members._own = facts[host.name]
             members._started_s = -DAY_S
             host.parts["duty"]._is_stale = True
 
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -30,7 +30,8 @@
     TableSummary,
 )
 from oleanderpier.membership.rumours import RumourQueue, count_tellings
-from oleanderpier.membership.summaries import Summary, find_bucket
+from oleanderpier.membership.suspicions import Suspicions
+from oleanderpier.membership.table import PRESENT_STATES, MemberTable
 from oleanderpier.utils import Outbox, Timers
 
 __all__ = ["MemberCard", "Members"]
@@ -40,21 +41,15 @@
 LATE_S = 0.5
 LONG_PAUSE_S = 5.0
 INDIRECT_PROBES = 3
-SUSPECT_PERIODS = 3.0
-SUSPECT_MAX_MULTIPLE = 3.0
-CONFIRMATIONS = 3
 MAX_LATENESS_LEVEL = 8
 FACTS_A_MESSAGE = 16
 REJOIN_PERIODS = 5
 SYNC_PERIODS = 30
 YOUNG_PERIODS = 30
 FACTS_A_SYNC = 64
-FORGET_S = 600.0
 ANNOUNCE_S = 60.0
 LEAVE_FAN_OUT = 8
 
-_PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
-
 
 class MemberCard(NamedTuple):
     """Where a host is to be found.
@@ -85,33 +80,6 @@
         self.deadline_s = deadline_s
 
 
-class Suspicion:
-    """A suspect host's time to refute, which shrinks with each accuser.
-
-    Attributes:
-        began_s: When the host became suspect, on the monotonic clock.
-        accusers: Which hosts suspect it.
-    """
-
-    def __init__(self, began_s: float, accuser: str):
-        self.began_s = began_s
-        self.accusers = {accuser}
-
-    def find_deadline(self, hosts: int, lateness_level: int) -> float:
-        """Return when the host is dead, on the monotonic clock.
-
-        Args:
-            hosts: How many hosts there are.
-            lateness_level: How late this host itself is.
-        """
-        shortest = SUSPECT_PERIODS * PERIOD_S * max(1.0, math.log10(max(1, hosts)))
-        longest = shortest * SUSPECT_MAX_MULTIPLE
-        wanted = max(1, min(CONFIRMATIONS, hosts - 2))
-        share = math.log(len(self.accusers)) / math.log(wanted + 1)
-        timeout = max(shortest, longest - (longest - shortest) * share)
-        return self.began_s + timeout * (1 + max(0, lateness_level - 1) / 2)
-
-
 class Members:
     """What this host knows of the others' state.
 
@@ -142,17 +110,14 @@
         self._generator = generator
         self._outbox = outbox
         self._started_s = timers.now()
-        self._facts: dict[str, MemberFact] = {}
-        self._gone_s: dict[str, float] = {}
-        self._suspicions: dict[str, Suspicion] = {}
+        self._table = MemberTable(timers)
+        self._suspicions = Suspicions(timers)
         self._listed: set[str] = set()
         self._urgent: RumourQueue[MemberFact] = RumourQueue()
         self._rumours: RumourQueue[MemberFact] = RumourQueue()
-        self._summary = Summary()
         self._adoptions = Adoptions(card.host, timers)
         self._callbacks: list[Callable[[str, MemberState], None]] = []
         self._contact_callbacks: list[Callable[[str], None]] = []
-        self._alive: list[str] | None = None
         self._heard: set[str] = set()
         self._probe: Probe | None = None
         self._relayed: dict[int, tuple[str, int]] = {}
@@ -162,11 +127,11 @@
         self._ticks = 0
         self._last_tick_s = timers.now()
         self.host = card.host
-        own = MemberFact(
+        self._own = MemberFact(
             card.host, MemberState.ALIVE, int(timers.wall()), 0, 0, "", *card[1:]
         )
-        self._store(own)
-        self._rumours.add(own.host, own)
+        self._store(self._own)
+        self._rumours.add(card.host, self._own)
         for seed in seeds:
             self._presume(seed)
 
@@ -181,26 +146,23 @@
 
         Suspect hosts are among them, until they are found dead.
         """
-        if self._alive is None:
-            facts = self._facts.values()
-            self._alive = [fact.host for fact in facts if fact.state in _PRESENT]
-        return list(self._alive)
+        return list(self._table.list_alive())
 
     def find_state(self, host: str) -> MemberState | None:
         """Return a host's state, or None if it is not known."""
-        fact = self._facts.get(host)
+        fact = self._table.get(host)
         return fact.state if fact else None
 
     def find_card(self, host: str) -> MemberCard | None:
         """Return where a host is to be found, or None if it is not known."""
-        fact = self._facts.get(host)
+        fact = self._table.get(host)
         if fact is None or fact.peer_port == 0:
             return None
         return MemberCard(fact.host, fact.failure_domain, fact.address, fact.peer_port)
 
     def find_domain(self, host: str) -> str | None:
         """Return a host's failure domain, or None if it is not known."""
-        fact = self._facts.get(host)
+        fact = self._table.get(host)
         return fact.failure_domain if fact else None
 
     def find_started(self, host: str) -> int | None:
@@ -208,7 +170,7 @@
 
         None if it is not known; 0 if the host was never heard of, only listed.
         """
-        fact = self._facts.get(host)
+        fact = self._table.get(host)
         return fact.started if fact else None
 
     def find_adoption(self, host: str, list_version: int) -> float | None:
@@ -261,7 +223,7 @@
                 )
             )
         self._adoptions.adopt(published)
-        own = self._facts[self.host]
+        own = self._own
         young = self._timers.now() - self._started_s < ANNOUNCE_S
         if young or own.list_version == 0:
             self._announce(
@@ -273,7 +235,7 @@
     def leave(self) -> None:
         """Tell the others that this host leaves for good."""
         self._announce(state=MemberState.LEFT)
-        news = MemberFacts([self._facts[self.host]])
+        news = MemberFacts([self._own])
         for host in self.choose_hosts(LEAVE_FAN_OUT):
             self._outbox.send(host, news)
 
@@ -339,7 +301,7 @@
 
     @_receive.register
     def _handle_summary(self, message: TableSummary, sender: str) -> None:
-        buckets = self._summary.list_differences(message.buckets)
+        buckets = self._table.summary.list_differences(message.buckets)
         if not buckets:
             return
         self._outbox.send(sender, TableAsk(buckets))
@@ -348,14 +310,9 @@
 
     @_receive.register
     def _handle_ask(self, message: TableAsk, sender: str) -> None:
-        wanted = set(message.buckets)
-        facts = [
-            fact
-            for fact in self._facts.values()
-            if fact.started and find_bucket(fact.host) in wanted
-        ]
+        facts = self._table.list_facts(message.buckets)
         some = self._generator.sample(facts, min(FACTS_A_SYNC, len(facts)))
-        self._outbox.send(sender, MemberFacts(some))
+        self._outbox.send(sender, MemberFacts([self._own, *some]))
 
     def _begin(self) -> None:
         for host in self.choose_hosts(INDIRECT_PROBES):
@@ -385,8 +342,7 @@
         log_message("membership:late", late_s=round(late_s, 3))
         self._probe = None
         self._raise_lateness(math.ceil(late_s / PERIOD_S))
-        for suspicion in self._suspicions.values():
-            suspicion.began_s += late_s
+        self._suspicions.prolong(late_s)
         if late_s > LONG_PAUSE_S:
             self._sync_table()
 
@@ -400,18 +356,16 @@
             return
         self._probe = None
         self._raise_lateness(1)
-        fact = self._facts.get(probe.target)
-        if fact is not None and fact.state in _PRESENT:
+        fact = self._table.get(probe.target)
+        if fact is not None and fact.state in PRESENT_STATES:
             suspect = fact._replace(state=MemberState.SUSPECT, accuser=self.host)
             self._apply(suspect)
 
     def _judge_suspicions(self) -> None:
-        now_s = self._timers.now()
-        hosts = len(self.list_alive())
-        for host, suspicion in list(self._suspicions.items()):
-            if now_s >= suspicion.find_deadline(hosts, self._lateness_level):
-                fact = self._facts[host]
-                self._apply(fact._replace(state=MemberState.DEAD, accuser=""))
+        hosts = len(self._table.list_alive())
+        for host in self._suspicions.list_expired(hosts, self._lateness_level):
+            fact = self._table.get(host)
+            self._apply(fact._replace(state=MemberState.DEAD, accuser=""))
 
     def _start_probe(self) -> None:
         if self._probe is not None:
@@ -432,7 +386,7 @@
         for _ in range(2):
             while self._walk:
                 host = self._walk.pop()
-                if host != self.host and self.find_state(host) in _PRESENT:
+                if host != self.host and self.find_state(host) in PRESENT_STATES:
                     return host
             self._walk = self.list_alive()
             self._generator.shuffle(self._walk)
@@ -466,17 +420,15 @@
 
     def _ping_gone(self) -> None:
         """Try one host that was found dead, so that partitions heal."""
-        gone = [
-            fact.host for fact in self._facts.values() if fact.state is MemberState.DEAD
-        ]
+        gone = self._table.list_dead()
         if gone:
             self._ping(self._generator.choice(gone))
 
     def _make_news(self, message_class: type, sequence: int) -> Any:
-        tellings = count_tellings(len(self._facts))
+        tellings = count_tellings(len(self._table))
         facts = self._urgent.take(FACTS_A_MESSAGE, tellings)
         facts += self._rumours.take(FACTS_A_MESSAGE - len(facts), tellings)
-        own = self._facts[self.host]
+        own = self._own
         return message_class(
             sequence, own.started, own.incarnation, facts, self._adoptions.export()
         )
@@ -490,19 +442,10 @@
         self._note_life(sender, (message.started, message.incarnation))
 
     def _note_life(self, host: str, life: tuple[int, int]) -> None:
-        """Compare a host's own word with what is known of it."""
-        fact = self._facts.get(host)
-        if fact is None:
-            self._outbox.send(host, TableAsk([find_bucket(host)]))
-        elif life > fact.life and fact.state is not MemberState.LEFT:
-            started, incarnation = life
-            alive = fact._replace(
-                state=MemberState.ALIVE,
-                started=started,
-                incarnation=incarnation,
-                accuser="",
-            )
-            self._apply(alive)
+        """Ask a host for its fact if it is news, and tell it what is held of it."""
+        fact = self._table.get(host)
+        if fact is None or life > fact.life:
+            self._outbox.send(host, TableAsk([]))
         elif fact.state is not MemberState.ALIVE or life < fact.life:
             self._outbox.send(host, MemberFacts([fact]))
 
@@ -517,7 +460,7 @@
         if fact.host == self.host:
             self._refute(fact)
             return
-        known = self._facts.get(fact.host)
+        known = self._table.get(fact.host)
         if known is None or fact.order > known.order:
             self._accept(fact, known)
         elif fact.order == known.order and fact.state is MemberState.SUSPECT:
@@ -525,7 +468,7 @@
 
     def _accept(self, fact: MemberFact, known: MemberFact | None) -> None:
         self._store(fact)
-        if known is not None or fact.state in _PRESENT:
+        if known is not None or fact.state in PRESENT_STATES:
             self._spread(fact, known)
         restarted = known is not None and 0 < known.started < fact.started
         if restarted:
@@ -545,48 +488,42 @@
         (self._rumours if calm else self._urgent).add(fact.host, fact)
 
     def _confirm(self, fact: MemberFact) -> None:
-        suspicion = self._suspicions[fact.host]
-        new = fact.accuser not in suspicion.accusers
-        if new and len(suspicion.accusers) <= CONFIRMATIONS:
-            suspicion.accusers.add(fact.accuser)
+        if self._suspicions.confirm(fact.host, fact.accuser):
             self._urgent.add(fact.host, fact)
 
     def _refute(self, fact: MemberFact) -> None:
-        own = self._facts[self.host]
+        own = self._own
         if fact.order <= own.order:
             return
         if fact.state is MemberState.SUSPECT:
             self._raise_lateness(1)
-        started, incarnation = fact.life
-        self._announce(known=fact, started=started, incarnation=incarnation + 1)
+        if fact.started > own.started:
+            changes = {"started": fact.started + 1, "incarnation": 0}
+        else:
+            changes = {"incarnation": fact.incarnation + 1}
+        self._announce(known=fact, **changes)
 
     def _announce(self, known: MemberFact | None = None, **changes: Any) -> None:
-        own = self._facts[self.host]._replace(**changes)
+        own = self._own._replace(**changes)
         self._store(own)
         self._spread(own, known)
 
     def _presume(self, card: MemberCard) -> None:
         """Take a listed host for alive until probes show otherwise."""
-        known = self._facts.get(card.host)
+        known = self._table.get(card.host)
         if known is None:
             fact = MemberFact(card.host, MemberState.ALIVE, 0, 0, 0, "", *card[1:])
             self._store(fact)
             self._notify(fact)
 
     def _store(self, fact: MemberFact) -> None:
-        known = self._facts.get(fact.host)
-        self._facts[fact.host] = fact
-        self._alive = None
-        if fact.state in _PRESENT:
-            self._gone_s.pop(fact.host, None)
-        else:
-            self._gone_s[fact.host] = self._timers.now()
+        self._table.put(fact)
+        if fact.host == self.host:
+            self._own = fact
         if fact.state is MemberState.SUSPECT:
-            suspicion = Suspicion(self._timers.now(), fact.accuser)
-            self._suspicions[fact.host] = suspicion
+            self._suspicions.begin(fact.host, fact.accuser)
         else:
-            self._suspicions.pop(fact.host, None)
-        self._summary.replace(fact.host, _compare_by(known), _compare_by(fact))
+            self._suspicions.end(fact.host)
 
     def _notify(self, fact: MemberFact) -> None:
         for callback in list(self._callbacks):
@@ -602,7 +539,7 @@
         )
 
     def _send_summary(self, host: str, *, answered: bool) -> None:
-        buckets = self._summary.list_hashes()
+        buckets = self._table.summary.list_hashes()
         self._outbox.send(host, TableSummary(answered, buckets))
 
     def _sync_table(self) -> None:
@@ -610,16 +547,5 @@
             self._send_summary(host, answered=False)
 
     def _forget_gone(self) -> None:
-        """Drop hosts long gone, unless the hosts list still has them."""
-        limit_s = self._timers.now() - FORGET_S
-        for host, gone_s in list(self._gone_s.items()):
-            if gone_s < limit_s and host not in self._listed:
-                del self._facts[host]
-                del self._gone_s[host]
-
-
-def _compare_by(fact: MemberFact | None) -> tuple[int, int] | None:
-    """Return what two hosts' tables have to agree on."""
-    if fact is None or fact.started == 0 or fact.state not in _PRESENT:
-        return None
-    return fact.life
+        for host in self._table.forget_gone(keep=self._listed):
+            self._adoptions.restart(host)
--- a/oleanderpier/membership/messages.py
+++ b/oleanderpier/membership/messages.py
@@ -163,7 +163,7 @@
 
 @register_message(26)
 class TableAsk(NamedTuple):
-    """Asks for all facts of some buckets.
+    """Asks for the receiver's fact of itself, and for facts of some buckets.
 
     Attributes:
         buckets: Indices of buckets.
--- a/oleanderpier/membership/summaries.py
+++ b/oleanderpier/membership/summaries.py
@@ -50,6 +50,12 @@
                 digest = hash_text(f"{name}|{compared}") & HASH_MASK
                 self._hashes[bucket] ^= digest
 
+    def copy(self) -> "Summary":
+        """Return a summary of the same table."""
+        other = Summary()
+        other._hashes = list(self._hashes)
+        return other
+
     def list_hashes(self) -> list[int]:
         """Return the hash of each bucket, 32 bits each."""
         return list(self._hashes)
