Bench: state with eight versions kept, fleets that start at once

Cause: state was measured with one version, and the start of a whole fleet was not. Ruled out: nothing; measurement only. Change: bench/spread.py; calls of flapping watchers tested.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
+
 from oleanderpier.configuration import check_document
 from oleanderpier.configuration.tests.fakes import (
     FakePlatform,
@@ -19,6 +21,7 @@
     list_versions,
     make_server,
     make_value,
+    start_fleet,
 )
 from oleanderpier.membership import MemberState, Outcome, ServerState
 from oleanderpier.membership.summaries import Summary
@@ -33,6 +36,7 @@
 SEED = 1
 LOSS = 0.05
 SIZES = ((8, 3), (64, 3), (512, 10), (1900, 22))
+STARTS = ((8, 3), (64, 3), (256, 10))
 SERVERS = 100
 CHANGES_A_DAY = 31_000
 DAY_S = 86_400.0
@@ -260,21 +264,21 @@
 
 
 def measure_state(report: Report) -> None:
-    """Measure the memory of one host for several sizes of the fleet."""
+    """Measure the memory of one host for several sizes of the fleet.
+
+    It holds eight versions of both lists, and a fact of each host and server.
+    """
     for hosts, servers in ((190, 1000), (950, 5000), (1900, 10_000)):
         cards = make_cards(hosts, 22)
         network = FakeNetwork(SEED)
-        entries = [make_server(i) for i in range(servers)]
-        values = [
-            ("hosts", make_hosts_value(cards, 1)),
-            ("backend_servers", {"version": 1, "backend_servers": entries}),
-        ]
+        versions = [_encode_lists(cards, servers, version) for version in range(1, 9)]
         tracemalloc.start()
-        host = add_host(network, FakePlatform(network), cards[0], cards)
+        host = add_host(network, FakePlatform(network), cards[0], [])
         view = FakeServers(network).add(host)
         host.parts["documents"].subscribe("backend_servers", view.adopt_list)
-        for name, value in values:
-            host.parts["documents"].offer_value(name, value)
+        for lists in versions:
+            for name, data in lists.items():
+                host.parts["documents"].offer_value(name, msgspec.json.decode(data))
         for index in range(servers):
             view.report(f"engine-{index}", Outcome.LEAVING)
         size, peak = tracemalloc.get_traced_memory()
@@ -284,11 +288,49 @@
         report.put(label + ", peak", peak / 2**20, "MB", STATE_BYTES / 2**20)
 
 
+def _encode_lists(cards: list[Any], servers: int, version: int) -> dict[str, bytes]:
+    """Return the JSON of both lists, with one server changed each version."""
+    entries = [make_server(i, slots=version if i == 7 else 64) for i in range(servers)]
+    lists = {
+        "hosts": make_hosts_value(cards, version),
+        "backend_servers": {"version": version, "backend_servers": entries},
+    }
+    return {name: msgspec.json.encode(value) for name, value in lists.items()}
+
+
+def measure_start(report: Report, hosts: int, domains: int) -> None:
+    """Measure a fleet all of whose hosts start at the same time."""
+    network = FakeNetwork(SEED, loss=LOSS)
+    platform = start_fleet(network, make_cards(hosts, domains))
+    deaths: list[str] = []
+    for host in network.hosts.values():
+        host.parts["members"].subscribe(
+            lambda name, state: (
+                deaths.append(name) if state is MemberState.DEAD else None
+            )
+        )
+    ready_s = 0.0
+    while ready_s < 60.0 and not all(
+        host.parts["spread"].is_ready() for host in network.hosts.values()
+    ):
+        network.timers.advance(STEP_S)
+        ready_s += STEP_S
+    network.timers.advance(60.0 - ready_s)
+    label = f"{hosts} hosts start at once: "
+    report.put(label + "all ready", ready_s, "s", 30.0)
+    report.put(label + "running hosts taken for dead", len(deaths), "", 0)
+    rate = network.sent_bytes.total() / 60.0 / hosts
+    report.put(label + "sent", rate, "bytes/s a host", CONTROL_BYTES_S)
+    report.put(label + "platform", platform.calls / 60.0, "calls/s", CALLS_S)
+
+
 def main() -> int:
     """Run all measurements and return the exit status."""
     report = Report()
     measure_baseline(report)
     measure_state(report)
+    for hosts, domains in STARTS:
+        measure_start(report, hosts, domains)
     for hosts, domains in SIZES:
         measure_fleet(report, hosts, domains)
     for label in report.failed:
--- a/oleanderpier/configuration/tests/test_spread.py
+++ b/oleanderpier/configuration/tests/test_spread.py
@@ -237,6 +237,20 @@
             rates.append(fleet.platform.calls / 240.0)
         self.assertLess(rates[1], 3 * rates[0])
 
+    def test_calls_are_bounded_when_watchers_flap(self):
+        """While watchers are replaced every 8 s, calls stay within twice."""
+        fleet = Fleet(hosts=64)
+        fleet.platform.calls = 0
+        fleet.advance(120.0)
+        calm, fleet.platform.calls = fleet.platform.calls, 0
+        for _ in range(15):
+            parts = {name: h.parts for name, h in fleet.network.hosts.items()}
+            name = min(n for n in parts if parts[n]["duty"].is_on())
+            card = parts[name]["members"].find_card(name)
+            add_host(fleet.network, fleet.platform, card, fleet.cards)
+            fleet.advance(8.0)
+        self.assertLessEqual(fleet.platform.calls, 2 * calm)
+
     def test_newcomer_waits(self):
         """An isolated newcomer does not serve by a stale platform at once."""
         fleet = Fleet()
