Work out probe duties only when the hosts present change

Cause: each suspicion made every host group all hosts anew. Ruled out: nothing; a plain saving. Change: the list of present hosts is kept while a suspicion comes and goes.

--- a/oleanderpier/membership/servers.py
+++ b/oleanderpier/membership/servers.py
@@ -160,6 +160,7 @@
         self._choice = ProbeDuties(members.host, domain)
         self._duties: dict[str, bool] = {}
         self._duties_stale = True
+        self._duties_for: tuple[list[str], list[str]] | None = None
         self._rumours: RumourQueue[ServerFact] = RumourQueue()
         self._flush_due = False
         self._recent: dict[str, float] = {}
@@ -481,6 +482,10 @@
     def _take_duties(self) -> None:
         self._duties_stale = False
         servers = list(self._entries or {})
+        alive = self._members.list_alive()
+        if (servers, alive) == self._duties_for:
+            return
+        self._duties_for = (servers, alive)
         self._duties = self._choice.find(servers, self._group_hosts())
         for server in list(self._records):
             if server not in self._duties:
--- a/oleanderpier/membership/table.py
+++ b/oleanderpier/membership/table.py
@@ -37,7 +37,8 @@
         """Replace what is known of a host."""
         known = self._facts.get(fact.host)
         self._facts[fact.host] = fact
-        self._alive = None
+        if _is_present(known) != _is_present(fact):
+            self._alive = None
         if fact.state in PRESENT_STATES:
             self._gone_s.pop(fact.host, None)
         else:
@@ -90,6 +91,10 @@
         return gone
 
 
+def _is_present(fact: MemberFact | None) -> bool:
+    return fact is not None and fact.state in PRESENT_STATES
+
+
 def _compare_by(fact: MemberFact | None) -> tuple[int, int] | None:
     """Return what two hosts' tables have to agree on."""
     if fact is None or fact.started == 0 or fact.state not in PRESENT_STATES:
