Let the hosts list correct seeds that were never heard of

Cause: seeds come without a failure domain and kept it empty until heard. Ruled out: asking for the domain in the settings of seeds. Change: a presumed host takes its card from the list; restart with a clock set back is tested.

--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -515,6 +515,8 @@
             fact = MemberFact(card.host, MemberState.ALIVE, 0, 0, 0, "", *card[1:])
             self._store(fact)
             self._notify(fact)
+        elif known.started == 0 and known[6:9] != card[1:]:
+            self._table.put(known._replace(**card._asdict()))
 
     def _store(self, fact: MemberFact) -> None:
         self._table.put(fact)
--- a/oleanderpier/membership/tests/fakes.py
+++ b/oleanderpier/membership/tests/fakes.py
@@ -31,8 +31,9 @@
 class HostTimers:
     """The timers of one host, which stop while its process is paused."""
 
-    def __init__(self, timers: ManualTimers):
+    def __init__(self, timers: ManualTimers, wall_offset_s: float):
         self.timers = timers
+        self.wall_offset_s = wall_offset_s
         self.paused = False
         self.stopped = False
         self.held: list[Callable[[], None]] = []
@@ -44,7 +45,7 @@
 
     def wall(self) -> float:
         """Return the wall clock in seconds since 1970."""
-        return self.timers.wall()
+        return self.timers.wall() + self.wall_offset_s
 
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Subscription:
         """Call back once, after a delay, or after the pause if that is later."""
@@ -93,7 +94,7 @@
     def __init__(self, network: "FakeNetwork", name: str):
         self.network = network
         self.name = name
-        self.timers = HostTimers(network.timers)
+        self.timers = HostTimers(network.timers, network.wall_offsets_s.get(name, 0.0))
         self.handlers: dict[type, Callable[[str, Any], None]] = {}
         self.parts: dict[str, Any] = {}
 
@@ -120,6 +121,7 @@
     Attributes:
         loss: Which part of the messages is lost.
         cuts: Pairs of sender and receiver between which nothing passes.
+        wall_offsets_s: By how much the wall clock of a host is wrong.
         extra_s: What a slow host takes longer to take in a message.
         sent_bytes: Bytes sent by each class of message.
         sent_counts: Messages sent by each class of message.
@@ -131,6 +133,7 @@
         self.loss = loss
         self.cuts: set[tuple[str, str]] = set()
         self.extra_s: dict[str, float] = {}
+        self.wall_offsets_s: dict[str, float] = {}
         self.hosts: dict[str, FakeHost] = {}
         self.sent_bytes: Counter[str] = Counter()
         self.sent_counts: Counter[str] = Counter()
--- a/oleanderpier/membership/tests/test_members.py
+++ b/oleanderpier/membership/tests/test_members.py
@@ -247,13 +247,23 @@
             self.assertTrue(all(at_s < before_s for at_s in older))
 
     def test_restart_ends_adoption(self):
-        """A host that restarts with an older list counts as having that."""
+        """A host that restarts with an older list counts as having that.
+
+        That holds also if its clock was set back meanwhile.
+        """
+        for offset_s in (0.0, -1000.0):
+            with self.subTest(offset_s=offset_s):
+                self.restart_with_older_list(offset_s)
+
+    def restart_with_older_list(self, offset_s: float) -> None:
+        """Restart a host with an older list and a clock that is wrong."""
         fleet = Fleet(add_members, 8, 1)
         names = [card.host for card in fleet.cards]
         for version in (1, 2):
             self.publish(fleet, version, names)
             fleet.network.timers.advance(90.0)
         fleet.stop("h7")
+        fleet.network.wall_offsets_s["h7"] = offset_s
         fleet.network.timers.advance(3.0)
         fleet.start(fleet.cards[7], fleet.cards)
         self.publish(fleet, 1, ["h7"])
@@ -261,3 +271,4 @@
         for host in names[:7]:
             self.assertEqual(None, fleet.members[host].find_adoption("h7", 2))
             self.assertNotEqual(None, fleet.members[host].find_adoption("h7", 1))
+        self.assertTrue(fleet.agree())
