--- a/oleanderpier/membership/adoptions.py
+++ b/oleanderpier/membership/adoptions.py
@@ -31,6 +31,7 @@
         self.hosts = [entry["name"] for entry in published.body["hosts"]]
         self.indices = {host: index for index, host in enumerate(self.hosts)}
         self.bits = 0
+        self.tellings = count_tellings(len(self.hosts))
 
 
 class Adoptions:
@@ -131,7 +132,7 @@
         if host not in known.indices:
             return
         known.bits |= 1 << known.indices[host]
-        self._tellings_left = count_tellings(len(known.hosts))
+        self._tellings_left = known.tellings
 
     def _record(self, host: str, version: int, digest: str) -> None:
         adoptions = self._known.setdefault(host, [])
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -41,6 +41,7 @@
 LATE_S = 0.5
 LONG_PAUSE_S = 5.0
 INDIRECT_PROBES = 3
+HELPER_CHOICE = 16
 MAX_LATENESS_LEVEL = 8
 FACTS_A_MESSAGE = 16
 REJOIN_PERIODS = 5
@@ -246,10 +247,11 @@
             limit: At most so many.
             domain: Only hosts of this failure domain; None takes all.
         """
-        hosts = [host for host in self.list_alive() if host != self.host]
+        hosts = self._table.list_alive()
         if domain is not None:
             hosts = [host for host in hosts if self.find_domain(host) == domain]
-        return self._generator.sample(hosts, min(limit, len(hosts)))
+        some = self._generator.sample(hosts, min(limit + 1, len(hosts)))
+        return [host for host in some if host != self.host][:limit]
 
     def handle(self, sender: str, message: Any) -> None:
         """Take in a message of another host.
@@ -403,13 +405,12 @@
 
     def _choose_helpers(self, target: str) -> list[str]:
         """Return hosts to probe through, one from another failure domain."""
-        hosts = [h for h in self.list_alive() if h not in (self.host, target)]
-        self._generator.shuffle(hosts)
+        hosts = self.choose_hosts(HELPER_CHOICE)
+        hosts = [host for host in hosts if host != target]
         domain = self.find_domain(self.host)
-        hosts.sort(key=lambda host: self.find_domain(host) == domain)
-        return hosts[:1] + self._generator.sample(
-            hosts[1:], min(INDIRECT_PROBES - 1, len(hosts[1:]))
-        )
+        outside = [host for host in hosts if self.find_domain(host) != domain]
+        others = [host for host in hosts if host not in outside[:1]]
+        return outside[:1] + others[: INDIRECT_PROBES - len(outside[:1])]
 
     def _ping(self, host: str) -> int:
         self._sequence += 1
