Let a host called dead by another table decide itself; tell refutations first

Cause: after a partition, tables of the other side killed running hosts, and a host that missed a death learnt of it only by its own probe (180 s at 256 hosts). Change: such a word makes the host suspect and is sent on to it; refutations are told before bad news and joins; a process that starts pings eight hosts at once; news is not wasted on hosts that may be gone.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -23,19 +23,23 @@
     make_value,
     start_fleet,
 )
+from oleanderpier.configuration.tests.fakes import add_naive as add_naive_watch
 from oleanderpier.membership import MemberState, Outcome, ServerState
 from oleanderpier.membership.summaries import Summary
 from oleanderpier.membership.tests.fakes import (
     FakeNetwork,
     FakeServers,
+    add_members,
     make_cards,
     make_hosts_value,
 )
+from oleanderpier.membership.tests.test_members import Fleet as MemberFleet
 from oleanderpier.membership.tests.test_members import add_naive
 
 SEED = 1
 LOSS = 0.05
 SIZES = ((8, 3), (64, 3), (512, 10), (1900, 22))
+SPLITS = (8, 64)
 STARTS = ((8, 3), (64, 3), (256, 10))
 SERVERS = 100
 CHANGES_A_DAY = 31_000
@@ -111,7 +115,8 @@
             members = host.parts["members"]
             members._ticks = 100 + index
             members._table.load(facts, summary)
-            members._rumours.take(1, 1)
+            for queue in members._queues.values():
+                queue.take(1, 1)
             members._own = facts[host.name]
             members._started_s = -DAY_S
             host.parts["duty"]._is_stale = True
@@ -263,6 +268,18 @@
         report.put(label + "running hosts taken for dead", len(deaths), "")
 
 
+def measure_watches(report: Report) -> None:
+    """Measure a watch on each host, for comparison."""
+    for hosts in (8, 64, 512):
+        network = FakeNetwork(SEED)
+        platform = start_fleet(network, make_cards(hosts, 3), add=add_naive_watch)
+        network.timers.advance(20.0)
+        platform.calls = 0
+        network.timers.advance(40.0)
+        rate = platform.calls / 40.0
+        report.put(f"baseline, {hosts} hosts: each watches", rate, "calls/s")
+
+
 def measure_state(report: Report) -> None:
     """Measure the memory of one host for several sizes of the fleet.
 
@@ -324,11 +341,45 @@
     report.put(label + "platform", platform.calls / 60.0, "calls/s", CALLS_S)
 
 
+def measure_split(report: Report, hosts: int) -> None:
+    """Measure a fleet that is cut in two for 90 s, and then loses a domain."""
+    fleet = MemberFleet(add_members, hosts, SEED, LOSS)
+    network, names = fleet.network, [card.host for card in fleet.cards]
+    network.timers.advance(90.0)
+    report.put(f"{hosts} hosts from one start: dead", len(fleet.deaths), "", 0)
+    one, two = names[: hosts // 2], names[hosts // 2 :]
+    network.cut(one, two)
+    network.cut(two, one)
+    fleet.gone.update(names)
+    network.timers.advance(90.0)
+    network.cuts.clear()
+    fleet.gone.clear()
+    healed_s = _wait_for_agreement(fleet)
+    report.put(f"{hosts} hosts, halves heal: views agree", healed_s, "s", 60.0)
+    report.put(f"{hosts} hosts, halves heal: dead", len(fleet.deaths), "", 0)
+    for card in fleet.cards:
+        if card.failure_domain == "domain-1":
+            fleet.stop(card.host)
+    agreed_s = _wait_for_agreement(fleet)
+    report.put(f"{hosts} hosts, a third gone: views agree", agreed_s, "s", 60.0)
+    report.put(f"{hosts} hosts, a third gone: dead", len(fleet.deaths), "", 0)
+
+
+def _wait_for_agreement(fleet: MemberFleet) -> float:
+    began_s = fleet.network.timers.now()
+    while not fleet.agree() and fleet.network.timers.now() - began_s < 300.0:
+        fleet.network.timers.advance(1.0)
+    return fleet.network.timers.now() - began_s
+
+
 def main() -> int:
     """Run all measurements and return the exit status."""
     report = Report()
     measure_baseline(report)
+    measure_watches(report)
     measure_state(report)
+    for hosts in SPLITS:
+        measure_split(report, hosts)
     for hosts, domains in STARTS:
         measure_start(report, hosts, domains)
     for hosts, domains in SIZES:
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -10,6 +10,7 @@
 
 import math
 from collections.abc import Callable, Iterable
+from enum import IntEnum
 from functools import singledispatchmethod
 from random import Random
 from typing import Any, NamedTuple
@@ -49,7 +50,15 @@
 YOUNG_PERIODS = 30
 FACTS_A_SYNC = 64
 ANNOUNCE_S = 60.0
-LEAVE_FAN_OUT = 8
+FAN_OUT = 8
+
+
+class Priority(IntEnum):
+    """The order in which kinds of news are told."""
+
+    REFUTATION = 0
+    BAD_NEWS = 1
+    JOIN = 2
 
 
 class MemberCard(NamedTuple):
@@ -114,8 +123,9 @@
         self._table = MemberTable(timers)
         self._suspicions = Suspicions(timers)
         self._listed: set[str] = set()
-        self._urgent: RumourQueue[MemberFact] = RumourQueue()
-        self._rumours: RumourQueue[MemberFact] = RumourQueue()
+        self._queues: dict[Priority, RumourQueue[MemberFact]] = {
+            priority: RumourQueue() for priority in Priority
+        }
         self._adoptions = Adoptions(card.host, timers)
         self._callbacks: list[Callable[[str, MemberState], None]] = []
         self._contact_callbacks: list[Callable[[str], None]] = []
@@ -132,12 +142,14 @@
             card.host, MemberState.ALIVE, int(timers.wall()), 0, 0, "", *card[1:]
         )
         self._store(self._own)
-        self._rumours.add(card.host, self._own)
+        self._spread(self._own, None)
         for seed in seeds:
             self._presume(seed)
 
     def start(self) -> None:
-        """Begin to probe, and ask a few hosts for what they know."""
+        """Tell a few hosts of this one, and begin to probe."""
+        for host in self.choose_hosts(FAN_OUT):
+            self._ping(host)
         delay_s = self._generator.random() * PERIOD_S
         self._last_tick_s = self._timers.now() + delay_s - PERIOD_S
         self._timers.call_later(delay_s, self._begin)
@@ -237,7 +249,7 @@
         """Tell the others that this host leaves for good."""
         self._announce(state=MemberState.LEFT)
         news = MemberFacts([self._own])
-        for host in self.choose_hosts(LEAVE_FAN_OUT):
+        for host in self.choose_hosts(FAN_OUT):
             self._outbox.send(host, news)
 
     def choose_hosts(self, limit: int, *, domain: str | None = None) -> list[str]:
@@ -269,7 +281,7 @@
     @_receive.register
     def _handle_ping(self, message: Ping, sender: str) -> None:
         self._read_news(message, sender)
-        self._outbox.send(sender, self._make_news(Ack, message.sequence))
+        self._outbox.send(sender, self._make_news(Ack, message.sequence, sender))
 
     @_receive.register
     def _handle_ack(self, message: Ack, sender: str) -> None:
@@ -289,7 +301,8 @@
             PERIOD_S * (1 + MAX_LATENESS_LEVEL),
             lambda: self._relayed.pop(sequence, None),
         )
-        self._outbox.send(message.target, self._make_news(Ping, sequence))
+        target = message.target
+        self._outbox.send(target, self._make_news(Ping, sequence, target))
 
     @_receive.register
     def _handle_answer(self, message: ProbeAnswer, sender: str) -> None:
@@ -299,7 +312,13 @@
     @_receive.register
     def _handle_facts(self, message: MemberFacts, sender: str) -> None:
         for fact in message.facts:
-            self._apply(fact)
+            if fact.host == self.host:
+                self._apply(fact)
+                self._outbox.send(sender, MemberFacts([self._own]))
+            elif self._is_contested(fact):
+                self._contest(fact, sender)
+            else:
+                self._apply(fact)
 
     @_receive.register
     def _handle_summary(self, message: TableSummary, sender: str) -> None:
@@ -317,8 +336,6 @@
         self._outbox.send(sender, MemberFacts([self._own, *some]))
 
     def _begin(self) -> None:
-        for host in self.choose_hosts(INDIRECT_PROBES):
-            self._ping(host)
         self._tick()
         self._timers.subscribe(PERIOD_S, self._tick)
 
@@ -399,7 +416,8 @@
         probe = self._probe
         if probe is None or probe.sequence != sequence:
             return
-        self._outbox.send(probe.target, self._make_news(Ping, sequence))
+        news = self._make_news(Ping, sequence, probe.target)
+        self._outbox.send(probe.target, news)
         for helper in self._choose_helpers(probe.target):
             self._outbox.send(helper, ProbeRequest(sequence, probe.target))
 
@@ -414,7 +432,8 @@
 
     def _ping(self, host: str) -> int:
         self._sequence += 1
-        self._outbox.send(host, self._make_news(Ping, self._sequence))
+        news = self._make_news(Ping, self._sequence, host)
+        self._outbox.send(host, news)
         for callback in self._contact_callbacks:
             callback(host)
         return self._sequence
@@ -425,14 +444,22 @@
         if gone:
             self._ping(self._generator.choice(gone))
 
-    def _make_news(self, message_class: type, sequence: int) -> Any:
-        tellings = count_tellings(len(self._table))
-        facts = self._urgent.take(FACTS_A_MESSAGE, tellings)
-        facts += self._rumours.take(FACTS_A_MESSAGE - len(facts), tellings)
+    def _make_news(self, message_class: type, sequence: int, host: str) -> Any:
         own = self._own
-        return message_class(
-            sequence, own.started, own.incarnation, facts, self._adoptions.export()
-        )
+        adoption = self._adoptions.export()
+        facts = self._take_facts(host)
+        return message_class(sequence, own.started, own.incarnation, facts, adoption)
+
+    def _take_facts(self, host: str) -> list[MemberFact]:
+        """Return news for a host; one that may be gone is told of itself only."""
+        fact = self._table.get(host)
+        if fact is not None and fact.state is not MemberState.ALIVE:
+            return [fact]
+        tellings = count_tellings(len(self._table))
+        facts: list[MemberFact] = []
+        for queue in self._queues.values():
+            facts += queue.take(FACTS_A_MESSAGE - len(facts), tellings)
+        return facts
 
     def _read_news(self, message: Ping | Ack, sender: str) -> None:
         self._heard.add(sender)
@@ -449,6 +476,23 @@
             self._outbox.send(host, TableAsk([]))
         elif fact.state is not MemberState.ALIVE or life < fact.life:
             self._outbox.send(host, MemberFacts([fact]))
+        if fact is not None and fact.state is MemberState.DEAD:
+            self._send_summary(host, answered=False)
+
+    def _is_contested(self, fact: MemberFact) -> bool:
+        """Return whether a table calls a host dead that is alive for this one."""
+        known = self._table.get(fact.host)
+        return (
+            fact.state is MemberState.DEAD
+            and known is not None
+            and known.state in PRESENT_STATES
+            and known.life == fact.life
+        )
+
+    def _contest(self, fact: MemberFact, accuser: str) -> None:
+        """Let the host itself decide; a partition may have just ended."""
+        self._apply(fact._replace(state=MemberState.SUSPECT, accuser=accuser))
+        self._outbox.send(fact.host, MemberFacts([fact]))
 
     def _end_probe(self, sequence: int, target: str) -> None:
         probe = self._probe
@@ -480,17 +524,18 @@
             self._notify(fact)
 
     def _spread(self, fact: MemberFact, known: MemberFact | None) -> None:
-        """Queue news; suspicions and what ends them go before mere joins."""
-        self._urgent.discard(fact.host)
-        self._rumours.discard(fact.host)
-        calm = fact.state is MemberState.ALIVE and (
-            known is None or known.state is MemberState.ALIVE
-        )
-        (self._rumours if calm else self._urgent).add(fact.host, fact)
+        """Queue news; what ends a suspicion goes before all else."""
+        for queue in self._queues.values():
+            queue.discard(fact.host)
+        priority = Priority.BAD_NEWS
+        if fact.state is MemberState.ALIVE:
+            calm = known is None or known.state is MemberState.ALIVE
+            priority = Priority.JOIN if calm else Priority.REFUTATION
+        self._queues[priority].add(fact.host, fact)
 
     def _confirm(self, fact: MemberFact) -> None:
         if self._suspicions.confirm(fact.host, fact.accuser):
-            self._urgent.add(fact.host, fact)
+            self._queues[Priority.BAD_NEWS].add(fact.host, fact)
 
     def _refute(self, fact: MemberFact) -> None:
         own = self._own
