Keep enum members out of the loop over events

Cause: an enum member costs a descriptor call each time on Python 3.11. Ruled out: time as the measure of small steps; instructions in user space (perf stat) are steady to 1% where times vary by 30%. Change: the two phases are looked up once a stream.

--- a/oleanderpier/relay/attempts.py
+++ b/oleanderpier/relay/attempts.py
@@ -100,15 +100,16 @@
     accept = sequence.accept
     read = content.readany
     write = caller.response.write
+    reading, writing = Phase.READING, Phase.WRITING
     while True:
-        watch.phase = Phase.READING
+        watch.phase = reading
         data = await read()
         if not data:
             return Step.CUT
         watch.reads += 1
         ready = accept(data)
         if ready:
-            watch.phase = Phase.WRITING
+            watch.phase = writing
             try:
                 if not caller.ready:
                     await caller.begin()
