--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -147,22 +147,25 @@
         self._admit(waiting)
 
     def _admit(self, waiting: Waiting, may_wait: bool = True) -> None:
-        message = waiting.ask
-        now = self._timers.now()
-        if now >= self._open_s and not self._queue:
-            taking = self.loads.find_open(now)
+        """Grant, hold back, pass on or queue an ask."""
+        if self.is_open() and not self._queue:
+            taking = self._find_taking(waiting.ask)
             if may_wait and self._wait_for_home(waiting, taking):
                 return
-            taking = self.loads.keep_below(taking, message.fleet_load / 100)
-            if not taking and message.fleet_load:
-                self._pass_on(waiting)
-                return
             if taking:
                 self._grant(waiting, taking)
                 return
+            if waiting.ask.fleet_load:
+                self._pass_on(waiting)
+                return
         self._enqueue(waiting)
         self._serve()
 
+    def _find_taking(self, ask: Ask) -> dict[str, ServerLoad]:
+        """Return the servers that may take an ask under both bounds."""
+        taking = self.loads.find_open(self._timers.now())
+        return self.loads.keep_below(taking, ask.fleet_load / 100)
+
     @handle.register
     def _handle_release(self, message: Release, sender: str) -> None:
         now = self._timers.now()
@@ -364,7 +367,7 @@
     def _grant_homes(self) -> None:
         """Grant what was held back for a server that may take it now."""
         for waiting in list(self._held_back.values()):
-            taking = self.loads.find_open(self._timers.now())
+            taking = self._find_taking(waiting.ask)
             homes = self.homes.find(waiting.ask.chat)
             if self.is_open() and any(home in taking for home in homes):
                 del self._held_back[waiting.order]
