--- a/oleanderpier/placement/__init__.py
+++ b/oleanderpier/placement/__init__.py
@@ -9,6 +9,7 @@
 from oleanderpier.placement.affinity import *  # noqa: F403
 from oleanderpier.placement.asks import *  # noqa: F403
 from oleanderpier.placement.client import *  # noqa: F403
+from oleanderpier.placement.ledger import *  # noqa: F403
 from oleanderpier.placement.loads import *  # noqa: F403
 from oleanderpier.placement.messages import *  # noqa: F403
 from oleanderpier.placement.owners import *  # noqa: F403
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -1,14 +1,14 @@
 """The owner's side: gives the permits of one pool and counts them exactly."""
 
-from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from itertools import count, islice
-from typing import Any, NamedTuple
+from typing import Any
 
 from eliot import log_message
 
 from oleanderpier.placement.affinity import ChatHomes
+from oleanderpier.placement.ledger import GrantedPermit, PermitLedger
 from oleanderpier.placement.loads import PoolLoads, ServerLoad
 from oleanderpier.placement.messages import (
     Ask,
@@ -33,8 +33,6 @@
 __all__ = ["Admission"]
 
 GRACE_S = 0.3
-LEASE_S = 20.0
-RENEWAL_RACE_S = 2.0
 MIGRATION_S = 2.0
 SETTLE_S = 1.0
 TICK_S = 0.5
@@ -44,18 +42,10 @@
 LOOKAHEAD = 8
 HOLD_TIME_WEIGHT = 0.05
 MIN_RETRY_AFTER_S = 0.1
+NO_SERVER_RETRY_S = 5.0
 MAX_LOAD_PERCENT = 1_000
 
 
-class GrantedPermit(NamedTuple):
-    """A permit as its owner counts it."""
-
-    backend_server: str
-    chat: int
-    workspace: int
-    granted_s: float
-
-
 class Admission:
     """Admits requests to one pool's backend servers.
 
@@ -79,16 +69,13 @@
         self.pool = pool
         self.homes = ChatHomes()
         self.loads = PoolLoads()
+        self.permits = PermitLedger(self.loads)
         self._timers = timers
         self._answer = answer
         self._queue = FairQueue()
         self._order = count()
         self._held_back: dict[int, Waiting] = {}
-        self._permits: dict[str, dict[int, GrantedPermit]] = {}
-        self._renewed_s: dict[str, float] = {}
-        self._workspaces: Counter[int] = Counter()
         self._mean_hold_s: float | None = None
-        self._migrating: dict[tuple[str, int], float] = {}
         self._awaited: set[str] = set()
         self._open_s = 0.0
         self._ticked_s = timers.now()
@@ -116,7 +103,7 @@
         """Take the pool's newly published servers."""
         self.pool = pool
         self.loads.update(pool.servers, self._timers.now())
-        self._recount_servers()
+        self.permits.recount_servers()
         self._serve()
 
     def update_hosts(self, hosts: Iterable[str]) -> None:
@@ -139,8 +126,7 @@
 
     @handle.register
     def _handle_ask(self, message: Ask, sender: str) -> None:
-        if message.number in self._permits.get(sender, {}):
-            self._drop_permit(sender, message.number)
+        self.permits.drop(sender, message.number)
         now = self._timers.now()
         patience_s = message.target_ms / 1000 * QUEUE_PART_OF_TARGET
         waiting = Waiting(now + patience_s, next(self._order), sender, message)
@@ -170,39 +156,30 @@
     def _handle_release(self, message: Release, sender: str) -> None:
         now = self._timers.now()
         for number in message.done:
-            permit = self._drop_permit(sender, number)
+            permit = self.permits.drop(sender, number)
             if permit is not None:
                 self._note_hold_time(now - permit.granted_s)
                 self._note_success(permit)
         for number in message.failed:
-            permit = self._drop_permit(sender, number)
+            permit = self.permits.drop(sender, number)
             if permit is not None:
                 self._note_failure(permit)
         for number in message.abandoned:
-            self._drop_permit(sender, number)
+            self.permits.drop(sender, number)
         self._serve()
 
     @handle.register
     def _handle_renewal(self, message: Renewal, sender: str) -> None:
-        now = self._timers.now()
-        self._renewed_s[sender] = now
-        held = self._permits.get(sender, {})
         named = set(message.numbers)
-        for number, permit in list(held.items()):
-            if number not in named and now - permit.granted_s > RENEWAL_RACE_S:
-                self._drop_permit(sender, number)
-        if named - held.keys():
+        self.permits.renew(sender, named, self._timers.now())
+        if named.difference(self.permits.list_numbers(sender)):
             self._answer(sender, Recount(self.pool.number))
         self._serve()
 
     @handle.register
     def _handle_holdings(self, message: Holdings, sender: str) -> None:
         now = self._timers.now()
-        self._renewed_s[sender] = now
-        named = {holding.number for holding in message.holdings}
-        for number, permit in list(self._permits.get(sender, {}).items()):
-            if number not in named and now - permit.granted_s > RENEWAL_RACE_S:
-                self._drop_permit(sender, number)
+        self.permits.renew(sender, {held.number for held in message.holdings}, now)
         for holding in message.holdings:
             self._take_holding(sender, holding)
         self._awaited.discard(sender)
@@ -235,12 +212,6 @@
             for_s=round(until_s - now, 3),
         )
 
-    def list_permits(self) -> Iterator[tuple[str, int, GrantedPermit]]:
-        """Yield the entry host, number and record of every permit."""
-        for host, held in self._permits.items():
-            for number, permit in held.items():
-                yield host, number, permit
-
     def count_waiting(self) -> int:
         """Return how many asks wait."""
         return len(self._queue)
@@ -287,12 +258,13 @@
     def _is_over_share(self, workspace: int) -> bool:
         """Return whether a workspace has more than its part while others wait."""
         slots, _ = self.loads.sum_usable(self._timers.now())
-        active = +self._workspaces
-        others = set(self._queue.list_workspaces()) | set(active) - {workspace}
-        if not others - {workspace}:
+        active = {*self._queue.list_workspaces(), *self.permits.workspaces}
+        if not active - {workspace}:
             return False
-        share = slots / len(others | {workspace})
-        wanted = self._workspaces[workspace] + self._queue.count_waiting(workspace)
+        share = slots / len(active | {workspace})
+        wanted = self.permits.workspaces[workspace] + self._queue.count_waiting(
+            workspace
+        )
         return wanted > share
 
     def _predict_wait(self, waiting: Waiting) -> float:
@@ -306,8 +278,8 @@
                 for s in self.loads.servers.values()
                 if not s.is_leaving(now)
             ]
-            return max(opens_s, min(usable_s, default=now + LEASE_S) - now)
-        ahead = self._queue.count_ahead(waiting, self._workspaces) + 1
+            return max(opens_s, min(usable_s, default=now + NO_SERVER_RETRY_S) - now)
+        ahead = self._queue.count_ahead(waiting, self.permits.workspaces) + 1
         ahead -= max(0, slots - in_flight)
         if ahead <= 0 or not in_flight or self._mean_hold_s is None:
             return opens_s
@@ -331,13 +303,13 @@
         now = self._timers.now()
         held = [
             (now - permit.granted_s < SETTLE_S, -permit.granted_s, host, number)
-            for host, number, permit in self.list_permits()
+            for host, number, permit in self.permits
             if permit.backend_server == backend_server
         ]
         for _, _, host, number in sorted(held):
-            asked_s = self._migrating.get((host, number))
+            asked_s = self.permits.migrating.get((host, number))
             if over > 0 and asked_s is None:
-                self._migrating[host, number] = now
+                self.permits.migrating[host, number] = now
                 self._answer(host, Migrate(number))
                 over -= 1
             elif asked_s is not None and now - asked_s < MIGRATION_S:
@@ -389,7 +361,7 @@
         Of the first few of its workspace, the one whose prefix is on a server
         with a free slot goes first.
         """
-        turn = self._queue.iterate_fairly(self._workspaces)
+        turn = self._queue.iterate_fairly(self.permits.workspaces)
         first = next(turn)
         for waiting in (first, *islice(turn, LOOKAHEAD - 1)):
             homes = self.homes.find(waiting.ask.chat)
@@ -402,7 +374,7 @@
         server = self._choose_server(ask, taking)
         now = self._timers.now()
         permit = GrantedPermit(server, ask.chat, ask.workspace, now)
-        self._add_permit(sender, ask.number, permit)
+        self.permits.add(sender, ask.number, permit)
         if ask.chat:
             self.homes.record(ask.chat, server)
         self._answer(sender, Grant(ask.number, server, self._measure_load()))
@@ -426,42 +398,19 @@
         percent = 100 * (in_flight + len(self._queue)) // slots
         return min(MAX_LOAD_PERCENT, percent)
 
-    def _add_permit(self, host: str, number: int, permit: GrantedPermit) -> None:
-        self._drop_permit(host, number)
-        held = self._permits.setdefault(host, {})
-        if not held:
-            self._renewed_s[host] = permit.granted_s
-        held[number] = permit
-        self._workspaces[permit.workspace] += 1
-        self.loads.add(permit.backend_server)
-
-    def _drop_permit(self, host: str, number: int) -> GrantedPermit | None:
-        permit = self._permits.get(host, {}).pop(number, None)
-        if permit is None:
-            return None
-        self._migrating.pop((host, number), None)
-        self._workspaces[permit.workspace] -= 1
-        if not self._workspaces[permit.workspace]:
-            del self._workspaces[permit.workspace]
-        self.loads.remove(permit.backend_server, permit.granted_s)
-        return permit
-
     def _take_holding(self, host: str, holding: Holding) -> None:
-        if holding.number in self._permits.get(host, {}):
+        if holding.number in self.permits.list_numbers(host):
             return
         now = self._timers.now()
         server, chat = holding.backend_server, holding.chat
         permit = GrantedPermit(server, chat, holding.workspace, now)
-        self._add_permit(host, holding.number, permit)
+        self.permits.add(host, holding.number, permit)
         if chat and not self.homes.find(chat):
             self.homes.record(chat, server)
 
     def _drop_host(self, host: str) -> None:
         self._awaited.discard(host)
-        self._renewed_s.pop(host, None)
-        for number in list(self._permits.get(host, {})):
-            self._drop_permit(host, number)
-        self._permits.pop(host, None)
+        self.permits.drop_host(host)
         for waiting in [*self._queue, *self._held_back.values()]:
             if waiting.sender == host:
                 self._queue.remove(waiting)
@@ -482,12 +431,6 @@
         if load is not None and permit.granted_s >= load.avoided_until_s:
             self.note_failure(permit.backend_server)
 
-    def _recount_servers(self) -> None:
-        for load in self.loads.servers.values():
-            load.in_flight = 0
-        for _, _, permit in self.list_permits():
-            self.loads.add(permit.backend_server)
-
     def _tick(self) -> None:
         """Drop expired leases, and start over if the process was paused."""
         now = self._timers.now()
@@ -496,9 +439,8 @@
         if paused:
             self.begin_grace()
             return
-        for host, renewed_s in list(self._renewed_s.items()):
-            if self._permits.get(host) and now - renewed_s > LEASE_S:
-                self._drop_host(host)
+        for host in self.permits.list_expired(now):
+            self._drop_host(host)
         self._serve()
 
 
--- a/oleanderpier/placement/tests/test_admission.py
+++ b/oleanderpier/placement/tests/test_admission.py
@@ -172,11 +172,9 @@
         for _ in range(8):
             owner.timers.advance(5.0)
             owner.admission.handle(Renewal(1, [1]), "h0")
-        self.assertEqual(
-            [1], [number for _, number, _ in owner.admission.list_permits()]
-        )
+        self.assertEqual([1], [number for _, number, _ in owner.admission.permits])
         owner.timers.advance(30.0)
-        self.assertEqual([], list(owner.admission.list_permits()))
+        self.assertEqual([], list(owner.admission.permits))
 
     def test_lease_begins_with_the_first_permit(self):
         """A host that comes back after a long time has a whole lease."""
@@ -186,7 +184,7 @@
         owner.timers.advance(60.0)
         owner.ask(1)
         owner.timers.advance(5.0)
-        self.assertEqual(1, len(list(owner.admission.list_permits())))
+        self.assertEqual(1, len(list(owner.admission.permits)))
 
     def test_leaving_and_unknown_servers_get_nothing(self):
         """A notice counts at once; permits on unknown servers are no load."""
