Keep young hosts out of the directory; wait for sends without callers

Cause: a host that had just started was named to callers before it was ready; a drain did not wait for sends whose caller had left; a malformed request with a key was told as not run though another host may run the key.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -103,7 +103,10 @@
     try:
         body = await read_request(CallRequest, request)
     except SettingsError as error:
-        return refuse(node, "", Failure(Code.REQUEST_MALFORMED, str(error)))
+        # Another host may run the same key with a sound body.
+        has_key = b'"key"' in await request.read()
+        code = Code.KEY_UNCLAIMED if has_key else Code.REQUEST_MALFORMED
+        return refuse(node, "", Failure(code, str(error)))
     began_s = node.timers.now()
     serve = serve_once if "key" in body else serve_repeatable
     result = await serve(node, body)
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -11,7 +11,7 @@
 from expression import Result
 from prometheus_client import CollectorRegistry
 
-from oleanderpier.claims import Claims, HostLists, Outcome
+from oleanderpier.claims import Claims, HostLists, Outcome, finish_calls
 from oleanderpier.configuration import (
     DOCUMENT_NAMES,
     Documents,
@@ -57,6 +57,7 @@
 MAX_ADDRESSES = 3
 MILLISECONDS_PER_S = 1000
 POLL_S = 0.1
+SETTLE_S = 10.0
 CACHE_EVENTS_INTERVAL_S = 1.0
 SHUTDOWN_TIMEOUT_S = 1.0
 
@@ -196,6 +197,7 @@
         self.has_left = True
         while self.in_progress and self.timers.now() < deadline_s:
             await asyncio.sleep(POLL_S)
+        await finish_calls(max(0.0, deadline_s - self.timers.now()))
 
     async def stop(self) -> None:
         """Close everything."""
@@ -242,7 +244,10 @@
         return self._find("configuration", "workspaces", name) is not None
 
     def choose_addresses(self, workspace: str) -> list[Host]:
-        """Return the hosts that a caller of a workspace should use, best first."""
+        """Return the hosts that a caller of a workspace should use, best first.
+
+        Hosts that have just started are named only while there are no others.
+        """
         published = self.documents.get("hosts")
         if published is None:
             return []
@@ -252,9 +257,17 @@
             for host in published.body["hosts"]
             if host["state"] == "live" and host["name"] in alive
         }
-        ranked = rank_candidates(f"{workspace}:{self.rng.random()}", hosts)
+        settled = [name for name in hosts if self._is_settled(name)]
+        ranked = rank_candidates(f"{workspace}:{self.rng.random()}", settled or hosts)
         return [hosts[name] for name in ranked[:MAX_ADDRESSES]]
 
+    def _is_settled(self, host: str) -> bool:
+        """Return whether a host has had the time to become ready."""
+        if host == self.host:
+            return self.state == "ready" and self.claims.ready
+        started_s = self.members.find_started(host) or 0
+        return self.timers.wall() - started_s > SETTLE_S
+
     def count_in_flight(self) -> Counter[str]:
         """Return how many requests of this host run at each backend server."""
         published = self.documents.get("backend_servers")
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -163,7 +163,7 @@
 
     def list_known(self) -> list[str]:
         """Return every host of which something is known, gone ones included."""
-        return list(self._facts)
+        return self._table.list_known()
 
     def find_state(self, host: str) -> MemberState | None:
         """Return a host's state, or None if it is not known."""
--- a/oleanderpier/membership/table.py
+++ b/oleanderpier/membership/table.py
@@ -51,6 +51,10 @@
         self._alive = None
         self.summary = summary.copy()
 
+    def list_known(self) -> list[str]:
+        """Return every host of the table, gone ones included."""
+        return list(self._facts)
+
     def list_alive(self) -> list[str]:
         """Return the hosts that are not known to be gone."""
         if self._alive is None:
--- a/tests/test_payouts.py
+++ b/tests/test_payouts.py
@@ -150,6 +150,7 @@
         caller.workspace = "no-such-workspace"
         answers.append(await caller.ask_call("payout-post", {"n": 1}, key))
         caller.workspace = "duluth-boats"
+        answers.append(await caller.ask_call("payout-post", ["no object"], key))
         fleet.send_signal("host-2", signal.SIGKILL)
         await fleet.processes["host-2"].wait()
         await fleet.start_host("host-2")
