--- a/bench/placement/__init__.py
+++ b/bench/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Measures placement decisions against simpler routers and an all-knowing one.
+"""Measures placement decisions against simpler routers and an oracle.
 
 All run the same seeded workload on ``ManualTimers``: chats that return after
 pauses, a surge of two large workspaces, and engines that are replaced. Run it
@@ -9,8 +9,8 @@
 from bench.placement.owners import OwnerRouter, OwnerWithoutMigrationRouter
 from bench.placement.routers import (
     AffinityRouter,
-    AllKnowingRouter,
     BoundedRouter,
+    OracleRouter,
     RandomRouter,
     SharesRouter,
     TwoChoicesRouter,
@@ -28,7 +28,7 @@
         TwoChoicesRouter,
         BoundedRouter,
         SharesRouter,
-        AllKnowingRouter,
+        OracleRouter,
         OwnerRouter,
         OwnerWithoutMigrationRouter,
     )
--- a/bench/placement/__main__.py
+++ b/bench/placement/__main__.py
@@ -8,7 +8,7 @@
 from bench.placement.cost import measure_cost
 
 SIZES = {"users": USERS, "fleet": FLEET}
-FLEET_ROUTERS = ("random", "two choices", "all-knowing", "pool owners")
+FLEET_ROUTERS = ("random", "two choices", "oracle", "pool owners")
 REQUESTS_A_HOST_TO_COME = 29.0
 
 
@@ -49,7 +49,7 @@
 
 
 def _print_table(reports: list[Report]) -> None:
-    known = {report.router: report for report in reports}.get("all-knowing")
+    known = {report.router: report for report in reports}.get("oracle")
     rows = [_describe_report(report, known) for report in reports]
     for title in rows[0]:
         cells = "".join(f"{row[title]:>16}" for row in rows)
@@ -65,7 +65,7 @@
         "router": report.router[:15],
         "requests": str(report.requests),
         "reuse": f"{report.reuse:.3f}",
-        "reuse / all-knowing": f"{report.reuse / known.reuse:.3f}" if known else "",
+        "reuse / oracle": f"{report.reuse / known.reuse:.3f}" if known else "",
         "max/mean p50": f"{report.ratio_p50:.3f}",
         "max/mean p99": f"{report.ratio_p99:.3f}",
         "max/mean worst": f"{report.ratio_worst:.3f}",
--- a/bench/placement/routers.py
+++ b/bench/placement/routers.py
@@ -1,4 +1,4 @@
-"""Simpler routers to compare with, and an all-knowing one."""
+"""Simpler routers to compare with, and an oracle."""
 
 import math
 import random
@@ -24,8 +24,8 @@
 
 __all__ = [
     "AffinityRouter",
-    "AllKnowingRouter",
     "BoundedRouter",
+    "OracleRouter",
     "RandomRouter",
     "Router",
     "SharesRouter",
@@ -57,7 +57,7 @@
         """Take a late cache event."""
 
     def note_exact_cache(self, name: str, kind: str, chat: str) -> None:
-        """Take a cache event without delay, for the all-knowing router."""
+        """Take a cache event without delay, for the oracle."""
 
     def kill_owner(self) -> None:
         """Kill the host that owns the first pool, where there is one."""
@@ -164,13 +164,13 @@
         assigned(chosen, release)
 
 
-class AllKnowingRouter(Router):
+class OracleRouter(Router):
     """Sees all loads and caches without delay, and keeps the same bound.
 
     One place decides for all engines. It cannot move what runs.
     """
 
-    name = "all-knowing"
+    name = "oracle"
 
     def __init__(self, world: "World"):
         self._in_flight: Counter[str] = Counter()
--- a/oleanderpier/placement/tests/test_bench.py
+++ b/oleanderpier/placement/tests/test_bench.py
@@ -6,7 +6,7 @@
 
 SCENARIO = USERS._replace(length_s=200.0, surge_start_s=100.0, surge_end_s=130.0)
 SEEDS = (1, 2)
-REUSE_OF_ALL_KNOWING = 0.9
+REUSE_OF_ORACLE = 0.9
 CONTROL_BYTES_A_HOST = 4_000
 LATE_OR_REFUSED_QUIET = 0.05
 
@@ -16,7 +16,7 @@
     misses = {
         "over the bound": report.over_bound > 0,
         "over the bound for 10 ms": report.stayed_over > 0,
-        "reuse": report.reuse < REUSE_OF_ALL_KNOWING * known.reuse,
+        "reuse": report.reuse < REUSE_OF_ORACLE * known.reuse,
         "control": report.control_bytes > CONTROL_BYTES_A_HOST,
         "late": sum(report.late.values()) > 0,
         "quiet workspaces": report.quiet_on_time < 1 - LATE_OR_REFUSED_QUIET,
@@ -31,7 +31,7 @@
         """Through a surge, churn, lagging reports and lost cache events."""
         for seed in SEEDS:
             scenario = SCENARIO._replace(seed=seed)
-            known = run_scenario(scenario, "all-knowing")
+            known = run_scenario(scenario, "oracle")
             report = run_scenario(scenario, "pool owners")
             with self.subTest(seed=seed):
                 self.assertTrue(report.samples > 400)
@@ -39,7 +39,7 @@
 
     def test_baselines_miss(self):
         """Each simpler router misses the targets that it was weighed for."""
-        known = run_scenario(SCENARIO, "all-knowing")
+        known = run_scenario(SCENARIO, "oracle")
         cases = {
             "random": {"over the bound", "reuse", "late"},
             "affinity": {"over the bound", "late", "quiet workspaces"},
