--- a/oleanderpier/orders/issuer.py
+++ b/oleanderpier/orders/issuer.py
@@ -1,5 +1,6 @@
 """Gives one order under a lease."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -34,7 +35,11 @@
 OrderError = NotSent | Refused | MaybeSent
 SendOrder = Callable[[int, Callable[[], bool]], Awaitable[Result[None, OrderError]]]
 
-_NOT_HELD = Failure(Code.LEASE_NOT_HELD, "too little of the lease is left")
+_NOT_HELD = Failure(
+    Code.LEASE_NOT_HELD,
+    "too little of the lease is left, or an order may still take effect",
+    ROUND_RETRY_S,
+)
 _ENDED = Failure(Code.LEASE_ENDED, "the order was obeyed after the lease ended")
 _LOST = Failure(Code.ANSWER_LOST, "the send failed", ROUND_RETRY_S)
 
@@ -68,6 +73,9 @@
     except Exception as error:
         log_message("orders:send_raised", reason=repr(error))
         sent = Error(MaybeSent(_LOST))
+    except asyncio.CancelledError:
+        lease.finish_order(False)
+        raise
     certain = sent.is_ok() or not isinstance(sent.error, MaybeSent)
     lease.finish_order(certain)
     ended = lease.left_s == 0
--- a/oleanderpier/orders/lease.py
+++ b/oleanderpier/orders/lease.py
@@ -40,7 +40,8 @@
         self._timers = timers
         self._tenure = tenure
         self._used = 0
-        self._unanswered = 0
+        self._open = False
+        self._unsure_until_s = 0.0
         self._released = False
 
     @property
@@ -52,8 +53,8 @@
 
     @property
     def settled(self) -> bool:
-        """Whether every order that was started has a certain outcome."""
-        return self._unanswered == 0
+        """Whether no order that was started can still take effect."""
+        return not self._open and self._timers.now() >= self._unsure_until_s
 
     def allows(self, duration_s: float) -> bool:
         """Return whether something may begin that takes up to some seconds."""
@@ -66,15 +67,18 @@
     def start_order(self) -> int | None:
         """Return the fencing token of a new order.
 
+        Orders go one at a time, so that none overtakes another.
+
         Returns:
             A token above all earlier ones; None if too little of the lease is
-            left, or the tokens of this renewal are used up.
+            left, an earlier order may still take effect, or the tokens of this
+            renewal are used up.
         """
-        if not self.may_write() or self._used == FENCE_SPAN:
+        if not self.may_write() or not self.settled or self._used == FENCE_SPAN:
             return None
         fence = self._tenure.fence + self._used
         self._used += 1
-        self._unanswered += 1
+        self._open = True
         return fence
 
     def finish_order(self, certain: bool) -> None:
@@ -82,10 +86,11 @@
 
         Args:
             certain: Whether it was obeyed, refused or never sent. Otherwise it
-                may still take effect, and the lease is never given up early.
+                may still take effect for ``ORDER_TIMEOUT_S``.
         """
-        if certain:
-            self._unanswered -= 1
+        self._open = False
+        if not certain:
+            self._unsure_until_s = self._timers.now() + ORDER_TIMEOUT_S
 
     def renew(self, tenure: Tenure) -> None:
         """Go on with a later end and higher fences."""
--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -93,6 +93,7 @@
         self._entries: dict[str, _Entry] = {}
         self._fences: dict[str, int] = {}
         self._holders: dict[str, str] = {}
+        self._kept_until_s: dict[str, float] = {}
         self._sequence = 0
 
     @property
@@ -119,6 +120,11 @@
         if entry is not None:
             entry.waiters.append(notify)
             return
+        kept_s = self._kept_until_s.pop(subject, 0.0) - self._timers.now()
+        if kept_s > 0:
+            self._kept_until_s[subject] = self._timers.now() + kept_s
+            notify(Error(_make_failure(subject, kept_s)))
+            return
         entry = _Entry(subject, self._timers.now() + timeout_s)
         entry.waiters.append(notify)
         self._entries[subject] = entry
@@ -128,8 +134,10 @@
         """Give a lease up.
 
         The witnesses are told, so that another process need not wait for its
-        end; but not while an order may still take effect.
+        end. While an order may still take effect they are not, and this process
+        can't acquire the lease again before its end either.
         """
+        left_s = lease.left_s
         lease.end()
         entry = self._entries.get(lease.subject)
         if entry is None or entry.lease is not lease:
@@ -137,6 +145,8 @@
         self._drop(entry)
         if lease.settled:
             self._send_release(entry)
+        else:
+            self._kept_until_s[lease.subject] = self._timers.now() + left_s
 
     def find_lease(self, subject: str) -> Lease | None:
         """Return the lease of a subject that this process has now, if any."""
@@ -309,10 +319,7 @@
 
     def _give_up(self, entry: _Entry) -> None:
         self._drop(entry)
-        text = f"no lease for {entry.subject}"
-        retry_after_s = max(entry.held_s, ROUND_RETRY_S)
-        failure = Failure(Code.LEASE_NOT_HELD, text, retry_after_s)
-        self._notify(entry, Error(failure))
+        self._notify(entry, Error(_make_failure(entry.subject, entry.held_s)))
 
     def _lose_lease(self, entry: _Entry) -> None:
         self._drop(entry)
@@ -346,3 +353,8 @@
         if entry.timer is not None:
             entry.timer.cancel()
         entry.timer = self._timers.call_later(delay_s, callback)
+
+
+def _make_failure(subject: str, wait_s: float) -> Failure:
+    text = f"no lease for {subject}"
+    return Failure(Code.LEASE_NOT_HELD, text, max(wait_s, ROUND_RETRY_S))
--- /dev/null
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -0,0 +1,211 @@
+"""What a witness grants, and how the holder measures its lease."""
+
+import random
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from oleanderpier.claims import CLOCK_SKEW_S, HostList, WitnessSet
+from oleanderpier.orders import (
+    FENCE_SPAN,
+    LEASE_S,
+    ROUND_RESEND_S,
+    ROUND_S,
+    START_WAIT_S,
+    LeaseAsk,
+    LeaseDenial,
+    LeaseGranted,
+    LeaseHeld,
+    LeaseRelease,
+    Leases,
+    LeaseWitness,
+    RoundId,
+    StartWindow,
+    read_fence_time,
+)
+from oleanderpier.utils import ManualTimers
+
+WITNESSES = ("host-1", "host-2", "host-3")
+SUBJECT = "engine-0"
+
+
+class FakeLists:
+    """Host lists of which a test sets the newest version."""
+
+    def __init__(self):
+        self.ready, self.heard = True, 1
+
+    @property
+    def newest(self):
+        """The newest list."""
+        return HostList(self.heard, ())
+
+    def list_required(self, key, key_time):
+        """Return the same witnesses for every version."""
+        self.key_time = key_time
+        return [WitnessSet(self.heard, WITNESSES)]
+
+    def hear_version(self, host, version):
+        """Note a version."""
+
+
+class WitnessTest(TestCase):
+    """Each ask, after a grant to round 3 of another process."""
+
+    def setUp(self):
+        """Let a witness grant a lease once it is ready."""
+        super().setUp()
+        self.timers, self.lists = ManualTimers(), FakeLists()
+        self.witness = LeaseWitness(self.timers, self.lists)
+        self.timers.advance(START_WAIT_S)
+        self.fence = read_fence_time(self.timers.wall())
+        self.assertIsInstance(self.ask(3), LeaseGranted)
+
+    def ask(self, sequence, host="host-8", ahead=0, version=1):
+        """Ask the witness; ``ahead`` is added to the first fence."""
+        round_id = RoundId(host, "a", sequence)
+        ask = LeaseAsk(SUBJECT, round_id, self.fence + ahead, version)
+        return self.witness.grant(ask)
+
+    def reason(self, *args, **options):
+        """Return why an ask is refused."""
+        return self.ask(*args, **options).reason
+
+    def test_renewal(self):
+        """The holder renews, but neither an old round nor a lower fence."""
+        self.assertIsInstance(self.ask(4, ahead=5), LeaseGranted)
+        self.assertEqual(LeaseDenial.OLD_ROUND, self.reason(3, ahead=5))
+        self.assertEqual(LeaseDenial.FENCE_OLD, self.reason(5, ahead=4))
+
+    def test_other_process(self):
+        """Another process waits for the end, and then needs a higher fence."""
+        self.timers.advance(LEASE_S - 0.5)
+        held = self.ask(1, "host-9", FENCE_SPAN)
+        self.assertEqual(("host-8", 0.5), (held.holder, round(held.remaining_s, 3)))
+        self.timers.advance(0.5)
+        low = self.reason(1, "host-9", FENCE_SPAN - 1)
+        self.assertEqual(LeaseDenial.FENCE_OLD, low)
+        self.assertIsInstance(self.ask(1, "host-9", FENCE_SPAN), LeaseGranted)
+
+    def test_release(self):
+        """A release ends the lease, keeps the fence and stops old rounds."""
+        self.witness.release(LeaseRelease(SUBJECT, RoundId("host-8", "a", 2)))
+        self.assertIsInstance(self.ask(1, "host-9", FENCE_SPAN), LeaseHeld)
+        self.witness.release(LeaseRelease(SUBJECT, RoundId("host-8", "a", 3)))
+        self.assertEqual(LeaseDenial.OLD_ROUND, self.reason(3))
+        self.assertEqual(LeaseDenial.FENCE_OLD, self.reason(1, "host-9"))
+        self.assertIsInstance(self.ask(1, "host-9", FENCE_SPAN), LeaseGranted)
+
+    def test_fence_ahead(self):
+        """A fence may be ahead of the clock by no more than clocks differ."""
+        limit = round(CLOCK_SKEW_S * 1000)
+        self.assertEqual(LeaseDenial.FENCE_AHEAD, self.reason(4, ahead=limit + 1))
+        self.assertIsInstance(self.ask(4, ahead=limit), LeaseGranted)
+
+    def test_lists(self):
+        """Nothing is granted under an old list, or while lists are not ready."""
+        self.lists.heard = 2
+        self.assertEqual(LeaseDenial.OLD_LIST, self.reason(4))
+        self.lists.ready = False
+        self.assertEqual(LeaseDenial.NOT_READY, self.reason(4, version=2))
+
+    def test_start(self):
+        """A new process waits until its predecessor's leases have ended."""
+        self.witness = LeaseWitness(self.timers, self.lists)
+        self.timers.advance(START_WAIT_S - 0.1)
+        self.assertEqual(LeaseDenial.NOT_READY, self.reason(1, "host-9"))
+        self.timers.advance(0.1)
+        self.assertIsInstance(self.ask(1, "host-9"), LeaseGranted)
+
+
+class HolderTest(TestCase):
+    """The holder's side, with answers given by hand."""
+
+    def setUp(self):
+        """Let a process ask for a lease."""
+        super().setUp()
+        self.timers, self.lists, self.sent, self.told = (
+            ManualTimers(),
+            FakeLists(),
+            [],
+            [],
+        )
+        outbox = SimpleNamespace(send=self.send)
+        args = (self.timers, random.Random(1), outbox, self.lists)
+        self.leases = Leases("host-8", "a", *args)
+        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+
+    def send(self, host, message):
+        """Keep a message."""
+        self.sent.append(message)
+        return True
+
+    def grant(self, ask):
+        """Let a majority grant an ask."""
+        for host in WITNESSES[:2]:
+            granted = LeaseGranted(ask.subject, ask.round_id, self.lists.heard)
+            self.leases.handle(host, granted)
+
+    def test_measured_from_ask(self):
+        """A lease lasts from before its first ask was sent."""
+        self.timers.advance(0.75 * ROUND_S)
+        self.grant(self.sent[-1])
+        self.assertEqual(LEASE_S - 0.75 * ROUND_S, self.told[0].ok.left_s)
+
+    def test_late_answer(self):
+        """Answers count for a short time, so that the fence is never old."""
+        ask = self.sent[-1]
+        self.timers.advance(ROUND_S + 0.01)
+        self.grant(ask)
+        self.assertEqual([], self.told)
+
+    def test_version_of_round(self):
+        """An ask that is sent again keeps the version of its witnesses."""
+        self.lists.heard = 2
+        self.timers.advance(ROUND_RESEND_S)
+        self.assertEqual({1}, {ask.list_version for ask in self.sent})
+
+    def test_older_lists(self):
+        """A list is out of use only when its leases have ended."""
+        self.assertLess(self.lists.key_time, self.timers.wall() - LEASE_S)
+
+    def test_unsure_order(self):
+        """A lease with an order in doubt is kept to its end by everyone."""
+        self.grant(self.sent[-1])
+        lease = self.told[0].ok
+        lease.start_order()
+        lease.finish_order(False)
+        self.assertIsNone(lease.start_order())
+        self.sent.clear()
+        self.leases.release(lease)
+        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+        self.assertEqual(([], LEASE_S), (self.sent, self.told[1].error.retry_after_s))
+        self.timers.advance(LEASE_S)
+        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+        self.assertIsInstance(self.sent[-1], LeaseAsk)
+
+    def test_ended_lease(self):
+        """A lease that has ended is not revived by a late renewal."""
+        self.grant(self.sent[-1])
+        lease = self.told[0].ok
+        self.timers.advance(LEASE_S - 0.01)
+        renewal = self.sent[-1]
+        self.timers.advance(0.02)
+        self.grant(renewal)
+        self.assertEqual((0.0, None), (lease.left_s, self.leases.find_lease(SUBJECT)))
+
+
+class StartWindowTest(TestCase):
+    """The rate of a budget."""
+
+    def test_any_window(self):
+        """No window holds more starts than it may, wherever it begins."""
+        timers, rng, taken = ManualTimers(), random.Random(1), []
+        window = StartWindow(timers, 3, 10.0, 0.0)
+        while timers.now() < 300:
+            taken += [] if window.take() else [timers.now()]
+            timers.advance(rng.uniform(0.0, 2.0))
+        self.assertGreaterEqual(taken[0], 10.0)
+        gaps = [b - a for a, b in zip(taken, taken[3:], strict=False)]
+        self.assertGreaterEqual(min(gaps), 10.0)
+        self.assertGreater(len(taken), 60)
