End a lease by the wall clock too, and give leases up on shutdown

Cause: the monotonic clock stands still while a whole machine is suspended, so that its process would wake with a lease that has long ended. Ruled out: the wall clock alone, which may step back.

--- a/oleanderpier/orders/lease.py
+++ b/oleanderpier/orders/lease.py
@@ -13,10 +13,13 @@
 
     Attributes:
         ends_s: When it ends, by the holder's monotonic clock.
+        ends_wall_s: The same by its wall clock, which also counts the time
+            that the whole machine was suspended.
         fence: The first of ``FENCE_SPAN`` fencing tokens.
     """
 
     ends_s: float
+    ends_wall_s: float
     fence: int
 
 
@@ -49,7 +52,9 @@
         """How long it lasts, in seconds; 0 once it has ended."""
         if self._released:
             return 0.0
-        return max(self._tenure.ends_s - self._timers.now(), 0.0)
+        left_s = self._tenure.ends_s - self._timers.now()
+        left_wall_s = self._tenure.ends_wall_s - self._timers.wall()
+        return max(min(left_s, left_wall_s), 0.0)
 
     @property
     def settled(self) -> bool:
--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -56,6 +56,7 @@
         self.attempt: Attempt | None = None
         self.lease: Lease | None = None
         self.round_s = 0.0
+        self.round_wall_s = 0.0
         self.fence = 0
         self.list_version = 0
         self.held_s = 0.0
@@ -148,6 +149,15 @@
         else:
             self._kept_until_s[lease.subject] = self._timers.now() + left_s
 
+    def close(self) -> None:
+        """Give every lease up and ask for none, as the host shuts down."""
+        for entry in list(self._entries.values()):
+            if entry.lease is not None:
+                self.release(entry.lease)
+            else:
+                self._send_release(entry)
+                self._give_up(entry)
+
     def find_lease(self, subject: str) -> Lease | None:
         """Return the lease of a subject that this process has now, if any."""
         entry = self._entries.get(subject)
@@ -234,9 +244,10 @@
         if entry.phase is _Phase.HOLDING and not entry.lease.left_s:
             self._lose_lease(entry)
             return
-        ended_s = self._timers.wall() - LEASE_S - MARGIN_S
-        required = self._lists.list_required(entry.subject.encode(), ended_s)
         entry.round_s = self._timers.now()
+        entry.round_wall_s = self._timers.wall()
+        ended_s = entry.round_wall_s - LEASE_S - MARGIN_S
+        required = self._lists.list_required(entry.subject.encode(), ended_s)
         entry.held_s = 0.0
         if required is None:
             self._lose_round(entry)
@@ -294,7 +305,8 @@
             self._lose_lease(entry)
             return
         self._note_fence(entry.subject, entry.fence)
-        tenure = Tenure(entry.round_s + LEASE_S, entry.fence)
+        ends_wall_s = entry.round_wall_s + LEASE_S
+        tenure = Tenure(entry.round_s + LEASE_S, ends_wall_s, entry.fence)
         self._set_timer(entry, RENEW_S, lambda: self._start_round(entry))
         if entry.phase is _Phase.HOLDING:
             entry.lease.renew(tenure)
--- a/oleanderpier/orders/tests/test_engines.py
+++ b/oleanderpier/orders/tests/test_engines.py
@@ -32,7 +32,8 @@
 
 def make_lease(timers, fence, left_s=LEASE_S):
     """Return a lease with some time left."""
-    return Lease("engine-0", timers, Tenure(timers.now() + left_s, fence))
+    tenure = Tenure(timers.now() + left_s, timers.wall() + left_s, fence)
+    return Lease("engine-0", timers, tenure)
 
 
 async def give_orders(session, server, *fences):
--- a/oleanderpier/orders/tests/test_leases.py
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -9,6 +9,9 @@
 from oleanderpier.orders import (
     FENCE_SPAN,
     LEASE_S,
+    MARGIN_S,
+    ORDER_TIMEOUT_S,
+    RENEW_S,
     ROUND_RESEND_S,
     ROUND_S,
     START_WAIT_S,
@@ -23,6 +26,7 @@
     StartWindow,
     read_fence_time,
 )
+from oleanderpier.relay.connections import USER_TIMEOUT_MS
 from oleanderpier.utils import ManualTimers
 
 WITNESSES = ("host-1", "host-2", "host-3")
@@ -194,6 +198,37 @@
         self.grant(renewal)
         self.assertEqual((0.0, None), (lease.left_s, self.leases.find_lease(SUBJECT)))
 
+    def test_suspended_machine(self):
+        """A lease ends by the wall clock where the other one stood still."""
+        self.grant(self.sent[-1])
+        self.timers._wall_offset += LEASE_S
+        self.assertEqual(0.0, self.told[0].ok.left_s)
+        self.assertIsNone(self.told[0].ok.start_order())
+
+    def test_close(self):
+        """A host that shuts down gives its leases up and asks for none."""
+        self.leases.acquire("engine-1", 10.0, self.told.append)
+        self.grant(self.sent[0])
+        self.leases.close()
+        released = {m.subject for m in self.sent if isinstance(m, LeaseRelease)}
+        self.assertEqual({SUBJECT, "engine-1"}, released)
+        self.assertEqual([True, False], [result.is_ok() for result in self.told])
+
+
+class LimitsTest(TestCase):
+    """What the proofs ask of the limits."""
+
+    def test_fence_rises(self):
+        """A successor's clock passes a forgotten fence while it has to wait."""
+        spare_s = LEASE_S + MARGIN_S - ROUND_S - 2 * CLOCK_SKEW_S
+        self.assertGreater(spare_s, FENCE_SPAN / 1000)
+
+    def test_order_fits(self):
+        """An order fits in after a failed renewal, and no byte outlives it."""
+        left_s = LEASE_S - 2 * RENEW_S
+        self.assertGreater(left_s, ORDER_TIMEOUT_S + MARGIN_S)
+        self.assertLessEqual(USER_TIMEOUT_MS / 1000, ORDER_TIMEOUT_S)
+
 
 class StartWindowTest(TestCase):
     """The rate of a budget."""
