Catch each rule of the leases by a fault or a test

Cause: trials that took out one rule at a time left some unnoticed: fences that witnesses do not remember, starts that are used late. Ruled out: relying on the schedules alone.

--- a/oleanderpier/orders/tests/faults.py
+++ b/oleanderpier/orders/tests/faults.py
@@ -6,7 +6,13 @@
 
 from oleanderpier.claims import CLOCK_SKEW_S, choose_witnesses, read_host_list
 from oleanderpier.orders import LEASE_S
-from oleanderpier.orders.tests.fleet import BUDGET, STEPS, LeasedOrders, OrdersFleet
+from oleanderpier.orders.tests.fleet import (
+    ASK_AGAIN_S,
+    BUDGET,
+    STEPS,
+    LeasedOrders,
+    OrdersFleet,
+)
 
 WARM_UP_S = 32.0
 CASE_S = 40.0
@@ -37,6 +43,13 @@
     getattr(fleet, failure)(find_holder(fleet, subject))
 
 
+def _pause_starts(fleet: OrdersFleet) -> None:
+    """Four hosts are paused as they get their next starts."""
+    holder = fleet.find_holder(BUDGET)
+    for name in [name for name in fleet.names if name != holder][:4]:
+        fleet.at_step[name, "use"] = fleet.pause
+
+
 def _split(*sizes: int, fleet: OrdersFleet) -> None:
     names = sorted(fleet.processes, key=lambda name: name != find_holder(fleet))
     groups = [names[sum(sizes[:i]) : sum(sizes[: i + 1])] for i in range(len(sizes))]
@@ -120,9 +133,9 @@
 def _skew(skews_s: list[float], fleet: OrdersFleet) -> None:
     """Pass the orders on again and again between hosts with other clocks."""
     set_clocks(fleet, skews_s)
-    fleet.stop_share = 0.5
+    fleet.stop_share, fleet.ask_again_s = 0.5, 0.1
     fleet.timers.advance(CASE_S)
-    fleet.stop_share = 0.0
+    fleet.stop_share, fleet.ask_again_s = 0.0, ASK_AGAIN_S
 
 
 def _skew_one(fleet: OrdersFleet) -> None:
@@ -157,6 +170,7 @@
         for failure in ("kill", "pause")
         for step in STEPS
     },
+    "starts used late": _pause_starts,
     "budget holder killed": partial(_fail_holder, "kill", BUDGET),
     "budget holder paused": partial(_fail_holder, "pause", BUDGET),
     "budget holder cut off": partial(part_holder, subject=BUDGET),
@@ -193,6 +207,7 @@
     CASES[name](fleet)
     fleet.timers.advance(CASE_S)
     fleet.cut.clear()
+    fleet.at_step.clear()
     fleet.loss = fleet.duplicate = fleet.reorder = 0.0
     fleet.order_loss = fleet.delay_s = fleet.stop_share = 0.0
     fleet.timers.advance(HEALED_S)
--- a/oleanderpier/orders/tests/fleet.py
+++ b/oleanderpier/orders/tests/fleet.py
@@ -133,6 +133,7 @@
         self.delay_s = 0.0
         self.order_loss = 0.0
         self.stop_share = 0.0
+        self.ask_again_s = ASK_AGAIN_S
         self.pauses = self.check_pauses = 0
         super().__init__(seed, make_node, hosts)
 
@@ -177,7 +178,7 @@
     async def _acquire(self, process: Process, engine: str) -> None:
         result = await self._ask(process, process.node.acquire, engine, ACQUIRE_S)
         if result.is_error():
-            wait_s = min(result.error.retry_after_s or 0.0, ASK_AGAIN_S)
+            wait_s = min(result.error.retry_after_s or 0.0, self.ask_again_s)
             await self._sleep(process, wait_s)
         elif process.node.find_lease(engine):
             self._find_overlaps(process, engine)
@@ -268,9 +269,11 @@
 
     async def _use_start(self, process: Process) -> None:
         result = await self._ask(process, process.node.take_start)
+        if result.is_error():
+            return
         self._step(process, "use")
         await suspend(process.do)
-        if result.is_ok() and result.ok.valid:
+        if result.ok.valid:
             delay_s = self.rng.uniform(0.0, ORDER_TIMEOUT_S)
             self.timers.call_later(
                 delay_s, lambda: self.starts.append(self.timers.now())
