--- a/oleanderpier/orders/lease.py
+++ b/oleanderpier/orders/lease.py
@@ -13,10 +13,13 @@
 
     Attributes:
         ends_s: When it ends, by the holder's monotonic clock.
+        ends_wall_s: The same by its wall clock, which also counts the time
+            that the whole machine was suspended.
         fence: The first of ``FENCE_SPAN`` fencing tokens.
     """
 
     ends_s: float
+    ends_wall_s: float
     fence: int
 
 
@@ -40,7 +43,8 @@
         self._timers = timers
         self._tenure = tenure
         self._used = 0
-        self._unanswered = 0
+        self._open = False
+        self._unsure_until_s = 0.0
         self._released = False
 
     @property
@@ -48,12 +52,14 @@
         """How long it lasts, in seconds; 0 once it has ended."""
         if self._released:
             return 0.0
-        return max(self._tenure.ends_s - self._timers.now(), 0.0)
+        left_s = self._tenure.ends_s - self._timers.now()
+        left_wall_s = self._tenure.ends_wall_s - self._timers.wall()
+        return max(min(left_s, left_wall_s), 0.0)
 
     @property
     def settled(self) -> bool:
-        """Whether every order that was started has a certain outcome."""
-        return self._unanswered == 0
+        """Whether no order that was started can still take effect."""
+        return not self._open and self._timers.now() >= self._unsure_until_s
 
     def allows(self, duration_s: float) -> bool:
         """Return whether something may begin that takes up to some seconds."""
@@ -66,15 +72,18 @@
     def start_order(self) -> int | None:
         """Return the fencing token of a new order.
 
+        Orders go one at a time, so that none overtakes another.
+
         Returns:
             A token above all earlier ones; None if too little of the lease is
-            left, or the tokens of this renewal are used up.
+            left, an earlier order may still take effect, or the tokens of this
+            renewal are used up.
         """
-        if not self.may_write() or self._used == FENCE_SPAN:
+        if not self.may_write() or not self.settled or self._used == FENCE_SPAN:
             return None
         fence = self._tenure.fence + self._used
         self._used += 1
-        self._unanswered += 1
+        self._open = True
         return fence
 
     def finish_order(self, certain: bool) -> None:
@@ -82,10 +91,11 @@
 
         Args:
             certain: Whether it was obeyed, refused or never sent. Otherwise it
-                may still take effect, and the lease is never given up early.
+                may still take effect for ``ORDER_TIMEOUT_S``.
         """
-        if certain:
-            self._unanswered -= 1
+        self._open = False
+        if not certain:
+            self._unsure_until_s = self._timers.now() + ORDER_TIMEOUT_S
 
     def renew(self, tenure: Tenure) -> None:
         """Go on with a later end and higher fences."""
--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -9,7 +9,7 @@
 from eliot import log_message
 from expression import Error, Ok, Result
 
-from oleanderpier.claims import HostLists
+from oleanderpier.claims import CLOCK_SKEW_S, HostLists
 from oleanderpier.claims.attempt import Attempt, Verdict
 from oleanderpier.orders.lease import Lease, Tenure
 from oleanderpier.orders.limits import (
@@ -56,6 +56,7 @@
         self.attempt: Attempt | None = None
         self.lease: Lease | None = None
         self.round_s = 0.0
+        self.round_wall_s = 0.0
         self.fence = 0
         self.list_version = 0
         self.held_s = 0.0
@@ -93,6 +94,7 @@
         self._entries: dict[str, _Entry] = {}
         self._fences: dict[str, int] = {}
         self._holders: dict[str, str] = {}
+        self._kept_until_s: dict[str, float] = {}
         self._sequence = 0
 
     @property
@@ -119,6 +121,11 @@
         if entry is not None:
             entry.waiters.append(notify)
             return
+        kept_s = self._kept_until_s.pop(subject, 0.0) - self._timers.now()
+        if kept_s > 0:
+            self._kept_until_s[subject] = self._timers.now() + kept_s
+            notify(Error(_make_failure(subject, kept_s)))
+            return
         entry = _Entry(subject, self._timers.now() + timeout_s)
         entry.waiters.append(notify)
         self._entries[subject] = entry
@@ -128,8 +135,10 @@
         """Give a lease up.
 
         The witnesses are told, so that another process need not wait for its
-        end; but not while an order may still take effect.
+        end. While an order may still take effect they are not, and this process
+        can't acquire the lease again before its end either.
         """
+        left_s = lease.left_s
         lease.end()
         entry = self._entries.get(lease.subject)
         if entry is None or entry.lease is not lease:
@@ -137,6 +146,17 @@
         self._drop(entry)
         if lease.settled:
             self._send_release(entry)
+        else:
+            self._kept_until_s[lease.subject] = self._timers.now() + left_s
+
+    def close(self) -> None:
+        """Give every lease up and ask for none, as the host shuts down."""
+        for entry in list(self._entries.values()):
+            if entry.lease is not None:
+                self.release(entry.lease)
+            else:
+                self._send_release(entry)
+                self._give_up(entry)
 
     def find_lease(self, subject: str) -> Lease | None:
         """Return the lease of a subject that this process has now, if any."""
@@ -224,9 +244,10 @@
         if entry.phase is _Phase.HOLDING and not entry.lease.left_s:
             self._lose_lease(entry)
             return
-        ended_s = self._timers.wall() - LEASE_S - MARGIN_S
-        required = self._lists.list_required(entry.subject.encode(), ended_s)
         entry.round_s = self._timers.now()
+        entry.round_wall_s = self._timers.wall()
+        ended_s = entry.round_wall_s - LEASE_S - MARGIN_S
+        required = self._lists.list_required(entry.subject.encode(), ended_s)
         entry.held_s = 0.0
         if required is None:
             self._lose_round(entry)
@@ -244,7 +265,10 @@
         return max(known + FENCE_SPAN, read_fence_time(self._timers.wall()))
 
     def _note_fence(self, subject: str, fence: int) -> None:
-        self._fences[subject] = max(fence, self._fences.get(subject, 0))
+        """Stay above a fence, unless a faulty clock must have made it."""
+        latest = read_fence_time(self._timers.wall() + 2 * CLOCK_SKEW_S)
+        if fence <= latest:
+            self._fences[subject] = max(fence, self._fences.get(subject, 0))
 
     def _ask_witnesses(self, entry: _Entry, attempt: Attempt) -> None:
         """Send the round to whoever has not answered, until it is decided."""
@@ -281,7 +305,8 @@
             self._lose_lease(entry)
             return
         self._note_fence(entry.subject, entry.fence)
-        tenure = Tenure(entry.round_s + LEASE_S, entry.fence)
+        ends_wall_s = entry.round_wall_s + LEASE_S
+        tenure = Tenure(entry.round_s + LEASE_S, ends_wall_s, entry.fence)
         self._set_timer(entry, RENEW_S, lambda: self._start_round(entry))
         if entry.phase is _Phase.HOLDING:
             entry.lease.renew(tenure)
@@ -306,10 +331,7 @@
 
     def _give_up(self, entry: _Entry) -> None:
         self._drop(entry)
-        text = f"no lease for {entry.subject}"
-        retry_after_s = max(entry.held_s, ROUND_RETRY_S)
-        failure = Failure(Code.LEASE_NOT_HELD, text, retry_after_s)
-        self._notify(entry, Error(failure))
+        self._notify(entry, Error(_make_failure(entry.subject, entry.held_s)))
 
     def _lose_lease(self, entry: _Entry) -> None:
         self._drop(entry)
@@ -343,3 +365,8 @@
         if entry.timer is not None:
             entry.timer.cancel()
         entry.timer = self._timers.call_later(delay_s, callback)
+
+
+def _make_failure(subject: str, wait_s: float) -> Failure:
+    text = f"no lease for {subject}"
+    return Failure(Code.LEASE_NOT_HELD, text, max(wait_s, ROUND_RETRY_S))
