--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -166,7 +166,7 @@
             make_operator_app(reports, self.registry), settings["operator_port"]
         )
         await self._serve(make_caller_app(self), settings["caller_port"])
-        self.placement.update_hosts(self.members.list_alive())
+        self._update_placing()
         for part in (self.members, self.spread, self.duty, self.servers):
             part.start()
         platform = settings["platform"]
@@ -190,7 +190,7 @@
         self.state = "draining"
         self.ring.record("daemon:draining", self.host)
         self.members.leave()
-        self.placement.update_hosts(self._list_placing())
+        self._update_placing()
         limits = self.settings["limits"]
         deadline_s = self.timers.now() + limits["drain_s"]
         await asyncio.sleep(limits["address_keep_s"])
@@ -349,9 +349,13 @@
     def _note_cache_event(self, name: str, event: CacheEvent) -> None:
         self.placement.note_cache_event(name, event["kind"], event["chat"])
 
-    def _list_placing(self) -> list[str]:
-        """Return the hosts that may own pools."""
-        return self.members.list_alive()
+    def _update_placing(self) -> None:
+        """Tell placement who is alive, and who still holds permits but leaves."""
+        known = self.members.list_known()
+        leaving = [
+            host for host in known if self.members.find_state(host) is MemberState.LEFT
+        ]
+        self.placement.update_hosts([*self.members.list_alive(), *leaving], leaving)
 
     def _adopt_backend_servers(self, published: Published) -> None:
         servers = published.body["backend_servers"]
@@ -393,5 +397,5 @@
         if card is not None:
             address = Address(card.address, card.peer_port)
             self.mesh.update_addresses({host: address})
-        self.placement.update_hosts(self._list_placing())
+        self._update_placing()
         self.ring.record("membership:state", host, text=state.name.lower())
--- a/oleanderpier/daemon/places.py
+++ b/oleanderpier/daemon/places.py
@@ -66,6 +66,7 @@
         Returns:
             A permit, or why there is none.
         """
+        request = request._replace(avoid=min(avoid, default=""))
         for _ in range(MAX_TRIES):
             result = await self._request(request)
             if result.is_error():
