Bound the kernel's buffers of a stream; give the permit's priority

Cause: a caller who took nothing let 7.4 MB pile up in the kernel's buffers before its engine was held back; the priority of a permit reached no engine. Ruled out: a larger read-ahead, since a token is some 50 bytes. Change: 64 KB receive buffer towards engines, 64 KB send buffer to callers; the engine gets the permit's priority plus the answer's.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -68,6 +68,8 @@
 class _Permit:
     """A permit that is always to be had."""
 
+    priority = 0
+
     def __init__(self, backend_server: dict) -> None:
         self.backend_server = backend_server
 
--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -29,9 +29,15 @@
 
 
 class Permit(Protocol):
-    """The right to send one request to a backend server."""
+    """The right to send one request to a backend server.
+
+    Attributes:
+        backend_server: Where the request may run.
+        priority: For the engine; lower goes first.
+    """
 
     backend_server: BackendServer
+    priority: int
 
     def release(self) -> None:
         """Give the right back; the server no longer works on the request."""
@@ -47,7 +53,7 @@
     Attributes:
         request: The request's id, unique; events carry it.
         work_class: The class of work with its targets.
-        priority: Lower goes first at the engine.
+        priority: Added to the permit's.
     """
 
     request: str
@@ -233,7 +239,7 @@
             messages=answer.messages,
             offset=self._sequence.next_offset,
             max_tokens=answer.max_tokens,
-            priority=answer.priority,
+            priority=answer.priority + self._permit.priority,
         )
 
     async def _go_on(self, step: Step) -> Step:
--- a/oleanderpier/relay/callers.py
+++ b/oleanderpier/relay/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import msgspec
 from aiohttp import web
@@ -12,6 +13,7 @@
 __all__ = ["CallerStream"]
 
 HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+KERNEL_BUFFER_BYTES = 64 * 1024
 HEARTBEAT = b": heartbeat\n\n"
 
 
@@ -97,6 +99,8 @@
         if transport is None:
             raise ConnectionResetError("the caller has left")
         transport.set_write_buffer_limits(high=self._write_buffer_bytes)
+        opened = transport.get_extra_info("socket")
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
         await self.response.prepare(self._request)
         self.ready = True
 
--- a/oleanderpier/relay/connections.py
+++ b/oleanderpier/relay/connections.py
@@ -14,6 +14,7 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 4096
 READ_BUFFER_BYTES = 16 * 1024
+KERNEL_BUFFER_BYTES = 64 * 1024
 USER_TIMEOUT_MS = 5000
 CANCEL_TIMEOUT_S = 1.0
 CANCEL_ATTEMPTS = 2
@@ -121,10 +122,14 @@
 
 
 def _make_socket(address_info: tuple) -> socket.socket:
-    """Return a socket that the kernel gives up when nothing is acknowledged."""
+    """Return a socket that reads little ahead.
+
+    The kernel gives it up when nothing it sent is acknowledged for long.
+    """
     family, kind, protocol, _, _ = address_info
     opened = socket.socket(family, kind, protocol)
     opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return opened
--- a/oleanderpier/relay/tests/servers.py
+++ b/oleanderpier/relay/tests/servers.py
@@ -48,6 +48,8 @@
 class FakePermit:
     """The right to use a server, which counts how often it is released."""
 
+    priority = 3
+
     def __init__(self, backend_server: dict) -> None:
         self.backend_server = backend_server
         self.released = 0
--- a/oleanderpier/relay/tests/test_answers.py
+++ b/oleanderpier/relay/tests/test_answers.py
@@ -239,10 +239,11 @@
         asyncio.run(self._check_slow_caller())
 
     async def _check_slow_caller(self) -> None:
-        sent, cancelled, held = [0], [], [0]
+        sent, cancelled, held, priorities = [0], [], [0], []
 
         async def generate(request: web.Request) -> web.StreamResponse:
             body = await request.json()
+            priorities.append(body["priority"])
             response = web.StreamResponse()
             await response.prepare(request)
             data = json.dumps({"text": "x" * EVENT_BYTES})
@@ -276,7 +277,7 @@
                         self.assertEqual("whole", judge_answer(data, TOKENS))
                         bench.outcomes.clear()
                 caller.close()
-        self.assertEqual(["slow"], cancelled)
+        self.assertEqual((["slow"], [1 + 3]), (cancelled, priorities))
         self.assertEqual(1, bench.relay.measures.counts["caller_stuck"])
         self.assertGreater(held[0], 0)
         self.assertLessEqual(held[0], QUICK.write_buffer_bytes + MAX_UNDRAINED_BYTES)
