Blame no engine that is alive at the deadline

Cause: an engine that still sent heartbeats when the target passed was reported silent, and membership and placement would have taken it out. Ruled out: leaving the stream open past the deadline without events, which keeps a slot for an answer that nobody waits for.

--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -318,6 +318,9 @@
         return Step.FAILED
 
     async def _miss_target(self, step: Step) -> Step:
+        """Settle the code after the deadline; no server is to blame."""
+        self._sent = self._sent or self._permit is not None
+        self._cancel_work()
         code = Code.TARGET_MISSED if self._sent else Code.TARGET_UNREACHABLE
         self._failure = Failure(code, "", RETRY_AFTER_S)
         return Step.FAILED
--- a/oleanderpier/relay/tests/test_answers.py
+++ b/oleanderpier/relay/tests/test_answers.py
@@ -174,6 +174,21 @@
         self.assertEqual(0, running)
         self.assertEqual(0, outcome.total)
 
+    def test_too_late(self):
+        """An engine that is alive past the deadline is left and not blamed."""
+
+        async def run() -> tuple:
+            async with run_engines(1) as [(engine, server)]:
+                engine.switch.faults = {"late_s": 5.0}
+                work_class = {**WORK_CLASS, "whole_s": 0.3}
+                async with run_relay([server], work_class=work_class) as bench:
+                    _, data, hung = await read_answer(bench.url)
+                counts = bench.relay.measures.counts
+                blamed = [name for name in counts if name.startswith("attempt_")]
+                return judge_answer(data, TOKENS, hung), blamed, engine.slots.running
+
+        self.assertEqual(("failed 206", [], 0), asyncio.run(run()))
+
 
 class CallerTest(TestCase):
     """Callers that leave, that are slow, and that wait."""
--- a/oleanderpier/relay/watch.py
+++ b/oleanderpier/relay/watch.py
@@ -56,6 +56,7 @@
 
     Until the deadline everything that an engine sends counts as a sign of
     life, and every byte that the caller takes; afterwards only events count.
+    An engine that still sends heartbeats then is too late, not silent.
 
     Args:
         limits: The limits in ticks.
@@ -88,6 +89,7 @@
         self._interrupt = interrupt
         self._mark: tuple[Phase, int] = (Phase.PLACING, 0)
         self._still = 0
+        self._reads = 0
         self._told = sequence.next_offset
         self._quiet = limits.caller_heartbeat - limits.begin
 
@@ -121,11 +123,13 @@
         if mark != self._mark:
             self._mark = mark
             self._still = 0
+            self._reads = self.reads
             return
         self._still += 1
         limit, step = _LIMITS[self.phase](self._limits)
         if self._still >= limit:
-            self._expire(step)
+            alive = self.phase is Phase.READING and self.reads != self._reads
+            self._expire(Step.TOO_LATE if alive else step)
 
     def _keep_caller(self) -> None:
         """Send a heartbeat to a caller that was sent nothing for long."""
