--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -29,9 +29,15 @@
 
 
 class Permit(Protocol):
-    """The right to send one request to a backend server."""
+    """The right to send one request to a backend server.
+
+    Attributes:
+        backend_server: Where the request may run.
+        priority: For the engine; lower goes first.
+    """
 
     backend_server: BackendServer
+    priority: int
 
     def release(self) -> None:
         """Give the right back; the server no longer works on the request."""
@@ -50,7 +56,7 @@
     Attributes:
         request: The request's id, unique; events carry it.
         work_class: The class of work with its targets.
-        priority: Lower goes first at the engine.
+        priority: Added to the permit's.
     """
 
     request: str
@@ -262,7 +268,7 @@
             messages=answer.messages,
             offset=self._sequence.next_offset,
             max_tokens=answer.max_tokens,
-            priority=answer.priority,
+            priority=answer.priority + self._permit.priority,
         )
 
     async def _go_on(self, step: Step) -> Step:
@@ -374,6 +380,9 @@
         return Step.FAILED
 
     async def _miss_target(self, step: Step) -> Step:
+        """Settle the code after the deadline; no server is to blame."""
+        self._sent = self._sent or self._permit is not None
+        self._cancel_work()
         code = Code.TARGET_MISSED if self._sent else Code.TARGET_UNREACHABLE
         self._failure = Failure(code, "", RETRY_AFTER_S)
         return Step.FAILED
--- a/oleanderpier/relay/tests/test_answers.py
+++ b/oleanderpier/relay/tests/test_answers.py
@@ -174,6 +174,21 @@
         self.assertEqual(0, running)
         self.assertEqual(0, outcome.total)
 
+    def test_too_late(self):
+        """An engine that is alive past the deadline is left and not blamed."""
+
+        async def run() -> tuple:
+            async with run_engines(1) as [(engine, server)]:
+                engine.switch.faults = {"late_s": 5.0}
+                work_class = {**WORK_CLASS, "whole_s": 0.3}
+                async with run_relay([server], work_class=work_class) as bench:
+                    _, data, hung = await read_answer(bench.url)
+                counts = bench.relay.measures.counts
+                blamed = [name for name in counts if name.startswith("attempt_")]
+                return judge_answer(data, TOKENS, hung), blamed, engine.slots.running
+
+        self.assertEqual(("failed 206", [], 0), asyncio.run(run()))
+
 
 class CallerTest(TestCase):
     """Callers that leave, that are slow, and that wait."""
@@ -239,10 +254,11 @@
         asyncio.run(self._check_slow_caller())
 
     async def _check_slow_caller(self) -> None:
-        sent, cancelled, held = [0], [], [0]
+        sent, cancelled, held, priorities = [0], [], [0], []
 
         async def generate(request: web.Request) -> web.StreamResponse:
             body = await request.json()
+            priorities.append(body["priority"])
             response = web.StreamResponse()
             await response.prepare(request)
             data = json.dumps({"text": "x" * EVENT_BYTES})
@@ -276,7 +292,7 @@
                         self.assertEqual("whole", judge_answer(data, TOKENS))
                         bench.outcomes.clear()
                 caller.close()
-        self.assertEqual(["slow"], cancelled)
+        self.assertEqual((["slow"], [1 + 3]), (cancelled, priorities))
         self.assertEqual(1, bench.relay.measures.counts["caller_stuck"])
         self.assertGreater(held[0], 0)
         self.assertLessEqual(held[0], QUICK.write_buffer_bytes + MAX_UNDRAINED_BYTES)
