Measure an idle second and the control bytes of real daemons

Cause: the bounds on an idle second (1.3% of a core) and on control (4 KB/s a host) were stated and measured by nothing over processes.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -78,7 +78,7 @@
 
     async def __aenter__(self) -> "Fleet":
         """Start every process and wait until all hosts are ready."""
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         try:
             await self._start_all()
         except BaseException:
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -9,7 +9,7 @@
 import aiohttp
 from aiohttp import web
 from expression import Result
-from prometheus_client import CollectorRegistry
+from prometheus_client import CollectorRegistry, Gauge
 
 from oleanderpier.claims import Claims, HostLists, Outcome, finish_calls
 from oleanderpier.configuration import (
@@ -98,6 +98,7 @@
         self._probes: set[asyncio.Task] = set()
         self._build_parts()
         self._connect_parts()
+        self._register_metrics()
 
     def _build_parts(self) -> None:
         settings, timers, rng = self.settings, self.timers, self.rng
@@ -130,6 +131,17 @@
         self.placement = Placement(self.host, timers, rng, self.mesh, self._move_stream)
         self.places = Places(self.placement)
 
+    def _register_metrics(self) -> None:
+        """Register what is read off the parts when the metrics are."""
+        for name, text, read in (
+            ("peer_bytes_sent", "Bytes to hosts.", lambda: self.mesh.bytes_sent),
+            ("requests_in_progress", "Requests now.", lambda: self.in_progress),
+            ("permits_held", "Permits now.", lambda: len(self.placement.list_held())),
+            ("hosts_alive", "Hosts alive.", lambda: len(self.members.list_alive())),
+        ):
+            gauge = Gauge(f"oleanderpier_{name}", text, registry=self.registry)
+            gauge.set_function(read)
+
     def _connect_parts(self) -> None:
         mesh = self.mesh
         mesh.subscribe_range(MEMBERSHIP_NUMBERS, self.members.handle)
