Try every pair of faults on two engines

Cause: faults may come together or twice. Change: 13 x 13 rows before a third engine, 26 answers at a time.

--- a/oleanderpier/relay/tests/test_answers.py
+++ b/oleanderpier/relay/tests/test_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import socket
 
@@ -122,6 +123,22 @@
                 seen = (verdict, outcome.attempts, outcome.total)
                 self.assertEqual(expected, seen, (first, second))
 
+    def test_every_pair(self):
+        """Two faulty engines, one after the other, in every pair of faults."""
+        pairs = list(itertools.product(sorted(FAULTS), repeat=2))
+
+        async def run() -> list[tuple]:
+            found = []
+            for batch in (pairs[i : i + 26] for i in range(0, len(pairs), 26)):
+                rows = [[FAULTS[first], FAULTS[second], {}] for first, second in batch]
+                found += await asyncio.gather(*(run_answer(row) for row in rows))
+            return found
+
+        for pair, row in zip(pairs, asyncio.run(run()), strict=True):
+            verdict, outcome, released, (running, _) = row
+            self.assertEqual(("whole", 0), (verdict, running), pair)
+            self.assertEqual([1] * outcome.attempts, released, pair)
+
     def test_late_engine_is_kept(self):
         """An engine that is slow but sends heartbeats is not given up."""
         faults = [{"late_s": 0.4}, {}]
