--- a/oleanderpier/orders/tests/baselines.py
+++ b/oleanderpier/orders/tests/baselines.py
@@ -2,20 +2,25 @@
 
 import math
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 from expression import Error, Ok
 
-from oleanderpier.claims.tests.fleet import HEARTBEAT_S, Heartbeat, Process
+from oleanderpier.claims.tests.fleet import Process
 from oleanderpier.orders import ORDER_TIMEOUT_S, START_LIFE_S, Start, StartWindow
 from oleanderpier.orders.tests.fleet import BUDGET, PERIOD_S, STARTS
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import rank_candidates
 
+HEARTBEAT_S = 1.0
 LIVE_S = 3 * HEARTBEAT_S
 _NOT_OWNER = Error(Failure(Code.LEASE_NOT_HELD, ""))
 
 
+class Heartbeat(NamedTuple):
+    """A sign of life of the baseline."""
+
+
 class OwnedOrders:
     """Baseline: the best ranked host that seems alive numbers its own orders."""
 
@@ -62,7 +67,7 @@
 
     def _beat(self) -> None:
         for host in self.names:
-            self._process.send(host, Heartbeat("", 0))
+            self._process.send(host, Heartbeat())
 
 
 class OwnRight:
--- a/oleanderpier/orders/tests/fleet.py
+++ b/oleanderpier/orders/tests/fleet.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok
 
 from oleanderpier.claims import HostLists
-from oleanderpier.claims.tests.fleet import HEARTBEAT_S, Fleet, Heartbeat, Process
+from oleanderpier.claims.tests.fleet import Fleet, Process
 from oleanderpier.orders import (
     ORDER_TIMEOUT_S,
     Budget,
@@ -89,38 +89,28 @@
 
 
 class LeasedOrders:
-    """The leases under test, with the lists and heartbeats they need."""
+    """The leases under test, with the lists they need."""
 
     def __init__(self, process: Process, rng: random.Random):
-        self._process = process
         me = (process.name, process.incarnation)
         self.lists = HostLists(*me, process, process)
         self.leases = Leases(*me, process, rng, process, self.lists)
         options = (self.leases, STARTS, PERIOD_S)
         self.budget = Budget(BUDGET, me[1], process, process, *options)
-        process.subscribe(HEARTBEAT_S, self._beat)
         self.adopt = self.lists.adopt
         self.find_lease = self.leases.find_lease
         self.take_start = self.budget.take
         self.acquire, self.release = self.leases.acquire, self.leases.release
 
     def handle(self, sender: str, message: Any) -> None:
-        """Take a message or a heartbeat."""
-        if isinstance(message, Heartbeat):
-            self.lists.hear(sender, *message)
-        elif isinstance(message, StartAsk | StartTell):
+        """Take a message."""
+        if isinstance(message, StartAsk | StartTell):
             self.budget.handle(sender, message)
         elif type(message).__module__ == LeaseAsk.__module__:
             self.leases.handle(sender, message)
         else:
             self.lists.handle(sender, message)
 
-    def _beat(self) -> None:
-        heartbeat = Heartbeat(self._process.incarnation, self.lists.heard)
-        for host in self.lists.newest.names:
-            if host != self._process.name:
-                self._process.send(host, heartbeat)
-
 
 class OrdersFleet(Fleet):
     """Eight hosts that all want to give the same engines orders."""
