Spread the first rounds of hosts that ask for one lease together

Ruled out: fences that lost rounds drive ahead of the clocks (taking them back changed nothing; reverted). Change: a first round begins after a random part of 0.25 s.

--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -20,6 +20,7 @@
     ROUND_RESEND_S,
     ROUND_RETRY_S,
     ROUND_S,
+    ROUND_SPREAD_S,
 )
 from oleanderpier.orders.messages import (
     LeaseAsk,
@@ -129,7 +130,10 @@
         entry = _Entry(subject, self._timers.now() + timeout_s)
         entry.waiters.append(notify)
         self._entries[subject] = entry
-        self._start_round(entry)
+        # Hosts that ask in the same instant would split the witnesses, be told
+        # the same time to come back, and do so together again.
+        delay_s = ROUND_SPREAD_S * self._rng.random()
+        self._set_timer(entry, delay_s, lambda: self._start_round(entry))
 
     def release(self, lease: Lease) -> None:
         """Give a lease up.
