--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -218,7 +218,7 @@
     def _(self, message: LeaseRefused, sender: str) -> None:
         entry = self._find_round(message, sender)
         if entry is not None:
-            self._note_fence(message.subject, message.fence)
+            self._hear_fence(message.subject, message.fence)
             entry.held_s = max(entry.held_s, message.retry_after_s)
             entry.attempt.deny(sender, None)
             self._judge(entry)
@@ -264,11 +264,14 @@
         known = self._fences.get(subject, 0)
         return max(known + FENCE_SPAN, read_fence_time(self._timers.wall()))
 
-    def _note_fence(self, subject: str, fence: int) -> None:
-        """Stay above a fence, unless a faulty clock must have made it."""
+    def _hear_fence(self, subject: str, fence: int) -> None:
+        """Stay above a witness's fence, unless a faulty clock has made it."""
         latest = read_fence_time(self._timers.wall() + 2 * CLOCK_SKEW_S)
         if fence <= latest:
-            self._fences[subject] = max(fence, self._fences.get(subject, 0))
+            self._note_fence(subject, fence)
+
+    def _note_fence(self, subject: str, fence: int) -> None:
+        self._fences[subject] = max(fence, self._fences.get(subject, 0))
 
     def _ask_witnesses(self, entry: _Entry, attempt: Attempt) -> None:
         """Send the round to whoever has not answered, until it is decided."""
