--- a/oleanderpier/orders/tests/test_faults.py
+++ b/oleanderpier/orders/tests/test_faults.py
@@ -27,6 +27,8 @@
     "one clock an hour ahead",
 )
 
+SPLIT_SEEDS = (1, 2, 4, 12)
+
 
 class FaultsTest(TestCase):
     """Every named fault, against the leases and the baseline."""
@@ -49,9 +51,14 @@
 
     def test_majority_goes_on(self):
         """In a split, orders go on where a majority is, and nowhere else."""
+        for seed in SPLIT_SEEDS:
+            self.check_split(seed)
+
+    def check_split(self, seed):
+        """Check on which side of each split orders go on."""
         obeyed = {}
         for name, hosts in (("split 3/4", 7), ("split 4/3", 7), ("split 3/3/2", 8)):
-            fleet = OrdersFleet(1, hosts=hosts)
+            fleet = OrdersFleet(seed, hosts=hosts)
             fleet.timers.advance(WARM_UP_S)
             CASES[name](fleet)
             fleet.timers.advance(LEASE_S + 10.0)
@@ -60,7 +67,7 @@
             obeyed[name] = [count > 0 for count in fleet.count_obeyed(begin_s)]
         larger, nowhere = [True, True], [False, False]
         expected = {"split 3/4": larger, "split 4/3": larger, "split 3/3/2": nowhere}
-        self.assertEqual(expected, obeyed)
+        self.assertEqual(expected, obeyed, f"seed {seed}")
 
     def test_late_order(self):
         """A pause after the last check is refused by a fence, or told of."""
--- a/oleanderpier/orders/tests/test_leases.py
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -122,6 +122,14 @@
         self.assertIsInstance(self.ask(1, "host-9"), LeaseGranted)
 
 
+class NoSpread(random.Random):
+    """A generator that spreads nothing: rounds begin and follow at the least wait."""
+
+    def random(self):
+        """Return the least value."""
+        return 0.0
+
+
 class HolderTest(TestCase):
     """The holder's side, with answers given by hand."""
 
@@ -135,9 +143,14 @@
             [],
         )
         outbox = SimpleNamespace(send=self.send)
-        args = (self.timers, random.Random(1), outbox, self.lists)
+        args = (self.timers, NoSpread(1), outbox, self.lists)
         self.leases = Leases("host-8", "a", *args)
-        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+        self.acquire(SUBJECT)
+
+    def acquire(self, subject):
+        """Ask for a lease, and let the first round begin."""
+        self.leases.acquire(subject, 10.0, self.told.append)
+        self.timers.advance(0.0)
 
     def send(self, host, message):
         """Keep a message."""
@@ -183,10 +196,10 @@
         self.assertIsNone(lease.start_order())
         self.sent.clear()
         self.leases.release(lease)
-        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+        self.acquire(SUBJECT)
         self.assertEqual(([], LEASE_S), (self.sent, self.told[1].error.retry_after_s))
         self.timers.advance(LEASE_S)
-        self.leases.acquire(SUBJECT, 10.0, self.told.append)
+        self.acquire(SUBJECT)
         self.assertIsInstance(self.sent[-1], LeaseAsk)
 
     def test_ended_lease(self):
@@ -208,7 +221,7 @@
 
     def test_close(self):
         """A host that shuts down gives its leases up and asks for none."""
-        self.leases.acquire("engine-1", 10.0, self.told.append)
+        self.acquire("engine-1")
         self.grant(self.sent[0])
         self.leases.close()
         released = {m.subject for m in self.sent if isinstance(m, LeaseRelease)}
