Keep one form of refusals and one of sends that brought no answer

Cause: make_refusal stood three times, and claims, relay and orders each had types for a send that left no byte or may have run, with conversions between. Change: both live in the results package.

--- a/oleanderpier/claims/calls.py
+++ b/oleanderpier/claims/calls.py
@@ -9,9 +9,9 @@
 
 from oleanderpier.claims.claims import Claims
 from oleanderpier.claims.entries import Outcome, Right
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent, SendError
 
-__all__ = ["Answer", "NotSent", "Send", "Unknown", "finish_calls", "run_call"]
+__all__ = ["Answer", "Send", "finish_calls", "run_call"]
 
 _tasks: set[asyncio.Task] = set()
 
@@ -22,27 +22,7 @@
     body: bytes
 
 
-class NotSent(NamedTuple):
-    """No byte of the request has left this process, and none will.
-
-    Attributes:
-        failure: Why, with a not-run code.
-    """
-
-    failure: Failure
-
-
-class Unknown(NamedTuple):
-    """A byte may have left, and no whole answer came back.
-
-    Attributes:
-        failure: Why, with a may-have-run code.
-    """
-
-    failure: Failure
-
-
-Send = Callable[[float], Awaitable[Result[Answer, NotSent | Unknown]]]
+Send = Callable[[float], Awaitable[Result[Answer, SendError]]]
 
 
 async def run_call(
@@ -59,7 +39,7 @@
         key: The caller's key, a UUID of version 7.
         send: Sends the request once, given the seconds that are left. It
             returns ``NotSent`` only while no byte can have left. An exception
-            counts as ``Unknown``.
+            counts as ``MaybeSent``.
         timeout_s: When the caller is answered at the latest. A send that is
             still running then goes on, and its late answer can be looked up.
 
@@ -132,7 +112,7 @@
         sent = await send(left_s)
     except Exception as error:
         log_message("claims:send_raised", reason=repr(error))
-        sent = Error(Unknown(Failure(Code.ANSWER_LOST, "the send failed", 0.0)))
+        sent = Error(MaybeSent(Failure(Code.ANSWER_LOST, "the send failed", 0.0)))
     if sent.is_ok():
         claims.settle(right, Code.DONE, sent.ok.body)
         return Ok(Outcome(Code.DONE, sent.ok.body))
--- a/oleanderpier/claims/tests/test_calls.py
+++ b/oleanderpier/claims/tests/test_calls.py
@@ -7,10 +7,10 @@
 from expression import Error, Ok
 from testtools import TestCase
 
-from oleanderpier.claims import Answer, NotSent, Unknown, finish_calls, run_call
+from oleanderpier.claims import Answer, finish_calls, run_call
 from oleanderpier.claims.tests.fleet import Fleet
 from oleanderpier.claims.tests.schedules import WARM_UP_S
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent
 from oleanderpier.utils import make_key
 
 REFUSED = Failure(Code.NO_BACKEND_SERVER, "connection refused", 1.0)
@@ -54,7 +54,7 @@
         table = [
             (Ok(Answer(b"paid")), Code.DONE, Code.DONE),
             (Error(NotSent(REFUSED)), Code.NO_BACKEND_SERVER, Code.KEY_VOID),
-            (Error(Unknown(LOST)), Code.ANSWER_LOST, Code.ANSWER_LOST),
+            (Error(MaybeSent(LOST)), Code.ANSWER_LOST, Code.ANSWER_LOST),
             (OSError("reset"), Code.ANSWER_LOST, Code.ANSWER_LOST),
         ]
         for result, first, again in table:
--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from expression import Error, Ok, Result
 
-from oleanderpier.claims import Answer, NotSent, Outcome, Unknown, run_call
+from oleanderpier.claims import Answer, Outcome, run_call
 from oleanderpier.configuration import WorkClass
 from oleanderpier.daemon.requests import CallRequest, ChatRequest, read_request
 from oleanderpier.exception import SettingsError
@@ -17,9 +17,15 @@
     repeat_call,
     send_call,
 )
-from oleanderpier.relay import NotSent as CallNotSent
-from oleanderpier.relay.refusals import refuse_request
-from oleanderpier.results import Code, Failure, describe_code, make_refusal
+from oleanderpier.results import (
+    Code,
+    Failure,
+    NotSent,
+    SendError,
+    describe_code,
+    make_refusal,
+    refuse_request,
+)
 
 if TYPE_CHECKING:
     from oleanderpier.daemon.node import Node
@@ -158,7 +164,7 @@
     known = node.find_class(body["class"])
     timeout_s = known["first_token_s"] if known else RETRY_AFTER_S
 
-    async def send(left_s: float) -> Result[Answer, NotSent | Unknown]:
+    async def send(left_s: float) -> Result[Answer, SendError]:
         checked = check_request(node, body, "service")
         if checked.is_error():
             return Error(NotSent(checked.error))
@@ -169,7 +175,7 @@
 
 async def send_claimed(
     node: "Node", body: CallRequest, work_class: WorkClass, left_s: float
-) -> Result[Answer, NotSent | Unknown]:
+) -> Result[Answer, SendError]:
     """Send a call whose key this host holds, once."""
     deadline_s = node.timers.now() + left_s
     placed = await node.places.place(make_place(node, body, work_class))
@@ -192,11 +198,7 @@
         )
     finally:
         permit.release()
-    if sent.is_ok():
-        return Ok(Answer(msgspec.json.encode(sent.ok.body)))
-    if isinstance(sent.error, CallNotSent):
-        return Error(NotSent(sent.error.failure))
-    return Error(Unknown(sent.error.failure))
+    return sent.map(lambda answer: Answer(msgspec.json.encode(answer.body)))
 
 
 def make_place(node: "Node", body: CallRequest, work_class: WorkClass) -> PermitRequest:
--- a/oleanderpier/operators/server.py
+++ b/oleanderpier/operators/server.py
@@ -15,7 +15,7 @@
     StatusAnswer,
     TargetsAnswer,
 )
-from oleanderpier.results import Code, Failure, describe_code, make_refusal
+from oleanderpier.results import Code, Failure, refuse_request
 
 __all__ = ["Reports", "make_operator_app"]
 
@@ -73,16 +73,20 @@
         try:
             query = read_query(EventsQuery, {"after": "0", **request.query})
         except msgspec.ValidationError as error:
-            return refuse(Failure(Code.REQUEST_MALFORMED, str(error)))
+            return refuse_request(Failure(Code.REQUEST_MALFORMED, str(error)))
         return answer_json(reports.report_events(query["after"], query.get("limit")))
 
     async def get_explanation(request: web.Request) -> web.Response:
         try:
             query = read_query(ExplainQuery, request.query)
         except msgspec.ValidationError as error:
-            return refuse(Failure(Code.REQUEST_MALFORMED, str(error)))
+            return refuse_request(Failure(Code.REQUEST_MALFORMED, str(error)))
         result = reports.explain(query["chat"], query["class"])
-        return refuse(result.error) if result.is_error() else answer_json(result.ok)
+        return (
+            refuse_request(result.error)
+            if result.is_error()
+            else answer_json(result.ok)
+        )
 
     async def get_metrics(request: web.Request) -> web.Response:
         headers = {"Content-Type": CONTENT_TYPE_LATEST}
@@ -111,10 +115,3 @@
     """Return an answer with a JSON body."""
     body = msgspec.json.encode(value)
     return web.Response(body=body, content_type="application/json")
-
-
-def refuse(failure: Failure) -> web.Response:
-    """Return the answer that tells of a failure."""
-    body = msgspec.json.encode(make_refusal(failure))
-    status = describe_code(failure.code).http_status
-    return web.Response(body=body, status=status, content_type="application/json")
--- a/oleanderpier/orders/engines.py
+++ b/oleanderpier/orders/engines.py
@@ -13,9 +13,8 @@
 from oleanderpier.exception import OleanderpierError
 from oleanderpier.orders.issuer import OrderError, Refused
 from oleanderpier.orders.limits import ORDER_TIMEOUT_S, ROUND_RETRY_S
-from oleanderpier.relay import MaybeSent, NotSent
 from oleanderpier.relay.connections import CONNECT_TIMEOUT_S, format_url
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent
 
 __all__ = ["Order", "send_order"]
 
--- a/oleanderpier/orders/issuer.py
+++ b/oleanderpier/orders/issuer.py
@@ -10,8 +10,7 @@
 from oleanderpier.orders.budget import Start
 from oleanderpier.orders.lease import Lease
 from oleanderpier.orders.limits import ROUND_RETRY_S
-from oleanderpier.relay import MaybeSent, NotSent
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent
 
 __all__ = ["Obeyed", "OrderError", "Refused", "SendOrder", "issue_order"]
 
--- a/oleanderpier/orders/tests/fleet.py
+++ b/oleanderpier/orders/tests/fleet.py
@@ -20,8 +20,7 @@
     StartTell,
     issue_order,
 )
-from oleanderpier.relay import MaybeSent, NotSent
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent
 from oleanderpier.utils import decode_message, encode_message
 
 ENGINES = {"engine-checks": True, "engine-ignores": False}
--- a/oleanderpier/orders/tests/test_engines.py
+++ b/oleanderpier/orders/tests/test_engines.py
@@ -17,14 +17,14 @@
     issue_order,
     send_order,
 )
-from oleanderpier.relay import NotSent, make_session
+from oleanderpier.relay import make_session
 from oleanderpier.relay.tests.servers import (
     find_closed_port,
     make_server,
     run_app,
     run_engines,
 )
-from oleanderpier.results import Code
+from oleanderpier.results import Code, NotSent
 from oleanderpier.utils import ManualTimers
 
 ORDER = Order("load_model", "drafting-7")
--- a/oleanderpier/relay/__init__.py
+++ b/oleanderpier/relay/__init__.py
@@ -8,5 +8,4 @@
 from oleanderpier.relay.events import *  # noqa: F403
 from oleanderpier.relay.limits import *  # noqa: F403
 from oleanderpier.relay.measures import *  # noqa: F403
-from oleanderpier.relay.refusals import *  # noqa: F403
 from oleanderpier.relay.watch import *  # noqa: F403
--- a/oleanderpier/relay/answers.py
+++ b/oleanderpier/relay/answers.py
@@ -17,9 +17,8 @@
 from oleanderpier.relay.events import EventSequence, format_end
 from oleanderpier.relay.limits import RelaySettings, compute_limits
 from oleanderpier.relay.measures import Measures
-from oleanderpier.relay.refusals import refuse_request
 from oleanderpier.relay.watch import IdleWatch, Phase, Step, StreamWatch
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, refuse_request
 from oleanderpier.utils import Timers
 
 __all__ = ["AnswerRequest", "Permit", "Place", "Relay", "Relayed", "relay_answer"]
--- a/oleanderpier/relay/callers.py
+++ b/oleanderpier/relay/callers.py
@@ -7,8 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from oleanderpier.relay.refusals import make_refusal
-from oleanderpier.results import Failure
+from oleanderpier.results import Failure, make_refusal
 
 __all__ = ["CallerStream"]
 
--- a/oleanderpier/relay/calls.py
+++ b/oleanderpier/relay/calls.py
@@ -11,14 +11,11 @@
 from oleanderpier.configuration import BackendServer
 from oleanderpier.relay.answers import Permit, Place
 from oleanderpier.relay.connections import CONNECT_TIMEOUT_S, format_url
-from oleanderpier.results import Code, Failure
+from oleanderpier.results import Code, Failure, MaybeSent, NotSent, SendError
 from oleanderpier.utils import Timers
 
 __all__ = [
     "CallAnswer",
-    "MaybeSent",
-    "NotSent",
-    "SendError",
     "repeat_call",
     "send_call",
 ]
@@ -41,21 +38,6 @@
     body: dict[str, Any]
 
 
-class NotSent(NamedTuple):
-    """No byte of the call has left: it has certainly not run."""
-
-    failure: Failure
-
-
-class MaybeSent(NamedTuple):
-    """A byte of the call may have left: it may have run, or still run."""
-
-    failure: Failure
-
-
-SendError = NotSent | MaybeSent
-
-
 async def send_call(
     session: aiohttp.ClientSession,
     backend_server: BackendServer,
--- a/oleanderpier/relay/tests/test_calls.py
+++ b/oleanderpier/relay/tests/test_calls.py
@@ -8,14 +8,14 @@
 from aiohttp import web
 from testtools import TestCase
 
-from oleanderpier.relay import MaybeSent, NotSent, make_session, repeat_call, send_call
+from oleanderpier.relay import make_session, repeat_call, send_call
 from oleanderpier.relay.tests.servers import (
     FakePlacement,
     find_closed_port,
     make_server,
     run_app,
 )
-from oleanderpier.results import Code
+from oleanderpier.results import Code, MaybeSent, NotSent
 from oleanderpier.utils import LoopTimers
 from standins.service import Service, make_service_app
 
