Choose by a table what a good probe of a server leads to

Cause: a chain of conditions had grown, and servers.py with it. Ruled out: nothing; behaviour is the same. Change: a state table; the records of probes and paths in a module.

--- a/oleanderpier/membership/servers.py
+++ b/oleanderpier/membership/servers.py
@@ -13,6 +13,7 @@
 from oleanderpier.membership.members import Members
 from oleanderpier.membership.messages import MemberState
 from oleanderpier.membership.probers import ProbeDuties, choose_probers
+from oleanderpier.membership.records import PathRecord, ProbeRecord
 from oleanderpier.membership.rumours import RumourQueue
 from oleanderpier.membership.server_messages import (
     ServerAsk,
@@ -87,40 +88,6 @@
     joined_s: float
 
 
-class ProbeRecord:
-    """What this host's own probes of a backend server found.
-
-    Attributes:
-        due_s: When the next probe is due, on the monotonic clock.
-        failures: How many probes failed in a row.
-        good_since_s: When the first of the good probes in a row was.
-        silent_until_s: Until when this host, contradicted, accuses no more.
-        disputes: How often it was contradicted.
-    """
-
-    def __init__(self, due_s: float):
-        self.due_s = due_s
-        self.failures = 0
-        self.good_since_s: float | None = None
-        self.silent_until_s = 0.0
-        self.disputes = 0
-
-
-class PathRecord:
-    """How requests of this host itself to a backend server went.
-
-    Attributes:
-        failures: How many failed in a row.
-        avoid_until_s: Until when this host sends it nothing new.
-        doubted_s: When its probers were last asked to look.
-    """
-
-    def __init__(self) -> None:
-        self.failures = 0
-        self.avoid_until_s = 0.0
-        self.doubted_s = float("-inf")
-
-
 class BackendServers:
     """The backend servers of the document in force, and their state.
 
@@ -337,16 +304,24 @@
         if record.good_since_s is None:
             record.good_since_s = now_s
         fact = self._facts.get(server)
-        if fact is None or fact.state is ServerState.LIVE:
-            return
-        changed_s = self._changed_s[server]
-        if fact.state is ServerState.LEAVING:
-            if now_s - changed_s >= LEAVING_HOLD_S:
-                self._find_out(server, ServerState.LIVE, 0)
-        elif fact.state is ServerState.SUSPECT and self._may_deny(server, record):
-            self._find_out(server, ServerState.LIVE, max(0, fact.flaps - 1))
-        elif now_s - record.good_since_s >= _find_steady_time(fact.flaps):
-            self._find_out(server, ServerState.LIVE, fact.flaps)
+        if fact is not None and fact.state in _ON_ANSWER:
+            _ON_ANSWER[fact.state](self, fact, record)
+
+    def _end_suspicion(self, fact: ServerFact, record: ProbeRecord) -> None:
+        if self._may_deny(fact.server, record):
+            self._find_out(fact.server, ServerState.LIVE, max(0, fact.flaps - 1))
+        else:
+            self._end_failure(fact, record)
+
+    def _end_failure(self, fact: ServerFact, record: ProbeRecord) -> None:
+        good_s = self._timers.now() - (record.good_since_s or 0.0)
+        if good_s >= _find_steady_time(fact.flaps):
+            self._find_out(fact.server, ServerState.LIVE, fact.flaps)
+
+    def _end_leaving(self, fact: ServerFact, record: ProbeRecord) -> None:
+        lasted_s = self._timers.now() - self._changed_s[fact.server]
+        if lasted_s >= LEAVING_HOLD_S:
+            self._find_out(fact.server, ServerState.LIVE, 0)
 
     def _may_deny(self, server: str, record: ProbeRecord) -> bool:
         """Return whether this host never saw the fault that another one saw."""
@@ -544,3 +519,11 @@
         (2.0, 8.0)
     """
     return STEADY_S * 2 ** min(max(flaps, 1) - 1, MAX_DOUBLINGS)
+
+
+_ON_ANSWER = {
+    ServerState.SUSPECT: BackendServers._end_suspicion,
+    ServerState.FAILED: BackendServers._end_failure,
+    ServerState.LEAVING: BackendServers._end_leaving,
+}
+"""What a good probe leads to, by the state that the server was in."""
