Run the faults of membership with ten seeds

Cause: three seeds were few. Ruled out: nothing. Change: ten seeds for the baseline and the real one.

--- a/oleanderpier/membership/tests/test_members.py
+++ b/oleanderpier/membership/tests/test_members.py
@@ -162,7 +162,7 @@
     "add_unlisted",
     "restart_with_old_seeds",
 }
-SEEDS = (1, 2, 3)
+SEEDS = range(1, 11)
 
 
 def run_fault(add: Callable, fault: Callable[[Fleet], None], seed: int) -> list[str]:
