Ask for the whole after a wrong difference; wait only for peers that live

Cause: a difference with the wrong digest was dropped without a request, and a version that only a host now gone had kept newcomers from serving for good. Ruled out: a time limit, which would let a newcomer serve by an older version while its holder is there. Change: readiness goes by what peers that are not gone told last.

--- a/oleanderpier/configuration/spread.py
+++ b/oleanderpier/configuration/spread.py
@@ -49,12 +49,14 @@
     Attributes:
         peer: The host that was asked.
         deadline_s: When to give it up, on the monotonic clock.
+        base: The order from which a difference would do.
         buffer: The parts that came in.
     """
 
-    def __init__(self, peer: str, deadline_s: float):
+    def __init__(self, peer: str, deadline_s: float, base: Order):
         self.peer = peer
         self.deadline_s = deadline_s
+        self.base = base
         self.buffer = PartBuffer()
 
 
@@ -85,7 +87,8 @@
         self._fetches: dict[DocumentName, Fetch] = {}
         self._parts: dict[DocumentName, list[DocumentPart]] = {}
         self._deltas: dict[DocumentName, dict[Order, DocumentDelta | None]] = {}
-        self._seen: dict[DocumentName, Order] = {}
+        self._told: dict[DocumentName, dict[str, Order]] = {}
+        self._refused: set[tuple[DocumentName, Order]] = set()
         self._answered: dict[str, bool] = {}
         self._started_s = timers.now()
         self._ready = False
@@ -130,7 +133,7 @@
         behind = False
         for name in DOCUMENT_NAMES:
             order = theirs.get(name, NO_ORDER)
-            self._note_order(name, order)
+            self._note_order(name, order, sender)
             if order > self._find_order(name):
                 self._fetch(name, sender)
             behind = behind or order < self._find_order(name)
@@ -143,7 +146,7 @@
         order = (message.version, message.digest)
         if order <= self._find_order(name):
             return
-        self._note_order(name, order)
+        self._note_order(name, order, sender)
         base = self._documents.find_kept(
             name, message.base_version, message.base_digest
         )
@@ -158,6 +161,8 @@
             return
         if published.digest == message.digest:
             self._documents.offer(published)
+        else:
+            self._fetch(name, sender, NO_ORDER)
 
     @_receive.register
     def _receive_ask(self, message: DocumentAsk, sender: str) -> None:
@@ -184,11 +189,12 @@
             return
         if value is None:
             fetch.deadline_s = self._timers.now() + ASK_TIMEOUT_S
-            self._ask(message.name, sender, len(fetch.buffer))
+            self._ask(message.name, fetch)
             return
         del self._fetches[message.name]
         if self._documents.offer_value(message.name, value).is_error():
-            self._note_refused(message.name, (message.version, message.digest))
+            order = (message.version, message.digest)
+            self._refused.add((message.name, order))
 
     @_receive.register
     def _receive_refused(self, message: DocumentRefused, sender: str) -> None:
@@ -202,25 +208,32 @@
         current = self._documents.get(name)
         return current.order if current else NO_ORDER
 
-    def _note_order(self, name: DocumentName, order: Order) -> None:
-        self._seen[name] = max(order, self._seen.get(name, NO_ORDER))
+    def _note_order(self, name: DocumentName, order: Order, peer: str) -> None:
+        """Note what a peer has, as long as that decides on readiness."""
+        if not self._ready:
+            self._told.setdefault(name, {})[peer] = order
 
-    def _note_refused(self, name: DocumentName, order: Order) -> None:
-        """Stop waiting for a version that this host cannot accept."""
-        if self._seen.get(name) == order:
-            self._seen[name] = self._find_order(name)
+    def _fetch(self, name: DocumentName, peer: str, base: Order | None = None) -> None:
+        """Ask a peer for what it has, by way of a difference if it can.
 
-    def _fetch(self, name: DocumentName, peer: str) -> None:
+        Args:
+            name: Which document.
+            peer: Whom to ask.
+            base: The order of what the difference may start from; None takes
+                what is in force here.
+        """
         now_s = self._timers.now()
         running = self._fetches.get(name)
         if running is not None and now_s < running.deadline_s:
             return
-        self._fetches[name] = Fetch(peer, now_s + ASK_TIMEOUT_S)
-        self._ask(name, peer, 0)
+        base = self._find_order(name) if base is None else base
+        self._fetches[name] = Fetch(peer, now_s + ASK_TIMEOUT_S, base)
+        self._ask(name, self._fetches[name])
 
-    def _ask(self, name: DocumentName, peer: str, part: int) -> None:
-        version, digest = self._find_order(name)
-        self._outbox.send(peer, DocumentAsk(name, version, digest, part))
+    def _ask(self, name: DocumentName, fetch: Fetch) -> None:
+        version, digest = fetch.base
+        ask = DocumentAsk(name, version, digest, len(fetch.buffer))
+        self._outbox.send(fetch.peer, ask)
 
     def _push(self, published: Published) -> None:
         """Send what came into force to a few hosts in each direction."""
@@ -287,10 +300,20 @@
 
     def _is_caught_up(self) -> bool:
         return all(
-            NO_ORDER < self._find_order(name) >= self._seen.get(name, NO_ORDER)
+            NO_ORDER < self._find_order(name) >= self._find_newest(name)
             for name in DOCUMENT_NAMES
         )
 
+    def _find_newest(self, name: DocumentName) -> Order:
+        """Return the newest order that a peer which is not gone has told of."""
+        alive = set(self._members.list_alive())
+        orders = [
+            order
+            for peer, order in self._told.get(name, {}).items()
+            if peer in alive and (name, order) not in self._refused
+        ]
+        return max(orders, default=NO_ORDER)
+
     def _has_heard_enough(self) -> bool:
         """Return whether peers that serve were heard, or too few exist."""
         waited_s = self._timers.now() - self._started_s
--- a/oleanderpier/configuration/tests/test_spread.py
+++ b/oleanderpier/configuration/tests/test_spread.py
@@ -5,7 +5,12 @@
 
 from testtools import TestCase
 
-from oleanderpier.configuration import check_document
+from oleanderpier.configuration import (
+    DocumentVersion,
+    DocumentVersions,
+    check_document,
+    make_delta,
+)
 from oleanderpier.configuration.tests.fakes import (
     FakePlatform,
     add_host,
@@ -264,6 +269,38 @@
         fleet.advance(5.0)
         self.assertTrue(host.parts["spread"].is_ready())
 
+    def test_newcomer_outlives_the_only_holder(self):
+        """What only a host that is gone had does not hold up a newcomer."""
+        fleet = Fleet()
+        host = add_host(fleet.network, fleet.platform, fleet.cards[2], fleet.cards)
+        told = DocumentVersions(True, False, [DocumentVersion("configuration", 9, "a")])
+        host.parts["spread"].handle("h1", told)
+        fleet.network.stop("h1")
+        fleet.advance(2.0)
+        self.assertFalse(host.parts["spread"].is_ready())
+        fleet.advance(30.0)
+        self.assertTrue(host.parts["spread"].is_ready())
+
+    def test_wrong_difference(self):
+        """A difference that leads elsewhere is not taken; the whole is asked."""
+        network = FakeNetwork(1)
+        cards = make_cards(3, 3)
+        start_fleet(network, cards)
+        network.timers.advance(20.0)
+        one, two = (network.hosts[name].parts for name in ("h0", "h1"))
+        network.cut(["h0", "h2"], ["h1"])
+        one["documents"].offer_value("configuration", make_value(2))
+        network.timers.advance(1.0)
+        network.cuts.clear()
+        base, target = one["documents"].list_kept("configuration")
+        wrong = make_delta(base, target)._replace(digest="f" * 16)
+        two["spread"].handle("h0", wrong)
+        self.assertEqual(base.order, two["documents"].get("configuration").order)
+        sent = network.sent_counts["DocumentPart"]
+        network.timers.advance(0.1)
+        self.assertEqual(target.order, two["documents"].get("configuration").order)
+        self.assertEqual(sent + 1, network.sent_counts["DocumentPart"])
+
     def test_large_document(self):
         """A document that is too large for one message arrives whole."""
         network = FakeNetwork(1, loss=0.05)
