--- a/oleanderpier/orders/tests/test_leases.py
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -122,33 +122,22 @@
         self.assertIsInstance(self.ask(1, "host-9"), LeaseGranted)
 
 
-class NoSpread(random.Random):
-    """A generator that spreads nothing: rounds begin and follow at the least wait."""
-
-    def random(self):
-        """Return the least value."""
-        return 0.0
-
-
 class HolderTest(TestCase):
     """The holder's side, with answers given by hand."""
 
     def setUp(self):
         """Let a process ask for a lease."""
         super().setUp()
-        self.timers, self.lists, self.sent, self.told = (
-            ManualTimers(),
-            FakeLists(),
-            [],
-            [],
-        )
+        self.timers, self.lists = ManualTimers(), FakeLists()
+        self.sent, self.told = [], []
         outbox = SimpleNamespace(send=self.send)
-        args = (self.timers, NoSpread(1), outbox, self.lists)
+        shortest = SimpleNamespace(random=lambda: 0.0, uniform=min)
+        args = (self.timers, shortest, outbox, self.lists)
         self.leases = Leases("host-8", "a", *args)
         self.acquire(SUBJECT)
 
     def acquire(self, subject):
-        """Ask for a lease, and let the first round begin."""
+        """Ask for a lease, with the shortest of the random waits."""
         self.leases.acquire(subject, 10.0, self.told.append)
         self.timers.advance(0.0)
 
