Let an engine say that it leaves, and give slow probes more time

Cause: no interface told that a backend server is leaving but the published list; a server slower than one second counted as failed. Change: the load report may say so; a probe waits 2 s, slow is above 1 s.

--- a/oleanderpier/daemon/probes.py
+++ b/oleanderpier/daemon/probes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 import aiohttp
 import msgspec
@@ -14,11 +14,15 @@
 
 __all__ = ["CacheEvent", "probe_server", "read_cache_events"]
 
-PROBE_TIMEOUT_S = 1.0
-SLOW_S = 0.5
+PROBE_TIMEOUT_S = 2.0
+SLOW_S = 1.0
 MAX_EVENTS_BYTES = 1 << 20
 
 
+class _Load(TypedDict):
+    leaving: NotRequired[bool]
+
+
 class CacheEvent(TypedDict):
     """A change of an engine's prefix cache."""
 
@@ -38,7 +42,8 @@
     """Ask a backend server for its load, as a sign of life.
 
     Returns:
-        How it took the probe; any answer but an error counts.
+        How it took the probe; any answer but an error counts. A server may
+        say that it is leaving.
     """
     loop = asyncio.get_running_loop()
     began_s = loop.time()
@@ -48,14 +53,23 @@
         async with session.get(url, timeout=timeout) as answer:
             if answer.status >= 500:
                 return Outcome.REFUSED
-            await answer.read()
+            data = await answer.read()
     except TimeoutError:
         return Outcome.TIMED_OUT
     except (aiohttp.ClientError, OSError):
         return Outcome.REFUSED
+    if _is_leaving(data):
+        return Outcome.LEAVING
     return Outcome.SLOW if loop.time() - began_s > SLOW_S else Outcome.ANSWERED
 
 
+def _is_leaving(data: bytes) -> bool:
+    try:
+        return msgspec.json.decode(data, type=_Load).get("leaving", False)
+    except msgspec.MsgspecError:
+        return False
+
+
 async def read_cache_events(
     session: aiohttp.ClientSession,
     servers: Callable[[], Iterable[BackendServer]],
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -137,7 +137,8 @@
                 "slots": self.slots.count,
                 "sequence": sequence,
             }
-        return web.json_response(self._load)
+        leaving = {"leaving": True} if self.switch.faults.get("leaving") else {}
+        return web.json_response({**self._load, **leaving})
 
     async def handle_cache_events(self, request: web.Request) -> web.Response:
         """Serve ``GET /v1/cache/events``."""
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -26,6 +26,7 @@
         refuse: New work is answered with 503.
         die_after: The connection is closed after n events of a stream.
         fencing: Whether an order with an old fence is refused.
+        leaving: The load report says that the engine is leaving.
         times: How many streams are hit from now on; all if absent. With
             ``silent_after`` it hits that many new streams as well.
     """
@@ -40,6 +41,7 @@
     refuse: bool
     die_after: Every
     fencing: Literal["honoured", "ignored"]
+    leaving: bool
     times: Every
 
 
