Measure slopes and work out the page of capacity

Cause: the size to come needs a page that says for each role of a daemon what it costs, worked out from measured slopes.

Ruled out: one run at the full size, which a single machine holds only for membership; figures typed into the page by hand.

--- /dev/null
+++ b/bench/slopes/answers.py
@@ -0,0 +1,31 @@
+"""Slopes of the data path: a relayed token, an answer, an open answer."""
+
+import asyncio
+
+from bench.relay import OPEN_STREAMS, hold_streams, measure_mode, run_roles
+from bench.slopes.fits import Point, Slope, fit_slope
+
+__all__ = ["measure_answers"]
+
+TOKEN_SIZES = (20, 100, 200)
+STREAMS = 60
+INTERVAL_S = 0.01
+REPEATS = 3
+LOOP = "uvloop"
+
+
+def measure_answers() -> dict[str, Slope]:
+    """Measure the relay with processes of its own."""
+    times, held = [], []
+    for tokens in TOKEN_SIZES:
+        size = (STREAMS, tokens, INTERVAL_S)
+        runs = [measure_mode("relay", LOOP, size).answer_us for _ in range(REPEATS)]
+        times.append(Point(tokens, min(runs), max(runs)))
+    for streams in OPEN_STREAMS:
+        with run_roles("relay", LOOP) as port:
+            octets = asyncio.run(hold_streams(port, streams))
+        held.append(Point(streams, octets, octets))
+    return {
+        "answer core": fit_slope("an answer relayed, µs", "tokens", times),
+        "answer memory": fit_slope("process with open answers, bytes", "answers", held),
+    }
