Measure the load of engines behind real daemons; start streams small

Cause: the bound on an engine's load was shown for the decisions alone; each end of a stream allocated a buffer of a megabyte. Change: bench.load reads what runs at each of 9 engines behind 8 daemons, steady and in a surge; unpackers begin with 4 KB.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     ["bench.spread"],
     ["bench.relay"],
     ["bench.daemon"],
+    ["bench.load"],
 ]
 
 
--- a/bench/slopes/probes.py
+++ b/bench/slopes/probes.py
@@ -26,7 +26,7 @@
 __all__ = ["measure_probes"]
 
 PROBE_SIZES = (50, 100, 200)
-CACHE_SIZES = (0, 5, 10, 20)
+CACHE_SIZES = (0, 15, 30, 60)
 EVENT_SIZES = (1_000, 2_000, 4_096)
 READS = 50
 ROUNDS = 5
--- a/bench/slopes/roles.py
+++ b/bench/slopes/roles.py
@@ -7,6 +7,7 @@
 from bench.slopes import sizes
 from bench.slopes.fits import Amount, Slope
 from bench.slopes.hosts import Largest
+from oleanderpier.daemon.node import CACHE_EVENTS_INTERVAL_S
 from oleanderpier.membership.probers import PROBERS
 from oleanderpier.membership.servers import PROBE_INTERVAL_S
 from oleanderpier.peers.mesh import IDLE_CLOSE_S
@@ -23,6 +24,7 @@
 FLEET_REQUESTS_S = sizes.REQUESTS_S * sizes.HOSTS
 RECORD_LIFE_S = 604.0
 EVENTS_S = 1.0
+READS_S = 1 / CACHE_EVENTS_INTERVAL_S
 COLLECT_S = 30.0
 PINGS_S = 1.0
 LEASES_A_HOST = sizes.SERVERS / sizes.HOSTS
@@ -214,7 +216,7 @@
 
 def _work_out_cache_reads(found: Found) -> Load:
     engines = sizes.SERVERS / sizes.HOSTS
-    listed = found.slopes["owned"].at(sizes.SERVERS)
+    listed = found.slopes["owned"].at(sizes.SERVERS).scale(READS_S, "lists/s")
     load = _read_engines(found, engines)
     return load._replace(core_us=load.core_us + listed)
 
@@ -225,12 +227,13 @@
 
 
 def _read_engines(found: Found, engines: float) -> Load:
-    """Return the load of reading the cache events of engines once a second."""
-    events = 2 * FLEET_REQUESTS_S / sizes.SERVERS
+    """Return the load of reading the cache events of engines."""
+    events = 2 * FLEET_REQUESTS_S / sizes.SERVERS / READS_S
+    reads = engines * READS_S
     return Load(
-        messages=_constant(engines, "engines, each second"),
-        octets=found.slopes["probe bytes"].at(engines),
-        core_us=found.slopes["cache read core"].at(events).scale(engines, "reads/s"),
+        messages=_constant(reads, "reads of engines a second"),
+        octets=found.slopes["probe bytes"].at(engines).scale(READS_S, "reads/s"),
+        core_us=found.slopes["cache read core"].at(events).scale(reads, "reads/s"),
     )
 
 
@@ -431,14 +434,14 @@
     ),
     Role(
         "owner: cache events",
-        "a read of each owned engine a second",
+        "a read of each owned engine every 5 s",
         "oleanderpier/daemon/probes.py",
         ("cache read core", "owned", "probe bytes"),
         _work_out_cache_reads,
         "control",
         "A mean host; two events a request. A read's request is taken to be as long as"
-        " a probe's. Once a second the daemon goes through the whole list of servers.",
-        "List the owned engines only when pools change, and read every 5 s.",
+        " a probe's. Each time the daemon goes through the whole list of servers.",
+        "List the owned engines only when pools change.",
     ),
     Role(
         "busiest owner: streams",
@@ -466,14 +469,14 @@
     ),
     Role(
         "busiest owner: cache events",
-        "a read of each owned engine a second",
+        "a read of each owned engine every 5 s",
         "oleanderpier/daemon/probes.py",
         ("cache read core", "probe bytes"),
         _work_out_busy_reads,
         "owner",
         "Engines more than a mean host's.",
-        "Read every 5 s, or wait for events in one long call for each engine, and let"
-        " a host own at most two pools.",
+        "Wait for events in one long call for each engine, and let a host own at most"
+        " two pools.",
     ),
     Role(
         "watcher: configuration",
--- a/oleanderpier/utils/codec.py
+++ b/oleanderpier/utils/codec.py
@@ -21,6 +21,7 @@
 ]
 
 MAX_MESSAGE_BYTES = 1 << 20
+FIRST_BUFFER_BYTES = 4096
 _NUMBERS: dict[type, int] = {}
 _CLASSES: dict[int, type] = {}
 
@@ -103,4 +104,6 @@
 
 def make_unpacker() -> msgpack.Unpacker:
     """Return an unpacker for a stream of messages, bounded in memory."""
-    return msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+    return msgpack.Unpacker(
+        max_buffer_size=MAX_MESSAGE_BYTES, read_size=FIRST_BUFFER_BYTES
+    )
