--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -18,7 +18,7 @@
 FAILURE_DOMAINS = ("duluth", "alpena", "erie-port")
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
-LIMITS = {"address_keep_s": 3.0, "drain_s": 30.0, "platform_wait_s": 5.0}
+LIMITS = {"address_keep_s": 3.0, "drain_s": 30.0}
 
 
 class Place(NamedTuple):
--- a/oleanderpier/settings/schema.py
+++ b/oleanderpier/settings/schema.py
@@ -64,12 +64,6 @@
             ),
         ]
     ]
-    platform_wait_s: NotRequired[
-        Annotated[
-            Seconds,
-            Meta(description="Seconds for which one watch at the platform waits."),
-        ]
-    ]
 
 
 class Settings(TypedDict):
@@ -99,5 +93,4 @@
     events_kept=4096,
     address_keep_s=30.0,
     drain_s=600.0,
-    platform_wait_s=30.0,
 )
