--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -23,6 +23,7 @@
 TOKENS = 60
 LONG_TOKENS = 200
 STREAMS = 6
+STREAMING_S = 0.7
 
 
 class Outcome(NamedTuple):
@@ -80,27 +81,27 @@
     return Outcome("balance looked up", int(answer.fate == "done"), 1)
 
 
+def start_streams(caller: Caller, prefix: str, message: str, url: str) -> list:
+    """Begin to ask several chats at one host."""
+    return [
+        asyncio.create_task(
+            caller.ask_chat(f"{prefix}-{index}", [message], LONG_TOKENS, url)
+        )
+        for index in range(STREAMS)
+    ]
+
+
 async def run_kill(fleet: Fleet, caller: Caller) -> list[Outcome]:
     """Kill a daemon under its streams; ask again at the next address."""
     victim = fleet.hosts[0]["name"]
     url = find_url(fleet, victim)
     messages = ["season ledger review"]
-    streams = [
-        asyncio.create_task(
-            caller.ask_chat(f"kill-{index}", messages, LONG_TOKENS, url)
-        )
-        for index in range(STREAMS)
-    ]
-    await asyncio.sleep(0.7)
+    streams = start_streams(caller, "kill", messages[0], url)
+    await asyncio.sleep(STREAMING_S)
     fleet.send_signal(victim, signal.SIGKILL)
     cut = await asyncio.gather(*streams)
     other = find_url(fleet, fleet.hosts[1]["name"])
-    again = await asyncio.gather(
-        *(
-            caller.ask_chat(f"kill-{index}", messages, LONG_TOKENS, other)
-            for index in range(STREAMS)
-        )
-    )
+    again = await asyncio.gather(*start_streams(caller, "kill", messages[0], other))
     seen = sum(not answer.whole for answer in cut)
     right = sum(is_right(answer, messages, LONG_TOKENS) for answer in again)
     return [
@@ -114,13 +115,8 @@
     leaving = fleet.hosts[2]["name"]
     url = find_url(fleet, leaving)
     messages = ["weld inspection report"]
-    streams = [
-        asyncio.create_task(
-            caller.ask_chat(f"drain-{index}", messages, LONG_TOKENS, url)
-        )
-        for index in range(STREAMS)
-    ]
-    await asyncio.sleep(0.7)
+    streams = start_streams(caller, "drain", messages[0], url)
+    await asyncio.sleep(STREAMING_S)
     fleet.send_signal(leaving, signal.SIGTERM)
     await asyncio.sleep(0.5)
     late = await caller.ask_chat("drain-late", messages, TOKENS, url)
