Strike two hosts at once in the table of payouts

Cause: failures were tried one at a time over real processes. Change: one daemon is killed while another is stopped and the platform is down, before the send and while sent.

--- a/tests/test_payouts.py
+++ b/tests/test_payouts.py
@@ -60,6 +60,14 @@
     fleet.send_signal(host, signal.SIGCONT)
 
 
+async def strike_two(fleet: Fleet, host: str) -> None:
+    """Kill one daemon while another one is stopped, and the platform is down."""
+    await fleet.set_faults(fleet.platform, down=True)
+    other = next(item["name"] for item in fleet.hosts if item["name"] != host)
+    await asyncio.gather(pause_host(fleet, other), kill_host(fleet, host))
+    await fleet.set_faults(fleet.platform)
+
+
 LATE = {"late_s": 1.0}
 CASES = [
     Case("duplicates at once", {}, 5, leave_alone, 0.0),
@@ -74,6 +82,8 @@
     Case("paused before the send", LATE, 3, pause_host, BEFORE_SEND_S),
     Case("paused while sent", LATE, 3, pause_host, WHILE_SENT_S),
     Case("paused after the answer", LATE, 3, pause_host, AFTER_ANSWER_S),
+    Case("two struck before the send", LATE, 4, strike_two, BEFORE_SEND_S),
+    Case("two struck while sent", LATE, 4, strike_two, WHILE_SENT_S),
 ]
 
 
