Take the demo's ports from below those of outgoing connections

A port was looked up in the range that the system gives to outgoing connections, and could be taken before its daemon listened. Change: ports from 10,000 to 32,000, each given once.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -1,8 +1,10 @@
 """Starts a small fleet with its stand-ins as separate processes."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -18,9 +20,15 @@
 FAILURE_DOMAINS = ("duluth", "alpena", "erie-port")
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 LIMITS = {"address_keep_s": 3.0, "drain_s": 30.0}
 
 
+_ports = random.Random(os.getpid())
+_given: set[int] = set()
+
+
 class Place(NamedTuple):
     """Where a process listens.
 
@@ -41,10 +49,18 @@
 
 
 def find_free_port() -> int:
-    """Return a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port on which nothing listens, a new one at each call.
+
+    It lies below the ports that the system gives to outgoing connections, one
+    of which might else take it before its process listens.
+    """
+    while True:
+        port = _ports.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((ADDRESS, port))
+            if port not in _given:
+                _given.add(port)
+                return port
 
 
 class Fleet:
