Read the entries of a document in one place

Cause: reading a document's list, empty before there is one, stood three times in the daemon's root, and the recorder listed the documents' names again. Change: one method for it; the recorder uses DOCUMENT_NAMES. No behaviour changes.

--- a/bench/slopes/documents.py
+++ b/bench/slopes/documents.py
@@ -144,7 +144,7 @@
         placement = _make_placement(servers, names)
         timers, _, view = make_view(cards, published)
         node = SimpleNamespace(
-            documents=SimpleNamespace(get=lambda name, p=published: p),
+            _list_entries=lambda document, field, p=published: p.body[field],
             placement=placement,
         )
 
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -254,17 +254,20 @@
 
     def count_in_flight(self) -> Counter[str]:
         """Return how many requests of this host run at each backend server."""
-        published = self.documents.get("backend_servers")
-        listed = published.body["backend_servers"] if published else []
-        counts = Counter({server["name"]: 0 for server in listed})
+        servers = self._list_entries("backend_servers", "backend_servers")
+        counts = Counter({server["name"]: 0 for server in servers})
         counts.update(permit.backend_server for permit in self.placement.list_held())
         return counts
 
     def _find(self, document: str, field: str, name: str) -> Any:
-        published = self.documents.get(document)
-        items = published.body[field] if published else []
+        items = self._list_entries(document, field)
         return next((item for item in items if item["name"] == name), None)
 
+    def _list_entries(self, document: str, field: str) -> list[Any]:
+        """Return a list of the document in force, an empty one before there is one."""
+        published = self.documents.get(document)
+        return published.body[field] if published else []
+
     async def _serve(self, app: web.Application, port: int) -> None:
         runner = web.AppRunner(
             app,
@@ -324,11 +327,9 @@
             self.placement.note_leaving(name)
 
     def _list_owned_engines(self) -> list[Any]:
-        published = self.documents.get("backend_servers")
-        listed = published.body["backend_servers"] if published else []
         return [
             server
-            for server in listed
+            for server in self._list_entries("backend_servers", "backend_servers")
             if server["kind"] == "engine"
             and self.placement.owns_pool_of(server["name"])
         ]
--- a/oleanderpier/daemon/recorder.py
+++ b/oleanderpier/daemon/recorder.py
@@ -1,6 +1,11 @@
 """Writes what happens to the parts of a daemon on its time line."""
 
-from oleanderpier.configuration import Documents, Published, Refusal
+from oleanderpier.configuration import (
+    DOCUMENT_NAMES,
+    Documents,
+    Published,
+    Refusal,
+)
 from oleanderpier.events import Ring
 from oleanderpier.membership import BackendServers, Members, MemberState, ServerState
 from oleanderpier.placement import Permit
@@ -24,7 +29,7 @@
         self, documents: Documents, members: Members, servers: BackendServers
     ) -> None:
         """Record what comes into force, and who comes and goes."""
-        for name in ("configuration", "hosts", "backend_servers"):
+        for name in DOCUMENT_NAMES:
             documents.subscribe(name, self._record_document)
         documents.subscribe_refusals(self._record_refusal)
         members.subscribe(self._record_member)
