--- a/oleanderpier/__init__.py
+++ b/oleanderpier/__init__.py
@@ -1,23 +1,81 @@
 """A router fleet for returning chats.
 
-The root re-exports the aggregates and the values that they exchange with a
-daemon; each package exports the rest of its own.
+The root offers the aggregates and the values that they exchange with a daemon;
+each package exports the rest of its own. A name is imported when it is first
+used, so that a program loads only the parts that it runs.
 """
 
-from oleanderpier.claims import Claims, HostLists, run_call
-from oleanderpier.configuration import (
-    Documents,
-    Published,
-    Spread,
-    WatchDuty,
-    check_document,
-)
-from oleanderpier.events import Clock, Event, Ring, merge_events
-from oleanderpier.exception import *  # noqa: F403
-from oleanderpier.membership import BackendServers, Members
-from oleanderpier.peers import Mesh
-from oleanderpier.placement import Placement
-from oleanderpier.relay import Relay, relay_answer
-from oleanderpier.results import *  # noqa: F403
-from oleanderpier.settings import Settings, read_settings
-from oleanderpier.utils import *  # noqa: F403
+from importlib import import_module
+from typing import Any
+
+_PACKAGES = {
+    "claims": ("Claims", "HostLists", "run_call"),
+    "configuration": (
+        "Documents",
+        "Published",
+        "Spread",
+        "WatchDuty",
+        "check_document",
+    ),
+    "events": ("Clock", "Event", "Ring", "merge_events"),
+    "exception": (
+        "CallerGoneError",
+        "HistoryGoneError",
+        "MessageError",
+        "OleanderpierError",
+        "PlatformError",
+        "SettingsError",
+        "UnknownMessageError",
+    ),
+    "membership": ("BackendServers", "Members"),
+    "peers": ("Mesh",),
+    "placement": ("Placement",),
+    "relay": ("Relay", "relay_answer"),
+    "results": (
+        "Code",
+        "Failure",
+        "Fate",
+        "MaybeSent",
+        "NotSent",
+        "RefusalAnswer",
+        "SendError",
+        "describe_code",
+        "list_codes",
+        "make_refusal",
+        "refuse_request",
+    ),
+    "settings": ("Settings", "read_settings"),
+    "utils": (
+        "LoopTimers",
+        "ManualTimers",
+        "Outbox",
+        "Subscription",
+        "Timers",
+        "check_mapping",
+        "convert_mapping",
+        "decode_message",
+        "encode_message",
+        "hash_text",
+        "list_messages",
+        "make_key",
+        "make_unpacker",
+        "pack_key",
+        "rank_candidates",
+        "read_key_time",
+        "register_message",
+        "run_coroutine",
+        "unpack_key",
+        "unpack_message",
+    ),
+}
+_HOMES = {name: package for package, names in _PACKAGES.items() for name in names}
+
+__all__ = sorted(_HOMES)
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name when it is first used."""
+    package = _HOMES.get(name)
+    if package is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{package}"), name)
--- /dev/null
+++ b/oleanderpier/connections/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections to backend servers."""
--- /dev/null
+++ b/oleanderpier/entry/__init__.py
@@ -0,0 +1,4 @@
+"""An entry host: routing, forwarding, replication and fleet put together."""
+
+from oleanderpier.entry.node import *  # noqa: F403
+from oleanderpier.entry.settings import *  # noqa: F403
--- /dev/null
+++ b/oleanderpier/entry/node.py
@@ -0,0 +1,359 @@
+"""The parts of an entry host, wired to each other."""
+
+import asyncio
+import random
+
+import msgspec
+from eliot import log_message
+from expression import Error, Result
+
+from oleanderpier.connections import make_session
+from oleanderpier.entry.settings import EntrySettings
+from oleanderpier.events import Clock
+from oleanderpier.fleet import FleetView, HostReport, ServerUse
+from oleanderpier.forwarding import Dialect, Forwarder, Hearing
+from oleanderpier.membership import MemberCard, Members, MemberState
+from oleanderpier.peers import Address, Mesh
+from oleanderpier.replication import (
+    Change,
+    ItemNews,
+    ItemsAsk,
+    ItemSource,
+    Replica,
+    Sharing,
+    keep_replica,
+)
+from oleanderpier.results import Code, Failure
+from oleanderpier.routing import (
+    Chooser,
+    RequestKind,
+    RetryBudget,
+    Roster,
+    Route,
+    RouteIndex,
+    RoutingTable,
+    ServerEntry,
+    ServerHealth,
+)
+from oleanderpier.utils import LoopTimers, rank_candidates
+
+__all__ = [
+    "ADDRESS_KEEP_S",
+    "CONFIGURATION",
+    "CONFIGURATION_KEY",
+    "SERVERS",
+    "EntryNode",
+]
+
+CONFIGURATION = "configuration"
+SERVERS = "servers"
+CONFIGURATION_KEY = "routes"
+
+MEMBERSHIP_NUMBERS = range(20, 27)
+MILLISECONDS_PER_S = 1000
+# Hosts of a failure domain that watch the platform; the others hear from them.
+WATCHERS = 3
+# A host that does not watch starts to, when what it knows is older than this.
+WATCH_ANYWAY_S = 1.5
+# What is not in a configuration that was the newest so long ago may be in a
+# newer one; above the time for which the platform holds a watch.
+STALE_S = 4.0
+# Callers keep addresses for this long, some three times as long.
+ADDRESS_KEEP_S = 1.0
+KEEP_MULTIPLE = 3.0
+# From the last caller's use of an old address to the close of the listeners.
+LEAVE_SLACK_S = 0.3
+# Time to break off what is left before the process is killed.
+END_SLACK_S = 0.4
+POLL_S = 0.05
+CONNECT_TIMEOUT_S = 0.3
+
+
+class EntryNode:
+    """One entry host.
+
+    Args:
+        settings: What it was told at its start.
+        source: Where published values come from.
+        dialect: The wire format of backend servers.
+
+    Attributes:
+        state: ``starting``, ``ready`` or ``draining``.
+        in_progress: How many requests of callers are under way.
+        index: The routes in force, None before the first configuration.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, source: ItemSource, dialect: Dialect
+    ) -> None:
+        self.settings = settings
+        self.state = "starting"
+        self.in_progress = 0
+        self.index: RouteIndex | None = None
+        self.timers = LoopTimers()
+        self._source = source
+        self._dialect = dialect
+        self._drain_began_s = 0.0
+        self._tasks: list[asyncio.Task] = []
+        incarnation = int(self.timers.wall() * MILLISECONDS_PER_S)
+        self._rng = random.Random(f"{settings.peer_address}:{incarnation}")
+        self._build_fleet(incarnation)
+        self._build_routing()
+        self._connect_parts()
+
+    def _build_fleet(self, incarnation: int) -> None:
+        settings, timers = self.settings, self.timers
+        host = settings.peer_address
+        self.mesh = Mesh(host, incarnation, timers, Clock(timers))
+        self.mesh.update_addresses(
+            {seed: _split_address(seed) for seed in settings.seeds}
+        )
+        self.members = Members(
+            _make_card(host, settings.failure_domain),
+            timers,
+            self._rng,
+            self.mesh,
+            [_make_card(seed, "") for seed in settings.seeds if seed != host],
+        )
+        self.view = FleetView(
+            host,
+            settings.failure_domain,
+            self.members,
+            timers,
+            self._rng,
+            self.mesh,
+            self._make_report,
+            self._note_report,
+        )
+        self.replicas = {
+            space: Replica(space, timers) for space in (CONFIGURATION, SERVERS)
+        }
+        self.sharing = Sharing(self.replicas, timers, self.mesh, self._list_followers)
+
+    def _build_routing(self) -> None:
+        timers = self.timers
+        self.roster = Roster(timers)
+        self.health = ServerHealth(timers)
+        self.hearing = Hearing(timers)
+        self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
+        self.chooser = Chooser(
+            self.roster,
+            self.health,
+            self.settings.failure_domain,
+            self.view.count_load,
+            self._rng,
+        )
+
+    def _connect_parts(self) -> None:
+        self.mesh.subscribe_range(MEMBERSHIP_NUMBERS, self._handle_membership)
+        self.mesh.subscribe(HostReport, self.view.handle)
+        for message_class in (ItemNews, ItemsAsk):
+            self.mesh.subscribe(message_class, self._handle_sharing)
+        self.members.subscribe(self._note_member)
+        self.replicas[CONFIGURATION].subscribe(self._adopt_configuration)
+        self.replicas[SERVERS].subscribe(self._adopt_servers)
+        self.roster.subscribe_gone(self.health.forget)
+        self.roster.subscribe_gone(self.hearing.forget)
+
+    async def start(self) -> None:
+        """Begin to take part in the fleet and to learn what is published."""
+        self.forwarder = Forwarder(
+            make_session(connect_timeout_s=CONNECT_TIMEOUT_S),
+            self._dialect,
+            self.chooser,
+            self.health,
+            self.budget,
+            self.hearing,
+            self.timers,
+        )
+        await self.mesh.listen(*_split_address(self.settings.peer_address))
+        self.members.start()
+        self.view.start()
+        for replica in self.replicas.values():
+            self._start_task(
+                keep_replica(
+                    replica,
+                    self._source,
+                    self.timers,
+                    self._rng,
+                    self._must_watch,
+                    self._note_outage,
+                )
+            )
+        self._start_task(self._become_ready())
+
+    async def drain(self) -> None:
+        """Leave the directory, then finish what is in progress."""
+        began_s = self._drain_began_s = self.timers.now()
+        self.state = "draining"
+        log_message("node:draining", in_progress=self.in_progress)
+        self.view.report_now()
+        self.members.leave()
+        earliest_s = began_s + KEEP_MULTIPLE * ADDRESS_KEEP_S + LEAVE_SLACK_S
+        latest_s = began_s + self.settings.grace_s - END_SLACK_S
+        while self.timers.now() < latest_s:
+            if not self.in_progress and self.timers.now() >= earliest_s:
+                break
+            await asyncio.sleep(POLL_S)
+        log_message("node:drained", left_over=self.in_progress)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.forwarder.session.close()
+        await self.mesh.close()
+
+    def admit(self, route: Route) -> Failure | None:
+        """Return why a new request is refused at once, None if it is not.
+
+        Args:
+            route: Where it would go.
+        """
+        if self.state != "draining":
+            return None
+        since_s = self.timers.now() - self._drain_began_s
+        kept_s = KEEP_MULTIPLE * ADDRESS_KEEP_S
+        ends_s = since_s + (
+            route.target_s if route.kind is not RequestKind.STREAM else 0
+        )
+        if since_s <= kept_s or (
+            route.kind is not RequestKind.STREAM and ends_s < self.settings.grace_s / 2
+        ):
+            return None
+        return Failure(Code.HOST_LEAVING, "", 0.0)
+
+    def find_route(self, host_name: str, path: str) -> Result[Route, Failure]:
+        """Return the route of a request, or why it has none."""
+        if self.index is None:
+            return Error(Failure(Code.HOST_NOT_READY, "", ADDRESS_KEEP_S / 2))
+        return self._doubt(self.index.find_route(host_name, path))
+
+    def find_workspace(self, route: Route, credential: str | None) -> Result:
+        """Return the workspace of a credential, or why there is none."""
+        return self._doubt(self.index.find_workspace(route, credential))
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses that callers are to use, those nearby if enough."""
+        port = self.settings.caller_address.rpartition(":")[2]
+        hosts = self.view.list_ready()
+        if self.state == "ready":
+            hosts.append(self.settings.peer_address)
+        return [f"{host.rpartition(':')[0]}:{port}" for host in hosts]
+
+    def _doubt(self, result: Result) -> Result:
+        """Turn what a stale configuration does not know into "ask elsewhere"."""
+        if result.is_ok():
+            return result
+        age_s = self.replicas[CONFIGURATION].get_age_s()
+        if age_s <= STALE_S:
+            return result
+        text = f"{result.error.text}; configuration confirmed {age_s:.1f} s ago"
+        return Error(Failure(Code.VIEW_STALE, text, 0.0))
+
+    def _start_task(self, coroutine) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
+
+    async def _become_ready(self) -> None:
+        while self.index is None or not self.replicas[SERVERS].as_of:
+            await asyncio.sleep(POLL_S)
+        if self.state == "starting":
+            self.state = "ready"
+            log_message("node:ready", version=self.index.table.version)
+            self.view.report_now()
+
+    def _must_watch(self) -> bool:
+        """Return whether this host is one of the watchers, or none is heard."""
+        replicas = self.replicas.values()
+        if any(replica.as_of == 0 for replica in replicas):
+            return True
+        if any(replica.get_age_s() > WATCH_ANYWAY_S for replica in replicas):
+            return True
+        own = self.settings.peer_address
+        nearby = [own, *self._list_nearby()]
+        return own in rank_candidates("watch", nearby)[:WATCHERS]
+
+    def _list_nearby(self) -> list[str]:
+        domain = self.settings.failure_domain
+        return [
+            host
+            for host in self.view.list_present()
+            if self.members.find_domain(host) == domain
+        ]
+
+    def _list_followers(self) -> list[str]:
+        """Return the hosts nearby that do not watch."""
+        ranked = rank_candidates(
+            "watch", [self.settings.peer_address, *self._list_nearby()]
+        )
+        return ranked[WATCHERS:]
+
+    def _note_outage(self, silent_s: float) -> None:
+        """Take that the platform answers again after a failure."""
+        if silent_s >= 1.0:
+            self.roster.note_outage_end()
+
+    def _handle_membership(self, sender: str, message) -> None:
+        self._learn_address(sender)
+        self.members.handle(sender, message)
+
+    def _handle_sharing(self, sender: str, message) -> None:
+        self._learn_address(sender)
+        self.sharing.handle(sender, message)
+
+    def _learn_address(self, host: str) -> None:
+        self.mesh.update_addresses({host: _split_address(host)})
+
+    def _note_member(self, host: str, state: MemberState) -> None:
+        self._learn_address(host)
+
+    def _make_report(self) -> HostReport:
+        answers, failures = self.forwarder.take_outcomes()
+        in_flight = self.chooser.in_flight
+        servers = {
+            identity: ServerUse(
+                in_flight.get(identity, 0),
+                answers.get(identity, 0),
+                failures.get(identity, 0),
+            )
+            for identity in {*in_flight, *answers}
+        }
+        return HostReport(self.state == "ready", self.sharing.describe(), servers)
+
+    def _note_report(self, host: str, report: HostReport) -> None:
+        self.sharing.note_peer(host, report.knowledge)
+        for identity, use in report.servers.items():
+            for number in range(use.answers):
+                self.health.note_heard(identity, failed=number < use.failures)
+
+    def _adopt_configuration(self, change: Change) -> None:
+        for item in change.items:
+            if item.key != CONFIGURATION_KEY or not item.value:
+                continue
+            table = msgspec.msgpack.decode(item.value, type=RoutingTable)
+            self.index = RouteIndex(table)
+            log_message(
+                "node:configuration",
+                version=table.version,
+                revision=item.revision,
+                routes=len(table.routes),
+                source=change.source,
+            )
+        self.view.report_now()
+
+    def _adopt_servers(self, change: Change) -> None:
+        for item in change.items:
+            entry = None
+            if item.value:
+                entry = msgspec.msgpack.decode(item.value, type=ServerEntry)
+            self.roster.put(item.key, entry)
+
+
+def _split_address(text: str) -> Address:
+    address, _, port = text.rpartition(":")
+    return Address(address, int(port))
+
+
+def _make_card(host: str, failure_domain: str) -> MemberCard:
+    return MemberCard(host, failure_domain, *_split_address(host))
--- /dev/null
+++ b/oleanderpier/entry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of an entry host's wiring."""
--- a/oleanderpier/exception.py
+++ b/oleanderpier/exception.py
@@ -1,8 +1,11 @@
 """Exceptions of oleanderpier, all under one base class."""
 
 __all__ = [
+    "CallerGoneError",
+    "HistoryGoneError",
     "MessageError",
     "OleanderpierError",
+    "PlatformError",
     "SettingsError",
     "UnknownMessageError",
 ]
@@ -34,3 +37,23 @@
 
 class UnknownMessageError(MessageError):
     """A message of a peer has a number that no part takes."""
+
+
+class PlatformError(OleanderpierError):
+    """The platform did not answer, or refused a call.
+
+    Attributes:
+        needs_all: Whether only reading everything anew helps.
+    """
+
+    needs_all = False
+
+
+class HistoryGoneError(PlatformError):
+    """The platform no longer knows what changed after a revision."""
+
+    needs_all = True
+
+
+class CallerGoneError(OleanderpierError):
+    """The caller closed its connection before the answer was whole."""
--- /dev/null
+++ b/oleanderpier/fleet/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what hosts tell each other."""
--- /dev/null
+++ b/oleanderpier/forwarding/forwarder.py
@@ -0,0 +1,314 @@
+"""Brings a request to backend servers until one has answered, or none may."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+from eliot import log_message
+
+from oleanderpier.forwarding.events import EventSplitter
+from oleanderpier.forwarding.exchanges import Answer, Exchange, Hearing
+from oleanderpier.forwarding.records import Call, Caller, Dialect, Ended
+from oleanderpier.results import Code, Failure, describe_code
+from oleanderpier.results import Fate as CodeFate
+from oleanderpier.routing import (
+    Chooser,
+    Ending,
+    Fate,
+    RetryBudget,
+    ServerHealth,
+    Share,
+    Wish,
+    judge_ending,
+)
+from oleanderpier.utils import Timers, hash_text
+
+__all__ = ["Forwarder", "Outcomes"]
+
+# A request is not brought to more servers, counting those never reached.
+MAX_TRIES = 5
+# Below this time left nothing is sent any more, since nothing can come back.
+LEAST_LEFT_S = 0.005
+# When to come back after a refusal: long enough for a resting server to be
+# tried again, short against the targets.
+RETRY_AFTER_S = 0.25
+HASH_RANGE = 1 << 64
+
+
+class Outcomes(NamedTuple):
+    """What servers answered since the last look, by id.
+
+    Attributes:
+        answers: All answers.
+        failures: How many of these were the server's own failures.
+    """
+
+    answers: dict[str, int]
+    failures: dict[str, int]
+
+
+class Forwarder:
+    """What all requests of a host share on their way.
+
+    Args:
+        session: The HTTP client.
+        dialect: The wire format of the servers.
+        chooser: Picks servers.
+        health: Which servers fail.
+        budget: The retry budget.
+        hearing: When servers were last heard.
+        timers: The timer service.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        dialect: Dialect,
+        chooser: Chooser,
+        health: ServerHealth,
+        budget: RetryBudget,
+        hearing: Hearing,
+        timers: Timers,
+    ) -> None:
+        self.session = session
+        self.dialect = dialect
+        self.chooser = chooser
+        self.health = health
+        self.budget = budget
+        self.hearing = hearing
+        self.timers = timers
+        self.outcomes = Outcomes({}, {})
+
+    async def forward(self, call: Call, caller: Caller) -> Ended:
+        """Bring a request to its end.
+
+        Args:
+            call: The request.
+            caller: Gets the answer, or the refusal.
+
+        Returns:
+            What became of it.
+        """
+        return await _Way(self, call, caller).run()
+
+    def note_answer(self, identity: str, failed: bool) -> None:
+        """Take an answer of a server, which other hosts are told of as well."""
+        self.health.note_answer(identity, failed)
+        answers, failures = self.outcomes
+        answers[identity] = answers.get(identity, 0) + 1
+        failures[identity] = failures.get(identity, 0) + failed
+
+    def take_outcomes(self) -> Outcomes:
+        """Return what servers answered since the last call."""
+        outcomes, self.outcomes = self.outcomes, Outcomes({}, {})
+        return outcomes
+
+
+class _Way:
+    """The steps of one request."""
+
+    def __init__(self, shared: Forwarder, call: Call, caller: Caller) -> None:
+        self._shared = shared
+        self._call = call
+        self._caller = _CallerState(caller)
+        self._splitter = EventSplitter()
+        self._service = _pick_service(call)
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._may_have_run = False
+        self._answer: Answer | None = None
+        self._server = ""
+        self._reason = ""
+
+    async def run(self) -> Ended:
+        """Try servers until the request has ended or its time is over."""
+        shared = self._shared
+        shared.budget.note_request(self._service)
+        left_s = self._call.deadline_s - shared.timers.now()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                return await self._try_servers()
+        except TimeoutError:
+            if self._server:
+                shared.health.note_fault(self._server)
+            self._reason = f"out of time; {self._reason}"
+            code = Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
+            return await self._refuse(code)
+
+    async def _try_servers(self) -> Ended:
+        shared, call = self._shared, self._call
+        for _ in range(MAX_TRIES):
+            choice = shared.chooser.choose(
+                Wish(self._service, call.cache_key), self._tried
+            )
+            if choice is None:
+                self._reason = f"no server of {self._service}; {self._reason}"
+                break
+            if call.deadline_s - shared.timers.now() < LEAST_LEFT_S:
+                return await self._refuse(
+                    Code.TARGET_MISSED
+                    if self._may_have_run
+                    else Code.TARGET_UNREACHABLE
+                )
+            ending = await self._send(choice.server)
+            log_message(
+                "forward:send",
+                request=call.identity,
+                server=choice.server.identity,
+                why=choice.reason,
+                load=choice.load,
+                ending=ending.value,
+                reason=self._reason,
+            )
+            verdict = judge_ending(ending, self._make_fate())
+            if ending is Ending.DELIVERED:
+                return await self._deliver()
+            if not verdict.again:
+                return await self._end(verdict.code)
+            if verdict.costs and not shared.budget.take(self._service):
+                self._reason = f"retry budget is used up; {self._reason}"
+                return await self._end(verdict.code)
+            self._splitter.restart()
+        code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
+        return await self._end(code)
+
+    async def _send(self, server) -> Ending:
+        """Send the request to a server once."""
+        shared = self._shared
+        identity = self._server = server.identity
+        before = self._may_have_run
+        self._may_have_run = True
+        exchange = Exchange(
+            shared.session,
+            shared.dialect,
+            shared.hearing,
+            shared.timers,
+            self._call,
+            server,
+            self._may_give_up,
+        )
+        shared.chooser.begin(identity)
+        try:
+            ending = await exchange.run(
+                self._caller, self._splitter, self._caller.begun
+            )
+        finally:
+            shared.chooser.end(identity)
+        self._reason = exchange.reason
+        self._tried.add(identity)
+        self._sends += ending is not Ending.UNREACHED
+        if ending in (Ending.UNREACHED, Ending.NOT_RUN):
+            self._may_have_run = before
+        _NOTES[ending](shared, identity)
+        if exchange.answer is not None:
+            self._answer = exchange.answer
+        return ending
+
+    def _may_give_up(self) -> bool:
+        """Return whether another server may still get the request."""
+        return self._sends + 1 < self._call.route.max_sends
+
+    def _make_fate(self) -> Fate:
+        route = self._call.route
+        return Fate(
+            route.repeatable,
+            self._sends,
+            route.max_sends,
+            self._may_have_run,
+            self._caller.begun,
+        )
+
+    async def _deliver(self) -> Ended:
+        """Send the last whole answer, unless it was streamed already."""
+        if self._caller.begun:
+            return self._make_end(Code.DONE, 200)
+        await self._caller.deliver(*self._answer)
+        return self._make_end(Code.DONE, self._answer.head.status)
+
+    async def _end(self, code: Code) -> Ended:
+        """End without a success: with the server's own failure if there is one."""
+        if self._answer is not None and not self._caller.begun:
+            return await self._deliver()
+        return await self._refuse(code)
+
+    async def _refuse(self, code: Code) -> Ended:
+        if self._caller.begun:
+            self._caller.abort()
+            return self._make_end(Code.STREAM_CUT, 0)
+        not_run = describe_code(code).fate is CodeFate.NOT_RUN
+        await self._caller.refuse(
+            Failure(code, self._reason, RETRY_AFTER_S if not_run else None)
+        )
+        return self._make_end(code, describe_code(code).http_status)
+
+    def _make_end(self, code: Code, status: int) -> Ended:
+        return Ended(code, status, self._sends, self._server, self._reason)
+
+
+class _CallerState:
+    """A caller, with whether the answer has begun.
+
+    Attributes:
+        begun: Whether the head of an answer was sent.
+    """
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+        self.begun = False
+        self.write = caller.write
+        self.finish = caller.finish
+        self.abort = caller.abort
+        self.refuse = caller.refuse
+        self.deliver = caller.deliver
+
+    async def begin(self, head) -> None:
+        self.begun = True
+        await self._caller.begin(head)
+
+
+def _note_answer(shared: Forwarder, identity: str) -> None:
+    shared.note_answer(identity, failed=False)
+
+
+def _note_failure(shared: Forwarder, identity: str) -> None:
+    shared.note_answer(identity, failed=True)
+
+
+def _note_fault(shared: Forwarder, identity: str) -> None:
+    shared.health.note_fault(identity)
+
+
+def _note_unreachable(shared: Forwarder, identity: str) -> None:
+    shared.health.note_unreachable(identity)
+
+
+def _note_nothing(shared: Forwarder, identity: str) -> None:
+    """A server that is full, or is another one by now, has not failed."""
+
+
+_NOTES = {
+    Ending.DELIVERED: _note_answer,
+    Ending.FAILED: _note_failure,
+    Ending.UNREACHED: _note_unreachable,
+    Ending.NOT_RUN: _note_nothing,
+    Ending.LOST: _note_fault,
+    Ending.SILENT: _note_unreachable,
+    Ending.CUT: _note_fault,
+}
+
+
+def _pick_service(call: Call) -> str:
+    """Return a service of the route, by weight and alike for equal prompts."""
+    shares = [share for share in call.route.shares if share.weight > 0]
+    if not shares:
+        return call.route.shares[0].service
+    point = hash_text(call.cache_key or call.identity) / HASH_RANGE
+    return _find_share(shares, point * sum(share.weight for share in shares))
+
+
+def _find_share(shares: list[Share], point: float) -> str:
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/oleanderpier/forwarding/records.py
@@ -0,0 +1,124 @@
+"""A request on its way, and what the adapter to a wire format has to do for it."""
+
+from typing import NamedTuple, Protocol
+
+from multidict import CIMultiDict
+
+from oleanderpier.results import Code, Failure
+from oleanderpier.routing import PromptPart, Route, ServerEntry, WorkspaceEntry
+
+__all__ = ["AnswerHead", "Call", "Caller", "Dialect", "Ended"]
+
+Headers = list[tuple[str, str]]
+
+
+class Call(NamedTuple):
+    """One request of a caller, read to its end.
+
+    Attributes:
+        identity: The caller's id of this request.
+        method: The HTTP method.
+        path: The path with its query, as it came.
+        headers: The headers as they came, without those of the connection.
+        body: The whole body.
+        route: Where it goes.
+        workspace: Who sent it, if the configuration has workspaces.
+        prompt: The parts of its prompt, in order; empty without one.
+        resume_after: The id of the last event the caller has, if it says so.
+        deadline_s: When the final answer is due, on the timer service's clock.
+    """
+
+    identity: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    route: Route
+    workspace: WorkspaceEntry | None
+    prompt: tuple[PromptPart, ...]
+    resume_after: str | None
+    deadline_s: float
+
+    @property
+    def cache_key(self) -> str:
+        """Name the longest part of the prompt that other requests share."""
+        if not self.prompt or not self.route.sticky:
+            return ""
+        return self.prompt[max(0, len(self.prompt) - 2)].identity
+
+
+class AnswerHead(NamedTuple):
+    """The head of a backend server's answer.
+
+    Attributes:
+        status: The HTTP status.
+        headers: The headers for the caller.
+        not_run: Whether the server says that it has not run the request.
+        whole: Whether it is the server's own, unencoded answer to this very
+            request, as far as its head tells.
+        signed: Whether the server vouches for it.
+    """
+
+    status: int
+    headers: Headers
+    not_run: bool
+    whole: bool
+    signed: bool
+
+
+class Dialect(Protocol):
+    """Writes requests and reads answers in the wire format of the servers."""
+
+    def format_request(
+        self,
+        call: Call,
+        server: ServerEntry,
+        left_s: float,
+        resume_after: str | None,
+    ) -> CIMultiDict[str]:
+        """Return the headers for a server, with the time left in seconds."""
+
+    def read_answer(
+        self, call: Call, status: int, headers: tuple[tuple[bytes, bytes], ...]
+    ) -> AnswerHead:
+        """Return what the head of an answer says."""
+
+
+class Caller(Protocol):
+    """The caller's side of a request."""
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head of an answer that comes piece by piece."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece."""
+
+    async def finish(self) -> None:
+        """End the answer as a whole one."""
+
+    async def deliver(self, head: AnswerHead, body: bytes) -> None:
+        """Send a whole answer at once."""
+
+    async def refuse(self, failure: Failure) -> None:
+        """Send the final answer of a request that brought none."""
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer does not look whole."""
+
+
+class Ended(NamedTuple):
+    """What became of a request.
+
+    Attributes:
+        code: The result code.
+        status: The status that the caller got.
+        sends: To how many servers it was sent.
+        server: The id of the last one, empty for none.
+        text: Why, for the log.
+    """
+
+    code: Code
+    status: int
+    sends: int
+    server: str
+    text: str
--- /dev/null
+++ b/oleanderpier/forwarding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding."""
--- a/oleanderpier/membership/adoptions.py
+++ b/oleanderpier/membership/adoptions.py
@@ -1,12 +1,14 @@
 """Which hosts are known to have which hosts list, and since when."""
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from oleanderpier.configuration.documents import Published
 from oleanderpier.membership.messages import AdoptionBits
 from oleanderpier.membership.rumours import count_tellings
 from oleanderpier.utils import Timers
 
+if TYPE_CHECKING:
+    from oleanderpier.configuration.documents import Published
+
 __all__ = ["Adoptions"]
 
 KEPT_LISTS = 8
@@ -25,7 +27,7 @@
 class ListBits:
     """The hosts of one list that have it, as the bits of one integer."""
 
-    def __init__(self, published: Published):
+    def __init__(self, published: "Published"):
         self.version = published.version
         self.digest = published.digest
         self.hosts = [entry["name"] for entry in published.body["hosts"]]
@@ -55,7 +57,7 @@
         self._restarts: dict[str, tuple[int, float]] = {}
         self._tellings_left = 0
 
-    def adopt(self, published: Published) -> None:
+    def adopt(self, published: "Published") -> None:
         """Note that this host has a new hosts list."""
         self._lists.append(ListBits(published))
         del self._lists[:-KEPT_LISTS]
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -13,11 +13,10 @@
 from enum import IntEnum
 from functools import singledispatchmethod
 from random import Random
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from eliot import log_message
 
-from oleanderpier.configuration.documents import Published
 from oleanderpier.membership.adoptions import Adoptions
 from oleanderpier.membership.messages import (
     Ack,
@@ -35,6 +34,9 @@
 from oleanderpier.membership.table import PRESENT_STATES, MemberTable
 from oleanderpier.utils import Outbox, Timers
 
+if TYPE_CHECKING:
+    from oleanderpier.configuration.documents import Published
+
 __all__ = ["MemberCard", "Members"]
 
 PERIOD_S = 1.0
@@ -222,7 +224,7 @@
         """
         self._contact_callbacks.append(callback)
 
-    def adopt_list(self, published: Published) -> None:
+    def adopt_list(self, published: "Published") -> None:
         """Take in the hosts list in force.
 
         Args:
--- a/oleanderpier/membership/servers.py
+++ b/oleanderpier/membership/servers.py
@@ -5,11 +5,10 @@
 from enum import Enum
 from functools import singledispatchmethod
 from random import Random
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from eliot import log_message
 
-from oleanderpier.configuration.documents import BackendServer, Published
 from oleanderpier.membership.members import Members
 from oleanderpier.membership.messages import MemberState
 from oleanderpier.membership.probers import ProbeDuties, choose_probers
@@ -26,6 +25,9 @@
 from oleanderpier.membership.summaries import Summary, find_bucket
 from oleanderpier.utils import Outbox, Timers
 
+if TYPE_CHECKING:
+    from oleanderpier.configuration.documents import BackendServer, Published
+
 __all__ = ["BackendServers", "Outcome", "UsableServer"]
 
 TICK_S = 0.5
@@ -83,7 +85,7 @@
             infinity if it was there before this host.
     """
 
-    server: BackendServer
+    server: "BackendServer"
     state: ServerState
     joined_s: float
 
@@ -143,7 +145,7 @@
         delay_s = self._generator.uniform(0.0, 1.0)
         self._timers.call_later(delay_s, self._sync)
 
-    def adopt_list(self, published: Published) -> None:
+    def adopt_list(self, published: "Published") -> None:
         """Take in the ``backend_servers`` document in force."""
         entries = {e["name"]: e for e in published.body["backend_servers"]}
         known = self._entries
--- /dev/null
+++ b/oleanderpier/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Runs an entry host: ``python3 -m oleanderpier.platform``."""
+
+from oleanderpier.platform.program import run
+
+run()
--- /dev/null
+++ b/oleanderpier/platform/documents.py
@@ -0,0 +1,202 @@
+"""Decodes configurations and entries of servers as the platform spells them."""
+
+from typing import Any, NotRequired, TypedDict
+
+import msgspec
+
+from oleanderpier.exception import SettingsError
+from oleanderpier.routing import (
+    CallerLimits,
+    EngineLimits,
+    RequestKind,
+    Route,
+    RoutingTable,
+    ServerEntry,
+    Service,
+    Share,
+    WorkspaceEntry,
+)
+from oleanderpier.utils import convert_mapping
+
+__all__ = ["decode_configuration", "decode_server"]
+
+MILLISECONDS_PER_S = 1000.0
+
+_KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.ONCE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class _Share(TypedDict):
+    Service: str
+    Weight: float
+
+
+class _Route(TypedDict):
+    Name: str
+    Host: str
+    Prefix: str
+    RouteKind: str
+    TimeoutMs: float
+    # The latency target; of a stream, for its first event.
+    TargetLatencyMs: NotRequired[float]
+    TargetGapMs: NotRequired[float | None]
+    Priority: NotRequired[int | None]
+    # Either one service, or several by weight.
+    Service: NotRequired[str | None]
+    TrafficSplit: NotRequired[list[_Share] | None]
+    # To how many servers one attempt of a client may be sent.
+    MaxAttempts: NotRequired[int | None]
+    Public: NotRequired[bool | None]
+    # Whether requests carry the parts of a prompt.
+    Sticky: NotRequired[bool | None]
+    Resumable: NotRequired[bool | None]
+
+
+class _Engine(TypedDict):
+    Slots: int
+    KvCapacityTokens: int
+
+
+class _Service(TypedDict):
+    Name: str
+    MaxConnections: NotRequired[int | None]
+    Engine: NotRequired[_Engine | None]
+
+
+class _Limits(TypedDict):
+    MaxBodyBytes: int
+    IdleTimeoutMs: float
+
+
+class _Tenant(TypedDict):
+    Name: str
+    ApiKeys: list[str]
+    Priority: NotRequired[int | None]
+
+
+class _Configuration(TypedDict):
+    Version: int
+    Routes: list[_Route]
+    Services: list[_Service]
+    Limits: _Limits
+    Tenants: NotRequired[list[_Tenant] | None]
+
+
+class _Server(TypedDict):
+    Service: str
+    Address: str
+    Zone: str
+    State: str
+    Slots: NotRequired[int | None]
+    # Unix milliseconds of the start.
+    born: NotRequired[int | None]
+
+
+_STATES = {"ready": False, "draining": True}
+
+
+def decode_configuration(data: bytes) -> RoutingTable:
+    """Return the routing table that a published configuration holds.
+
+    Args:
+        data: The JSON document.
+
+    Raises:
+        SettingsError: With the path, what was found and what is allowed.
+    """
+    value = convert_mapping(_Configuration, _decode(data))
+    tenants = value.get("Tenants")
+    return RoutingTable(
+        version=value["Version"],
+        routes=tuple(_make_route(route) for route in value["Routes"]),
+        services={
+            service["Name"]: _make_service(service) for service in value["Services"]
+        },
+        credentials=None if tenants is None else _index_credentials(tenants),
+        limits=CallerLimits(
+            value["Limits"]["MaxBodyBytes"],
+            value["Limits"]["IdleTimeoutMs"] / MILLISECONDS_PER_S,
+        ),
+    )
+
+
+def decode_server(identity: str, data: bytes) -> ServerEntry:
+    """Return the server that an entry names.
+
+    Args:
+        identity: The server's id, which the entry's key holds.
+        data: The JSON document; it may come from another writer.
+
+    Raises:
+        SettingsError: It names no server that could be used.
+    """
+    value = convert_mapping(_Server, _decode(data))
+    if value["State"] not in _STATES:
+        raise SettingsError("$.State", value["State"], " or ".join(_STATES))
+    address, colon, port = value["Address"].rpartition(":")
+    if not (address and colon and port.isdigit()):
+        raise SettingsError("$.Address", value["Address"], "IP:PORT")
+    return ServerEntry(
+        identity=identity,
+        service=value["Service"],
+        address=value["Address"],
+        failure_domain=value["Zone"],
+        slots=value.get("Slots") or 0,
+        leaving=_STATES[value["State"]],
+        born_ms=value.get("born") or 0,
+    )
+
+
+def _decode(data: bytes) -> Any:
+    try:
+        return msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError("$", str(error), "JSON") from error
+
+
+def _make_route(route: _Route) -> Route:
+    if route["RouteKind"] not in _KINDS:
+        raise SettingsError("$.Routes.RouteKind", route["RouteKind"], str(list(_KINDS)))
+    shares = route.get("TrafficSplit") or []
+    single = route.get("Service")
+    if single:
+        shares = [_Share(Service=single, Weight=1.0)]
+    timeout_s = route["TimeoutMs"] / MILLISECONDS_PER_S
+    target_s = (route.get("TargetLatencyMs") or route["TimeoutMs"]) / MILLISECONDS_PER_S
+    return Route(
+        name=route["Name"],
+        host_name=route["Host"].lower(),
+        prefix=route["Prefix"],
+        kind=_KINDS[route["RouteKind"]],
+        resumable=bool(route.get("Resumable")),
+        timeout_s=timeout_s,
+        target_s=target_s,
+        gap_target_s=(route.get("TargetGapMs") or 0.0) / MILLISECONDS_PER_S,
+        priority=route.get("Priority") or 0,
+        shares=tuple(Share(share["Service"], share["Weight"]) for share in shares),
+        max_sends=route.get("MaxAttempts") or 1,
+        public=bool(route.get("Public")),
+        sticky=bool(route.get("Sticky")),
+    )
+
+
+def _make_service(service: _Service) -> Service:
+    engine = service.get("Engine")
+    return Service(
+        name=service["Name"],
+        max_connections=service.get("MaxConnections") or 0,
+        engine=EngineLimits(engine["Slots"], engine["KvCapacityTokens"])
+        if engine
+        else None,
+    )
+
+
+def _index_credentials(tenants: list[_Tenant]) -> dict[str, WorkspaceEntry]:
+    return {
+        key: WorkspaceEntry(tenant["Name"], tenant.get("Priority"))
+        for tenant in tenants
+        for key in tenant["ApiKeys"]
+    }
--- /dev/null
+++ b/oleanderpier/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- a/oleanderpier/relay/connections.py
+++ b/oleanderpier/relay/connections.py
@@ -1,53 +1,19 @@
 """Connections to backend servers."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import aiohttp
-from aiohttp.abc import AbstractCookieJar
 
 from oleanderpier.configuration import BackendServer
+from oleanderpier.connections import CONNECT_TIMEOUT_S, make_session
 
-__all__ = ["Cancellations", "format_url", "make_session"]
+__all__ = ["CONNECT_TIMEOUT_S", "Cancellations", "format_url", "make_session"]
 
-CONNECT_TIMEOUT_S = 0.5
-MAX_CONNECTIONS = 4096
-READ_BUFFER_BYTES = 16 * 1024
-KERNEL_BUFFER_BYTES = 64 * 1024
-USER_TIMEOUT_MS = 5000
 CANCEL_TIMEOUT_S = 1.0
 CANCEL_ATTEMPTS = 2
 
 
-def make_session(max_connections: int = MAX_CONNECTIONS) -> aiohttp.ClientSession:
-    """Return a client session for requests to backend servers.
-
-    Every request gets a connection of its own, which is closed afterwards: a
-    kept connection may have gone silent while it was idle, or be closed by
-    the server just as a request is written to it, and then nobody knows
-    whether the request ran. Must be called in the event loop.
-
-    Args:
-        max_connections: How many may be open at once.
-    """
-    connector = aiohttp.TCPConnector(
-        force_close=True,
-        limit=max_connections,
-        use_dns_cache=False,
-        happy_eyeballs_delay=None,
-        socket_factory=_make_socket,
-    )
-    return aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=_make_cookie_jar(),
-        timeout=aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
-        read_bufsize=READ_BUFFER_BYTES,
-        auto_decompress=False,
-        skip_auto_headers=["User-Agent", "Accept-Encoding"],
-    )
-
-
 def format_url(backend_server: BackendServer, path: str) -> str:
     """Return the URL of a path at a backend server.
 
@@ -119,21 +85,3 @@
     def _forget(self, key: tuple[str, str], task: asyncio.Task[None]) -> None:
         if self._tasks.get(key) is task:
             del self._tasks[key]
-
-
-def _make_socket(address_info: tuple) -> socket.socket:
-    """Return a socket that reads little ahead.
-
-    The kernel gives it up when nothing it sent is acknowledged for long.
-    """
-    family, kind, protocol, _, _ = address_info
-    opened = socket.socket(family, kind, protocol)
-    opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return opened
-
-
-def _make_cookie_jar() -> AbstractCookieJar:
-    return aiohttp.DummyCookieJar()
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -35,6 +35,11 @@
     HOST_LEAVING = 109
     KEY_VOID = 110
     HOST_NOT_READY = 111
+    CREDENTIAL_UNKNOWN = 112
+    ROUTE_UNKNOWN = 113
+    BODY_TOO_LARGE = 114
+    REQUEST_INCOMPLETE = 115
+    VIEW_STALE = 116
 
     CLAIM_HELD = 201
     CLAIM_NO_MAJORITY = 202
@@ -93,6 +98,14 @@
     Code.HOST_LEAVING: (503, "This host is shutting down; ask another address."),
     Code.KEY_VOID: (409, "This key was given up for good; use a new key."),
     Code.HOST_NOT_READY: (503, "This host has no configuration in force yet."),
+    Code.CREDENTIAL_UNKNOWN: (401, "No workspace has this credential."),
+    Code.ROUTE_UNKNOWN: (404, "No route has this host name and path."),
+    Code.BODY_TOO_LARGE: (413, "The body is larger than the configuration allows."),
+    Code.REQUEST_INCOMPLETE: (408, "The body did not arrive in time."),
+    Code.VIEW_STALE: (
+        503,
+        "This host may not know the newest configuration; ask another address.",
+    ),
     Code.CLAIM_HELD: (409, "Another request with this key has the right to run."),
     Code.CLAIM_NO_MAJORITY: (
         503,
--- /dev/null
+++ b/oleanderpier/routing/health.py
@@ -0,0 +1,120 @@
+"""Which backend servers fail, learnt from the requests sent to them.
+
+Servers that stop answering are left out for a while, which doubles each time,
+and are then tried with one request. Servers that answer but fail more often
+than the others of their service are used less.
+"""
+
+from eliot import log_message
+
+from oleanderpier.utils import Timers
+
+__all__ = ["ServerHealth"]
+
+FIRST_REST_S = 0.5
+LONGEST_REST_S = 8.0
+# A trial that has not ended after this long no longer keeps others away.
+TRIAL_S = 2.0
+# One result moves the failure rate by this part of the distance.
+RATE_STEP = 0.12
+
+
+class _Record:
+    """What is known of one server."""
+
+    def __init__(self) -> None:
+        self.rest_s = 0.0
+        self.rests_until_s = 0.0
+        self.trial_until_s = 0.0
+        self.failure_rate = 0.0
+
+
+class ServerHealth:
+    """Failures of backend servers.
+
+    Args:
+        timers: The timer service.
+
+    Examples:
+        >>> from oleanderpier.utils import ManualTimers
+        >>> timers = ManualTimers()
+        >>> health = ServerHealth(timers)
+        >>> health.note_unreachable("s1")
+        >>> health.is_resting("s1")
+        True
+        >>> timers.advance(0.6)
+        >>> health.is_resting("s1")
+        False
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._records: dict[str, _Record] = {}
+
+    def is_resting(self, identity: str) -> bool:
+        """Return whether a server gets no request now."""
+        record = self._records.get(identity)
+        if record is None or record.rest_s == 0.0:
+            return False
+        now_s = self._timers.now()
+        return now_s < record.rests_until_s or now_s < record.trial_until_s
+
+    def is_doubtful(self, identity: str) -> bool:
+        """Return whether a server has to show that it answers again."""
+        record = self._records.get(identity)
+        return record is not None and record.rest_s > 0.0
+
+    def get_failure_rate(self, identity: str) -> float:
+        """Return which part of the recent requests a server failed, 0 to 1."""
+        record = self._records.get(identity)
+        return record.failure_rate if record else 0.0
+
+    def begin_trial(self, identity: str) -> None:
+        """Keep others away from a doubtful server that has just got a request."""
+        record = self._records.get(identity)
+        if record is not None and record.rest_s > 0.0:
+            record.trial_until_s = self._timers.now() + TRIAL_S
+
+    def note_answer(self, identity: str, failed: bool) -> None:
+        """Take an answer of a server.
+
+        Args:
+            identity: The server.
+            failed: Whether the answer was the server's own failure.
+        """
+        self.note_heard(identity, failed)
+        record = self._records[identity]
+        if record.rest_s:
+            log_message("health:server_answers", identity=identity)
+        record.rest_s = 0.0
+        record.trial_until_s = 0.0
+
+    def note_heard(self, identity: str, failed: bool) -> None:
+        """Take an answer that another host got from a server.
+
+        It says nothing of whether this host reaches the server.
+        """
+        record = self._records.setdefault(identity, _Record())
+        record.failure_rate += RATE_STEP * (float(failed) - record.failure_rate)
+
+    def note_fault(self, identity: str) -> None:
+        """Take that an answer was lost, cut or spoilt on its way."""
+        record = self._records.setdefault(identity, _Record())
+        record.failure_rate += RATE_STEP * (1.0 - record.failure_rate)
+
+    def note_unreachable(self, identity: str) -> None:
+        """Take that a server could not be reached, broke off or stayed silent."""
+        record = self._records.setdefault(identity, _Record())
+        now_s = self._timers.now()
+        record.trial_until_s = 0.0
+        if now_s < record.rests_until_s:
+            return
+        record.rest_s = min(LONGEST_REST_S, max(FIRST_REST_S, 2 * record.rest_s))
+        record.rests_until_s = now_s + record.rest_s
+        log_message(
+            "health:server_rests", identity=identity, rest_s=round(record.rest_s, 2)
+        )
+
+    def forget(self, identity: str) -> None:
+        """Forget a server that is gone."""
+        self._records.pop(identity, None)
--- /dev/null
+++ b/oleanderpier/routing/roster.py
@@ -0,0 +1,93 @@
+"""The backend servers that may get new requests."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+
+from oleanderpier.routing.records import ServerEntry
+from oleanderpier.utils import Timers
+
+__all__ = ["Roster"]
+
+# Entries that lapsed while the platform was away are back within two seconds
+# of its return, says the platform; half a second more for the way here.
+RETURN_S = 2.5
+
+
+class Roster:
+    """Servers by service, with those that lapsed in an outage kept for a while.
+
+    Args:
+        timers: The timer service.
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._entries: dict[str, ServerEntry] = {}
+        self._usable: dict[str, list[ServerEntry]] = defaultdict(list)
+        self._lapsed: dict[str, float] = {}
+        self._outage_ended_s = -RETURN_S
+        self._callbacks: list[Callable[[str], None]] = []
+        timers.subscribe(0.25, self._drop_lapsed)
+
+    def subscribe_gone(self, callback: Callable[[str], None]) -> None:
+        """Call back with the id of each server that is gone."""
+        self._callbacks.append(callback)
+
+    def note_outage_end(self) -> None:
+        """Take note that the platform answers again after an outage."""
+        self._outage_ended_s = self._timers.now()
+
+    def put(self, identity: str, entry: ServerEntry | None) -> None:
+        """Take a server's new entry, or that it has none any more.
+
+        Args:
+            identity: The server's id.
+            entry: What it registered; None where the entry ended or can't be
+                read.
+        """
+        known = self._entries.get(identity)
+        if entry is not None:
+            self._lapsed.pop(identity, None)
+            self._entries[identity] = entry
+            if entry != known:
+                log_message("roster:server", **entry._asdict())
+                self._rebuild()
+            return
+        if known is None or identity in self._lapsed:
+            return
+        self._lapsed[identity] = self._timers.now()
+        self._drop_lapsed()
+
+    def get(self, identity: str) -> ServerEntry | None:
+        """Return a server's entry, also of one that is leaving."""
+        return self._entries.get(identity)
+
+    def list_usable(self, service: str) -> list[ServerEntry]:
+        """Return the servers of a service that may get new requests."""
+        return self._usable.get(service, [])
+
+    def list_services(self) -> Iterable[str]:
+        """Return the names of the services that have a usable server."""
+        return [name for name, entries in self._usable.items() if entries]
+
+    def _drop_lapsed(self) -> None:
+        """Drop the servers whose entry ended, unless an outage may be why."""
+        if not self._lapsed:
+            return
+        if self._timers.now() < self._outage_ended_s + RETURN_S:
+            return
+        for identity in list(self._lapsed):
+            del self._lapsed[identity]
+            del self._entries[identity]
+            log_message("roster:server_gone", identity=identity)
+            for callback in self._callbacks:
+                callback(identity)
+        self._rebuild()
+
+    def _rebuild(self) -> None:
+        self._usable = defaultdict(list)
+        for entry in self._entries.values():
+            if not entry.leaving:
+                self._usable[entry.service].append(entry)
--- /dev/null
+++ b/oleanderpier/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of which server runs a request."""
--- a/oleanderpier/utils/schema.py
+++ b/oleanderpier/utils/schema.py
@@ -8,7 +8,7 @@
 
 from oleanderpier.exception import SettingsError
 
-__all__ = ["check_mapping"]
+__all__ = ["check_mapping", "convert_mapping"]
 
 _MISSING_FIELD = re.compile("Object missing required field `(.+)`")
 
@@ -30,6 +30,22 @@
         SettingsError: With the path, what was found and what is allowed.
     """
     _refuse_unknown_keys(schema, value, "$")
+    return convert_mapping(schema, value)
+
+
+def convert_mapping(schema: type, value: Any) -> Any:
+    """Return the part of a value that a ``TypedDict`` schema knows.
+
+    Args:
+        schema: The ``TypedDict`` class.
+        value: The decoded JSON value.
+
+    Returns:
+        The converted value, without keys that the schema does not know.
+
+    Raises:
+        SettingsError: With the path, what was found and what is allowed.
+    """
     try:
         return msgspec.convert(value, schema)
     except msgspec.ValidationError as error:
--- a/oleanderpier/utils/timers.py
+++ b/oleanderpier/utils/timers.py
@@ -49,11 +49,15 @@
 
 
 class LoopTimers:
-    """The timer service of a running event loop."""
+    """The timer service of a running event loop.
+
+    Its clock counts the time for which the host was suspended, so that what
+    was known before does not look fresh afterwards.
+    """
 
     def now(self) -> float:
         """Return the monotonic clock in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return the wall clock in seconds since 1970."""
