Tell a reset right behind the last bytes from the end of an answer

The reset came with the last bytes, the event loop read it as an end of file, and aiohttp took that for the end of the body. Only SO_ERROR tells. Ruled out: a reset that comes alone (is passed on as an error, has its test). Change: the connection asks for the socket's error at the end of file.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import os
 import socket
 
 import aiohttp
@@ -22,10 +23,21 @@
     """A connection whose reset never ends an answer as if it were whole.
 
     An answer without a length ends with its connection; aiohttp takes a reset
-    for that end.
+    for that end. A reset that comes right behind the last bytes is read as an
+    end of file, and only the socket's error tells of it.
     """
 
+    _reset: OSError | None = None
+
+    def eof_received(self) -> None:
+        opened = self.transport.get_extra_info("socket")
+        number = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if number:
+            self._reset = OSError(number, os.strerror(number))
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
+        exc = exc or self._reset
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
