Test routing, replication and forwarding; mend what the tests found

Cause: a host behind its peers never asked them while one peer was behind as well, since each equal report restarted its patience (test_cut_off_hosts_ask). Change: patience runs until the replica itself has moved; deletions before a whole read count as unknown, and only the platform's own changes count as complete. What could not be reached is tried elsewhere only if it may be.

--- a/oleanderpier/replication/messages.py
+++ b/oleanderpier/replication/messages.py
@@ -4,7 +4,10 @@
 
 from oleanderpier.utils import register_message
 
-__all__ = ["Item", "ItemNews", "ItemsAsk", "Knowledge"]
+__all__ = ["PLATFORM", "Item", "ItemNews", "ItemsAsk", "Knowledge"]
+
+# The source of what the platform itself told this host.
+PLATFORM = "platform"
 
 
 class Item(NamedTuple):
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from oleanderpier.replication.messages import Item, ItemNews
+from oleanderpier.replication.messages import PLATFORM, Item, ItemNews
 from oleanderpier.utils import Timers
 
 __all__ = ["Change", "Replica"]
@@ -99,7 +99,12 @@
             ]
         follows = not news.whole and news.after <= self.as_of
         before = self.changed
-        changed = [item for item in items if self._store(item, follows)]
+        # Other hosts leave out what was deleted and has come back since.
+        lists_all = follows and source == PLATFORM
+        changed = [item for item in items if self._store(item, lists_all)]
+        if news.whole:
+            # What came and went before it was read is not known.
+            self._forgotten = max(self._forgotten, news.as_of)
         if news.whole or follows:
             self.as_of = max(self.as_of, news.as_of)
         if changed:
@@ -132,12 +137,12 @@
         items = [item for item in known if whole or item.revision > after]
         return ItemNews(self.space, after, self.as_of, whole, items)
 
-    def _store(self, item: Item, follows: bool) -> bool:
+    def _store(self, item: Item, lists_all: bool) -> bool:
         """Keep an item if it is newer, and return whether it makes a difference.
 
         Args:
             item: The item.
-            follows: Whether no change before it was missed. One that was
+            lists_all: Whether no change before it was missed. One that was
                 written again unchanged then keeps its old revision.
         """
         if item.revision <= self._seen.get(item.key, 0):
@@ -148,7 +153,7 @@
             return self._delete(item, known is not None)
         self._deleted.pop(item.key, None)
         unchanged = known is not None and known.value == item.value
-        if not (unchanged and follows):
+        if not (unchanged and lists_all):
             self._items[item.key] = item
         return not unchanged
 
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -2,13 +2,17 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any
+from typing import Any, NamedTuple
 
 from eliot import log_message
 
-from oleanderpier.replication.messages import ItemNews, ItemsAsk, Knowledge
+from oleanderpier.replication.messages import (
+    PLATFORM,
+    ItemNews,
+    ItemsAsk,
+    Knowledge,
+)
 from oleanderpier.replication.replica import Change, Replica
-from oleanderpier.replication.watcher import SOURCE
 from oleanderpier.utils import Outbox, Timers
 
 __all__ = ["Sharing"]
@@ -21,6 +25,18 @@
 OLDEST_S = 3600.0
 
 
+class _Behind(NamedTuple):
+    """That a replica lacks a change which a peer has.
+
+    Attributes:
+        as_of: Up to where the replica knew all then.
+        ask_s: When to ask for it, on the timer service's clock.
+    """
+
+    as_of: int
+    ask_s: float
+
+
 class Sharing:
     """Asks peers that know more, and tells those that do not watch.
 
@@ -42,8 +58,7 @@
         self._timers = timers
         self._outbox = outbox
         self._list_followers = list_followers
-        self._behind_s: dict[str, float] = {}
-        self._asked_s: dict[str, float] = {}
+        self._behind: dict[str, _Behind] = {}
         for replica in replicas.values():
             replica.subscribe(
                 lambda change, replica=replica: self._tell(replica, change)
@@ -70,16 +85,23 @@
             if replica is None:
                 continue
             if replica.note_equal(*theirs):
-                self._behind_s.pop(space, None)
                 continue
-            now_s = self._timers.now()
-            behind_s = self._behind_s.setdefault(space, now_s)
-            asked_s = self._asked_s.get(space, float("-inf"))
-            patience_s = PATIENCE_S if replica.as_of else 0.0
-            if now_s - behind_s >= patience_s and now_s - asked_s >= ASK_AGAIN_S:
-                self._asked_s[space] = now_s
+            if self._is_ask_due(replica):
                 self._outbox.send(host, ItemsAsk(space, replica.as_of))
 
+    def _is_ask_due(self, replica: Replica) -> bool:
+        """Return whether to ask a peer now for a change that it has."""
+        now_s = self._timers.now()
+        known = self._behind.get(replica.space)
+        if known is None or known.as_of != replica.as_of:
+            patience_s = PATIENCE_S if replica.as_of else 0.0
+            known = _Behind(replica.as_of, now_s + patience_s)
+        due = now_s >= known.ask_s
+        if due:
+            known = known._replace(ask_s=now_s + ASK_AGAIN_S)
+        self._behind[replica.space] = known
+        return due
+
     def handle(self, sender: str, message: Any) -> None:
         """Take in a message of another host."""
         self._receive(message, sender)
@@ -102,7 +124,6 @@
             return
         before = replica.as_of
         replica.apply(message, sender)
-        self._behind_s.pop(message.space, None)
         log_message(
             "sharing:news",
             space=message.space,
@@ -114,7 +135,7 @@
 
     def _tell(self, replica: Replica, change: Change) -> None:
         """Pass what the platform said on to those who do not ask it."""
-        if change.source != SOURCE:
+        if change.source != PLATFORM:
             return
         followers = self._list_followers()
         if not followers:
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -8,14 +8,12 @@
 from eliot import log_message
 
 from oleanderpier.exception import PlatformError
-from oleanderpier.replication.messages import ItemNews
+from oleanderpier.replication.messages import PLATFORM, ItemNews
 from oleanderpier.replication.replica import Replica
 from oleanderpier.utils import Timers
 
 __all__ = ["ItemSource", "WatchTimes", "keep_replica"]
 
-SOURCE = "platform"
-
 
 class ItemSource(Protocol):
     """Where a replica's items come from."""
@@ -117,7 +115,7 @@
             note_outage(silent_s)
             retry_s = 0.0
         answered_s = timers.now()
-        replica.apply(news, SOURCE)
+        replica.apply(news, PLATFORM)
         # A call that brought nothing proves the state at its end only.
         replica.confirm(timers.now() - began_s if needs_all else 0.0)
         needs_all = False
--- a/oleanderpier/routing/retries.py
+++ b/oleanderpier/routing/retries.py
@@ -83,7 +83,7 @@
         code = Code.STREAM_CUT if fate.begun else Code.ANSWER_LOST
     if ending is Ending.DELIVERED:
         return Verdict(False, False, code)
-    if ending is Ending.UNREACHED:
-        return Verdict(True, False, code)
     allowed = fate.repeatable or not fate.may_have_run
+    if ending is Ending.UNREACHED:
+        return Verdict(allowed, False, code)
     return Verdict(allowed and fate.sends < fate.max_sends, True, code)
--- /dev/null
+++ b/oleanderpier/routing/tests/fakes.py
@@ -0,0 +1,77 @@
+"""Servers and routes for the tests of routing."""
+
+import random
+
+from oleanderpier.routing import (
+    CacheMap,
+    Chooser,
+    RequestKind,
+    Roster,
+    Route,
+    ServerEntry,
+    ServerHealth,
+    Share,
+)
+from oleanderpier.utils import ManualTimers
+
+__all__ = ["World", "make_route", "make_server"]
+
+ENGINE = "engine"
+
+
+def make_server(identity: str, **changes) -> ServerEntry:
+    """Return a server of the service ``engine``."""
+    entry = ServerEntry(
+        identity, ENGINE, f"10.0.0.1:{8000 + len(identity)}", "duluth", 64, False, 1
+    )
+    return entry._replace(**changes)
+
+
+def make_route(**changes) -> Route:
+    """Return a resumable stream's route."""
+    route = Route(
+        name="r1",
+        host_name="a.example",
+        prefix="/chat/",
+        kind=RequestKind.STREAM,
+        resumable=True,
+        timeout_s=15.0,
+        target_s=1.0,
+        gap_target_s=0.4,
+        priority=0,
+        shares=(Share(ENGINE, 1.0),),
+        max_sends=2,
+        public=False,
+        sticky=True,
+    )
+    return route._replace(**changes)
+
+
+class World:
+    """A chooser over some servers, driven by hand.
+
+    Args:
+        servers: How many there are.
+    """
+
+    def __init__(self, servers: int = 9) -> None:
+        self.timers = ManualTimers()
+        self.roster = Roster(self.timers)
+        self.health = ServerHealth(self.timers)
+        self.caches = CacheMap(self.timers)
+        self.elsewhere: dict[str, int] = {}
+        self.chooser = Chooser(
+            self.roster,
+            self.health,
+            self.caches,
+            "duluth",
+            lambda identity: self.elsewhere.get(identity, 0),
+            random.Random(1),
+        )
+        self.roster.subscribe_gone(self.caches.forget_server)
+        for number in range(servers):
+            self.add(f"s{number}")
+
+    def add(self, identity: str, **changes) -> None:
+        """Let a server register, or change its entry."""
+        self.roster.put(identity, make_server(identity, **changes))
--- /dev/null
+++ b/oleanderpier/routing/tests/test_choice.py
@@ -0,0 +1,155 @@
+"""Tests of the choice of a server, each with the load that it answers."""
+
+import random
+from collections import Counter
+
+from testtools import TestCase
+
+from oleanderpier.routing import Wish
+from oleanderpier.routing.tests.fakes import ENGINE, World
+
+# The users' bound on a server: twice the mean of its service, and three.
+BOUND_MULTIPLE = 2
+BOUND_ALLOWANCE = 3
+
+
+def send(world: World, key: str, tokens: int = 10_000):
+    """Choose a server for a prompt and count it as in flight."""
+    wish = Wish(ENGINE, key, tokens)
+    choice = world.chooser.choose(wish)
+    world.chooser.begin(wish, choice.server.identity)
+    return choice
+
+
+class AffinityTest(TestCase):
+    """Prompts that share a part go where it is cached."""
+
+    def test_hosts_agree(self):
+        """Hosts that never talked choose the same server for a key."""
+        for key in ("a", "b", "c"):
+            chosen = {send(World(), key).server.identity for _ in range(3)}
+            self.assertEqual(1, len(chosen))
+
+    def test_new_server_moves_nothing(self):
+        """A server that joins gets no key that is cached elsewhere."""
+        world = World()
+        keys = [f"k{number}" for number in range(40)]
+        before = {}
+        for key in keys:
+            before[key] = send(world, key).server.identity
+            world.chooser.end(before[key])
+        world.add("joined")
+        for key in keys:
+            choice = send(world, key)
+            world.chooser.end(choice.server.identity)
+            self.assertEqual(
+                (before[key], "cached"), (choice.server.identity, choice.reason)
+            )
+
+    def test_word_of_others(self):
+        """What another host sent somewhere is found there."""
+        world = World()
+        world.caches.learn([("k", "s7")])
+        self.assertEqual("s7", send(world, "k").server.identity)
+
+    def test_restarted_server_holds_nothing(self):
+        """A server that starts again under its id has lost its cache."""
+        world = World()
+        world.caches.learn([("k", "s7")])
+        world.add("s7", born_ms=2)
+        self.assertEqual([], world.caches.list_holders("k"))
+
+
+class HotKeyTest(TestCase):
+    """One prompt gets much of the traffic."""
+
+    def test_bound_and_copies(self):
+        """No server goes over the users' bound; those that join in copy."""
+        world = World()
+        rng = random.Random(3)
+        reads = Counter()
+        running: list[str] = []
+        for number in range(2_000):
+            key = "hot" if rng.random() < 0.4 else f"k{rng.randrange(100)}"
+            choice = send(world, key)
+            running.append(choice.server.identity)
+            reads[choice.reason, choice.source is not None] += 1
+            if len(running) > 120:
+                world.chooser.end(running.pop(rng.randrange(len(running))))
+            loads = [world.chooser.count_load(f"s{n}") for n in range(9)]
+            mean = sum(loads) / len(loads)
+            self.assertLessEqual(
+                max(loads), BOUND_MULTIPLE * mean + BOUND_ALLOWANCE, number
+            )
+        self.assertEqual(0, reads["spilled", False])
+        self.assertGreater(reads["cached", False], 0.85 * reads.total())
+
+    def test_load_of_other_hosts_counts(self):
+        """A server that others have filled is passed over."""
+        world = World()
+        first = send(world, "k").server.identity
+        world.elsewhere[first] = 40
+        choice = send(world, "k")
+        self.assertNotEqual(first, choice.server.identity)
+        self.assertEqual(first, choice.source.identity)
+
+
+class FailingServerTest(TestCase):
+    """Servers that fail get less, and nothing while they rest."""
+
+    def test_leaving_server(self):
+        """A leaving server gets nothing, but its cache is copied."""
+        world = World()
+        first = send(world, "k").server.identity
+        world.add(first, leaving=True)
+        choice = send(world, "k")
+        self.assertNotEqual(first, choice.server.identity)
+        self.assertEqual(first, choice.source.identity)
+
+    def test_resting_server(self):
+        """A server that could not be reached is left alone, then tried once."""
+        world = World(servers=2)
+        world.health.note_unreachable("s0")
+        chosen = {
+            world.chooser.choose(Wish(ENGINE, "")).server.identity for _ in range(9)
+        }
+        self.assertEqual({"s1"}, chosen)
+        world.timers.advance(0.6)
+        trials = Counter(send(world, "").server.identity for _ in range(6))
+        self.assertEqual(1, trials["s0"])
+
+    def test_all_rest(self):
+        """Where every server rests, one is tried all the same."""
+        world = World(servers=2)
+        for identity in ("s0", "s1"):
+            world.health.note_unreachable(identity)
+        self.assertEqual("last_resort", world.chooser.choose(Wish(ENGINE, "")).reason)
+
+    def test_failing_server_gets_less(self):
+        """A server that fails half of its requests gets under a tenth of them."""
+        world = World(servers=3)
+        rng = random.Random(5)
+        got = Counter()
+        for _ in range(600):
+            identity = send(world, "").server.identity
+            got[identity] += 1
+            failed = identity == "s0" and rng.random() < 0.5
+            world.health.note_answer(identity, failed)
+            world.chooser.end(identity)
+        self.assertLess(got["s0"], 60)
+
+    def test_all_fail_alike(self):
+        """Where all fail alike, none is left out."""
+        world = World(servers=3)
+        rng = random.Random(5)
+        got = Counter()
+        for _ in range(600):
+            identity = send(world, "").server.identity
+            got[identity] += 1
+            world.health.note_answer(identity, rng.random() < 0.5)
+            world.chooser.end(identity)
+        self.assertGreater(min(got.values()), 100)
+
+    def test_no_server(self):
+        """A service without servers gives none."""
+        self.assertIsNone(World(servers=0).chooser.choose(Wish(ENGINE, "k")))
