Test entry hosts as processes before a store and servers of our own

Change: a stand-in of the store, servers that count what they run, and seven checks over real processes: requests, graceful shutdown, a key revoked while the store refuses a host, a leaving server, all hosts killed, an unread log, and a bad settings file.

--- /dev/null
+++ b/oleanderpier/platform/tests/test_documents.py
@@ -0,0 +1,128 @@
+"""Tests of decoding configurations and entries of servers."""
+
+import msgspec
+from testtools import TestCase
+
+from oleanderpier.exception import SettingsError
+from oleanderpier.platform.documents import decode_configuration, decode_server
+from oleanderpier.routing import RequestKind, Share, WorkspaceEntry
+
+ROUTE = {
+    "Name": "r-1",
+    "Host": "A.example",
+    "Prefix": "/x/",
+    "RouteKind": "streaming",
+    "TimeoutMs": 15000,
+    "TargetLatencyMs": 1000,
+    "Priority": 0,
+    "TrafficSplit": [
+        {"Service": "one", "Weight": 90},
+        {"Service": "two", "Weight": 10},
+    ],
+    "MaxAttempts": 2,
+    "Public": False,
+    "Sticky": True,
+    "Resumable": True,
+    "TargetGapMs": 400,
+}
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [
+        {
+            "Name": "one",
+            "MaxConnections": 360,
+            "Engine": {"Slots": 64, "KvCapacityTokens": 525165, "Moves": True},
+        },
+        {"Name": "two", "MaxConnections": 100, "Tls": False},
+    ],
+    "Limits": {"MaxBodyBytes": 4194304, "IdleTimeoutMs": 15000},
+    "Tenants": [{"Name": "w", "ApiKeys": ["k1", "k2"], "Priority": 1}],
+}
+SERVER = {
+    "Service": "one",
+    "Address": "10.0.0.9:80",
+    "Zone": "duluth",
+    "Slots": 64,
+    "State": "ready",
+    "Sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def encode(document: dict, **changes) -> bytes:
+    """Return a document's JSON with some fields changed or left out."""
+    changed = {**document, **changes}
+    return msgspec.json.encode({k: v for k, v in changed.items() if v is not ...})
+
+
+class ConfigurationTest(TestCase):
+    """A configuration becomes a routing table."""
+
+    def test_table(self):
+        """Each field has its place."""
+        table = decode_configuration(encode(CONFIGURATION))
+        route = table.routes[0]
+        self.assertEqual(
+            ("a.example", 15.0, 1.0, 0.4),
+            (route.host_name, route.timeout_s, route.target_s, route.gap_target_s),
+        )
+        self.assertEqual((RequestKind.STREAM, True), (route.kind, route.repeatable))
+        self.assertEqual((Share("one", 90), Share("two", 10)), route.shares)
+        self.assertEqual({"k1", "k2"}, set(table.credentials))
+        self.assertEqual(WorkspaceEntry("w", 1), table.credentials["k2"])
+        self.assertEqual(64, table.services["one"].engine.slots)
+        self.assertEqual(15.0, table.limits.idle_timeout_s)
+
+    def test_single_service(self):
+        """A route with one service needs no weights."""
+        route = {**ROUTE, "Service": "one", "TrafficSplit": None}
+        table = decode_configuration(encode(CONFIGURATION, Routes=[route]))
+        self.assertEqual((Share("one", 1.0),), table.routes[0].shares)
+
+    def test_without_workspaces(self):
+        """Without workspaces no request needs a credential."""
+        table = decode_configuration(encode(CONFIGURATION, Tenants=...))
+        self.assertIsNone(table.credentials)
+
+    def test_malformed(self):
+        """What is wrong is named by its path."""
+        cases = {
+            "$.Version": encode(CONFIGURATION, Version="7"),
+            "$.Limits": encode(CONFIGURATION, Limits=...),
+            "$.Routes.RouteKind": encode(
+                CONFIGURATION, Routes=[{**ROUTE, "RouteKind": "x"}]
+            ),
+            "$": b"\xff{",
+        }
+        for path, data in cases.items():
+            error = self.assertRaises(SettingsError, decode_configuration, data)
+            self.assertEqual(path, error.path)
+
+
+class ServerTest(TestCase):
+    """An entry becomes a server, or nothing."""
+
+    def test_server(self):
+        """Each field has its place; unknown ones are passed over."""
+        entry = decode_server("i-1", encode(SERVER))
+        self.assertEqual(("i-1", "one", "10.0.0.9:80"), entry[:3])
+        self.assertEqual((False, 1700000000000), (entry.leaving, entry.born_ms))
+        self.assertTrue(decode_server("i", encode(SERVER, State="draining")).leaving)
+
+    def test_other_writers(self):
+        """An entry with fields missing or of another type names no server."""
+        cases = [
+            encode(SERVER, Address=...),
+            encode(SERVER, Address="10.0.0.9"),
+            encode(SERVER, Address=":80"),
+            encode(SERVER, Address=7),
+            encode(SERVER, State="resting"),
+            encode(SERVER, Service=None),
+            b"null",
+            b"[1]",
+            b"\x00\xff",
+            b"",
+        ]
+        for data in cases:
+            self.assertRaises(SettingsError, decode_server, "i", data)
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,278 @@
+"""Real entry hosts as processes before stand-ins of the store and of servers."""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+from asyncio.subprocess import PIPE, Process
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from standins.store import StandInStore
+
+__all__ = [
+    "HOST_NAME",
+    "KEY",
+    "PlatformFleet",
+    "StandInServer",
+    "list_ports",
+    "stop_gracefully",
+]
+
+HOST_NAME = "office.example"
+KEY = "key-1"
+READY_S = 15.0
+POLL_S = 0.05
+EVENT_PAUSE_S = 0.1
+
+
+def list_ports(count: int) -> list[int]:
+    """Return free ports below those of outgoing connections."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(10_000, 30_000)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            if port not in ports:
+                ports.append(port)
+    return ports
+
+
+class StandInServer:
+    """A backend server that counts what it runs.
+
+    Attributes:
+        identity: Its id in the store.
+        runs: The ids of the requests that it ran.
+    """
+
+    def __init__(self, identity: str, events: int = 20) -> None:
+        self.identity = identity
+        self.runs: list[str] = []
+        self.headers: list[dict[str, str]] = []
+        self.aborted = 0
+        self._events = events
+
+    async def start(self, port: int) -> None:
+        """Listen on loopback."""
+        server = web.Server(self._answer, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _answer(self, request) -> web.StreamResponse:
+        if request.headers.get("Expect-Instance") != self.identity:
+            return web.Response(status=421)
+        identity = request.headers["Request-Id"]
+        self.runs.append(identity)
+        self.headers.append(dict(request.headers))
+        headers = {"Request-Id": identity, "Response-Signature": self.identity}
+        if request.path.startswith("/chat/"):
+            return await self._stream(request, headers)
+        return web.Response(text=f"{self.identity} ran {identity}", headers=headers)
+
+    async def _stream(self, request, headers) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        try:
+            for number in range(first, self._events + 1):
+                await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
+                await asyncio.sleep(EVENT_PAUSE_S)
+        except asyncio.CancelledError:
+            self.aborted += 1
+            raise
+        return response
+
+
+class PlatformFleet:
+    """Entry hosts, the store and servers on loopback.
+
+    Args:
+        hosts: How many entry hosts there are.
+    """
+
+    def __init__(self, hosts: int) -> None:
+        self.store = StandInStore()
+        self.servers: list[StandInServer] = []
+        self.processes: list[Process] = []
+        self.settings: list[dict[str, Any]] = []
+        self._count = hosts
+
+    async def __aenter__(self) -> "PlatformFleet":
+        """Start everything and wait until every host is ready."""
+        self._folder = tempfile.TemporaryDirectory()
+        self._session = aiohttp.ClientSession()
+        self._store_port, *ports = list_ports(1 + 4 * self._count)
+        self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", self._store_port).start()
+        self.publish(1)
+        seeds = [f"127.0.0.1:{ports[4 * n + 2]}" for n in range(min(3, self._count))]
+        for number in range(self._count):
+            self._add_settings(number, ports[4 * number : 4 * number + 4], seeds)
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        """End what was started, by its process id."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.communicate()
+        for server in self.servers:
+            await server.stop()
+        await self._runner.cleanup()
+        await self._session.close()
+        self._folder.cleanup()
+
+    def publish(self, version: int, keys: tuple[str, ...] = (KEY,)) -> None:
+        """Publish a configuration with a stream, a payout and a lookup."""
+        routes = [
+            _make_route("chat", "streaming", Resumable=True, Sticky=True),
+            _make_route("payout", "unsafe"),
+            _make_route("lookup", "safe", MaxAttempts=2),
+        ]
+        self.store.put(
+            "op/config",
+            {
+                "Version": version,
+                "Routes": routes,
+                "Services": [{"Name": "office", "MaxConnections": 100}],
+                "Limits": {"MaxBodyBytes": 1 << 20, "IdleTimeoutMs": 15000},
+                "Tenants": [{"Name": "w1", "ApiKeys": list(keys)}],
+            },
+        )
+
+    async def add_server(self, events: int = 20) -> StandInServer:
+        """Start a server and register it."""
+        server = StandInServer(f"i-{len(self.servers)}", events)
+        await server.start(list_ports(1)[0])
+        self.servers.append(server)
+        self.register(server)
+        return server
+
+    def register(self, server: StandInServer, state: str = "ready") -> None:
+        """Write a server's entry."""
+        entry = {
+            "Service": "office",
+            "Address": server.address,
+            "Zone": "duluth",
+            "State": state,
+            "Slots": 8,
+        }
+        self.store.put(f"servers/{server.identity}", entry)
+
+    async def start_host(self, number: int) -> Process:
+        """Start one host's program."""
+        path = Path(self._folder.name) / f"host-{number}"
+        path.write_text(json.dumps(self.settings[number]))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "oleanderpier.platform",
+            env={**os.environ, "OLEANDERPIER_BOOT": str(path)},
+            stdout=PIPE,
+            stderr=PIPE,
+        )
+        self.processes.append(process)
+        return process
+
+    async def start_all(self) -> None:
+        """Start every host and wait until it is ready."""
+        for number in range(self._count):
+            await self.start_host(number)
+        for number in range(self._count):
+            await self.wait_until_ready(number)
+
+    async def wait_until_ready(self, number: int) -> None:
+        """Wait until a host says that it is ready."""
+        async with asyncio.timeout(READY_S):
+            while await self.ask_ready(number) != 200:
+                await asyncio.sleep(POLL_S)
+
+    async def ask_ready(self, number: int) -> int:
+        """Return a host's answer to the readiness check, 0 for none."""
+        url = f"http://{self.settings[number]['Listen']['Ready']}/ready"
+        try:
+            async with self._session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def list_addresses(self, number: int) -> set[str]:
+        """Return the addresses that a host tells callers to use."""
+        url = f"http://{self.settings[number]['Listen']['Directory']}/resolve"
+        async with self._session.get(url, params={"Name": HOST_NAME}) as response:
+            return set((await response.json())["Addresses"])
+
+    def request(self, number: int, path: str, identity: str, **headers: str):
+        """Return the context of a request to a host."""
+        method = "GET" if path.startswith("/lookup") else "POST"
+        return self._session.request(
+            method,
+            f"http://{self.settings[number]['Listen']['Front']}{path}",
+            data=None if method == "GET" else b"body",
+            headers={
+                "Host": HOST_NAME,
+                "Request-Id": identity,
+                "Request-Deadline-Ms": "8000",
+                "Credential": KEY,
+                **headers,
+            },
+        )
+
+    async def fetch(self, number: int, path: str, identity: str, **headers: str):
+        """Return the status and the text of an answer."""
+        async with self.request(number, path, identity, **headers) as response:
+            return response.status, await response.text()
+
+    def _add_settings(self, number: int, ports: list[int], seeds: list[str]) -> None:
+        names = ("Front", "Ready", "Control", "Directory")
+        listen = {
+            name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
+        }
+        self.settings.append(
+            {
+                "NodeName": f"edge-{number}",
+                "Zone": "duluth",
+                "Listen": listen,
+                "Seeds": seeds,
+                "Bounds": {"GraceS": 8, "RetrySlack": 54},
+                "Platform": {"Address": f"127.0.0.1:{self._store_port}"},
+            }
+        )
+
+
+def _make_route(name: str, kind: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "Name": name,
+        "Host": HOST_NAME,
+        "Prefix": f"/{name}/",
+        "RouteKind": kind,
+        "TimeoutMs": 10000,
+        "TargetLatencyMs": 500,
+        "TargetGapMs": 400,
+        "Service": "office",
+        "MaxAttempts": 1,
+        **changes,
+    }
+
+
+async def stop_gracefully(process: Process) -> tuple[int, bytes]:
+    """Send SIGTERM and return the exit status and what it wrote."""
+    process.send_signal(signal.SIGTERM)
+    output, _ = await process.communicate()
+    return process.returncode, output
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,181 @@
+"""Checks of entry hosts as processes on stand-ins of the users' platform."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from testtools import TestCase
+
+from oleanderpier.utils import run_coroutine
+from tests.platform_fleet import PlatformFleet, stop_gracefully
+
+# The users' bounds, in seconds.
+CONFIG_APPLY_S = 2.0
+MAX_STRETCH_S = 5.0
+DRAIN_S = 2.0
+GRACE_S = 8.0
+
+
+async def wait_for(check, within_s: float) -> bool:
+    """Return whether a check comes true in time."""
+    deadline_s = asyncio.get_running_loop().time() + within_s
+    while asyncio.get_running_loop().time() < deadline_s:
+        if await check():
+            return True
+        await asyncio.sleep(0.05)
+    return False
+
+
+class PlatformTest(TestCase):
+    """The whole path, and what must hold on it."""
+
+    def test_requests(self):
+        """Streams, payouts and lookups are answered; what is unknown is not."""
+        run_coroutine(self._check_requests())
+
+    async def _check_requests(self):
+        async with PlatformFleet(1) as fleet:
+            server = await fleet.add_server(events=3)
+            await fleet.start_all()
+            status, text = await fleet.fetch(0, "/chat/x?q=%41", "r1")
+            self.assertEqual((200, 3), (status, text.count("data:")))
+            status, text = await fleet.fetch(
+                0, "/payout/x", "r2", **{"Tenant-Name": "forged", "Kv-Hold": "1"}
+            )
+            self.assertEqual((200, "i-0 ran r2"), (status, text))
+            sent = server.headers[-1]
+            self.assertEqual("w1", sent["Tenant-Name"])
+            self.assertNotIn("Kv-Hold", sent)
+            self.assertNotIn("Credential", sent)
+            self.assertEqual(200, (await fleet.fetch(0, "/lookup/x", "r3"))[0])
+            self.assertEqual(404, (await fleet.fetch(0, "/other/x", "r4"))[0])
+            status, _ = await fleet.fetch(0, "/payout/x", "r5", Credential="other")
+            self.assertEqual(401, status)
+            self.assertEqual(["r1", "r2", "r3"], server.runs)
+            self._check_process(fleet.processes[0].pid)
+
+    def _check_process(self, pid: int):
+        """No io_uring, and no child processes."""
+        folder = Path(f"/proc/{pid}/fd")
+        targets = [os.readlink(entry) for entry in folder.iterdir()]
+        self.assertEqual([], [name for name in targets if "io_uring" in name])
+        children = Path(f"/proc/{pid}/task/{pid}/children").read_text()
+        self.assertEqual("", children)
+
+    def test_graceful_shutdown(self):
+        """SIGTERM cuts no stream, and takes the host from the directory."""
+        run_coroutine(self._check_shutdown())
+
+    async def _check_shutdown(self):
+        async with PlatformFleet(2) as fleet:
+            await fleet.add_server(events=40)
+            await fleet.start_all()
+            async with fleet.request(0, "/chat/x", "r1") as response:
+                reading = asyncio.create_task(response.text())
+                await asyncio.sleep(0.3)
+                fleet.processes[0].send_signal(signal.SIGTERM)
+                own = fleet.settings[0]["Listen"]["Front"]
+
+                async def is_gone() -> bool:
+                    return own not in await fleet.list_addresses(1)
+
+                self.assertTrue(await wait_for(is_gone, 1.0))
+                self.assertEqual(503, await fleet.ask_ready(0))
+                self.assertEqual(200, (await fleet.fetch(0, "/payout/x", "r2"))[0])
+                text = await reading
+            self.assertEqual(40, text.count("data:"))
+            async with asyncio.timeout(GRACE_S):
+                await fleet.processes[0].communicate()
+            self.assertEqual(0, fleet.processes[0].returncode)
+
+    def test_revoked_key_without_the_store(self):
+        """A host that the store refuses learns of a revoked key from its peers."""
+        run_coroutine(self._check_revoked())
+
+    async def _check_revoked(self):
+        async with PlatformFleet(3) as fleet:
+            await fleet.add_server()
+            fleet.settings[0]["Platform"]["Address"] = "127.0.0.1:1"
+            await fleet.start_all()
+            self.assertEqual(200, (await fleet.fetch(0, "/payout/x", "r1"))[0])
+            fleet.publish(2, keys=("key-2",))
+
+            async def is_refused() -> bool:
+                return (await fleet.fetch(0, "/payout/x", "r"))[0] == 401
+
+            self.assertTrue(await wait_for(is_refused, CONFIG_APPLY_S + MAX_STRETCH_S))
+
+    def test_leaving_server(self):
+        """A server that says it leaves gets nothing new after the bound."""
+        run_coroutine(self._check_leaving())
+
+    async def _check_leaving(self):
+        async with PlatformFleet(2) as fleet:
+            leaving = await fleet.add_server()
+            await fleet.add_server()
+            await fleet.start_all()
+            fleet.register(leaving, "draining")
+            await asyncio.sleep(DRAIN_S)
+            before = len(leaving.runs)
+            for number in range(20):
+                status, _ = await fleet.fetch(number % 2, "/payout/x", f"r{number}")
+                self.assertEqual(200, status)
+            self.assertEqual(before, len(leaving.runs))
+
+    def test_killed_all(self):
+        """After all hosts were killed they serve again with the store away."""
+        run_coroutine(self._check_killed())
+
+    async def _check_killed(self):
+        async with PlatformFleet(2) as fleet:
+            await fleet.add_server()
+            await fleet.start_all()
+            for process in fleet.processes[:2]:
+                process.kill()
+                await process.communicate()
+            fleet.store.refuses = True
+            for number in range(2):
+                await fleet.start_host(number)
+            await asyncio.sleep(1.5)
+            self.assertNotEqual(200, await fleet.ask_ready(0))
+            self.assertEqual(503, (await fleet.fetch(0, "/payout/x", "r1"))[0])
+            fleet.store.refuses = False
+            await fleet.wait_until_ready(0)
+            self.assertEqual(200, (await fleet.fetch(0, "/payout/x", "r2"))[0])
+
+    def test_reader_of_the_log_stops(self):
+        """Requests go on while nobody reads the log, and each has its line."""
+        run_coroutine(self._check_log())
+
+    async def _check_log(self):
+        async with PlatformFleet(1) as fleet:
+            await fleet.add_server()
+            await fleet.start_all()
+            for number in range(600):
+                status, _ = await fleet.fetch(0, "/payout/x", f"r{number}")
+                self.assertEqual(200, status)
+            status, output = await stop_gracefully(fleet.processes[0])
+            self.assertEqual(0, status)
+            lines = [json.loads(line) for line in output.splitlines()]
+            ends = [line for line in lines if line["event"] == "request:end"]
+            self.assertEqual(600, len({line["request"] for line in ends}))
+
+    def test_bad_settings(self):
+        """A bad settings file ends the start with a code and the field."""
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump({"NodeName": "h", "Zone": 7}, file)
+            file.flush()
+            done = subprocess.run(
+                [sys.executable, "-m", "oleanderpier.platform"],
+                env={**os.environ, "OLEANDERPIER_BOOT": file.name},
+                capture_output=True,
+                check=False,
+            )
+        told = json.loads(done.stderr)
+        self.assertEqual((2, 301), (done.returncode, told["code"]))
+        self.assertIn("$.", told["text"])
