--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -53,9 +53,10 @@
 MEMBERSHIP_NUMBERS = range(20, 27)
 MILLISECONDS_PER_S = 1000
 # Hosts of a failure domain that watch the platform; the others hear from them.
-WATCHERS = 3
-# A host that does not watch starts to, when what it knows is older than this.
-WATCH_ANYWAY_S = 1.5
+WATCHERS = 2
+# A host that does not watch starts to, when what it knows is older than this:
+# a watcher is answered every two seconds, and told of within another.
+WATCH_ANYWAY_S = 3.5
 # What is not in a configuration that was the newest so long ago may be in a
 # newer one; above the time for which the platform holds a watch.
 STALE_S = 4.0
@@ -239,11 +240,12 @@
         return self._doubt(self.index.find_workspace(route, credential))
 
     def list_addresses(self) -> list[str]:
-        """Return the addresses that callers are to use, those nearby if enough."""
+        """Return the addresses that callers are to use, in random order."""
         port = self.settings.caller_address.rpartition(":")[2]
         hosts = self.view.list_ready()
         if self.state == "ready":
             hosts.append(self.settings.peer_address)
+        self._rng.shuffle(hosts)
         return [f"{host.rpartition(':')[0]}:{port}" for host in hosts]
 
     def _doubt(self, result: Result) -> Result:
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -46,7 +46,7 @@
     """
 
     wait_s: float = 2.0
-    pause_s: float = 0.25
+    pause_s: float = 0.4
     first_retry_s: float = 0.2
     longest_retry_s: float = 0.8
     poll_s: float = 0.1
