--- a/oleanderpier/cli/program.py
+++ b/oleanderpier/cli/program.py
@@ -5,8 +5,10 @@
 from oleanderpier.cli.checks import check
 from oleanderpier.cli.routes import explain
 from oleanderpier.cli.status import status
+from oleanderpier.cli.summary import summary
 from oleanderpier.cli.targets import targets
 from oleanderpier.cli.timeline import events
+from oleanderpier.cli.trace import trace
 
 __all__ = ["run"]
 
@@ -21,5 +23,5 @@
     """
 
 
-for command in (check, status, targets, explain, events):
+for command in (check, status, targets, explain, events, trace, summary):
     run.add_command(command)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -15,6 +15,7 @@
 from oleanderpier.membership import MemberCard, Members, MemberState
 from oleanderpier.peers import Address, Mesh
 from oleanderpier.replication import (
+    OLDEST_S,
     Change,
     ItemNews,
     ItemsAsk,
@@ -239,6 +240,10 @@
         """Return the workspace of a credential, or why there is none."""
         return self._doubt(self.index.find_workspace(route, credential))
 
+    def get_configuration_age_s(self) -> float:
+        """Return how long ago the configuration was known to be the newest."""
+        return min(self.replicas[CONFIGURATION].get_age_s(), OLDEST_S)
+
     def list_addresses(self) -> list[str]:
         """Return the addresses that callers are to use, in random order."""
         port = self.settings.caller_address.rpartition(":")[2]
@@ -252,7 +257,7 @@
         """Turn what a stale configuration does not know into "ask elsewhere"."""
         if result.is_ok():
             return result
-        age_s = self.replicas[CONFIGURATION].get_age_s()
+        age_s = self.get_configuration_age_s()
         if age_s <= STALE_S:
             return result
         text = f"{result.error.text}; configuration confirmed {age_s:.1f} s ago"
--- a/oleanderpier/events/writer.py
+++ b/oleanderpier/events/writer.py
@@ -47,7 +47,7 @@
             return
         line = {
             "time": round(message.get("timestamp", 0.0), 4),
-            "host": self._host,
+            "process": self._host,
             "event": message.get("message_type"),
         }
         for key, value in message.items():
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -183,6 +183,7 @@
         server=ended.server,
         reason=ended.text,
         version=node.index.table.version if node.index else 0,
+        version_age_s=round(node.get_configuration_age_s(), 3),
         took_s=round(node.timers.now() - began_s, 4),
     )
 
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -15,7 +15,7 @@
 from oleanderpier.replication.replica import Change, Replica
 from oleanderpier.utils import Outbox, Timers
 
-__all__ = ["Sharing"]
+__all__ = ["OLDEST_S", "Sharing"]
 
 # A host that watches hears of a change itself within this time of its peers.
 PATIENCE_S = 0.15
