Make control traffic cheaper with many hosts

Change: reports go to hosts of the own failure domain and to the others in two rhythms, 80 messages a second at most, and carry all that is new since the last; they are encoded once; loads are added up; keep-alives are asked less often with many streams. A choice weighs each server once.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -62,7 +62,7 @@
 # newer one; above the time for which the platform holds a watch.
 STALE_S = 4.0
 # Callers keep addresses for this long, some three times as long.
-ADDRESS_KEEP_S = 1.0
+ADDRESS_KEEP_S = 0.5
 KEEP_MULTIPLE = 3.0
 # From the last caller's use of an old address to the close of the listeners.
 LEAVE_SLACK_S = 0.3
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -5,7 +5,7 @@
 from oleanderpier.replication import Knowledge
 from oleanderpier.utils import register_message
 
-__all__ = ["HostReport", "ServerUse"]
+__all__ = ["HostReport", "ServerUse", "merge_reports"]
 
 
 class ServerUse(NamedTuple):
@@ -38,3 +38,30 @@
     knowledge: dict[str, Knowledge]
     servers: dict[str, ServerUse]
     placements: list[tuple[str, str]]
+
+
+_NO_USE = ServerUse(0, 0, 0)
+
+
+def merge_reports(earlier: HostReport | None, later: HostReport) -> HostReport:
+    """Return one report of a host that tells what two would.
+
+    Examples:
+        >>> earlier = HostReport(True, {}, {"s1": ServerUse(4, 3, 1)}, [("k", "s1")])
+        >>> later = HostReport(True, {}, {"s1": ServerUse(2, 1, 0)}, [])
+        >>> merge_reports(earlier, later).servers
+        {'s1': ServerUse(in_flight=2, answers=4, failures=1)}
+    """
+    if earlier is None:
+        return later
+    servers = {}
+    for identity in {*earlier.servers, *later.servers}:
+        before = earlier.servers.get(identity, _NO_USE)
+        after = later.servers.get(identity, _NO_USE)
+        servers[identity] = ServerUse(
+            after.in_flight,
+            before.answers + after.answers,
+            before.failures + after.failures,
+        )
+    placements = earlier.placements + later.placements
+    return HostReport(later.ready, later.knowledge, servers, placements)
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -7,7 +7,7 @@
 
 from eliot import log_message
 
-from oleanderpier.fleet.messages import HostReport
+from oleanderpier.fleet.messages import HostReport, merge_reports
 from oleanderpier.membership import Members
 from oleanderpier.utils import Outbox, Timers
 
@@ -19,25 +19,25 @@
 
     Attributes:
         interval_s: Between two reports in a small fleet.
-        messages_per_s: Reports that one host sends at most; larger fleets
-            report less often.
+        messages_per_s: Reports that one host sends at most, half to its own
+            failure domain and half to the others; larger fleets report less
+            often.
         intervals_kept: For so many intervals a host counts as being there.
         least_kept_s: But for so long at least.
-        connect_s: A host that was just heard of has this long to report.
     """
 
     interval_s: float = 0.25
-    messages_per_s: float = 100.0
+    messages_per_s: float = 80.0
     intervals_kept: float = 3.5
     least_kept_s: float = 0.9
-    connect_s: float = 1.0
 
 
 class _Peer(NamedTuple):
-    """The last report of a host and when it came."""
+    """The last report of a host, when it came, and for how long it holds."""
 
     report: HostReport
     heard_s: float
+    kept_s: float
 
 
 class FleetView:
@@ -78,6 +78,10 @@
         self._times = times or FleetTimes()
         self._peers: dict[str, _Peer] = {}
         self._loads: Counter[str] = Counter()
+        # Keys: whether hosts are of the own failure domain.
+        self._due_s = {True: 0.0, False: 0.0}
+        self._kept_s = dict.fromkeys((True, False), self._times.least_kept_s)
+        self._unsent: dict[bool, HostReport | None] = {True: None, False: None}
 
     def start(self) -> None:
         """Begin to report."""
@@ -85,7 +89,9 @@
 
     def report_now(self) -> None:
         """Send a report outside the usual order, since something changed."""
-        self._send(self._make_report())
+        self._collect_news()
+        for nearby, hosts in self._group_hosts().items():
+            self._send_report(nearby, hosts)
 
     def count_load(self, identity: str) -> int:
         """Return the requests in flight of the other hosts at a server."""
@@ -110,44 +116,76 @@
     def handle(self, sender: str, message: HostReport) -> None:
         """Take in a report."""
         known = self._peers.get(sender)
-        self._peers[sender] = _Peer(message, self._timers.now())
         if known is None or not self._holds(known):
             log_message("fleet:host_reports", host=sender, ready=message.ready)
-        self._count_loads()
+        if known is not None:
+            self._add_loads(known.report, -1)
+        self._peers[sender] = _Peer(
+            message, self._timers.now(), self._kept_s[self._is_nearby(sender)]
+        )
+        self._add_loads(message, 1)
         self._notify(sender, message)
 
-    def get_interval_s(self) -> float:
-        """Return the pause between two reports, longer in a large fleet."""
-        hosts = len(self._members.list_alive())
-        return max(self._times.interval_s, hosts / self._times.messages_per_s)
-
     def _holds(self, peer: _Peer) -> bool:
+        return self._timers.now() - peer.heard_s < peer.kept_s
+
+    def _get_interval_s(self, hosts: int) -> float:
+        """Return the pause between two reports to a group of hosts."""
         times = self._times
-        kept_s = max(times.least_kept_s, times.intervals_kept * self.get_interval_s())
-        return self._timers.now() - peer.heard_s < kept_s
+        return max(times.interval_s, hosts / (times.messages_per_s / 2))
 
     def _report(self) -> None:
-        interval_s = self.get_interval_s()
-        self._timers.call_later(interval_s * self._rng.uniform(0.9, 1.1), self._report)
+        """Send reports to the hosts whose turn it is."""
+        self._timers.call_later(
+            self._times.interval_s * self._rng.uniform(0.9, 1.1), self._report
+        )
         self._drop_silent()
-        self._send(self._make_report())
-
-    def _send(self, report: HostReport) -> None:
-        targets = set(self._members.list_alive()) | set(self._peers)
-        targets.discard(self._host)
-        for host in targets:
-            self._outbox.send(host, report)
+        now_s = self._timers.now()
+        self._collect_news()
+        for nearby, hosts in self._group_hosts().items():
+            if hosts and now_s >= self._due_s[nearby]:
+                interval_s = self._get_interval_s(len(hosts))
+                self._due_s[nearby] = now_s + interval_s - self._times.interval_s / 2
+                self._send_report(nearby, hosts)
+
+    def _collect_news(self) -> None:
+        """Add what is new to the report that each group of hosts gets next."""
+        report = self._make_report()
+        for nearby, unsent in self._unsent.items():
+            self._unsent[nearby] = merge_reports(unsent, report)
+
+    def _send_report(self, nearby: bool, hosts: list[str]) -> None:
+        report, self._unsent[nearby] = self._unsent[nearby], None
+        if report is not None:
+            self._outbox.send_to_all(hosts, report)
+
+    def _group_hosts(self) -> dict[bool, list[str]]:
+        """Return the other hosts, those of the own failure domain apart."""
+        hosts = set(self._members.list_alive()) | set(self._peers)
+        hosts.discard(self._host)
+        groups: dict[bool, list[str]] = {True: [], False: []}
+        for host in hosts:
+            groups[self._is_nearby(host)].append(host)
+        self._kept_s = {
+            nearby: max(
+                self._times.least_kept_s,
+                self._times.intervals_kept * self._get_interval_s(len(hosts)),
+            )
+            for nearby, hosts in groups.items()
+        }
+        return groups
+
+    def _is_nearby(self, host: str) -> bool:
+        return self._members.find_domain(host) == self._failure_domain
 
     def _drop_silent(self) -> None:
         silent = [host for host, peer in self._peers.items() if not self._holds(peer)]
         for host in silent:
-            del self._peers[host]
+            self._add_loads(self._peers.pop(host).report, -1)
             log_message("fleet:host_silent", host=host)
-        if silent:
-            self._count_loads()
-
-    def _count_loads(self) -> None:
-        self._loads = Counter()
-        for peer in self._peers.values():
-            for identity, use in peer.report.servers.items():
-                self._loads[identity] += use.in_flight
+
+    def _add_loads(self, report: HostReport, sign: int) -> None:
+        for identity, use in report.servers.items():
+            self._loads[identity] += sign * use.in_flight
+            if not self._loads[identity]:
+                del self._loads[identity]
--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -29,6 +29,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_INTERVAL_S = 0.5
+# Signs of life that one host asks for at most; with more streams than half of
+# that each is asked less often.
+KEEP_ALIVES_PER_S = 25.0
 ANSWER_TIMEOUT_S = 1.5
 IDLE_CLOSE_S = 30.0
 FIRST_BACKOFF_S = 0.1
@@ -101,13 +104,22 @@
         if host == self.host:
             asyncio.get_running_loop().call_soon(self._dispatch, host, message)
             return True
+        return self._send_bytes(host, encode_message(message))
+
+    def send_to_all(self, hosts: Iterable[str], message: Any) -> None:
+        """Hand one message to the streams towards several other hosts."""
+        data = encode_message(message)
+        for host in hosts:
+            self._send_bytes(host, data)
+
+    def _send_bytes(self, host: str, message: bytes) -> bool:
         if host not in self._addresses:
             return False
         stream = self._streams.get(host)
         if stream is None:
             stream = self._streams[host] = _Stream(host)
             self._start(self._keep_stream(stream))
-        data = stream.stamp(self._clock.last) + encode_message(message)
+        data = stream.stamp(self._clock.last) + message
         self.bytes_sent += len(data)
         return stream.write(data, self._timers.now())
 
@@ -155,8 +167,9 @@
         except OSError:
             return False
         stream.attach(writer, Hello(self.host, self.incarnation))
+        interval_s = max(KEEP_ALIVE_INTERVAL_S, len(self._streams) / KEEP_ALIVES_PER_S)
         watch = self._timers.subscribe(
-            KEEP_ALIVE_INTERVAL_S, lambda: stream.keep_alive(self._timers.now())
+            interval_s, lambda: stream.keep_alive(self._timers.now())
         )
         try:
             await _read_answers(stream, reader)
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -49,7 +49,7 @@
     pause_s: float = 0.4
     first_retry_s: float = 0.2
     longest_retry_s: float = 0.8
-    poll_s: float = 0.1
+    poll_s: float = 0.25
 
 
 async def keep_replica(
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -135,31 +135,30 @@
         if not servers:
             return None
         loads = {entry.identity: self.count_load(entry.identity) for entry in servers}
-        if not sound:
-            server = self._pick_least_loaded(servers, loads)
-            return Choice(server, "last_resort", loads[server.identity])
-        if wish.cache_key:
-            return self._choose_cached(wish, servers, loads)
-        server = self._pick_least_loaded(servers, loads)
-        return Choice(server, "least_loaded", loads[server.identity])
+        weights = self._weigh(loads)
+        if sound and wish.cache_key:
+            return self._choose_cached(wish, servers, loads, weights)
+        server = self._pick_lightest(servers, weights)
+        reason = "least_loaded" if sound else "last_resort"
+        return Choice(server, reason, loads[server.identity])
 
     def count_load(self, identity: str) -> int:
         """Return the requests in flight at a server, of all hosts."""
         return self.in_flight[identity] + self._count_elsewhere(identity)
 
     def _choose_cached(
-        self, wish: Wish, servers: list[ServerEntry], loads: dict[str, int]
+        self,
+        wish: Wish,
+        servers: list[ServerEntry],
+        loads: dict[str, int],
+        weights: dict[str, float],
     ) -> Choice:
         """Return a server that holds the key, or is next to hold it."""
         mean = sum(loads.values()) / len(servers)
         bound = LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
-        open_servers = [
-            entry
-            for entry in servers
-            if self._weigh(entry, loads[entry.identity], servers) <= bound
-        ]
+        open_servers = [entry for entry in servers if weights[entry.identity] <= bound]
         if not open_servers:
-            server = self._pick_least_loaded(servers, loads)
+            server = self._pick_lightest(servers, weights)
             return Choice(server, "least_loaded", loads[server.identity])
         held = set(self._caches.list_holders(wish.cache_key))
         holders = [entry for entry in open_servers if entry.identity in held]
@@ -189,25 +188,25 @@
             default=None,
         )
 
-    def _pick_least_loaded(
-        self, servers: list[ServerEntry], loads: dict[str, int]
+    def _pick_lightest(
+        self, servers: list[ServerEntry], weights: dict[str, float]
     ) -> ServerEntry:
         def weigh(entry: ServerEntry) -> tuple[float, float]:
             far = entry.failure_domain != self._failure_domain
-            load = self._weigh(entry, loads[entry.identity], servers)
-            return load + DOMAIN_WEIGHT * far, self._rng.random()
+            return weights[entry.identity] + DOMAIN_WEIGHT * far, self._rng.random()
 
         return min(servers, key=weigh)
 
-    def _weigh(
-        self, entry: ServerEntry, load: int, servers: list[ServerEntry]
-    ) -> float:
-        """Return a server's load, raised if it fails more than the best one."""
-        rate = self._health.get_failure_rate(entry.identity)
-        if rate < 0.05:
-            return load
-        best = min(self._health.get_failure_rate(other.identity) for other in servers)
-        return load + FAILURE_WEIGHT * (rate - best)
+    def _weigh(self, loads: dict[str, int]) -> dict[str, float]:
+        """Return servers' loads, raised where one fails more than the best."""
+        rates = {
+            identity: self._health.get_failure_rate(identity) for identity in loads
+        }
+        best = min(rates.values())
+        return {
+            identity: load + FAILURE_WEIGHT * (rates[identity] - best)
+            for identity, load in loads.items()
+        }
 
 
 def _hash(key: str, identity: str) -> int:
--- a/oleanderpier/utils/outbox.py
+++ b/oleanderpier/utils/outbox.py
@@ -1,5 +1,6 @@
 """The one interface through which parts send to other hosts."""
 
+from collections.abc import Iterable
 from typing import Any, Protocol
 
 __all__ = ["Outbox"]
@@ -19,3 +20,11 @@
             Whether a stream to the host was open. True is no promise that
             the message arrives.
         """
+
+    def send_to_all(self, hosts: Iterable[str], message: Any) -> None:
+        """Hand one message to the streams towards several other hosts.
+
+        Args:
+            hosts: Their names.
+            message: An instance of a registered message class.
+        """
