--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -147,11 +147,15 @@
             await asyncio.sleep(3.0)
             fleet.publish(2, keys=("key-2",))
             for number in range(5):
+                statuses = []
 
-                async def is_refused(number=number) -> bool:
-                    return (await fleet.fetch(number, "/payout/x", "r"))[0] == 401
+                async def is_refused(number=number, statuses=statuses) -> bool:
+                    status, _ = await fleet.fetch(number, "/payout/x", "r")
+                    statuses.append(status)
+                    return status == 401
 
-                self.assertTrue(await wait_for(is_refused, CONFIG_APPLY_S), number)
+                refused = await wait_for(is_refused, CONFIG_APPLY_S)
+                self.assertTrue(refused, (number, peers, watchers, statuses))
 
     def test_leaving_server(self):
         """A server that says it leaves gets nothing new after the bound."""
