Let the stand-in store answer a watch as of the moment it looked

Ruled out: a lost push (a watcher is not pushed to) and a lost ask (its as_of was the newest). Change: events and revision are taken together.

--- a/standins/store.py
+++ b/standins/store.py
@@ -61,8 +61,8 @@
     async def _answer_watch(self, request: web.Request) -> web.Response:
         self.calls += 1
         prefix, after = request.query["Prefix"], int(request.query["After"])
-        steps = int(request.query["WaitMs"]) / 1000 / WAIT_STEP_S
-        for _ in range(int(steps)):
+        steps = int(int(request.query["WaitMs"]) / 1000 / WAIT_STEP_S)
+        for step in range(steps + 1):
             if self.refuses:
                 return web.Response(status=503)
             events = [
@@ -70,9 +70,8 @@
                 for event in self._log
                 if event["Revision"] > after and event["Key"].startswith(prefix)
             ]
-            if events:
+            # The revision is that of the moment at which the events were listed.
+            if events or step == steps:
                 break
             await asyncio.sleep(WAIT_STEP_S)
-        else:
-            events = []
         return web.json_response({"events": events, "AsOf": self._revision})
