Keep paths out of the reasons by which ends of requests are counted

Change: path and host name are fields of a request's last line; the reason says what was waited for. A test takes a constant from where it moved.

--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -177,6 +177,7 @@
         """Send the request to a server once."""
         shared = self._shared
         identity = self._server = choice.server.identity
+        self._reason = "waited for the server"
         before = self._may_have_run
         self._may_have_run = True
         exchange = Exchange(
--- a/oleanderpier/orders/tests/test_leases.py
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from oleanderpier.claims import CLOCK_SKEW_S, HostList, WitnessSet
+from oleanderpier.connections.sessions import USER_TIMEOUT_MS
 from oleanderpier.orders import (
     FENCE_SPAN,
     LEASE_S,
@@ -26,7 +27,6 @@
     StartWindow,
     read_fence_time,
 )
-from oleanderpier.relay.connections import USER_TIMEOUT_MS
 from oleanderpier.utils import ManualTimers
 
 WITNESSES = ("host-1", "host-2", "host-3")
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -175,6 +175,8 @@
     log_message(
         "request:end",
         request=identity,
+        host_name=request.headers.get("Host", ""),
+        path=request.raw_path,
         route=route,
         code=int(ended.code),
         name=ended.code.name,
--- a/oleanderpier/routing/table.py
+++ b/oleanderpier/routing/table.py
@@ -38,7 +38,7 @@
                 if route is not None:
                     return Ok(route)
                 end = path.rfind("/", 0, end)
-        return Error(Failure(Code.ROUTE_UNKNOWN, f"no route for {host_name}{path}"))
+        return Error(Failure(Code.ROUTE_UNKNOWN, "no route begins the path"))
 
     def find_workspace(
         self, route: Route, credential: str | None
