Report where callers connect; learn new seeds while running

Cause: the directory took every host's caller port for its own, which a check of draining hid by never naming the draining host; new seeds in the settings file were only logged. Change: reports carry the caller address; SIGHUP and a changed file bring new seeds in.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from eliot import log_message
 from expression import Error, Result
@@ -112,16 +113,13 @@
         settings, timers = self.settings, self.timers
         host = settings.peer_address
         self.mesh = Mesh(host, incarnation, timers, Clock(timers))
-        self.mesh.update_addresses(
-            {seed: _split_address(seed) for seed in settings.seeds}
-        )
         self.members = Members(
             _make_card(host, settings.failure_domain),
             timers,
             self._rng,
             self.mesh,
-            [_make_card(seed, "") for seed in settings.seeds if seed != host],
         )
+        self.learn_seeds(settings.seeds)
         self.view = FleetView(
             host,
             settings.failure_domain,
@@ -193,6 +191,13 @@
             )
         self._start_task(self._become_ready())
 
+    def learn_seeds(self, seeds: Iterable[str]) -> None:
+        """Take hosts into account that the settings name, by peer address."""
+        others = [seed for seed in seeds if seed != self.settings.peer_address]
+        for seed in others:
+            self._learn_address(seed)
+        self.members.add_seeds(_make_card(seed, "") for seed in others)
+
     async def drain(self) -> None:
         """Leave the directory, then finish what is in progress."""
         began_s = self._drain_began_s = self.timers.now()
@@ -251,14 +256,14 @@
 
     def list_addresses(self) -> list[str]:
         """Return the addresses that callers are to use, in random order."""
-        port = self.settings.caller_address.rpartition(":")[2]
         hosts = self.view.list_ready_nearby()
         if len(hosts) < ENOUGH_NEARBY:
             hosts = self.view.list_ready()
+        addresses = [self.view.get_caller_address(host) for host in hosts]
         if self.state == "ready":
-            hosts.append(self.settings.peer_address)
-        self._rng.shuffle(hosts)
-        return [f"{host.rpartition(':')[0]}:{port}" for host in hosts]
+            addresses.append(self.settings.caller_address)
+        self._rng.shuffle(addresses)
+        return addresses
 
     def _doubt(self, result: Result) -> Result:
         """Turn what a stale configuration does not know into "ask elsewhere"."""
@@ -342,6 +347,7 @@
             for identity in {*in_flight, *answers}
         }
         return HostReport(
+            self.settings.caller_address,
             self.state == "ready",
             not self._silent_spaces,
             self.sharing.describe(),
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -27,6 +27,7 @@
     """What a host tells the others about itself.
 
     Attributes:
+        caller_address: Where callers connect to it, ``IP:PORT``.
         ready: Whether it takes requests of callers.
         hears: Whether the platform answers it.
         knowledge: What it knows of each key space.
@@ -35,6 +36,7 @@
             report before, each with the server's id.
     """
 
+    caller_address: str
     ready: bool
     hears: bool
     knowledge: dict[str, Knowledge]
@@ -49,10 +51,9 @@
     """Return one report of a host that tells what two would.
 
     Examples:
-        >>> earlier = HostReport(
-        ...     True, True, {}, {"s1": ServerUse(4, 3, 1)}, [("k", "s1")]
-        ... )
-        >>> later = HostReport(True, True, {}, {"s1": ServerUse(2, 1, 0)}, [])
+        >>> first = {"s1": ServerUse(4, 3, 1)}
+        >>> earlier = HostReport("10.0.0.1:80", True, True, {}, first, [("k", "s1")])
+        >>> later = earlier._replace(servers={"s1": ServerUse(2, 1, 0)})
         >>> merge_reports(earlier, later).servers
         {'s1': ServerUse(in_flight=2, answers=4, failures=1)}
     """
--- a/oleanderpier/fleet/tests/test_view.py
+++ b/oleanderpier/fleet/tests/test_view.py
@@ -63,7 +63,7 @@
     def _make_report(self, host: str) -> HostReport:
         servers = self.uses[host].pop(0) if self.uses[host] else {}
         placements = [("k", name) for name in servers]
-        return HostReport(True, True, {}, servers, placements)
+        return HostReport(host, True, True, {}, servers, placements)
 
     def _note(self, host: str, report: HostReport) -> None:
         for use in report.servers.values():
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -129,6 +129,10 @@
         """Return those of ``list_ready`` that are in the own failure domain."""
         return [host for host in self.list_ready() if self._is_nearby(host)]
 
+    def get_caller_address(self, host: str) -> str:
+        """Return where callers connect to a host that has reported."""
+        return self._peers[host].report.caller_address
+
     def note_closed(self, host: str) -> None:
         """Take that a host's stream has ended; it may be gone."""
         peer = self._peers.get(host)
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -145,6 +145,10 @@
         )
         self._store(self._own)
         self._spread(self._own, None)
+        self.add_seeds(seeds)
+
+    def add_seeds(self, seeds: Iterable[MemberCard]) -> None:
+        """Take hosts for alive until probes show otherwise."""
         for seed in seeds:
             self._presume(seed)
 
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -33,6 +33,8 @@
 # Callers' connections may be idle for longer than any configuration allows.
 CALLER_IDLE_S = 120.0
 MAX_HEADER_BYTES = 64 << 10
+# The settings file may change without a signal.
+SETTINGS_CHECK_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.05
 BACKLOG = 512
 
@@ -56,10 +58,12 @@
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path)
     store_session = make_session(kept_idle_s=STORE_IDLE_S)
     store = StoreClient(settings.platform_address, store_session)
     node = EntryNode(settings, store, ServerDialect())
+    file = _SettingsFile(path, node)
+    loop.add_signal_handler(signal.SIGHUP, file.read)
+    node.timers.subscribe(SETTINGS_CHECK_S, file.check)
     await node.start()
     runners = [
         await _listen(make_front_handler(node), settings.caller_address),
@@ -94,13 +98,43 @@
     return runner
 
 
-def _reload(path: Path) -> None:
-    """Read the settings anew; a bad file leaves those in force in place."""
-    result = read_entry_settings(path)
-    if result.is_error():
-        log_message("node:settings_refused", reason=result.error.text)
-    else:
+class _SettingsFile:
+    """Reads the settings anew when told to, or when the file has changed.
+
+    Of the settings only the seeds take effect while the process runs; the
+    addresses that it listens on need a restart.
+
+    Args:
+        path: The file.
+        node: What learns of new seeds.
+    """
+
+    def __init__(self, path: Path, node: EntryNode) -> None:
+        self._path = path
+        self._node = node
+        self._changed_ns = self._find_change()
+
+    def check(self) -> None:
+        """Read the file if it has changed."""
+        if self._find_change() != self._changed_ns:
+            self.read()
+
+    def read(self) -> None:
+        """Read the file; a bad one leaves the settings in force in place."""
+        self._changed_ns = self._find_change()
+        result = read_entry_settings(self._path)
+        if result.is_error():
+            log_message("node:settings_refused", reason=result.error.text)
+            return
         log_message("node:settings_read", **result.ok._asdict())
+        self._node.learn_seeds(result.ok.seeds)
+
+    def _find_change(self) -> int:
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError as error:
+            log_message("node:settings_missing", reason=repr(error))
+            return 0
 
 
 def _exit_with(failure: Failure) -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -177,8 +177,7 @@
 
     async def start_host(self, number: int) -> Process:
         """Start one host's program."""
-        path = Path(self._folder.name) / f"host-{number}"
-        path.write_text(json.dumps(self.settings[number]))
+        path = self.write_settings(number)
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -190,6 +189,12 @@
         self.processes.append(process)
         return process
 
+    def write_settings(self, number: int) -> Path:
+        """Write a host's settings file and return its path."""
+        path = Path(self._folder.name) / f"host-{number}"
+        path.write_text(json.dumps(self.settings[number]))
+        return path
+
     async def start_all(self) -> None:
         """Start every host and wait until it is ready."""
         for number in range(self._count):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -19,6 +19,7 @@
 MAX_STRETCH_S = 5.0
 DRAIN_S = 2.0
 GRACE_S = 8.0
+SEED_LAG_S = 3.0
 
 
 async def wait_for(check, within_s: float) -> bool:
@@ -96,14 +97,20 @@
         async with PlatformFleet(2) as fleet:
             await fleet.add_server(events=40)
             await fleet.start_all()
+            front = fleet.settings[0]["Listen"]["Front"]
+
+            async def is_listed() -> bool:
+                return front in await fleet.list_addresses(1)
+
+            known_before = await wait_for(is_listed, 2.0)
             async with fleet.request(0, "/chat/x", "r1") as response:
                 reading = asyncio.create_task(response.text())
                 await asyncio.sleep(0.3)
                 fleet.processes[0].send_signal(signal.SIGTERM)
-                own = fleet.settings[0]["Listen"]["Front"]
+                self.assertTrue(known_before)
 
                 async def is_gone() -> bool:
-                    return own not in await fleet.list_addresses(1)
+                    return front not in await fleet.list_addresses(1)
 
                 self.assertTrue(await wait_for(is_gone, 1.0))
                 self.assertEqual(503, await fleet.ask_ready(0))
@@ -212,6 +219,31 @@
             ends = [line for line in lines if line["event"] == "request:end"]
             self.assertEqual(600, len({line["request"] for line in ends}))
 
+    def test_settings_change(self):
+        """New seeds are learnt with and without a signal, and nothing is cut."""
+        for signalled in (True, False):
+            run_coroutine(self._check_change(signalled))
+
+    async def _check_change(self, signalled: bool):
+        async with PlatformFleet(2) as fleet:
+            await fleet.add_server(events=30)
+            seeds = fleet.settings[0]["Seeds"]
+            for settings in fleet.settings:
+                settings["Seeds"] = [settings["Listen"]["Control"]]
+            await fleet.start_all()
+            self.assertEqual(1, len(await fleet.list_addresses(0)))
+            async with fleet.request(0, "/chat/x", "r1") as response:
+                fleet.settings[0]["Seeds"] = seeds
+                fleet.write_settings(0)
+                if signalled:
+                    fleet.processes[0].send_signal(signal.SIGHUP)
+
+                async def is_known() -> bool:
+                    return len(await fleet.list_addresses(0)) == 2
+
+                self.assertTrue(await wait_for(is_known, SEED_LAG_S + 2.0))
+                self.assertEqual(30, (await response.text()).count("data:"))
+
     def test_bad_settings(self):
         """A bad settings file ends the start with a code and the field."""
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
