Use the field's terms in routing and forwarding; wait for a host to listen

A run beside 16 busy processes shows it: the connection is refused, since the process does not listen yet. The check now waits for the host to answer, and then, as before, that it says 503.

--- a/oleanderpier/cli/tests/test_trace.py
+++ b/oleanderpier/cli/tests/test_trace.py
@@ -16,9 +16,9 @@
 END = {"code": 204, "name": "ANSWER_LOST", "status": 502, "sends": 1}
 LOGS = "\n".join(
     [
-        make_line(9.0, "h1", "health:server_rests", identity="i-1", rest_s=0.5),
-        make_line(9.0, "h2", "health:server_rests", identity="i-1", rest_s=0.5),
-        make_line(9.5, "h1", "health:server_rests", identity="i-2", rest_s=0.5),
+        make_line(9.0, "h1", "health:server_backs_off", identity="i-1", backoff_s=0.5),
+        make_line(9.0, "h2", "health:server_backs_off", identity="i-1", backoff_s=0.5),
+        make_line(9.5, "h1", "health:server_backs_off", identity="i-2", backoff_s=0.5),
         "12.3 h1 "
         + make_line(
             10.2,
@@ -62,7 +62,7 @@
         events = [(step["time"], step["event"]) for step in told["steps"]]
         self.assertEqual(
             [
-                (9.0, "health:server_rests"),
+                (9.0, "health:server_backs_off"),
                 (10.0, "forward:send"),
                 (10.2, "request:end"),
             ],
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -12,7 +12,7 @@
 from oleanderpier.entry.values import decode_server, decode_table
 from oleanderpier.events import Clock
 from oleanderpier.fleet import FleetView, HostReport, ServerUse
-from oleanderpier.forwarding import Dialect, Forwarder, Hearing
+from oleanderpier.forwarding import Dialect, Forwarder, LastHeard
 from oleanderpier.membership import MemberCard, Members, MemberState
 from oleanderpier.peers import Address, Mesh
 from oleanderpier.replication import (
@@ -66,7 +66,7 @@
 ADDRESS_KEEP_S = 0.5
 KEEP_MULTIPLE = 3.0
 # With so many ready hosts in its failure domain a host names no others, of
-# which it hears less often.
+# which it platform_answers less often.
 ENOUGH_NEARBY = 8
 # From the last caller's use of an old address to the close of the listeners.
 LEAVE_SLACK_S = 0.3
@@ -140,7 +140,7 @@
         self.roster = Roster(timers)
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
-        self.hearing = Hearing(timers)
+        self.last_heard = LastHeard(timers)
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
             self.roster,
@@ -161,7 +161,7 @@
         self.replicas[CONFIGURATION].subscribe(self._adopt_configuration)
         self.replicas[SERVERS].subscribe(self._adopt_servers)
         self.roster.subscribe_gone(self.health.forget)
-        self.roster.subscribe_gone(self.hearing.forget)
+        self.roster.subscribe_gone(self.last_heard.forget)
         self.roster.subscribe_gone(self.caches.forget_server)
 
     async def start(self) -> None:
@@ -172,7 +172,7 @@
             self.chooser,
             self.health,
             self.budget,
-            self.hearing,
+            self.last_heard,
             self.timers,
         )
         await self.mesh.listen(*_split_address(self.settings.peer_address))
@@ -297,10 +297,10 @@
 
     def _list_watchers(self) -> list[str]:
         """Return the hosts of the own failure domain that watch for the others."""
-        hearing = self.view.list_hearing_nearby()
+        last_heard = self.view.list_answered_nearby()
         if not self._silent_spaces:
-            hearing.append(self.settings.peer_address)
-        return rank_candidates("watch", hearing)[:WATCHERS]
+            last_heard.append(self.settings.peer_address)
+        return rank_candidates("watch", last_heard)[:WATCHERS]
 
     def _list_followers(self) -> list[str]:
         """Return the hosts nearby that do not watch."""
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -29,7 +29,7 @@
     Attributes:
         caller_address: Where callers connect to it, ``IP:PORT``.
         ready: Whether it takes requests of callers.
-        hears: Whether the platform answers it.
+        platform_answers: Whether the platform answers it.
         knowledge: What it knows of each key space.
         servers: Its use of each backend server, by id.
         placements: The keys of cached parts that it sent to servers since the
@@ -38,7 +38,7 @@
 
     caller_address: str
     ready: bool
-    hears: bool
+    platform_answers: bool
     knowledge: dict[str, Knowledge]
     servers: dict[str, ServerUse]
     placements: list[tuple[str, str]]
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -112,10 +112,10 @@
             if self._holds(peer) and self._is_nearby(host)
         ]
 
-    def list_hearing_nearby(self) -> list[str]:
+    def list_answered_nearby(self) -> list[str]:
         """Return those of ``list_present_nearby`` whom the platform answers."""
         hosts = self.list_present_nearby()
-        return [host for host in hosts if self._peers[host].report.hears]
+        return [host for host in hosts if self._peers[host].report.platform_answers]
 
     def list_ready(self) -> list[str]:
         """Return the other hosts that are there and take requests."""
--- a/oleanderpier/forwarding/exchanges.py
+++ b/oleanderpier/forwarding/exchanges.py
@@ -14,7 +14,7 @@
 from oleanderpier.routing import Ending, RequestKind, ServerEntry
 from oleanderpier.utils import Timers
 
-__all__ = ["Answer", "Exchange", "Hearing"]
+__all__ = ["Answer", "Exchange", "LastHeard"]
 
 MAX_ANSWER_BYTES = 16 << 20
 # How often a read that waits looks whether the server has gone silent.
@@ -42,7 +42,7 @@
     body: bytes
 
 
-class Hearing:
+class LastHeard:
     """When each backend server was last heard, on any connection.
 
     Args:
@@ -78,7 +78,7 @@
     Args:
         session: The HTTP client.
         dialect: The wire format of the servers.
-        hearing: When servers were last heard.
+        last_heard: When servers were last heard.
         timers: The timer service.
         call: The request.
         server: The server.
@@ -94,7 +94,7 @@
         self,
         session: aiohttp.ClientSession,
         dialect: Dialect,
-        hearing: Hearing,
+        last_heard: LastHeard,
         timers: Timers,
         call: Call,
         server: ServerEntry,
@@ -105,7 +105,7 @@
         self.reason = ""
         self._session = session
         self._dialect = dialect
-        self._hearing = hearing
+        self._last_heard = last_heard
         self._timers = timers
         self._call = call
         self._server = server
@@ -166,7 +166,7 @@
             self.reason = repr(error)
             return Error(Ending.LOST)
         self._response = task.result()
-        self._hearing.note(server.identity)
+        self._last_heard.note(server.identity)
         return self._judge_head()
 
     async def _wait(self, task: asyncio.Future, limit_s: float) -> None:
@@ -214,7 +214,7 @@
         except (aiohttp.ClientError, OSError, MessageError) as error:
             self.reason = repr(error)
             return Ending.LOST
-        self._hearing.note(self._server.identity)
+        self._last_heard.note(self._server.identity)
         self.answer = Answer(head, body)
         return Ending.FAILED if head.status >= 500 else Ending.DELIVERED
 
@@ -266,11 +266,11 @@
                     raise
                 continue
             self._asked_s = self._timers.now()
-            self._hearing.note(self._server.identity)
+            self._last_heard.note(self._server.identity)
             return data
 
     def _is_silent(self, limit_s: float) -> bool:
-        silence_s = self._hearing.get_silence_s(self._server.identity, self._asked_s)
+        silence_s = self._last_heard.get_silence_s(self._server.identity, self._asked_s)
         return silence_s >= limit_s and self._may_give_up()
 
     def _get_first_limit_s(self) -> float:
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -7,24 +7,23 @@
 from eliot import log_message
 
 from oleanderpier.forwarding.events import EventSplitter
-from oleanderpier.forwarding.exchanges import Answer, Exchange, Hearing
-from oleanderpier.forwarding.records import Call, Caller, Dialect, Ended
-from oleanderpier.results import Code, Failure, describe_code
-from oleanderpier.results import Fate as CodeFate
+from oleanderpier.forwarding.exchanges import Answer, Exchange, LastHeard
+from oleanderpier.forwarding.records import Call, Caller, Dialect, RequestEnd
+from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     Choice,
     Chooser,
     Ending,
-    Fate,
     RetryBudget,
+    SendState,
     ServerHealth,
+    ServerQuery,
     Share,
-    Wish,
     judge_ending,
 )
 from oleanderpier.utils import Timers, hash_text
 
-__all__ = ["Forwarder", "Outcomes"]
+__all__ = ["Forwarder", "ServerAnswers"]
 
 # A request is not brought to more servers, counting those never reached.
 MAX_TRIES = 5
@@ -36,7 +35,7 @@
 HASH_RANGE = 1 << 64
 
 
-class Outcomes(NamedTuple):
+class ServerAnswers(NamedTuple):
     """What servers answered since the last look, by id.
 
     Attributes:
@@ -57,7 +56,7 @@
         chooser: Picks servers.
         health: Which servers fail.
         budget: The retry budget.
-        hearing: When servers were last heard.
+        last_heard: When servers were last heard.
         timers: The timer service.
     """
 
@@ -68,7 +67,7 @@
         chooser: Chooser,
         health: ServerHealth,
         budget: RetryBudget,
-        hearing: Hearing,
+        last_heard: LastHeard,
         timers: Timers,
     ) -> None:
         self.session = session
@@ -76,11 +75,11 @@
         self.chooser = chooser
         self.health = health
         self.budget = budget
-        self.hearing = hearing
+        self.last_heard = last_heard
         self.timers = timers
-        self.outcomes = Outcomes({}, {})
+        self.outcomes = ServerAnswers({}, {})
 
-    async def forward(self, call: Call, caller: Caller) -> Ended:
+    async def forward(self, call: Call, caller: Caller) -> RequestEnd:
         """Bring a request to its end.
 
         Args:
@@ -90,7 +89,7 @@
         Returns:
             What became of it.
         """
-        return await _Way(self, call, caller).run()
+        return await _Forwarding(self, call, caller).run()
 
     def note_answer(self, identity: str, failed: bool) -> None:
         """Take an answer of a server, which other hosts are told of as well."""
@@ -99,13 +98,13 @@
         answers[identity] = answers.get(identity, 0) + 1
         failures[identity] = failures.get(identity, 0) + failed
 
-    def take_outcomes(self) -> Outcomes:
+    def take_outcomes(self) -> ServerAnswers:
         """Return what servers answered since the last call."""
-        outcomes, self.outcomes = self.outcomes, Outcomes({}, {})
+        outcomes, self.outcomes = self.outcomes, ServerAnswers({}, {})
         return outcomes
 
 
-class _Way:
+class _Forwarding:
     """The steps of one request."""
 
     def __init__(self, shared: Forwarder, call: Call, caller: Caller) -> None:
@@ -114,7 +113,7 @@
         self._caller = _CallerState(caller)
         self._splitter = EventSplitter()
         self._service = _pick_service(call)
-        self._wish = Wish(self._service, call.cache_key, call.shared_tokens)
+        self._query = ServerQuery(self._service, call.cache_key, call.shared_tokens)
         self._tried: set[str] = set()
         self._sends = 0
         self._may_have_run = False
@@ -122,7 +121,7 @@
         self._server = ""
         self._reason = ""
 
-    async def run(self) -> Ended:
+    async def run(self) -> RequestEnd:
         """Try servers until the request has ended or its time is over."""
         shared = self._shared
         shared.budget.note_request(self._service)
@@ -137,10 +136,10 @@
             code = Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
             return await self._refuse(code)
 
-    async def _try_servers(self) -> Ended:
+    async def _try_servers(self) -> RequestEnd:
         shared, call = self._shared, self._call
         for _ in range(MAX_TRIES):
-            choice = shared.chooser.choose(self._wish, self._tried)
+            choice = shared.chooser.choose(self._query, self._tried)
             if choice is None:
                 self._reason = f"no server of {self._service}; {self._reason}"
                 break
@@ -161,7 +160,7 @@
                 ending=ending.value,
                 reason=self._reason,
             )
-            verdict = judge_ending(ending, self._make_fate())
+            verdict = judge_ending(ending, self._make_state())
             if ending is Ending.DELIVERED:
                 return await self._deliver()
             if not verdict.again:
@@ -183,14 +182,14 @@
         exchange = Exchange(
             shared.session,
             shared.dialect,
-            shared.hearing,
+            shared.last_heard,
             shared.timers,
             self._call,
             choice.server,
             choice.source,
             self._may_give_up,
         )
-        shared.chooser.begin(self._wish, identity)
+        shared.chooser.begin(self._query, identity)
         try:
             ending = await exchange.run(
                 self._caller, self._splitter, self._caller.begun
@@ -211,9 +210,9 @@
         """Return whether another server may still get the request."""
         return self._sends + 1 < self._call.route.max_sends
 
-    def _make_fate(self) -> Fate:
+    def _make_state(self) -> SendState:
         route = self._call.route
-        return Fate(
+        return SendState(
             route.repeatable,
             self._sends,
             route.max_sends,
@@ -221,31 +220,31 @@
             self._caller.begun,
         )
 
-    async def _deliver(self) -> Ended:
+    async def _deliver(self) -> RequestEnd:
         """Send the last whole answer, unless it was streamed already."""
         if self._caller.begun:
             return self._make_end(Code.DONE, 200)
         await self._caller.deliver(*self._answer)
         return self._make_end(Code.DONE, self._answer.head.status)
 
-    async def _end(self, code: Code) -> Ended:
+    async def _end(self, code: Code) -> RequestEnd:
         """End without a success: with the server's own failure if there is one."""
         if self._answer is not None and not self._caller.begun:
             return await self._deliver()
         return await self._refuse(code)
 
-    async def _refuse(self, code: Code) -> Ended:
+    async def _refuse(self, code: Code) -> RequestEnd:
         if self._caller.begun:
             self._caller.abort()
             return self._make_end(Code.STREAM_CUT, 0)
-        not_run = describe_code(code).fate is CodeFate.NOT_RUN
+        not_run = describe_code(code).fate is Fate.NOT_RUN
         await self._caller.refuse(
             Failure(code, self._reason, RETRY_AFTER_S if not_run else None)
         )
         return self._make_end(code, describe_code(code).http_status)
 
-    def _make_end(self, code: Code, status: int) -> Ended:
-        return Ended(code, status, self._sends, self._server, self._reason)
+    def _make_end(self, code: Code, status: int) -> RequestEnd:
+        return RequestEnd(code, status, self._sends, self._server, self._reason)
 
 
 class _CallerState:
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -7,7 +7,7 @@
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import PromptPart, Route, ServerEntry, WorkspaceEntry
 
-__all__ = ["AnswerHead", "Call", "Caller", "Dialect", "Ended"]
+__all__ = ["AnswerHead", "Call", "Caller", "Dialect", "RequestEnd"]
 
 Headers = list[tuple[str, str]]
 
@@ -120,7 +120,7 @@
         """Break the connection, so that the answer does not look whole."""
 
 
-class Ended(NamedTuple):
+class RequestEnd(NamedTuple):
     """What became of a request.
 
     Attributes:
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from oleanderpier.connections import make_session
-from oleanderpier.forwarding import AnswerHead, Call, Ended, Forwarder, Hearing
+from oleanderpier.forwarding import AnswerHead, Call, Forwarder, LastHeard, RequestEnd
 from oleanderpier.results import Failure, describe_code
 from oleanderpier.routing import (
     BudgetLimits,
@@ -286,7 +286,7 @@
         self.caller = MemoryCaller()
         self._slack = slack
 
-    async def forward(self, route: Route, timeout_s: float) -> Ended:
+    async def forward(self, route: Route, timeout_s: float) -> RequestEnd:
         """Forward one request, then close everything."""
         timers = LoopTimers()
         roster, health = Roster(timers), ServerHealth(timers)
@@ -308,7 +308,7 @@
                 chooser,
                 health,
                 budget,
-                Hearing(timers),
+                LastHeard(timers),
                 timers,
             )
             call = make_call(route, timers.now() + timeout_s)
@@ -341,7 +341,7 @@
     )
 
 
-def drive(rig: Rig, timeout_s: float = 5.0, **changes) -> Ended:
+def drive(rig: Rig, timeout_s: float = 5.0, **changes) -> RequestEnd:
     """Forward one request over a rig.
 
     Args:
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -10,7 +10,7 @@
 
 from oleanderpier.entry import ADDRESS_KEEP_S, EntryNode
 from oleanderpier.exception import CallerGoneError
-from oleanderpier.forwarding import AnswerHead, Call, Ended
+from oleanderpier.forwarding import AnswerHead, Call, RequestEnd
 from oleanderpier.platform.dialect import (
     CREDENTIAL,
     DEADLINE_MS,
@@ -158,7 +158,7 @@
     if isinstance(call, Failure):
         await caller.refuse(call)
         status = describe_code(call.code).http_status
-        ended = Ended(call.code, status, 0, "", call.text)
+        ended = RequestEnd(call.code, status, 0, "", call.text)
         route = ""
     else:
         route = call.route.name
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -17,7 +17,7 @@
 
 __all__ = ["OLDEST_S", "Sharing"]
 
-# A host that watches hears of a change itself within this time of its peers.
+# A host that watches platform_answers of a change itself within this time of its peers.
 PATIENCE_S = 0.15
 # An ask that brought nothing by then is sent again, to another host.
 ASK_AGAIN_S = 0.4
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -24,7 +24,7 @@
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.roster import Roster
 
-__all__ = ["Choice", "Chooser", "Wish"]
+__all__ = ["Choice", "Chooser", "ServerQuery"]
 
 # Most requests in flight at a server that is chosen for its cache, as a
 # multiple of the service's mean and a number beside it: the users' bound of
@@ -42,7 +42,7 @@
 LEAST_COPIED_TOKENS = 300
 
 
-class Wish(NamedTuple):
+class ServerQuery(NamedTuple):
     """What a request needs of a server.
 
     Attributes:
@@ -105,12 +105,12 @@
         self._rng = rng
         self.in_flight: Counter[str] = Counter()
 
-    def begin(self, wish: Wish, identity: str) -> None:
+    def begin(self, query: ServerQuery, identity: str) -> None:
         """Count a request that goes to a server."""
         self.in_flight[identity] += 1
         self._health.begin_trial(identity)
-        if wish.cache_key:
-            self._caches.note_own(wish.cache_key, identity)
+        if query.cache_key:
+            self._caches.note_own(query.cache_key, identity)
 
     def end(self, identity: str) -> None:
         """Count a request of a server as ended."""
@@ -118,26 +118,26 @@
         if self.in_flight[identity] <= 0:
             del self.in_flight[identity]
 
-    def choose(self, wish: Wish, avoid: Iterable[str] = ()) -> Choice | None:
+    def choose(self, query: ServerQuery, avoid: Iterable[str] = ()) -> Choice | None:
         """Return the best server for a request, or None if there is none.
 
         Args:
-            wish: What the request needs.
+            query: What the request needs.
             avoid: Ids of servers that were tried before.
         """
         avoided = set(avoid)
-        known = self._roster.list_usable(wish.service)
+        known = self._roster.list_usable(query.service)
         fresh = [entry for entry in known if entry.identity not in avoided]
         sound = [
-            entry for entry in fresh if not self._health.is_resting(entry.identity)
+            entry for entry in fresh if not self._health.is_backing_off(entry.identity)
         ]
         servers = sound or fresh or known
         if not servers:
             return None
         loads = {entry.identity: self.count_load(entry.identity) for entry in servers}
         weights = self._weigh(loads)
-        if sound and wish.cache_key:
-            return self._choose_cached(wish, servers, loads, weights)
+        if sound and query.cache_key:
+            return self._choose_cached(query, servers, loads, weights)
         server = self._pick_lightest(servers, weights)
         reason = "least_loaded" if sound else "last_resort"
         return Choice(server, reason, loads[server.identity])
@@ -148,7 +148,7 @@
 
     def _choose_cached(
         self,
-        wish: Wish,
+        query: ServerQuery,
         servers: list[ServerEntry],
         loads: dict[str, int],
         weights: dict[str, float],
@@ -160,27 +160,27 @@
         if not open_servers:
             server = self._pick_lightest(servers, weights)
             return Choice(server, "least_loaded", loads[server.identity])
-        held = set(self._caches.list_holders(wish.cache_key))
+        held = set(self._caches.list_holders(query.cache_key))
         holders = [entry for entry in open_servers if entry.identity in held]
         server = min(
             holders or open_servers,
-            key=lambda entry: _hash(wish.cache_key, entry.identity),
+            key=lambda entry: _hash(query.cache_key, entry.identity),
         )
         reason = "cached" if holders else "spilled" if held else "hashed"
-        source = None if holders else self._find_source(wish, held, server)
+        source = None if holders else self._find_source(query, held, server)
         return Choice(server, reason, loads[server.identity], source)
 
     def _find_source(
-        self, wish: Wish, held: set[str], server: ServerEntry
+        self, query: ServerQuery, held: set[str], server: ServerEntry
     ) -> ServerEntry | None:
         """Return a sound server that holds the key, one nearby if there is one."""
-        if wish.shared_tokens < LEAST_COPIED_TOKENS:
+        if query.shared_tokens < LEAST_COPIED_TOKENS:
             return None
         holders = [
             entry
             for identity in sorted(held)
             if (entry := self._roster.get(identity)) is not None
-            and not self._health.is_doubtful(identity)
+            and not self._health.is_on_probation(identity)
         ]
         return min(
             holders,
--- a/oleanderpier/routing/health.py
+++ b/oleanderpier/routing/health.py
@@ -11,8 +11,8 @@
 
 __all__ = ["ServerHealth"]
 
-FIRST_REST_S = 0.5
-LONGEST_REST_S = 8.0
+FIRST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 8.0
 # A trial that has not ended after this long no longer keeps others away.
 TRIAL_S = 2.0
 # One result moves the failure rate by this part of the distance.
@@ -23,8 +23,8 @@
     """What is known of one server."""
 
     def __init__(self) -> None:
-        self.rest_s = 0.0
-        self.rests_until_s = 0.0
+        self.backoff_s = 0.0
+        self.backs_off_until_s = 0.0
         self.trial_until_s = 0.0
         self.failure_rate = 0.0
 
@@ -40,10 +40,10 @@
         >>> timers = ManualTimers()
         >>> health = ServerHealth(timers)
         >>> health.note_unreachable("s1")
-        >>> health.is_resting("s1")
+        >>> health.is_backing_off("s1")
         True
         >>> timers.advance(0.6)
-        >>> health.is_resting("s1")
+        >>> health.is_backing_off("s1")
         False
     """
 
@@ -51,18 +51,18 @@
         self._timers = timers
         self._records: dict[str, _Record] = {}
 
-    def is_resting(self, identity: str) -> bool:
+    def is_backing_off(self, identity: str) -> bool:
         """Return whether a server gets no request now."""
         record = self._records.get(identity)
-        if record is None or record.rest_s == 0.0:
+        if record is None or record.backoff_s == 0.0:
             return False
         now_s = self._timers.now()
-        return now_s < record.rests_until_s or now_s < record.trial_until_s
+        return now_s < record.backs_off_until_s or now_s < record.trial_until_s
 
-    def is_doubtful(self, identity: str) -> bool:
+    def is_on_probation(self, identity: str) -> bool:
         """Return whether a server has to show that it answers again."""
         record = self._records.get(identity)
-        return record is not None and record.rest_s > 0.0
+        return record is not None and record.backoff_s > 0.0
 
     def get_failure_rate(self, identity: str) -> float:
         """Return which part of the recent requests a server failed, 0 to 1."""
@@ -72,7 +72,7 @@
     def begin_trial(self, identity: str) -> None:
         """Keep others away from a doubtful server that has just got a request."""
         record = self._records.get(identity)
-        if record is not None and record.rest_s > 0.0:
+        if record is not None and record.backoff_s > 0.0:
             record.trial_until_s = self._timers.now() + TRIAL_S
 
     def note_answer(self, identity: str, failed: bool) -> None:
@@ -84,9 +84,9 @@
         """
         self.note_heard(identity, failed)
         record = self._records[identity]
-        if record.rest_s:
+        if record.backoff_s:
             log_message("health:server_answers", identity=identity)
-        record.rest_s = 0.0
+        record.backoff_s = 0.0
         record.trial_until_s = 0.0
 
     def note_heard(self, identity: str, failed: bool) -> None:
@@ -107,12 +107,16 @@
         record = self._records.setdefault(identity, _Record())
         now_s = self._timers.now()
         record.trial_until_s = 0.0
-        if now_s < record.rests_until_s:
+        if now_s < record.backs_off_until_s:
             return
-        record.rest_s = min(LONGEST_REST_S, max(FIRST_REST_S, 2 * record.rest_s))
-        record.rests_until_s = now_s + record.rest_s
+        record.backoff_s = min(
+            LONGEST_BACKOFF_S, max(FIRST_BACKOFF_S, 2 * record.backoff_s)
+        )
+        record.backs_off_until_s = now_s + record.backoff_s
         log_message(
-            "health:server_rests", identity=identity, rest_s=round(record.rest_s, 2)
+            "health:server_backs_off",
+            identity=identity,
+            backoff_s=round(record.backoff_s, 2),
         )
 
     def forget(self, identity: str) -> None:
--- a/oleanderpier/routing/retries.py
+++ b/oleanderpier/routing/retries.py
@@ -5,7 +5,7 @@
 
 from oleanderpier.results import Code
 
-__all__ = ["Ending", "Fate", "Verdict", "judge_ending"]
+__all__ = ["Ending", "SendState", "Verdict", "judge_ending"]
 
 
 class Ending(Enum):
@@ -20,7 +20,7 @@
     CUT = "cut"
 
 
-class Fate(NamedTuple):
+class SendState(NamedTuple):
     """What is known of a request that may be sent once more.
 
     Attributes:
@@ -65,25 +65,25 @@
 }
 
 
-def judge_ending(ending: Ending, fate: Fate) -> Verdict:
+def judge_ending(ending: Ending, state: SendState) -> Verdict:
     """Return what follows the end of a send.
 
     A request that may not be repeated is sent once more only after a server
     said that it has not run it, or was never reached.
 
     Examples:
-        >>> lost = Fate(False, 1, 2, may_have_run=True, begun=False)
+        >>> lost = SendState(False, 1, 2, may_have_run=True, begun=False)
         >>> judge_ending(Ending.LOST, lost)
         Verdict(again=False, costs=True, code=<Code.ANSWER_LOST: 204>)
         >>> judge_ending(Ending.UNREACHED, lost._replace(may_have_run=False))
         Verdict(again=True, costs=False, code=<Code.NO_BACKEND_SERVER: 108>)
     """
     code = _CODES[ending]
-    if ending in _HARMLESS and fate.may_have_run:
-        code = Code.STREAM_CUT if fate.begun else Code.ANSWER_LOST
+    if ending in _HARMLESS and state.may_have_run:
+        code = Code.STREAM_CUT if state.begun else Code.ANSWER_LOST
     if ending is Ending.DELIVERED:
         return Verdict(False, False, code)
-    allowed = fate.repeatable or not fate.may_have_run
+    allowed = state.repeatable or not state.may_have_run
     if ending is Ending.UNREACHED:
         return Verdict(allowed, False, code)
-    return Verdict(allowed and fate.sends < fate.max_sends, True, code)
+    return Verdict(allowed and state.sends < state.max_sends, True, code)
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -1,7 +1,7 @@
 """The backend servers that may get new requests."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from eliot import log_message
 
@@ -71,10 +71,6 @@
         """Return the servers of a service that may get new requests."""
         return self._usable.get(service, [])
 
-    def list_services(self) -> Iterable[str]:
-        """Return the names of the services that have a usable server."""
-        return [name for name, entries in self._usable.items() if entries]
-
     def _drop_lapsed(self) -> None:
         """Drop the servers whose entry ended, unless an outage may be why."""
         if not self._lapsed:
--- a/oleanderpier/routing/tests/test_choice.py
+++ b/oleanderpier/routing/tests/test_choice.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from oleanderpier.routing import Wish
+from oleanderpier.routing import ServerQuery
 from oleanderpier.routing.tests.fakes import ENGINE, World
 
 # The users' bound on a server: twice the mean of its service, and three.
@@ -15,9 +15,9 @@
 
 def send(world: World, key: str, tokens: int = 10_000):
     """Choose a server for a prompt and count it as in flight."""
-    wish = Wish(ENGINE, key, tokens)
-    choice = world.chooser.choose(wish)
-    world.chooser.begin(wish, choice.server.identity)
+    query = ServerQuery(ENGINE, key, tokens)
+    choice = world.chooser.choose(query)
+    world.chooser.begin(query, choice.server.identity)
     return choice
 
 
@@ -111,7 +111,8 @@
         world = World(servers=2)
         world.health.note_unreachable("s0")
         chosen = {
-            world.chooser.choose(Wish(ENGINE, "")).server.identity for _ in range(9)
+            world.chooser.choose(ServerQuery(ENGINE, "")).server.identity
+            for _ in range(9)
         }
         self.assertEqual({"s1"}, chosen)
         world.timers.advance(0.6)
@@ -123,7 +124,9 @@
         world = World(servers=2)
         for identity in ("s0", "s1"):
             world.health.note_unreachable(identity)
-        self.assertEqual("last_resort", world.chooser.choose(Wish(ENGINE, "")).reason)
+        self.assertEqual(
+            "last_resort", world.chooser.choose(ServerQuery(ENGINE, "")).reason
+        )
 
     def test_failing_server_gets_less(self):
         """A server that fails half of its requests gets under a tenth of them."""
@@ -152,4 +155,4 @@
 
     def test_no_server(self):
         """A service without servers gives none."""
-        self.assertIsNone(World(servers=0).chooser.choose(Wish(ENGINE, "k")))
+        self.assertIsNone(World(servers=0).chooser.choose(ServerQuery(ENGINE, "k")))
--- a/oleanderpier/routing/tests/test_retries.py
+++ b/oleanderpier/routing/tests/test_retries.py
@@ -4,18 +4,17 @@
 
 from testtools import TestCase
 
-from oleanderpier.results import Code, describe_code
-from oleanderpier.results import Fate as CodeFate
-from oleanderpier.routing import Ending, Fate, judge_ending
+from oleanderpier.results import Code, Fate, describe_code
+from oleanderpier.routing import Ending, SendState, judge_ending
 
 # Endings after which a server may have begun to work.
 UNSURE = {Ending.FAILED, Ending.LOST, Ending.SILENT, Ending.CUT}
 
 
-def list_fates(ending: Ending) -> list[Fate]:
+def list_states(ending: Ending) -> list[SendState]:
     """Return every state in which a send can end that way."""
     return [
-        Fate(repeatable, sends, max_sends, may_have_run, begun)
+        SendState(repeatable, sends, max_sends, may_have_run, begun)
         for repeatable, sends, max_sends, may_have_run, begun in itertools.product(
             (False, True), (1, 2), (1, 2), (False, True), (False, True)
         )
@@ -29,32 +28,32 @@
     def test_once(self):
         """What may not be repeated is never sent again once it may have run."""
         for ending in Ending:
-            for fate in list_fates(ending):
-                verdict = judge_ending(ending, fate)
-                if fate.may_have_run and not fate.repeatable:
-                    self.assertFalse(verdict.again, (ending, fate))
+            for state in list_states(ending):
+                verdict = judge_ending(ending, state)
+                if state.may_have_run and not state.repeatable:
+                    self.assertFalse(verdict.again, (ending, state))
 
     def test_truth(self):
         """A code that says "not run" is given only where that is certain."""
         for ending in Ending:
-            for fate in list_fates(ending):
-                code = judge_ending(ending, fate).code
-                if fate.may_have_run:
+            for state in list_states(ending):
+                code = judge_ending(ending, state).code
+                if state.may_have_run:
                     told = describe_code(code).fate
-                    self.assertNotEqual(CodeFate.NOT_RUN, told, (ending, fate))
+                    self.assertNotEqual(Fate.NOT_RUN, told, (ending, state))
 
     def test_most_sends(self):
         """No request goes to more servers than its route allows."""
         for ending in set(Ending) - {Ending.UNREACHED}:
-            for fate in list_fates(ending):
-                if fate.sends >= fate.max_sends:
-                    self.assertFalse(judge_ending(ending, fate).again)
+            for state in list_states(ending):
+                if state.sends >= state.max_sends:
+                    self.assertFalse(judge_ending(ending, state).again)
 
     def test_refused_by_server(self):
         """What a server has certainly not run may go to another one."""
-        fate = Fate(False, 1, 2, may_have_run=False, begun=False)
-        self.assertTrue(judge_ending(Ending.NOT_RUN, fate).again)
-        last = fate._replace(max_sends=1)
+        state = SendState(False, 1, 2, may_have_run=False, begun=False)
+        self.assertTrue(judge_ending(Ending.NOT_RUN, state).again)
+        last = state._replace(max_sends=1)
         self.assertEqual(
             Code.NO_BACKEND_SERVER, judge_ending(Ending.NOT_RUN, last).code
         )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,6 +20,8 @@
 DRAIN_S = 2.0
 GRACE_S = 8.0
 SEED_LAG_S = 3.0
+# To the first answer of a process on a busy machine; no bound of the users.
+START_S = 15.0
 
 
 async def wait_for(check, within_s: float) -> bool:
@@ -195,8 +197,13 @@
             fleet.store.refuses = True
             for number in range(2):
                 await fleet.start_host(number)
+
+            async def is_listening() -> bool:
+                return await fleet.ask_ready(0) != 0
+
+            self.assertTrue(await wait_for(is_listening, START_S))
             await asyncio.sleep(1.5)
-            self.assertNotEqual(200, await fleet.ask_ready(0))
+            self.assertEqual(503, await fleet.ask_ready(0))
             self.assertEqual(503, (await fleet.fetch(0, "/payout/x", "r1"))[0])
             fleet.store.refuses = False
             await fleet.wait_until_ready(0)
