--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,12 +1,9 @@
 """Real entry hosts as processes before stand-ins of the store and of servers."""
 
 import asyncio
-import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import tempfile
 from asyncio.subprocess import PIPE, Process
@@ -16,6 +13,7 @@
 import aiohttp
 from aiohttp import web
 
+from demo.fleet import find_free_port
 from standins.store import StandInStore
 
 __all__ = [
@@ -23,7 +21,6 @@
     "KEY",
     "PlatformFleet",
     "StandInServer",
-    "list_ports",
     "stop_gracefully",
 ]
 
@@ -34,18 +31,6 @@
 EVENT_PAUSE_S = 0.1
 
 
-def list_ports(count: int) -> list[int]:
-    """Return free ports below those of outgoing connections."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(10_000, 30_000)
-        with contextlib.suppress(OSError), socket.socket() as probe:
-            probe.bind(("127.0.0.1", port))
-            if port not in ports:
-                ports.append(port)
-    return ports
-
-
 class StandInServer:
     """A backend server that counts what it runs.
 
@@ -116,7 +101,9 @@
         """Start everything and wait until every host is ready."""
         self._folder = tempfile.TemporaryDirectory()
         self._session = aiohttp.ClientSession()
-        self._store_port, *ports = list_ports(1 + 4 * self._count)
+        self._store_port, *ports = (
+            find_free_port() for _ in range(1 + 4 * self._count)
+        )
         self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", self._store_port).start()
@@ -159,7 +146,7 @@
     async def add_server(self, events: int = 20) -> StandInServer:
         """Start a server and register it."""
         server = StandInServer(f"i-{len(self.servers)}", events)
-        await server.start(list_ports(1)[0])
+        await server.start(find_free_port())
         self.servers.append(server)
         self.register(server)
         return server
