--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -52,25 +52,25 @@
 
 MEMBERSHIP_NUMBERS = range(20, 27)
 MILLISECONDS_PER_S = 1000
-# Hosts of a failure domain that watch the platform; the others hear from them.
+# Hosts of a failure domain that watch the platform and push changes to the others.
 WATCHERS = 2
 # A host that does not watch starts to, when what it knows is older than this:
 # a watcher is answered every second, and reports within two more.
 WATCH_ANYWAY_S = 3.5
-# Entries can't have lapsed in a shorter time without the platform.
+# Entries of servers do not expire in a shorter outage.
 LEAST_OUTAGE_S = 1.0
-# What is not in a configuration that was the newest so long ago may be in a
-# newer one; above the time for which the platform holds a watch.
+# A configuration that was last confirmed longer ago may have been replaced. This
+# is above the time for which the platform holds a watch.
 STALE_S = 4.0
 # Callers keep addresses for this long, some three times as long.
 ADDRESS_KEEP_S = 0.5
 KEEP_MULTIPLE = 3.0
 # With so many ready hosts in its failure domain a host names no others, of
-# which it platform_answers less often.
+# whose reports are rarer.
 ENOUGH_NEARBY = 8
 # From the last caller's use of an old address to the close of the listeners.
 LEAVE_SLACK_S = 0.3
-# Time to break off what is left before the process is killed.
+# Time left for closing connections before the process is killed.
 END_SLACK_S = 0.4
 POLL_S = 0.05
 CONNECT_TIMEOUT_S = 0.3
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -25,9 +25,9 @@
 
 __all__ = ["Forwarder", "ServerAnswers"]
 
-# A request is not brought to more servers, counting those never reached.
+# Servers tried for one request at most, unreachable ones included.
 MAX_TRIES = 5
-# Below this time left nothing is sent any more, since nothing can come back.
+# With less time left a request is not sent, as no answer could arrive.
 LEAST_LEFT_S = 0.005
 # When to come back after a refusal: long enough for a resting server to be
 # tried again, short against the targets.
--- a/oleanderpier/platform/__main__.py
+++ b/oleanderpier/platform/__main__.py
@@ -3,7 +3,7 @@
 import gc
 import os
 
-# Nothing that is imported is garbage; a tenth of the time to start is saved.
+# Imports make no garbage; collecting while importing costs a tenth of the start.
 gc.disable()
 # aiohttp loads every trusted certificate when it is imported, a third of the
 # time to start; nothing here speaks TLS.
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -103,7 +103,7 @@
         lists_all = follows and source == PLATFORM
         changed = [item for item in items if self._store(item, lists_all)]
         if news.whole:
-            # What came and went before it was read is not known.
+            # Keys that were deleted before this read are not known.
             self._forgotten = max(self._forgotten, news.as_of)
         if news.whole or follows:
             self.as_of = max(self.as_of, news.as_of)
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -17,11 +17,11 @@
 
 __all__ = ["OLDEST_S", "Sharing"]
 
-# A host that watches platform_answers of a change itself within this time of its peers.
+# A host that watches learns of a change by itself within this time of its peers.
 PATIENCE_S = 0.15
-# An ask that brought nothing by then is sent again, to another host.
+# A request for items without an answer is repeated after this, to another host.
 ASK_AGAIN_S = 0.4
-# Ages are told up to this one; older is as good as never.
+# Greater ages are reported as this one.
 OLDEST_S = 3600.0
 
 
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -81,7 +81,7 @@
     answered_s = timers.now()
     while True:
         if retry_s == 0.0 and not must_watch():
-            # Others' news may leave a gap that only reading all can close.
+            # Without any state there is no revision to continue from.
             needs_all = needs_all or replica.as_of == 0
             answered_s = timers.now()
             await asyncio.sleep(times.poll_s)
@@ -119,7 +119,7 @@
             retry_s = 0.0
         answered_s = timers.now()
         replica.apply(news, PLATFORM)
-        # A call that brought nothing proves the state at its end only.
+        # A range is as old as its call; a watch is current when it returns.
         replica.confirm(timers.now() - began_s if needs_all else 0.0)
         needs_all = False
         if news.items:
--- a/oleanderpier/routing/budget.py
+++ b/oleanderpier/routing/budget.py
@@ -14,7 +14,7 @@
 
 # Share of the allowance that is used: arrivals may cross a window's edge late.
 USED_SHARE = 0.8
-# Hosts are never taken for fewer: a host that has just started knows itself only.
+# Least number of hosts assumed: a host that has just started knows only itself.
 FEWEST_HOSTS = 8
 
 
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -31,10 +31,10 @@
 # twice the mean and three, less what other hosts send between two reports.
 LOAD_MULTIPLE = 1.7
 LOAD_ALLOWANCE = 2.0
-# A server that fails all requests looks this much fuller than it is.
+# Requests in flight that a failure rate of 1 counts as.
 FAILURE_WEIGHT = 12.0
-# Requests' worth of load by which a server of another failure domain has to be
-# emptier before it is taken.
+# Requests in flight that a server of another failure domain counts as having
+# beside its own, since traffic between failure domains is dear.
 DOMAIN_WEIGHT = 0.5
 # Shorter shared parts are read again sooner than a copy is set up: an engine
 # reads 57 tokens in a millisecond and sets a copy up in 5.3, by the users'
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Roster"]
 
-# Entries that lapsed while the platform was away are back within two seconds
-# of its return, says the platform; half a second more for the way here.
+# The platform's guarantee for entries that expired during an outage: servers that
+# live have registered again within two seconds; half a second for propagation.
 RETURN_S = 2.5
 
 
@@ -52,7 +52,7 @@
             self._lapsed.pop(identity, None)
             self._entries[identity] = entry
             if known is not None and entry.born_ms != known.born_ms:
-                # It started again under its id, and holds nothing of before.
+                # It restarted under its old id, with an empty cache.
                 self._tell_gone(identity)
             if entry != known:
                 log_message("roster:server", **entry._asdict())
