Break a begun stream off where the next server has no stream to go on with

Cause, found by reading the change once more: a stream cut after some events goes to a second server; if that answers with a whole answer of another kind, such as 404, it was taken for delivered, and the caller's stream ended as if it were whole. Ruled out: a failure 5xx, which broke the stream off already. Change: such an answer counts as a cut. The test fails without the change.

--- a/oleanderpier/forwarding/exchanges.py
+++ b/oleanderpier/forwarding/exchanges.py
@@ -132,6 +132,9 @@
             head = opened.ok
             if self._call.route.kind is RequestKind.STREAM and head.status == 200:
                 return await self._stream(head, caller, splitter, begun)
+            if begun:
+                self.reason = f"no stream to go on with, status {head.status}"
+                return Ending.CUT
             return await self._read_whole(head)
         finally:
             self._close()
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -131,6 +131,13 @@
             self.assertEqual((True, False), (rig.caller.aborted, rig.caller.whole))
             self.assertEqual([1, 0], rig.count_visits())
 
+    def test_second_server_answers_otherwise(self):
+        """A begun stream does not end as whole with an answer that is none."""
+        rig = Rig([cut_stream(3)], [answer(404, b"none")])
+        ended = drive(rig, max_sends=2)
+        self.assertEqual(Code.STREAM_CUT, ended.code)
+        self.assertEqual((True, False), (rig.caller.aborted, rig.caller.whole))
+
     def test_one_after_the_other(self):
         """The first server's connection is closed before the next is asked."""
         rig = Rig([cut_stream(2, then=hang)], [stream(4)])
