--- a/bench/placement/routers.py
+++ b/bench/placement/routers.py
@@ -11,8 +11,8 @@
 from bench.placement.scenarios import CLASSES, LOAD_MULTIPLE, LOAD_REPORT_S
 from oleanderpier.placement import (
     BOUND_MEAN,
-    Ask,
     FairQueue,
+    PermitQuery,
     Waiting,
     limit_server,
     shorten_name,
@@ -178,7 +178,7 @@
         self._holders: dict[str, set[str]] = defaultdict(set)
         self._queue = FairQueue()
         self._workspaces: Counter[int] = Counter()
-        self._asks: dict[int, tuple[Turn, Callable]] = {}
+        self._queries: dict[int, tuple[Turn, Callable]] = {}
         self._total = 0
         super().__init__(world)
 
@@ -201,20 +201,20 @@
         """Choose the fullest cache under the bound; else queue."""
         now = self.world.timers.now()
         deadline_s = now + CLASSES[turn.work_class] / 2
-        ask = Ask(turn.number, 0, 0, shorten_name(turn.workspace), 0)
-        waiting = Waiting(deadline_s, turn.number, entry, ask)
-        self._asks[turn.number] = (turn, assigned)
+        query = PermitQuery(turn.number, 0, 0, shorten_name(turn.workspace), 0)
+        waiting = Waiting(deadline_s, turn.number, entry, query)
+        self._queries[turn.number] = (turn, assigned)
         self._queue.push(waiting)
         self._serve()
-        if turn.number in self._asks:
+        if turn.number in self._queries:
             self.world.timers.call_later(
                 deadline_s - now, lambda: self._expire(waiting)
             )
 
     def _expire(self, waiting: Waiting) -> None:
-        if waiting.ask.number in self._asks:
+        if waiting.query.number in self._queries:
             self._queue.remove(waiting)
-            _, assigned = self._asks.pop(waiting.ask.number)
+            _, assigned = self._queries.pop(waiting.query.number)
             assigned(None, lambda: None)
 
     def _serve(self) -> None:
@@ -235,7 +235,7 @@
         """Return the first of the next few whose prefix is to be had whole."""
         choices = []
         for waiting in heads:
-            turn = self._asks[waiting.ask.number][0]
+            turn = self._queries[waiting.query.number][0]
             best = self._find_best(turn, limit, least_filled)
             if self._count_missing(turn, best) <= 0:
                 return waiting, best
@@ -259,8 +259,8 @@
 
     def _grant(self, waiting: Waiting, chosen: str) -> None:
         self._queue.remove(waiting)
-        _, assigned = self._asks.pop(waiting.ask.number)
-        workspace = waiting.ask.workspace
+        _, assigned = self._queries.pop(waiting.query.number)
+        workspace = waiting.query.workspace
         self._count(chosen, 1)
         self._workspaces[workspace] += 1
 
--- a/bench/slopes/hosts.py
+++ b/bench/slopes/hosts.py
@@ -61,7 +61,7 @@
 
     spent_s = fleet.time_until(all_have, CHANGE_LIMIT_S)
     sent = fleet.network.sent_bytes
-    octets = sent["DocumentDelta"] + sent["DocumentPart"] + sent["DocumentAsk"]
+    octets = sent["DocumentDelta"] + sent["DocumentPart"] + sent["DocumentQuery"]
     return octets / fleet.size, spent_s
 
 
--- a/bench/slopes/pools.py
+++ b/bench/slopes/pools.py
@@ -13,7 +13,7 @@
 from bench.slopes.sizes import HOSTS, MODELS, SERVERS
 from oleanderpier.placement import PermitRequest, Placement
 from oleanderpier.placement.affinity import ChatHomes
-from oleanderpier.placement.messages import Ask, Grant, Release, Renewal
+from oleanderpier.placement.messages import Grant, PermitQuery, Release, Renewal
 from oleanderpier.placement.owners import OwnerTable
 from oleanderpier.placement.pools import divide_servers
 from oleanderpier.utils import ManualTimers, decode_message, encode_message, hash_text
@@ -126,7 +126,7 @@
     def serve() -> None:
         number = next(numbers)
         sender = hosts[1 + number % 8]
-        take(sender, Ask(number, pool.number, rng.getrandbits(9) + 1, 7, 1_600))
+        take(sender, PermitQuery(number, pool.number, rng.getrandbits(9) + 1, 7, 1_600))
         timers.advance(STEP_S)
         held.append((sender, number))
         if len(held) > FLIGHT_AN_ENGINE * engines:
--- a/bench/slopes/roles.py
+++ b/bench/slopes/roles.py
@@ -9,7 +9,7 @@
 from bench.slopes.hosts import Largest
 from oleanderpier.daemon.node import CACHE_EVENTS_INTERVAL_S
 from oleanderpier.membership.probers import PROBERS
-from oleanderpier.membership.servers import PROBE_INTERVAL_S
+from oleanderpier.membership.server_probes import PROBE_INTERVAL_S
 from oleanderpier.peers.mesh import IDLE_CLOSE_S
 from oleanderpier.placement.client import RENEWAL_S
 from oleanderpier.placement.pools import POOL_SERVERS
@@ -573,7 +573,7 @@
     Role(
         "witness: collector",
         "proofs that a hosts list is closed, from three hosts to all",
-        "oleanderpier/claims/closures.py",
+        "oleanderpier/claims/superseded.py",
         ("collector messages", "collector size"),
         _work_out_collector,
         "rare",
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -117,8 +117,7 @@
             members = host.parts["members"]
             members._ticks = 100 + index
             members._table.load(facts, summary)
-            for queue in members._queues.values():
-                queue.take(1, 1)
+            members._news.discard(host.name)
             members._own = facts[host.name]
             members._started_s = -DAY_S
             host.parts["duty"]._is_stale = True
@@ -223,7 +222,9 @@
     watched = [host.parts["members"] for host in fleet.hosts[:: 1 + fleet.size // 20]]
 
     def all_know() -> bool:
-        return all(m.find_adoption(n, 2) is not None for m in watched for n in names)
+        return all(
+            m.find_list_version(n, 2) is not None for m in watched for n in names
+        )
 
     spent_s = fleet.time_until(all_know, 60.0)
     report.put(label + "adoption of a hosts list known", spent_s, "s", 60.0)
--- a/oleanderpier/claims/attempt.py
+++ b/oleanderpier/claims/attempt.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from oleanderpier.claims.lists import WitnessSet, count_majority
-from oleanderpier.claims.messages import ClaimId, Held, Refusal, Refused
+from oleanderpier.claims.messages import Held, Refusal, Refused, RoundId
 
 __all__ = ["Attempt", "Verdict"]
 
@@ -30,7 +30,7 @@
         closed: Whether later answers no longer count.
     """
 
-    def __init__(self, claim_id: ClaimId, required: list[WitnessSet]):
+    def __init__(self, claim_id: RoundId, required: list[WitnessSet]):
         self.claim_id = claim_id
         self.closed = False
         self._required = required
--- a/oleanderpier/claims/claims.py
+++ b/oleanderpier/claims/claims.py
@@ -32,14 +32,13 @@
 from oleanderpier.claims.lookups import LookUps
 from oleanderpier.claims.messages import (
     Adopted,
-    Ask,
     Claim,
-    ClaimId,
     Granted,
     Held,
-    HistoryAsk,
+    HistoryQuery,
     HistoryTell,
-    ListAsk,
+    KeyQuery,
+    ListQuery,
     ListTell,
     Noted,
     Probe,
@@ -49,6 +48,7 @@
     Told,
 )
 from oleanderpier.claims.records import Witness, outranks
+from oleanderpier.claims.rounds import WitnessRounds
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import Outbox, Timers, pack_key, read_key_time
 
@@ -60,7 +60,7 @@
 )
 
 
-class Claims:
+class Claims(WitnessRounds):
     """Gets, keeps and gives up the right to send a key, and is a witness.
 
     Args:
@@ -70,9 +70,6 @@
         rng: Source of the backoff between attempts.
         outbox: Sends to other hosts.
         lists: The host lists that this host knows.
-
-    Attributes:
-        lists: The host lists that this host knows.
     """
 
     def __init__(
@@ -83,27 +80,13 @@
         rng: random.Random,
         outbox: Outbox,
         lists: HostLists,
-    ):
-        self._host = host
-        self._incarnation = incarnation
-        self._timers = timers
-        self._rng = rng
-        self._outbox = outbox
-        self.lists = lists
-        self._witness = Witness(timers, lists)
+    ) -> None:
+        witness = Witness(timers, lists)
+        super().__init__(host, incarnation, timers, rng, outbox, lists, witness)
         self._entries: dict[bytes, Entry] = {}
         self._look_ups = LookUps(timers, lists, self._send)
-        self._sequence = 0
         timers.subscribe(SWEEP_S, self._drop_expired)
 
-    @property
-    def ready(self) -> bool:
-        """Whether this host, as a witness, can grant a key made now.
-
-        Callers do better not to be sent to a host before.
-        """
-        return self.lists.ready and self._witness.ready
-
     def claim(self, key: str, timeout_s: float, notify: Notify) -> None:
         """Try to get the right to send a key.
 
@@ -176,24 +159,14 @@
         """Return every key that this host remembers anything of."""
         return sorted({*self._entries, *self._witness.list_keys()})
 
-    def handle(self, sender: str, message: Any) -> None:
-        """Take a message from another host, or from this one."""
-        self._receive(message, sender)
-
-    def _send(self, host: str, message: Any) -> bool:
-        if host == self._host:
-            self._receive(message, host)
-            return True
-        return self._outbox.send(host, message)
-
     @singledispatchmethod
     def _receive(self, message: Any, sender: str) -> None:
         raise TypeError(f"no message about claims: {message!r}")
 
     @_receive.register(Adopted)
-    @_receive.register(HistoryAsk)
+    @_receive.register(HistoryQuery)
     @_receive.register(HistoryTell)
-    @_receive.register(ListAsk)
+    @_receive.register(ListQuery)
     @_receive.register(ListTell)
     @_receive.register(Noted)
     def _(self, message: Any, sender: str) -> None:
@@ -251,7 +224,7 @@
             self._send(sender, _make_settle(entry))
 
     @_receive.register
-    def _(self, message: Ask, sender: str) -> None:
+    def _(self, message: KeyQuery, sender: str) -> None:
         self._send(sender, self._witness.describe(message.key))
         self._probe(message.key)
 
@@ -297,9 +270,7 @@
         if required is None:
             self._try_again(entry)
             return
-        self._sequence += 1
-        claim_id = ClaimId(self._host, self._incarnation, self._sequence)
-        entry.attempt = Attempt(claim_id, required)
+        entry.attempt = self._open_attempt(required)
         self._ask_witnesses(entry, entry.attempt, self.lists.newest.version)
 
     def _ask_witnesses(self, entry: Entry, attempt: Attempt, version: int) -> None:
@@ -310,10 +281,7 @@
             self._give_up(entry)
             return
         message = Claim(entry.key, attempt.claim_id, version)
-        hosts = sorted(attempt.unanswered, key=lambda host: host == self._host)
-        for host in hosts:
-            if not self._send(host, message):
-                attempt.deny(host, None)
+        self._ask_unanswered(attempt, message)
         self._judge(entry)
         if entry.attempt is attempt and not attempt.closed:
             delay_s = min(ATTEMPT_RESEND_S, entry.deadline_s - self._timers.now())
@@ -325,8 +293,7 @@
         self, message: Granted | Held | Refused, sender: str
     ) -> Entry | None:
         """Return the entry whose open attempt an answer belongs to."""
-        if sender != self._host:
-            self.lists.hear_version(sender, message.list_version)
+        self._hear_version(sender, message.list_version)
         entry = self._entries.get(message.key)
         if entry is None or entry.phase is not Phase.CLAIMING or not entry.attempt:
             return None
--- a/oleanderpier/claims/entries.py
+++ b/oleanderpier/claims/entries.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from oleanderpier.claims.attempt import Attempt
-from oleanderpier.claims.messages import ClaimId
+from oleanderpier.claims.messages import RoundId
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import Subscription
 
@@ -23,7 +23,7 @@
     """
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
 
 
 class Outcome(NamedTuple):
@@ -78,7 +78,7 @@
         self.waiters: list[Waiter] = []
         self.timers: list[Subscription] = []
 
-    def stands(self, claim_id: ClaimId) -> bool:
+    def stands(self, claim_id: RoundId) -> bool:
         """Whether an attempt is the current one and was not given up."""
         if self.attempt is None or self.attempt.claim_id != claim_id:
             return False
--- a/oleanderpier/claims/history.py
+++ b/oleanderpier/claims/history.py
@@ -12,9 +12,7 @@
 
 from eliot import log_message
 
-from oleanderpier.claims.adoptions import Adoptions
 from oleanderpier.claims.answers import Answers
-from oleanderpier.claims.closures import Closures
 from oleanderpier.claims.limits import (
     CLOSE_INTERVAL_S,
     CLOSE_LIMIT_S,
@@ -24,6 +22,7 @@
     LIST_SYNC_S,
     RECORD_LIFE_S,
 )
+from oleanderpier.claims.list_versions import ListVersions
 from oleanderpier.claims.lists import (
     HostList,
     WitnessSet,
@@ -32,15 +31,16 @@
 )
 from oleanderpier.claims.messages import (
     Adopted,
-    Closure,
-    HistoryAsk,
+    HistoryQuery,
     HistoryTell,
-    ListAsk,
-    ListClosures,
+    ListQuery,
     ListTell,
     Noted,
     OpenList,
+    SupersededEntry,
+    SupersededList,
 )
+from oleanderpier.claims.superseded import SupersededLists
 from oleanderpier.configuration import HostsDocument
 from oleanderpier.utils import Outbox, Timers, rank_candidates
 
@@ -68,13 +68,13 @@
         self._outbox = outbox
         self._lists: dict[int, HostList] = {}
         self._adopted_s: dict[int, float] = {}
-        self._closures = Closures()
+        self._superseded = SupersededLists()
         self._close_due_s = 0.0
         self._echoes: dict[str, float] = {}
         self._heard: set[int] = set()
         self._skipped: set[int] = set()
         self._answers = Answers(host)
-        self._adoptions = Adoptions()
+        self._list_versions = ListVersions()
         self._floor = 0
         self._confirmed = 0
         self._established = 0
@@ -114,7 +114,7 @@
         The daemon may call this for whatever else tells it so, such as a
         heartbeat that carries the sender's version.
         """
-        self._adoptions.hear(host, incarnation, version, self._timers.wall())
+        self._list_versions.hear(host, incarnation, version, self._timers.wall())
         self.hear_version(host, version)
 
     def hear_version(self, host: str, version: int) -> None:
@@ -123,7 +123,7 @@
             return
         self._heard.add(version)
         if host != self._host:
-            self._outbox.send(host, HistoryAsk(self._incarnation, version))
+            self._outbox.send(host, HistoryQuery(self._incarnation, version))
 
     def list_required(self, key: bytes, key_time: float) -> list[WitnessSet] | None:
         """Return the witness sets of which a claim needs a majority each.
@@ -140,10 +140,10 @@
             return None
         required = [choose_witnesses(key, self.newest)]
         for older, following in self._list_older():
-            if self._closures.closes_every_key(older, following, key_time):
+            if self._superseded.closes_every_key(older, following, key_time):
                 continue
             witnesses = choose_witnesses(key, older)
-            if not self._closures.closes(witnesses, following, key_time):
+            if not self._superseded.closes(witnesses, following, key_time):
                 required.append(witnesses)
         return required
 
@@ -154,20 +154,20 @@
     def synchronize(self) -> None:
         """Ask for what is missing, prove lists closed, and drop old ones."""
         self.hear(self._host, self._incarnation, self.heard)
-        self._adoptions.confirm(self._host, self._incarnation, self._timers.wall())
+        self._list_versions.confirm(self._host, self._incarnation, self._timers.wall())
         self._confirm()
         self._close_lists()
         self._skip_versions()
         self._raise_floor()
         for host in self._list_unasked():
-            self._outbox.send(host, HistoryAsk(self._incarnation, self.heard))
+            self._outbox.send(host, HistoryQuery(self._incarnation, self.heard))
 
     @singledispatchmethod
     def _receive(self, message: Any, sender: str) -> None:
         raise TypeError(f"no list message: {message!r}")
 
     @_receive.register
-    def _(self, message: HistoryAsk, sender: str) -> None:
+    def _(self, message: HistoryQuery, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
         self._outbox.send(sender, self._describe(message.incarnation))
         if not self._established:
@@ -183,48 +183,48 @@
         self._confirm()
         wanted = set(self._find_missing()) | {self.heard}
         for version in sorted(wanted & set(message.listed) - set(self._lists)):
-            self._outbox.send(sender, ListAsk(version))
+            self._outbox.send(sender, ListQuery(version))
 
     @_receive.register
-    def _(self, message: ListAsk, sender: str) -> None:
+    def _(self, message: ListQuery, sender: str) -> None:
         found = self._lists.get(message.version)
         if found is not None:
-            closures = self._closures.pack(found)
-            tell = ListTell(found.version, list(found.hosts), closures)
+            superseded = self._superseded.pack(found)
+            tell = ListTell(found.version, list(found.hosts), superseded)
             self._outbox.send(sender, tell)
 
     @_receive.register
     def _(self, message: ListTell, sender: str) -> None:
         told = HostList(message.version, tuple(message.hosts))
         if self._add_list(told):
-            self._take_closures(told, message.closures, sender)
+            self._take_superseded(told, message.superseded, sender)
 
     @_receive.register
     def _(self, message: Adopted, sender: str) -> None:
         self.hear(sender, message.incarnation, message.list_version)
-        self._adoptions.confirm(sender, message.incarnation, message.echo_s)
+        self._list_versions.confirm(sender, message.incarnation, message.echo_s)
         better = [
-            ListClosures(version, self._closures.pack(self._lists[version]))
+            SupersededEntry(version, self._superseded.pack(self._lists[version]))
             for version, holders in message.open_lists
             if version in self._lists
-            and self._closures.count_holders(version) > holders
+            and self._superseded.count_holders(version) > holders
         ]
         self._outbox.send(sender, Noted(self._timers.wall(), better))
 
     @_receive.register
     def _(self, message: Noted, sender: str) -> None:
         self._echoes[sender] = message.at_s
-        for version, closures in message.lists:
+        for version, superseded in message.lists:
             known = self._lists.get(version)
             if known is not None:
-                self._take_closures(known, closures, sender)
+                self._take_superseded(known, superseded, sender)
 
-    def _take_closures(
-        self, known: HostList, closures: list[Closure], sender: str
+    def _take_superseded(
+        self, known: HostList, superseded: list[SupersededList], sender: str
     ) -> None:
-        for closure in closures:
-            self._closures.take(known, closure)
-            self.hear_version(sender, closure.version)
+        for proof in superseded:
+            self._superseded.take(known, proof)
+            self.hear_version(sender, proof.version)
 
     def _add_list(self, added: HostList) -> bool:
         """Keep a list that is newer than all others or missing between them.
@@ -309,11 +309,11 @@
         if self._timers.now() < self._close_due_s:
             return
         for older, following in self._list_older():
-            self._closures.prove(older, following, self._adoptions)
+            self._superseded.prove(older, following, self._list_versions)
         open_lists = [
-            OpenList(older.version, self._closures.count_holders(older.version))
+            OpenList(older.version, self._superseded.count_holders(older.version))
             for older, following in self._list_older()
-            if not self._closures.is_whole(older, following)
+            if not self._superseded.is_whole(older, following)
         ]
         if not open_lists:
             return
@@ -353,18 +353,18 @@
         if self._timers.now() > self._adopted_s[following] + LIST_LIFE_S:
             return True
         expired_s = self._timers.wall() - RECORD_LIFE_S
-        return self._closures.closes_every_key(
+        return self._superseded.closes_every_key(
             self._lists[version], following, expired_s
         )
 
     def _drop_list(self, version: int, following: int) -> None:
         del self._lists[version]
         del self._adopted_s[version]
-        self._closures.drop(version)
+        self._superseded.drop(version)
         self._floor = following
         self._skipped = {u for u in self._skipped if u >= following}
         self._heard = {u for u in self._heard if u >= following}
-        self._adoptions.drop_below(following)
+        self._list_versions.drop_below(following)
         names = {name for kept in self._lists.values() for name in kept.names}
         self._answers.keep_only(names)
         self._echoes.clear()
--- a/oleanderpier/claims/adoptions.py
+++ b/oleanderpier/claims/list_versions.py
@@ -3,7 +3,7 @@
 from bisect import bisect_left
 from collections.abc import Iterable
 
-__all__ = ["Adoptions"]
+__all__ = ["ListVersions"]
 
 
 class _Evidence:
@@ -15,7 +15,7 @@
         self.alive_s = 0.0
 
 
-class Adoptions:
+class ListVersions:
     """Remembers when processes said which list is the newest they know.
 
     A process that is replaced remembers nothing, so what its predecessor said
@@ -24,13 +24,13 @@
     clock shows that the sender lived at that time.
 
     Examples:
-        >>> adoptions = Adoptions()
-        >>> adoptions.hear("host-1", "a", 7, 100.0)
-        >>> adoptions.confirm("host-1", "a", 104.0)
-        >>> adoptions.hear("host-2", "a", 6, 103.0)
-        >>> adoptions.confirm("host-2", "a", 103.5)
-        >>> adoptions.hear("host-3", "a", 7, 101.0)
-        >>> adoptions.find_instant(["host-1", "host-2", "host-3"], 6)
+        >>> versions = ListVersions()
+        >>> versions.hear("host-1", "a", 7, 100.0)
+        >>> versions.confirm("host-1", "a", 104.0)
+        >>> versions.hear("host-2", "a", 6, 103.0)
+        >>> versions.confirm("host-2", "a", 103.5)
+        >>> versions.hear("host-3", "a", 7, 101.0)
+        >>> versions.find_instant(["host-1", "host-2", "host-3"], 6)
         (103.0, ['host-1', 'host-2'])
     """
 
--- a/oleanderpier/claims/lookups.py
+++ b/oleanderpier/claims/lookups.py
@@ -9,7 +9,7 @@
 from oleanderpier.claims.history import HostLists
 from oleanderpier.claims.limits import LOOK_UP_TIMEOUT_S, RETRY_AFTER_S
 from oleanderpier.claims.lists import choose_witnesses
-from oleanderpier.claims.messages import Ask, Told
+from oleanderpier.claims.messages import KeyQuery, Told
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import Subscription, Timers
 
@@ -58,7 +58,7 @@
             LOOK_UP_TIMEOUT_S, lambda: self._end(key, look_up)
         )
         for host in hosts:
-            if not self._send(host, Ask(key)):
+            if not self._send(host, KeyQuery(key)):
                 look_up.waiting.discard(host)
         if not look_up.waiting:
             self._end(key, look_up)
--- a/oleanderpier/claims/messages.py
+++ b/oleanderpier/claims/messages.py
@@ -7,16 +7,13 @@
 
 __all__ = [
     "Adopted",
-    "Ask",
     "Claim",
-    "ClaimId",
-    "Closure",
     "Granted",
     "Held",
-    "HistoryAsk",
+    "HistoryQuery",
     "HistoryTell",
-    "ListAsk",
-    "ListClosures",
+    "KeyQuery",
+    "ListQuery",
     "ListTell",
     "ListedHost",
     "Noted",
@@ -25,7 +22,10 @@
     "Refusal",
     "Refused",
     "Release",
+    "RoundId",
     "Settle",
+    "SupersededEntry",
+    "SupersededList",
     "Told",
 ]
 
@@ -40,19 +40,24 @@
     RELEASED = 5
 
 
-class ClaimId(NamedTuple):
-    """One attempt of one process to get the right to send a key.
+class RoundId(NamedTuple):
+    """One round in which a process asks witnesses for something.
 
     Attributes:
-        host: The claimant.
+        host: The asking host.
         incarnation: Which process of that host.
-        sequence: Rises with each attempt of the process.
+        sequence: Rises with each round of the process.
     """
 
     host: str
     incarnation: str
     sequence: int
 
+    @property
+    def process(self) -> tuple[str, str]:
+        """The process that asks."""
+        return (self.host, self.incarnation)
+
 
 class ListedHost(NamedTuple):
     """A host of a published list."""
@@ -61,7 +66,7 @@
     failure_domain: str
 
 
-class Closure(NamedTuple):
+class SupersededList(NamedTuple):
     """A proof that hosts of one list had a newer list at the same time.
 
     Attributes:
@@ -80,7 +85,7 @@
     """Asks a witness to grant a key to an attempt."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
     list_version: int
 
 
@@ -89,7 +94,7 @@
     """The witness granted the key to this attempt, and to no other."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
     list_version: int
 
 
@@ -103,7 +108,7 @@
     """
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
     list_version: int
     code: int | None
     body: bytes
@@ -114,7 +119,7 @@
     """The witness neither granted the key nor knows of another attempt."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
     list_version: int
     reason: Refusal
 
@@ -124,7 +129,7 @@
     """The claimant gave up this attempt and all earlier ones, for good."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
 
 
 @register_message(65)
@@ -132,7 +137,7 @@
     """The holder of a key says what came of it."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
     code: int
     body: bytes
 
@@ -142,11 +147,11 @@
     """A witness asks a claimant whether its attempt still stands."""
 
     key: bytes
-    claim_id: ClaimId
+    claim_id: RoundId
 
 
 @register_message(67)
-class Ask(NamedTuple):
+class KeyQuery(NamedTuple):
     """Asks a witness what it knows of a key, without claiming it."""
 
     key: bytes
@@ -168,7 +173,7 @@
 
 
 @register_message(70)
-class HistoryAsk(NamedTuple):
+class HistoryQuery(NamedTuple):
     """Asks a host which host lists it knows.
 
     Attributes:
@@ -203,7 +208,7 @@
 
 
 @register_message(72)
-class ListAsk(NamedTuple):
+class ListQuery(NamedTuple):
     """Asks a host for one host list."""
 
     version: int
@@ -215,7 +220,7 @@
 
     version: int
     hosts: list[ListedHost]
-    closures: list[Closure]
+    superseded: list[SupersededList]
 
 
 class OpenList(NamedTuple):
@@ -245,11 +250,11 @@
     open_lists: list[OpenList]
 
 
-class ListClosures(NamedTuple):
+class SupersededEntry(NamedTuple):
     """The proofs that the hosts of one list had a newer one."""
 
     version: int
-    closures: list[Closure]
+    superseded: list[SupersededList]
 
 
 @register_message(75)
@@ -262,4 +267,4 @@
     """
 
     at_s: float
-    lists: list[ListClosures]
+    lists: list[SupersededEntry]
--- a/oleanderpier/claims/records.py
+++ b/oleanderpier/claims/records.py
@@ -11,12 +11,12 @@
 )
 from oleanderpier.claims.messages import (
     Claim,
-    ClaimId,
     Granted,
     Held,
     Refusal,
     Refused,
     Release,
+    RoundId,
     Settle,
     Told,
 )
@@ -37,7 +37,7 @@
         body: The answer, if it is small and the code is done.
     """
 
-    claim_id: ClaimId
+    claim_id: RoundId
     code: int | None
     body: bytes
 
@@ -100,8 +100,8 @@
     def release(self, release: Release) -> None:
         """Forget an attempt that was given up, and refuse it from now on."""
         claim_id = release.claim_id
-        process = (claim_id.host, claim_id.incarnation)
         released = self._released.setdefault(release.key, {})
+        process = claim_id.process
         released[process] = max(claim_id.sequence, released.get(process, 0))
         record = self._records.get(release.key)
         if (
@@ -150,6 +150,6 @@
         }
         return next((reason for reason, applies in checks.items() if applies), None)
 
-    def _is_released(self, key: bytes, claim_id: ClaimId) -> bool:
-        process = (claim_id.host, claim_id.incarnation)
-        return claim_id.sequence <= self._released.get(key, {}).get(process, 0)
+    def _is_released(self, key: bytes, claim_id: RoundId) -> bool:
+        released = self._released.get(key, {})
+        return claim_id.sequence <= released.get(claim_id.process, 0)
--- a/oleanderpier/claims/closures.py
+++ b/oleanderpier/claims/superseded.py
@@ -5,67 +5,69 @@
 
 from typing import NamedTuple
 
-from oleanderpier.claims.adoptions import Adoptions
-from oleanderpier.claims.limits import CLOCK_SKEW_S, CLOSURES_KEPT, WITNESS_COUNT
+from oleanderpier.claims.limits import CLOCK_SKEW_S, PROOFS_KEPT, WITNESS_COUNT
+from oleanderpier.claims.list_versions import ListVersions
 from oleanderpier.claims.lists import HostList, WitnessSet, count_majority
-from oleanderpier.claims.messages import Closure
+from oleanderpier.claims.messages import SupersededList
 
-__all__ = ["Closures"]
+__all__ = ["SupersededLists"]
 
 
-class _Closed(NamedTuple):
-    """A closure whose holders can be looked up fast."""
+class _Superseded(NamedTuple):
+    """A proof whose holders can be looked up fast."""
 
     version: int
     at_s: float
     holders: frozenset[str]
 
 
-class Closures:
+class SupersededLists:
     """Keeps, for each older list, the instants at which its hosts had a newer one.
 
     Examples:
         >>> from oleanderpier.claims.messages import ListedHost
-        >>> closures, adoptions = Closures(), Adoptions()
+        >>> superseded, versions = SupersededLists(), ListVersions()
         >>> known = HostList(1, tuple(ListedHost(n, "duluth") for n in "abc"))
         >>> for host in "ab":
-        ...     adoptions.hear(host, "i1", 2, 100.0)
-        ...     adoptions.confirm(host, "i1", 102.0)
-        >>> closures.prove(known, 2, adoptions)
-        >>> closures.closes_every_key(known, 2, key_time=104.5)
+        ...     versions.hear(host, "i1", 2, 100.0)
+        ...     versions.confirm(host, "i1", 102.0)
+        >>> superseded.prove(known, 2, versions)
+        >>> superseded.closes_every_key(known, 2, key_time=104.5)
         True
     """
 
     def __init__(self) -> None:
-        self._closed: dict[int, list[_Closed]] = {}
+        self._closed: dict[int, list[_Superseded]] = {}
 
-    def prove(self, known: HostList, following: int, adoptions: Adoptions) -> None:
+    def prove(
+        self, known: HostList, following: int, list_versions: ListVersions
+    ) -> None:
         """Look for an instant at which more hosts of a list had a newer one.
 
         Args:
             known: The older list.
             following: The next newer version that is known.
-            adoptions: What hosts said.
+            list_versions: What hosts said.
         """
         if self.is_whole(known, following):
             return
-        at_s, holders = adoptions.find_instant(known.names, following)
+        at_s, holders = list_versions.find_instant(known.names, following)
         proved = self.count_holders(known.version)
         if len(holders) >= max(count_majority(len(known.hosts)), proved + 1):
-            self._add(known.version, _Closed(following, at_s, frozenset(holders)))
+            self._add(known.version, _Superseded(following, at_s, frozenset(holders)))
 
-    def take(self, known: HostList, closure: Closure) -> None:
+    def take(self, known: HostList, proof: SupersededList) -> None:
         """Keep a proof that another host made."""
-        bits = int.from_bytes(closure.holders, "little")
+        bits = int.from_bytes(proof.holders, "little")
         names = [name for i, name in enumerate(known.names) if bits >> i & 1]
-        closed = _Closed(closure.version, closure.at_s, frozenset(names))
+        closed = _Superseded(proof.version, proof.at_s, frozenset(names))
         if closed not in self._find(known):
             self._add(known.version, closed)
 
-    def pack(self, known: HostList) -> list[Closure]:
+    def pack(self, known: HostList) -> list[SupersededList]:
         """Return the proofs about a list, for another host."""
         return [
-            Closure(version, at_s, _pack_names(known.names, holders))
+            SupersededList(version, at_s, _pack_names(known.names, holders))
             for version, at_s, holders in self._find(known)
         ]
 
@@ -103,22 +105,22 @@
         """Forget the proofs about a list."""
         self._closed.pop(version, None)
 
-    def _find(self, known: HostList) -> list[_Closed]:
+    def _find(self, known: HostList) -> list[_Superseded]:
         return self._closed.get(known.version, [])
 
-    def _add(self, version: int, closed: _Closed) -> None:
+    def _add(self, version: int, closed: _Superseded) -> None:
         """Add a proof; the first one serves the oldest keys."""
         kept = self._closed.setdefault(version, [])
         kept.append(closed)
-        del kept[1:-CLOSURES_KEPT]
+        del kept[1:-PROOFS_KEPT]
 
 
-def _precedes(closed: _Closed, key_time: float) -> bool:
+def _precedes(closed: _Superseded, key_time: float) -> bool:
     """Whether no holder can have granted a key of this time before."""
     return key_time > closed.at_s + 2 * CLOCK_SKEW_S
 
 
-def _covers_all(closed: _Closed, known: HostList, following: int) -> bool:
+def _covers_all(closed: _Superseded, known: HostList, following: int) -> bool:
     """Whether the holders include a majority of any key's witnesses."""
     size = len(known.hosts)
     spare = (min(size, WITNESS_COUNT) - 1) // 2
--- a/oleanderpier/claims/tests/slopes.py
+++ b/oleanderpier/claims/tests/slopes.py
@@ -11,7 +11,7 @@
 from itertools import combinations
 from unittest import mock
 
-from oleanderpier.claims import Claim, ClaimId, HostList, ListedHost, ListTell, Settle
+from oleanderpier.claims import Claim, HostList, ListedHost, ListTell, RoundId, Settle
 from oleanderpier.claims import lists as lists_module
 from oleanderpier.claims.lists import choose_witnesses, count_majority
 from oleanderpier.claims.records import Witness
@@ -20,7 +20,7 @@
 from oleanderpier.utils import ManualTimers, decode_message, encode_message, pack_key
 from oleanderpier.utils import make_key as make_text
 
-CLAIM_ID = ClaimId("host-1234", "i123456789", 123456)
+CLAIM_ID = RoundId("host-1234", "i123456789", 123456)
 RECORDS = 20_000
 
 
--- a/oleanderpier/configuration/messages.py
+++ b/oleanderpier/configuration/messages.py
@@ -6,8 +6,8 @@
 from oleanderpier.utils import register_message
 
 __all__ = [
-    "DocumentAsk",
     "DocumentPart",
+    "DocumentQuery",
     "DocumentRefused",
     "DocumentVersion",
     "DocumentVersions",
@@ -39,7 +39,7 @@
 
 
 @register_message(41)
-class DocumentAsk(NamedTuple):
+class DocumentQuery(NamedTuple):
     """Asks for a document that is newer than the sender's.
 
     Attributes:
--- a/oleanderpier/configuration/spread.py
+++ b/oleanderpier/configuration/spread.py
@@ -14,8 +14,8 @@
 from oleanderpier.configuration.deltas import DocumentDelta, apply_delta, make_delta
 from oleanderpier.configuration.documents import DocumentName, Published
 from oleanderpier.configuration.messages import (
-    DocumentAsk,
     DocumentPart,
+    DocumentQuery,
     DocumentRefused,
     DocumentVersion,
     DocumentVersions,
@@ -165,7 +165,7 @@
             self._fetch(name, sender, NO_ORDER)
 
     @_receive.register
-    def _receive_ask(self, message: DocumentAsk, sender: str) -> None:
+    def _receive_ask(self, message: DocumentQuery, sender: str) -> None:
         current = self._documents.get(message.name)
         if current is None or current.order <= (message.version, message.digest):
             return
@@ -232,7 +232,7 @@
 
     def _ask(self, name: DocumentName, fetch: Fetch) -> None:
         version, digest = fetch.base
-        ask = DocumentAsk(name, version, digest, len(fetch.buffer))
+        ask = DocumentQuery(name, version, digest, len(fetch.buffer))
         self._outbox.send(fetch.peer, ask)
 
     def _push(self, published: Published) -> None:
--- a/oleanderpier/configuration/tests/fakes.py
+++ b/oleanderpier/configuration/tests/fakes.py
@@ -8,9 +8,9 @@
 
 from oleanderpier.configuration import (
     DOCUMENT_NAMES,
-    DocumentAsk,
     DocumentDelta,
     DocumentPart,
+    DocumentQuery,
     DocumentRefused,
     Documents,
     DocumentVersions,
@@ -194,7 +194,7 @@
     duty = WatchDuty(members, host.timers, generator, host)
     host.parts.update(documents=documents, spread=spread, duty=duty, random=generator)
     documents.subscribe("hosts", members.adopt_list)
-    host.take(spread, DocumentAsk, DocumentDelta, DocumentPart)
+    host.take(spread, DocumentQuery, DocumentDelta, DocumentPart)
     host.take(spread, DocumentRefused, DocumentVersions)
     host.take(duty, PlatformSeen)
     host.parts["watches"] = [FakeWatch(platform, host, n) for n in DOCUMENT_NAMES]
--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -1,6 +1,6 @@
 """The callers' interface: addresses, chats and calls."""
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -8,6 +8,7 @@
 
 from oleanderpier.claims import Answer, Outcome, run_call
 from oleanderpier.configuration import WorkClass
+from oleanderpier.daemon.node import Node
 from oleanderpier.daemon.requests import CallRequest, ChatRequest, read_request
 from oleanderpier.exception import SettingsError
 from oleanderpier.placement import PermitRequest
@@ -27,15 +28,12 @@
     refuse_request,
 )
 
-if TYPE_CHECKING:
-    from oleanderpier.daemon.node import Node
-
 __all__ = ["make_caller_app"]
 
 RETRY_AFTER_S = 1.0
 
 
-def make_caller_app(node: "Node") -> web.Application:
+def make_caller_app(node: Node) -> web.Application:
     """Return the HTTP application that callers use.
 
     Args:
@@ -73,7 +71,7 @@
     return app
 
 
-async def serve_chat(node: "Node", request: web.Request) -> web.StreamResponse:
+async def serve_chat(node: Node, request: web.Request) -> web.StreamResponse:
     """Answer ``POST /v1/chats`` with a stream of events."""
     try:
         body = await read_request(ChatRequest, request)
@@ -97,14 +95,14 @@
             body["max_tokens"],
             0,
         ),
-        lambda avoid: node.places.place(place, avoid),
+        lambda avoid: node.permits.acquire(place, avoid),
     )
     late = node.timers.now() - began_s > work_class["whole_s"]
     node.record_end(work_class["name"], relayed.code, late, identity)
     return relayed.response
 
 
-async def serve_call(node: "Node", request: web.Request) -> web.Response:
+async def serve_call(node: Node, request: web.Request) -> web.Response:
     """Answer ``POST /v1/calls`` from a plain service."""
     try:
         body = await read_request(CallRequest, request)
@@ -126,7 +124,7 @@
     return answer_call(node, result)
 
 
-async def serve_repeatable(node: "Node", body: CallRequest) -> Result[Outcome, Failure]:
+async def serve_repeatable(node: Node, body: CallRequest) -> Result[Outcome, Failure]:
     """Run a call that may be repeated, on one service after another."""
     checked = check_request(node, body, "service")
     if checked.is_error():
@@ -139,7 +137,7 @@
     result = await repeat_call(
         node.relay.session,
         node.timers,
-        lambda avoid: node.places.place(place, avoid),
+        lambda avoid: node.permits.acquire(place, avoid),
         work_class["needs"],
         body["body"],
         work_class["first_token_s"],
@@ -152,7 +150,7 @@
     )
 
 
-async def serve_once(node: "Node", body: CallRequest) -> Result[Outcome, Failure]:
+async def serve_once(node: Node, body: CallRequest) -> Result[Outcome, Failure]:
     """Run a call at most once.
 
     Whatever refuses it does so after the claim: before, another host might
@@ -174,11 +172,11 @@
 
 
 async def send_claimed(
-    node: "Node", body: CallRequest, work_class: WorkClass, left_s: float
+    node: Node, body: CallRequest, work_class: WorkClass, left_s: float
 ) -> Result[Answer, SendError]:
     """Send a call whose key this host holds, once."""
     deadline_s = node.timers.now() + left_s
-    placed = await node.places.place(make_place(node, body, work_class))
+    placed = await node.permits.acquire(make_place(node, body, work_class))
     if placed.is_error():
         return Error(NotSent(placed.error))
     permit = placed.ok
@@ -201,14 +199,14 @@
     return sent.map(lambda answer: Answer(msgspec.json.encode(answer.body)))
 
 
-def make_place(node: "Node", body: CallRequest, work_class: WorkClass) -> PermitRequest:
+def make_place(node: Node, body: CallRequest, work_class: WorkClass) -> PermitRequest:
     """Return what the placement is asked for a call."""
     return PermitRequest(
         node.make_identity(), "", body["workspace"], work_class["name"]
     )
 
 
-def check_request(node: "Node", body: Any, kind: str) -> Result[WorkClass, Failure]:
+def check_request(node: Node, body: Any, kind: str) -> Result[WorkClass, Failure]:
     """Return a request's class, or why the request is refused.
 
     Args:
@@ -230,14 +228,14 @@
     return Ok(work_class)
 
 
-def refuse(node: "Node", work_class: str, failure: Failure) -> web.Response:
+def refuse(node: Node, work_class: str, failure: Failure) -> web.Response:
     """Count a refusal and return the answer that tells of it."""
     known = work_class if node.find_class(work_class) else ""
     node.record_end(known, failure.code, False, known)
     return refuse_request(failure)
 
 
-def answer_call(node: "Node", result: Result[Outcome, Failure]) -> web.Response:
+def answer_call(node: Node, result: Result[Outcome, Failure]) -> web.Response:
     """Return the answer that tells what became of a call."""
     if result.is_error():
         return refuse_request(result.error)
--- a/oleanderpier/daemon/tallies.py
+++ b/oleanderpier/daemon/counts.py
@@ -8,10 +8,10 @@
 
 from oleanderpier.results import Code, Fate, describe_code
 
-__all__ = ["ClassTally", "Tallies"]
+__all__ = ["ClassCounts", "RequestCounts"]
 
 
-class ClassTally(NamedTuple):
+class ClassCounts(NamedTuple):
     """Counts of one class since the start of the daemon."""
 
     requests: int
@@ -19,7 +19,7 @@
     late: int
 
 
-class Tallies:
+class RequestCounts:
     """Counts every request's end.
 
     Args:
@@ -55,9 +55,9 @@
             self._children[work_class, code] = child
         child.inc()
 
-    def find_tally(self, work_class: str) -> ClassTally:
+    def find_counts(self, work_class: str) -> ClassCounts:
         """Return the counts of a class."""
-        return ClassTally(
+        return ClassCounts(
             self._requests[work_class],
             self._refused[work_class],
             self._late[work_class],
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -21,13 +21,11 @@
     WorkClass,
     watch_platform,
 )
-from oleanderpier.daemon.callers import make_caller_app
+from oleanderpier.daemon.counts import RequestCounts
 from oleanderpier.daemon.directory import Directory
-from oleanderpier.daemon.places import Places
+from oleanderpier.daemon.permits import Permits
 from oleanderpier.daemon.probes import CacheEvent, probe_server, read_cache_events
 from oleanderpier.daemon.recorder import Recorder
-from oleanderpier.daemon.reports import NodeReports
-from oleanderpier.daemon.tallies import Tallies
 from oleanderpier.events import Clock, Ring
 from oleanderpier.membership import (
     BackendServers,
@@ -37,7 +35,6 @@
     ServerState,
 )
 from oleanderpier.membership import Outcome as ServerOutcome
-from oleanderpier.operators import make_operator_app
 from oleanderpier.peers import Address, Mesh
 from oleanderpier.placement import Permit, Placement
 from oleanderpier.relay import Relay, Step, make_session
@@ -88,7 +85,7 @@
         self.incarnation = int(self.started_s * MILLISECONDS_PER_S)
         self.rng = random.Random(f"{self.host}:{self.incarnation}")
         self.registry = CollectorRegistry()
-        self.tallies = Tallies(self.registry)
+        self.counts = RequestCounts(self.registry)
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task] = []
         self._probes: set[asyncio.Task] = set()
@@ -129,7 +126,7 @@
         self.claims = Claims(self.host, incarnation, timers, rng, self.mesh, self.lists)
         self.servers = BackendServers(self.members, timers, rng, self.mesh, self._probe)
         self.placement = Placement(self.host, timers, rng, self.mesh, self._move_stream)
-        self.places = Places(self.placement)
+        self.permits = Permits(self.placement)
 
     def _register_metrics(self) -> None:
         """Register what is read off the parts when the metrics are."""
@@ -163,22 +160,20 @@
             address = Address(seed["address"], seed["peer_port"])
             mesh.update_addresses({seed["name"]: address})
 
-    async def start(self) -> None:
-        """Listen, and begin to take part in the fleet."""
+    async def open(self) -> None:
+        """Open what serving takes, and listen for other hosts."""
         settings = self.settings
         self.session = aiohttp.ClientSession()
         self.relay = Relay(make_session(), self.timers, notify=self._note_attempt)
         self.relay.start()
         await self.mesh.listen(settings["address"], settings["peer_port"])
-        reports = NodeReports(self)
-        await self._serve(
-            make_operator_app(reports, self.registry), settings["operator_port"]
-        )
-        await self._serve(make_caller_app(self), settings["caller_port"])
         self._update_placing()
+
+    async def start(self) -> None:
+        """Begin to take part in the fleet."""
         for part in (self.members, self.spread, self.duty, self.servers):
             part.start()
-        platform = settings["platform"]
+        platform = self.settings["platform"]
         url = f"http://{platform['address']}:{platform['port']}"
         self._start_task(
             watch_platform(self.session, url, self.documents, self.duty, self.rng)
@@ -194,6 +189,23 @@
         self._start_task(self._become_ready())
         self.recorder.record_state(self.host, "started")
 
+    async def serve(self, app: web.Application, port: int) -> None:
+        """Serve an application until the daemon stops.
+
+        Args:
+            app: The application.
+            port: Where it listens, on the address of the settings.
+        """
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, self.settings["address"], port).start()
+        self._runners.append(runner)
+
     async def drain(self) -> None:
         """Leave the directory, then finish what is in progress."""
         self.state = "draining"
@@ -236,7 +248,7 @@
 
     def record_end(self, work_class: str, code: Code, late: bool, subject: str) -> None:
         """Count a request that has ended, and record it if it failed."""
-        self.tallies.count(work_class, code, late)
+        self.counts.count(work_class, code, late)
         if code is not Code.DONE:
             self.recorder.record_failure(subject, code, work_class)
 
@@ -268,17 +280,6 @@
         published = self.documents.get(document)
         return published.body[field] if published else []
 
-    async def _serve(self, app: web.Application, port: int) -> None:
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
-        await runner.setup()
-        await web.TCPSite(runner, self.settings["address"], port).start()
-        self._runners.append(runner)
-
     def _start_task(self, coroutine: Any) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.append(task)
@@ -349,7 +350,7 @@
     def _adopt_backend_servers(self, published: Published) -> None:
         servers = published.body["backend_servers"]
         self.servers.adopt_list(published)
-        self.places.update_backend_servers(servers)
+        self.permits.update_backend_servers(servers)
         self.placement.update_backend_servers(servers)
 
     def _adopt_hosts(self, published: Published) -> None:
--- a/oleanderpier/daemon/places.py
+++ b/oleanderpier/daemon/permits.py
@@ -8,7 +8,7 @@
 from oleanderpier.placement import Outcome, Permit, PermitRequest, Placement
 from oleanderpier.results import Code, Failure
 
-__all__ = ["HeldPermit", "Places"]
+__all__ = ["HeldPermit", "Permits"]
 
 MAX_TRIES = 3
 RETRY_AFTER_S = 1.0
@@ -39,7 +39,7 @@
         self._placement.release(self._permit, Outcome.ABANDONED)
 
 
-class Places:
+class Permits:
     """Asks the placement for permits on behalf of tasks.
 
     Args:
@@ -54,7 +54,7 @@
         """Take the published backend servers."""
         self._servers = {server["name"]: server for server in servers}
 
-    async def place(
+    async def acquire(
         self, request: PermitRequest, avoid: frozenset[str] = frozenset()
     ) -> Result[HeldPermit, Failure]:
         """Wait for a permit.
--- a/oleanderpier/daemon/program.py
+++ b/oleanderpier/daemon/program.py
@@ -11,7 +11,10 @@
 import uvloop
 from eliot import log_message, to_file
 
+from oleanderpier.daemon.callers import make_caller_app
 from oleanderpier.daemon.node import Node
+from oleanderpier.daemon.reports import NodeReports
+from oleanderpier.operators import make_operator_app
 from oleanderpier.results import Code, Failure
 from oleanderpier.settings import Settings, read_settings
 
@@ -68,6 +71,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     node = Node(settings)
+    await node.open()
+    operators = make_operator_app(NodeReports(node), node.registry)
+    await node.serve(operators, settings["operator_port"])
+    await node.serve(make_caller_app(node), settings["caller_port"])
     await node.start()
     log_message("daemon:started", host=settings["host"])
     await stopped.wait()
--- a/oleanderpier/daemon/reports.py
+++ b/oleanderpier/daemon/reports.py
@@ -1,10 +1,9 @@
 """What a daemon tells operators of its parts."""
 
-from typing import TYPE_CHECKING
-
 from expression import Error, Ok, Result
 
 from oleanderpier.configuration import DOCUMENT_NAMES, WorkClass
+from oleanderpier.daemon.node import Node
 from oleanderpier.operators import (
     ChoiceRow,
     ClassRow,
@@ -21,9 +20,6 @@
 from oleanderpier.relay import ClassReport, Quantiles
 from oleanderpier.results import Code, Failure
 
-if TYPE_CHECKING:
-    from oleanderpier.daemon.node import Node
-
 __all__ = ["NodeReports"]
 
 
@@ -34,7 +30,7 @@
         node: The daemon to tell of.
     """
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: Node) -> None:
         self._node = node
 
     def report_status(self) -> StatusAnswer:
@@ -130,7 +126,7 @@
         ]
 
     def _make_row(self, item: WorkClass, report: ClassReport | None) -> ClassRow:
-        tally = self._node.tallies.find_tally(item["name"])
+        counts = self._node.counts.find_counts(item["name"])
         return ClassRow(
             name=item["name"],
             first_token_s=item["first_token_s"],
@@ -139,7 +135,7 @@
             between_tokens_p95_s=_read_p95(report and report.between_tokens),
             whole_s=item["whole_s"],
             whole_p95_s=_read_p95(report and report.whole),
-            **tally._asdict(),
+            **counts._asdict(),
         )
 
 
--- a/oleanderpier/membership/adoptions.py
+++ b/oleanderpier/membership/list_versions.py
@@ -2,21 +2,21 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from oleanderpier.membership.messages import AdoptionBits
+from oleanderpier.membership.messages import VersionBits
 from oleanderpier.membership.rumours import count_tellings
 from oleanderpier.utils import Timers
 
 if TYPE_CHECKING:
     from oleanderpier.configuration.documents import Published
 
-__all__ = ["Adoptions"]
+__all__ = ["ListVersions"]
 
 KEPT_LISTS = 8
 RESTART_S = 60.0
 """How long after a host's restart only its own word counts, in seconds."""
 
 
-class Adoption(NamedTuple):
+class KnownVersion(NamedTuple):
     """A list that a host has, and the wall time at which that was learnt."""
 
     version: int
@@ -36,7 +36,7 @@
         self.tellings = count_tellings(len(self.hosts))
 
 
-class Adoptions:
+class ListVersions:
     """Collects evidence of which host has which hosts list.
 
     The evidence travels as one bit a host, joined by OR, so that a change of
@@ -53,7 +53,7 @@
         self._own_host = own_host
         self._timers = timers
         self._lists: list[ListBits] = []
-        self._known: dict[str, list[Adoption]] = {}
+        self._known: dict[str, list[KnownVersion]] = {}
         self._restarts: dict[str, tuple[int, float]] = {}
         self._tellings_left = 0
 
@@ -81,13 +81,13 @@
             if host in known.indices:
                 known.bits &= ~(1 << known.indices[host])
 
-    def merge(self, sender: str, news: AdoptionBits) -> None:
+    def merge(self, sender: str, news: VersionBits) -> None:
         """Take in the evidence that another host has collected."""
         for known in self._lists:
             if (known.version, known.digest) == (news.version, news.digest):
                 self._merge_bits(known, sender, int.from_bytes(news.bits, "little"))
 
-    def export(self) -> AdoptionBits | None:
+    def export(self) -> VersionBits | None:
         """Return the evidence for the newest list while it is news."""
         if not self._lists or self._tellings_left == 0:
             return None
@@ -95,16 +95,16 @@
         newest = self._lists[-1]
         size = (len(newest.hosts) + 7) // 8
         bits = newest.bits.to_bytes(size, "little")
-        return AdoptionBits(newest.version, newest.digest, bits)
+        return VersionBits(newest.version, newest.digest, bits)
 
     def find(self, host: str, list_version: int) -> float | None:
         """Return the wall time since which a host has a list or a newer one."""
         digest = self._find_digest(list_version)
-        for adoption in self._known.get(host, ()):
-            newer = adoption.version > list_version
-            same = adoption.version == list_version
-            if newer or (same and adoption.digest == digest):
-                return adoption.since_s
+        for version_bits in self._known.get(host, ()):
+            newer = version_bits.version > list_version
+            same = version_bits.version == list_version
+            if newer or (same and version_bits.digest == digest):
+                return version_bits.since_s
         return None
 
     def _find_digest(self, version: int) -> str | None:
@@ -137,7 +137,7 @@
         self._tellings_left = known.tellings
 
     def _record(self, host: str, version: int, digest: str) -> None:
-        adoptions = self._known.setdefault(host, [])
-        if not adoptions or adoptions[-1][:2] < (version, digest):
-            adoptions.append(Adoption(version, digest, self._timers.wall()))
-            del adoptions[:-KEPT_LISTS]
+        list_versions = self._known.setdefault(host, [])
+        if not list_versions or list_versions[-1][:2] < (version, digest):
+            list_versions.append(KnownVersion(version, digest, self._timers.wall()))
+            del list_versions[:-KEPT_LISTS]
--- a/oleanderpier/membership/members.py
+++ b/oleanderpier/membership/members.py
@@ -3,21 +3,19 @@
 References:
     A. Das, I. Gupta and A. Motivala, "SWIM: scalable weakly-consistent
     infection-style process group membership protocol", DSN 2002.
-
-    A. Dadgar, J. Phillips and J. Currey, "Lifeguard: local health awareness
-    for more accurate failure detection", arXiv:1707.00788, 2017.
 """
 
-import math
 from collections.abc import Callable, Iterable
-from enum import IntEnum
 from functools import singledispatchmethod
 from random import Random
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from eliot import log_message
 
-from oleanderpier.membership.adoptions import Adoptions
+from oleanderpier.membership.cards import MemberCard
+from oleanderpier.membership.host_probes import PERIOD_S, HostProbes
+from oleanderpier.membership.lateness import Lateness
+from oleanderpier.membership.list_versions import ListVersions
 from oleanderpier.membership.messages import (
     Ack,
     MemberFact,
@@ -26,10 +24,10 @@
     Ping,
     ProbeAnswer,
     ProbeRequest,
-    TableAsk,
+    TableQuery,
     TableSummary,
 )
-from oleanderpier.membership.rumours import RumourQueue, count_tellings
+from oleanderpier.membership.news import MemberNews
 from oleanderpier.membership.suspicions import Suspicions
 from oleanderpier.membership.table import PRESENT_STATES, MemberTable
 from oleanderpier.utils import Outbox, Timers
@@ -37,61 +35,25 @@
 if TYPE_CHECKING:
     from oleanderpier.configuration.documents import Published
 
-__all__ = ["MemberCard", "Members"]
+__all__ = ["Members"]
 
-PERIOD_S = 1.0
-ACK_TIMEOUT_S = 0.4
-LATE_S = 0.5
+# After a pause of this length the table may have missed more than news repeat.
 LONG_PAUSE_S = 5.0
-INDIRECT_PROBES = 3
-HELPER_CHOICE = 16
-MAX_LATENESS_LEVEL = 8
+# What fits a message of one packet.
 FACTS_A_MESSAGE = 16
+# In periods: how often a dead host is tried again, how often tables are
+# compared, and for how long a new process compares them in every period.
 REJOIN_PERIODS = 5
 SYNC_PERIODS = 30
 YOUNG_PERIODS = 30
+# Facts in one answer to a comparison of tables.
 FACTS_A_SYNC = 64
+# For so long a new process announces each hosts list that it adopts.
 ANNOUNCE_S = 60.0
+# Hosts that are told at once of a start and of a leave.
 FAN_OUT = 8
 
 
-class Priority(IntEnum):
-    """The order in which kinds of news are told."""
-
-    REFUTATION = 0
-    BAD_NEWS = 1
-    JOIN = 2
-
-
-class MemberCard(NamedTuple):
-    """Where a host is to be found.
-
-    Attributes:
-        host: The host's name.
-        failure_domain: Its failure domain.
-        address: IP number of its peer port.
-        peer_port: Its peer port.
-    """
-
-    host: str
-    failure_domain: str
-    address: str
-    peer_port: int
-
-
-class Probe:
-    """A ping that waits for its answer.
-
-    Attributes:
-        deadline_s: When the target becomes suspect, on the monotonic clock.
-    """
-
-    def __init__(self, target: str, sequence: int, deadline_s: float):
-        self.target = target
-        self.sequence = sequence
-        self.deadline_s = deadline_s
-
-
 class Members:
     """What this host knows of the others' state.
 
@@ -125,26 +87,21 @@
         self._table = MemberTable(timers)
         self._suspicions = Suspicions(timers)
         self._listed: set[str] = set()
-        self._queues: dict[Priority, RumourQueue[MemberFact]] = {
-            priority: RumourQueue() for priority in Priority
-        }
-        self._adoptions = Adoptions(card.host, timers)
+        self._news = MemberNews()
+        self._lateness = Lateness(timers, PERIOD_S)
+        self._probes = HostProbes(
+            self, self._table, self._lateness, timers, generator, outbox
+        )
+        self._list_versions = ListVersions(card.host, timers)
         self._callbacks: list[Callable[[str, MemberState], None]] = []
-        self._contact_callbacks: list[Callable[[str], None]] = []
         self._heard: set[str] = set()
-        self._probe: Probe | None = None
-        self._relayed: dict[int, tuple[str, int]] = {}
-        self._sequence = 0
-        self._walk: list[str] = []
-        self._lateness_level = 0
         self._ticks = 0
-        self._last_tick_s = timers.now()
         self.host = card.host
         self._own = MemberFact(
             card.host, MemberState.ALIVE, int(timers.wall()), 0, 0, "", *card[1:]
         )
         self._store(self._own)
-        self._spread(self._own, None)
+        self._news.spread(self._own, None)
         self.add_seeds(seeds)
 
     def add_seeds(self, seeds: Iterable[MemberCard]) -> None:
@@ -155,9 +112,9 @@
     def start(self) -> None:
         """Tell a few hosts of this one, and begin to probe."""
         for host in self.choose_hosts(FAN_OUT):
-            self._ping(host)
+            self._probes.ping(host)
         delay_s = self._generator.random() * PERIOD_S
-        self._last_tick_s = self._timers.now() + delay_s - PERIOD_S
+        self._lateness.begin(delay_s)
         self._timers.call_later(delay_s, self._begin)
 
     def list_alive(self) -> list[str]:
@@ -196,7 +153,7 @@
         fact = self._table.get(host)
         return fact.started if fact else None
 
-    def find_adoption(self, host: str, list_version: int) -> float | None:
+    def find_list_version(self, host: str, list_version: int) -> float | None:
         """Return since when a host has a hosts list or a newer one.
 
         Args:
@@ -208,7 +165,7 @@
             1970; None while nothing is known, and again after the host's
             restart until it has said what it has.
         """
-        return self._adoptions.find(host, list_version)
+        return self._list_versions.find(host, list_version)
 
     def list_heard(self) -> list[str]:
         """Return the hosts from which this one has heard directly."""
@@ -226,7 +183,7 @@
 
         What a part sends to the host then travels with the ping.
         """
-        self._contact_callbacks.append(callback)
+        self._probes.subscribe(callback)
 
     def adopt_list(self, published: "Published") -> None:
         """Take in the hosts list in force.
@@ -245,7 +202,7 @@
                     entry["peer_port"],
                 )
             )
-        self._adoptions.adopt(published)
+        self._list_versions.adopt(published)
         own = self._own
         young = self._timers.now() - self._started_s < ANNOUNCE_S
         if young or own.list_version == 0:
@@ -275,6 +232,21 @@
         some = self._generator.sample(hosts, min(limit + 1, len(hosts)))
         return [host for host in some if host != self.host][:limit]
 
+    def make_news(self, message_class: type, sequence: int, host: str) -> Any:
+        """Return a ping or its answer, with news for a host.
+
+        Args:
+            message_class: ``Ping`` or ``Ack``.
+            sequence: The number of the ping.
+            host: Where it goes.
+        """
+        own = self._own
+        version_bits = self._list_versions.export()
+        facts = self._take_facts(host)
+        return message_class(
+            sequence, own.started, own.incarnation, facts, version_bits
+        )
+
     def handle(self, sender: str, message: Any) -> None:
         """Take in a message of another host.
 
@@ -291,33 +263,25 @@
     @_receive.register
     def _handle_ping(self, message: Ping, sender: str) -> None:
         self._read_news(message, sender)
-        self._outbox.send(sender, self._make_news(Ack, message.sequence, sender))
+        self._outbox.send(sender, self.make_news(Ack, message.sequence, sender))
 
     @_receive.register
     def _handle_ack(self, message: Ack, sender: str) -> None:
         self._read_news(message, sender)
-        asker, sequence = self._relayed.pop(message.sequence, ("", 0))
+        asker, sequence = self._probes.take_asker(message.sequence)
         if asker:
             answer = ProbeAnswer(sequence, sender, message.started, message.incarnation)
             self._outbox.send(asker, answer)
-        self._end_probe(message.sequence, sender)
+        self._probes.end(message.sequence, sender)
 
     @_receive.register
     def _handle_request(self, message: ProbeRequest, sender: str) -> None:
-        self._sequence += 1
-        sequence = self._sequence
-        self._relayed[sequence] = (sender, message.sequence)
-        self._timers.call_later(
-            PERIOD_S * (1 + MAX_LATENESS_LEVEL),
-            lambda: self._relayed.pop(sequence, None),
-        )
-        target = message.target
-        self._outbox.send(target, self._make_news(Ping, sequence, target))
+        self._probes.ping_for(sender, message)
 
     @_receive.register
     def _handle_answer(self, message: ProbeAnswer, sender: str) -> None:
         self._note_life(message.target, (message.started, message.incarnation))
-        self._end_probe(message.sequence, message.target)
+        self._probes.end(message.sequence, message.target)
 
     @_receive.register
     def _handle_facts(self, message: MemberFacts, sender: str) -> None:
@@ -335,12 +299,12 @@
         buckets = self._table.summary.list_differences(message.buckets)
         if not buckets:
             return
-        self._outbox.send(sender, TableAsk(buckets))
+        self._outbox.send(sender, TableQuery(buckets))
         if not message.answered:
             self._send_summary(sender, answered=True)
 
     @_receive.register
-    def _handle_ask(self, message: TableAsk, sender: str) -> None:
+    def _handle_query(self, message: TableQuery, sender: str) -> None:
         facts = self._table.list_facts(message.buckets)
         some = self._generator.sample(facts, min(FACTS_A_SYNC, len(facts)))
         self._outbox.send(sender, MemberFacts([self._own, *some]))
@@ -352,9 +316,9 @@
     def _tick(self) -> None:
         self._ticks += 1
         self._allow_for_lateness()
-        self._judge_probe()
+        self._suspect_silent()
         self._judge_suspicions()
-        self._start_probe()
+        self._probes.start()
         if self._ticks % REJOIN_PERIODS == 0:
             self._ping_gone()
         if self._ticks < YOUNG_PERIODS or self._ticks % SYNC_PERIODS == 0:
@@ -363,127 +327,54 @@
 
     def _allow_for_lateness(self) -> None:
         """Lengthen every timeout by the time that this process lost."""
-        now_s = self._timers.now()
-        late_s = now_s - self._last_tick_s - PERIOD_S
-        self._last_tick_s = now_s
-        if late_s < LATE_S:
+        late_s = self._lateness.measure()
+        if not late_s:
             return
-        log_message("membership:late", late_s=round(late_s, 3))
-        self._probe = None
-        self._raise_lateness(math.ceil(late_s / PERIOD_S))
+        self._probes.drop()
         self._suspicions.prolong(late_s)
         if late_s > LONG_PAUSE_S:
             self._sync_table()
 
-    def _raise_lateness(self, levels: int) -> None:
-        level = self._lateness_level + levels
-        self._lateness_level = max(0, min(MAX_LATENESS_LEVEL, level))
-
-    def _judge_probe(self) -> None:
-        probe = self._probe
-        if probe is None or self._timers.now() < probe.deadline_s:
-            return
-        self._probe = None
-        self._raise_lateness(1)
-        fact = self._table.get(probe.target)
+    def _suspect_silent(self) -> None:
+        """Suspect the host whose probe has failed, if one has."""
+        target = self._probes.take_failed()
+        fact = self._table.get(target) if target else None
         if fact is not None and fact.state in PRESENT_STATES:
             suspect = fact._replace(state=MemberState.SUSPECT, accuser=self.host)
             self._apply(suspect)
 
     def _judge_suspicions(self) -> None:
         hosts = len(self._table.list_alive())
-        for host in self._suspicions.list_expired(hosts, self._lateness_level):
+        for host in self._suspicions.list_expired(hosts, self._lateness.level):
             fact = self._table.get(host)
             self._apply(fact._replace(state=MemberState.DEAD, accuser=""))
 
-    def _start_probe(self) -> None:
-        if self._probe is not None:
-            return
-        target = self._choose_target()
-        if target is None:
-            return
-        sequence = self._ping(target)
-        scale = 1 + self._lateness_level
-        deadline_s = self._timers.now() + PERIOD_S * scale * 0.99
-        self._probe = Probe(target, sequence, deadline_s)
-        self._timers.call_later(
-            ACK_TIMEOUT_S * scale, lambda: self._probe_indirectly(sequence)
-        )
-
-    def _choose_target(self) -> str | None:
-        """Walk through all hosts in random order, again and again."""
-        for _ in range(2):
-            while self._walk:
-                host = self._walk.pop()
-                if host != self.host and self.find_state(host) in PRESENT_STATES:
-                    return host
-            self._walk = self.list_alive()
-            self._generator.shuffle(self._walk)
-        return None
-
-    def _probe_indirectly(self, sequence: int) -> None:
-        """Ping once more, and through others, what has not answered."""
-        probe = self._probe
-        if probe is None or probe.sequence != sequence:
-            return
-        news = self._make_news(Ping, sequence, probe.target)
-        self._outbox.send(probe.target, news)
-        for helper in self._choose_helpers(probe.target):
-            self._outbox.send(helper, ProbeRequest(sequence, probe.target))
-
-    def _choose_helpers(self, target: str) -> list[str]:
-        """Return hosts to probe through, one from another failure domain."""
-        hosts = self.choose_hosts(HELPER_CHOICE)
-        hosts = [host for host in hosts if host != target]
-        domain = self.find_domain(self.host)
-        outside = [host for host in hosts if self.find_domain(host) != domain]
-        others = [host for host in hosts if host not in outside[:1]]
-        return outside[:1] + others[: INDIRECT_PROBES - len(outside[:1])]
-
-    def _ping(self, host: str) -> int:
-        self._sequence += 1
-        news = self._make_news(Ping, self._sequence, host)
-        self._outbox.send(host, news)
-        for callback in self._contact_callbacks:
-            callback(host)
-        return self._sequence
-
     def _ping_gone(self) -> None:
         """Try one host that was found dead, so that partitions heal."""
         gone = self._table.list_dead()
         if gone:
-            self._ping(self._generator.choice(gone))
-
-    def _make_news(self, message_class: type, sequence: int, host: str) -> Any:
-        own = self._own
-        adoption = self._adoptions.export()
-        facts = self._take_facts(host)
-        return message_class(sequence, own.started, own.incarnation, facts, adoption)
+            self._probes.ping(self._generator.choice(gone))
 
     def _take_facts(self, host: str) -> list[MemberFact]:
         """Return news for a host; one that may be gone is told of itself only."""
         fact = self._table.get(host)
         if fact is not None and fact.state is not MemberState.ALIVE:
             return [fact]
-        tellings = count_tellings(len(self._table))
-        facts: list[MemberFact] = []
-        for queue in self._queues.values():
-            facts += queue.take(FACTS_A_MESSAGE - len(facts), tellings)
-        return facts
+        return self._news.take(FACTS_A_MESSAGE, len(self._table))
 
     def _read_news(self, message: Ping | Ack, sender: str) -> None:
         self._heard.add(sender)
         for fact in message.facts:
             self._apply(fact)
-        if message.adoption is not None:
-            self._adoptions.merge(sender, message.adoption)
+        if message.version_bits is not None:
+            self._list_versions.merge(sender, message.version_bits)
         self._note_life(sender, (message.started, message.incarnation))
 
     def _note_life(self, host: str, life: tuple[int, int]) -> None:
         """Ask a host for its fact if it is news, and tell it what is held of it."""
         fact = self._table.get(host)
         if fact is None or life > fact.life:
-            self._outbox.send(host, TableAsk([]))
+            self._outbox.send(host, TableQuery([]))
         elif fact.state is not MemberState.ALIVE or life < fact.life:
             self._outbox.send(host, MemberFacts([fact]))
         if fact is not None and fact.state is MemberState.DEAD:
@@ -504,13 +395,6 @@
         self._apply(fact._replace(state=MemberState.SUSPECT, accuser=accuser))
         self._outbox.send(fact.host, MemberFacts([fact]))
 
-    def _end_probe(self, sequence: int, target: str) -> None:
-        probe = self._probe
-        if probe is None or (probe.sequence, probe.target) != (sequence, target):
-            return
-        self._probe = None
-        self._raise_lateness(-1)
-
     def _apply(self, fact: MemberFact) -> None:
         if fact.host == self.host:
             self._refute(fact)
@@ -524,35 +408,25 @@
     def _accept(self, fact: MemberFact, known: MemberFact | None) -> None:
         self._store(fact)
         if known is not None or fact.state in PRESENT_STATES:
-            self._spread(fact, known)
+            self._news.spread(fact, known)
         restarted = known is not None and 0 < known.started < fact.started
         if restarted:
-            self._adoptions.restart(fact.host)
-        self._adoptions.note(fact.host, fact.list_version, fact.list_digest)
+            self._list_versions.restart(fact.host)
+        self._list_versions.note(fact.host, fact.list_version, fact.list_digest)
         if known is None or restarted or known.state != fact.state:
             self._log(fact)
             self._notify(fact)
 
-    def _spread(self, fact: MemberFact, known: MemberFact | None) -> None:
-        """Queue news; what ends a suspicion goes before all else."""
-        for queue in self._queues.values():
-            queue.discard(fact.host)
-        priority = Priority.BAD_NEWS
-        if fact.state is MemberState.ALIVE:
-            calm = known is None or known.state is MemberState.ALIVE
-            priority = Priority.JOIN if calm else Priority.REFUTATION
-        self._queues[priority].add(fact.host, fact)
-
     def _confirm(self, fact: MemberFact) -> None:
         if self._suspicions.confirm(fact.host, fact.accuser):
-            self._queues[Priority.BAD_NEWS].add(fact.host, fact)
+            self._news.spread_again(fact)
 
     def _refute(self, fact: MemberFact) -> None:
         own = self._own
         if fact.order <= own.order:
             return
         if fact.state is MemberState.SUSPECT:
-            self._raise_lateness(1)
+            self._lateness.raise_level(1)
         if fact.started > own.started:
             changes = {"started": fact.started + 1, "incarnation": 0}
         else:
@@ -562,7 +436,7 @@
     def _announce(self, known: MemberFact | None = None, **changes: Any) -> None:
         own = self._own._replace(**changes)
         self._store(own)
-        self._spread(own, known)
+        self._news.spread(own, known)
 
     def _presume(self, card: MemberCard) -> None:
         """Take a listed host for alive until probes show otherwise."""
@@ -606,4 +480,4 @@
 
     def _forget_gone(self) -> None:
         for host in self._table.forget_gone(keep=self._listed):
-            self._adoptions.restart(host)
+            self._list_versions.restart(host)
--- a/oleanderpier/membership/messages.py
+++ b/oleanderpier/membership/messages.py
@@ -7,15 +7,15 @@
 
 __all__ = [
     "Ack",
-    "AdoptionBits",
     "MemberFact",
     "MemberFacts",
     "MemberState",
     "Ping",
     "ProbeAnswer",
     "ProbeRequest",
-    "TableAsk",
+    "TableQuery",
     "TableSummary",
+    "VersionBits",
 ]
 
 
@@ -66,7 +66,7 @@
         return (self.started, self.incarnation)
 
 
-class AdoptionBits(NamedTuple):
+class VersionBits(NamedTuple):
     """Which hosts of a hosts list have that list or a newer one.
 
     Attributes:
@@ -90,14 +90,14 @@
         started: The sender's process start.
         incarnation: The sender's incarnation.
         facts: News of hosts.
-        adoption: News of who has the newest hosts list.
+        version_bits: News of who has the newest hosts list.
     """
 
     sequence: int
     started: int
     incarnation: int
     facts: list[MemberFact]
-    adoption: AdoptionBits | None
+    version_bits: VersionBits | None
 
 
 @register_message(21)
@@ -108,7 +108,7 @@
     started: int
     incarnation: int
     facts: list[MemberFact]
-    adoption: AdoptionBits | None
+    version_bits: VersionBits | None
 
 
 @register_message(22)
@@ -162,7 +162,7 @@
 
 
 @register_message(26)
-class TableAsk(NamedTuple):
+class TableQuery(NamedTuple):
     """Asks for the receiver's fact of itself, and for facts of some buckets.
 
     Attributes:
--- a/oleanderpier/membership/server_messages.py
+++ b/oleanderpier/membership/server_messages.py
@@ -6,10 +6,10 @@
 from oleanderpier.utils import register_message
 
 __all__ = [
-    "ServerAsk",
     "ServerDoubt",
     "ServerFact",
     "ServerFacts",
+    "ServerQuery",
     "ServerState",
     "ServerSummary",
 ]
@@ -75,7 +75,7 @@
 
 
 @register_message(30)
-class ServerAsk(NamedTuple):
+class ServerQuery(NamedTuple):
     """Asks for all facts of some buckets.
 
     Attributes:
--- a/oleanderpier/membership/tests/fakes.py
+++ b/oleanderpier/membership/tests/fakes.py
@@ -15,11 +15,11 @@
     Ping,
     ProbeAnswer,
     ProbeRequest,
-    ServerAsk,
     ServerDoubt,
     ServerFacts,
+    ServerQuery,
     ServerSummary,
-    TableAsk,
+    TableQuery,
     TableSummary,
 )
 from oleanderpier.utils import ManualTimers, Subscription, encode_message
@@ -211,7 +211,7 @@
     generator = Random(network.generator.random())
     members = Members(card, host.timers, generator, host, seeds)
     host.take(members, Ping, Ack, ProbeRequest, ProbeAnswer)
-    host.take(members, MemberFacts, TableSummary, TableAsk)
+    host.take(members, MemberFacts, TableSummary, TableQuery)
     host.parts["members"] = members
     members.start()
     return members
@@ -261,7 +261,7 @@
         generator = Random(self.network.generator.random())
         members = host.parts["members"]
         view = BackendServers(members, host.timers, generator, host, probe)
-        host.take(view, ServerAsk, ServerDoubt, ServerFacts, ServerSummary)
+        host.take(view, ServerQuery, ServerDoubt, ServerFacts, ServerSummary)
         host.parts["servers"] = view
         view.start()
         return view
--- a/oleanderpier/membership/tests/test_members.py
+++ b/oleanderpier/membership/tests/test_members.py
@@ -221,7 +221,7 @@
         self.assertEqual({MemberState.LEFT}, states)
 
 
-class AdoptionTest(TestCase):
+class ListVersionTest(TestCase):
     """Who has which hosts list, and since when."""
 
     def publish(self, fleet: Fleet, version: int, hosts: list[str]) -> None:
@@ -230,7 +230,7 @@
         for host in hosts:
             fleet.members[host].adopt_list(check_document("hosts", value))
 
-    def test_adoption_is_learnt(self):
+    def test_list_version_is_learnt(self):
         """What one host adopts all others learn, and nothing before."""
         fleet = Fleet(add_members, 20, 1, loss=0.05)
         names = [card.host for card in fleet.cards]
@@ -240,13 +240,13 @@
         self.publish(fleet, 2, names[:19])
         fleet.network.timers.advance(20.0)
         for host in names[:19]:
-            adopted = [fleet.members[host].find_adoption(n, 2) for n in names]
+            adopted = [fleet.members[host].find_list_version(n, 2) for n in names]
             self.assertEqual(None, adopted[19])
             self.assertTrue(all(before_s <= at_s for at_s in adopted[:19]))
-            older = [fleet.members[host].find_adoption(n, 1) for n in names]
+            older = [fleet.members[host].find_list_version(n, 1) for n in names]
             self.assertTrue(all(at_s < before_s for at_s in older))
 
-    def test_restart_ends_adoption(self):
+    def test_restart_forgets_list_version(self):
         """A host that restarts with an older list counts as having that.
 
         That holds also if its clock was set back meanwhile.
@@ -269,6 +269,6 @@
         self.publish(fleet, 1, ["h7"])
         fleet.network.timers.advance(90.0)
         for host in names[:7]:
-            self.assertEqual(None, fleet.members[host].find_adoption("h7", 2))
-            self.assertNotEqual(None, fleet.members[host].find_adoption("h7", 1))
+            self.assertEqual(None, fleet.members[host].find_list_version("h7", 2))
+            self.assertNotEqual(None, fleet.members[host].find_list_version("h7", 1))
         self.assertTrue(fleet.agree())
--- a/oleanderpier/orders/budget.py
+++ b/oleanderpier/orders/budget.py
@@ -15,7 +15,7 @@
     ROUND_S,
     START_LIFE_S,
 )
-from oleanderpier.orders.messages import StartAsk, StartTell
+from oleanderpier.orders.messages import StartQuery, StartTell
 from oleanderpier.results import Code, Failure
 from oleanderpier.utils import Outbox, Subscription, Timers
 
@@ -140,7 +140,7 @@
         raise TypeError(f"no message about budgets: {message!r}")
 
     @_receive.register
-    def _(self, message: StartAsk, sender: str) -> None:
+    def _(self, message: StartQuery, sender: str) -> None:
         wait_s = self._hand_out()
         retry_after_s = 0.0 if wait_s is None else wait_s
         granted = wait_s == 0
@@ -203,7 +203,7 @@
 
         timer = self._timers.call_later(START_LIFE_S, expire)
         self._open[number] = _Question(notify, self._timers.now(), timer)
-        self._outbox.send(holder, StartAsk(self._subject, self._incarnation, number))
+        self._outbox.send(holder, StartQuery(self._subject, self._incarnation, number))
 
 
 class _Question:
--- a/oleanderpier/orders/leases.py
+++ b/oleanderpier/orders/leases.py
@@ -11,6 +11,7 @@
 
 from oleanderpier.claims import CLOCK_SKEW_S, HostLists
 from oleanderpier.claims.attempt import Attempt, Verdict
+from oleanderpier.claims.rounds import WitnessRounds
 from oleanderpier.orders.lease import Lease, Tenure
 from oleanderpier.orders.limits import (
     FENCE_SPAN,
@@ -23,12 +24,11 @@
     ROUND_SPREAD_S,
 )
 from oleanderpier.orders.messages import (
-    LeaseAsk,
     LeaseGranted,
     LeaseHeld,
+    LeaseQuery,
     LeaseRefused,
     LeaseRelease,
-    RoundId,
 )
 from oleanderpier.orders.witness import LeaseWitness, read_fence_time
 from oleanderpier.results import Code, Failure
@@ -64,7 +64,7 @@
         self.timer: Subscription | None = None
 
 
-class Leases:
+class Leases(WitnessRounds):
     """Gets, renews and gives up leases, and is a witness of others' leases.
 
     Args:
@@ -84,24 +84,13 @@
         rng: random.Random,
         outbox: Outbox,
         lists: HostLists,
-    ):
-        self._host = host
-        self._incarnation = incarnation
-        self._timers = timers
-        self._rng = rng
-        self._outbox = outbox
-        self._lists = lists
-        self._witness = LeaseWitness(timers, lists)
+    ) -> None:
+        witness = LeaseWitness(timers, lists)
+        super().__init__(host, incarnation, timers, rng, outbox, lists, witness)
         self._entries: dict[str, _Entry] = {}
         self._fences: dict[str, int] = {}
         self._holders: dict[str, str] = {}
         self._kept_until_s: dict[str, float] = {}
-        self._sequence = 0
-
-    @property
-    def ready(self) -> bool:
-        """Whether this host, as a witness, can grant leases."""
-        return self._lists.ready and self._witness.ready
 
     def acquire(self, subject: str, timeout_s: float, notify: NotifyLease) -> None:
         """Try to get a subject's lease; it is then renewed until given up.
@@ -179,23 +168,13 @@
         """Stop believing that another host has a subject's lease."""
         self._holders.pop(subject, None)
 
-    def handle(self, sender: str, message: Any) -> None:
-        """Take a message from another host, or from this one."""
-        self._receive(message, sender)
-
-    def _send(self, host: str, message: Any) -> bool:
-        if host == self._host:
-            self._receive(message, host)
-            return True
-        return self._outbox.send(host, message)
-
     @singledispatchmethod
     def _receive(self, message: Any, sender: str) -> None:
         raise TypeError(f"no message about leases: {message!r}")
 
     @_receive.register
-    def _(self, message: LeaseAsk, sender: str) -> None:
-        self._lists.hear_version(sender, message.list_version)
+    def _(self, message: LeaseQuery, sender: str) -> None:
+        self.lists.hear_version(sender, message.list_version)
         self._send(sender, self._witness.grant(message))
 
     @_receive.register
@@ -231,8 +210,7 @@
         self, message: LeaseGranted | LeaseHeld | LeaseRefused, sender: str
     ) -> _Entry | None:
         """Return the entry whose open round an answer belongs to."""
-        if sender != self._host:
-            self._lists.hear_version(sender, message.list_version)
+        self._hear_version(sender, message.list_version)
         entry = self._entries.get(message.subject)
         if entry is None or entry.attempt is None or entry.attempt.closed:
             return None
@@ -251,16 +229,14 @@
         entry.round_s = self._timers.now()
         entry.round_wall_s = self._timers.wall()
         ended_s = entry.round_wall_s - LEASE_S - MARGIN_S
-        required = self._lists.list_required(entry.subject.encode(), ended_s)
+        required = self.lists.list_required(entry.subject.encode(), ended_s)
         entry.held_s = 0.0
         if required is None:
             self._lose_round(entry)
             return
-        self._sequence += 1
-        round_id = RoundId(self._host, self._incarnation, self._sequence)
-        entry.attempt = Attempt(round_id, required)
+        entry.attempt = self._open_attempt(required)
         entry.fence = self._choose_fence(entry.subject)
-        entry.list_version = self._lists.newest.version
+        entry.list_version = self.lists.newest.version
         self._ask_witnesses(entry, entry.attempt)
 
     def _choose_fence(self, subject: str) -> int:
@@ -284,12 +260,10 @@
         if self._is_late(entry):
             self._lose_round(entry)
             return
-        message = LeaseAsk(
+        message = LeaseQuery(
             entry.subject, attempt.claim_id, entry.fence, entry.list_version
         )
-        for host in sorted(attempt.unanswered, key=lambda host: host == self._host):
-            if not attempt.closed and not self._send(host, message):
-                attempt.deny(host, None)
+        self._ask_unanswered(attempt, message)
         self._judge(entry)
         if not attempt.closed:
             self._set_timer(
--- a/oleanderpier/orders/messages.py
+++ b/oleanderpier/orders/messages.py
@@ -3,17 +3,17 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from oleanderpier.claims import RoundId
 from oleanderpier.utils import register_message
 
 __all__ = [
-    "LeaseAsk",
     "LeaseDenial",
     "LeaseGranted",
     "LeaseHeld",
+    "LeaseQuery",
     "LeaseRefused",
     "LeaseRelease",
-    "RoundId",
-    "StartAsk",
+    "StartQuery",
     "StartTell",
 ]
 
@@ -28,27 +28,8 @@
     FENCE_AHEAD = 5
 
 
-class RoundId(NamedTuple):
-    """One round in which a process asks for a lease, or renews it.
-
-    Attributes:
-        host: The asking host.
-        incarnation: Which process of that host.
-        sequence: Rises with each round of the process.
-    """
-
-    host: str
-    incarnation: str
-    sequence: int
-
-    @property
-    def process(self) -> tuple[str, str]:
-        """The process that asks, which may hold the lease."""
-        return (self.host, self.incarnation)
-
-
 @register_message(100)
-class LeaseAsk(NamedTuple):
+class LeaseQuery(NamedTuple):
     """Asks a witness for the lease of a subject, or to renew it.
 
     Attributes:
@@ -112,7 +93,7 @@
 
 
 @register_message(105)
-class StartAsk(NamedTuple):
+class StartQuery(NamedTuple):
     """Asks the holder of a budget's lease for one start.
 
     Attributes:
--- a/oleanderpier/orders/tests/fleet.py
+++ b/oleanderpier/orders/tests/fleet.py
@@ -13,10 +13,10 @@
 from oleanderpier.orders import (
     ORDER_TIMEOUT_S,
     Budget,
-    LeaseAsk,
+    LeaseQuery,
     Leases,
     Refused,
-    StartAsk,
+    StartQuery,
     StartTell,
     issue_order,
 )
@@ -103,9 +103,9 @@
 
     def handle(self, sender: str, message: Any) -> None:
         """Take a message."""
-        if isinstance(message, StartAsk | StartTell):
+        if isinstance(message, StartQuery | StartTell):
             self.budget.handle(sender, message)
-        elif type(message).__module__ == LeaseAsk.__module__:
+        elif type(message).__module__ == LeaseQuery.__module__:
             self.leases.handle(sender, message)
         else:
             self.lists.handle(sender, message)
@@ -143,7 +143,7 @@
 
     def carry(self, sender: str, host: str, message: Any) -> bool:
         """Carry a message, as its bytes if it is of this package."""
-        if type(message).__module__ == LeaseAsk.__module__:
+        if type(message).__module__ == LeaseQuery.__module__:
             data = encode_message(message)
             self.counts[type(message).__name__] += 1
             self.sizes[type(message).__name__] += len(data)
--- a/oleanderpier/orders/tests/measures.py
+++ b/oleanderpier/orders/tests/measures.py
@@ -47,7 +47,7 @@
     begin_s = time.process_time()
     fleet.timers.advance(STEADY_S)
     used_s = time.process_time() - begin_s
-    names = ("LeaseAsk", "LeaseGranted")
+    names = ("LeaseQuery", "LeaseGranted")
     messages = sum(fleet.counts[name] for name in names)
     octets = sum(fleet.sizes[name] for name in names)
     return messages / STEADY_S, octets / STEADY_S, used_s / STEADY_S
--- a/oleanderpier/orders/tests/test_leases.py
+++ b/oleanderpier/orders/tests/test_leases.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from oleanderpier.claims import CLOCK_SKEW_S, HostList, WitnessSet
+from oleanderpier.claims import CLOCK_SKEW_S, HostList, RoundId, WitnessSet
 from oleanderpier.connections.sessions import USER_TIMEOUT_MS
 from oleanderpier.orders import (
     FENCE_SPAN,
@@ -16,14 +16,13 @@
     ROUND_RESEND_S,
     ROUND_S,
     START_WAIT_S,
-    LeaseAsk,
     LeaseDenial,
     LeaseGranted,
     LeaseHeld,
+    LeaseQuery,
     LeaseRelease,
     Leases,
     LeaseWitness,
-    RoundId,
     StartWindow,
     read_fence_time,
 )
@@ -68,7 +67,7 @@
     def ask(self, sequence, host="host-8", ahead=0, version=1):
         """Ask the witness; ``ahead`` is added to the first fence."""
         round_id = RoundId(host, "a", sequence)
-        ask = LeaseAsk(SUBJECT, round_id, self.fence + ahead, version)
+        ask = LeaseQuery(SUBJECT, round_id, self.fence + ahead, version)
         return self.witness.grant(ask)
 
     def reason(self, *args, **options):
@@ -189,7 +188,7 @@
         self.assertEqual(([], LEASE_S), (self.sent, self.told[1].error.retry_after_s))
         self.timers.advance(LEASE_S)
         self.acquire(SUBJECT)
-        self.assertIsInstance(self.sent[-1], LeaseAsk)
+        self.assertIsInstance(self.sent[-1], LeaseQuery)
 
     def test_ended_lease(self):
         """A lease that has ended is not revived by a late renewal."""
--- a/oleanderpier/orders/witness.py
+++ b/oleanderpier/orders/witness.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from oleanderpier.claims import CLOCK_SKEW_S, HostLists
+from oleanderpier.claims import CLOCK_SKEW_S, HostLists, RoundId
 from oleanderpier.orders.limits import (
     FENCE_LIFE_S,
     FENCE_SPAN,
@@ -11,13 +11,12 @@
     SWEEP_LEASES_S,
 )
 from oleanderpier.orders.messages import (
-    LeaseAsk,
     LeaseDenial,
     LeaseGranted,
     LeaseHeld,
+    LeaseQuery,
     LeaseRefused,
     LeaseRelease,
-    RoundId,
 )
 from oleanderpier.utils import Timers
 
@@ -75,7 +74,7 @@
         """Whether every lease that a predecessor granted has ended."""
         return self._timers.now() - self._started_s >= START_WAIT_S
 
-    def grant(self, ask: LeaseAsk) -> LeaseGranted | LeaseHeld | LeaseRefused:
+    def grant(self, ask: LeaseQuery) -> LeaseGranted | LeaseHeld | LeaseRefused:
         """Grant a lease, or say why not."""
         now = self._timers.now()
         record = self._records.get(ask.subject)
@@ -109,7 +108,7 @@
             if record.granted_s < oldest_s:
                 del self._records[subject]
 
-    def _find_denial(self, ask: LeaseAsk) -> LeaseDenial | None:
+    def _find_denial(self, ask: LeaseQuery) -> LeaseDenial | None:
         checks = {
             LeaseDenial.OLD_LIST: ask.list_version < self._lists.heard,
             LeaseDenial.NOT_READY: not (self.ready and self._lists.ready),
@@ -117,7 +116,7 @@
         return next((reason for reason, applies in checks.items() if applies), None)
 
     def _find_fence_denial(
-        self, ask: LeaseAsk, record: LeaseRecord | None
+        self, ask: LeaseQuery, record: LeaseRecord | None
     ) -> LeaseDenial | None:
         ahead_s = self._timers.wall() + CLOCK_SKEW_S
         checks = {
@@ -129,10 +128,10 @@
         }
         return next((reason for reason, applies in checks.items() if applies), None)
 
-    def _address(self, ask: LeaseAsk) -> tuple[str, RoundId, int]:
+    def _address(self, ask: LeaseQuery) -> tuple[str, RoundId, int]:
         return (ask.subject, ask.round_id, self._lists.heard)
 
-    def _refuse(self, ask: LeaseAsk, reason: LeaseDenial) -> LeaseRefused:
+    def _refuse(self, ask: LeaseQuery, reason: LeaseDenial) -> LeaseRefused:
         age_s = self._timers.now() - self._started_s
         retry_after_s = max(START_WAIT_S - age_s, 0.0)
         record = self._records.get(ask.subject)
--- a/oleanderpier/placement/__init__.py
+++ b/oleanderpier/placement/__init__.py
@@ -7,12 +7,12 @@
 
 from oleanderpier.placement.admission import *  # noqa: F403
 from oleanderpier.placement.affinity import *  # noqa: F403
-from oleanderpier.placement.asks import *  # noqa: F403
 from oleanderpier.placement.client import *  # noqa: F403
 from oleanderpier.placement.ledger import *  # noqa: F403
 from oleanderpier.placement.loads import *  # noqa: F403
 from oleanderpier.placement.messages import *  # noqa: F403
 from oleanderpier.placement.owners import *  # noqa: F403
+from oleanderpier.placement.pending import *  # noqa: F403
 from oleanderpier.placement.placement import *  # noqa: F403
 from oleanderpier.placement.pools import *  # noqa: F403
 from oleanderpier.placement.queues import *  # noqa: F403
--- a/oleanderpier/placement/admission.py
+++ b/oleanderpier/placement/admission.py
@@ -11,7 +11,6 @@
 from oleanderpier.placement.ledger import GrantedPermit, PermitLedger
 from oleanderpier.placement.loads import PoolLoads, ServerLoad
 from oleanderpier.placement.messages import (
-    Ask,
     FailureNotice,
     Grant,
     Holding,
@@ -19,6 +18,7 @@
     LeavingNotice,
     Migrate,
     NotOwner,
+    PermitQuery,
     Queued,
     Recount,
     Refusal,
@@ -50,7 +50,7 @@
     """Admits requests to one pool's backend servers.
 
     After taking a pool over (``begin_grace``), it first asks all hosts what
-    they hold, and queues asks until they have answered or GRACE_S has passed.
+    they hold, and queues queries until they have answered or GRACE_S has passed.
 
     Args:
         pool: The pool and its servers.
@@ -84,11 +84,11 @@
         self._ticks = timers.subscribe(TICK_S, self._tick)
 
     def close(self, owner: str) -> None:
-        """End the ownership; asks that wait are sent to the next owner."""
+        """End the ownership; queries that wait are sent to the next owner."""
         self._ticks.cancel()
         for waiting in [*self._queue, *self._held_back.values()]:
             self._queue.remove(waiting)
-            self._answer(waiting.sender, NotOwner(waiting.ask.number, owner))
+            self._answer(waiting.sender, NotOwner(waiting.query.number, owner))
         self._held_back.clear()
 
     def begin_grace(self) -> None:
@@ -125,7 +125,7 @@
         raise TypeError(f"no handler for {type(message).__name__}")
 
     @handle.register
-    def _handle_ask(self, message: Ask, sender: str) -> None:
+    def _handle_query(self, message: PermitQuery, sender: str) -> None:
         self.permits.drop(sender, message.number)
         now = self._timers.now()
         patience_s = message.target_ms / 1000 * QUEUE_PART_OF_TARGET
@@ -133,24 +133,24 @@
         self._admit(waiting)
 
     def _admit(self, waiting: Waiting, may_wait: bool = True) -> None:
-        """Grant, hold back, pass on or queue an ask."""
+        """Grant, hold back, pass on or queue a query."""
         if self.is_open() and not self._queue:
-            taking = self._find_taking(waiting.ask)
+            taking = self._find_taking(waiting.query)
             if may_wait and self._wait_for_home(waiting, taking):
                 return
             if taking:
                 self._grant(waiting, taking)
                 return
-            if waiting.ask.fleet_load:
+            if waiting.query.fleet_load:
                 self._pass_on(waiting)
                 return
         self._enqueue(waiting)
         self._serve()
 
-    def _find_taking(self, ask: Ask) -> dict[str, ServerLoad]:
-        """Return the servers that may take an ask under both bounds."""
+    def _find_taking(self, query: PermitQuery) -> dict[str, ServerLoad]:
+        """Return the servers that may take a query under both bounds."""
         taking = self.loads.find_open(self._timers.now())
-        return self.loads.keep_below(taking, ask.fleet_load / 100)
+        return self.loads.keep_below(taking, query.fleet_load / 100)
 
     @handle.register
     def _handle_release(self, message: Release, sender: str) -> None:
@@ -213,7 +213,7 @@
         )
 
     def count_waiting(self) -> int:
-        """Return how many asks wait."""
+        """Return how many queries wait."""
         return len(self._queue)
 
     def is_open(self) -> bool:
@@ -227,7 +227,7 @@
             self._refuse(waiting, wait_s)
             return
         self._queue.push(waiting)
-        self._answer(waiting.sender, Queued(waiting.ask.number))
+        self._answer(waiting.sender, Queued(waiting.query.number))
         self._timers.call_later(waiting.deadline_s - now, lambda: self._expire(waiting))
 
     def _expire(self, waiting: Waiting) -> None:
@@ -237,7 +237,7 @@
             self._refuse(waiting, self._predict_wait(waiting))
 
     def _refuse(self, waiting: Waiting, wait_s: float) -> None:
-        number, workspace = waiting.ask.number, waiting.ask.workspace
+        number, workspace = waiting.query.number, waiting.query.workspace
         code = Code.TARGET_UNREACHABLE
         if self._is_over_share(workspace):
             code = Code.WORKSPACE_OVER_SHARE
@@ -253,7 +253,9 @@
         """Refuse what the entry host has a less loaded pool for."""
         retry_ms = round(MIN_RETRY_AFTER_S * 1000)
         load, code = self._measure_load(), Code.TARGET_UNREACHABLE
-        self._answer(waiting.sender, Refusal(waiting.ask.number, code, retry_ms, load))
+        self._answer(
+            waiting.sender, Refusal(waiting.query.number, code, retry_ms, load)
+        )
 
     def _is_over_share(self, workspace: int) -> bool:
         """Return whether a workspace has more than its part while others wait."""
@@ -268,7 +270,7 @@
         return wanted > share
 
     def _predict_wait(self, waiting: Waiting) -> float:
-        """Return the seconds until an ask would be granted, as far as known."""
+        """Return the seconds until a query would be granted, as far as known."""
         now = self._timers.now()
         opens_s = max(0.0, self._open_s - now)
         slots, in_flight = self.loads.sum_usable(now)
@@ -316,18 +318,18 @@
                 over -= 1
 
     def _wait_for_home(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> bool:
-        """Hold an ask back for a moment if only other servers may take it.
+        """Hold a query back for a moment if only other servers may take it.
 
         Returns:
             Whether it is held back.
         """
-        ask = waiting.ask
-        homes = self.homes.find(ask.chat)
-        if not homes or not taking or ask.avoid:
+        query = waiting.query
+        homes = self.homes.find(query.chat)
+        if not homes or not taking or query.avoid:
             return False
         if any(home in taking for home in homes):
             return False
-        wait_s = min(HOME_WAIT_S, ask.target_ms / 1000 * HOME_PART_OF_TARGET)
+        wait_s = min(HOME_WAIT_S, query.target_ms / 1000 * HOME_PART_OF_TARGET)
         self._held_back[waiting.order] = waiting
         self._timers.call_later(wait_s, lambda: self._stop_waiting(waiting))
         return True
@@ -339,8 +341,8 @@
     def _grant_homes(self) -> None:
         """Grant what was held back for a server that may take it now."""
         for waiting in list(self._held_back.values()):
-            taking = self._find_taking(waiting.ask)
-            homes = self.homes.find(waiting.ask.chat)
+            taking = self._find_taking(waiting.query)
+            homes = self.homes.find(waiting.query.chat)
             if self.is_open() and any(home in taking for home in homes):
                 del self._held_back[waiting.order]
                 self._grant(waiting, taking)
@@ -356,7 +358,7 @@
             self._grant(waiting, taking)
 
     def _pick_waiting(self, taking: dict[str, ServerLoad]) -> Waiting:
-        """Return the ask that is next in turn.
+        """Return the query that is next in turn.
 
         Of the first few of its workspace, the one whose prefix is on a server
         with a free slot goes first.
@@ -364,31 +366,31 @@
         turn = self._queue.iterate_fairly(self.permits.workspaces)
         first = next(turn)
         for waiting in (first, *islice(turn, LOOKAHEAD - 1)):
-            homes = self.homes.find(waiting.ask.chat)
+            homes = self.homes.find(waiting.query.chat)
             if homes and homes[0] in taking:
                 return waiting
         return first
 
     def _grant(self, waiting: Waiting, taking: dict[str, ServerLoad]) -> None:
-        ask, sender = waiting.ask, waiting.sender
-        server = self._choose_server(ask, taking)
+        query, sender = waiting.query, waiting.sender
+        server = self._choose_server(query, taking)
         now = self._timers.now()
-        permit = GrantedPermit(server, ask.chat, ask.workspace, now)
-        self.permits.add(sender, ask.number, permit)
-        if ask.chat:
-            self.homes.record(ask.chat, server)
-        self._answer(sender, Grant(ask.number, server, self._measure_load()))
+        permit = GrantedPermit(server, query.chat, query.workspace, now)
+        self.permits.add(sender, query.number, permit)
+        if query.chat:
+            self.homes.record(query.chat, server)
+        self._answer(sender, Grant(query.number, server, self._measure_load()))
 
-    def _choose_server(self, ask: Ask, taking: dict[str, ServerLoad]) -> str:
+    def _choose_server(self, query: PermitQuery, taking: dict[str, ServerLoad]) -> str:
         """Return the newest home that may take one more, else the least filled.
 
         Among equally filled servers the chat's rendezvous order decides.
         """
-        names = [name for name in taking if name != ask.avoid] or list(taking)
-        for home in self.homes.find(ask.chat):
+        names = [name for name in taking if name != query.avoid] or list(taking)
+        for home in self.homes.find(query.chat):
             if home in names:
                 return home
-        order = rank_candidates(str(ask.chat), names)
+        order = rank_candidates(str(query.chat), names)
         return min(order, key=lambda name: _fill(taking[name]))
 
     def _measure_load(self) -> int:
--- a/oleanderpier/placement/client.py
+++ b/oleanderpier/placement/client.py
@@ -10,15 +10,14 @@
 from expression import Error, Ok
 
 from oleanderpier.configuration import WorkClass
-from oleanderpier.placement.asks import FleetLoad, HeldPermit, Notify, PendingAsk
 from oleanderpier.placement.messages import (
-    Ask,
     Grant,
     Holding,
     Holdings,
     LeavingNotice,
     Migrate,
     NotOwner,
+    PermitQuery,
     Queued,
     Recount,
     Refusal,
@@ -27,6 +26,7 @@
     shorten_name,
 )
 from oleanderpier.placement.owners import OwnerChange, OwnerTable
+from oleanderpier.placement.pending import FleetLoad, HeldPermit, Notify, PendingPermit
 from oleanderpier.placement.pools import Pool, Topology
 from oleanderpier.placement.queues import QUEUE_PART_OF_TARGET
 from oleanderpier.placement.records import Outcome, Permit, PermitRequest
@@ -78,7 +78,7 @@
         self._topology = Topology([])
         self._classes: dict[str, WorkClass] = {}
         self._number = rng.randrange(NUMBER_RANGE)
-        self._pending: dict[int, PendingAsk] = {}
+        self._pending: dict[int, PendingPermit] = {}
         self._held: dict[int, HeldPermit] = {}
         self._held_of_pool: dict[int, set[int]] = {}
         self._fleet_loads: defaultdict[tuple[str, ...], FleetLoad]
@@ -132,7 +132,7 @@
             notify(Error(failure))
             return
         deadline_s = self._timers.now() + work_class["first_token_s"]
-        pending = PendingAsk(request, work_class, pools, deadline_s, notify)
+        pending = PendingPermit(request, work_class, pools, deadline_s, notify)
         self._renumber(pending)
         self._start_pool(pending)
 
@@ -243,7 +243,7 @@
         self._held[permit.number] = held._replace(permit=moved)
         return pool.number
 
-    def _refresh_pools(self, pending: PendingAsk) -> None:
+    def _refresh_pools(self, pending: PendingPermit) -> None:
         before = pending.pools[0].number
         known = self._topology.pools
         pools = [known[p.number] for p in pending.pools if p.number in known]
@@ -256,7 +256,7 @@
     def _find_owner(self, pool: int) -> str:
         return self._owners.find_owner(pool)
 
-    def _start_pool(self, pending: PendingAsk) -> None:
+    def _start_pool(self, pending: PendingPermit) -> None:
         pending.tried = []
         pool = pending.pools[0].number
         owner = self._find_owner(pool)
@@ -265,7 +265,7 @@
         else:
             self._ask(pending, owner)
 
-    def _ask(self, pending: PendingAsk, owner: str) -> None:
+    def _ask(self, pending: PendingPermit, owner: str) -> None:
         self._renumber(pending)
         pending.tried.append(owner)
         pending.timer.cancel()
@@ -284,7 +284,7 @@
             min(ASK_TIMEOUT_S, left_s), lambda: self._ask_another(pending)
         )
         target_ms = max(1, round(left_s * 1000))
-        ask = Ask(
+        query = PermitQuery(
             pending.number,
             pool.number,
             chat,
@@ -293,15 +293,15 @@
             fleet_load,
             pending.avoid,
         )
-        self._send(owner, ask)
+        self._send(owner, query)
 
-    def _renumber(self, pending: PendingAsk) -> None:
+    def _renumber(self, pending: PendingPermit) -> None:
         self._pending.pop(pending.number, None)
         self._number = (self._number + 1) % NUMBER_RANGE
         pending.number = self._number
         self._pending[pending.number] = pending
 
-    def _ask_another(self, pending: PendingAsk) -> None:
+    def _ask_another(self, pending: PendingPermit) -> None:
         """Ask the next host in line, once; then use this host's own share."""
         if pending.number not in self._pending:
             return
@@ -315,7 +315,7 @@
         self._share_until_s[pool] = self._timers.now() + SHARE_HOLD_S
         self._use_share(pending)
 
-    def _use_share(self, pending: PendingAsk) -> None:
+    def _use_share(self, pending: PendingPermit) -> None:
         """Take a slot out of this host's equal part, by its own count."""
         pool = pending.pools[0]
         hosts = max(1, len(self._owners.hosts))
@@ -339,7 +339,7 @@
         chat = hash_text(pending.request.chat)
         self._finish(pending, rank_candidates(str(chat), free)[0])
 
-    def _try_next_pool(self, pending: PendingAsk) -> None:
+    def _try_next_pool(self, pending: PendingPermit) -> None:
         del pending.pools[0]
         self._start_pool(pending)
 
@@ -350,7 +350,7 @@
             return False
         return self._topology.find_pool(backend_server) is not None
 
-    def _repeat(self, pending: PendingAsk, avoid: str) -> None:
+    def _repeat(self, pending: PendingPermit, avoid: str) -> None:
         pending.avoid = avoid
         pending.repeats += 1
         if pending.repeats > MAX_REPEATS:
@@ -358,20 +358,20 @@
         else:
             self._start_pool(pending)
 
-    def _expire(self, pending: PendingAsk) -> None:
+    def _expire(self, pending: PendingPermit) -> None:
         if pending.number in self._pending:
             self._fail(pending, Code.TARGET_UNREACHABLE, SHARE_RETRY_AFTER_S)
 
-    def _forget(self, pending: PendingAsk) -> None:
+    def _forget(self, pending: PendingPermit) -> None:
         self._pending.pop(pending.number, None)
         pending.timer.cancel()
 
-    def _fail(self, pending: PendingAsk, code: Code, retry_after_s: float) -> None:
+    def _fail(self, pending: PendingPermit, code: Code, retry_after_s: float) -> None:
         self._forget(pending)
         text = f"no permit for {pending.work_class['needs']}"
         pending.notify(Error(Failure(code, text, retry_after_s)))
 
-    def _finish(self, pending: PendingAsk, backend_server: str) -> None:
+    def _finish(self, pending: PendingPermit, backend_server: str) -> None:
         self._forget(pending)
         request = pending.request
         priority = round(pending.work_class["first_token_s"] * PRIORITY_UNITS_PER_S)
--- a/oleanderpier/placement/messages.py
+++ b/oleanderpier/placement/messages.py
@@ -11,7 +11,6 @@
 from oleanderpier.utils import hash_text, register_message
 
 __all__ = [
-    "Ask",
     "FailureNotice",
     "Grant",
     "Holding",
@@ -19,6 +18,7 @@
     "LeavingNotice",
     "Migrate",
     "NotOwner",
+    "PermitQuery",
     "Queued",
     "Recount",
     "Refusal",
@@ -39,7 +39,7 @@
 
 
 @register_message(80)
-class Ask(NamedTuple):
+class PermitQuery(NamedTuple):
     """An entry host asks a pool's owner for a permit.
 
     Attributes:
@@ -68,7 +68,7 @@
     """The owner gives a permit.
 
     Attributes:
-        number: The number of the ask.
+        number: The number of the query.
         backend_server: Where the request may run.
         load: In flight and queued in the pool, percent of its slots.
     """
@@ -83,7 +83,7 @@
     """The owner gives no permit, for good.
 
     Attributes:
-        number: The number of the ask.
+        number: The number of the query.
         code: A result code that means not run.
         retry_after_ms: When to come back.
         load: In flight and queued in the pool, percent of its slots.
@@ -97,7 +97,7 @@
 
 @register_message(83)
 class Queued(NamedTuple):
-    """The owner has the ask in its queue; a grant or refusal will follow."""
+    """The owner has the query in its queue; a grant or refusal will follow."""
 
     number: int
 
@@ -107,7 +107,7 @@
     """The host that was asked does not own the pool.
 
     Attributes:
-        number: The number of the ask.
+        number: The number of the query.
         owner: The host that it believes to be the owner, or "".
     """
 
--- a/oleanderpier/placement/asks.py
+++ b/oleanderpier/placement/pending.py
@@ -1,4 +1,4 @@
-"""What an entry host keeps of its asks and of the permits that it holds."""
+"""What an entry host keeps of its queries and of the permits that it holds."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,7 +11,7 @@
 from oleanderpier.results import Failure
 from oleanderpier.utils import Subscription
 
-__all__ = ["FleetLoad", "HeldPermit", "Notify", "PendingAsk"]
+__all__ = ["FleetLoad", "HeldPermit", "Notify", "PendingPermit"]
 
 FLEET_LOAD_WEIGHT = 0.03
 FLEET_LOAD_ANSWERS = 20
@@ -66,12 +66,12 @@
         return round(self._mean) if self._answers >= FLEET_LOAD_ANSWERS else 0
 
 
-class PendingAsk:
+class PendingPermit:
     """A request that has no permit yet.
 
     Attributes:
         pools: The pools still to try; the first is being asked.
-        number: The number of the ask, a new one each time it is sent, so that
+        number: The number of the query, a new one each time it is sent, so that
             a late answer to an earlier one is not taken for this one's.
         tried: The hosts that were asked about the first pool.
         repeats: How often the request was asked anew.
--- a/oleanderpier/placement/placement.py
+++ b/oleanderpier/placement/placement.py
@@ -9,19 +9,19 @@
 
 from oleanderpier.configuration import BackendServer, ConfigurationDocument, WorkClass
 from oleanderpier.placement.admission import Admission
-from oleanderpier.placement.asks import Notify
 from oleanderpier.placement.client import PermitClient
 from oleanderpier.placement.loads import DEFAULT_LOAD_MULTIPLE
 from oleanderpier.placement.messages import (
-    Ask,
     FailureNotice,
     Holdings,
     LeavingNotice,
     NotOwner,
+    PermitQuery,
     Release,
     Renewal,
 )
 from oleanderpier.placement.owners import OwnerChange, OwnerTable
+from oleanderpier.placement.pending import Notify
 from oleanderpier.placement.pools import Topology
 from oleanderpier.placement.records import (
     Explanation,
@@ -209,7 +209,7 @@
         self._client.handle(message, sender)
 
     @_dispatch.register
-    def _dispatch_ask(self, message: Ask, sender: str) -> None:
+    def _dispatch_query(self, message: PermitQuery, sender: str) -> None:
         admission = self._admissions.get(message.pool)
         if admission is None:
             owner = self._owners.find_owner(message.pool)
--- a/oleanderpier/placement/queues.py
+++ b/oleanderpier/placement/queues.py
@@ -1,7 +1,7 @@
-"""The asks that wait at a pool's owner, fair between workspaces.
+"""The queries that wait at a pool's owner, fair between workspaces.
 
 The next grant goes to the waiting workspace with the fewest permits in
-flight, and within it to the ask with the earliest deadline: a class with a
+flight, and within it to the query with the earliest deadline: a class with a
 tighter target passes others, and a workspace that surges waits behind its own.
 """
 
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from oleanderpier.placement.messages import Ask
+from oleanderpier.placement.messages import PermitQuery
 
 __all__ = ["QUEUE_PART_OF_TARGET", "FairQueue", "Waiting"]
 
@@ -19,23 +19,23 @@
 
 
 class Waiting(NamedTuple):
-    """An ask in the queue; sorts by deadline.
+    """A query in the queue; sorts by deadline.
 
     Attributes:
         deadline_s: When it is refused if it still waits.
-        order: Its place among all asks of the owner.
+        order: Its place among all queries of the owner.
         sender: The entry host.
-        ask: The ask itself.
+        query: The query itself.
     """
 
     deadline_s: float
     order: int
     sender: str
-    ask: Ask
+    query: PermitQuery
 
 
 class FairQueue:
-    """Waiting asks, by workspace and deadline."""
+    """Waiting queries, by workspace and deadline."""
 
     def __init__(self) -> None:
         self._workspaces: dict[int, list[Waiting]] = {}
@@ -49,63 +49,63 @@
             yield from list(waiting)
 
     def count_waiting(self, workspace: int) -> int:
-        """Return how many asks of a workspace wait."""
+        """Return how many queries of a workspace wait."""
         return len(self._workspaces.get(workspace, ()))
 
     def list_workspaces(self) -> list[int]:
-        """Return the workspaces that have asks waiting."""
+        """Return the workspaces that have queries waiting."""
         return list(self._workspaces)
 
     def push(self, waiting: Waiting) -> None:
-        """Add an ask."""
-        bisect.insort(self._workspaces.setdefault(waiting.ask.workspace, []), waiting)
+        """Add a query."""
+        bisect.insort(self._workspaces.setdefault(waiting.query.workspace, []), waiting)
         self._length += 1
 
     def remove(self, waiting: Waiting) -> None:
-        """Take an ask out, if it is still in."""
-        asks = self._workspaces.get(waiting.ask.workspace, [])
-        index = bisect.bisect_left(asks, waiting)
-        if index == len(asks) or asks[index] != waiting:
+        """Take a query out, if it is still in."""
+        queries = self._workspaces.get(waiting.query.workspace, [])
+        index = bisect.bisect_left(queries, waiting)
+        if index == len(queries) or queries[index] != waiting:
             return
-        del asks[index]
+        del queries[index]
         self._length -= 1
-        if not asks:
-            del self._workspaces[waiting.ask.workspace]
+        if not queries:
+            del self._workspaces[waiting.query.workspace]
 
     def iterate_fairly(self, in_flight: Counter[int]) -> Iterator[Waiting]:
-        """Yield the asks in the order in which they should be granted.
+        """Yield the queries in the order in which they should be granted.
 
         Args:
             in_flight: Permits in flight by workspace.
         """
         heap = [
-            (in_flight[workspace], asks[0], 0, asks)
-            for workspace, asks in self._workspaces.items()
+            (in_flight[workspace], queries[0], 0, queries)
+            for workspace, queries in self._workspaces.items()
         ]
         heapq.heapify(heap)
         while heap:
-            level, waiting, index, asks = heap[0]
+            level, waiting, index, queries = heap[0]
             yield waiting
-            if index + 1 < len(asks):
-                following = (level + 1, asks[index + 1], index + 1, asks)
+            if index + 1 < len(queries):
+                following = (level + 1, queries[index + 1], index + 1, queries)
                 heapq.heapreplace(heap, following)
             else:
                 heapq.heappop(heap)
 
     def count_ahead(self, waiting: Waiting, in_flight: Counter[int]) -> int:
-        """Return how many grants come before a newly arrived ask's.
+        """Return how many grants come before a newly arrived query's.
 
         Args:
-            waiting: The ask, which need not be in the queue.
+            waiting: The query, which need not be in the queue.
             in_flight: Permits in flight by workspace.
         """
-        workspace = waiting.ask.workspace
+        workspace = waiting.query.workspace
         own = self._workspaces.get(workspace, [])
         own_ahead = bisect.bisect_left(own, waiting)
         level = in_flight[workspace] + own_ahead + 1
         others = (
-            min(len(asks), max(0, level - in_flight[other]))
-            for other, asks in self._workspaces.items()
+            min(len(queries), max(0, level - in_flight[other]))
+            for other, queries in self._workspaces.items()
             if other != workspace
         )
         return own_ahead + sum(others)
--- a/oleanderpier/placement/tests/fleet.py
+++ b/oleanderpier/placement/tests/fleet.py
@@ -209,7 +209,7 @@
         """Return the first admission of a host."""
         return next(iter(self.placements[name]._admissions.values()))
 
-    def ask(
+    def query(
         self,
         host,
         chat="",
@@ -289,5 +289,5 @@
             host = self.rng.choice(self.list_running())
             chat = f"c{self.rng.randrange(200)}"
             workspace = f"w{self.rng.randrange(workspaces)}"
-            self.ask(host, chat, workspace, hold_s=self.rng.expovariate(1 / hold_s))
+            self.query(host, chat, workspace, hold_s=self.rng.expovariate(1 / hold_s))
             self.timers.advance(1 / rate)
--- a/oleanderpier/placement/tests/test_admission.py
+++ b/oleanderpier/placement/tests/test_admission.py
@@ -8,11 +8,11 @@
 
 from oleanderpier.placement import (
     Admission,
-    Ask,
     Grant,
     Holding,
     Holdings,
     LeavingNotice,
+    PermitQuery,
     Refusal,
     Release,
     Renewal,
@@ -41,11 +41,13 @@
         self.admission.begin_grace()
         self.admission.handle(Holdings(pool.number, []), "h0")
 
-    def ask(self, number, chat=0, workspace=1, target_ms=1600):
+    def query(self, number, chat=0, workspace=1, target_ms=1600):
         """Ask as an entry host."""
         self.waiting[number] = workspace
-        ask = Ask(number, self.admission.pool.number, chat, workspace, target_ms)
-        self.admission.handle(ask, "h0")
+        query = PermitQuery(
+            number, self.admission.pool.number, chat, workspace, target_ms
+        )
+        self.admission.handle(query, "h0")
 
     def release(self, number, failed=False):
         """Release as an entry host."""
@@ -75,9 +77,9 @@
 class AlwaysHome(Admission):
     """A naive owner: a chat goes to its server whatever that carries."""
 
-    def _choose_server(self, ask, taking):
+    def _choose_server(self, query, taking):
         names = sorted(self.loads.servers)
-        return names[ask.chat % 7 % len(names)]
+        return names[query.chat % 7 % len(names)]
 
 
 def run_schedule(owner, seed, events=1500):
@@ -86,7 +88,7 @@
     for number in range(events):
         rate = 0.75 if (number // 300) % 2 else 0.5
         if rng.random() < rate or not owner.held:
-            owner.ask(number, chat=rng.randrange(80), workspace=rng.randrange(4))
+            owner.query(number, chat=rng.randrange(80), workspace=rng.randrange(4))
         else:
             owner.release(rng.choice(list(owner.held)), failed=rng.random() < 0.01)
         owner.timers.advance(rng.expovariate(50))
@@ -125,17 +127,17 @@
         """Refusals say when to come back, and whose share is used up."""
         owner = Owner(servers=1, slots=4)
         for number in range(4):
-            owner.ask(number, workspace=1)
+            owner.query(number, workspace=1)
         owner.timers.advance(10.0)
         owner.release(0)
-        owner.ask(4, workspace=1)
+        owner.query(4, workspace=1)
         before = len(owner.refused)
-        owner.ask(5, workspace=1, target_ms=1600)
+        owner.query(5, workspace=1, target_ms=1600)
         self.assertEqual(before + 1, len(owner.refused))
         self.assertEqual(Code.TARGET_UNREACHABLE, owner.refused[-1].code)
         self.assertTrue(2000 <= owner.refused[-1].retry_after_ms <= 10_000)
-        owner.ask(6, workspace=2, target_ms=60_000)
-        owner.ask(7, workspace=1, target_ms=1600)
+        owner.query(6, workspace=2, target_ms=60_000)
+        owner.query(7, workspace=1, target_ms=1600)
         self.assertEqual(Code.WORKSPACE_OVER_SHARE, owner.refused[-1].code)
 
     def test_a_chat_waits_a_moment_for_its_server(self):
@@ -145,8 +147,8 @@
             owner.admission.homes.record(7, "e0")
             owner.admission.homes.record(8, "e0")
             for number, chat in enumerate((7, 8)):
-                owner.ask(number, chat=chat)
-            owner.ask(2, chat=7, target_ms=1600)
+                owner.query(number, chat=chat)
+            owner.query(2, chat=7, target_ms=1600)
             self.assertNotIn(2, owner.held)
             owner.timers.advance(0.05)
             if released:
@@ -157,8 +159,8 @@
     def test_waiting_past_the_target_is_refused(self):
         """An ask whose prediction was wrong is refused when its time is over."""
         owner = Owner(servers=1, slots=1)
-        owner.ask(0)
-        owner.ask(1, target_ms=1000)
+        owner.query(0)
+        owner.query(1, target_ms=1000)
         owner.timers.advance(1.0)
         self.assertEqual([1], [refusal.number for refusal in owner.refused])
         owner.release(0)
@@ -167,8 +169,8 @@
     def test_leases(self):
         """Permits that are not renewed expire; renewed ones stay."""
         owner = Owner()
-        owner.ask(0)
-        owner.ask(1)
+        owner.query(0)
+        owner.query(1)
         for _ in range(8):
             owner.timers.advance(5.0)
             owner.admission.handle(Renewal(1, [1]), "h0")
@@ -179,10 +181,10 @@
     def test_lease_begins_with_the_first_permit(self):
         """A host that comes back after a long time has a whole lease."""
         owner = Owner()
-        owner.ask(0)
+        owner.query(0)
         owner.release(0)
         owner.timers.advance(60.0)
-        owner.ask(1)
+        owner.query(1)
         owner.timers.advance(5.0)
         self.assertEqual(1, len(list(owner.admission.permits)))
 
@@ -193,5 +195,5 @@
         held = [Holding(900, "gone", 1, 1)]
         owner.admission.handle(Holdings(1, held), "h0")
         for number in range(10):
-            owner.ask(number, chat=number)
+            owner.query(number, chat=number)
         self.assertEqual({"e1"}, set(owner.held.values()))
--- a/oleanderpier/placement/tests/test_placement.py
+++ b/oleanderpier/placement/tests/test_placement.py
@@ -258,7 +258,7 @@
         fleet = Fleet()
         tries = Counter()
         for number in range(400):
-            fleet.ask("h0", f"c{number}", hold_s=0.05, outcome=Outcome.DONE)
+            fleet.query("h0", f"c{number}", hold_s=0.05, outcome=Outcome.DONE)
             fleet.timers.advance(0.02)
             for (host, _), permit in list(fleet.live.items()):
                 if permit.backend_server == "e0":
@@ -298,10 +298,10 @@
         for number in range(1500):
             host = fleet.names[number % 4]
             hold_s = fleet.rng.expovariate(1 / 4.0)
-            surging = fleet.ask(host, f"s{number % 300}", "surge", hold_s=hold_s)
+            surging = fleet.query(host, f"s{number % 300}", "surge", hold_s=hold_s)
             requests["surging"].append(surging)
             if number % 30 == 0:
-                quiet = fleet.ask(host, f"q{number}", f"w{number % 3}", hold_s=hold_s)
+                quiet = fleet.query(host, f"q{number}", f"w{number % 3}", hold_s=hold_s)
                 requests["quiet"].append(quiet)
             fleet.timers.advance(0.01)
         fleet.timers.advance(10.0)
@@ -330,7 +330,7 @@
             home = topology.rank_pools("engine", "model", chat)[0]
             if home.number != crowded.number and number % 2:
                 continue
-            fleet.ask(fleet.names[number % 4], chat, hold_s=60.0)
+            fleet.query(fleet.names[number % 4], chat, hold_s=60.0)
             fleet.timers.advance(0.005)
         fleet.timers.advance(0.1)
         names = [server["name"] for server in crowded.servers]
@@ -353,20 +353,20 @@
     def test_plain_services(self):
         """A service's calls are spread, and refused when nothing provides it."""
         fleet = Fleet()
-        request = fleet.ask("h0", work_class="lookup")
+        request = fleet.query("h0", work_class="lookup")
         self.assertEqual(Code.NO_BACKEND_SERVER, fleet.results[request].code)
         services = [make_server(f"s{i}", 4, kind="service") for i in range(3)]
         fleet.tell_servers([*fleet.servers, *services])
         fleet.timers.advance(1.0)
         for _ in range(9):
-            fleet.ask("h1", work_class="lookup")
+            fleet.query("h1", work_class="lookup")
         fleet.timers.advance(0.1)
         self.assertEqual([3, 3, 3], [fleet.running[f"s{i}"] for i in range(3)])
 
     def test_explain(self):
         """The owner says where a chat was placed; others say who owns."""
         fleet = Fleet()
-        request = fleet.ask("h0", "c1")
+        request = fleet.query("h0", "c1")
         fleet.timers.advance(0.1)
         owner = fleet.find_owners()[0]
         explanation = fleet.placements[owner].explain("c1", "quick")
--- a/oleanderpier/placement/tests/test_queues.py
+++ b/oleanderpier/placement/tests/test_queues.py
@@ -5,12 +5,12 @@
 
 from testtools import TestCase
 
-from oleanderpier.placement import Ask, ChatHomes, FairQueue, Waiting
+from oleanderpier.placement import ChatHomes, FairQueue, PermitQuery, Waiting
 
 
 def make_waiting(order, workspace, deadline_s=10.0):
     """Return a waiting ask."""
-    return Waiting(deadline_s, order, "h0", Ask(order, 1, 0, workspace, 1000))
+    return Waiting(deadline_s, order, "h0", PermitQuery(order, 1, 0, workspace, 1000))
 
 
 class FairQueueTest(TestCase):
@@ -38,7 +38,7 @@
             ahead = queue.count_ahead(newcomer, in_flight)
             queue.push(newcomer)
             turn = list(queue.iterate_fairly(in_flight))
-            ties = len({w.ask.workspace for w in turn}) - 1
+            ties = len({w.query.workspace for w in turn}) - 1
             self.assertTrue(0 <= ahead - turn.index(newcomer) <= ties)
 
     def test_remove(self):
--- a/oleanderpier/replication/messages.py
+++ b/oleanderpier/replication/messages.py
@@ -4,7 +4,7 @@
 
 from oleanderpier.utils import register_message
 
-__all__ = ["PLATFORM", "Item", "ItemNews", "ItemsAsk", "Knowledge"]
+__all__ = ["PLATFORM", "Item", "ItemNews", "ItemsQuery", "Knowledge"]
 
 # The source of what the platform itself told this host.
 PLATFORM = "platform"
@@ -58,7 +58,7 @@
 
 
 @register_message(131)
-class ItemsAsk(NamedTuple):
+class ItemsQuery(NamedTuple):
     """Asks for what changed later than a revision.
 
     Attributes:
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -9,7 +9,7 @@
 from oleanderpier.replication.messages import (
     PLATFORM,
     ItemNews,
-    ItemsAsk,
+    ItemsQuery,
     Knowledge,
 )
 from oleanderpier.replication.replica import Change, Replica
@@ -87,7 +87,7 @@
             if replica.note_equal(*theirs):
                 continue
             if self._is_ask_due(replica):
-                self._outbox.send(host, ItemsAsk(space, replica.as_of))
+                self._outbox.send(host, ItemsQuery(space, replica.as_of))
 
     def _is_ask_due(self, replica: Replica) -> bool:
         """Return whether to ask a peer now for a change that it has."""
@@ -111,7 +111,7 @@
         raise TypeError(f"no handler for {type(message).__name__}")
 
     @_receive.register
-    def _handle_ask(self, message: ItemsAsk, sender: str) -> None:
+    def _handle_ask(self, message: ItemsQuery, sender: str) -> None:
         replica = self._replicas.get(message.space)
         if replica is not None:
             self._outbox.send(sender, replica.list_since(message.after))
