Serve counters and latency histograms; log each request's end once

Cause: the platform's hosts had no metrics, and a caller who left during a write was told of twice (request:caller_left and request:caller_gone). One request:end for every request, code 208 where its caller left, with the time to the first piece.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -8,6 +8,7 @@
 from expression import Error, Result
 
 from oleanderpier.connections import make_session
+from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.values import decode_server, decode_table
 from oleanderpier.events import Clock
@@ -19,8 +20,8 @@
     OLDEST_S,
     Change,
     ItemNews,
-    ItemsAsk,
     ItemSource,
+    ItemsQuery,
     Replica,
     Sharing,
     keep_replica,
@@ -88,6 +89,7 @@
         state: ``starting``, ``ready`` or ``draining``.
         in_progress: How many requests of callers are under way.
         index: The routes in force, None before the first configuration.
+        metrics: What this host counts.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self.state = "starting"
         self.in_progress = 0
         self.index: RouteIndex | None = None
+        self.metrics = EntryMetrics()
         self.timers = LoopTimers()
         self._source = source
         self._dialect = dialect
@@ -108,6 +111,7 @@
         self._build_fleet(incarnation)
         self._build_routing()
         self._connect_parts()
+        self._watch_metrics()
 
     def _build_fleet(self, incarnation: int) -> None:
         settings, timers = self.settings, self.timers
@@ -155,7 +159,7 @@
         self.mesh.subscribe_range(MEMBERSHIP_NUMBERS, self._handle_membership)
         self.mesh.subscribe(HostReport, self.view.handle)
         self.mesh.subscribe_closed(self.view.note_closed)
-        for message_class in (ItemNews, ItemsAsk):
+        for message_class in (ItemNews, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sharing)
         self.members.subscribe(self._note_member)
         self.replicas[CONFIGURATION].subscribe(self._adopt_configuration)
@@ -164,6 +168,26 @@
         self.roster.subscribe_gone(self.last_heard.forget)
         self.roster.subscribe_gone(self.caches.forget_server)
 
+    def _watch_metrics(self) -> None:
+        """Register what is read off the parts when the metrics are."""
+        for name, text, read in (
+            ("requests_in_progress", "Requests now.", lambda: self.in_progress),
+            ("peer_bytes_sent", "Bytes to hosts.", lambda: self.mesh.bytes_sent),
+            ("hosts_ready", "Other ready hosts.", lambda: len(self.view.list_ready())),
+            ("servers_known", "Backend servers.", lambda: len(self.roster)),
+            (
+                "configuration_version",
+                "Version in force.",
+                lambda: self.index.table.version if self.index else 0,
+            ),
+            (
+                "configuration_age_seconds",
+                "Since it was known to be the newest.",
+                self.get_configuration_age_s,
+            ),
+        ):
+            self.metrics.watch(name, text, read)
+
     async def start(self) -> None:
         """Begin to take part in the fleet and to learn what is published."""
         self.forwarder = Forwarder(
@@ -174,6 +198,7 @@
             self.budget,
             self.last_heard,
             self.timers,
+            self.metrics.count_send,
         )
         await self.mesh.listen(*_split_address(self.settings.peer_address))
         self.members.start()
@@ -187,6 +212,7 @@
                     self._rng,
                     self._must_watch,
                     self._note_platform,
+                    self.metrics.count_platform_call,
                 )
             )
         self._start_task(self._become_ready())
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -17,6 +17,7 @@
         ready_address: Where the platform asks whether this host is ready.
         peer_address: Where other hosts connect; names this host among them.
         directory_address: Where callers ask for addresses.
+        metrics_address: Where metrics are served, None for nowhere.
         platform_address: Where the platform's store is.
         seeds: Peer addresses of some hosts, which may be gone.
         grace_s: From SIGTERM to the end of the process.
@@ -30,6 +31,7 @@
     ready_address: str
     peer_address: str
     directory_address: str
+    metrics_address: str | None
     platform_address: str
     seeds: tuple[str, ...]
     grace_s: float
--- a/oleanderpier/events/__init__.py
+++ b/oleanderpier/events/__init__.py
@@ -2,5 +2,6 @@
 
 from oleanderpier.events.clock import *  # noqa: F403
 from oleanderpier.events.merge import *  # noqa: F403
+from oleanderpier.events.metrics import *  # noqa: F403
 from oleanderpier.events.ring import *  # noqa: F403
 from oleanderpier.events.writer import *  # noqa: F403
--- a/oleanderpier/events/writer.py
+++ b/oleanderpier/events/writer.py
@@ -25,6 +25,9 @@
         descriptor: Where lines go.
         host: Named in each line.
         timers: The timer service.
+
+    Attributes:
+        dropped: How many lines were dropped since the start.
     """
 
     def __init__(self, descriptor: int, host: str, timers: Timers) -> None:
@@ -32,6 +35,7 @@
         self._host = host
         self._timers = timers
         self._lines: deque[bytes] = deque()
+        self.dropped = 0
         self._dropped: Counter[str] = Counter()
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
@@ -43,6 +47,7 @@
     def take(self, message: dict[str, Any]) -> None:
         """Take one message of eliot."""
         if len(self._lines) >= MOST_LINES:
+            self.dropped += 1
             self._dropped[str(message.get("message_type"))] += 1
             return
         line = {
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Brings a request to backend servers until one has answered, or none may."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
@@ -8,7 +9,13 @@
 
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.exchanges import Answer, Exchange, LastHeard
-from oleanderpier.forwarding.records import Call, Caller, Dialect, RequestEnd
+from oleanderpier.forwarding.records import (
+    AnswerHead,
+    Call,
+    Caller,
+    Dialect,
+    RequestEnd,
+)
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     Choice,
@@ -58,6 +65,7 @@
         budget: The retry budget.
         last_heard: When servers were last heard.
         timers: The timer service.
+        notify: Told of each send, with its ending and its length in seconds.
     """
 
     def __init__(
@@ -69,7 +77,9 @@
         budget: RetryBudget,
         last_heard: LastHeard,
         timers: Timers,
+        notify: Callable[[Ending, float], None] = lambda ending, took_s: None,
     ) -> None:
+        self.notify = notify
         self.session = session
         self.dialect = dialect
         self.chooser = chooser
@@ -110,7 +120,7 @@
     def __init__(self, shared: Forwarder, call: Call, caller: Caller) -> None:
         self._shared = shared
         self._call = call
-        self._caller = _CallerState(caller)
+        self._caller = _CallerState(caller, shared.timers)
         self._splitter = EventSplitter()
         self._service = _pick_service(call)
         self._query = ServerQuery(self._service, call.cache_key, call.shared_tokens)
@@ -190,12 +200,14 @@
             self._may_give_up,
         )
         shared.chooser.begin(self._query, identity)
+        began_s = shared.timers.now()
         try:
             ending = await exchange.run(
                 self._caller, self._splitter, self._caller.begun
             )
         finally:
             shared.chooser.end(identity)
+        shared.notify(ending, shared.timers.now() - began_s)
         self._reason = exchange.reason
         self._tried.add(identity)
         self._sends += ending is not Ending.UNREACHED
@@ -244,7 +256,14 @@
         return self._make_end(code, describe_code(code).http_status)
 
     def _make_end(self, code: Code, status: int) -> RequestEnd:
-        return RequestEnd(code, status, self._sends, self._server, self._reason)
+        return RequestEnd(
+            code,
+            status,
+            self._sends,
+            self._server,
+            self._reason,
+            self._caller.first_s,
+        )
 
 
 class _CallerState:
@@ -252,10 +271,14 @@
 
     Attributes:
         begun: Whether the head of an answer was sent.
+        first_s: Seconds until then, None before.
     """
 
-    def __init__(self, caller: Caller) -> None:
+    def __init__(self, caller: Caller, timers: Timers) -> None:
         self._caller = caller
+        self._timers = timers
+        self._since_s = timers.now()
+        self.first_s: float | None = None
         self.begun = False
         self.write = caller.write
         self.finish = caller.finish
@@ -263,8 +286,9 @@
         self.refuse = caller.refuse
         self.deliver = caller.deliver
 
-    async def begin(self, head) -> None:
+    async def begin(self, head: AnswerHead) -> None:
         self.begun = True
+        self.first_s = self._timers.now() - self._since_s
         await self._caller.begin(head)
 
 
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -129,6 +129,8 @@
         sends: To how many servers it was sent.
         server: The id of the last one, empty for none.
         text: Why, for the log.
+        first_s: Seconds until the head of a stream went to the caller, None
+            if none did.
     """
 
     code: Code
@@ -136,3 +138,4 @@
     sends: int
     server: str
     text: str
+    first_s: float | None = None
--- a/oleanderpier/operators/server.py
+++ b/oleanderpier/operators/server.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 from expression import Result
 from prometheus_client import REGISTRY, CollectorRegistry
-from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from oleanderpier.events import make_metrics_response
 from oleanderpier.operators.answers import (
     ConfigurationAnswer,
     EventsAnswer,
@@ -89,8 +89,7 @@
         )
 
     async def get_metrics(request: web.Request) -> web.Response:
-        headers = {"Content-Type": CONTENT_TYPE_LATEST}
-        return web.Response(body=generate_latest(registry), headers=headers)
+        return make_metrics_response(registry)
 
     app = web.Application()
     app.router.add_get("/v1/status", get_status)
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 
 from oleanderpier.entry import ADDRESS_KEEP_S, EntryNode
+from oleanderpier.events import make_metrics_response
 from oleanderpier.exception import CallerGoneError
 from oleanderpier.forwarding import AnswerHead, Call, RequestEnd
 from oleanderpier.platform.dialect import (
@@ -24,7 +25,12 @@
 from oleanderpier.results import Code, Failure, describe_code, make_refusal
 from oleanderpier.routing import Route
 
-__all__ = ["make_directory_handler", "make_front_handler", "make_ready_handler"]
+__all__ = [
+    "make_directory_handler",
+    "make_front_handler",
+    "make_metrics_handler",
+    "make_ready_handler",
+]
 
 # The largest body taken before a configuration says otherwise.
 MAX_BODY_BYTES = 4 << 20
@@ -114,12 +120,6 @@
         node.in_progress += 1
         try:
             await _serve(node, request, caller)
-        except CallerGoneError as error:
-            log_message(
-                "request:caller_gone",
-                request=request.headers.get(REQUEST_ID),
-                reason=str(error),
-            )
         finally:
             node.in_progress -= 1
         return caller.response or web.Response(status=500)
@@ -136,6 +136,15 @@
     return handle
 
 
+def make_metrics_handler(node: EntryNode):
+    """Return the handler of calls for metrics."""
+
+    async def handle(request: BaseRequest) -> web.Response:
+        return make_metrics_response(node.metrics.registry)
+
+    return handle
+
+
 def make_directory_handler(node: EntryNode):
     """Return the handler of callers' questions for addresses."""
 
@@ -151,33 +160,41 @@
 
 
 async def _serve(node: EntryNode, request: BaseRequest, caller: HttpCaller) -> None:
-    """Check a request, forward it and log its end."""
+    """Check a request, forward it, and log and count its end once."""
     began_s = node.timers.now()
-    identity = request.headers.get(REQUEST_ID, "")
-    call = await _read_call(node, request, began_s)
-    if isinstance(call, Failure):
-        await caller.refuse(call)
-        status = describe_code(call.code).http_status
-        ended = RequestEnd(call.code, status, 0, "", call.text)
-        route = ""
-    else:
-        route = call.route.name
-        try:
+    call: Call | Failure | None = None
+    try:
+        call = await _read_call(node, request, began_s)
+        if isinstance(call, Failure):
+            await caller.refuse(call)
+            ended = RequestEnd(call.code, _find_status(call), 0, "", call.text)
+        else:
             ended = await node.forwarder.forward(call, caller)
-        except (asyncio.CancelledError, CallerGoneError):
-            log_message(
-                "request:caller_left",
-                request=identity,
-                route=route,
-                took_s=round(node.timers.now() - began_s, 4),
-            )
+    except (asyncio.CancelledError, CallerGoneError) as error:
+        ended = RequestEnd(Code.CALLER_LEFT, 0, 0, "", repr(error))
+        _note_end(node, request, call, ended, began_s)
+        if isinstance(error, asyncio.CancelledError):
             raise
+        return
+    _note_end(node, request, call, ended, began_s)
+
+
+def _note_end(
+    node: EntryNode,
+    request: BaseRequest,
+    call: Call | Failure | None,
+    ended: RequestEnd,
+    began_s: float,
+) -> None:
+    route = call.route if isinstance(call, Call) else None
+    took_s = node.timers.now() - began_s
+    node.metrics.count_end(route and route.kind, ended.code, took_s, ended.first_s)
     log_message(
         "request:end",
-        request=identity,
+        request=request.headers.get(REQUEST_ID, ""),
         host_name=request.headers.get("Host", ""),
         path=request.raw_path,
-        route=route,
+        route=route.name if route else "",
         code=int(ended.code),
         name=ended.code.name,
         status=ended.status,
@@ -186,10 +203,15 @@
         reason=ended.text,
         version=node.index.table.version if node.index else 0,
         version_age_s=round(node.get_configuration_age_s(), 3),
-        took_s=round(node.timers.now() - began_s, 4),
+        first_s=None if ended.first_s is None else round(ended.first_s, 4),
+        took_s=round(took_s, 4),
     )
 
 
+def _find_status(failure: Failure) -> int:
+    return describe_code(failure.code).http_status
+
+
 async def _read_call(
     node: EntryNode, request: BaseRequest, began_s: float
 ) -> Call | Failure:
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -17,6 +17,7 @@
 from oleanderpier.platform.callers import (
     make_directory_handler,
     make_front_handler,
+    make_metrics_handler,
     make_ready_handler,
 )
 from oleanderpier.platform.dialect import ServerDialect
@@ -61,6 +62,7 @@
     store_session = make_session(kept_idle_s=STORE_IDLE_S)
     store = StoreClient(settings.platform_address, store_session)
     node = EntryNode(settings, store, ServerDialect())
+    node.metrics.watch("log_lines_dropped", "Since the start.", lambda: writer.dropped)
     file = _SettingsFile(path, node)
     loop.add_signal_handler(signal.SIGHUP, file.read)
     node.timers.subscribe(SETTINGS_CHECK_S, file.check)
@@ -70,6 +72,9 @@
         await _listen(make_ready_handler(node), settings.ready_address),
         await _listen(make_directory_handler(node), settings.directory_address),
     ]
+    if settings.metrics_address is not None:
+        handler = make_metrics_handler(node)
+        runners.append(await _listen(handler, settings.metrics_address))
     log_message("node:started", **settings._asdict())
     await stopped.wait()
     await node.drain()
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -1,7 +1,7 @@
 """Reads the platform's settings file, as ``deploy/settings.template`` renders it."""
 
 from pathlib import Path
-from typing import Annotated, TypedDict
+from typing import Annotated, NotRequired, TypedDict
 
 import msgspec
 from expression import Error, Ok, Result
@@ -44,7 +44,7 @@
     ttl_max_s: Positive
 
 
-class _File(TypedDict):
+class _Fields(TypedDict):
     NodeName: str
     Zone: str
     Listen: _Listen
@@ -53,6 +53,12 @@
     Platform: _Platform
 
 
+class _File(TypedDict):
+    # Where metrics are served; the platform's own fields hold no such address.
+    metrics_address: NotRequired[SocketAddress]
+    platform_fields: _Fields
+
+
 # Used where a deployment has no such bound; the strictest ones seen.
 DEFAULT_BOUNDS = _Bounds(
     GraceS=8.0,
@@ -86,17 +92,19 @@
 
 
 def _translate(file: _File) -> EntrySettings:
-    bounds = {**DEFAULT_BOUNDS, **file["Bounds"]}
-    listen = file["Listen"]
+    fields = file["platform_fields"]
+    bounds = {**DEFAULT_BOUNDS, **fields["Bounds"]}
+    listen = fields["Listen"]
     return EntrySettings(
-        host=file["NodeName"],
-        failure_domain=file["Zone"],
+        host=fields["NodeName"],
+        failure_domain=fields["Zone"],
         caller_address=listen["Front"],
         ready_address=listen["Ready"],
         peer_address=listen["Control"],
         directory_address=listen["Directory"],
-        platform_address=file["Platform"]["Address"],
-        seeds=tuple(file["Seeds"]),
+        metrics_address=file.get("metrics_address"),
+        platform_address=fields["Platform"]["Address"],
+        seeds=tuple(fields["Seeds"]),
         grace_s=bounds["GraceS"],
         budget=BudgetLimits(
             bounds["RetryBudgetRatio"], bounds["RetrySlack"], bounds["BudgetWindowS"]
--- a/oleanderpier/platform/tests/test_settings.py
+++ b/oleanderpier/platform/tests/test_settings.py
@@ -10,6 +10,7 @@
 from oleanderpier.results import Code
 from oleanderpier.routing import BudgetLimits
 
+ROOT = Path(__file__).parents[3]
 FILE = {
     "NodeName": "edge-duluth-1",
     "Zone": "duluth",
@@ -34,14 +35,23 @@
         return read_entry_settings(path)
 
 
+def render(fields: dict) -> str:
+    """Return what ``deploy/settings.template`` makes of the platform's fields."""
+    template = (ROOT / "deploy" / "settings.template").read_text()
+    return template.replace("{{Ip}}", "10.1.0.40").replace(
+        "{{.|json}}", json.dumps(fields)
+    )
+
+
 class SettingsTest(TestCase):
     """A good file is translated, a bad one is explained."""
 
     def test_translated(self):
         """Fields have the project's names; unknown ones are passed over."""
-        settings = read(json.dumps(FILE)).ok
+        settings = read(render(FILE)).ok
         self.assertEqual("10.1.0.40:8227", settings.caller_address)
         self.assertEqual(("10.1.0.40:8229", "10.2.0.29:8229"), settings.seeds)
+        self.assertEqual("10.1.0.40:9464", settings.metrics_address)
         self.assertEqual(BudgetLimits(0.2, 54.0, 10.0), settings.budget)
 
     def test_bad_files(self):
@@ -54,9 +64,9 @@
             "$.Bounds.GraceS": {**FILE, "Bounds": {"GraceS": -1}},
         }
         for path, value in cases.items():
-            failure = read(json.dumps(value)).error
+            failure = read(render(value)).error
             self.assertEqual(Code.SETTINGS_INVALID, failure.code)
-            self.assertIn(f"{path}", failure.text)
+            self.assertIn(path.replace("$", "$.platform_fields"), failure.text)
             self.assertIn("allowed", failure.text)
 
     def test_no_json(self):
--- a/oleanderpier/replication/tests/test_sharing.py
+++ b/oleanderpier/replication/tests/test_sharing.py
@@ -153,7 +153,7 @@
                     random.Random(1),
                     lambda: True,
                     lambda space, answers, silent_s: outages.append(answers),
-                    times,
+                    times=times,
                 )
             )
         return store, replica, outages
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -60,6 +60,7 @@
     rng: random.Random,
     must_watch: Callable[[], bool],
     notify: Callable[[str, bool, float], None],
+    note_call: Callable[[str, bool, float], None] = lambda *call: None,
     times: WatchTimes | None = None,
 ) -> None:
     """Bring news of the platform into a replica, until cancelled.
@@ -73,6 +74,8 @@
         notify: Told of each failure and of the first answer after one, with
             the key space, whether the platform answers, and how many seconds
             ago it had answered before.
+        note_call: Told of each call, with the key space, whether it was
+            answered, and its length in seconds.
         times: How the watch is paced.
     """
     times = times or WatchTimes()
@@ -95,6 +98,7 @@
                     replica.space, replica.as_of, times.wait_s
                 )
         except PlatformError as error:
+            note_call(replica.space, False, timers.now() - began_s)
             needs_all = needs_all or error.needs_all
             retry_s = min(times.longest_retry_s, max(times.first_retry_s, retry_s * 2))
             log_message(
@@ -107,6 +111,7 @@
             notify(replica.space, False, timers.now() - answered_s)
             await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
             continue
+        note_call(replica.space, True, timers.now() - began_s)
         if retry_s:
             silent_s = timers.now() - answered_s
             log_message(
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -48,6 +48,7 @@
     STREAM_CUT = 205
     TARGET_MISSED = 206
     KEY_UNCLAIMED = 207
+    CALLER_LEFT = 208
 
     SETTINGS_INVALID = 301
     CONFIGURATION_INVALID = 302
@@ -116,6 +117,7 @@
     Code.STREAM_CUT: (502, "The answer stopped before its end."),
     Code.TARGET_MISSED: (504, "The target passed after the request was sent."),
     Code.KEY_UNCLAIMED: (400, "A malformed request with a key was not claimed."),
+    Code.CALLER_LEFT: (499, "The caller closed the connection before the end."),
     Code.SETTINGS_INVALID: (500, "A settings file does not match its schema."),
     Code.CONFIGURATION_INVALID: (500, "A published configuration was refused."),
     Code.MESSAGE_UNKNOWN: (500, "A peer sent a message of an unknown kind."),
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -31,6 +31,10 @@
         self._callbacks: list[Callable[[str], None]] = []
         timers.subscribe(0.25, self._drop_lapsed)
 
+    def __len__(self) -> int:
+        """Return how many servers are known, leaving ones included."""
+        return len(self._entries)
+
     def subscribe_gone(self, callback: Callable[[str], None]) -> None:
         """Call back with the id of each server that is gone or started again."""
         self._callbacks.append(callback)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -95,6 +95,7 @@
         self.servers: list[StandInServer] = []
         self.processes: list[Process] = []
         self.settings: list[dict[str, Any]] = []
+        self.metrics_addresses: list[str] = []
         self._count = hosts
 
     async def __aenter__(self) -> "PlatformFleet":
@@ -102,7 +103,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._session = aiohttp.ClientSession()
         self._store_port, *ports = (
-            find_free_port() for _ in range(1 + 4 * self._count)
+            find_free_port() for _ in range(1 + 5 * self._count)
         )
         self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
         await self._runner.setup()
@@ -111,6 +112,9 @@
         seeds = [f"127.0.0.1:{ports[4 * n + 2]}" for n in range(min(3, self._count))]
         for number in range(self._count):
             self._add_settings(number, ports[4 * number : 4 * number + 4], seeds)
+        self.metrics_addresses = [
+            f"127.0.0.1:{port}" for port in ports[4 * self._count :]
+        ]
         return self
 
     async def __aexit__(self, *error) -> None:
@@ -179,7 +183,11 @@
     def write_settings(self, number: int) -> Path:
         """Write a host's settings file and return its path."""
         path = Path(self._folder.name) / f"host-{number}"
-        path.write_text(json.dumps(self.settings[number]))
+        file = {
+            "metrics_address": self.metrics_addresses[number],
+            "platform_fields": self.settings[number],
+        }
+        path.write_text(json.dumps(file))
         return path
 
     async def start_all(self) -> None:
@@ -210,6 +218,14 @@
         async with self._session.get(url, params={"Name": HOST_NAME}) as response:
             return set((await response.json())["Addresses"])
 
+    async def read_metrics(self, number: int) -> dict[str, float]:
+        """Return the samples of a host's metrics by name with labels."""
+        url = f"http://{self.metrics_addresses[number]}/metrics"
+        async with self._session.get(url) as response:
+            lines = (await response.text()).splitlines()
+        samples = (line.rpartition(" ") for line in lines if line[:1] != "#")
+        return {name: float(value) for name, _, value in samples}
+
     def request(self, number: int, path: str, identity: str, **headers: str):
         """Return the context of a request to a host."""
         method = "GET" if path.startswith("/lookup") else "POST"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -226,6 +226,49 @@
             ends = [line for line in lines if line["event"] == "request:end"]
             self.assertEqual(600, len({line["request"] for line in ends}))
 
+    def test_causes(self):
+        """Each request has one line with the status that its caller saw."""
+        run_coroutine(self._check_causes())
+
+    async def _check_causes(self):
+        async with PlatformFleet(1) as fleet:
+            server = await fleet.add_server(events=3)
+            await fleet.start_all()
+            seen = {}
+            for number, path in enumerate(("/chat/x", "/payout/x", "/other/x")):
+                identity = f"r{number}"
+                seen[identity] = (await fleet.fetch(0, path, identity))[0]
+            seen["r3"] = (await fleet.fetch(0, "/payout/x", "r3", Credential="stolen"))[
+                0
+            ]
+            await server.stop()
+            seen["r4"] = (await fleet.fetch(0, "/payout/x", "r4"))[0]
+            self.assertEqual([200, 200, 404, 401, 503], list(seen.values()))
+            async with _Silent() as silent:
+                server.address = silent.address
+                fleet.register(server)
+                await asyncio.sleep(DRAIN_S)
+                with self.assertRaises(TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        await fleet.fetch(0, "/payout/x", "r5")
+                seen["r5"] = 0
+                await asyncio.sleep(0.5)
+            metrics = await fleet.read_metrics(0)
+            _, output = await stop_gracefully(fleet.processes[0])
+        ends = [
+            line
+            for line in map(json.loads, output.splitlines())
+            if line["event"] == "request:end"
+        ]
+        self.assertEqual(seen, {line["request"]: line["status"] for line in ends})
+        self.assertEqual(len(seen), len(ends))
+        failures = [line for line in ends if line["code"]]
+        self.assertEqual(4, sum(1 for line in failures if line["reason"]))
+        for line in ends:
+            kind = {"chat": "stream", "payout": "once"}.get(line["route"], "unknown")
+            name = f'oleanderpier_requests_total{{code="{line["name"]}",kind="{kind}"}}'
+            self.assertEqual(1.0, metrics[name], name)
+
     def test_settings_change(self):
         """New seeds are learnt with and without a signal, and nothing is cut."""
         for signalled in (True, False):
