Tell a host that has started of servers' caches

Ruled out: reading the engines' lists of events; most of what would come are requests' own parts, too much for small links. Change: the host that rendezvous hashing chooses for a new reporter sends it every placement (CachedParts, message 136). Test: test_started_host_knows_caches fails without it.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -12,7 +12,7 @@
 import click
 
 from oleanderpier.utils import run_coroutine
-from tests.platform_fleet import PlatformFleet
+from standins.platform_fleet import PlatformFleet
 
 __all__ = ["main", "measure_fleet"]
 
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -12,7 +12,7 @@
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.values import decode_server, decode_table
 from oleanderpier.events import Clock
-from oleanderpier.fleet import FleetView, HostReport, ServerUse
+from oleanderpier.fleet import CachedParts, FleetView, HostReport, ServerUse
 from oleanderpier.forwarding import Dialect, Forwarder, LastHeard
 from oleanderpier.membership import MemberCard, Members, MemberState
 from oleanderpier.peers import Address, Mesh
@@ -158,7 +158,9 @@
     def _connect_parts(self) -> None:
         self.mesh.subscribe_range(MEMBERSHIP_NUMBERS, self._handle_membership)
         self.mesh.subscribe(HostReport, self.view.handle)
+        self.mesh.subscribe(CachedParts, self._learn_caches)
         self.mesh.subscribe_closed(self.view.note_closed)
+        self.view.subscribe_new(self._tell_caches)
         for message_class in (ItemNews, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sharing)
         self.members.subscribe(self._note_member)
@@ -388,6 +390,23 @@
             for number in range(use.answers):
                 self.health.note_heard(identity, failed=number < use.failures)
 
+    def _tell_caches(self, host: str) -> None:
+        """Tell a host that may have just started of servers' caches."""
+        tellers = [other for other in self.view.list_ready() if other != host]
+        if self.state == "ready":
+            tellers.append(self.settings.peer_address)
+        if rank_candidates(host, tellers)[:1] != [self.settings.peer_address]:
+            return
+        placements = self.caches.list_placements()
+        if placements:
+            self.mesh.send(host, CachedParts(placements))
+
+    def _learn_caches(self, sender: str, message: CachedParts) -> None:
+        self.caches.learn(message.placements)
+        log_message(
+            "node:caches_learnt", host=sender, placements=len(message.placements)
+        )
+
     def _adopt_configuration(self, change: Change) -> None:
         for item in change.items:
             if item.key != CONFIGURATION_KEY or not item.value:
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -5,7 +5,7 @@
 from oleanderpier.replication import Knowledge
 from oleanderpier.utils import register_message
 
-__all__ = ["HostReport", "ServerUse", "merge_reports"]
+__all__ = ["CachedParts", "HostReport", "ServerUse", "merge_reports"]
 
 
 class ServerUse(NamedTuple):
@@ -44,6 +44,17 @@
     placements: list[tuple[str, str]]
 
 
+@register_message(136)
+class CachedParts(NamedTuple):
+    """What a host tells one that has just started of servers' caches.
+
+    Attributes:
+        placements: The keys of cached parts, each with a server's id.
+    """
+
+    placements: list[tuple[str, str]]
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -80,6 +80,7 @@
         self._notify = notify
         self._times = times or FleetTimes()
         self._peers: dict[str, _Peer] = {}
+        self._new_callbacks: list[Callable[[str], None]] = []
         self._loads: Counter[str] = Counter()
         # Keys: whether hosts are of the own failure domain.
         self._due_s = {True: 0.0, False: 0.0}
@@ -90,6 +91,10 @@
         """Begin to report."""
         self._report()
 
+    def subscribe_new(self, callback: Callable[[str], None]) -> None:
+        """Call back with each host that reports first, or again after a silence."""
+        self._new_callbacks.append(callback)
+
     def report_now(self) -> None:
         """Send a report outside the usual order, since something changed."""
         self._collect_news()
@@ -143,14 +148,17 @@
     def handle(self, sender: str, message: HostReport) -> None:
         """Take in a report."""
         known = self._peers.get(sender)
-        if known is None or not self._holds(known):
-            log_message("fleet:host_reports", host=sender, ready=message.ready)
+        is_new = known is None or not self._holds(known)
         if known is not None:
             self._add_loads(known.report, -1)
         self._peers[sender] = _Peer(
             message, self._timers.now(), self._kept_s[self._is_nearby(sender)]
         )
         self._add_loads(message, 1)
+        if is_new:
+            log_message("fleet:host_reports", host=sender, ready=message.ready)
+            for callback in self._new_callbacks:
+                callback(sender)
         self._notify(sender, message)
 
     def _holds(self, peer: _Peer) -> bool:
--- a/oleanderpier/routing/caches.py
+++ b/oleanderpier/routing/caches.py
@@ -61,6 +61,14 @@
         news, self._news = self._news, []
         return news
 
+    def list_placements(self) -> list[Placement]:
+        """Return every key with each server that is taken to hold it."""
+        return [
+            (key, identity)
+            for key in self._used_s
+            for identity in self.list_holders(key)
+        ]
+
     def list_holders(self, key: str) -> list[str]:
         """Return the servers that are taken to have a key cached."""
         oldest_s = self._timers.now() - KEPT_S
--- a/tests/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -36,12 +36,17 @@
 
     Attributes:
         identity: Its id in the store.
+        address: Where hosts reach it, ``IP:PORT``.
         runs: The ids of the requests that it ran.
+        run_s: When each of them came, by the loop's clock.
+        fails: Whether it answers with a failure of its own.
     """
 
     def __init__(self, identity: str, events: int = 20) -> None:
         self.identity = identity
         self.runs: list[str] = []
+        self.run_s: list[float] = []
+        self.fails = False
         self.headers: list[dict[str, str]] = []
         self.aborted = 0
         self._events = events
@@ -63,23 +68,29 @@
             return web.Response(status=421)
         identity = request.headers["Request-Id"]
         self.runs.append(identity)
+        self.run_s.append(asyncio.get_running_loop().time())
         self.headers.append(dict(request.headers))
         headers = {"Request-Id": identity, "Response-Signature": self.identity}
+        if self.fails:
+            return web.Response(status=500, headers=headers)
         if request.path.startswith("/chat/"):
             return await self._stream(request, headers)
         return web.Response(text=f"{self.identity} ran {identity}", headers=headers)
 
     async def _stream(self, request, headers) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
-        await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         try:
+            await response.prepare(request)
             for number in range(first, self._events + 1):
                 await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
                 await asyncio.sleep(EVENT_PAUSE_S)
         except asyncio.CancelledError:
             self.aborted += 1
             raise
+        except ConnectionError:
+            # The host has left; nobody reads what is written.
+            self.aborted += 1
         return response
 
 
@@ -88,9 +99,26 @@
 
     Args:
         hosts: How many entry hosts there are.
+        program: The module that each of them runs, and its arguments.
+        log_folder: Where their output goes; None keeps it for ``communicate``.
+
+    Attributes:
+        store: The store.
+        servers: Every server that was added.
+        processes: Every process that was started, in order.
+        settings: The platform's fields of each host's settings.
+        store_address: Where the store listens.
     """
 
-    def __init__(self, hosts: int) -> None:
+    def __init__(
+        self,
+        hosts: int,
+        program: tuple[str, ...] = ("oleanderpier.platform",),
+        log_folder: Path | None = None,
+    ) -> None:
+        self._program = program
+        self._log_folder = log_folder
+        self._logs: list[Any] = []
         self.store = StandInStore()
         self.servers: list[StandInServer] = []
         self.processes: list[Process] = []
@@ -108,6 +136,7 @@
         self._runner = web.AppRunner(self.store.make_app(), shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, "127.0.0.1", self._store_port).start()
+        self.store_address = f"127.0.0.1:{self._store_port}"
         self.publish(1)
         seeds = [f"127.0.0.1:{ports[4 * n + 2]}" for n in range(min(3, self._count))]
         for number in range(self._count):
@@ -123,6 +152,8 @@
             if process.returncode is None:
                 process.kill()
             await process.communicate()
+        for log in self._logs:
+            log.close()
         for server in self.servers:
             await server.stop()
         await self._runner.cleanup()
@@ -132,7 +163,9 @@
     def publish(self, version: int, keys: tuple[str, ...] = (KEY,)) -> None:
         """Publish a configuration with a stream, a payout and a lookup."""
         routes = [
-            _make_route("chat", "streaming", Resumable=True, Sticky=True),
+            _make_route(
+                "chat", "streaming", Resumable=True, Sticky=True, MaxAttempts=2
+            ),
             _make_route("payout", "unsafe"),
             _make_route("lookup", "safe", MaxAttempts=2),
         ]
@@ -172,14 +205,21 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "oleanderpier.platform",
+            *self._program,
             env={**os.environ, "OLEANDERPIER_BOOT": str(path)},
-            stdout=PIPE,
-            stderr=PIPE,
+            **self._open_logs(number),
         )
         self.processes.append(process)
         return process
 
+    def _open_logs(self, number: int) -> dict[str, Any]:
+        """Return where a process's output goes."""
+        if self._log_folder is None:
+            return {"stdout": PIPE, "stderr": PIPE}
+        log = (self._log_folder / f"host-{number}.log").open("ab")
+        self._logs.append(log)
+        return {"stdout": log, "stderr": asyncio.subprocess.STDOUT}
+
     def write_settings(self, number: int) -> Path:
         """Write a host's settings file and return its path."""
         path = Path(self._folder.name) / f"host-{number}"
@@ -259,7 +299,7 @@
                 "Listen": listen,
                 "Seeds": seeds,
                 "Bounds": {"GraceS": 8, "RetrySlack": 54},
-                "Platform": {"Address": f"127.0.0.1:{self._store_port}"},
+                "Platform": {"Address": self.store_address},
             }
         )
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 from testtools import TestCase
 
 from oleanderpier.utils import rank_candidates, run_coroutine
-from tests.platform_fleet import PlatformFleet, stop_gracefully
+from standins.platform_fleet import PlatformFleet, stop_gracefully
 
 # The users' bounds, in seconds.
 CONFIG_APPLY_S = 2.0
@@ -183,6 +183,38 @@
                 self.assertEqual(200, status)
             self.assertEqual(before, len(leaving.runs))
 
+    def test_started_host_knows_caches(self):
+        """A host that starts sends prompts where others had them read."""
+        run_coroutine(self._check_caches())
+
+    async def _check_caches(self):
+        # The last one is no seed: nothing waits for it while it is not there.
+        async with PlatformFleet(4) as fleet:
+            holder = await fleet.add_server(events=1)
+            for number in range(3):
+                await fleet.start_host(number)
+            for number in range(3):
+                await fleet.wait_until_ready(number)
+            prompts = [f"a{n}:800,b{n}:40" for n in range(6)]
+            for number, prompt in enumerate(prompts):
+                answer = await fleet.fetch(
+                    0, "/chat/x", f"r{number}", **{"Prompt-Prefix": prompt}
+                )
+                self.assertEqual(200, answer[0])
+            await asyncio.sleep(1.0)
+            for _ in range(4):
+                await fleet.add_server(events=1)
+            await fleet.start_host(3)
+            await fleet.wait_until_ready(3)
+            await asyncio.sleep(1.0)
+            for number, prompt in enumerate(prompts):
+                answer = await fleet.fetch(
+                    3, "/chat/x", f"s{number}", **{"Prompt-Prefix": prompt}
+                )
+                self.assertEqual(200, answer[0])
+            sent = {f"s{number}" for number in range(len(prompts))}
+            self.assertEqual(sent, sent & set(holder.runs))
+
     def test_killed_all(self):
         """After all hosts were killed they serve again with the store away."""
         run_coroutine(self._check_killed())
