Refuse before servers are known as not ready; replay the pages' examples

Change: code 111 with what is not known yet, until both key spaces are known; the reason names the time left; Service, EngineLimits, slots and the idle time-out are gone. Tests: test_servers_are_not_known_yet, test_no_time_left, ReplayTest fail without the change.

--- a/oleanderpier/cli/tests/test_pages.py
+++ b/oleanderpier/cli/tests/test_pages.py
@@ -8,6 +8,7 @@
 from typing import get_type_hints
 
 import click
+from click.testing import CliRunner
 from testtools import TestCase
 
 from oleanderpier.cli.checks import check_file
@@ -101,6 +102,26 @@
         self.assertEqual(6, len(verdicts))
 
 
+class ReplayTest(TestCase):
+    """What a page shows as a command's output is what the command prints."""
+
+    def test_outputs(self):
+        """Each shell block with a text block behind it is run again."""
+        shown = re.findall(
+            r"(?ms)^```sh\n([^\n]*)\n```\n\n```text\n(.*?)^```$",
+            (DOCS / "OPERATIONS.md").read_text(),
+        )
+        self.assertGreaterEqual(len(shown), 4)
+        for line, output in shown:
+            program, arguments = find_program(shlex.split(line))
+            arguments = [
+                str(ROOT / word) if word.startswith("docs/") else word
+                for word in arguments
+            ]
+            result = CliRunner().invoke(program, arguments)
+            self.assertEqual((0, output), (result.exit_code, result.output), line)
+
+
 class TablesTest(TestCase):
     """Tables in the pages have the rows of the code."""
 
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -270,8 +270,10 @@
 
     def find_route(self, host_name: str, path: str) -> Result[Route, Failure]:
         """Return the route of a request, or why it has none."""
-        if self.index is None:
-            return Error(Failure(Code.HOST_NOT_READY, "", ADDRESS_KEEP_S / 2))
+        unknown = [space for space, item in self.replicas.items() if not item.as_of]
+        if unknown:
+            text = f"nothing is known yet of {' and '.join(unknown)}"
+            return Error(Failure(Code.HOST_NOT_READY, text, ADDRESS_KEEP_S / 2))
         return self._doubt(self.index.find_route(host_name, path))
 
     def find_workspace(self, route: Route, credential: str | None) -> Result:
--- /dev/null
+++ b/oleanderpier/entry/tests/test_node.py
@@ -0,0 +1,55 @@
+"""Tests of an entry host's parts without processes."""
+
+from testtools import TestCase
+
+from oleanderpier.entry import (
+    CONFIGURATION,
+    CONFIGURATION_KEY,
+    SERVERS,
+    EntryNode,
+    EntrySettings,
+    encode_table,
+)
+from oleanderpier.replication import PLATFORM, Item, ItemNews
+from oleanderpier.results import Code
+from oleanderpier.routing import BudgetLimits, CallerLimits, RoutingTable
+from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.utils import run_coroutine
+
+SETTINGS = EntrySettings(
+    host="edge-1",
+    failure_domain="duluth",
+    caller_address="127.0.0.1:1",
+    ready_address="127.0.0.1:2",
+    peer_address="127.0.0.1:3",
+    directory_address="127.0.0.1:4",
+    metrics_address=None,
+    platform_address="127.0.0.1:5",
+    seeds=(),
+    grace_s=8.0,
+    budget=BudgetLimits(0.2, 50.0, 10.0),
+    longest_keep_s=5.0,
+)
+TABLE = RoutingTable(3, (make_route(),), None, CallerLimits(1 << 20))
+
+
+class StartTest(TestCase):
+    """A host that has just started refuses what it can't judge yet."""
+
+    def test_servers_are_not_known_yet(self):
+        """With routes but no servers it is not ready, and says so."""
+
+        async def check() -> None:
+            node = EntryNode(SETTINGS, None, None)
+            node.view.report_now = lambda: None
+            item = Item(CONFIGURATION_KEY, 7, encode_table(TABLE))
+            node.replicas[CONFIGURATION].apply(
+                ItemNews(CONFIGURATION, 0, 7, True, [item]), PLATFORM
+            )
+            refused = node.find_route("a.example", "/chat/x").error
+            self.assertEqual(Code.HOST_NOT_READY, refused.code)
+            self.assertIn(SERVERS, refused.text)
+            node.replicas[SERVERS].apply(ItemNews(SERVERS, 0, 7, True, []), PLATFORM)
+            self.assertTrue(node.find_route("a.example", "/chat/x").is_ok())
+
+        run_coroutine(check())
--- a/oleanderpier/entry/values.py
+++ b/oleanderpier/entry/values.py
@@ -32,7 +32,7 @@
     """Return the server entry that ``encode_server`` made the bytes of.
 
     Examples:
-        >>> entry = ServerEntry("i-1", "s", "10.0.0.7:80", "duluth", 8, False, 0)
+        >>> entry = ServerEntry("i-1", "s", "10.0.0.7:80", "duluth", False, 0)
         >>> decode_server(encode_server(entry)) == entry
         True
     """
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -144,8 +144,7 @@
             if self._server:
                 shared.health.note_fault(self._server)
             self._reason = f"out of time; {self._reason}"
-            code = Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
-            return await self._refuse(code)
+            return await self._refuse(self._pick_late_code())
 
     async def _try_servers(self) -> RequestEnd:
         shared, call = self._shared, self._call
@@ -154,12 +153,10 @@
             if choice is None:
                 self._reason = f"no server of {self._service}; {self._reason}"
                 break
-            if call.deadline_s - shared.timers.now() < LEAST_LEFT_S:
-                return await self._refuse(
-                    Code.TARGET_MISSED
-                    if self._may_have_run
-                    else Code.TARGET_UNREACHABLE
-                )
+            left_s = call.deadline_s - shared.timers.now()
+            if left_s < LEAST_LEFT_S:
+                self._reason = f"{left_s:.4f} s left; {self._reason}"
+                return await self._refuse(self._pick_late_code())
             ending = await self._send(choice)
             log_message(
                 "forward:send",
@@ -219,6 +216,10 @@
             self._answer = exchange.answer
         return ending
 
+    def _pick_late_code(self) -> Code:
+        """Return how a request ends whose time is over."""
+        return Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
+
     def _may_give_up(self) -> bool:
         """Return whether another server may still get the request."""
         return self._sends + 1 < self._call.route.max_sends
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -69,6 +69,15 @@
         ended = drive(rig, timeout_s=0.8, max_sends=2, **ONCE)
         self.assertEqual((Code.TARGET_MISSED, [1, 0]), (ended.code, rig.count_visits()))
 
+    def test_no_time_left(self):
+        """With no time left it is refused at once, with the reason."""
+        rig = Rig([answer()])
+        ended = drive(rig, timeout_s=0.003, **ONCE)
+        self.assertEqual(
+            (Code.TARGET_UNREACHABLE, [0]), (ended.code, rig.count_visits())
+        )
+        self.assertIn("s left", ended.text)
+
     def test_nobody_there(self):
         """Without a server it is refused at once, as not run."""
         ended = drive(Rig(), **ONCE)
--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -7,12 +7,10 @@
 from oleanderpier.exception import SettingsError
 from oleanderpier.routing import (
     CallerLimits,
-    EngineLimits,
     RequestKind,
     Route,
     RoutingTable,
     ServerEntry,
-    Service,
     Share,
     WorkspaceEntry,
 )
@@ -55,20 +53,8 @@
     Resumable: NotRequired[bool | None]
 
 
-class _Engine(TypedDict):
-    Slots: int
-    KvCapacityTokens: int
-
-
-class _Service(TypedDict):
-    Name: str
-    MaxConnections: NotRequired[int | None]
-    Engine: NotRequired[_Engine | None]
-
-
 class _Limits(TypedDict):
     MaxBodyBytes: int
-    IdleTimeoutMs: float
 
 
 class _Tenant(TypedDict):
@@ -80,7 +66,6 @@
 class _Configuration(TypedDict):
     Version: int
     Routes: list[_Route]
-    Services: list[_Service]
     Limits: _Limits
     Tenants: NotRequired[list[_Tenant] | None]
 
@@ -90,7 +75,6 @@
     Address: str
     Zone: str
     State: str
-    Slots: NotRequired[int | None]
     # Unix milliseconds of the start.
     born: NotRequired[int | None]
 
@@ -112,14 +96,8 @@
     return RoutingTable(
         version=value["Version"],
         routes=tuple(_make_route(route) for route in value["Routes"]),
-        services={
-            service["Name"]: _make_service(service) for service in value["Services"]
-        },
         credentials=None if tenants is None else _index_credentials(tenants),
-        limits=CallerLimits(
-            value["Limits"]["MaxBodyBytes"],
-            value["Limits"]["IdleTimeoutMs"] / MILLISECONDS_PER_S,
-        ),
+        limits=CallerLimits(value["Limits"]["MaxBodyBytes"]),
     )
 
 
@@ -144,7 +122,6 @@
         service=value["Service"],
         address=value["Address"],
         failure_domain=value["Zone"],
-        slots=value.get("Slots") or 0,
         leaving=_STATES[value["State"]],
         born_ms=value.get("born") or 0,
     )
@@ -183,17 +160,6 @@
     )
 
 
-def _make_service(service: _Service) -> Service:
-    engine = service.get("Engine")
-    return Service(
-        name=service["Name"],
-        max_connections=service.get("MaxConnections") or 0,
-        engine=EngineLimits(engine["Slots"], engine["KvCapacityTokens"])
-        if engine
-        else None,
-    )
-
-
 def _index_credentials(tenants: list[_Tenant]) -> dict[str, WorkspaceEntry]:
     return {
         key: WorkspaceEntry(tenant["Name"], tenant.get("Priority"))
--- a/oleanderpier/routing/records.py
+++ b/oleanderpier/routing/records.py
@@ -5,13 +5,11 @@
 
 __all__ = [
     "CallerLimits",
-    "EngineLimits",
     "PromptPart",
     "RequestKind",
     "Route",
     "RoutingTable",
     "ServerEntry",
-    "Service",
     "Share",
     "SharedPart",
     "WorkspaceEntry",
@@ -79,32 +77,6 @@
         )
 
 
-class EngineLimits(NamedTuple):
-    """What a model engine can hold.
-
-    Attributes:
-        slots: How many requests run at once.
-        capacity_tokens: Tokens of running requests and cached prompts together.
-    """
-
-    slots: int
-    capacity_tokens: int
-
-
-class Service(NamedTuple):
-    """A group of backend servers that serve the same requests.
-
-    Attributes:
-        name: The service's name.
-        max_connections: Connections that one server takes from all hosts.
-        engine: Its limits, if it is a model engine.
-    """
-
-    name: str
-    max_connections: int
-    engine: EngineLimits | None
-
-
 class WorkspaceEntry(NamedTuple):
     """A workspace that a credential belongs to.
 
@@ -122,11 +94,9 @@
 
     Attributes:
         max_body_bytes: The largest request body.
-        idle_timeout_s: How long a connection may stay idle.
     """
 
     max_body_bytes: int
-    idle_timeout_s: float
 
 
 class RoutingTable(NamedTuple):
@@ -135,7 +105,6 @@
     Attributes:
         version: Its version.
         routes: All routes.
-        services: By name.
         credentials: The workspace of each credential; None if the
             configuration has no workspaces, and no request needs one.
         limits: Bounds for callers.
@@ -143,7 +112,6 @@
 
     version: int
     routes: tuple[Route, ...]
-    services: dict[str, Service]
     credentials: dict[str, WorkspaceEntry] | None
     limits: CallerLimits
 
@@ -156,7 +124,6 @@
         service: The service it belongs to.
         address: IP number and port, ``10.0.0.7:80``.
         failure_domain: Where it stands.
-        slots: How many requests it works on at once; 0 if unknown.
         leaving: Whether it takes no new requests.
         born_ms: Unix milliseconds of its start, 0 if unknown.
     """
@@ -165,7 +132,6 @@
     service: str
     address: str
     failure_domain: str
-    slots: int
     leaving: bool
     born_ms: int
 
