--- a/oleanderpier/cli/logs.py
+++ b/oleanderpier/cli/logs.py
@@ -1,5 +1,6 @@
 """Reads the logs of many hosts, line by line."""
 
+import os
 import sys
 from collections.abc import Iterable, Iterator
 from typing import Any, TextIO
@@ -9,6 +10,11 @@
 
 __all__ = ["LogLine", "add_files", "read_lines"]
 
+# Files of so many bytes together show how far they are read.
+LARGE_BYTES = 10 << 20
+# Between two updates of the bar.
+LINES_A_STEP = 10_000
+
 LogLine = dict[str, Any]
 
 
@@ -27,14 +33,42 @@
     Args:
         files: The files; standard input if there are none.
     """
-    for file in list(files) or [sys.stdin]:
-        for text in file:
-            at = text.find("{")
-            if at < 0:
-                continue
-            try:
-                line = msgspec.json.decode(text[at:].strip())
-            except msgspec.DecodeError:
-                continue
-            if isinstance(line, dict) and "event" in line and "process" in line:
-                yield line
+    for text in _show_progress(list(files) or [sys.stdin]):
+        at = text.find("{")
+        if at < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[at:].strip())
+        except msgspec.DecodeError:
+            continue
+        if isinstance(line, dict) and "event" in line and "process" in line:
+            yield line
+
+
+def _show_progress(files: list[TextIO]) -> Iterator[str]:
+    """Yield the text lines of files, with a bar on standard error for large ones."""
+    size = sum(_find_size(file) for file in files)
+    if size < LARGE_BYTES:
+        for file in files:
+            yield from file
+        return
+    with click.progressbar(length=size, label="reading", file=sys.stderr) as bar:
+        read = lines = 0
+        for file in files:
+            for text in file:
+                read += len(text)
+                lines += 1
+                if lines % LINES_A_STEP == 0:
+                    bar.update(read)
+                    read = 0
+                yield text
+        bar.update(read)
+
+
+def _find_size(file: TextIO) -> int:
+    """Return a file's size in bytes, 0 for a pipe or a terminal."""
+    try:
+        return os.fstat(file.fileno()).st_size
+    except OSError:
+        # Nothing that has no descriptor, or no size, can show progress.
+        return 0
--- a/oleanderpier/cli/program.py
+++ b/oleanderpier/cli/program.py
@@ -3,6 +3,7 @@
 import click
 
 from oleanderpier.cli.checks import check
+from oleanderpier.cli.picture import picture
 from oleanderpier.cli.routes import explain
 from oleanderpier.cli.status import status
 from oleanderpier.cli.summary import summary
@@ -23,5 +24,5 @@
     """
 
 
-for command in (check, status, targets, explain, events, trace, summary):
+for command in (check, status, targets, explain, events, trace, summary, picture):
     run.add_command(command)
