--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -153,6 +153,7 @@
             self.settings.failure_domain,
             self.view.count_load,
             self._rng,
+            timers,
         )
 
     def _connect_parts(self) -> None:
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -299,7 +299,13 @@
         )
         # Earlier servers look emptier, so that they are tried first.
         chooser = Chooser(
-            roster, health, CacheMap(timers), "duluth", order.get, random.Random(1)
+            roster,
+            health,
+            CacheMap(timers),
+            "duluth",
+            order.get,
+            random.Random(1),
+            timers,
         )
         async with make_session() as session:
             forwarder = Forwarder(
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -23,6 +23,7 @@
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.records import ServerEntry, SharedPart
 from oleanderpier.routing.roster import Roster
+from oleanderpier.utils import Timers
 
 __all__ = ["Choice", "Chooser", "ServerQuery"]
 
@@ -42,6 +43,12 @@
 LEAST_COPIED_TOKENS = 100
 
 
+# The mean load of a service is taken anew after so long, and after as many
+# choices as this part of its servers: by then it has moved by less than one.
+MEAN_KEPT_S = 0.05
+MEAN_KEPT_SHARE = 0.25
+
+
 class ServerQuery(NamedTuple):
     """What a request needs of a server.
 
@@ -79,6 +86,20 @@
     source: ServerEntry | None = None
 
 
+class _ServiceLoad(NamedTuple):
+    """A look at all servers of a service, which takes a while where they are many.
+
+    Attributes:
+        bound: The most requests in flight at a server chosen for its cache.
+        best_rate: The least failure rate of any.
+        until_s: When it is too old.
+    """
+
+    bound: float
+    best_rate: float
+    until_s: float
+
+
 class Chooser:
     """Picks servers and counts this host's requests in flight.
 
@@ -90,6 +111,7 @@
         count_elsewhere: Returns how many requests the other hosts have in
             flight at a server.
         rng: The source of randomness.
+        timers: The timer service.
     """
 
     def __init__(
@@ -100,7 +122,11 @@
         failure_domain: str,
         count_elsewhere: Callable[[str], int],
         rng: random.Random,
+        timers: Timers,
     ) -> None:
+        self._timers = timers
+        self._looks: dict[str, _ServiceLoad] = {}
+        self._choices_left: Counter[str] = Counter()
         self._roster = roster
         self._health = health
         self._caches = caches
@@ -130,6 +156,10 @@
             avoid: Ids of servers that were tried before.
         """
         avoided = set(avoid)
+        if query.cache_key and not avoided:
+            choice = self._choose_holder(query)
+            if choice is not None:
+                return choice
         known = self._roster.list_usable(query.service)
         fresh = [entry for entry in known if entry.identity not in avoided]
         sound = [
@@ -140,6 +170,8 @@
             return None
         loads = {entry.identity: self.count_load(entry.identity) for entry in servers}
         weights = self._weigh(loads)
+        if sound and not avoided:
+            self._keep_look(query.service, loads)
         if sound and query.cache_key:
             return self._choose_cached(query, servers, loads, weights)
         server = self._pick_lightest(servers, weights)
@@ -150,6 +182,39 @@
         """Return the requests in flight at a server, of all hosts."""
         return self.in_flight[identity] + self._count_elsewhere(identity)
 
+    def _choose_holder(self, query: ServerQuery) -> Choice | None:
+        """Return a holder of the key without a look at all the other servers.
+
+        None where none is within the bound, or the last look is too old.
+        """
+        look = self._looks.get(query.service)
+        if look is None or self._timers.now() >= look.until_s:
+            return None
+        if self._choices_left[query.service] <= 0:
+            return None
+        holders = [
+            entry
+            for identity in self._caches.list_holders(query.cache_key)
+            if (entry := self._roster.get(identity)) is not None
+            and entry.service == query.service
+            and not entry.leaving
+            and not self._health.is_backing_off(identity)
+            and self._weigh_one(identity, look.best_rate) <= look.bound
+        ]
+        if not holders:
+            return None
+        self._choices_left[query.service] -= 1
+        server = _pick_first(query.cache_key, holders)
+        return Choice(server, "cached", self.count_load(server.identity))
+
+    def _keep_look(self, service: str, loads: dict[str, int]) -> None:
+        """Keep what a choice among all servers of a service has found."""
+        rates = (self._health.get_failure_rate(identity) for identity in loads)
+        self._looks[service] = _ServiceLoad(
+            _find_bound(loads), min(rates), self._timers.now() + MEAN_KEPT_S
+        )
+        self._choices_left[service] = int(MEAN_KEPT_SHARE * len(loads))
+
     def _choose_cached(
         self,
         query: ServerQuery,
@@ -158,18 +223,14 @@
         weights: dict[str, float],
     ) -> Choice:
         """Return a server that holds the key, or is next to hold it."""
-        mean = sum(loads.values()) / len(servers)
-        bound = LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
+        bound = _find_bound(loads)
         open_servers = [entry for entry in servers if weights[entry.identity] <= bound]
         if not open_servers:
             server = self._pick_lightest(servers, weights)
             return Choice(server, "least_loaded", loads[server.identity])
         held = set(self._caches.list_holders(query.cache_key))
         holders = [entry for entry in open_servers if entry.identity in held]
-        server = min(
-            holders or open_servers,
-            key=lambda entry: _hash(query.cache_key, entry.identity),
-        )
+        server = _pick_first(query.cache_key, holders or open_servers)
         reason = "cached" if holders else "spilled" if held else "hashed"
         source = None if holders else self._find_source(query, server)
         return Choice(server, reason, loads[server.identity], source)
@@ -227,6 +288,21 @@
             for identity, load in loads.items()
         }
 
+    def _weigh_one(self, identity: str, best_rate: float) -> float:
+        """Return one server's load, raised as ``_weigh`` does."""
+        rate = self._health.get_failure_rate(identity)
+        return self.count_load(identity) + FAILURE_WEIGHT * (rate - best_rate)
+
+
+def _find_bound(loads: dict[str, int]) -> float:
+    mean = sum(loads.values()) / len(loads)
+    return LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
+
+
+def _pick_first(key: str, servers: list[ServerEntry]) -> ServerEntry:
+    """Return the first of some servers in a key's hash order."""
+    return min(servers, key=lambda entry: _hash(key, entry.identity))
+
 
 def _hash(key: str, identity: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{identity}".encode())
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -67,6 +67,7 @@
             "duluth",
             lambda identity: self.elsewhere.get(identity, 0),
             random.Random(1),
+            self.timers,
         )
         self.roster.subscribe_gone(self.caches.forget_server)
         for number in range(servers):
