--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -40,6 +40,8 @@
 # tried again, short against the targets.
 RETRY_AFTER_S = 0.25
 HASH_RANGE = 1 << 64
+# How the log calls the end of a send that was given up from outside.
+INTERRUPTED = "interrupted"
 
 
 class ServerAnswers(NamedTuple):
@@ -158,16 +160,7 @@
                 self._reason = f"{left_s:.4f} s left; {self._reason}"
                 return await self._refuse(self._pick_late_code())
             ending = await self._send(choice)
-            log_message(
-                "forward:send",
-                request=call.identity,
-                server=choice.server.identity,
-                why=choice.reason,
-                load=choice.load,
-                source=choice.source.identity if choice.source else "",
-                ending=ending.value,
-                reason=self._reason,
-            )
+            self._log_send(choice, ending.value)
             verdict = judge_ending(ending, self._make_state())
             if ending is Ending.DELIVERED:
                 return await self._deliver()
@@ -203,6 +196,11 @@
             ending = await exchange.run(
                 self._caller, self._splitter, self._caller.begun
             )
+        except BaseException:
+            # The time is over, or the caller has left.
+            self._sends += 1
+            self._log_send(choice, INTERRUPTED)
+            raise
         finally:
             shared.chooser.end(identity)
         shared.notify(ending, shared.timers.now() - began_s)
@@ -216,6 +214,18 @@
             self._answer = exchange.answer
         return ending
 
+    def _log_send(self, choice: Choice, ending: str) -> None:
+        log_message(
+            "forward:send",
+            request=self._call.identity,
+            server=choice.server.identity,
+            why=choice.reason,
+            load=choice.load,
+            source=choice.source.identity if choice.source else "",
+            ending=ending,
+            reason=self._reason,
+        )
+
     def _pick_late_code(self) -> Code:
         """Return how a request ends whose time is over."""
         return Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -68,6 +68,7 @@
         rig = Rig([hang], [answer()])
         ended = drive(rig, timeout_s=0.8, max_sends=2, **ONCE)
         self.assertEqual((Code.TARGET_MISSED, [1, 0]), (ended.code, rig.count_visits()))
+        self.assertEqual(1, ended.sends)
 
     def test_no_time_left(self):
         """With no time left it is refused at once, with the reason."""
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -170,15 +170,23 @@
             ended = RequestEnd(call.code, _find_status(call), 0, "", call.text)
         else:
             ended = await node.forwarder.forward(call, caller)
-    except (asyncio.CancelledError, CallerGoneError) as error:
-        ended = RequestEnd(Code.CALLER_LEFT, 0, 0, "", repr(error))
+    except CallerGoneError as error:
+        ended = RequestEnd(Code.CALLER_LEFT, 0, 0, "", str(error))
+    except asyncio.CancelledError:
+        ended = _judge_cancellation(request)
         _note_end(node, request, call, ended, began_s)
-        if isinstance(error, asyncio.CancelledError):
-            raise
-        return
+        raise
     _note_end(node, request, call, ended, began_s)
 
 
+def _judge_cancellation(request: BaseRequest) -> RequestEnd:
+    """Return why a request's handler was cancelled."""
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        return RequestEnd(Code.CALLER_LEFT, 0, 0, "", "the connection was closed")
+    return RequestEnd(Code.STREAM_CUT, 0, 0, "", "this host ended before the answer")
+
+
 def _note_end(
     node: EntryNode,
     request: BaseRequest,
--- a/oleanderpier/replication/sharing.py
+++ b/oleanderpier/replication/sharing.py
@@ -111,7 +111,7 @@
         raise TypeError(f"no handler for {type(message).__name__}")
 
     @_receive.register
-    def _handle_ask(self, message: ItemsQuery, sender: str) -> None:
+    def _handle_query(self, message: ItemsQuery, sender: str) -> None:
         replica = self._replicas.get(message.space)
         if replica is not None:
             self._outbox.send(sender, replica.list_since(message.after))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -287,13 +287,16 @@
                 await asyncio.sleep(0.5)
             metrics = await fleet.read_metrics(0)
             _, output = await stop_gracefully(fleet.processes[0])
-        ends = [
-            line
-            for line in map(json.loads, output.splitlines())
-            if line["event"] == "request:end"
-        ]
+        lines = [json.loads(line) for line in output.splitlines()]
+        ends = [line for line in lines if line["event"] == "request:end"]
         self.assertEqual(seen, {line["request"]: line["status"] for line in ends})
         self.assertEqual(len(seen), len(ends))
+        sends = [
+            (line["request"], line["server"], line["ending"])
+            for line in lines
+            if line["event"] == "forward:send"
+        ]
+        self.assertIn(("r5", "i-0", "interrupted"), sends)
         failures = [line for line in ends if line["code"]]
         self.assertEqual(4, sum(1 for line in failures if line["reason"]))
         for line in ends:
