Log the ages of the beliefs that chose a server

Cause: forward:send named the load and the cached part that decided, but not how old either was. Change: load_age_s and cache_age_s; no decision changes. test_ages_are_told and test_loads fail without it.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -154,6 +154,7 @@
             self.view.count_load,
             self._rng,
             timers,
+            self.view.get_load_age_s,
         )
 
     def _connect_parts(self) -> None:
--- a/oleanderpier/fleet/tests/test_view.py
+++ b/oleanderpier/fleet/tests/test_view.py
@@ -119,8 +119,11 @@
         fleet.uses["h2"] = [{"s1": ServerUse(3, 0, 0)}] * 40
         fleet.run(1.0)
         self.assertEqual(7, fleet.views["h0"].count_load("s1"))
+        self.assertLess(fleet.views["h0"].get_load_age_s(), 0.6)
         fleet.silent.add("h1")
-        fleet.run(GONE_S)
+        fleet.run(0.7)
+        self.assertGreater(fleet.views["h0"].get_load_age_s(), 0.6)
+        fleet.run(GONE_S - 0.7)
         self.assertEqual(3, fleet.views["h0"].count_load("s1"))
 
     def test_nothing_is_lost_between_groups(self):
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -82,6 +82,7 @@
         self._peers: dict[str, _Peer] = {}
         self._new_callbacks: list[Callable[[str], None]] = []
         self._loads: Counter[str] = Counter()
+        self._oldest_s = timers.now()
         # Keys: whether hosts are of the own failure domain.
         self._due_s = {True: 0.0, False: 0.0}
         self._kept_s = dict.fromkeys((True, False), self._times.least_kept_s)
@@ -105,6 +106,13 @@
         """Return the requests in flight of the other hosts at a server."""
         return self._loads[identity]
 
+    def get_load_age_s(self) -> float:
+        """Return the age of the oldest report that ``count_load`` counts.
+
+        It is looked up as often as this host reports.
+        """
+        return self._timers.now() - self._oldest_s
+
     def count_hosts(self) -> int:
         """Return how many hosts are known, this one and gone ones included."""
         return max(1, len(self._members.list_known()))
@@ -219,6 +227,9 @@
         for host in silent:
             self._add_loads(self._peers.pop(host).report, -1)
             log_message("fleet:host_silent", host=host)
+        now_s = self._timers.now()
+        heard_s = (peer.heard_s for peer in self._peers.values())
+        self._oldest_s = min(heard_s, default=now_s)
 
     def _add_loads(self, report: HostReport, sign: int) -> None:
         for identity, use in report.servers.items():
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -221,6 +221,10 @@
             server=choice.server.identity,
             why=choice.reason,
             load=choice.load,
+            load_age_s=round(choice.load_age_s, 3),
+            cache_age_s=None
+            if choice.cache_age_s is None
+            else round(choice.cache_age_s, 3),
             source=choice.source.identity if choice.source else "",
             ending=ending,
             reason=self._reason,
--- a/oleanderpier/routing/caches.py
+++ b/oleanderpier/routing/caches.py
@@ -75,6 +75,11 @@
         used_s = self._used_s.get(key, {})
         return [identity for identity, at_s in used_s.items() if at_s >= oldest_s]
 
+    def get_age_s(self, key: str, identity: str) -> float | None:
+        """Return how long ago a server was last sent a key, None for never."""
+        used_s = self._used_s.get(key, {}).get(identity)
+        return None if used_s is None else self._timers.now() - used_s
+
     def forget_server(self, identity: str) -> None:
         """Forget what a server held that is gone or started again."""
         for used_s in self._used_s.values():
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -78,12 +78,16 @@
         load: Requests in flight at it, over all hosts, as known here.
         source: A server that holds more of the prompt's start than the chosen
             one, which can copy it from there; None if there is none.
+        load_age_s: The age of the oldest report that the load counts.
+        cache_age_s: How long ago the chosen server was last sent the key.
     """
 
     server: ServerEntry
     reason: str
     load: int
     source: ServerEntry | None = None
+    load_age_s: float = 0.0
+    cache_age_s: float | None = None
 
 
 class _ServiceLoad(NamedTuple):
@@ -112,6 +116,8 @@
             flight at a server.
         rng: The source of randomness.
         timers: The timer service.
+        get_load_age_s: Returns the age of the oldest report that
+            ``count_elsewhere`` counts.
     """
 
     def __init__(
@@ -123,7 +129,9 @@
         count_elsewhere: Callable[[str], int],
         rng: random.Random,
         timers: Timers,
+        get_load_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._get_load_age_s = get_load_age_s
         self._timers = timers
         self._looks: dict[str, _ServiceLoad] = {}
         self._choices_left: Counter[str] = Counter()
@@ -155,6 +163,16 @@
             query: What the request needs.
             avoid: Ids of servers that were tried before.
         """
+        choice = self._choose(query, avoid)
+        if choice is None:
+            return None
+        return choice._replace(
+            load_age_s=self._get_load_age_s(),
+            cache_age_s=self._caches.get_age_s(query.cache_key, choice.server.identity),
+        )
+
+    def _choose(self, query: ServerQuery, avoid: Iterable[str]) -> Choice | None:
+        """Return the best server, without the ages of what decided."""
         avoided = set(avoid)
         if query.cache_key and not avoided:
             choice = self._choose_holder(query)
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -52,9 +52,10 @@
 
     Args:
         servers: How many there are.
+        load_age_s: The age of the oldest report of loads.
     """
 
-    def __init__(self, servers: int = 9) -> None:
+    def __init__(self, servers: int = 9, load_age_s: float = 0.0) -> None:
         self.timers = ManualTimers()
         self.roster = Roster(self.timers)
         self.health = ServerHealth(self.timers)
@@ -68,6 +69,7 @@
             lambda identity: self.elsewhere.get(identity, 0),
             random.Random(1),
             self.timers,
+            lambda: load_age_s,
         )
         self.roster.subscribe_gone(self.caches.forget_server)
         for number in range(servers):
--- a/oleanderpier/routing/tests/test_choice.py
+++ b/oleanderpier/routing/tests/test_choice.py
@@ -125,6 +125,15 @@
         self.assertEqual(0, reads["spilled", False])
         self.assertGreater(reads["cached", False], 0.85 * reads.total())
 
+    def test_ages_are_told(self):
+        """A choice tells how old the beliefs are that decided it."""
+        world = World(load_age_s=0.4)
+        self.assertIsNone(send(world, "k").cache_age_s)
+        world.timers.advance(2.0)
+        choice = send(world, "k")
+        self.assertAlmostEqual(2.0, choice.cache_age_s)
+        self.assertEqual(0.4, choice.load_age_s)
+
     def test_load_of_other_hosts_counts(self):
         """A server that others have filled is passed over."""
         world = World()
