Look at a service's servers once a choice; split addresses in one place

On the last reading: a choice among all servers worked out the least failure rate twice and the bound in two places, one of them again for a single server; the entry host and its program each split IP:PORT; bench.daemon read processor time beside bench.entry. _look and _weigh, peers.split_address and read_processor_s serve them now. Behaviour is as before; no test is changed.

--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 import statistics
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from bench.entry import read_processor_s
 from demo.__main__ import find_url
 from demo.caller import Caller
 from demo.fleet import ADDRESS, Fleet
@@ -28,7 +28,6 @@
 REQUESTS_PER_S = 40.0
 MAX_CORE_PERCENT = 1.3
 MAX_BYTES_PER_S = 4096
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 BYTES_METRIC = "oleanderpier_peer_bytes_sent"
 
 
@@ -55,9 +54,7 @@
 
 async def read_daemon(fleet: Fleet, host: dict) -> Reading:
     """Return what a daemon has used so far."""
-    pid = fleet.processes[host["name"]].pid
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    core_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    core_s = read_processor_s(fleet.processes[host["name"]])
     url = f"http://{ADDRESS}:{host['operator_port']}/metrics"
     async with fleet.session.get(url) as answer:
         lines = (await answer.text()).splitlines()
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -15,7 +15,7 @@
 from oleanderpier.fleet import CachedParts, FleetView, HostReport, ServerUse
 from oleanderpier.forwarding import Dialect, Forwarder, LastHeard
 from oleanderpier.membership import MemberCard, Members, MemberState
-from oleanderpier.peers import Address, Mesh
+from oleanderpier.peers import Mesh, split_address
 from oleanderpier.replication import (
     OLDEST_S,
     Change,
@@ -204,7 +204,7 @@
             self.timers,
             self.metrics.count_send,
         )
-        await self.mesh.listen(*_split_address(self.settings.peer_address))
+        await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
         self.view.start()
         for replica in self.replicas.values():
@@ -362,7 +362,7 @@
         self.sharing.handle(sender, message)
 
     def _learn_address(self, host: str) -> None:
-        self.mesh.update_addresses({host: _split_address(host)})
+        self.mesh.update_addresses({host: split_address(host)})
 
     def _note_member(self, host: str, state: MemberState) -> None:
         self._learn_address(host)
@@ -434,10 +434,5 @@
             self.roster.put(item.key, entry)
 
 
-def _split_address(text: str) -> Address:
-    address, _, port = text.rpartition(":")
-    return Address(address, int(port))
-
-
 def _make_card(host: str, failure_domain: str) -> MemberCard:
-    return MemberCard(host, failure_domain, *_split_address(host))
+    return MemberCard(host, failure_domain, *split_address(host))
--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -25,7 +25,7 @@
     unpack_message,
 )
 
-__all__ = ["Address", "Mesh"]
+__all__ = ["Address", "Mesh", "split_address"]
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_INTERVAL_S = 0.5
@@ -52,6 +52,17 @@
     port: int
 
 
+def split_address(text: str) -> Address:
+    """Return the address that ``IP:PORT`` names.
+
+    Examples:
+        >>> split_address("10.0.0.7:80")
+        Address(address='10.0.0.7', port=80)
+    """
+    address, _, port = text.rpartition(":")
+    return Address(address, int(port))
+
+
 class Mesh:
     """Sends to other hosts and hands what they send to its subscribers.
 
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -14,6 +14,7 @@
 from oleanderpier.connections import make_session
 from oleanderpier.entry import EntryNode, EntrySettings
 from oleanderpier.events import LogWriter
+from oleanderpier.peers import split_address
 from oleanderpier.platform.callers import (
     make_directory_handler,
     make_front_handler,
@@ -87,7 +88,6 @@
 
 
 async def _listen(handler, address: str) -> web.ServerRunner:
-    host, _, port = address.rpartition(":")
     server = web.Server(
         handler,
         handler_cancellation=True,
@@ -99,7 +99,7 @@
     )
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+    await web.TCPSite(runner, *split_address(address), backlog=BACKLOG).start()
     return runner
 
 
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -187,11 +187,16 @@
         if not servers:
             return None
         loads = {entry.identity: self.count_load(entry.identity) for entry in servers}
-        weights = self._weigh(loads)
+        look = self._look(loads)
+        weights = {
+            identity: self._weigh(identity, load, look.best_rate)
+            for identity, load in loads.items()
+        }
         if sound and not avoided:
-            self._keep_look(query.service, loads)
+            self._looks[query.service] = look
+            self._choices_left[query.service] = int(MEAN_KEPT_SHARE * len(loads))
         if sound and query.cache_key:
-            return self._choose_cached(query, servers, loads, weights)
+            return self._choose_cached(query, servers, loads, weights, look.bound)
         server = self._pick_lightest(servers, weights)
         reason = "least_loaded" if sound else "last_resort"
         return Choice(server, reason, loads[server.identity])
@@ -217,7 +222,8 @@
             and entry.service == query.service
             and not entry.leaving
             and not self._health.is_backing_off(identity)
-            and self._weigh_one(identity, look.best_rate) <= look.bound
+            and self._weigh(identity, self.count_load(identity), look.best_rate)
+            <= look.bound
         ]
         if not holders:
             return None
@@ -225,13 +231,15 @@
         server = _pick_first(query.cache_key, holders)
         return Choice(server, "cached", self.count_load(server.identity))
 
-    def _keep_look(self, service: str, loads: dict[str, int]) -> None:
-        """Keep what a choice among all servers of a service has found."""
+    def _look(self, loads: dict[str, int]) -> _ServiceLoad:
+        """Return what the loads of all servers of a service tell."""
+        mean = sum(loads.values()) / len(loads)
         rates = (self._health.get_failure_rate(identity) for identity in loads)
-        self._looks[service] = _ServiceLoad(
-            _find_bound(loads), min(rates), self._timers.now() + MEAN_KEPT_S
+        return _ServiceLoad(
+            LOAD_MULTIPLE * mean + LOAD_ALLOWANCE,
+            min(rates),
+            self._timers.now() + MEAN_KEPT_S,
         )
-        self._choices_left[service] = int(MEAN_KEPT_SHARE * len(loads))
 
     def _choose_cached(
         self,
@@ -239,9 +247,9 @@
         servers: list[ServerEntry],
         loads: dict[str, int],
         weights: dict[str, float],
+        bound: float,
     ) -> Choice:
         """Return a server that holds the key, or is next to hold it."""
-        bound = _find_bound(loads)
         open_servers = [entry for entry in servers if weights[entry.identity] <= bound]
         if not open_servers:
             server = self._pick_lightest(servers, weights)
@@ -295,26 +303,10 @@
 
         return min(servers, key=weigh)
 
-    def _weigh(self, loads: dict[str, int]) -> dict[str, float]:
-        """Return servers' loads, raised where one fails more than the best."""
-        rates = {
-            identity: self._health.get_failure_rate(identity) for identity in loads
-        }
-        best = min(rates.values())
-        return {
-            identity: load + FAILURE_WEIGHT * (rates[identity] - best)
-            for identity, load in loads.items()
-        }
-
-    def _weigh_one(self, identity: str, best_rate: float) -> float:
-        """Return one server's load, raised as ``_weigh`` does."""
+    def _weigh(self, identity: str, load: int, best_rate: float) -> float:
+        """Return a server's load, raised where it fails more than the best."""
         rate = self._health.get_failure_rate(identity)
-        return self.count_load(identity) + FAILURE_WEIGHT * (rate - best_rate)
-
-
-def _find_bound(loads: dict[str, int]) -> float:
-    mean = sum(loads.values()) / len(loads)
-    return LOAD_MULTIPLE * mean + LOAD_ALLOWANCE
+        return load + FAILURE_WEIGHT * (rate - best_rate)
 
 
 def _pick_first(key: str, servers: list[ServerEntry]) -> ServerEntry:
