Reproduce sends over the load limit with the report intervals of a large fleet

The emulator delivered all reports every 0.25 s, whatever the size of the fleet; the hosts report every 2.25 s to other failure domains at 60 hosts, and every 14 s at 300. It now uses the intervals of ReportTiming, and gives the worst 5 s of sends over the limit, as the users count them.

No logic has changed.

--- a/bench/emulator/patterns.py
+++ b/bench/emulator/patterns.py
@@ -80,6 +80,7 @@
     Attributes:
         answers: Description of the situation that the pattern stands for.
         hosts: Number of hosts.
+        failure_domains: Number of failure domains, which hosts join in turn.
         engines: Number of engines at the start.
         slots: Requests that an engine runs concurrently.
         capacity_tokens: Memory of an engine, in tokens.
@@ -91,6 +92,7 @@
 
     answers: str
     hosts: int
+    failure_domains: int
     engines: int
     slots: int
     capacity_tokens: int
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -83,6 +83,7 @@
         self._health = ServerHealth(timers)
         self._caches = CacheMap(timers)
         self._loads_by_peer: dict[int, dict[str, int]] = {}
+        self._peer_loads: Counter[str] = Counter()
         self._chooser = Chooser(
             self._roster,
             self._health,
@@ -125,11 +126,13 @@
 
     def receive_report(self, host: int, report: HostReport) -> None:
         """Apply a report of another host."""
+        self._peer_loads.subtract(self._loads_by_peer.get(host, {}))
+        self._peer_loads.update(report.loads)
         self._loads_by_peer[host] = report.loads
         self._caches.apply_updates(report.placements)
 
     def _count_at_peers(self, engine: str) -> int:
-        return sum(loads.get(engine, 0) for loads in self._loads_by_peer.values())
+        return self._peer_loads[engine]
 
 
 class NaivePolicy:
--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -2,25 +2,27 @@
 
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
 from bench.emulator.engines import Engine, Job
 from bench.emulator.patterns import Disturbance, Pattern, RequestClass
-from bench.emulator.policies import Policy
+from bench.emulator.policies import HostReport, Policy
+from oleanderpier.fleet import ReportTiming
 from oleanderpier.routing import PromptPrefix, ServerQuery
 from oleanderpier.utils import ManualTimers, Timers
 
 __all__ = ["Outcome", "World", "run_pattern"]
 
-REPORT_INTERVAL_S = 0.25
 # One-way network latency.
 NETWORK_LATENCY_S = 0.002
 # Time from the crash of an engine until its entry is removed from the hosts' rosters.
 REMOVAL_DELAY_S = 3.6
 TICK_S = 0.05
 WINDOW_S = 2.0
+# Length of the sliding window in which the users count sends over the load limit.
+LIMIT_WINDOW_S = 5.0
 MAX_ATTEMPTS = 2
 # The users' limit on the load of an engine: the mean over all engines times the
 # factor, plus the extra requests.
@@ -45,6 +47,7 @@
             again although some engine had prefilled them before.
         copied: Mean number of prompt tokens copied between engines, per request.
         over_limit: Ratio of sends that went to an engine over the users' load limit.
+        worst_over_limit: The highest such ratio in any ``LIMIT_WINDOW_S`` seconds.
         choice_us: Mean processor time of a routing decision, in microseconds.
         windows: On-time ratio in each window of ``WINDOW_S`` seconds.
     """
@@ -57,10 +60,27 @@
     read_again: float
     copied: float
     over_limit: float
+    worst_over_limit: float
     choice_us: float
     windows: list[float]
 
 
+class _ReportStream(NamedTuple):
+    """The reports of one host to the hosts of its own domain, or to all others.
+
+    Attributes:
+        sender: The host.
+        receivers: The hosts that receive them.
+        interval_s: The time between two reports, in seconds.
+        placements: The placements for the next report.
+    """
+
+    sender: int
+    receivers: list[int]
+    interval_s: float
+    placements: list[tuple[str, str]]
+
+
 class Request:
     """A request of the load and its result.
 
@@ -117,6 +137,8 @@
         self._requests: list[Request] = []
         self._counts: Counter[str] = Counter()
         self._prompts_read: set[str] = set()
+        self._report_streams: dict[int, list[_ReportStream]] = defaultdict(list)
+        self._sends: list[tuple[float, bool]] = []
         self._selection_cpu_s = 0.0
         self._rate_factors = {
             request_class["name"]: 1.0 for request_class in pattern["classes"]
@@ -137,7 +159,8 @@
                 disturbance["at_s"],
                 lambda disturbance=disturbance: self._apply_disturbance(disturbance),
             )
-        timers.subscribe(REPORT_INTERVAL_S, self._exchange_reports)
+        for host in range(pattern["hosts"]):
+            self._schedule_reports(host)
         max_deadline_s = max(
             request_class["deadline_s"] for request_class in pattern["classes"]
         )
@@ -271,22 +294,52 @@
         over = self._engines[engine].count_requests() > (
             LOAD_LIMIT_FACTOR * mean + LOAD_LIMIT_EXTRA_REQUESTS
         )
-        self._counts["sends"] += 1
-        self._counts["over"] += over
+        self._sends.append((self.timers.now(), over))
+
+    def _schedule_reports(self, host: int) -> None:
+        """Start a host's reports, at the intervals of ``ReportTiming``."""
+        for in_domain in (True, False):
+            receivers = self._list_report_receivers(host, in_domain)
+            if receivers:
+                interval_s = ReportTiming().compute_interval_s(
+                    in_domain, len(receivers)
+                )
+                stream = _ReportStream(host, receivers, interval_s, [])
+                self._report_streams[host].append(stream)
+                self.timers.call_later(
+                    self._rng.uniform(0.0, interval_s),
+                    lambda stream=stream: self._send_report(stream),
+                )
+
+    def _list_report_receivers(self, host: int, in_domain: bool) -> list[int]:
+        """Return the other hosts of a host's own domain, or those of all others."""
+        domains = self._pattern["failure_domains"]
+        return [
+            other
+            for other in range(self._pattern["hosts"])
+            if other != host and (other % domains == host % domains) == in_domain
+        ]
 
-    def _exchange_reports(self) -> None:
-        """Send the report of each host to all others, with the network latency."""
-        for host in self._list_hosts():
-            report = self._policies[host].collect_report()
-            self.timers.call_later(
-                NETWORK_LATENCY_S,
-                lambda host=host, report=report: self._deliver_report(host, report),
-            )
+    def _send_report(self, stream: "_ReportStream") -> None:
+        """Send a host's report to a group of hosts, with the network latency."""
+        self.timers.call_later(stream.interval_s, lambda: self._send_report(stream))
+        policy = self._policies[stream.sender]
+        if policy is None:
+            return
+        report = policy.collect_report()
+        # Placements that are new have to reach both groups.
+        for other in self._report_streams[stream.sender]:
+            other.placements.extend(report.placements)
+        report = report._replace(placements=list(stream.placements))
+        stream.placements.clear()
+        self.timers.call_later(
+            NETWORK_LATENCY_S, lambda: self._deliver_report(stream, report)
+        )
 
-    def _deliver_report(self, sender: int, report) -> None:
-        for host in self._list_hosts():
-            if host != sender:
-                self._policies[host].receive_report(sender, report)
+    def _deliver_report(self, stream: "_ReportStream", report: HostReport) -> None:
+        for host in stream.receivers:
+            if self._policies[host] is not None:
+                self._policies[host].receive_report(stream.sender, report)
 
     def _apply_disturbance(self, disturbance: Disturbance) -> None:
         _DISTURBANCE_HANDLERS[disturbance["kind"]](self, disturbance)
@@ -378,7 +431,8 @@
             p95_s=delays_s[int(0.95 * len(delays_s))],
             read_again=counts["again"] / len(requests),
             copied=counts["copied"] / len(requests),
-            over_limit=counts["over"] / counts["sends"],
+            over_limit=_compute_over_ratio(self._sends),
+            worst_over_limit=_compute_worst_over_ratio(self._sends),
             choice_us=1e6 * self._selection_cpu_s / counts["choices"],
             windows=windows,
         )
@@ -406,6 +460,24 @@
     return on_time / worth if worth else 1.0
 
 
+def _compute_over_ratio(sends: list[tuple[float, bool]]) -> float:
+    """Return the ratio of sends, as pairs of time and over limit, over the limit."""
+    return sum(over for _, over in sends) / len(sends) if sends else 0.0
+
+
+def _compute_worst_over_ratio(sends: list[tuple[float, bool]]) -> float:
+    """Return the highest ratio in any window of ``LIMIT_WINDOW_S`` seconds."""
+    worst, first, over_count = 0.0, 0, 0
+    for index, (at_s, over) in enumerate(sends):
+        over_count += over
+        while sends[first][0] <= at_s - LIMIT_WINDOW_S:
+            over_count -= sends[first][1]
+            first += 1
+        if at_s >= LIMIT_WINDOW_S:
+            worst = max(worst, over_count / (index - first + 1))
+    return worst
+
+
 _DISTURBANCE_HANDLERS = {
     "burst": World._start_burst,
     "hot_key": World._start_hot_key,
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -37,6 +37,16 @@
     min_valid_s: float = 0.9
     closed_valid_s: float = 0.3
 
+    def compute_interval_s(self, in_domain: bool, hosts: int) -> float:
+        """Return the seconds between two reports to a group of hosts.
+
+        Args:
+            in_domain: Whether they are in the sender's failure domain.
+            hosts: The number of hosts in the group.
+        """
+        per_s = self.same_domain_per_s if in_domain else self.other_domains_per_s
+        return max(self.interval_s, hosts / per_s)
+
 
 class _ReceivedReport(NamedTuple):
     """The last report of a host.
@@ -188,12 +198,6 @@
     def _is_valid(self, received: _ReceivedReport) -> bool:
         return self._timers.now() - received.received_s < received.valid_s
 
-    def _get_interval_s(self, in_domain: bool, hosts: int) -> float:
-        """Return the seconds between two reports to a group of hosts."""
-        timing = self._timing
-        per_s = timing.same_domain_per_s if in_domain else timing.other_domains_per_s
-        return max(timing.interval_s, hosts / per_s)
-
     def _send_due_reports(self) -> None:
         """Send reports to the groups of hosts whose interval has passed."""
         self._timers.call_later(
@@ -205,7 +209,7 @@
         self._update_pending()
         for in_domain, hosts in self._group_hosts().items():
             if hosts and now_s >= self._next_report_s[in_domain]:
-                interval_s = self._get_interval_s(in_domain, len(hosts))
+                interval_s = self._timing.compute_interval_s(in_domain, len(hosts))
                 self._next_report_s[in_domain] = (
                     now_s + interval_s - self._timing.interval_s / 2
                 )
@@ -240,7 +244,7 @@
             in_domain: max(
                 self._timing.min_valid_s,
                 self._timing.valid_intervals
-                * self._get_interval_s(in_domain, len(hosts)),
+                * self._timing.compute_interval_s(in_domain, len(hosts)),
             )
             for in_domain, hosts in groups.items()
         }
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -80,6 +80,18 @@
         """Long prompts and long responses alternate."""
         self.replay_and_check_bounds("swing")
 
+    def test_sends_over_limit_with_aged_loads_of_60_hosts(self):
+        """Each host's loads of the servers are older than a request takes."""
+        outcome = run_pattern(read_pattern("replacement_60"), POLICIES["present"], SEED)
+        self.assertLessEqual(outcome.worst_over_limit, MAX_OVER_LIMIT_RATIO)
+
+    def test_sends_over_limit_with_aged_loads_of_300_hosts(self):
+        """Hosts of other failure domains report every 14 s."""
+        outcome = run_pattern(
+            read_pattern("replacement_300"), POLICIES["present"], SEED
+        )
+        self.assertLessEqual(outcome.worst_over_limit, MAX_OVER_LIMIT_RATIO)
+
     def test_all_hosts_killed(self):
         """Restarted hosts without knowledge choose the same servers as before."""
         outcome, naive = (
