--- a/oleanderpier/cli/program.py
+++ b/oleanderpier/cli/program.py
@@ -4,6 +4,7 @@
 
 from oleanderpier.cli.check import check
 from oleanderpier.cli.explain import explain
+from oleanderpier.cli.loads import loads
 from oleanderpier.cli.picture import picture
 from oleanderpier.cli.status import status
 from oleanderpier.cli.summary import summary
@@ -25,5 +26,15 @@
     """
 
 
-for command in (check, status, targets, explain, events, trace, summary, picture):
+for command in (
+    check,
+    status,
+    targets,
+    explain,
+    events,
+    trace,
+    summary,
+    loads,
+    picture,
+):
     run.add_command(command)
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -168,8 +168,9 @@
             if time_left_s < MIN_TIME_LEFT_S:
                 self._reason = f"{time_left_s:.4f} s left; {self._reason}"
                 return await self._refuse(self._get_timeout_code())
-            outcome = await self._run_attempt(choice)
-            self._log_attempt(choice, outcome.value)
+            started_s = forwarder.timers.now()
+            outcome = await self._run_attempt(choice, started_s)
+            self._log_attempt(choice, outcome.value, started_s)
             decision = decide_retry(outcome, self._get_state())
             if outcome is AttemptOutcome.DELIVERED:
                 return await self._deliver()
@@ -182,7 +183,7 @@
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
         return await self._finish_unsuccessful(code)
 
-    async def _run_attempt(self, choice: Choice) -> AttemptOutcome:
+    async def _run_attempt(self, choice: Choice, started_s: float) -> AttemptOutcome:
         """Send the request to a server once, and update its health."""
         forwarder = self._forwarder
         identity = self._server = choice.server.identity
@@ -200,7 +201,6 @@
             self._may_fail_over,
         )
         forwarder.chooser.begin_request(self._query, identity)
-        started_s = forwarder.timers.now()
         try:
             outcome = await attempt.run(
                 self._caller, self._splitter, self._caller.response_started
@@ -208,7 +208,7 @@
         except BaseException:
             # The deadline has passed, or the caller has disconnected.
             self._attempts += 1
-            self._log_attempt(choice, INTERRUPTED)
+            self._log_attempt(choice, INTERRUPTED, started_s)
             raise
         finally:
             forwarder.chooser.end_request(identity)
@@ -223,20 +223,31 @@
             self._response = attempt.response
         return outcome
 
-    def _log_attempt(self, choice: Choice, outcome: str) -> None:
+    def _log_attempt(self, choice: Choice, outcome: str, started_s: float) -> None:
+        """Log an attempt, with what this host believed when it chose the server."""
+        # Loads and statistics are as old as at the start of the attempt.
+        mean_age_s = choice.load_age_s + max(0.0, started_s - choice.stats.computed_s)
         log_message(
             "forward:send",
             request=self._call.identity,
             server=choice.server.identity,
             why=choice.reason,
+            service=choice.server.service,
             load=choice.load,
+            own_load=choice.own_load,
             load_age_s=round(choice.load_age_s, 3),
+            mean_load=round(choice.stats.mean_load, 2),
+            load_bound=round(choice.stats.load_bound, 2),
+            mean_age_s=round(mean_age_s, 3),
+            server_state=choice.server_state.value,
+            server_state_age_s=round(choice.server_state_age_s, 2),
             cache_age_s=None
             if choice.cache_age_s is None
             else round(choice.cache_age_s, 3),
             source=choice.copy_source.identity if choice.copy_source else "",
             ending=outcome,
             reason=self._reason,
+            took_s=round(self._forwarder.timers.now() - started_s, 4),
         )
 
     def _get_timeout_code(self) -> Code:
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -26,10 +26,10 @@
 from oleanderpier.routing.caches import CacheMap
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
-from oleanderpier.routing.roster import Roster
+from oleanderpier.routing.roster import RegistrationChange, Roster
 from oleanderpier.utils import Timers
 
-__all__ = ["Choice", "Chooser", "ServerQuery"]
+__all__ = ["Choice", "Chooser", "ServerQuery", "ServiceStats"]
 
 # Load bound: a server is chosen for its cache only while its requests in flight
 # are at most LOAD_BOUND_FACTOR times the mean of the service plus
@@ -74,6 +74,23 @@
         return self.prefixes[-1].key if self.prefixes else ""
 
 
+class ServiceStats(NamedTuple):
+    """Statistics over all servers of a service, cached since they cost O(servers).
+
+    Attributes:
+        mean_load: Requests in flight per server.
+        load_bound: Largest weight of a server that is chosen for its cache, in
+            requests in flight.
+        min_failure_rate: The lowest failure rate of a server, 0 to 1.
+        computed_s: When they were computed, on the monotonic clock.
+    """
+
+    mean_load: float
+    load_bound: float
+    min_failure_rate: float
+    computed_s: float
+
+
 class Choice(NamedTuple):
     """The server that was chosen, and the reason for the log.
 
@@ -85,34 +102,27 @@
             all servers are over the bound) or ``last_resort`` (no healthy server is
             left to try).
         load: Requests in flight at it, over all hosts, as known to this host.
+        stats: The statistics of the service that the choice used.
         copy_source: A server that has a longer prefix cached, from which the chosen
             server can copy it; None if there is none.
+        own_load: The requests of this host in ``load``.
         load_age_s: Age of the oldest load report that was used, in seconds.
         cache_age_s: Seconds since the chosen server was last sent the longest
             shared prefix, None if never.
+        server_state: The last change of the server's registration.
+        server_state_age_s: Seconds since then.
     """
 
     server: ServerEntry
     reason: str
     load: int
+    stats: ServiceStats
     copy_source: ServerEntry | None = None
+    own_load: int = 0
     load_age_s: float = 0.0
     cache_age_s: float | None = None
-
-
-class _ServiceStats(NamedTuple):
-    """Statistics over all servers of a service, cached since they cost O(servers).
-
-    Attributes:
-        load_bound: Largest weight of a server that is chosen for its cache, in
-            requests in flight.
-        min_failure_rate: The lowest failure rate of a server, 0 to 1.
-        expires_s: When they have to be computed again, on the monotonic clock.
-    """
-
-    load_bound: float
-    min_failure_rate: float
-    expires_s: float
+    server_state: RegistrationChange = RegistrationChange.JOINED
+    server_state_age_s: float = 0.0
 
 
 class Chooser:
@@ -147,7 +157,7 @@
     ) -> None:
         self._get_load_age_s = get_load_age_s
         self._timers = timers
-        self._service_stats: dict[str, _ServiceStats] = {}
+        self._service_stats: dict[str, ServiceStats] = {}
         self._stats_choices_left: Counter[str] = Counter()
         self._roster = roster
         self._health = health
@@ -181,11 +191,14 @@
         choice = self._choose_server(query, avoid)
         if choice is None:
             return None
+        identity = choice.server.identity
+        state, state_since_s = self._roster.get_last_change(identity)
         return choice._replace(
+            own_load=self.in_flight[identity],
             load_age_s=self._get_load_age_s(),
-            cache_age_s=self._caches.get_entry_age_s(
-                query.cache_key, choice.server.identity
-            ),
+            cache_age_s=self._caches.get_entry_age_s(query.cache_key, identity),
+            server_state=state,
+            server_state_age_s=self._timers.now() - state_since_s,
         )
 
     def _choose_server(self, query: ServerQuery, avoid: Iterable[str]) -> Choice | None:
@@ -219,12 +232,10 @@
                 STATS_CHOICES_RATIO * len(loads)
             )
         if healthy and query.cache_key:
-            return self._choose_within_bound(
-                query, servers, loads, weights, stats.load_bound
-            )
+            return self._choose_within_bound(query, servers, loads, weights, stats)
         server = self._pick_least_weight(servers, weights)
         reason = "least_loaded" if healthy else "last_resort"
-        return Choice(server, reason, loads[server.identity])
+        return Choice(server, reason, loads[server.identity], stats)
 
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
@@ -237,7 +248,7 @@
         if no healthy holder is within the load bound.
         """
         stats = self._service_stats.get(query.service)
-        if stats is None or self._timers.now() >= stats.expires_s:
+        if stats is None or self._timers.now() >= stats.computed_s + STATS_LIFETIME_S:
             return None
         if self._stats_choices_left[query.service] <= 0:
             return None
@@ -257,16 +268,17 @@
             return None
         self._stats_choices_left[query.service] -= 1
         server = _pick_by_hash(query.cache_key, holders)
-        return Choice(server, "cached", self.count_in_flight(server.identity))
+        return Choice(server, "cached", self.count_in_flight(server.identity), stats)
 
-    def _compute_stats(self, loads: dict[str, int]) -> _ServiceStats:
+    def _compute_stats(self, loads: dict[str, int]) -> ServiceStats:
         """Return the statistics of a service from the loads of its servers."""
         mean = sum(loads.values()) / len(loads)
         failure_rates = (self._health.get_failure_rate(identity) for identity in loads)
-        return _ServiceStats(
+        return ServiceStats(
+            mean,
             LOAD_BOUND_FACTOR * mean + LOAD_BOUND_OFFSET,
             min(failure_rates),
-            self._timers.now() + STATS_LIFETIME_S,
+            self._timers.now(),
         )
 
     def _choose_within_bound(
@@ -275,7 +287,7 @@
         servers: list[ServerEntry],
         loads: dict[str, int],
         weights: dict[str, float],
-        load_bound: float,
+        stats: ServiceStats,
     ) -> Choice:
         """Return a server within the load bound that has the prefix cached.
 
@@ -283,17 +295,17 @@
         prefix; if all are over the bound, the least loaded one.
         """
         below_bound = [
-            entry for entry in servers if weights[entry.identity] <= load_bound
+            entry for entry in servers if weights[entry.identity] <= stats.load_bound
         ]
         if not below_bound:
             server = self._pick_least_weight(servers, weights)
-            return Choice(server, "least_loaded", loads[server.identity])
+            return Choice(server, "least_loaded", loads[server.identity], stats)
         holder_ids = set(self._caches.list_holders(query.cache_key))
         holders = [entry for entry in below_bound if entry.identity in holder_ids]
         server = _pick_by_hash(query.cache_key, holders or below_bound)
         reason = "cached" if holders else "spilled" if holder_ids else "hashed"
         copy_source = None if holders else self._find_copy_source(query, server)
-        return Choice(server, reason, loads[server.identity], copy_source)
+        return Choice(server, reason, loads[server.identity], stats, copy_source)
 
     def _find_copy_source(
         self, query: ServerQuery, server: ServerEntry
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -2,13 +2,14 @@
 
 from collections import defaultdict
 from collections.abc import Callable
+from enum import Enum
 
 from eliot import log_message
 
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.utils import Timers
 
-__all__ = ["Roster"]
+__all__ = ["RegistrationChange", "Roster"]
 
 # How long after an outage of the platform expired registrations are kept. The
 # platform guarantees that running servers have registered again within 2 s; 0.5 s
@@ -16,6 +17,22 @@
 REREGISTRATION_WAIT_S = 2.5
 
 
+class RegistrationChange(Enum):
+    """The last change of a server's registration.
+
+    Attributes:
+        JOINED: It registered for the first time.
+        RETURNED: It registered again after its registration ended, or restarted.
+        LEAVING: It announced that it leaves.
+        ENDED: Its registration ended; an outage of the platform may be why.
+    """
+
+    JOINED = "joined"
+    RETURNED = "returned"
+    LEAVING = "leaving"
+    ENDED = "ended"
+
+
 class Roster:
     """The registered backend servers by service.
 
@@ -32,6 +49,7 @@
         self._entries: dict[str, ServerEntry] = {}
         self._usable: dict[str, list[ServerEntry]] = defaultdict(list)
         self._expired_s: dict[str, float] = {}
+        self._last_changes: dict[str, tuple[RegistrationChange, float]] = {}
         self._outage_ended_s = -REREGISTRATION_WAIT_S
         self._removal_callbacks: list[Callable[[str], None]] = []
         timers.subscribe(0.25, self._remove_expired)
@@ -57,6 +75,7 @@
         """
         previous = self._entries.get(identity)
         if entry is not None:
+            self._record_change(identity, previous, entry)
             self._expired_s.pop(identity, None)
             self._entries[identity] = entry
             if previous is not None and entry.born_ms != previous.born_ms:
@@ -69,12 +88,20 @@
         if previous is None or identity in self._expired_s:
             return
         self._expired_s[identity] = self._timers.now()
+        self._set_last_change(identity, RegistrationChange.ENDED)
         self._remove_expired()
 
     def get_entry(self, identity: str) -> ServerEntry | None:
         """Return a server's registration, even if it is leaving; None if unknown."""
         return self._entries.get(identity)
 
+    def get_last_change(self, identity: str) -> tuple[RegistrationChange, float]:
+        """Return the last change of a known server's registration, and its time.
+
+        The time is when this host learnt of it, in seconds on the monotonic clock.
+        """
+        return self._last_changes[identity]
+
     def list_usable(self, service: str) -> list[ServerEntry]:
         """Return the servers of a service that may get new requests."""
         return self._usable.get(service, [])
@@ -88,10 +115,25 @@
         for identity in list(self._expired_s):
             del self._expired_s[identity]
             del self._entries[identity]
+            del self._last_changes[identity]
             log_message("roster:server_gone", identity=identity)
             self._notify_removed(identity)
         self._rebuild_usable()
 
+    def _record_change(
+        self, identity: str, previous: ServerEntry | None, entry: ServerEntry
+    ) -> None:
+        """Record how a new registration differs from the previous one."""
+        if entry.leaving and not (previous and previous.leaving):
+            self._set_last_change(identity, RegistrationChange.LEAVING)
+        elif previous is None:
+            self._set_last_change(identity, RegistrationChange.JOINED)
+        elif identity in self._expired_s or entry.born_ms != previous.born_ms:
+            self._set_last_change(identity, RegistrationChange.RETURNED)
+
+    def _set_last_change(self, identity: str, change: RegistrationChange) -> None:
+        self._last_changes[identity] = (change, self._timers.now())
+
     def _notify_removed(self, identity: str) -> None:
         for callback in self._removal_callbacks:
             callback(identity)
