--- a/bench/choices.py
+++ b/bench/choices.py
@@ -10,7 +10,7 @@
 
 import click
 
-from bench.emulator.policies import POLICIES
+from bench.emulator.policies import POLICIES, make_lone_host
 from oleanderpier.routing import PromptPrefix, ServerQuery
 from oleanderpier.utils import ManualTimers
 
@@ -21,6 +21,8 @@
 PROMPT_COUNT = 400
 # Mean number of the host's requests in flight per engine.
 IN_FLIGHT_PER_ENGINE = 0.5
+# How long a request is in flight, as the router is told.
+RESIDENCE_S = 1.0
 # Simulated time between two decisions.
 STEP_S = 0.02
 
@@ -33,7 +35,7 @@
         engines: Number of engines to choose from.
     """
     timers, rng = ManualTimers(), random.Random(1)
-    router = POLICIES[policy](timers, rng)
+    router = POLICIES[policy](make_lone_host(timers, rng))
     for number in range(engines):
         router.update_engine(f"e{number}", False)
     queries = [
@@ -52,7 +54,7 @@
         router.begin_request(query, engine)
         running.append(engine)
         if len(running) > IN_FLIGHT_PER_ENGINE * engines:
-            router.end_request(running.pop(0), failed=False)
+            router.end_request(running.pop(0), False, RESIDENCE_S)
         timers.advance(STEP_S)
     return 1e6 * cpu_s / SAMPLE_COUNT
 
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -2,9 +2,10 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple, Protocol
 
+from oleanderpier.fleet import DomainLoads, FleetLoads, FleetSite
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
@@ -13,9 +14,16 @@
     ServerHealth,
     ServerQuery,
 )
-from oleanderpier.utils import Timers, rank_candidates
+from oleanderpier.utils import Outbox, Timers, rank_candidates
 
-__all__ = ["POLICIES", "Policy", "Selection"]
+__all__ = [
+    "POLICIES",
+    "HostContext",
+    "HostReport",
+    "Policy",
+    "Selection",
+    "make_lone_host",
+]
 
 SERVICE = "engines"
 # Load bound of the naive policy: the mean of the host's own requests in flight per
@@ -35,6 +43,22 @@
     copy_source: str | None = None
 
 
+class HostContext(NamedTuple):
+    """What a policy gets from the host that it runs on.
+
+    Attributes:
+        timers: The timer service.
+        rng: Random number generator.
+        site: The host's place in the fleet.
+        outbox: Sends messages to other hosts.
+    """
+
+    timers: Timers
+    rng: random.Random
+    site: FleetSite
+    outbox: Outbox
+
+
 class Policy(Protocol):
     """The routing policy of one host, with the state that it keeps."""
 
@@ -47,15 +71,18 @@
     def begin_request(self, query: ServerQuery, engine: str) -> None:
         """Count a request as in flight."""
 
-    def end_request(self, engine: str, failed: bool) -> None:
+    def end_request(self, engine: str, failed: bool, took_s: float) -> None:
         """Count a request as ended, and record whether the engine failed."""
 
     def collect_report(self) -> "HostReport":
         """Return the report for the other hosts."""
 
-    def receive_report(self, host: int, report: "HostReport") -> None:
+    def receive_report(self, host: str, report: "HostReport") -> None:
         """Apply a report of another host."""
 
+    def receive_total(self, host: str, message: DomainLoads) -> None:
+        """Apply the total load of another failure domain."""
+
 
 class HostReport(NamedTuple):
     """Report that a host sends to all others several times a second.
@@ -74,23 +101,25 @@
     """The routing components of oleanderpier, connected as on an entry host.
 
     Args:
-        timers: The timer service.
-        rng: Random number generator.
+        context: The host.
     """
 
-    def __init__(self, timers: Timers, rng: random.Random) -> None:
+    def __init__(self, context: HostContext) -> None:
+        timers = context.timers
         self._roster = Roster(timers)
         self._health = ServerHealth(timers)
         self._caches = CacheMap(timers)
-        self._loads_by_peer: dict[int, dict[str, int]] = {}
-        self._peer_loads: Counter[str] = Counter()
+        self._loads = FleetLoads(
+            context.site, timers, context.outbox, lambda: self._chooser.in_flight
+        )
+        self._loads.start()
         self._chooser = Chooser(
             self._roster,
             self._health,
             self._caches,
             "d",
-            self._count_at_peers,
-            rng,
+            self._loads,
+            context.rng,
             timers,
         )
         self._roster.subscribe_removed(self._caches.remove_server)
@@ -112,9 +141,9 @@
         """Count a request as in flight."""
         self._chooser.begin_request(query, engine)
 
-    def end_request(self, engine: str, failed: bool) -> None:
+    def end_request(self, engine: str, failed: bool, took_s: float) -> None:
         """Count a request as ended, and record whether the engine failed."""
-        self._chooser.end_request(engine)
+        self._chooser.end_request(engine, took_s)
         if failed:
             self._health.record_unreachable(engine)
         else:
@@ -124,15 +153,14 @@
         """Return the loads and the cache entries that changed since the last call."""
         return HostReport(dict(self._chooser.in_flight), self._caches.pop_updates())
 
-    def receive_report(self, host: int, report: HostReport) -> None:
+    def receive_report(self, host: str, report: HostReport) -> None:
         """Apply a report of another host."""
-        self._peer_loads.subtract(self._loads_by_peer.get(host, {}))
-        self._peer_loads.update(report.loads)
-        self._loads_by_peer[host] = report.loads
+        self._loads.receive_report(host, report.loads)
         self._caches.apply_updates(report.placements)
 
-    def _count_at_peers(self, engine: str) -> int:
-        return self._peer_loads[engine]
+    def receive_total(self, host: str, message: DomainLoads) -> None:
+        """Apply the total load of another failure domain."""
+        self._loads.receive_total(host, message)
 
 
 class NaivePolicy:
@@ -141,12 +169,11 @@
     The host knows only its own requests and gets no reports from others.
 
     Args:
-        timers: Not used.
-        rng: Random number generator.
+        context: The host.
     """
 
-    def __init__(self, timers: Timers, rng: random.Random) -> None:
-        self._rng = rng
+    def __init__(self, context: HostContext) -> None:
+        self._rng = context.rng
         self._engines: list[str] = []
         self._in_flight: Counter[str] = Counter()
 
@@ -169,7 +196,7 @@
         """Count a request as in flight."""
         self._in_flight[engine] += 1
 
-    def end_request(self, engine: str, failed: bool) -> None:
+    def end_request(self, engine: str, failed: bool, took_s: float) -> None:
         """Count a request as ended, and record whether the engine failed."""
         self._in_flight[engine] -= 1
 
@@ -177,16 +204,19 @@
         """Return an empty report."""
         return HostReport({}, [])
 
-    def receive_report(self, host: int, report: HostReport) -> None:
+    def receive_report(self, host: str, report: HostReport) -> None:
         """Ignore the report."""
 
+    def receive_total(self, host: str, message: DomainLoads) -> None:
+        """Ignore the total."""
+
 
 class LeastLoadedPolicy(NaivePolicy):
     """Least loaded engine by reported loads, regardless of caches."""
 
-    def __init__(self, timers: Timers, rng: random.Random) -> None:
-        super().__init__(timers, rng)
-        self._loads_by_peer: dict[int, dict[str, int]] = {}
+    def __init__(self, context: HostContext) -> None:
+        super().__init__(context)
+        self._loads_by_peer: dict[str, dict[str, int]] = {}
 
     def select(self, query: ServerQuery, avoid: set[str]) -> Selection | None:
         """Return the least loaded engine; break ties at random."""
@@ -201,7 +231,7 @@
         """Return the host's own loads."""
         return HostReport(dict(self._in_flight), [])
 
-    def receive_report(self, host: int, report: HostReport) -> None:
+    def receive_report(self, host: str, report: HostReport) -> None:
         """Apply the loads of another host."""
         self._loads_by_peer[host] = report.loads
 
@@ -227,7 +257,23 @@
         return Selection(min(candidates, key=self._count_in_flight))
 
 
-POLICIES: dict[str, Callable[[Timers, random.Random], Policy]] = {
+class _NoOutbox:
+    """Discards all messages."""
+
+    def send(self, host: str, message: Any) -> bool:
+        return False
+
+    def send_to_all(self, hosts: Iterable[str], message: Any) -> None:
+        """Discard the message."""
+
+
+def make_lone_host(timers: Timers, rng: random.Random) -> HostContext:
+    """Return the context of a host without other hosts."""
+    site = FleetSite("h0", "d0", lambda host: None, list, list)
+    return HostContext(timers, rng, site, _NoOutbox())
+
+
+POLICIES: dict[str, Callable[[HostContext], Policy]] = {
     "present": ProductPolicy,
     "naive": NaivePolicy,
     "least_loaded": LeastLoadedPolicy,
--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -3,15 +3,15 @@
 import random
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from bench.emulator.engines import Engine, Job
 from bench.emulator.patterns import Disturbance, Pattern, RequestClass
-from bench.emulator.policies import HostReport, Policy
-from oleanderpier.fleet import ReportTiming
+from bench.emulator.policies import HostContext, HostReport, Policy
+from oleanderpier.fleet import DomainLoads, FleetSite, ReportTiming
 from oleanderpier.routing import PromptPrefix, ServerQuery
-from oleanderpier.utils import ManualTimers, Timers
+from oleanderpier.utils import ManualTimers
 
 __all__ = ["Outcome", "World", "run_pattern"]
 
@@ -112,6 +112,35 @@
         return self.is_complete and self.first_event_s - self.sent_s <= target_s
 
 
+class _HostOutbox:
+    """Sends the messages of one host, with the network latency.
+
+    Args:
+        world: The simulation.
+        sender: The name of the host.
+    """
+
+    def __init__(self, world: "World", sender: str) -> None:
+        self._world = world
+        self._sender = sender
+
+    def send(self, host: str, message: DomainLoads) -> bool:
+        """Send a message to one host."""
+        self.send_to_all([host], message)
+        return True
+
+    def send_to_all(self, hosts: Iterable[str], message: DomainLoads) -> None:
+        """Send a message to several hosts."""
+        receivers = list(hosts)
+        self._world.timers.call_later(
+            NETWORK_LATENCY_S, lambda: self._deliver(receivers, message)
+        )
+
+    def _deliver(self, receivers: list[str], message: DomainLoads) -> None:
+        for receiver in receivers:
+            self._world.deliver_total(self._sender, receiver, message)
+
+
 class World:
     """The engines, hosts and load of one simulation run.
 
@@ -124,7 +153,7 @@
     def __init__(
         self,
         pattern: Pattern,
-        make_policy: Callable[[Timers, random.Random], Policy],
+        make_policy: Callable[[HostContext], Policy],
         seed: int,
     ) -> None:
         self._pattern = pattern
@@ -144,8 +173,14 @@
             request_class["name"]: 1.0 for request_class in pattern["classes"]
         }
         self._hot_key_ratios: dict[str, float] = {}
-        for _ in range(pattern["hosts"]):
-            self._policies.append(self._make_host())
+        self._names = [f"h{host}" for host in range(pattern["hosts"])]
+        self._hosts_by_name = {name: host for host, name in enumerate(self._names)}
+        self._neighbours = [
+            [self._names[other] for other in self._list_report_receivers(host, True)]
+            for host in range(pattern["hosts"])
+        ]
+        for host in range(pattern["hosts"]):
+            self._policies.append(self._make_host(host))
         for _ in range(pattern["engines"]):
             self._add_engine()
 
@@ -168,12 +203,31 @@
             timers.advance(TICK_S)
         return self._summarize()
 
-    def _make_host(self) -> Policy:
-        policy = self._make_policy(self.timers, random.Random(self._rng.random()))
+    def _make_host(self, host: int) -> Policy:
+        site = FleetSite(
+            self._names[host],
+            self._find_domain(self._names[host]),
+            self._find_domain,
+            lambda: self._neighbours[host],
+            lambda: self._names,
+        )
+        rng = random.Random(self._rng.random())
+        policy = self._make_policy(
+            HostContext(self.timers, rng, site, _HostOutbox(self, self._names[host]))
+        )
         for name in self._engines:
             policy.update_engine(name, name in self._leaving)
         return policy
 
+    def _find_domain(self, name: str) -> str:
+        return f"d{self._hosts_by_name[name] % self._pattern['failure_domains']}"
+
+    def deliver_total(self, sender: str, receiver: str, message: DomainLoads) -> None:
+        """Deliver the total load of a failure domain to a host, if it is running."""
+        policy = self._policies[self._hosts_by_name[receiver]]
+        if policy is not None and self._policies[self._hosts_by_name[sender]]:
+            policy.receive_total(sender, message)
+
     def _list_hosts(self) -> list[int]:
         return [n for n, policy in enumerate(self._policies) if policy is not None]
 
@@ -212,7 +266,10 @@
         """Return a query for a random prompt of a class.
 
         The draw favours prompts with low indexes; a hot key is the prompt with index 0.
+        A class without prompt parts yields a query without prefixes.
         """
+        if not request_class["chain"]:
+            return ServerQuery(SERVICE)
         last = request_class["chain"][-1]
         prompt_index = int(last["things"] * self._rng.random() ** (1 + PROMPT_SKEW))
         if self._rng.random() < self._hot_key_ratios.get(request_class["name"], 0.0):
@@ -242,6 +299,7 @@
         request.tried_engines.add(selection.engine)
         policy.begin_request(request.query, selection.engine)
         self._record_overload(selection.engine)
+        sent_s = self.timers.now()
         engine = self._engines[selection.engine]
         source = (
             self._engines.get(selection.copy_source) if selection.copy_source else None
@@ -250,7 +308,8 @@
         def handle_end(complete: bool) -> None:
             if self._policies[host] is not policy:
                 return
-            policy.end_request(selection.engine, failed=not complete)
+            took_s = self.timers.now() - sent_s
+            policy.end_request(selection.engine, not complete, took_s)
             request.is_complete = complete
             if not complete:
                 self._send(request, host)
@@ -283,7 +342,7 @@
 
     def _record_prefill_cost(self, request: Request, cost) -> None:
         key = request.query.cache_key
-        if key in self._prompts_read:
+        if key and key in self._prompts_read:
             self._counts["again"] += cost.reread_tokens
         self._prompts_read.add(key)
         self._counts["copied"] += cost.copied_tokens
@@ -339,7 +398,7 @@
     def _deliver_report(self, stream: "_ReportStream", report: HostReport) -> None:
         for host in stream.receivers:
             if self._policies[host] is not None:
-                self._policies[host].receive_report(stream.sender, report)
+                self._policies[host].receive_report(self._names[stream.sender], report)
 
     def _apply_disturbance(self, disturbance: Disturbance) -> None:
         _DISTURBANCE_HANDLERS[disturbance["kind"]](self, disturbance)
@@ -408,7 +467,7 @@
 
         def restart() -> None:
             for host in range(count):
-                self._policies[host] = self._make_host()
+                self._policies[host] = self._make_host(host)
 
         self.timers.call_later(disturbance["for_s"], restart)
 
@@ -440,7 +499,7 @@
 
 def run_pattern(
     pattern: Pattern,
-    make_policy: Callable[[Timers, random.Random], Policy],
+    make_policy: Callable[[HostContext], Policy],
     seed: int,
 ) -> Outcome:
     """Run a pattern under a routing policy.
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -12,7 +12,16 @@
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.events import Clock
-from oleanderpier.fleet import CachePlacements, FleetView, HostReport, ServerUse
+from oleanderpier.fleet import (
+    DOMAIN_LOADS_FEATURE,
+    CachePlacements,
+    DomainLoads,
+    FleetLoads,
+    FleetSite,
+    FleetView,
+    HostReport,
+    ServerUse,
+)
 from oleanderpier.forwarding import Dialect, Forwarder, ServerActivity
 from oleanderpier.membership import HostEndpoint, Members, MemberState
 from oleanderpier.peers import Mesh, split_address
@@ -23,6 +32,7 @@
     ItemsQuery,
     ItemsUpdate,
     Replica,
+    ReplicaSummary,
     ReplicaSync,
     maintain_replica,
 )
@@ -139,6 +149,18 @@
             self._make_report,
             self._handle_report,
         )
+        self.loads = FleetLoads(
+            FleetSite(
+                host,
+                settings.failure_domain,
+                self.members.find_domain,
+                self._list_total_senders,
+                lambda: self.view.list_with_feature(DOMAIN_LOADS_FEATURE),
+            ),
+            timers,
+            self.mesh,
+            lambda: self.chooser.in_flight,
+        )
         self.replicas = {
             space: Replica(space, timers) for space in (CONFIGURATION, SERVERS)
         }
@@ -156,15 +178,17 @@
             self.health,
             self.caches,
             self.settings.failure_domain,
-            self.view.count_in_flight,
+            self.loads,
             self._rng,
             timers,
-            self.view.get_load_age_s,
+            self.settings.load_limit_factor,
         )
 
     def _subscribe_components(self) -> None:
         self.mesh.subscribe_range(MEMBERSHIP_MESSAGE_NUMBERS, self._handle_membership)
         self.mesh.subscribe(HostReport, self.view.receive_report)
+        self.mesh.subscribe(DomainLoads, self.loads.receive_total)
+        self.view.subscribe_silent(self.loads.remove_host)
         self.mesh.subscribe(CachePlacements, self._receive_cache_placements)
         self.mesh.subscribe_closed(self.view.handle_stream_closed)
         self.view.subscribe_appeared(self._send_cache_placements)
@@ -212,6 +236,7 @@
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
         self.view.start()
+        self.loads.start()
         for replica in self.replicas.values():
             self._start_task(
                 maintain_replica(
@@ -356,6 +381,11 @@
             candidates.append(self.settings.peer_address)
         return rank_candidates("watch", candidates)[:WATCHER_COUNT]
 
+    def _list_total_senders(self) -> list[str]:
+        """Return the other hosts of this failure domain that send its total load."""
+        supporting = set(self.view.list_with_feature(DOMAIN_LOADS_FEATURE))
+        return [host for host in self.view.list_ready_in_domain() if host in supporting]
+
     def _list_followers(self) -> list[str]:
         """Return the hosts of this failure domain that do not watch."""
         watchers = set(self._list_watchers())
@@ -412,12 +442,15 @@
             self.settings.caller_address,
             self.state == "ready",
             not self._failing_spaces,
-            self.sync.summarize(),
+            {**self.sync.summarize(), DOMAIN_LOADS_FEATURE: ReplicaSummary(0, 0, 0.0)},
             servers,
             self.caches.pop_updates(),
         )
 
     def _handle_report(self, host: str, report: HostReport) -> None:
+        self.loads.receive_report(
+            host, {name: use.in_flight for name, use in report.servers.items()}
+        )
         self.sync.receive_summaries(host, report.replica_summaries)
         self.caches.apply_updates(report.placements)
         for identity, use in report.servers.items():
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -25,6 +25,8 @@
         budget: The retry budget of the whole fleet.
         longest_keep_s: Upper bound of the time for which callers may use an
             address list, in seconds.
+        load_limit_factor: Limit on the requests in flight at a backend server, as a
+            multiple of the mean of its service.
     """
 
     host: str
@@ -39,3 +41,4 @@
     grace_s: float
     budget: BudgetLimits
     longest_keep_s: float
+    load_limit_factor: float = 2.0
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -5,7 +5,14 @@
 from oleanderpier.replication import ReplicaSummary
 from oleanderpier.utils import register_message
 
-__all__ = ["CachePlacements", "HostReport", "ServerUse", "merge_reports"]
+__all__ = [
+    "DOMAIN_LOADS_FEATURE",
+    "CachePlacements",
+    "DomainLoads",
+    "HostReport",
+    "ServerUse",
+    "merge_reports",
+]
 
 
 class ServerUse(NamedTuple):
@@ -22,6 +29,12 @@
     failures: int
 
 
+# The key in ``HostReport.replica_summaries`` by which a host announces that it handles
+# ``DomainLoads``. Hosts of earlier versions close the stream on an unknown message, but
+# ignore summaries of unknown key spaces.
+DOMAIN_LOADS_FEATURE = "feature:domain_loads"
+
+
 @register_message(135)
 class HostReport(NamedTuple):
     """A host's periodic report to the other hosts.
@@ -55,6 +68,25 @@
     placements: list[tuple[str, str]]
 
 
+@register_message(137)
+class DomainLoads(NamedTuple):
+    """The requests in flight of the hosts of a failure domain.
+
+    Attributes:
+        failure_domain: The failure domain.
+        hosts: The number of hosts whose requests these are.
+        age_s: The mean time since the hosts counted them, in seconds.
+        interval_s: The time until the next total, in seconds.
+        in_flight: The number of requests in flight, by server id.
+    """
+
+    failure_domain: str
+    hosts: int
+    age_s: float
+    interval_s: float
+    in_flight: dict[str, int]
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/fleet/tests/test_view.py
+++ b/oleanderpier/fleet/tests/test_view.py
@@ -119,19 +119,15 @@
         self.assertNotIn("h2", view.list_ready_in_domain())
         self.assertIn("h4", view.list_ready_in_domain())
 
-    def test_requests_in_flight_are_summed(self):
-        """Requests in flight are summed over the other hosts that are present."""
+    def test_silent_host_is_announced_once(self):
+        """Subscribers are told once of a host that becomes silent."""
         fleet = FakeFleet(3)
-        fleet.uses["h1"] = [{"s1": ServerUse(4, 0, 0)}] * 40
-        fleet.uses["h2"] = [{"s1": ServerUse(3, 0, 0)}] * 40
+        silent: list[str] = []
+        fleet.views["h0"].subscribe_silent(silent.append)
         fleet.run(1.0)
-        self.assertEqual(7, fleet.views["h0"].count_in_flight("s1"))
-        self.assertLess(fleet.views["h0"].get_load_age_s(), 0.6)
         fleet.silent.add("h1")
-        fleet.run(0.7)
-        self.assertGreater(fleet.views["h0"].get_load_age_s(), 0.6)
-        fleet.run(REMOVAL_TIMEOUT_S - 0.7)
-        self.assertEqual(3, fleet.views["h0"].count_in_flight("s1"))
+        fleet.run(2 * REMOVAL_TIMEOUT_S)
+        self.assertEqual(["h1"], silent)
 
     def test_rarer_reports_contain_all_counts(self):
         """Hosts of the other domain get fewer reports but the same total counts."""
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -1,7 +1,6 @@
 """Exchanges reports with the other hosts and aggregates those received."""
 
 import random
-from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -102,8 +101,7 @@
         self._timing = timing or ReportTiming()
         self._reports: dict[str, _ReceivedReport] = {}
         self._appeared_callbacks: list[Callable[[str], None]] = []
-        self._in_flight: Counter[str] = Counter()
-        self._oldest_report_s = timers.now()
+        self._silent_callbacks: list[Callable[[str], None]] = []
         # State of each group of hosts. The key is whether the group is in this host's
         # failure domain.
         self._next_report_s = {True: 0.0, False: 0.0}
@@ -118,23 +116,16 @@
         """Call back with each host whose report follows no valid earlier one."""
         self._appeared_callbacks.append(callback)
 
+    def subscribe_silent(self, callback: Callable[[str], None]) -> None:
+        """Call back with each host whose last report is no longer valid."""
+        self._silent_callbacks.append(callback)
+
     def report_now(self) -> None:
         """Send a report immediately, such as after a change of state."""
         self._update_pending()
         for in_domain, hosts in self._group_hosts().items():
             self._send_report(in_domain, hosts)
 
-    def count_in_flight(self, identity: str) -> int:
-        """Return how many requests the other hosts have in flight at a server."""
-        return self._in_flight[identity]
-
-    def get_load_age_s(self) -> float:
-        """Return the age, in seconds, of the oldest report in ``count_in_flight``.
-
-        The oldest report is determined only once per report interval.
-        """
-        return self._timers.now() - self._oldest_report_s
-
     def count_hosts(self) -> int:
         """Return the number of known hosts, including this one and failed ones."""
         return max(1, len(self._members.list_known()))
@@ -164,6 +155,14 @@
         """Return the hosts of ``list_ready`` in this host's failure domain."""
         return [host for host in self.list_ready() if self._is_in_own_domain(host)]
 
+    def list_with_feature(self, feature: str) -> list[str]:
+        """Return the other present hosts whose reports announce a feature."""
+        return [
+            host
+            for host, received in self._reports.items()
+            if feature in received.report.replica_summaries and self._is_valid(received)
+        ]
+
     def get_caller_address(self, host: str) -> str:
         """Return the address for callers of a host that has reported."""
         return self._reports[host].report.caller_address
@@ -183,12 +182,9 @@
         """Store a report and notify subscribers."""
         previous = self._reports.get(sender)
         is_new = previous is None or not self._is_valid(previous)
-        if previous is not None:
-            self._add_in_flight(previous.report, -1)
         self._reports[sender] = _ReceivedReport(
             message, self._timers.now(), self._valid_s[self._is_in_own_domain(sender)]
         )
-        self._add_in_flight(message, 1)
         if is_new:
             log_message("fleet:host_reports", host=sender, ready=message.ready)
             for callback in self._appeared_callbacks:
@@ -260,14 +256,7 @@
             if not self._is_valid(received)
         ]
         for host in expired:
-            self._add_in_flight(self._reports.pop(host).report, -1)
+            del self._reports[host]
             log_message("fleet:host_silent", host=host)
-        now_s = self._timers.now()
-        received_s = (received.received_s for received in self._reports.values())
-        self._oldest_report_s = min(received_s, default=now_s)
-
-    def _add_in_flight(self, report: HostReport, sign: int) -> None:
-        for identity, use in report.servers.items():
-            self._in_flight[identity] += sign * use.in_flight
-            if not self._in_flight[identity]:
-                del self._in_flight[identity]
+            for callback in self._silent_callbacks:
+                callback(host)
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -211,8 +211,9 @@
             self._log_attempt(choice, INTERRUPTED, started_s)
             raise
         finally:
-            forwarder.chooser.end_request(identity)
-        forwarder.on_attempt_end(outcome, forwarder.timers.now() - started_s)
+            took_s = forwarder.timers.now() - started_s
+            forwarder.chooser.end_request(identity, took_s)
+        forwarder.on_attempt_end(outcome, took_s)
         self._reason = attempt.reason
         self._tried.add(identity)
         self._attempts += outcome is not AttemptOutcome.UNREACHED
@@ -237,7 +238,8 @@
             own_load=choice.own_load,
             load_age_s=round(choice.load_age_s, 3),
             mean_load=round(choice.stats.mean_load, 2),
-            load_bound=round(choice.stats.load_bound, 2),
+            load_limit=round(choice.stats.load_limit, 2),
+            survival=round(choice.stats.survival, 3),
             mean_age_s=round(mean_age_s, 3),
             server_state=choice.server_state.value,
             server_state_age_s=round(choice.server_state_age_s, 2),
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -27,7 +27,7 @@
     Route,
     ServerHealth,
 )
-from oleanderpier.routing.tests.fakes import make_route, make_server
+from oleanderpier.routing.tests.fakes import FakeRemoteLoads, make_route, make_server
 from oleanderpier.utils import LoopTimers, run_coroutine
 
 __all__ = [
@@ -320,12 +320,14 @@
         )
         # The n-th server has n requests of other hosts in flight, so that servers
         # are tried in order.
+        remote_loads = FakeRemoteLoads()
+        remote_loads.in_flight.update(order)
         chooser = Chooser(
             roster,
             health,
             CacheMap(timers),
             "duluth",
-            order.get,
+            remote_loads,
             random.Random(1),
             timers,
         )
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -42,6 +42,8 @@
     BudgetWindowS: PositiveFloat
     # Upper bound of the time for which callers use an address list, in seconds.
     ttl_max_s: PositiveFloat
+    # Limit on a server's load, as a multiple of the mean of its service.
+    CapX: Annotated[float, msgspec.Meta(ge=1)]
 
 
 class _PlatformFields(TypedDict):
@@ -67,6 +69,7 @@
     RetrySlack=50.0,
     BudgetWindowS=10.0,
     ttl_max_s=5.0,
+    CapX=2.0,
 )
 
 
@@ -111,4 +114,5 @@
             bounds["RetryBudgetRatio"], bounds["RetrySlack"], bounds["BudgetWindowS"]
         ),
         longest_keep_s=bounds["ttl_max_s"],
+        load_limit_factor=bounds["CapX"],
     )
--- a/oleanderpier/platform/tests/test_settings.py
+++ b/oleanderpier/platform/tests/test_settings.py
@@ -21,7 +21,7 @@
         "Directory": "10.1.0.40:8224",
     },
     "Seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
-    "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "RetrySlack": 54},
+    "Bounds": {"GraceS": 8, "RetryBudgetRatio": 0.2, "RetrySlack": 54, "CapX": 3},
     "Platform": {"Address": "10.200.1.7:8223", "form": "read"},
     "Unheard": {"of": 1},
 }
@@ -53,6 +53,7 @@
         self.assertEqual(("10.1.0.40:8229", "10.2.0.29:8229"), settings.seeds)
         self.assertEqual("10.1.0.40:9464", settings.metrics_address)
         self.assertEqual(BudgetLimits(0.2, 54.0, 10.0), settings.budget)
+        self.assertEqual(3.0, settings.load_limit_factor)
 
     def test_failure_names_invalid_field(self):
         """The failure names the path of the field and what is allowed."""
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -7,7 +7,11 @@
   so that all hosts choose alike without coordination.
 - Servers join and leave: cached prefixes stay where they are.
 - One prompt gets much of the traffic: consistent hashing with bounded loads. The
-  next server in the hash order takes the requests over the load bound.
+  next server in the hash order takes the requests over the load limit, and the
+  servers that have the prompt cached share its requests.
+- Many hosts choose by the same loads, which are older than many requests take: the
+  older they are, the further below the load limit has a server to be, and equally
+  good servers are chosen at random.
 - Some servers are slow or fail: their recent failures add to their weight.
 - All servers are overloaded: the least loaded one gets the request.
 
@@ -18,27 +22,20 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import xxhash
 
 from oleanderpier.routing.caches import CacheMap
 from oleanderpier.routing.health import ServerHealth
+from oleanderpier.routing.load_model import LoadModel, RemoteLoads, ServiceStats
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
 from oleanderpier.routing.roster import RegistrationChange, Roster
 from oleanderpier.utils import Timers
 
-__all__ = ["Choice", "Chooser", "ServerQuery", "ServiceStats"]
+__all__ = ["Choice", "Chooser", "ServerQuery"]
 
-# Load bound: a server is chosen for its cache only while its requests in flight
-# are at most LOAD_BOUND_FACTOR times the mean of the service plus
-# LOAD_BOUND_OFFSET. The users' limit is twice the mean plus three; the margin
-# covers what other hosts send between two load reports.
-LOAD_BOUND_FACTOR = 1.7
-LOAD_BOUND_OFFSET = 2.0
-# Weight added to a server whose requests all fail, in requests in flight.
-FAILURE_PENALTY = 12.0
 # Weight added to a server of another failure domain, in requests in flight,
 # because traffic between failure domains is expensive.
 DOMAIN_PENALTY = 0.5
@@ -74,23 +71,6 @@
         return self.prefixes[-1].key if self.prefixes else ""
 
 
-class ServiceStats(NamedTuple):
-    """Statistics over all servers of a service, cached since they cost O(servers).
-
-    Attributes:
-        mean_load: Requests in flight per server.
-        load_bound: Largest weight of a server that is chosen for its cache, in
-            requests in flight.
-        min_failure_rate: The lowest failure rate of a server, 0 to 1.
-        computed_s: When they were computed, on the monotonic clock.
-    """
-
-    mean_load: float
-    load_bound: float
-    min_failure_rate: float
-    computed_s: float
-
-
 class Choice(NamedTuple):
     """The server that was chosen, and the reason for the log.
 
@@ -98,15 +78,15 @@
         server: The server.
         reason: ``cached`` (it has the longest shared prefix cached), ``hashed`` (no
             server has), ``spilled`` (the servers that have it are over the load
-            bound or get no requests), ``least_loaded`` (there is no shared prefix, or
-            all servers are over the bound) or ``last_resort`` (no healthy server is
+            limit or get no requests), ``least_loaded`` (there is no shared prefix, or
+            all servers are over the limit) or ``last_resort`` (no healthy server is
             left to try).
         load: Requests in flight at it, over all hosts, as known to this host.
         stats: The statistics of the service that the choice used.
         copy_source: A server that has a longer prefix cached, from which the chosen
             server can copy it; None if there is none.
         own_load: The requests of this host in ``load``.
-        load_age_s: Age of the oldest load report that was used, in seconds.
+        load_age_s: Mean age of the other hosts' requests in ``load``, in seconds.
         cache_age_s: Seconds since the chosen server was last sent the longest
             shared prefix, None if never.
         server_state: The last change of the server's registration.
@@ -133,12 +113,11 @@
         health: Failures and backoff of the servers.
         caches: Which servers have which prefixes cached.
         failure_domain: The failure domain of this host.
-        count_remote_load: Returns the number of requests that the other hosts have
-            in flight at a server.
+        remote_loads: The requests in flight of the other hosts.
         rng: The random number generator that breaks ties.
         timers: The timer service.
-        get_load_age_s: Returns the age of the oldest report that
-            ``count_remote_load`` counts, in seconds.
+        load_limit_factor: The users' limit on a server's requests in flight, as a
+            multiple of the mean of its service.
 
     Attributes:
         in_flight: This host's requests in flight, by server id.
@@ -150,12 +129,11 @@
         health: ServerHealth,
         caches: CacheMap,
         failure_domain: str,
-        count_remote_load: Callable[[str], int],
+        remote_loads: RemoteLoads,
         rng: random.Random,
         timers: Timers,
-        get_load_age_s: Callable[[], float] = lambda: 0.0,
+        load_limit_factor: float = 2.0,
     ) -> None:
-        self._get_load_age_s = get_load_age_s
         self._timers = timers
         self._service_stats: dict[str, ServiceStats] = {}
         self._stats_choices_left: Counter[str] = Counter()
@@ -163,9 +141,9 @@
         self._health = health
         self._caches = caches
         self._failure_domain = failure_domain
-        self._count_remote_load = count_remote_load
         self._rng = rng
-        self.in_flight: Counter[str] = Counter()
+        self._model = LoadModel(roster, health, remote_loads, timers, load_limit_factor)
+        self.in_flight = self._model.in_flight
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
         """Record that a request is sent to a server."""
@@ -174,8 +152,16 @@
         for prefix in query.prefixes:
             self._caches.record_send(prefix.key, identity)
 
-    def end_request(self, identity: str) -> None:
-        """Record that a request at a server has ended."""
+    def end_request(self, identity: str, took_s: float | None = None) -> None:
+        """Record that a request at a server has ended.
+
+        Args:
+            identity: The server's id.
+            took_s: The seconds that it was in flight; None if that is not known.
+        """
+        entry = self._roster.get_entry(identity)
+        if entry is not None and took_s is not None:
+            self._model.residence_times.record_duration(entry.service, took_s)
         self.in_flight[identity] -= 1
         if self.in_flight[identity] <= 0:
             del self.in_flight[identity]
@@ -195,7 +181,7 @@
         state, state_since_s = self._roster.get_last_change(identity)
         return choice._replace(
             own_load=self.in_flight[identity],
-            load_age_s=self._get_load_age_s(),
+            load_age_s=self._model.get_age_s(),
             cache_age_s=self._caches.get_entry_age_s(query.cache_key, identity),
             server_state=state,
             server_state_age_s=self._timers.now() - state_since_s,
@@ -218,34 +204,64 @@
         servers = healthy or untried or usable
         if not servers:
             return None
-        loads = {
-            entry.identity: self.count_in_flight(entry.identity) for entry in servers
-        }
-        stats = self._compute_stats(loads)
-        weights = {
-            identity: self._compute_weight(identity, load, stats.min_failure_rate)
-            for identity, load in loads.items()
-        }
+        stats = self._model.compute_stats(query.service, servers)
         if healthy and not avoided:
             self._service_stats[query.service] = stats
             self._stats_choices_left[query.service] = int(
-                STATS_CHOICES_RATIO * len(loads)
+                STATS_CHOICES_RATIO * len(servers)
             )
+        weights = self._compute_weights(servers, stats)
         if healthy and query.cache_key:
-            return self._choose_within_bound(query, servers, loads, weights, stats)
-        server = self._pick_least_weight(servers, weights)
+            choice = self._choose_by_prefix(query, servers, weights, stats)
+            if choice is not None:
+                return choice
+        server = self._pick_least_loaded(servers, weights, stats)
         reason = "least_loaded" if healthy else "last_resort"
-        return Choice(server, reason, loads[server.identity], stats)
+        return self._make_choice(server, reason, stats)
 
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
-        return self.in_flight[identity] + self._count_remote_load(identity)
+        return self._model.count_in_flight(identity)
+
+    def _make_choice(
+        self,
+        server: ServerEntry,
+        reason: str,
+        stats: ServiceStats,
+        copy_source: ServerEntry | None = None,
+    ) -> Choice:
+        load = self.count_in_flight(server.identity)
+        return Choice(server, reason, load, stats, copy_source)
+
+    def _compute_weights(
+        self, servers: list[ServerEntry], stats: ServiceStats
+    ) -> dict[str, float]:
+        return {
+            entry.identity: self._model.compute_weight(entry.identity, stats)
+            for entry in servers
+        }
+
+    def _list_below_limit(
+        self,
+        servers: list[ServerEntry],
+        weights: dict[str, float],
+        stats: ServiceStats,
+    ) -> list[ServerEntry]:
+        """Return the servers that one more request hardly puts over the load limit."""
+        return [
+            entry
+            for entry in servers
+            if weights[entry.identity]
+            + self._model.compute_margin(entry.identity, stats)
+            + 1.0
+            <= stats.load_limit
+        ]
 
     def _choose_holder_by_stats(self, query: ServerQuery) -> Choice | None:
         """Return a server that has the prefix cached, by the stored statistics.
 
         This avoids a pass over all servers. None if the statistics have expired, or
-        if no healthy holder is within the load bound.
+        if no healthy holder is within the load limit.
         """
         stats = self._service_stats.get(query.service)
         if stats is None or self._timers.now() >= stats.computed_s + STATS_LIFETIME_S:
@@ -259,53 +275,39 @@
             and entry.service == query.service
             and not entry.leaving
             and not self._health.is_backing_off(identity)
-            and self._compute_weight(
-                identity, self.count_in_flight(identity), stats.min_failure_rate
-            )
-            <= stats.load_bound
         ]
-        if not holders:
+        weights = self._compute_weights(holders, stats)
+        below_limit = self._list_below_limit(holders, weights, stats)
+        if not below_limit:
             return None
         self._stats_choices_left[query.service] -= 1
-        server = _pick_by_hash(query.cache_key, holders)
-        return Choice(server, "cached", self.count_in_flight(server.identity), stats)
-
-    def _compute_stats(self, loads: dict[str, int]) -> ServiceStats:
-        """Return the statistics of a service from the loads of its servers."""
-        mean = sum(loads.values()) / len(loads)
-        failure_rates = (self._health.get_failure_rate(identity) for identity in loads)
-        return ServiceStats(
-            mean,
-            LOAD_BOUND_FACTOR * mean + LOAD_BOUND_OFFSET,
-            min(failure_rates),
-            self._timers.now(),
-        )
+        server = self._pick_by_headroom(below_limit, weights, stats)
+        return self._make_choice(server, "cached", stats)
 
-    def _choose_within_bound(
+    def _choose_by_prefix(
         self,
         query: ServerQuery,
         servers: list[ServerEntry],
-        loads: dict[str, int],
         weights: dict[str, float],
         stats: ServiceStats,
-    ) -> Choice:
-        """Return a server within the load bound that has the prefix cached.
+    ) -> Choice | None:
+        """Return a server below the load limit that has the prefix cached.
 
-        If none has, return the first one within the bound in the hash order of the
-        prefix; if all are over the bound, the least loaded one.
+        If none has, return the first one below the limit in the hash order of the
+        prefix, or None if there is none.
         """
-        below_bound = [
-            entry for entry in servers if weights[entry.identity] <= stats.load_bound
-        ]
-        if not below_bound:
-            server = self._pick_least_weight(servers, weights)
-            return Choice(server, "least_loaded", loads[server.identity], stats)
+        below_limit = self._list_below_limit(servers, weights, stats)
+        if not below_limit:
+            return None
         holder_ids = set(self._caches.list_holders(query.cache_key))
-        holders = [entry for entry in below_bound if entry.identity in holder_ids]
-        server = _pick_by_hash(query.cache_key, holders or below_bound)
-        reason = "cached" if holders else "spilled" if holder_ids else "hashed"
-        copy_source = None if holders else self._find_copy_source(query, server)
-        return Choice(server, reason, loads[server.identity], stats, copy_source)
+        holders = [entry for entry in below_limit if entry.identity in holder_ids]
+        if holders:
+            server = self._pick_by_headroom(holders, weights, stats)
+            return self._make_choice(server, "cached", stats)
+        server = _pick_by_hash(query.cache_key, below_limit)
+        reason = "spilled" if holder_ids else "hashed"
+        copy_source = self._find_copy_source(query, server)
+        return self._make_choice(server, reason, stats, copy_source)
 
     def _find_copy_source(
         self, query: ServerQuery, server: ServerEntry
@@ -351,23 +353,50 @@
             default=None,
         )
 
-    def _pick_least_weight(
-        self, servers: list[ServerEntry], weights: dict[str, float]
+    def _pick_by_headroom(
+        self,
+        servers: list[ServerEntry],
+        weights: dict[str, float],
+        stats: ServiceStats,
     ) -> ServerEntry:
-        """Return the server of least weight, nearby ones first, ties at random."""
+        """Return one of several servers, at random in proportion to its headroom.
 
-        def order(entry: ServerEntry) -> tuple[float, float]:
-            remote = entry.failure_domain != self._failure_domain
-            return weights[entry.identity] + DOMAIN_PENALTY * remote, self._rng.random()
+        If all hosts chose the same one until their loads show that it is full, it
+        would get too many requests in the meantime. In proportion to the headroom, a
+        server's rate changes less than its load does, so that the loads do not
+        oscillate, however old they are. All servers must be below the limit.
+        """
+        if len(servers) == 1:
+            return servers[0]
+        headrooms = [stats.load_limit - weights[entry.identity] for entry in servers]
+        return self._rng.choices(servers, headrooms)[0]
 
-        return min(servers, key=order)
+    def _pick_least_loaded(
+        self,
+        servers: list[ServerEntry],
+        weights: dict[str, float],
+        stats: ServiceStats,
+    ) -> ServerEntry:
+        """Return a server with a low load, nearby ones preferred, ties at random.
 
-    def _compute_weight(
-        self, identity: str, load: int, min_failure_rate: float
-    ) -> float:
-        """Return a server's load plus a penalty for failing more than the best one."""
-        failure_rate = self._health.get_failure_rate(identity)
-        return load + FAILURE_PENALTY * (failure_rate - min_failure_rate)
+        It is the least loaded one only if the loads are known exactly, for the reason
+        given in ``_pick_by_headroom``.
+        """
+        order = {
+            entry.identity: weights[entry.identity]
+            + DOMAIN_PENALTY * (entry.failure_domain != self._failure_domain)
+            for entry in servers
+        }
+        least = min(order.values())
+        if stats.survival == 1.0:
+            return self._rng.choice([e for e in servers if order[e.identity] == least])
+        below_limit = [
+            entry for entry in servers if order[entry.identity] + 1 <= stats.load_limit
+        ]
+        if below_limit:
+            return self._pick_by_headroom(below_limit, order, stats)
+        shares = [1 / (1 + order[entry.identity] - least) for entry in servers]
+        return self._rng.choices(servers, shares)[0]
 
 
 def _pick_by_hash(key: str, servers: list[ServerEntry]) -> ServerEntry:
--- /dev/null
+++ b/oleanderpier/routing/load_model.py
@@ -0,0 +1,170 @@
+"""Estimates servers' loads from reports that are older than many requests take.
+
+Between two reports requests end and all other hosts send new ones. A server's requests
+in flight are modelled as an M/M/inf queue: of those that were reported a ratio is still
+in flight, and others have arrived at the rate that keeps the load at its mean. The
+older the reports, the more the mean counts, and the larger is the margin that a server
+needs below the load limit.
+
+References:
+    M. Mitzenmacher, "How useful is old information?", IEEE TPDS 11(1), 2000.
+"""
+
+import math
+from collections import Counter
+from statistics import NormalDist
+from typing import NamedTuple, Protocol
+
+from oleanderpier.routing.health import ServerHealth
+from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.residence import ResidenceTimes
+from oleanderpier.routing.roster import Roster
+from oleanderpier.utils import Timers
+
+__all__ = ["LoadModel", "RemoteLoads", "ServiceStats"]
+
+# The users' limit: a server holds at most a factor, which is a setting, times the mean
+# of its service plus LOAD_LIMIT_OFFSET requests.
+LOAD_LIMIT_OFFSET = 3.0
+# The users allow this ratio of the sends to exceed the limit.
+ALLOWED_OVER_LIMIT_RATIO = 0.03
+# Standard deviations from a server's expected load to the limit, with which a send
+# exceeds the limit with the allowed probability at most.
+LIMIT_MARGIN_SIGMAS = NormalDist().inv_cdf(1 - ALLOWED_OVER_LIMIT_RATIO)
+# Weight added to a server whose requests all fail, in requests in flight.
+FAILURE_PENALTY = 12.0
+
+
+class RemoteLoads(Protocol):
+    """The requests in flight of the other hosts."""
+
+    def count_in_flight(self, identity: str) -> int:
+        """Return how many requests the other hosts have reported at a server."""
+
+    def get_mean_in_flight(self, identity: str) -> float:
+        """Return the mean of ``count_in_flight`` over the last seconds."""
+
+    def get_age_s(self) -> float:
+        """Return the mean age of what ``count_in_flight`` counts, in seconds."""
+
+
+class ServiceStats(NamedTuple):
+    """Statistics over all servers of a service, cached since they cost O(servers).
+
+    Attributes:
+        mean_load: Expected requests in flight per registered server.
+        mean_remote_load: Those of the other hosts, per registered server.
+        load_limit: The users' limit on the requests in flight at a server.
+        survival: Probability that a reported request of another host is still in
+            flight: 1 if loads are known exactly, near 0 if they are older than
+            requests take.
+        min_failure_rate: The lowest failure rate of a server, 0 to 1.
+        computed_s: When they were computed, on the monotonic clock.
+    """
+
+    mean_load: float
+    mean_remote_load: float
+    load_limit: float
+    survival: float
+    min_failure_rate: float
+    computed_s: float
+
+
+class LoadModel:
+    """Estimates the requests in flight at each server, and compares with the limit.
+
+    Args:
+        roster: The backend servers by service.
+        health: Failures of the servers.
+        remote_loads: The requests of the other hosts.
+        timers: The timer service.
+        load_limit_factor: The users' limit on a server's requests in flight, as a
+            multiple of the mean of its service.
+
+    Attributes:
+        in_flight: This host's requests in flight, by server id.
+        residence_times: How long requests are in flight, by service.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        health: ServerHealth,
+        remote_loads: RemoteLoads,
+        timers: Timers,
+        load_limit_factor: float,
+    ) -> None:
+        self.in_flight: Counter[str] = Counter()
+        self.residence_times = ResidenceTimes()
+        self._roster = roster
+        self._health = health
+        self._remote_loads = remote_loads
+        self._timers = timers
+        self._load_limit_factor = load_limit_factor
+
+    def count_in_flight(self, identity: str) -> int:
+        """Return the number of requests in flight at a server, of all hosts."""
+        return self.in_flight[identity] + self._remote_loads.count_in_flight(identity)
+
+    def get_age_s(self) -> float:
+        """Return the mean age of the other hosts' requests, in seconds."""
+        return self._remote_loads.get_age_s()
+
+    def compute_stats(self, service: str, servers: list[ServerEntry]) -> ServiceStats:
+        """Return the statistics of a service.
+
+        The mean is over all registered servers, as the users count it: a server that
+        leaves or fails holds little, and lowers the limit of the others.
+
+        Args:
+            service: The service.
+            servers: The servers that may be chosen.
+        """
+        registered = self._roster.list_registered(service)
+        survival = self.residence_times.estimate_survival(service, self.get_age_s())
+        remote = own = 0.0
+        for entry in registered:
+            remote += self._estimate_remote_load(entry.identity, survival)
+            own += self.in_flight[entry.identity]
+        mean = (remote + own) / len(registered)
+        failure_rates = (
+            self._health.get_failure_rate(entry.identity) for entry in servers
+        )
+        return ServiceStats(
+            mean,
+            remote / len(registered),
+            self._load_limit_factor * mean + LOAD_LIMIT_OFFSET,
+            survival,
+            min(failure_rates),
+            self._timers.now(),
+        )
+
+    def compute_weight(self, identity: str, stats: ServiceStats) -> float:
+        """Return a server's expected load, and a penalty for failing requests."""
+        remote = self._estimate_remote_load(identity, stats.survival)
+        failure_rate = self._health.get_failure_rate(identity)
+        penalty = FAILURE_PENALTY * (failure_rate - stats.min_failure_rate)
+        return self.in_flight[identity] + remote + penalty
+
+    def compute_margin(self, identity: str, stats: ServiceStats) -> float:
+        """Return by how much a server's load may exceed its expected value.
+
+        A server that was reported with less than the mean may have got as many
+        requests as the others since.
+        """
+        if stats.survival == 1.0:
+            return 0.0
+        load = max(
+            self._estimate_remote_load(identity, stats.survival),
+            stats.mean_remote_load,
+        )
+        variance = (1 - stats.survival**2) * load
+        return LIMIT_MARGIN_SIGMAS * math.sqrt(variance)
+
+    def _estimate_remote_load(self, identity: str, survival: float) -> float:
+        """Return the expected number of requests of the other hosts at a server."""
+        counted = self._remote_loads.count_in_flight(identity)
+        if survival == 1.0:
+            return counted
+        mean = self._remote_loads.get_mean_in_flight(identity)
+        return survival * counted + (1 - survival) * mean
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -47,6 +47,7 @@
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
         self._entries: dict[str, ServerEntry] = {}
+        self._registered: dict[str, list[ServerEntry]] = defaultdict(list)
         self._usable: dict[str, list[ServerEntry]] = defaultdict(list)
         self._expired_s: dict[str, float] = {}
         self._last_changes: dict[str, tuple[RegistrationChange, float]] = {}
@@ -83,7 +84,7 @@
                 self._notify_removed(identity)
             if entry != previous:
                 log_message("roster:server", **entry._asdict())
-                self._rebuild_usable()
+                self._rebuild_lists()
             return
         if previous is None or identity in self._expired_s:
             return
@@ -102,6 +103,10 @@
         """
         return self._last_changes[identity]
 
+    def list_registered(self, service: str) -> list[ServerEntry]:
+        """Return the servers of a service, including those that are leaving."""
+        return self._registered.get(service, [])
+
     def list_usable(self, service: str) -> list[ServerEntry]:
         """Return the servers of a service that may get new requests."""
         return self._usable.get(service, [])
@@ -118,7 +123,7 @@
             del self._last_changes[identity]
             log_message("roster:server_gone", identity=identity)
             self._notify_removed(identity)
-        self._rebuild_usable()
+        self._rebuild_lists()
 
     def _record_change(
         self, identity: str, previous: ServerEntry | None, entry: ServerEntry
@@ -138,8 +143,10 @@
         for callback in self._removal_callbacks:
             callback(identity)
 
-    def _rebuild_usable(self) -> None:
+    def _rebuild_lists(self) -> None:
+        self._registered = defaultdict(list)
         self._usable = defaultdict(list)
         for entry in self._entries.values():
+            self._registered[entry.service].append(entry)
             if not entry.leaving:
                 self._usable[entry.service].append(entry)
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -14,7 +14,7 @@
 )
 from oleanderpier.utils import ManualTimers
 
-__all__ = ["RoutingFixture", "make_route", "make_server"]
+__all__ = ["ENGINE", "FakeRemoteLoads", "RoutingFixture", "make_route", "make_server"]
 
 ENGINE = "engine"
 
@@ -47,6 +47,33 @@
     return route._replace(**changes)
 
 
+class FakeRemoteLoads:
+    """Requests in flight of other hosts, as a test sets them.
+
+    Args:
+        age_s: Their age, in seconds.
+
+    Attributes:
+        in_flight: The requests, by server id; their means are the same.
+    """
+
+    def __init__(self, age_s: float = 0.0) -> None:
+        self.age_s = age_s
+        self.in_flight: dict[str, int] = {}
+
+    def count_in_flight(self, identity: str) -> int:
+        """Return the requests at a server."""
+        return self.in_flight.get(identity, 0)
+
+    def get_mean_in_flight(self, identity: str) -> float:
+        """Return the requests at a server."""
+        return float(self.in_flight.get(identity, 0))
+
+    def get_age_s(self) -> float:
+        """Return the age."""
+        return self.age_s
+
+
 class RoutingFixture:
     """A chooser over some servers, on a manual clock.
 
@@ -55,7 +82,7 @@
         load_age_s: The age that load reports have, in seconds.
 
     Attributes:
-        remote_load: Requests in flight of other hosts, by server id.
+        remote_loads: Requests in flight of other hosts.
     """
 
     def __init__(self, servers: int = 9, load_age_s: float = 0.0) -> None:
@@ -63,16 +90,15 @@
         self.roster = Roster(self.timers)
         self.health = ServerHealth(self.timers)
         self.caches = CacheMap(self.timers)
-        self.remote_load: dict[str, int] = {}
+        self.remote_loads = FakeRemoteLoads(load_age_s)
         self.chooser = Chooser(
             self.roster,
             self.health,
             self.caches,
             "duluth",
-            lambda identity: self.remote_load.get(identity, 0),
+            self.remote_loads,
             random.Random(1),
             self.timers,
-            lambda: load_age_s,
         )
         self.roster.subscribe_removed(self.caches.remove_server)
         for number in range(servers):
--- a/oleanderpier/routing/tests/test_choice.py
+++ b/oleanderpier/routing/tests/test_choice.py
@@ -150,7 +150,7 @@
         """A server that other hosts have loaded over the bound is not chosen."""
         fixture = RoutingFixture()
         first = send_request(fixture, "k").server.identity
-        fixture.remote_load[first] = 40
+        fixture.remote_loads.in_flight[first] = 40
         choice = send_request(fixture, "k")
         self.assertNotEqual(first, choice.server.identity)
         self.assertEqual(first, choice.copy_source.identity)
--- /dev/null
+++ b/oleanderpier/routing/tests/test_load_model.py
@@ -0,0 +1,112 @@
+"""Tests of the choice by loads that are older than requests take."""
+
+from collections import Counter
+
+from testtools import TestCase
+
+from oleanderpier.routing import PromptPrefix, ServerQuery
+from oleanderpier.routing.residence import ResidenceTimes
+from oleanderpier.routing.tests.fakes import ENGINE, RoutingFixture
+
+# A request of the service ``engine`` takes one second.
+RESIDENCE_S = 1.0
+QUERY = ServerQuery(ENGINE, (PromptPrefix("k", 10_000),))
+
+
+def make_fixture(load_age_s: float, loads: dict[str, int]) -> RoutingFixture:
+    """Return a host that knows the loads of others and how long requests take."""
+    fixture = RoutingFixture(load_age_s=load_age_s)
+    fixture.remote_loads.in_flight.update(loads)
+    fixture.chooser.begin_request(ServerQuery(ENGINE), "s0")
+    fixture.chooser.end_request("s0", RESIDENCE_S)
+    return fixture
+
+
+class AgedLoadTest(TestCase):
+    """The older the loads, the less a host relies on them."""
+
+    def find_highest_load(self, load_age_s: float) -> int:
+        """Return the highest load of a server that is chosen for its cache.
+
+        All other servers hold five requests.
+        """
+        for load in range(5, 40):
+            loads = {f"s{n}": 5 for n in range(9)} | {"s3": load}
+            fixture = make_fixture(load_age_s, loads)
+            fixture.caches.apply_updates([("k", "s3")])
+            if fixture.chooser.choose(QUERY).server.identity != "s3":
+                return load - 1
+        return 40
+
+    def test_margin_grows_with_age(self):
+        """With exact loads a server may get as near to the limit as possible."""
+        limits = [self.find_highest_load(age_s) for age_s in (0.0, 0.2, 1.0, 30.0)]
+        self.assertEqual(sorted(limits, reverse=True), limits)
+        # 2 x the mean of 5.67 + 3, less the request itself.
+        self.assertGreaterEqual(limits[0], 13)
+        self.assertLess(limits[-1], limits[0] - 2)
+
+    def test_hosts_choose_different_servers_by_the_same_loads(self):
+        """The server with the lowest old load does not get all requests."""
+        loads = {f"s{n}": 2 for n in range(9)} | {"s3": 1}
+        fixture = make_fixture(30.0, loads)
+        chosen = Counter(
+            fixture.chooser.choose(ServerQuery(ENGINE)).server.identity
+            for _ in range(900)
+        )
+        self.assertLess(max(chosen.values()), 2 * 900 / 9)
+        self.assertEqual(9, len(chosen))
+
+    def test_holders_share_a_frequent_prompt(self):
+        """Several servers that have a prompt cached all get requests for it."""
+        fixture = make_fixture(1.0, {f"s{n}": 5 for n in range(9)})
+        fixture.caches.apply_updates([("k", "s3"), ("k", "s7")])
+        chosen = Counter(
+            fixture.chooser.choose(QUERY).server.identity for _ in range(200)
+        )
+        self.assertEqual({"s3", "s7"}, set(chosen))
+        self.assertGreater(min(chosen.values()), 50)
+
+    def test_servers_that_leave_lower_the_limit(self):
+        """The mean counts all registered servers."""
+        fixture = make_fixture(0.0, {f"s{n}": 5 for n in range(9)})
+        before = fixture.chooser.choose(QUERY).stats.load_limit
+        for number in range(3):
+            fixture.register_server(f"left{number}", leaving=True)
+        fixture.timers.advance(1.0)
+        self.assertLess(fixture.chooser.choose(QUERY).stats.load_limit, before)
+
+    def test_all_servers_over_limit(self):
+        """If no healthy server is below the limit, all of them get requests."""
+        fixture = make_fixture(30.0, {f"s{n}": 20 for n in range(9)})
+        for number in range(2, 9):
+            fixture.remote_loads.in_flight[f"s{number}"] = 0
+            fixture.health.record_unreachable(f"s{number}")
+        chosen = Counter(
+            fixture.chooser.choose(QUERY).server.identity for _ in range(200)
+        )
+        self.assertEqual({"s0", "s1"}, set(chosen))
+        self.assertGreater(min(chosen.values()), 50)
+
+
+class ResidenceTest(TestCase):
+    """Requests in flight are estimated to remain for half of a fixed duration."""
+
+    def test_survival_depends_on_duration(self):
+        """Long requests survive longer; the duration adapts."""
+        times = ResidenceTimes()
+        times.record_duration(ENGINE, 0.02)
+        self.assertLess(times.estimate_survival(ENGINE, 0.25), 0.001)
+        for _ in range(300):
+            times.record_duration(ENGINE, 2.0)
+        self.assertGreater(times.estimate_survival(ENGINE, 0.25), 0.75)
+
+    def test_exact_loads_survive(self):
+        """Loads without age are exact, whatever is known of the service."""
+        self.assertEqual(1.0, ResidenceTimes().estimate_survival(ENGINE, 0.0))
+
+    def test_instant_requests(self):
+        """Durations of zero give no error."""
+        times = ResidenceTimes()
+        times.record_duration(ENGINE, 0.0)
+        self.assertEqual(0.0, times.estimate_survival(ENGINE, 0.1))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -92,6 +92,12 @@
         )
         self.assertLessEqual(outcome.worst_over_limit, MAX_OVER_LIMIT_RATIO)
 
+    def test_sends_over_limit_without_prompts(self):
+        """Requests that have no cached prompt go to the least loaded server."""
+        for name in ("plain_8", "plain_60"):
+            outcome = run_pattern(read_pattern(name), POLICIES["present"], SEED)
+            self.assertLessEqual(outcome.worst_over_limit, MAX_OVER_LIMIT_RATIO, name)
+
     def test_all_hosts_killed(self):
         """Restarted hosts without knowledge choose the same servers as before."""
         outcome, naive = (
