Order by the store's era before its revision

Cause: replicas, watches and summaries ordered by the revision alone, and the revisions of a store that goes back are given out again.

Change: positions have the era of the header Store-Era above the revision. A compacted history is read again without a pause.

--- a/oleanderpier/entry/encoding.py
+++ b/oleanderpier/entry/encoding.py
@@ -1,12 +1,20 @@
 """The encoding in which hosts store and exchange published values."""
 
 import zlib
+from functools import lru_cache
 
 import msgspec
 
 from oleanderpier.routing import RoutingTable, ServerEntry
 
-__all__ = ["decode_server", "decode_table", "encode_server", "encode_table"]
+__all__ = [
+    "decode_server",
+    "decode_table",
+    "encode_server",
+    "encode_table",
+    "outlasts_server",
+    "outlasts_table",
+]
 
 
 def encode_table(table: RoutingTable) -> bytes:
@@ -18,8 +26,12 @@
     return zlib.compress(msgspec.msgpack.encode(table))
 
 
+@lru_cache(maxsize=4)
 def decode_table(value: bytes) -> RoutingTable:
-    """Decode a routing table encoded by ``encode_table``."""
+    """Decode a routing table encoded by ``encode_table``.
+
+    The last tables are cached, since versions are compared at each change.
+    """
     return msgspec.msgpack.decode(zlib.decompress(value), type=RoutingTable)
 
 
@@ -37,3 +49,35 @@
         True
     """
     return msgspec.msgpack.decode(value, type=ServerEntry)
+
+
+def outlasts_table(current: bytes, other: bytes | None, era_changed: bool) -> bool:
+    """Return whether a routing table stays in force although the store has another.
+
+    Versions only rise: an older one comes from an old copy of the store.
+
+    Args:
+        current: The encoded table; empty if it could not be decoded.
+        other: The store's table; empty or None if it has none that can be decoded.
+        era_changed: Not used, since it holds within an era as well.
+    """
+    if not current:
+        return False
+    return not other or decode_table(current).version > decode_table(other).version
+
+
+def outlasts_server(current: bytes, other: bytes | None, era_changed: bool) -> bool:
+    """Return whether a known entry is retained although the store has another one.
+
+    A server that has announced that it leaves does not return before it starts again,
+    so that another state of the same run is from an old copy of the store.
+
+    Args:
+        current: The encoded entry; empty if it could not be decoded.
+        other: The store's entry; empty or None if it has none that can be decoded.
+        era_changed: Whether the store's entry is of a later era.
+    """
+    if not era_changed or not current or not other:
+        return False
+    known, found = decode_server(current), decode_server(other)
+    return known.leaving and not found.leaving and known.born_ms == found.born_ms
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -8,7 +8,12 @@
 from expression import Error, Result
 
 from oleanderpier.connections import make_session
-from oleanderpier.entry.encoding import decode_server, decode_table
+from oleanderpier.entry.encoding import (
+    decode_server,
+    decode_table,
+    outlasts_server,
+    outlasts_table,
+)
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.events import Clock
@@ -34,6 +39,8 @@
     Replica,
     ReplicaSummary,
     ReplicaSync,
+    get_era,
+    get_revision,
     maintain_replica,
 )
 from oleanderpier.results import Code, Failure
@@ -73,6 +80,10 @@
 # After a shorter outage of the platform, missing server entries are not attributed
 # to the outage: entries do not expire that fast.
 MIN_OUTAGE_S = 1.0
+# For this long after the store returned from an old copy, hosts that start get the
+# replicas of others: more than the 2 s in which all is written again and the 6 s in
+# which an entry of a server that is gone expires.
+ERA_SETTLE_S = 10.0
 # An older configuration may have been replaced. The limit is above the time for
 # which the platform holds a watch call.
 MAX_CONFIGURATION_AGE_S = 4.0
@@ -162,9 +173,16 @@
             lambda: self.chooser.in_flight,
         )
         self.replicas = {
-            space: Replica(space, timers) for space in (CONFIGURATION, SERVERS)
+            CONFIGURATION: Replica(CONFIGURATION, timers, outlasts_table),
+            SERVERS: Replica(SERVERS, timers, outlasts_server),
         }
-        self.sync = ReplicaSync(self.replicas, timers, self.mesh, self._list_followers)
+        self.sync = ReplicaSync(
+            self.replicas,
+            timers,
+            self.mesh,
+            self._list_followers,
+            self.view.list_present_in_domain,
+        )
 
     def _build_routing(self) -> None:
         timers = self.timers
@@ -197,6 +215,8 @@
         self.members.subscribe(self._handle_member_change)
         self.replicas[CONFIGURATION].subscribe(self._apply_configuration)
         self.replicas[SERVERS].subscribe(self._apply_servers)
+        # Servers that the copy lacks register again, as after an outage.
+        self.replicas[SERVERS].subscribe_era(self.roster.record_outage_end)
         self.roster.subscribe_removed(self.health.remove_server)
         self.roster.subscribe_removed(self.server_activity.remove_server)
         self.roster.subscribe_removed(self.caches.remove_server)
@@ -406,7 +426,12 @@
         had_failures = bool(self._failing_spaces)
         if reachable:
             self._failing_spaces.discard(space)
-            if silent_s >= MIN_OUTAGE_S:
+            began_s = self.timers.now() - silent_s
+            # The wait for servers after a return in a new era has begun already.
+            if (
+                silent_s >= MIN_OUTAGE_S
+                and began_s > self.replicas[SERVERS].era_changed_s
+            ):
                 self.roster.record_outage_end()
         else:
             self._failing_spaces.add(space)
@@ -472,6 +497,18 @@
         placements = self.caches.list_entries()
         if placements:
             self.mesh.send(host, CachePlacements(placements))
+        self._send_retained_items(host)
+
+    def _send_retained_items(self, host: str) -> None:
+        """Send the replicas to a host that may know only the copy of the store.
+
+        Until the operator and the servers have written again, the store has older
+        values than the hosts that saw it before.
+        """
+        for replica in self.replicas.values():
+            if self.timers.now() < replica.era_changed_s + ERA_SETTLE_S:
+                self.mesh.send(host, replica.list_changes_since(0))
+                self.mesh.send(host, replica.list_tombstones())
 
     def _receive_cache_placements(self, sender: str, message: CachePlacements) -> None:
         self.caches.apply_updates(message.placements)
@@ -488,7 +525,8 @@
             log_message(
                 "node:configuration",
                 version=table.version,
-                revision=item.revision,
+                era=get_era(item.revision),
+                revision=get_revision(item.revision),
                 routes=len(table.routes),
                 source=change.source,
             )
--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from typing import Any, NotRequired, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 import aiohttp
 import msgspec
@@ -17,7 +17,7 @@
 )
 from oleanderpier.exception import PlatformError, RevisionCompactedError, SettingsError
 from oleanderpier.platform.documents import decode_configuration, decode_server
-from oleanderpier.replication import Item, ItemsUpdate
+from oleanderpier.replication import Item, ItemsUpdate, get_revision, make_position
 
 __all__ = ["StoreClient"]
 
@@ -28,6 +28,13 @@
 WATCH_SLACK_S = 0.6
 HISTORY_GONE_STATUS = 410
 MAX_PAGE_COUNT = 1000
+# Rises by one each time the store returns from a copy that is some seconds old.
+ERA_HEADER = "Store-Era"
+MAX_ERA = 1 << 16
+# Limit on the log lines about values of the header that are no era.
+MAX_LOGGED_ERAS = 8
+# How often a snapshot is begun again because the era changed between its pages.
+MAX_SNAPSHOT_STARTS = 3
 
 
 class _StoreItem(TypedDict):
@@ -49,6 +56,18 @@
     AsOf: int
 
 
+class _Response(NamedTuple):
+    """A response of the store.
+
+    Attributes:
+        era: The store's era at the time of the response.
+        body: The decoded body.
+    """
+
+    era: int
+    body: Any
+
+
 class StoreClient:
     """Reads key spaces of the store and watches them; an ``ItemSource``.
 
@@ -60,6 +79,8 @@
     def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
         self._url = f"http://{address}"
         self._session = session
+        self._era = 0
+        self._logged_eras: set[str | None] = set()
 
     async def read_snapshot(self, space: str) -> ItemsUpdate:
         """Return a snapshot of a key space.
@@ -67,19 +88,31 @@
         Raises:
             PlatformError: The store did not respond, or refused the call.
         """
+        for _ in range(MAX_SNAPSHOT_STARTS):
+            snapshot = await self._read_pages(space)
+            if snapshot is not None:
+                return snapshot
+        raise PlatformError(f"the era changed while {space} was read")
+
+    async def _read_pages(self, space: str) -> ItemsUpdate | None:
+        """Return a snapshot, or None if the era changed between two pages."""
         query = {"Prefix": KEY_PREFIXES[space]}
         items: list[Item] = []
-        as_of = None
+        as_of = era = None
         for _ in range(MAX_PAGE_COUNT):
-            page = await self._get(
+            response = await self._get(
                 "/kv-range", query, _RangeResponse, RESPONSE_TIMEOUT_S
             )
+            page = response.body
+            if era not in (None, response.era):
+                return None
+            era = response.era
             # Pages are read at different revisions. The snapshot has the lowest
             # of these, so that a watch from there returns changes in between.
             as_of = page["AsOf"] if as_of is None else min(as_of, page["AsOf"])
-            items += [_convert_item(space, item) for item in page["Items"]]
+            items += [_convert_item(space, era, item) for item in page["Items"]]
             if not page["HasMore"] or not page["Items"]:
-                return ItemsUpdate(space, 0, as_of, True, items)
+                return ItemsUpdate(space, 0, make_position(era, as_of), True, items)
             query["After"] = page["Items"][-1]["Key"]
         raise PlatformError(f"more than {MAX_PAGE_COUNT} pages of {space}")
 
@@ -94,18 +127,20 @@
         """
         query = {
             "Prefix": KEY_PREFIXES[space],
-            "After": str(after),
+            "After": str(get_revision(after)),
             "WaitMs": str(round(wait_s * 1000)),
         }
         response = await self._get(
             "/kv-watch", query, _WatchResponse, wait_s + WATCH_SLACK_S
         )
-        items = [_convert_item(space, item) for item in response["events"]]
-        return ItemsUpdate(space, after, response["AsOf"], False, items)
+        era, body = response
+        items = [_convert_item(space, era, item) for item in body["events"]]
+        as_of = make_position(era, body["AsOf"])
+        return ItemsUpdate(space, after, as_of, False, items)
 
     async def _get(
         self, path: str, query: dict[str, str], schema: type, timeout_s: float
-    ) -> Any:
+    ) -> _Response:
         timeout = aiohttp.ClientTimeout(total=timeout_s, connect=RESPONSE_TIMEOUT_S / 2)
         try:
             async with self._session.get(
@@ -113,6 +148,7 @@
             ) as response:
                 data = await response.read()
                 status = response.status
+                era = self._read_era(response.headers.get(ERA_HEADER))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformError(f"{path}: {error!r}") from error
         if status == HISTORY_GONE_STATUS:
@@ -120,19 +156,37 @@
         if status != 200:
             raise PlatformError(f"{path}: status {status}")
         try:
-            return msgspec.json.decode(data, type=schema)
+            return _Response(era, msgspec.json.decode(data, type=schema))
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise PlatformError(f"{path}: {error}") from error
 
+    def _read_era(self, text: str | None) -> int:
+        """Return the era that a response states; else the last one, with a log line."""
+        if text is not None and text.isascii() and text.isdigit():
+            era = int(text)
+            if era <= MAX_ERA:
+                self._era = max(self._era, era)
+                return era
+        if text not in self._logged_eras and len(self._logged_eras) < MAX_LOGGED_ERAS:
+            self._logged_eras.add(text)
+            log_message(
+                "store:era_unknown",
+                found=text,
+                allowed=f"a whole number up to {MAX_ERA}",
+                assumed=self._era,
+            )
+        return self._era
+
 
-def _convert_item(space: str, item: _StoreItem) -> Item:
+def _convert_item(space: str, era: int, item: _StoreItem) -> Item:
     """Convert an item of the store, decoding its value.
 
     A value that cannot be decoded becomes empty, and is logged.
     """
     key = item["Key"].removeprefix(KEY_PREFIXES[space]) or CONFIGURATION_KEY
+    revision = make_position(era, item["Revision"])
     if item.get("Deleted") or "Value" not in item:
-        return Item(key, item["Revision"], None)
+        return Item(key, revision, None)
     try:
         data = base64.b64decode(item["Value"], validate=True)
         if space == CONFIGURATION:
@@ -141,5 +195,5 @@
             value = encode_server(decode_server(key, data))
     except (SettingsError, binascii.Error) as error:
         log_message("store:value_refused", key=item["Key"], reason=str(error))
-        return Item(key, item["Revision"], b"")
-    return Item(key, item["Revision"], value)
+        return Item(key, revision, b"")
+    return Item(key, revision, value)
--- /dev/null
+++ b/oleanderpier/platform/tests/test_store.py
@@ -0,0 +1,120 @@
+"""Tests of the store's client against the stand-in, over HTTP."""
+
+import aiohttp
+from aiohttp import web
+from testtools import TestCase
+
+from oleanderpier.entry import SERVERS
+from oleanderpier.exception import PlatformError, RevisionCompactedError
+from oleanderpier.platform.store import StoreClient
+from oleanderpier.replication import get_era, get_revision, make_position
+from oleanderpier.utils import run_coroutine
+from standins.store import StandInStore
+
+ENTRY = {"Service": "office", "Address": "127.0.0.1:1", "Zone": "d", "State": "ready"}
+
+
+class PagedStore:
+    """Store that sends a list of eras, one with each page of one item.
+
+    Args:
+        eras: The value of the header in each response; None for none.
+    """
+
+    def __init__(self, eras: list[str | None]) -> None:
+        self._eras = eras
+        self.calls = 0
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application that serves the pages."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self._handle_range)
+        return app
+
+    async def _handle_range(self, request: web.Request) -> web.Response:
+        era = self._eras[min(self.calls, len(self._eras) - 1)]
+        self.calls += 1
+        last = "After" in request.query
+        item = {"Key": f"servers/i-{int(last)}", "Revision": 3, "Deleted": True}
+        return web.json_response(
+            {"Items": [item], "HasMore": not last, "AsOf": 7},
+            headers={} if era is None else {"Store-Era": era},
+        )
+
+
+async def call_store(store, call):
+    """Serve a store, and return the result of a call with a client of it."""
+    runner = web.AppRunner(store.make_app())
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    try:
+        async with aiohttp.ClientSession() as session:
+            return await call(StoreClient(f"127.0.0.1:{port}", session))
+    finally:
+        await runner.cleanup()
+
+
+class EraTest(TestCase):
+    """Positions have the era of the response."""
+
+    def read(self, eras: list[str | None]):
+        """Return a snapshot of a store that sends these eras, and its calls."""
+        store = PagedStore(eras)
+
+        async def call(client: StoreClient):
+            return await client.read_snapshot(SERVERS)
+
+        return run_coroutine(call_store(store, call)), store.calls
+
+    def test_positions_have_the_era(self):
+        """The snapshot and its items are of the era that the header states."""
+        update, _ = self.read(["3"])
+        self.assertEqual(make_position(3, 7), update.as_of)
+        self.assertEqual({3}, {get_era(item.revision) for item in update.items})
+
+    def test_snapshot_that_straddles_eras_is_read_again(self):
+        """Pages of two eras are no snapshot."""
+        update, calls = self.read(["1", "2", "2", "2"])
+        self.assertEqual((2, 4), (get_era(update.as_of), calls))
+
+    def test_era_that_never_settles(self):
+        """A store whose era changes between all pages gives an error."""
+        eras = [str(number) for number in range(20)]
+        self.assertRaises(PlatformError, self.read, eras)
+
+    def test_missing_or_invalid_era(self):
+        """Without a number the last known era is assumed, at first none."""
+        for text in (None, "new", "-1", "1.5", "99999999", ""):
+            update, _ = self.read([text])
+            self.assertEqual(
+                (0, 7), (get_era(update.as_of), get_revision(update.as_of))
+            )
+        update, calls = self.read(["4", None])
+        self.assertEqual((4, 2), (get_era(update.as_of), calls))
+
+    def test_watch_sends_revision_without_era(self):
+        """A watch names the revision, and its response has the era."""
+        store = StandInStore()
+        store.era = 5
+        store.put("servers/i-1", ENTRY)
+        store.put("servers/i-2", ENTRY)
+
+        async def call(client: StoreClient):
+            changes = await client.wait_for_changes(SERVERS, make_position(5, 1), 0.1)
+            store.save_copy()
+            store.put("servers/i-3", ENTRY)
+            store.return_from_copy()
+            after = make_position(5, 3)
+            try:
+                await client.wait_for_changes(SERVERS, after, 0.1)
+            except RevisionCompactedError as error:
+                return changes, error
+
+        changes, error = run_coroutine(call_store(store, call))
+        self.assertEqual(
+            ["i-2"], [item.key.rpartition("/")[2] for item in changes.items]
+        )
+        self.assertEqual(make_position(5, 2), changes.as_of)
+        self.assertTrue(error.needs_full_read)
--- a/oleanderpier/replication/messages.py
+++ b/oleanderpier/replication/messages.py
@@ -1,4 +1,7 @@
-"""The messages in which hosts exchange published values."""
+"""The messages in which hosts exchange published values.
+
+All revisions in them are positions, which contain the store's era.
+"""
 
 from typing import NamedTuple
 
@@ -15,7 +18,7 @@
 
     Attributes:
         key: Its key within the key space.
-        revision: The platform's revision at its last change.
+        revision: The position of its last change, as of ``positions``.
         value: Its encoded value; None if it was deleted, empty if the
             platform's value could not be decoded.
     """
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from eliot import log_message
+
 from oleanderpier.replication.messages import PLATFORM, Item, ItemsUpdate
+from oleanderpier.replication.positions import get_era, get_revision, mark_retained
 from oleanderpier.utils import Timers
 
 __all__ = ["Change", "Replica"]
@@ -11,6 +14,8 @@
 # When more deletions than this are kept, the oldest is dropped; a peer that is
 # behind it then gets a snapshot instead of single changes.
 MAX_TOMBSTONE_COUNT = 512
+# Limit on the keys that the log names at a change of era.
+MAX_LOGGED_KEYS = 20
 
 
 class Change(NamedTuple):
@@ -28,6 +33,10 @@
     source: str
 
 
+def _never_outlasts(current: bytes, other: bytes | None, era_changed: bool) -> bool:
+    return False
+
+
 class Replica:
     """The newest known item of each key of a key space.
 
@@ -35,13 +44,21 @@
     from whatever source updates arrive. Deleted keys are kept as tombstones, so
     that an older update does not restore them.
 
+    All revisions here and in messages are positions: they order by the store's era
+    first. A snapshot of a later era replaces all items of the earlier one.
+
     Args:
         space: The key space's name.
         timers: The timer service.
+        outlasts: Returns whether a known value is retained although the store has
+            another value or, given as None, none. Its third argument is whether the
+            other value is of a later era, and so may come from an old copy.
 
     Attributes:
         as_of: The revision up to which all changes are known; 0 at the start.
         last_change: The revision of the last change to a value.
+        era_changed_s: When the era changed last, in seconds on the timer service's
+            clock; minus infinity at the start.
         confirmed_s: When this was last known to be the newest state, in seconds
             on the timer service's clock; minus infinity at the start.
 
@@ -56,11 +73,18 @@
         b'1'
     """
 
-    def __init__(self, space: str, timers: Timers) -> None:
+    def __init__(
+        self,
+        space: str,
+        timers: Timers,
+        outlasts: Callable[[bytes, bytes | None, bool], bool] = _never_outlasts,
+    ) -> None:
         self.space = space
         self.as_of = 0
         self.last_change = 0
         self.confirmed_s = float("-inf")
+        self.era_changed_s = float("-inf")
+        self._outlasts = outlasts
         self._timers = timers
         self._items: dict[str, Item] = {}
         self._tombstones: dict[str, Item] = {}
@@ -68,11 +92,19 @@
         # Up to this revision deleted keys may lack a tombstone.
         self._tombstones_complete_after = 0
         self._callbacks: list[Callable[[Change], None]] = []
+        self._era_callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[Change], None]) -> None:
         """Call back with each change of values."""
         self._callbacks.append(callback)
 
+    def subscribe_era(self, callback: Callable[[], None]) -> None:
+        """Call back when the store has returned in a later era.
+
+        The callback is called before the changes of values that follow from it.
+        """
+        self._era_callbacks.append(callback)
+
     def get(self, key: str) -> Item | None:
         """Return the item of a key, or None if it does not exist."""
         return self._items.get(key)
@@ -96,16 +128,48 @@
             update: The items and the range of revisions that they cover.
             source: Where it came from: ``PLATFORM`` or the name of a host.
         """
-        items = list(update.items)
-        if update.is_snapshot:
-            listed_keys = {item.key for item in items}
-            items += [
-                Item(key, update.as_of, None)
-                for key, item in self._items.items()
-                if key not in listed_keys and item.revision <= update.as_of
-            ]
-        is_contiguous = not update.is_snapshot and update.after <= self.as_of
-        previous_change = self.last_change
+        era, own_era = get_era(update.as_of), get_era(self.as_of)
+        era_changed = self.as_of > 0 and era > own_era
+        if era < own_era or (era_changed and not update.is_snapshot):
+            # Changes of a later era are applied only on top of its snapshot.
+            log_message(
+                "replication:era_ignored", space=self.space, era=era, own=own_era
+            )
+            return
+        previous_change, previous_as_of = self.last_change, self.as_of
+        items = self._list_effects(update)
+        if era_changed:
+            items = self._begin_era(items, source)
+        changed = self._store_items(update, items, source)
+        if era_changed:
+            # Hosts of the earlier era have missed a change, whatever they know.
+            self.last_change = max(self.last_change, update.as_of)
+            self._log_era(previous_as_of, changed, source)
+        if changed or era_changed:
+            for callback in list(self._callbacks):
+                callback(Change(changed, previous_change, source))
+
+    def _list_effects(self, update: ItemsUpdate) -> list[Item]:
+        """Return the items of an update, and the deletions that a snapshot implies."""
+        if not update.is_snapshot:
+            return list(update.items)
+        listed_keys = {item.key for item in update.items}
+        deletions = [
+            Item(key, update.as_of, None)
+            for key, item in self._items.items()
+            if key not in listed_keys and item.revision <= update.as_of
+        ]
+        return [*update.items, *deletions]
+
+    def _store_items(
+        self, update: ItemsUpdate, items: list[Item], source: str
+    ) -> list[Item]:
+        """Store the items of an update, and return those whose value changed."""
+        is_contiguous = (
+            not update.is_snapshot
+            and get_era(update.after) == get_era(update.as_of)
+            and update.after <= self.as_of
+        )
         # Updates from hosts omit a deletion if the key was created again since.
         all_changes_seen = is_contiguous and source == PLATFORM
         changed = [item for item in items if self._store(item, all_changes_seen)]
@@ -120,8 +184,53 @@
             self.last_change = max(
                 self.last_change, *(item.revision for item in changed)
             )
-            for callback in list(self._callbacks):
-                callback(Change(changed, previous_change, source))
+        return changed
+
+    def _begin_era(self, items: list[Item], source: str) -> list[Item]:
+        """Announce a new era, and return the items of its snapshot to store."""
+        self.era_changed_s = self._timers.now()
+        for callback in list(self._era_callbacks):
+            callback()
+        if source != PLATFORM:
+            return items
+        return [self._retain_deletion(item) for item in items]
+
+    def _retain_deletion(self, item: Item) -> Item:
+        """Return an item of a new era's snapshot, or the deletion known of its key.
+
+        The copy from which the store has returned may hold a key that was deleted
+        afterwards. Who still writes the key writes it again.
+        """
+        tombstone = self._tombstones.get(item.key)
+        if (
+            tombstone is None
+            or item.value is None
+            or get_revision(tombstone.revision) <= get_revision(item.revision)
+        ):
+            return item
+        return Item(item.key, mark_retained(item.revision), None)
+
+    def _log_era(self, previous_as_of: int, changed: list[Item], source: str) -> None:
+        dropped = [item.key for item in changed if item.value is None]
+        retained = [
+            item.key
+            for item in (*self._items.values(), *self._tombstones.values())
+            if item.revision == mark_retained(item.revision)
+        ]
+        log_message(
+            "replication:era",
+            space=self.space,
+            source=source,
+            old_era=get_era(previous_as_of),
+            new_era=get_era(self.as_of),
+            old_revision=get_revision(previous_as_of),
+            new_revision=get_revision(self.as_of),
+            dropped=len(dropped),
+            dropped_keys=dropped[:MAX_LOGGED_KEYS],
+            retained=len(retained),
+            retained_keys=retained[:MAX_LOGGED_KEYS],
+            items=len(self._items),
+        )
 
     def apply_summary(self, as_of: int, last_change: int, age_s: float) -> bool:
         """Apply the summary of a peer's replica to this one.
@@ -144,6 +253,11 @@
             self.confirm_current(age_s)
         return True
 
+    def list_tombstones(self) -> ItemsUpdate:
+        """Return the known deletions, which a snapshot does not contain."""
+        tombstones = list(self._tombstones.values())
+        return ItemsUpdate(self.space, self.as_of, self.as_of, False, tombstones)
+
     def list_changes_since(self, after: int) -> ItemsUpdate:
         """Return the changes after a revision.
 
@@ -168,10 +282,18 @@
                 that was rewritten with the same value keeps its old revision,
                 so that it is not sent on as a change.
         """
-        if item.revision <= self._revisions.get(item.key, 0):
+        known_revision = self._revisions.get(item.key, 0)
+        if item.revision <= known_revision:
             return False
-        self._revisions[item.key] = item.revision
         current = self._items.get(item.key)
+        era_changed = get_era(item.revision) > get_era(known_revision)
+        if (
+            current is not None
+            and current.value != item.value
+            and self._outlasts(current.value, item.value, era_changed)
+        ):
+            item = Item(item.key, mark_retained(item.revision), current.value)
+        self._revisions[item.key] = item.revision
         if item.value is None:
             return self._delete(item, current is not None)
         self._tombstones.pop(item.key, None)
--- a/oleanderpier/replication/sync.py
+++ b/oleanderpier/replication/sync.py
@@ -17,6 +17,7 @@
     ItemsUpdate,
     ReplicaSummary,
 )
+from oleanderpier.replication.positions import get_era, get_revision
 from oleanderpier.replication.replica import Change, Replica
 from oleanderpier.utils import Outbox, Timers
 
@@ -53,6 +54,9 @@
         outbox: Sends messages to other hosts.
         list_followers: Returns the hosts that do not watch the platform and
             that this one sends its changes to.
+        list_neighbours: Returns all hosts of this failure domain. They get the
+            snapshot of a new era, since the ones that have just started may have
+            read an old copy.
     """
 
     def __init__(
@@ -61,11 +65,13 @@
         timers: Timers,
         outbox: Outbox,
         list_followers: Callable[[], list[str]],
+        list_neighbours: Callable[[], list[str]] = list,
     ) -> None:
         self._replicas = replicas
         self._timers = timers
         self._outbox = outbox
         self._list_followers = list_followers
+        self._list_neighbours = list_neighbours
         self._pending_queries: dict[str, _PendingQuery] = {}
         for replica in replicas.values():
             replica.subscribe(
@@ -140,8 +146,9 @@
             "sharing:news",
             space=message.space,
             sender=sender,
-            before=before,
-            as_of=replica.as_of,
+            before=get_revision(before),
+            as_of=get_revision(replica.as_of),
+            era=get_era(replica.as_of),
             items=len(message.items),
         )
 
@@ -149,11 +156,13 @@
         """Send a change that came from the platform to the followers."""
         if change.source != PLATFORM:
             return
-        followers = self._list_followers()
-        if not followers:
-            return
-        update = ItemsUpdate(
-            replica.space, change.after, replica.as_of, False, change.items
-        )
-        for host in followers:
+        if get_era(change.after) < get_era(replica.as_of) and change.after:
+            update = replica.list_changes_since(0)
+            receivers = self._list_neighbours()
+        else:
+            update = ItemsUpdate(
+                replica.space, change.after, replica.as_of, False, change.items
+            )
+            receivers = self._list_followers()
+        for host in receivers:
             self._outbox.send(host, update)
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -9,6 +9,7 @@
 
 from oleanderpier.exception import PlatformError
 from oleanderpier.replication.messages import PLATFORM, ItemsUpdate
+from oleanderpier.replication.positions import get_era, get_revision
 from oleanderpier.replication.replica import Replica
 from oleanderpier.utils import Timers
 
@@ -102,26 +103,35 @@
             await asyncio.sleep(timing.poll_s)
             continue
         started_s = timers.now()
+        after = replica.as_of
         try:
             if needs_snapshot:
                 update = await source.read_snapshot(replica.space)
             else:
                 update = await source.wait_for_changes(
-                    replica.space, replica.as_of, timing.wait_s
+                    replica.space, after, timing.wait_s
+                )
+            if get_era(update.as_of) < get_era(replica.as_of):
+                raise PlatformError(
+                    f"response of era {get_era(update.as_of)}, "
+                    f"era {get_era(replica.as_of)} is known"
                 )
         except PlatformError as error:
             record_call(replica.space, False, timers.now() - started_s)
+            # The platform responds; only the position of the watch is gone.
+            repeat_at_once = error.needs_full_read and not needs_snapshot
             needs_snapshot = needs_snapshot or error.needs_full_read
             retry_s = min(timing.max_retry_s, max(timing.min_retry_s, retry_s * 2))
             log_message(
                 "replication:platform_failed",
                 space=replica.space,
-                as_of=replica.as_of,
+                as_of=get_revision(replica.as_of),
                 reason=str(error),
                 retry_s=retry_s,
             )
             notify_reachability(replica.space, False, timers.now() - silent_since_s)
-            await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
+            if not repeat_at_once:
+                await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
             continue
         record_call(replica.space, True, timers.now() - started_s)
         if retry_s:
@@ -129,12 +139,16 @@
             log_message(
                 "replication:platform_answers",
                 space=replica.space,
-                as_of=update.as_of,
+                as_of=get_revision(update.as_of),
                 silent_s=round(silent_s, 3),
             )
             notify_reachability(replica.space, True, silent_s)
             retry_s = 0.0
         silent_since_s = timers.now()
+        if not needs_snapshot and get_era(update.as_of) > get_era(after):
+            # The revision of the watch belongs to an earlier era.
+            needs_snapshot = True
+            continue
         replica.apply(update, PLATFORM)
         # A snapshot is as old as the start of its call; a watch call returns the
         # current state.
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -23,6 +23,10 @@
 LEAVE_REMOVAL_DELAY_S = 2.0
 # A crashed server is still listed for three of its heartbeat intervals.
 CRASH_REMOVAL_DELAY_S = 3.6
+# The store is away for this long before it returns from a copy.
+STORE_AWAY_S = 0.3
+# Everything that the copy lacks is written again within this time.
+MAX_REWRITE_DELAY_S = 1.5
 STORM_VERSION_COUNT = 6
 STORM_INTERVAL_S = 0.1
 SLOW_DELAY_S = 0.15
@@ -103,6 +107,7 @@
         self._store_proxies: list[FaultProxy] = []
         self._server_proxies: dict[str, FaultProxy] = {}
         self._active_servers: list[StandInServer] = []
+        self._draining_servers: list[StandInServer] = []
         self._host_processes: dict[int, asyncio.subprocess.Process] = {}
         self._restart_tasks: list[asyncio.Task] = []
         self._overlap_counts: Counter[object] = Counter()
@@ -311,6 +316,31 @@
 
         await self._enable_for_duration(fault, (proxy, "data delayed"), set_enabled)
 
+    async def _return_store(self, fault: Fault) -> None:
+        """Let the store return from a copy; then operator and servers write again."""
+        store = self._fleet.store
+        store.save_copy()
+        await asyncio.sleep(fault.for_s)
+
+        def set_enabled(enabled: bool) -> None:
+            store.refuses_calls = enabled
+
+        away = fault._replace(for_s=STORE_AWAY_S)
+        await self._enable_for_duration(away, "store", set_enabled)
+        store.return_from_copy()
+        rng = random.Random(fault.target)
+        await asyncio.sleep(rng.uniform(0.0, MAX_REWRITE_DELAY_S))
+        self._publish_configuration()
+        for server in self._active_servers:
+            self._fleet.register_server(server)
+        for server in self._draining_servers:
+            self._fleet.register_server(server, "draining")
+        await asyncio.sleep(CRASH_REMOVAL_DELAY_S)
+        listed = {*self._active_servers, *self._draining_servers}
+        for server in self._fleet.servers:
+            if server not in listed:
+                store.put(f"servers/{server.instance_id}", None)
+
     def _find_server(self, fault: Fault) -> StandInServer:
         return self._active_servers[fault.target % len(self._active_servers)]
 
@@ -320,10 +350,12 @@
     async def _announce_leaving(self, fault: Fault) -> None:
         server = self._find_server(fault)
         self._active_servers.remove(server)
+        self._draining_servers.append(server)
         self._fleet.register_server(server, "draining")
         self._leaving_servers.append(Removal(server.instance_id, self._get_elapsed_s()))
         await self._add_server()
         await asyncio.sleep(LEAVING_APPLY_S + LEAVE_REMOVAL_DELAY_S)
+        self._draining_servers.remove(server)
         self._fleet.store.put(f"servers/{server.instance_id}", None)
 
     async def _crash_server(self, fault: Fault) -> None:
@@ -383,6 +415,7 @@
     FaultKind.STORE_DEAF: _SoakRun._hold_store_responses,
     FaultKind.STORE_RESET: _SoakRun._reset_store_connections,
     FaultKind.STORE_SLOW: _SoakRun._slow_store,
+    FaultKind.STORE_RETURNS: _SoakRun._return_store,
     FaultKind.SERVER_LEAVES: _SoakRun._announce_leaving,
     FaultKind.SERVER_CRASHES: _SoakRun._crash_server,
     FaultKind.SERVER_SILENT: _SoakRun._silence_server,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -16,7 +16,8 @@
 
     ``STORE_CUT_OFF`` and ``SERVER_SILENT`` hold back the data of both directions.
     ``STORE_DEAF`` and ``SERVER_DEAF`` hold back only responses, while requests
-    still arrive.
+    still arrive. ``STORE_RETURNS`` lets the store return from a copy that is as old as
+    the fault lasts.
     """
 
     HOST_KILLED = "host_killed"
@@ -29,6 +30,7 @@
     STORE_DEAF = "store_deaf"
     STORE_RESET = "store_reset"
     STORE_SLOW = "store_slow"
+    STORE_RETURNS = "store_returns"
     SERVER_LEAVES = "server_leaves"
     SERVER_CRASHES = "server_crashes"
     SERVER_SILENT = "server_silent"
@@ -42,6 +44,7 @@
 
 # Relative frequencies other than 1; the loss of all hosts is rarer than the rest.
 _WEIGHTS = {FaultKind.ALL_KILLED: 0.3}
+MAX_STORE_RETURN_COUNT = 2
 
 
 class Fault(NamedTuple):
@@ -72,7 +75,7 @@
         True
     """
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.STORE_RETURNS]
     weights = [_WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults = []
     at_s = rng.uniform(0.2, MEAN_FAULT_INTERVAL_S)
@@ -81,4 +84,22 @@
         for_s = rng.uniform(0.3, MAX_DURATION_S)
         faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s))
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
-    return faults
+    faults += _list_store_returns(seed, length_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _list_store_returns(seed: int, length_s: float) -> list[Fault]:
+    """Return the returns of the store, drawn apart from the other faults.
+
+    So the other faults of a seed are the same as before there were returns.
+    """
+    rng = random.Random(f"store returns {seed}")
+    return [
+        Fault(
+            rng.uniform(0.2, length_s - MAX_DURATION_S),
+            FaultKind.STORE_RETURNS,
+            rng.randrange(1 << 16),
+            rng.uniform(0.3, MAX_DURATION_S),
+        )
+        for _ in range(rng.randint(0, MAX_STORE_RETURN_COUNT))
+    ]
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,11 +18,17 @@
     Attributes:
         refuses_calls: Whether every call is answered with status 503.
         call_count: Number of calls received so far.
+        snapshot_count: Number of range reads received so far.
+        era: How often the store has returned from a copy, sent as ``Store-Era`` in all
+            responses; None to send no such header.
     """
 
     def __init__(self) -> None:
         self.refuses_calls = False
         self.call_count = 0
+        self.snapshot_count = 0
+        self.era: int | None = 1
+        self._copy: tuple[int, dict[str, dict[str, Any]], int] = (0, {}, 0)
         self._revision = 0
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -45,6 +51,21 @@
         self._history.append(event)
         return self._revision
 
+    def save_copy(self) -> None:
+        """Save the copy from which the store returns."""
+        self._copy = (self._revision, dict(self._items), len(self._history))
+
+    def return_from_copy(self) -> None:
+        """Lose everything since ``save_copy``; a new era begins."""
+        self._revision, items, length = self._copy
+        self._items = dict(items)
+        del self._history[length:]
+        if self.era is not None:
+            self.era += 1
+
+    def _make_headers(self) -> dict[str, str]:
+        return {} if self.era is None else {"Store-Era": str(self.era)}
+
     def make_app(self) -> web.Application:
         """Return the HTTP application that serves the store."""
         app = web.Application()
@@ -54,21 +75,25 @@
 
     async def _handle_range(self, request: web.Request) -> web.Response:
         self.call_count += 1
+        self.snapshot_count += 1
         if self.refuses_calls:
-            return web.Response(status=503)
+            return web.Response(status=503, headers=self._make_headers())
         prefix = request.query["Prefix"]
         items = [item for key, item in self._items.items() if key.startswith(prefix)]
         return web.json_response(
-            {"Items": items, "HasMore": False, "AsOf": self._revision}
+            {"Items": items, "HasMore": False, "AsOf": self._revision},
+            headers=self._make_headers(),
         )
 
     async def _handle_watch(self, request: web.Request) -> web.Response:
         self.call_count += 1
         prefix, after = request.query["Prefix"], int(request.query["After"])
+        if after > self._revision:
+            return web.Response(status=410, headers=self._make_headers())
         steps = int(int(request.query["WaitMs"]) / 1000 / WATCH_POLL_INTERVAL_S)
         for step in range(steps + 1):
             if self.refuses_calls:
-                return web.Response(status=503)
+                return web.Response(status=503, headers=self._make_headers())
             events = [
                 event
                 for event in self._history
@@ -79,4 +104,6 @@
             if events or step == steps:
                 break
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
-        return web.json_response({"events": events, "AsOf": self._revision})
+        return web.json_response(
+            {"events": events, "AsOf": self._revision}, headers=self._make_headers()
+        )
