Send no totals from a host that is not ready, and query for an era without changes

A host that starts or drains took itself for a sender of its failure domain's total, although it may know few hosts there; it now leaves the totals to the ready hosts. A replica raised its position to a later era by a peer's summary alone if that peer knew of no change in it (an empty key space), and would have kept what was lost. Both found on reading the change; the tests fail without it.

--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -175,10 +175,8 @@
         self._hot_key_ratios: dict[str, float] = {}
         self._names = [f"h{host}" for host in range(pattern["hosts"])]
         self._hosts_by_name = {name: host for host, name in enumerate(self._names)}
-        self._neighbours = [
-            [self._names[other] for other in self._list_report_receivers(host, True)]
-            for host in range(pattern["hosts"])
-        ]
+        domains = pattern["failure_domains"]
+        self._domain_hosts = [self._names[domain::domains] for domain in range(domains)]
         for host in range(pattern["hosts"]):
             self._policies.append(self._make_host(host))
         for _ in range(pattern["engines"]):
@@ -208,7 +206,7 @@
             self._names[host],
             self._find_domain(self._names[host]),
             self._find_domain,
-            lambda: self._neighbours[host],
+            lambda: self._domain_hosts[host % self._pattern["failure_domains"]],
             lambda: self._names,
         )
         rng = random.Random(self._rng.random())
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -402,9 +402,14 @@
         return rank_candidates("watch", candidates)[:WATCHER_COUNT]
 
     def _list_total_senders(self) -> list[str]:
-        """Return the other hosts of this failure domain that send its total load."""
+        """Return the ready hosts of this failure domain that send its total load."""
         supporting = set(self.view.list_with_feature(DOMAIN_LOADS_FEATURE))
-        return [host for host in self.view.list_ready_in_domain() if host in supporting]
+        senders = [
+            host for host in self.view.list_ready_in_domain() if host in supporting
+        ]
+        if self.state == "ready":
+            senders.append(self.settings.peer_address)
+        return senders
 
     def _list_followers(self) -> list[str]:
         """Return the hosts of this failure domain that do not watch."""
--- a/oleanderpier/fleet/loads.py
+++ b/oleanderpier/fleet/loads.py
@@ -38,7 +38,8 @@
         host: The name of this host.
         failure_domain: The failure domain of this host.
         find_domain: Returns the failure domain of a host, None if it is not known.
-        list_senders: Returns the other hosts of this failure domain that send totals.
+        list_senders: Returns the hosts of this failure domain that send totals, with
+            this one if it does.
         list_receivers: Returns the hosts of all failure domains that accept totals.
     """
 
@@ -241,7 +242,9 @@
     def _send_total(self) -> None:
         """Send the total of this failure domain to the hosts that get it from here."""
         site, now_s = self._site, self._timers.now()
-        senders = tuple(sorted([site.host, *site.list_senders()]))
+        senders = tuple(sorted(site.list_senders()))
+        if site.host not in senders:
+            return
         outside = [
             host
             for host in site.list_receivers()
--- a/oleanderpier/fleet/tests/test_loads.py
+++ b/oleanderpier/fleet/tests/test_loads.py
@@ -23,6 +23,7 @@
         loads: The component under test, by host.
         own: Requests in flight of each host, by server id.
         stopped: The hosts that send nothing.
+        not_ready: The hosts that only send reports.
         totals_sent: The number of totals sent, by host.
     """
 
@@ -31,6 +32,7 @@
         self.domains = {f"h{n}": f"d{n % domains}" for n in range(hosts)}
         self.own = {host: Counter({"s1": 1}) for host in self.domains}
         self.stopped: set[str] = set()
+        self.not_ready: set[str] = set()
         self.totals_sent: Counter[str] = Counter()
         self.loads = {host: self._make_loads(host) for host in self.domains}
         for loads in self.loads.values():
@@ -67,7 +69,7 @@
             lambda: [
                 other
                 for other, its in self.domains.items()
-                if its == domain and other != host and other not in self.stopped
+                if its == domain and other not in self.stopped | self.not_ready
             ],
             lambda: list(self.domains),
         )
@@ -128,6 +130,16 @@
         hosts.run(1.5)
         self.assertEqual({58}, {hosts.count(f"h{n}") for n in range(0, 60, 4)})
 
+    def test_host_that_is_not_ready_sends_no_total(self):
+        """A host that starts or drains leaves the totals to the others."""
+        hosts = FakeHosts(60, 4)
+        hosts.run(4.0)
+        hosts.totals_sent.clear()
+        hosts.not_ready.add("h1")
+        hosts.run(1.0)
+        self.assertEqual(0, hosts.totals_sent["h1"])
+        self.assertEqual({59}, {hosts.count(f"h{n}") for n in range(0, 60, 4)})
+
     def test_small_fleet_sends_no_totals(self):
         """The reports of a small fleet are newer than totals would be."""
         hosts = FakeHosts(8, 3)
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -246,7 +246,8 @@
         Returns:
             Whether this replica has every change that the peer's has.
         """
-        if last_change > self.as_of:
+        is_later_era = self.as_of > 0 and get_era(as_of) > get_era(self.as_of)
+        if is_later_era or last_change > self.as_of:
             return False
         if as_of >= self.as_of:
             self.as_of = as_of
--- a/oleanderpier/replication/tests/test_eras.py
+++ b/oleanderpier/replication/tests/test_eras.py
@@ -128,6 +128,12 @@
         started.apply(COPY, PLATFORM)
         self.assertEqual({"k": b"lost"}, self.list_values(started))
 
+    def test_summary_of_later_era_is_not_enough(self):
+        """A peer without any change in the later era is queried for its snapshot."""
+        replica = make_replica()
+        self.assertFalse(replica.apply_summary(make_position(2, 42), 0, 0.0))
+        self.assertEqual(make_position(1, 50), replica.as_of)
+
     def test_era_callback_precedes_changes(self):
         """Subscribers learn of the era before the deletions that follow from it."""
         replica = make_replica()
