--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -5,9 +5,10 @@
 import click
 import msgspec
 
+from bench.emulator.outcomes import WINDOW_S, Outcome
 from bench.emulator.patterns import list_patterns, read_pattern
 from bench.emulator.policies import POLICIES
-from bench.emulator.worlds import WINDOW_S, Outcome, run_pattern
+from bench.emulator.worlds import run_pattern
 from oleanderpier.cli.tables import print_table
 
 HEADERS = [
--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -7,22 +7,27 @@
 from typing import NamedTuple
 
 from bench.emulator.engines import Engine, Job
+from bench.emulator.outcomes import (
+    WINDOW_S,
+    Outcome,
+    Request,
+    compute_on_time_ratio,
+    compute_over_ratio,
+    compute_worst_over_ratio,
+)
 from bench.emulator.patterns import Disturbance, Pattern, RequestClass
 from bench.emulator.policies import HostContext, HostReport, Policy
 from oleanderpier.fleet import DomainLoads, FleetSite, ReportTiming
 from oleanderpier.routing import PromptPrefix, ServerQuery
 from oleanderpier.utils import ManualTimers
 
-__all__ = ["Outcome", "World", "run_pattern"]
+__all__ = ["World", "run_pattern"]
 
 # One-way network latency.
 NETWORK_LATENCY_S = 0.002
 # Time from the crash of an engine until its entry is removed from the hosts' rosters.
 REMOVAL_DELAY_S = 3.6
 TICK_S = 0.05
-WINDOW_S = 2.0
-# Length of the sliding window in which the users count sends over the load limit.
-LIMIT_WINDOW_S = 5.0
 MAX_ATTEMPTS = 2
 # The users' limit on the load of an engine: the mean over all engines times the
 # factor, plus the extra requests.
@@ -34,37 +39,6 @@
 PROMPT_SKEW = 0.3
 
 
-class Outcome(NamedTuple):
-    """Results of a run.
-
-    Attributes:
-        requests: Number of requests.
-        on_time: Ratio of the requests' worth that was served on time.
-        served: Ratio of the requests that were served completely.
-        worst_window: Lowest on-time ratio in any window of ``WINDOW_S`` seconds.
-        p95_s: 95th percentile of the time to the first event, in seconds.
-        read_again: Mean number of prompt tokens per request that were prefilled
-            again although some engine had prefilled them before.
-        copied: Mean number of prompt tokens copied between engines, per request.
-        over_limit: Ratio of sends that went to an engine over the users' load limit.
-        worst_over_limit: The highest such ratio in any ``LIMIT_WINDOW_S`` seconds.
-        choice_us: Mean processor time of a routing decision, in microseconds.
-        windows: On-time ratio in each window of ``WINDOW_S`` seconds.
-    """
-
-    requests: int
-    on_time: float
-    served: float
-    worst_window: float
-    p95_s: float
-    read_again: float
-    copied: float
-    over_limit: float
-    worst_over_limit: float
-    choice_us: float
-    windows: list[float]
-
-
 class _ReportStream(NamedTuple):
     """The reports of one host to the hosts of its own domain, or to all others.
 
@@ -81,37 +55,6 @@
     placements: list[tuple[str, str]]
 
 
-class Request:
-    """A request of the load and its result.
-
-    Attributes:
-        request_class: The class of the request.
-        query: The routing query.
-        sent_s: Arrival time, in seconds.
-        first_event_s: Time of the first event, in seconds; None before it.
-        is_complete: Whether the whole response arrived.
-        is_failed: Whether it was given up without a further attempt.
-        tried_engines: Names of the engines that it was sent to.
-    """
-
-    def __init__(
-        self, request_class: RequestClass, query: ServerQuery, sent_s: float
-    ) -> None:
-        self.request_class = request_class
-        self.query = query
-        self.sent_s = sent_s
-        self.first_event_s: float | None = None
-        self.is_complete = False
-        self.is_failed = False
-        self.tried_engines: set[str] = set()
-
-    @property
-    def is_on_time(self) -> bool:
-        """Whether the response is complete and its first event met the target."""
-        target_s = self.request_class["target_s"]
-        return self.is_complete and self.first_event_s - self.sent_s <= target_s
-
-
 class _HostOutbox:
     """Sends the messages of one host, with the network latency.
 
@@ -475,21 +418,21 @@
             r.first_event_s - r.sent_s for r in requests if r.first_event_s
         )
         windows = [
-            _compute_on_time_ratio(
+            compute_on_time_ratio(
                 [r for r in requests if int(r.sent_s / WINDOW_S) == index]
             )
             for index in range(int(self._pattern["length_s"] / WINDOW_S))
         ]
         return Outcome(
             requests=len(requests),
-            on_time=_compute_on_time_ratio(requests),
+            on_time=compute_on_time_ratio(requests),
             served=sum(r.is_complete for r in requests) / len(requests),
             worst_window=min(windows),
             p95_s=delays_s[int(0.95 * len(delays_s))],
             read_again=counts["again"] / len(requests),
             copied=counts["copied"] / len(requests),
-            over_limit=_compute_over_ratio(self._sends),
-            worst_over_limit=_compute_worst_over_ratio(self._sends),
+            over_limit=compute_over_ratio(self._sends),
+            worst_over_limit=compute_worst_over_ratio(self._sends),
             choice_us=1e6 * self._selection_cpu_s / counts["choices"],
             windows=windows,
         )
@@ -510,31 +453,6 @@
     return World(pattern, make_policy, seed).run()
 
 
-def _compute_on_time_ratio(requests: list[Request]) -> float:
-    """Return the ratio of the requests' worth that was served on time."""
-    worth = sum(r.request_class["worth"] for r in requests)
-    on_time = sum(r.request_class["worth"] for r in requests if r.is_on_time)
-    return on_time / worth if worth else 1.0
-
-
-def _compute_over_ratio(sends: list[tuple[float, bool]]) -> float:
-    """Return the ratio of sends, as pairs of time and over limit, over the limit."""
-    return sum(over for _, over in sends) / len(sends) if sends else 0.0
-
-
-def _compute_worst_over_ratio(sends: list[tuple[float, bool]]) -> float:
-    """Return the highest ratio in any window of ``LIMIT_WINDOW_S`` seconds."""
-    worst, first, over_count = 0.0, 0, 0
-    for index, (at_s, over) in enumerate(sends):
-        over_count += over
-        while sends[first][0] <= at_s - LIMIT_WINDOW_S:
-            over_count -= sends[first][1]
-            first += 1
-        if at_s >= LIMIT_WINDOW_S:
-            worst = max(worst, over_count / (index - first + 1))
-    return worst
-
-
 _DISTURBANCE_HANDLERS = {
     "burst": World._start_burst,
     "hot_key": World._start_hot_key,
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -16,6 +16,7 @@
 )
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.settings import EntrySettings
+from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
 from oleanderpier.fleet import (
     DOMAIN_LOADS_FEATURE,
@@ -70,16 +71,6 @@
 
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 MILLISECONDS_PER_S = 1000
-# The number of hosts per failure domain that watch the platform and push its
-# changes to the others.
-WATCHER_COUNT = 2
-# A host that does not watch starts to watch when a replica is older than this. A
-# watcher gets a response from the platform every second, and its report of that
-# may take two seconds more.
-MAX_UNWATCHED_AGE_S = 3.5
-# After a shorter outage of the platform, missing server entries are not attributed
-# to the outage: entries do not expire that fast.
-MIN_OUTAGE_S = 1.0
 # For this long after the store returned from an old copy, hosts that start get the
 # replicas of others: more than the 2 s in which all is written again and the 6 s in
 # which an entry of a server that is gone expires.
@@ -130,7 +121,6 @@
         self._source = source
         self._dialect = dialect
         self._drain_started_s = 0.0
-        self._failing_spaces: set[str] = set()
         self._tasks: list[asyncio.Task] = []
         incarnation = int(self.timers.wall() * MILLISECONDS_PER_S)
         self._rng = random.Random(f"{settings.peer_address}:{incarnation}")
@@ -180,13 +170,21 @@
             self.replicas,
             timers,
             self.mesh,
-            self._list_followers,
+            lambda: self.watch_duty.list_followers(),
             self.view.list_present_in_domain,
         )
 
     def _build_routing(self) -> None:
         timers = self.timers
         self.roster = Roster(timers)
+        self.watch_duty = WatchDuty(
+            self.settings.peer_address,
+            self.view,
+            self.replicas,
+            self.replicas[SERVERS],
+            self.roster,
+            timers,
+        )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
         self.server_activity = ServerActivity(timers)
@@ -264,8 +262,8 @@
                     self._source,
                     self.timers,
                     self._rng,
-                    self._should_watch,
-                    self._handle_platform_reachability,
+                    self.watch_duty.should_watch,
+                    self.watch_duty.handle_reachability,
                     self.metrics.record_platform_call,
                 )
             )
@@ -385,22 +383,6 @@
             log_message("node:ready", version=self.route_index.table.version)
             self.view.report_now()
 
-    def _should_watch(self) -> bool:
-        """Return whether this host is a watcher or its replicas are too old."""
-        replicas = self.replicas.values()
-        if any(replica.as_of == 0 for replica in replicas):
-            return True
-        if any(replica.get_age_s() > MAX_UNWATCHED_AGE_S for replica in replicas):
-            return True
-        return self.settings.peer_address in self._list_watchers()
-
-    def _list_watchers(self) -> list[str]:
-        """Return the hosts of this failure domain that watch the platform."""
-        candidates = self.view.list_platform_reachable_in_domain()
-        if not self._failing_spaces:
-            candidates.append(self.settings.peer_address)
-        return rank_candidates("watch", candidates)[:WATCHER_COUNT]
-
     def _list_total_senders(self) -> list[str]:
         """Return the ready hosts of this failure domain that send its total load."""
         supporting = set(self.view.list_with_feature(DOMAIN_LOADS_FEATURE))
@@ -411,38 +393,6 @@
             senders.append(self.settings.peer_address)
         return senders
 
-    def _list_followers(self) -> list[str]:
-        """Return the hosts of this failure domain that do not watch."""
-        watchers = set(self._list_watchers())
-        return [
-            host for host in self.view.list_present_in_domain() if host not in watchers
-        ]
-
-    def _handle_platform_reachability(
-        self, space: str, reachable: bool, silent_s: float
-    ) -> None:
-        """Handle the failure or recovery of calls to the platform.
-
-        Args:
-            space: The key space of the call.
-            reachable: Whether the call succeeded.
-            silent_s: The seconds since the last success before it.
-        """
-        had_failures = bool(self._failing_spaces)
-        if reachable:
-            self._failing_spaces.discard(space)
-            began_s = self.timers.now() - silent_s
-            # The wait for servers after a return in a new era has begun already.
-            if (
-                silent_s >= MIN_OUTAGE_S
-                and began_s > self.replicas[SERVERS].era_changed_s
-            ):
-                self.roster.record_outage_end()
-        else:
-            self._failing_spaces.add(space)
-        if had_failures != bool(self._failing_spaces):
-            self.view.report_now()
-
     def _handle_membership(self, sender: str, message) -> None:
         self._add_address(sender)
         self.members.handle(sender, message)
@@ -471,7 +421,7 @@
         return HostReport(
             self.settings.caller_address,
             self.state == "ready",
-            not self._failing_spaces,
+            self.watch_duty.platform_reachable,
             {**self.sync.summarize(), DOMAIN_LOADS_FEATURE: ReplicaSummary(0, 0, 0.0)},
             servers,
             self.caches.pop_updates(),
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,9 +8,10 @@
 
 from testtools import TestCase
 
+from bench.emulator.outcomes import Outcome
 from bench.emulator.patterns import Pattern, read_pattern
 from bench.emulator.policies import POLICIES
-from bench.emulator.worlds import Outcome, run_pattern
+from bench.emulator.worlds import run_pattern
 from oleanderpier.exception import SettingsError
 
 MAX_OVER_LIMIT_RATIO = 0.03
