--- a/bench/slopes/page.py
+++ b/bench/slopes/page.py
@@ -33,6 +33,8 @@
     " while nobody reads them.",
     "- The handling of a caller's request by the daemon outside the relay, such as"
     " looking up its class and workspace and counting its end.",
+    "- Reports and totals of the entry hosts (`oleanderpier/fleet`): a total lists each"
+    " server of its failure domain that has requests in flight, some 20 bytes each.",
     "- Several regions: all runs are on one machine; the fake network delivers within"
     " 3 ms and loses 5% of the messages.",
     "- The distribution of the 31,000 changes per day over the three documents, the"
