Count a host's report once when its failure domain becomes known late

A report from before the domain was known was counted beside the domain's total, and added once more when the total expired. Found on reading the change; the test counted 54 requests in place of 49 before.

--- a/oleanderpier/fleet/loads.py
+++ b/oleanderpier/fleet/loads.py
@@ -235,8 +235,9 @@
         """Use the reports of a failure domain again, as no totals of it arrive."""
         self._fleet_total.add(self._domain_totals.pop(domain), -1)
         for host in self._list_hosts(domain):
-            self._counted.add(host)
-            self._fleet_total.add(self._reports[host])
+            if host not in self._counted:
+                self._counted.add(host)
+                self._fleet_total.add(self._reports[host])
         log_message("loads:domain_silent", failure_domain=domain)
 
     def _send_total(self) -> None:
--- a/oleanderpier/fleet/tests/test_loads.py
+++ b/oleanderpier/fleet/tests/test_loads.py
@@ -120,6 +120,18 @@
         hosts.run(1.5)
         self.assertEqual(59 - 15 + 5, hosts.count("h0"))
 
+    def test_host_is_counted_once_when_its_domain_becomes_known(self):
+        """A report from before the host's domain was known is not added again."""
+        hosts = FakeHosts(60, 4)
+        hosts.run(4.0)
+        domains, hosts.domains["h1"] = dict(hosts.domains), None
+        hosts.loads["h0"].receive_report("h1", {"s1": 5})
+        self.assertEqual(59 + 5, hosts.count("h0"))
+        hosts.domains.update(domains)
+        hosts.stopped.update(host for host, d in domains.items() if d == "d1")
+        hosts.run(1.5)
+        self.assertEqual(59 - 15 + 5, hosts.count("h0"))
+
     def test_another_host_takes_over(self):
         """The hosts of a domain send the totals of one that has failed."""
         hosts = FakeHosts(60, 4)
