--- a/oleanderpier/replication/sync.py
+++ b/oleanderpier/replication/sync.py
@@ -157,12 +157,14 @@
         if change.source != PLATFORM:
             return
         if get_era(change.after) < get_era(replica.as_of) and change.after:
-            update = replica.list_changes_since(0)
+            # Another host may still send keys that this one knows to be deleted.
+            updates = [replica.list_changes_since(0), replica.list_tombstones()]
             receivers = self._list_neighbours()
         else:
             update = ItemsUpdate(
                 replica.space, change.after, replica.as_of, False, change.items
             )
-            receivers = self._list_followers()
+            updates, receivers = [update], self._list_followers()
         for host in receivers:
-            self._outbox.send(host, update)
+            for update in updates:
+                self._outbox.send(host, update)
--- a/oleanderpier/replication/tests/test_eras.py
+++ b/oleanderpier/replication/tests/test_eras.py
@@ -10,6 +10,7 @@
     Item,
     ItemsUpdate,
     Replica,
+    ReplicaSync,
     get_era,
     make_position,
     mark_retained,
@@ -171,6 +172,34 @@
             network.timers.advance(0.25)
         self.assertEqual([b"v2"] * 5, network.list_values())
 
+    def test_neighbours_get_retained_deletions(self):
+        """A host does not take the copy's key from another one afterwards."""
+        replica, sent = make_replica(), []
+        outbox = RecordingOutbox(sent)
+        ReplicaSync({SPACE: replica}, ManualTimers(), outbox, list, lambda: ["h2"])
+        replica.apply(COPY, PLATFORM)
+        follower = make_replica()
+        for update in sent:
+            follower.apply(update, "h0")
+        follower.apply(COPY, "h1")
+        self.assertIsNone(follower.get("gone"))
+
+
+class RecordingOutbox:
+    """Records messages.
+
+    Args:
+        sent: The list to which messages are appended.
+    """
+
+    def __init__(self, sent: list) -> None:
+        self._sent = sent
+
+    def send(self, host: str, message) -> bool:
+        """Record a message."""
+        self._sent.append(message)
+        return True
+
 
 class WatchEraTest(WatcherTest):
     """A watch shows by the era that its revision was given out again."""
