--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -22,6 +22,7 @@
     "READ AGAIN",
     "COPIED",
     "OVER LIMIT",
+    "WORST 5 S",
     "CHOICE US",
 ]
 
@@ -91,6 +92,7 @@
         f"{mean('read_again'):.0f}",
         f"{mean('copied'):.0f}",
         f"{mean('over_limit'):.4f}",
+        f"{max(run.worst_over_limit for run in runs):.4f}",
         f"{mean('choice_us'):.0f}",
     ]
 
