--- a/oleanderpier/cli/loads.py
+++ b/oleanderpier/cli/loads.py
@@ -9,15 +9,12 @@
 
 from oleanderpier.cli.logs import LogLine, add_files_argument, read_log_lines
 from oleanderpier.cli.tables import print_json, print_table
+from oleanderpier.routing import DEFAULT_LOAD_LIMIT_FACTOR, LOAD_LIMIT_OFFSET
 
 __all__ = ["LoadReport", "OverloadedSend", "ServiceWindow", "loads", "measure_loads"]
 
 # The users count sends over the limit in windows of this length.
 WINDOW_S = 5.0
-# A server is over the limit if it holds more than LIMIT_FACTOR times the mean of its
-# service plus LIMIT_OFFSET.
-LIMIT_FACTOR = 2.0
-LIMIT_OFFSET = 3.0
 
 
 class OverloadedSend(NamedTuple):
@@ -82,12 +79,16 @@
     overloaded: list[OverloadedSend]
 
 
-def measure_loads(lines: Iterable[LogLine]) -> LoadReport:
+def measure_loads(
+    lines: Iterable[LogLine], limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR
+) -> LoadReport:
     """Count the requests in flight at each server as seen by all hosts together.
 
     Args:
         lines: Lines of all hosts, in any order. Lines ``forward:send`` without the
             time that the attempt took are skipped.
+        limit_factor: The load limit, as a multiple of the mean of the service; to
+            it ``LOAD_LIMIT_OFFSET`` requests are added.
     """
     sends: dict[str, list[LogLine]] = defaultdict(list)
     registrations: dict[str, dict[str, list[float]]] = defaultdict(dict)
@@ -109,7 +110,9 @@
     windows: list[ServiceWindow] = []
     overloaded: list[OverloadedSend] = []
     for service, lines_of_service in sorted(sends.items()):
-        measured = _measure_service(service, lines_of_service, registrations[service])
+        measured = _measure_service(
+            service, lines_of_service, registrations[service], limit_factor
+        )
         windows += measured.windows
         overloaded += measured.overloaded
     overloaded.sort(key=lambda send: send.time)
@@ -117,7 +120,10 @@
 
 
 def _measure_service(
-    service: str, lines: list[LogLine], registrations: dict[str, list[float]]
+    service: str,
+    lines: list[LogLine],
+    registrations: dict[str, list[float]],
+    limit_factor: float,
 ) -> LoadReport:
     """Return the loads of one service; see ``measure_loads``."""
     starts = {id(line): line["time"] - line["took_s"] for line in lines}
@@ -139,7 +145,7 @@
         if step > 0:
             count = max(1, _count_registered(registrations, time))
             mean = sum(in_flight.values()) / count
-            over = in_flight[server] > LIMIT_FACTOR * mean + LIMIT_OFFSET
+            over = in_flight[server] > limit_factor * mean + LOAD_LIMIT_OFFSET
             window = counts[time // WINDOW_S * WINDOW_S]
             window[0] += 1
             window[1] += over
@@ -187,15 +193,22 @@
 
 @click.command()
 @click.option("--json", "as_json", is_flag=True, help="Print JSON instead of tables.")
+@click.option(
+    "--limit-factor",
+    type=click.FloatRange(min=1.0),
+    default=DEFAULT_LOAD_LIMIT_FACTOR,
+    show_default=True,
+    help="The load limit, as a multiple of the mean.",
+)
 @add_files_argument
-def loads(as_json: bool, files) -> None:
+def loads(as_json: bool, limit_factor: float, files) -> None:
     """Show sends to servers over the load limit, from the logs of all hosts in FILES.
 
-    The limit is twice the mean of the server's service plus three. Clocks of the
-    hosts have to agree within the time that a request takes. Without FILES the logs
-    are read from standard input.
+    The limit is a multiple of the mean of the server's service, plus three. Clocks
+    of the hosts have to agree within the time that a request takes. Without FILES the
+    logs are read from standard input.
     """
-    report = measure_loads(read_log_lines(files))
+    report = measure_loads(read_log_lines(files), limit_factor)
     if as_json:
         print_json(report._asdict())
         return
--- a/oleanderpier/cli/tests/test_loads.py
+++ b/oleanderpier/cli/tests/test_loads.py
@@ -63,6 +63,15 @@
         result = run_command("loads", "--json", text=f"{make_logs(12)}\n{gone}")
         self.assertIn('"overloaded": []', result.output)
 
+    def test_limit_factor_is_an_option(self):
+        """With a higher factor the same sends are within the limit."""
+        result = run_command(
+            "loads", "--json", "--limit-factor", "3", text=make_logs(12)
+        )
+        self.assertIn('"overloaded": []', result.output)
+        result = run_command("loads", "--limit-factor", "0.5", text="")
+        self.assertEqual(2, result.exit_code)
+
     def test_no_logs_give_no_windows(self):
         """Without a line of an attempt there is nothing to count."""
         result = run_command("loads", "--json", text="")
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from oleanderpier.routing import BudgetLimits
+from oleanderpier.routing import DEFAULT_LOAD_LIMIT_FACTOR, BudgetLimits
 
 __all__ = ["EntrySettings"]
 
@@ -41,4 +41,4 @@
     grace_s: float
     budget: BudgetLimits
     longest_keep_s: float
-    load_limit_factor: float = 2.0
+    load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -29,7 +29,12 @@
 
 from oleanderpier.routing.caches import CacheMap
 from oleanderpier.routing.health import ServerHealth
-from oleanderpier.routing.load_model import LoadModel, RemoteLoads, ServiceStats
+from oleanderpier.routing.load_model import (
+    DEFAULT_LOAD_LIMIT_FACTOR,
+    LoadModel,
+    RemoteLoads,
+    ServiceStats,
+)
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
 from oleanderpier.routing.roster import RegistrationChange, Roster
 from oleanderpier.utils import Timers
@@ -132,7 +137,7 @@
         remote_loads: RemoteLoads,
         rng: random.Random,
         timers: Timers,
-        load_limit_factor: float = 2.0,
+        load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR,
     ) -> None:
         self._timers = timers
         self._service_stats: dict[str, ServiceStats] = {}
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -21,10 +21,17 @@
 from oleanderpier.routing.roster import Roster
 from oleanderpier.utils import Timers
 
-__all__ = ["LoadModel", "RemoteLoads", "ServiceStats"]
+__all__ = [
+    "DEFAULT_LOAD_LIMIT_FACTOR",
+    "LOAD_LIMIT_OFFSET",
+    "LoadModel",
+    "RemoteLoads",
+    "ServiceStats",
+]
 
 # The users' limit: a server holds at most a factor, which is a setting, times the mean
 # of its service plus LOAD_LIMIT_OFFSET requests.
+DEFAULT_LOAD_LIMIT_FACTOR = 2.0
 LOAD_LIMIT_OFFSET = 3.0
 # The users allow this ratio of the sends to exceed the limit.
 ALLOWED_OVER_LIMIT_RATIO = 0.03
