--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -72,8 +72,8 @@
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 MILLISECONDS_PER_S = 1000
 # For this long after the store returned from an old copy, hosts that start get the
-# replicas of others: more than the 2 s in which all is written again and the 6 s in
-# which an entry of a server that is gone expires.
+# replicas of others: more than the 2 s in which all is written again and the three
+# heartbeat intervals after which the entry of a server that is gone expires.
 ERA_SETTLE_S = 10.0
 # An older configuration may have been replaced. The limit is above the time for
 # which the platform holds a watch call.
