--- a/oleanderpier/fleet/tests/test_loads.py
+++ b/oleanderpier/fleet/tests/test_loads.py
@@ -164,6 +164,15 @@
         hosts.loads["h0"].receive_total("h1", DomainLoads("d1", 5, 4.0, 0.25, {}))
         self.assertAlmostEqual(4.0, hosts.loads["h0"].get_age_s())
 
+    def test_age_grows_while_hosts_are_silent(self):
+        """The age counts from the last reports."""
+        hosts = FakeHosts(3, 1)
+        hosts.run(1.0)
+        self.assertLess(hosts.loads["h0"].get_age_s(), 0.6)
+        hosts.stopped.update(("h1", "h2"))
+        hosts.run(0.7)
+        self.assertGreater(hosts.loads["h0"].get_age_s(), 0.6)
+
     def test_own_domain_is_not_counted_twice(self):
         """A total of the own failure domain is ignored."""
         hosts = FakeHosts(4, 2)
