Let a client connection's transport own its socket from the start

Processes of the large deployment's small twin aborted (status 134) with 'File descriptor 218 is used by transport' and 'Bad file descriptor' on an accepted connection.

Cause: aiohttp connects a socket object and hands it to uvloop's create_connection. When the request is cancelled or times out while the transport waits for its first loop iteration, uvloop closes the descriptor, but the socket object keeps the number and closes it again when the exception that refers to it is freed. By then the number may belong to a caller's, a server's or a peer's connection. On a slow processor the 0.3 s limit on a connect often fires in that iteration. Ruled out: stream.detach() in the mesh (drops a reference, closes nothing); cancelled mesh connects (uvloop creates the descriptor and owns it alone); cancellation during sock_connect (the socket object is then the only owner).

Change: the connector lets uvloop open the connection by address, so there is no socket object. The socket options are set when the connection is made.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -4,9 +4,12 @@
 import functools
 import os
 import socket
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientRequest
 
 __all__ = ["CONNECT_TIMEOUT_S", "make_session"]
 
@@ -23,6 +26,31 @@
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Connector whose transports own their socket from the start.
+
+    aiohttp connects a socket object and passes it to a new transport. When a request
+    is cancelled in between, uvloop closes the descriptor of that object, which still
+    has the number and closes it once more when it is freed. By then the number may
+    belong to another connection.
+    """
+
+    async def _wrap_create_connection(
+        self,
+        protocol_factory: Callable[[], ResponseHandler],
+        *,
+        addr_infos: list[tuple],
+        req: ClientRequest,
+        **options: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        """Open a connection to the first address; without TLS."""
+        address, port = addr_infos[0][4][:2]
+        try:
+            return await self._loop.create_connection(protocol_factory, address, port)
+        except OSError as error:
+            raise aiohttp.ClientConnectorError(req.connection_key, error) from error
+
+
 class _ResetDetectingHandler(ResponseHandler):
     """Response handler that reports a reset connection as an error.
 
@@ -33,6 +61,12 @@
 
     _pending_error: OSError | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        set_option = transport.get_extra_info("socket").setsockopt
+        set_option(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        set_option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        super().connection_made(transport)
+
     def eof_received(self) -> None:
         opened = self.transport.get_extra_info("socket")
         error_number = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -69,13 +103,7 @@
             0 to use a new connection for each request.
     """
     reuse = {"keepalive_timeout": keepalive_s} if keepalive_s else {"force_close": True}
-    connector = aiohttp.TCPConnector(
-        **reuse,
-        limit=max_connections,
-        use_dns_cache=False,
-        happy_eyeballs_delay=None,
-        socket_factory=_make_socket,
-    )
+    connector = _Connector(**reuse, limit=max_connections, use_dns_cache=False)
     connector._factory = functools.partial(
         _ResetDetectingHandler, loop=asyncio.get_running_loop()
     )
@@ -90,14 +118,3 @@
     # aiohttp would retry a GET, PUT or DELETE when a reused connection breaks.
     session._retry_connection = False
     return session
-
-
-def _make_socket(address_info: tuple) -> socket.socket:
-    """Return a TCP socket with a small receive buffer and a send timeout."""
-    family, kind, protocol, _, _ = address_info
-    opened = socket.socket(family, kind, protocol)
-    opened.setblocking(False)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    return opened
--- a/oleanderpier/connections/tests/test_sessions.py
+++ b/oleanderpier/connections/tests/test_sessions.py
@@ -78,6 +78,9 @@
     def getsockopt(self, level: int, option: int) -> int:
         return self._number
 
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        pass
+
 
 class _Transport(asyncio.Transport):
     """A fake transport over ``_Socket``."""
