Take only what no host could confirm for an outage of the platform

Cause: WatchDuty took the silence of this host's own watch for an outage. The store had turned away a third of the hosts and served the others; when it answered those again, a deletion counted as an entry that had expired in the outage and was kept for 2.5 s. Peers had confirmed the replica all along. Ruled out: late news (the two hosts logged the revision of the deletion at once).

Change: an outage is a time in which the replica of the servers was not confirmed by any response of the platform, this host's or one that a peer reports, for two heartbeat intervals; it ends with the response, not with its arrival here. A change that a peer sends while the replica is that old is taken for the end as well (a follower used to drop expired servers at once). A server that had announced its leaving is removed at once in any case. The watch confirms the replica before it applies the changes. The other places that decide by silence (route and key lookups, watch duty, readiness) already go by the age of the replica.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -37,6 +37,7 @@
     ItemSource,
     ItemsQuery,
     ItemsUpdate,
+    OutageDetector,
     Replica,
     ReplicaSummary,
     ReplicaSync,
@@ -181,9 +182,9 @@
             self.settings.peer_address,
             self.view,
             self.replicas,
-            self.replicas[SERVERS],
-            self.roster,
-            timers,
+        )
+        self.outages = OutageDetector(
+            self.replicas[SERVERS], timers, self.roster.record_outage_end
         )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
@@ -214,7 +215,9 @@
         self.replicas[CONFIGURATION].subscribe(self._apply_configuration)
         self.replicas[SERVERS].subscribe(self._apply_servers)
         # Servers that the copy lacks register again, as after an outage.
-        self.replicas[SERVERS].subscribe_era(self.roster.record_outage_end)
+        self.replicas[SERVERS].subscribe_era(
+            lambda: self.roster.record_outage_end(self.timers.now())
+        )
         self.roster.subscribe_removed(self.health.remove_server)
         self.roster.subscribe_removed(self.server_activity.remove_server)
         self.roster.subscribe_removed(self.caches.remove_server)
@@ -488,6 +491,7 @@
         self.view.report_now()
 
     def _apply_servers(self, change: Change) -> None:
+        self.outages.check_age()
         for item in change.items:
             entry = None
             if item.value:
--- a/oleanderpier/entry/watch.py
+++ b/oleanderpier/entry/watch.py
@@ -2,8 +2,7 @@
 
 from oleanderpier.fleet import FleetView
 from oleanderpier.replication import Replica
-from oleanderpier.routing import Roster
-from oleanderpier.utils import Timers, rank_candidates
+from oleanderpier.utils import rank_candidates
 
 __all__ = ["WatchDuty"]
 
@@ -14,9 +13,6 @@
 # watcher gets a response from the platform every second, and its report of that
 # may take two seconds more.
 MAX_UNWATCHED_AGE_S = 3.5
-# After a shorter outage of the platform, missing server entries are not attributed
-# to the outage: entries do not expire that fast.
-MIN_OUTAGE_S = 1.0
 
 
 class WatchDuty:
@@ -26,26 +22,14 @@
         host: The name of this host.
         view: The reports of the other hosts.
         replicas: The replicas of this host, by key space.
-        servers: The replica of the backend servers' entries.
-        roster: The backend servers.
-        timers: The timer service.
     """
 
     def __init__(
-        self,
-        host: str,
-        view: FleetView,
-        replicas: dict[str, Replica],
-        servers: Replica,
-        roster: Roster,
-        timers: Timers,
+        self, host: str, view: FleetView, replicas: dict[str, Replica]
     ) -> None:
         self._host = host
         self._view = view
         self._replicas = replicas
-        self._servers = servers
-        self._roster = roster
-        self._timers = timers
         self._failing_spaces: set[str] = set()
 
     @property
@@ -69,21 +53,16 @@
             host for host in self._view.list_present_in_domain() if host not in watchers
         ]
 
-    def handle_reachability(self, space: str, reachable: bool, silent_s: float) -> None:
+    def handle_reachability(self, space: str, reachable: bool) -> None:
         """Handle the failure or recovery of calls to the platform.
 
         Args:
             space: The key space of the call.
             reachable: Whether the call succeeded.
-            silent_s: The seconds since the last success before it.
         """
         was_reachable = self.platform_reachable
         if reachable:
             self._failing_spaces.discard(space)
-            began_s = self._timers.now() - silent_s
-            # The wait for servers after a return in a new era has begun already.
-            if silent_s >= MIN_OUTAGE_S and began_s > self._servers.era_changed_s:
-                self._roster.record_outage_end()
         else:
             self._failing_spaces.add(space)
         if was_reachable != self.platform_reachable:
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -93,6 +93,7 @@
         self._tombstones_complete_after = 0
         self._callbacks: list[Callable[[Change], None]] = []
         self._era_callbacks: list[Callable[[], None]] = []
+        self._confirmed_callbacks: list[Callable[[float, float], None]] = []
 
     def subscribe(self, callback: Callable[[Change], None]) -> None:
         """Call back with each change of values."""
@@ -105,6 +106,10 @@
         """
         self._era_callbacks.append(callback)
 
+    def subscribe_confirmed(self, callback: Callable[[float, float], None]) -> None:
+        """Call back with the previous and the new ``confirmed_s`` when it rises."""
+        self._confirmed_callbacks.append(callback)
+
     def get(self, key: str) -> Item | None:
         """Return the item of a key, or None if it does not exist."""
         return self._items.get(key)
@@ -119,7 +124,12 @@
 
     def confirm_current(self, age_s: float = 0.0) -> None:
         """Record that this was the newest state ``age_s`` seconds ago."""
-        self.confirmed_s = max(self.confirmed_s, self._timers.now() - age_s)
+        previous_s, confirmed_s = self.confirmed_s, self._timers.now() - age_s
+        if confirmed_s <= previous_s:
+            return
+        self.confirmed_s = confirmed_s
+        for callback in list(self._confirmed_callbacks):
+            callback(previous_s, confirmed_s)
 
     def apply(self, update: ItemsUpdate, source: str) -> None:
         """Apply an update and notify subscribers of changed values.
--- a/oleanderpier/replication/tests/test_sync.py
+++ b/oleanderpier/replication/tests/test_sync.py
@@ -157,7 +157,7 @@
                     LoopTimers(),
                     random.Random(1),
                     lambda: True,
-                    lambda space, reachable, silent_s: reachability.append(reachable),
+                    lambda space, reachable: reachability.append(reachable),
                     timing=timing,
                 )
             )
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -71,7 +71,7 @@
     timers: Timers,
     rng: random.Random,
     should_watch: Callable[[], bool],
-    notify_reachability: Callable[[str, bool, float], None],
+    notify_reachability: Callable[[str, bool], None],
     record_call: Callable[[str, bool, float], None] = lambda *call: None,
     timing: WatchTiming | None = None,
 ) -> None:
@@ -84,8 +84,8 @@
         rng: The source of randomness.
         should_watch: Returns whether this host has to watch now.
         notify_reachability: Called after each failure and after the first
-            success that follows one, with the key space, whether the call
-            succeeded, and the seconds since the last success before it.
+            success that follows one, with the key space and whether the call
+            succeeded.
         record_call: Called after each call, with the key space, whether it
             succeeded, and its duration in seconds.
         timing: The intervals of the watch.
@@ -93,7 +93,7 @@
     timing = timing or WatchTiming()
     needs_snapshot = True
     retry_s = 0.0
-    # The start of the platform's silence, should the next call fail.
+    # The start of the platform's silence to this host, should the next call fail.
     silent_since_s = timers.now()
     while True:
         if retry_s == 0.0 and not should_watch():
@@ -129,7 +129,7 @@
                 reason=str(error),
                 retry_s=retry_s,
             )
-            notify_reachability(replica.space, False, timers.now() - silent_since_s)
+            notify_reachability(replica.space, False)
             if not repeat_at_once:
                 await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
             continue
@@ -142,17 +142,18 @@
                 as_of=get_revision(update.as_of),
                 silent_s=round(silent_s, 3),
             )
-            notify_reachability(replica.space, True, silent_s)
+            notify_reachability(replica.space, True)
             retry_s = 0.0
         silent_since_s = timers.now()
         if not needs_snapshot and get_era(update.as_of) > get_era(after):
             # The revision of the watch belongs to an earlier era.
             needs_snapshot = True
             continue
-        replica.apply(update, PLATFORM)
-        # A snapshot is as old as the start of its call; a watch call returns the
-        # current state.
+        # Deletions after an outage may be of expired entries, so it has to be known
+        # before they are applied. A snapshot is as old as the start of its call; a
+        # watch call returns the current state.
         replica.confirm_current(timers.now() - started_s if needs_snapshot else 0.0)
+        replica.apply(update, PLATFORM)
         needs_snapshot = False
         if update.items:
             await asyncio.sleep(timing.batch_s * rng.uniform(0.5, 1.0))
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -39,6 +39,7 @@
     A server whose registration ended is removed at once, except after an outage of
     the platform: registrations may have expired only because servers could not
     renew them, so those servers are kept until they have had time to register again.
+    A server that had announced that it leaves is always removed at once.
 
     Args:
         timers: The timer service.
@@ -49,7 +50,7 @@
         self._entries: dict[str, ServerEntry] = {}
         self._registered: dict[str, list[ServerEntry]] = defaultdict(list)
         self._usable: dict[str, list[ServerEntry]] = defaultdict(list)
-        self._expired_s: dict[str, float] = {}
+        self._expired: set[str] = set()
         self._last_changes: dict[str, tuple[RegistrationChange, float]] = {}
         self._outage_ended_s = -REREGISTRATION_WAIT_S
         self._removal_callbacks: list[Callable[[str], None]] = []
@@ -63,9 +64,13 @@
         """Call back with the id of each server that is removed or has restarted."""
         self._removal_callbacks.append(callback)
 
-    def record_outage_end(self) -> None:
-        """Record that the platform is reachable again after an outage."""
-        self._outage_ended_s = self._timers.now()
+    def record_outage_end(self, ended_s: float) -> None:
+        """Record when an outage of the platform ended.
+
+        Args:
+            ended_s: The time, in seconds on the timer service's clock.
+        """
+        self._outage_ended_s = max(self._outage_ended_s, ended_s)
 
     def update_entry(self, identity: str, entry: ServerEntry | None) -> None:
         """Apply a server's new registration, or its end.
@@ -77,7 +82,7 @@
         previous = self._entries.get(identity)
         if entry is not None:
             self._record_change(identity, previous, entry)
-            self._expired_s.pop(identity, None)
+            self._expired.discard(identity)
             self._entries[identity] = entry
             if previous is not None and entry.born_ms != previous.born_ms:
                 # The server restarted under its old id, with an empty cache.
@@ -86,10 +91,11 @@
                 log_message("roster:server", **entry._asdict())
                 self._rebuild_lists()
             return
-        if previous is None or identity in self._expired_s:
+        if previous is None:
             return
-        self._expired_s[identity] = self._timers.now()
-        self._set_last_change(identity, RegistrationChange.ENDED)
+        if identity not in self._expired:
+            self._expired.add(identity)
+            self._set_last_change(identity, RegistrationChange.ENDED)
         self._remove_expired()
 
     def get_entry(self, identity: str) -> ServerEntry | None:
@@ -113,17 +119,20 @@
 
     def _remove_expired(self) -> None:
         """Remove servers whose registration ended, unless an outage may be why."""
-        if not self._expired_s:
-            return
-        if self._timers.now() < self._outage_ended_s + REREGISTRATION_WAIT_S:
-            return
-        for identity in list(self._expired_s):
-            del self._expired_s[identity]
+        may_return = self._timers.now() < self._outage_ended_s + REREGISTRATION_WAIT_S
+        gone = [
+            identity
+            for identity in self._expired
+            if self._entries[identity].leaving or not may_return
+        ]
+        for identity in gone:
+            self._expired.discard(identity)
             del self._entries[identity]
             del self._last_changes[identity]
             log_message("roster:server_gone", identity=identity)
             self._notify_removed(identity)
-        self._rebuild_lists()
+        if gone:
+            self._rebuild_lists()
 
     def _record_change(
         self, identity: str, previous: ServerEntry | None, entry: ServerEntry
@@ -133,7 +142,7 @@
             self._set_last_change(identity, RegistrationChange.LEAVING)
         elif previous is None:
             self._set_last_change(identity, RegistrationChange.JOINED)
-        elif identity in self._expired_s or entry.born_ms != previous.born_ms:
+        elif identity in self._expired or entry.born_ms != previous.born_ms:
             self._set_last_change(identity, RegistrationChange.RETURNED)
 
     def _set_last_change(self, identity: str, change: RegistrationChange) -> None:
--- a/oleanderpier/routing/tests/test_roster.py
+++ b/oleanderpier/routing/tests/test_roster.py
@@ -38,16 +38,25 @@
 
     def test_expired_registration_is_kept_after_outage(self):
         """A registration that expired in an outage is kept for the guaranteed time."""
-        self.roster.record_outage_end()
+        self.roster.record_outage_end(self.timers.now())
         self.roster.update_entry("s1", None)
         self.timers.advance(REREGISTRATION_WAIT_S - 0.3)
         self.assertEqual(["s1"], self.list_usable())
         self.timers.advance(0.6)
         self.assertEqual([], self.list_usable())
 
+    def test_leaving_server_is_removed_after_outage(self):
+        """A server that had announced its leaving is not kept for its return."""
+        gone = []
+        self.roster.subscribe_removed(gone.append)
+        self.roster.update_entry("s1", make_server("s1", leaving=True))
+        self.roster.record_outage_end(self.timers.now())
+        self.roster.update_entry("s1", None)
+        self.assertEqual((["s1"], None), (gone, self.roster.get_entry("s1")))
+
     def test_server_registers_again_after_outage(self):
         """A server that registers again in time is kept."""
-        self.roster.record_outage_end()
+        self.roster.record_outage_end(self.timers.now())
         self.roster.update_entry("s1", None)
         self.timers.advance(1.0)
         self.roster.update_entry("s1", make_server("s1"))
