Limit the time of calls and connects by the timer service

Cause: its call had 0.3 s of real time, and its connect 0.15 s, so a stall of the process changed the result. Shown on the old code: with stalls of 0.15 s between the loop's iterations, a call that nothing disturbs gives NotSent (one run of a script).

Change: limit_time follows the timer service; send_call and the connector use it. The test gives the calls manual time, which passes only for the service that never answers. Nothing is checked less: the same faults, results and numbers of executions. test_stall_of_this_process_does_not_end_a_call: NotSent before, the answer now.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -11,6 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientRequest
 
+from oleanderpier.utils import LoopTimers, Timers, limit_time
+
 __all__ = ["CONNECT_TIMEOUT_S", "make_session"]
 
 CONNECT_TIMEOUT_S = 0.5
@@ -33,20 +35,35 @@
     is cancelled in between, uvloop closes the descriptor of that object, which still
     has the number and closes it once more when it is freed. By then the number may
     belong to another connection.
+
+    Args:
+        timers: The timer service, for the limit on the time of a connect.
+        **options: Options of ``aiohttp.TCPConnector``.
     """
 
+    def __init__(self, timers: Timers, **options: Any) -> None:
+        super().__init__(**options)
+        self._timers = timers
+
     async def _wrap_create_connection(
         self,
         protocol_factory: Callable[[], ResponseHandler],
         *,
         addr_infos: list[tuple],
         req: ClientRequest,
+        timeout: aiohttp.ClientTimeout,
         **options: Any,
     ) -> tuple[asyncio.Transport, ResponseHandler]:
         """Open a connection to the first address; without TLS."""
         address, port = addr_infos[0][4][:2]
         try:
-            return await self._loop.create_connection(protocol_factory, address, port)
+            async with limit_time(self._timers, timeout.sock_connect):
+                return await self._loop.create_connection(
+                    protocol_factory, address, port
+                )
+        except TimeoutError:
+            # A TimeoutError is an OSError, too.
+            raise
         except OSError as error:
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
 
@@ -88,6 +105,7 @@
     max_connections: int = MAX_CONNECTIONS,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     keepalive_s: float = 0.0,
+    timers: Timers | None = None,
 ) -> aiohttp.ClientSession:
     """Return a client session for requests to backend servers.
 
@@ -101,16 +119,19 @@
         connect_timeout_s: Timeout for opening a connection, in seconds.
         keepalive_s: How long an idle connection is kept for reuse, in seconds;
             0 to use a new connection for each request.
+        timers: The timer service; that of the event loop by default.
     """
     reuse = {"keepalive_timeout": keepalive_s} if keepalive_s else {"force_close": True}
-    connector = _Connector(**reuse, limit=max_connections, use_dns_cache=False)
+    connector = _Connector(
+        timers or LoopTimers(), **reuse, limit=max_connections, use_dns_cache=False
+    )
     connector._factory = functools.partial(
         _ResetDetectingHandler, loop=asyncio.get_running_loop()
     )
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, connect=connect_timeout_s),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
         skip_auto_headers=AUTOMATIC_HEADERS,
--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -208,6 +208,7 @@
         # send may wait for whole_s.
         sent = await send_call(
             node.relay.session,
+            node.timers,
             permit.backend_server,
             work_class["needs"],
             body["key"],
--- a/oleanderpier/relay/calls.py
+++ b/oleanderpier/relay/calls.py
@@ -1,6 +1,5 @@
 """Calls to plain services, whose errors say whether a call may have run."""
 
-import asyncio
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -12,7 +11,7 @@
 from oleanderpier.relay.connections import CONNECT_TIMEOUT_S, format_url
 from oleanderpier.relay.responses import AcquirePermit, Permit
 from oleanderpier.results import Code, Failure, MaybeSent, NotSent, SendError
-from oleanderpier.utils import Timers
+from oleanderpier.utils import Timers, limit_time
 
 __all__ = [
     "CallResponse",
@@ -41,6 +40,7 @@
 
 async def send_call(
     session: aiohttp.ClientSession,
+    timers: Timers,
     backend_server: BackendServer,
     operation: str,
     key: str | None,
@@ -51,6 +51,7 @@
 
     Args:
         session: A session from ``make_session``.
+        timers: The clock.
         backend_server: The service.
         operation: The operation's name.
         key: The idempotency key, or None if the call may be repeated.
@@ -67,14 +68,14 @@
         headers["Idempotency-Key"] = key
     connect_s = min(CONNECT_TIMEOUT_S, timeout_s / 2)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with limit_time(timers, timeout_s):
             return await _read_response(
                 session.post(
                     format_url(backend_server, f"/v1/calls/{operation}"),
                     data=msgspec.json.encode(body),
                     headers=headers,
                     allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(total=None, connect=connect_s),
+                    timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
                 ),
                 backend_server["name"],
             )
@@ -159,7 +160,13 @@
         try:
             attempt_timeout_s = (deadline_s - timers.now()) * ATTEMPT_TIMEOUT_RATIO
             sent = await send_call(
-                session, permit.backend_server, operation, None, body, attempt_timeout_s
+                session,
+                timers,
+                permit.backend_server,
+                operation,
+                None,
+                body,
+                attempt_timeout_s,
             )
         finally:
             permit.release()
--- a/oleanderpier/relay/tests/test_calls.py
+++ b/oleanderpier/relay/tests/test_calls.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -20,7 +21,7 @@
     serve_app,
 )
 from oleanderpier.results import Code, MaybeSent, NotSent
-from oleanderpier.utils import LoopTimers
+from oleanderpier.utils import LoopTimers, ManualTimers
 from standins.service import Service, make_service_app
 
 KEY = "01890a5d-ac96-774b-bcce-b302099a8057"
@@ -52,11 +53,23 @@
         server.close()
 
 
-async def send_payout(server: dict, key: str | None = KEY):
+async def send_payout(server: dict, key: str | None = KEY, timers=None):
     """Send one call over a session of its own."""
-    async with make_session() as session:
-        body = {"amount": 3}
-        return await send_call(session, server, "payout-post", key, body, TIMEOUT_S)
+    timers = timers or LoopTimers()
+    async with make_session(timers=timers) as session:
+        arguments = (server, "payout-post", key, {"amount": 3}, TIMEOUT_S)
+        return await send_call(session, timers, *arguments)
+
+
+async def send_payout_to_service(service: Service, server: dict):
+    """Send one call; if it is never answered, let its time pass once it has run."""
+    timers = ManualTimers()
+    call = asyncio.create_task(send_payout(server, timers=timers))
+    if service.fault_switch.faults.get("silent"):
+        while not service._executions[KEY]:
+            await asyncio.sleep(0.001)
+        timers.advance(TIMEOUT_S)
+    return await call
 
 
 def get_result_type(result) -> type:
@@ -73,7 +86,7 @@
         async def run(faults: dict) -> tuple:
             async with serve_service() as (service, server):
                 service.fault_switch.faults = dict(faults)
-                result = await send_payout(server)
+                result = await send_payout_to_service(service, server)
                 await asyncio.sleep(0)
                 return get_result_type(result), service._executions[KEY]
 
@@ -82,6 +95,19 @@
                 (expected_type, executions), asyncio.run(run(faults)), name
             )
 
+    def test_stall_of_this_process_does_not_end_a_call(self):
+        """While no time passes for the timer service, a call is answered."""
+
+        async def run() -> type:
+            async with serve_service() as (_, server):
+                call = asyncio.create_task(send_payout(server, timers=ManualTimers()))
+                for _ in range(8):
+                    await asyncio.sleep(0)
+                    time.sleep(TIMEOUT_S / 2)
+                return get_result_type(await call)
+
+        self.assertEqual(dict, asyncio.run(run()))
+
     def test_refused_connection_is_not_sent(self):
         """A call is certainly not sent if the connection is refused."""
         server = make_server("ledger-0", find_closed_port(), "service")
@@ -95,7 +121,8 @@
         async def run():
             async with make_session() as session:
                 server = {"name": "x", "address": "127.0.0.1", "port": port}
-                return await send_call(session, server, "payout-post", KEY, {}, 0.4)
+                arguments = (server, "payout-post", KEY, {}, 0.4)
+                return await send_call(session, LoopTimers(), *arguments)
 
         import socket
 
@@ -162,8 +189,13 @@
         async def run_calls() -> list[type]:
             async with serve_raw_connections(handle) as port, make_session() as session:
                 server = make_server("ledger-0", port, "service")
-                arguments = (session, server, "payout-post", KEY, {}, TIMEOUT_S)
-                return [get_result_type(await send_call(*arguments)) for _ in range(4)]
+                arguments = (server, "payout-post", KEY, {}, TIMEOUT_S)
+                return [
+                    get_result_type(
+                        await send_call(session, ManualTimers(), *arguments)
+                    )
+                    for _ in range(4)
+                ]
 
         asyncio.run(run_pooled_session())
         self.assertEqual([b"PUT"] * 3, requests)
