Become ready with the last value that a start needs

Cause: the start looked every 50 ms whether routes and servers were known.

The test failed before (starting, starting).

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Iterable
 
 from eliot import log_message
@@ -214,6 +215,8 @@
         self.members.subscribe(self._handle_member_change)
         self.replicas[CONFIGURATION].subscribe(self._apply_configuration)
         self.replicas[SERVERS].subscribe(self._apply_servers)
+        for replica in self.replicas.values():
+            replica.subscribe(lambda change: self._check_ready())
         # Servers that the copy lacks register again, as after an outage.
         self.replicas[SERVERS].subscribe_era(
             lambda: self.roster.record_outage_end(self.timers.now())
@@ -379,12 +382,24 @@
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
     async def _become_ready(self) -> None:
-        while self.route_index is None or not self.replicas[SERVERS].as_of:
+        # A snapshot without servers changes no value, so nothing notifies of it.
+        while self.state == "starting":
+            self._check_ready()
             await asyncio.sleep(POLL_INTERVAL_S)
-        if self.state == "starting":
-            self.state = "ready"
-            log_message("node:ready", version=self.route_index.table.version)
-            self.view.report_now()
+
+    def _check_ready(self) -> None:
+        """Become ready once routes and servers are known."""
+        if self.state != "starting" or self.route_index is None:
+            return
+        if not self.replicas[SERVERS].as_of:
+            return
+        self.state = "ready"
+        log_message(
+            "node:ready",
+            version=self.route_index.table.version,
+            processor_s=round(time.process_time(), 3),
+        )
+        self.view.report_now()
 
     def _list_total_senders(self) -> list[str]:
         """Return the ready hosts of this failure domain that send its total load."""
--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -8,12 +8,13 @@
     SERVERS,
     EntryNode,
     EntrySettings,
+    encode_server,
     encode_table,
 )
 from oleanderpier.replication import PLATFORM, Item, ItemsUpdate
 from oleanderpier.results import Code
 from oleanderpier.routing import BudgetLimits, CallerLimits, RoutingTable
-from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.routing.tests.fakes import make_route, make_server
 from oleanderpier.utils import run_coroutine
 
 SETTINGS = EntrySettings(
@@ -36,6 +37,25 @@
 class StartTest(TestCase):
     """A host that has just started refuses requests that it cannot route yet."""
 
+    def test_host_is_ready_once_routes_and_servers_are_known(self):
+        """It used to look only every 50 ms, a tenth of the time of a start."""
+
+        async def check() -> list[str]:
+            node = EntryNode(SETTINGS, None, None)
+            node.view.report_now = lambda: None
+            updates = [
+                (SERVERS, Item("s1", 5, encode_server(make_server("s1")))),
+                (CONFIGURATION, Item(CONFIGURATION_KEY, 7, encode_table(TABLE))),
+            ]
+            states = []
+            for space, item in updates:
+                update = ItemsUpdate(space, 0, 7, True, [item])
+                node.replicas[space].apply(update, PLATFORM)
+                states.append(node.state)
+            return states
+
+        self.assertEqual(["starting", "ready"], run_coroutine(check()))
+
     def test_request_is_refused_until_servers_are_replicated(self):
         """With routes but without servers, ``HOST_NOT_READY`` names what is missing."""
 
