--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Iterable
 
 from eliot import log_message
@@ -16,6 +15,7 @@
     outlasts_table,
 )
 from oleanderpier.entry.metrics import EntryMetrics
+from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
@@ -57,7 +57,7 @@
     RouteIndex,
     ServerHealth,
 )
-from oleanderpier.utils import LoopTimers, rank_candidates
+from oleanderpier.utils import LoopTimers
 
 __all__ = [
     "ADDRESS_TTL_S",
@@ -73,10 +73,6 @@
 
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 MILLISECONDS_PER_S = 1000
-# For this long after the store returned from an old copy, hosts that start get the
-# replicas of others: more than the 2 s in which all is written again and the three
-# heartbeat intervals after which the entry of a server that is gone expires.
-ERA_SETTLE_S = 10.0
 # An older configuration may have been replaced. The limit is above the time for
 # which the platform holds a watch call.
 MAX_CONFIGURATION_AGE_S = 4.0
@@ -207,9 +203,17 @@
         self.mesh.subscribe(HostReport, self.view.receive_report)
         self.mesh.subscribe(DomainLoads, self.loads.receive_total)
         self.view.subscribe_silent(self.loads.remove_host)
-        self.mesh.subscribe(CachePlacements, self._receive_cache_placements)
         self.mesh.subscribe_closed(self.view.handle_stream_closed)
-        self.view.subscribe_appeared(self._send_cache_placements)
+        newcomers = NewcomerUpdates(
+            self.settings.peer_address,
+            self._list_ready,
+            self.caches,
+            self.replicas.values(),
+            self.timers,
+            self.mesh,
+        )
+        self.view.subscribe_appeared(newcomers.send)
+        self.mesh.subscribe(CachePlacements, newcomers.receive)
         for message_class in (ItemsUpdate, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sync)
         self.members.subscribe(self._handle_member_change)
@@ -394,11 +398,7 @@
         if not self.replicas[SERVERS].as_of:
             return
         self.state = "ready"
-        log_message(
-            "node:ready",
-            version=self.route_index.table.version,
-            processor_s=round(time.process_time(), 3),
-        )
+        log_message("node:ready", version=self.route_index.table.version)
         self.view.report_now()
 
     def _list_total_senders(self) -> list[str]:
@@ -457,37 +457,10 @@
                     identity, failed=response_index < use.failures
                 )
 
-    def _send_cache_placements(self, host: str) -> None:
-        """Send the known cache contents to a host that may have just started.
-
-        Only one of the ready hosts, selected by rendezvous hashing, sends them.
-        """
-        senders = [other for other in self.view.list_ready() if other != host]
-        if self.state == "ready":
-            senders.append(self.settings.peer_address)
-        if rank_candidates(host, senders)[:1] != [self.settings.peer_address]:
-            return
-        placements = self.caches.list_entries()
-        if placements:
-            self.mesh.send(host, CachePlacements(placements))
-        self._send_retained_items(host)
-
-    def _send_retained_items(self, host: str) -> None:
-        """Send the replicas to a host that may know only the copy of the store.
-
-        Until the operator and the servers have written again, the store has older
-        values than the hosts that saw it before.
-        """
-        for replica in self.replicas.values():
-            if self.timers.now() < replica.era_changed_s + ERA_SETTLE_S:
-                self.mesh.send(host, replica.list_changes_since(0))
-                self.mesh.send(host, replica.list_tombstones())
-
-    def _receive_cache_placements(self, sender: str, message: CachePlacements) -> None:
-        self.caches.apply_updates(message.placements)
-        log_message(
-            "node:caches_learnt", host=sender, placements=len(message.placements)
-        )
+    def _list_ready(self) -> list[str]:
+        """Return the ready hosts, including this one if it is ready."""
+        own = [self.settings.peer_address] if self.state == "ready" else []
+        return [*self.view.list_ready(), *own]
 
     def _apply_configuration(self, change: Change) -> None:
         for item in change.items:
