Let the soak slow hosts down, kill them after a change, and fault parts of the requests

Change: six kinds, drawn apart from the others, so that earlier seeds keep their faults. A slow host is stopped for seven eighths of each 80 ms by signals.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,8 +30,10 @@
 _SERVER_FAULTS = frozenset(
     kind for kind in FaultKind if kind.value.startswith("server")
 )
-_KILL_FAULTS = frozenset({FaultKind.HOST_KILLED, FaultKind.ALL_KILLED})
-_STOP_FAULTS = _KILL_FAULTS | {FaultKind.HOST_PAUSED}
+_KILL_FAULTS = frozenset(
+    {FaultKind.HOST_KILLED, FaultKind.ALL_KILLED, FaultKind.HOST_KILLED_AFTER_CHANGE}
+)
+_STOP_FAULTS = _KILL_FAULTS | {FaultKind.HOST_PAUSED, FaultKind.HOST_SLOW}
 
 
 class Violation(NamedTuple):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -13,7 +13,7 @@
 from soak.observations import Execution, InjectedFault, Observations, Removal
 from soak.proxy import FaultProxy
 from soak.schedule import Fault, FaultKind, make_schedule
-from standins.platform_fleet import PlatformFleet, StandInServer
+from standins.platform_fleet import PartFault, PlatformFleet, StandInServer
 
 __all__ = ["SoakSettings", "run_seed"]
 
@@ -33,6 +33,15 @@
 # Time for which requests are sent after RECOVERY_S, for the check of the recovery.
 POST_RECOVERY_S = 1.5
 KEY_COUNT = 5
+# A slow host runs for this long in each period, an eighth of it.
+SLOW_RUN_S = 0.01
+SLOW_PERIOD_S = 0.08
+_SERVER_PART_FAULTS = {
+    FaultKind.SERVER_PARTLY_FAILS: PartFault.ERROR,
+    FaultKind.SERVER_PARTLY_MUTE: PartFault.MUTE,
+    FaultKind.SERVER_PARTLY_REFUSES: PartFault.REFUSAL,
+    FaultKind.SERVER_PARTLY_SENDS_EXTRA: PartFault.EXTRA_BYTES,
+}
 
 
 class SoakSettings:
@@ -243,6 +252,20 @@
         await asyncio.sleep(fault.for_s)
         self._send_signal(number, signal.SIGCONT)
 
+    async def _slow_host(self, fault: Fault) -> None:
+        """Stop a host's process for most of each period."""
+        number = fault.target % self._settings.hosts
+        end_s = self._get_elapsed_s() + fault.for_s
+        while self._get_elapsed_s() < end_s:
+            self._send_signal(number, signal.SIGSTOP)
+            await asyncio.sleep(SLOW_PERIOD_S - SLOW_RUN_S)
+            self._send_signal(number, signal.SIGCONT)
+            await asyncio.sleep(SLOW_RUN_S)
+
+    async def _kill_host_after_change(self, fault: Fault) -> None:
+        self._publish_configuration()
+        await self._kill_host(fault)
+
     async def _terminate_host(self, fault: Fault) -> None:
         number = fault.target % self._settings.hosts
         process = self._host_processes.get(number)
@@ -389,6 +412,15 @@
 
         await self._enable_for_duration(fault, server, set_enabled)
 
+    async def _fail_part_of_requests(self, fault: Fault) -> None:
+        server = self._find_server(fault)
+        part_fault = _SERVER_PART_FAULTS[fault.kind]
+
+        def set_enabled(enabled: bool) -> None:
+            server.part_fault = part_fault if enabled else PartFault.NONE
+
+        await self._enable_for_duration(fault, (server, part_fault), set_enabled)
+
     async def _revoke_key(self, fault: Fault) -> None:
         left = [key for key in self._keys if key not in self._callers.revoked_keys]
         if len(left) < 2:
@@ -423,6 +455,9 @@
     FaultKind.SERVER_RESET: _SoakRun._reset_server_connections,
     FaultKind.SERVER_SLOW: _SoakRun._slow_server,
     FaultKind.SERVER_FAILS: _SoakRun._fail_server,
+    FaultKind.HOST_SLOW: _SoakRun._slow_host,
+    FaultKind.HOST_KILLED_AFTER_CHANGE: _SoakRun._kill_host_after_change,
+    **dict.fromkeys(_SERVER_PART_FAULTS, _SoakRun._fail_part_of_requests),
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -17,7 +17,11 @@
     ``STORE_CUT_OFF`` and ``SERVER_SILENT`` hold back the data of both directions.
     ``STORE_DEAF`` and ``SERVER_DEAF`` hold back only responses, while requests
     still arrive. ``STORE_RETURNS`` lets the store return from a copy that is as old as
-    the fault lasts.
+    the fault lasts. ``HOST_SLOW`` leaves a process an eighth of its processor time.
+    ``HOST_KILLED_AFTER_CHANGE`` kills it right after a change of the configuration.
+    Of the kinds ``SERVER_PARTLY_*`` a part of the requests at one server is affected,
+    while it counts as healthy: it answers with an error, never, with a refusal, or with
+    bytes after the response.
     """
 
     HOST_KILLED = "host_killed"
@@ -38,6 +42,12 @@
     SERVER_RESET = "server_reset"
     SERVER_SLOW = "server_slow"
     SERVER_FAILS = "server_fails"
+    HOST_SLOW = "host_slow"
+    HOST_KILLED_AFTER_CHANGE = "host_killed_after_change"
+    SERVER_PARTLY_FAILS = "server_partly_fails"
+    SERVER_PARTLY_MUTE = "server_partly_mute"
+    SERVER_PARTLY_REFUSES = "server_partly_refuses"
+    SERVER_PARTLY_SENDS_EXTRA = "server_partly_sends_extra"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
 
@@ -45,6 +55,17 @@
 # Relative frequencies other than 1; the loss of all hosts is rarer than the rest.
 _WEIGHTS = {FaultKind.ALL_KILLED: 0.3}
 MAX_STORE_RETURN_COUNT = 2
+# Kinds that were added later are drawn apart, so that the other faults of a seed are
+# the same as before.
+_ADDED_KINDS = (
+    FaultKind.HOST_SLOW,
+    FaultKind.HOST_KILLED_AFTER_CHANGE,
+    FaultKind.SERVER_PARTLY_FAILS,
+    FaultKind.SERVER_PARTLY_MUTE,
+    FaultKind.SERVER_PARTLY_REFUSES,
+    FaultKind.SERVER_PARTLY_SENDS_EXTRA,
+)
+MAX_ADDED_COUNT = 5
 
 
 class Fault(NamedTuple):
@@ -75,7 +96,8 @@
         True
     """
     rng = random.Random(seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.STORE_RETURNS]
+    apart = {FaultKind.STORE_RETURNS, *_ADDED_KINDS}
+    kinds = [kind for kind in FaultKind if kind not in apart]
     weights = [_WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults = []
     at_s = rng.uniform(0.2, MEAN_FAULT_INTERVAL_S)
@@ -85,9 +107,24 @@
         faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s))
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
     faults += _list_store_returns(seed, length_s)
+    faults += _list_added_faults(seed, length_s)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _list_added_faults(seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of the kinds that were added last."""
+    rng = random.Random(f"added kinds {seed}")
+    return [
+        Fault(
+            rng.uniform(0.2, length_s - MAX_DURATION_S),
+            rng.choice(_ADDED_KINDS),
+            rng.randrange(1 << 16),
+            rng.uniform(0.3, MAX_DURATION_S),
+        )
+        for _ in range(rng.randint(0, MAX_ADDED_COUNT))
+    ]
+
+
 def _list_store_returns(seed: int, length_s: float) -> list[Fault]:
     """Return the returns of the store, drawn apart from the other faults.
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -12,6 +12,15 @@
 
 REGRESSIONS = Path(__file__).parents[1] / "regressions.json"
 CI_SEED = 1
+# Kinds that affect a part of the requests, slow a host down, or kill it after a change.
+ADDED_KINDS = (
+    FaultKind.HOST_SLOW,
+    FaultKind.HOST_KILLED_AFTER_CHANGE,
+    FaultKind.SERVER_PARTLY_FAILS,
+    FaultKind.SERVER_PARTLY_MUTE,
+    FaultKind.SERVER_PARTLY_REFUSES,
+    FaultKind.SERVER_PARTLY_SENDS_EXTRA,
+)
 
 
 class SoakTest(TestCase):
@@ -23,6 +32,22 @@
         observations = run_coroutine(run_seed(CI_SEED, settings))
         self.assertEqual([], find_violations(observations))
 
+    def test_product_violates_nothing_under_the_added_kinds(self):
+        """Neither do the kinds that seed 1 has few of, all at once."""
+        faults = [
+            Fault(0.2 + 0.3 * number, kind, number, 3.0)
+            for number, kind in enumerate(ADDED_KINDS)
+        ]
+        settings = SoakSettings(hosts=3, callers=4)
+        observations = run_coroutine(run_seed(CI_SEED, settings, faults))
+        self.assertEqual([], find_violations(observations))
+
+    def test_resending_host_violates_at_most_once_if_part_is_mute(self):
+        """A host that resends a payout that one server never answers is found."""
+        kind = FaultKind.SERVER_PARTLY_MUTE
+        faults = [Fault(0.0, kind, n, 6.0) for n in range(4)]
+        self.assertIn("at_most_once", self.find_violated_guarantees(faults, "resend"))
+
     def test_resending_host_violates_at_most_once(self):
         """A host that resends a payout after a lost response is found."""
         # Responses are held back from the first request on, for longer than the
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -6,7 +6,9 @@
 import signal
 import sys
 import tempfile
+import zlib
 from asyncio.subprocess import PIPE, Process
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +21,7 @@
 __all__ = [
     "API_KEY",
     "HOST_NAME",
+    "PartFault",
     "PlatformFleet",
     "StandInServer",
     "stop_gracefully",
@@ -31,6 +34,26 @@
 EVENT_INTERVAL_S = 0.1
 
 
+# Share of the requests that a ``PartFault`` affects, in percent.
+PART_FAULT_PERCENT = 45
+# A whole response that belongs to no request.
+EXTRA_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+
+class PartFault(Enum):
+    """What a server does to a part of its requests while it counts as healthy.
+
+    ``ERROR`` and ``MUTE`` execute the request, ``REFUSAL`` does not. ``EXTRA_BYTES``
+    are sent after a whole response.
+    """
+
+    NONE = "none"
+    ERROR = "error"
+    MUTE = "mute"
+    REFUSAL = "refusal"
+    EXTRA_BYTES = "extra_bytes"
+
+
 class StandInServer:
     """A backend server that records the requests that it executes.
 
@@ -46,6 +69,7 @@
         request_headers: Headers of each of them.
         returns_errors: Whether it answers executed requests with status 500.
         aborted_streams: Number of streams whose host disconnected early.
+        part_fault: What it does to a part of its requests.
     """
 
     def __init__(self, instance_id: str, event_count: int = 20) -> None:
@@ -55,6 +79,7 @@
         self.returns_errors = False
         self.request_headers: list[dict[str, str]] = []
         self.aborted_streams = 0
+        self.part_fault = PartFault.NONE
         self._event_count = event_count
 
     async def start(self, port: int) -> None:
@@ -73,17 +98,33 @@
         if request.headers.get("Expect-Instance") != self.instance_id:
             return web.Response(status=421)
         request_id = request.headers["Request-Id"]
+        part_fault = self._find_part_fault(request_id)
+        if part_fault is PartFault.REFUSAL:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
         self.request_ids.append(request_id)
         self.request_times_s.append(asyncio.get_running_loop().time())
         self.request_headers.append(dict(request.headers))
         headers = {"Request-Id": request_id, "Response-Signature": self.instance_id}
-        if self.returns_errors:
+        if self.returns_errors or part_fault is PartFault.ERROR:
             return web.Response(status=500, headers=headers)
+        if part_fault is PartFault.MUTE:
+            # Ends when the host disconnects.
+            await asyncio.Event().wait()
         if request.path.startswith("/chat/"):
             return await self._send_stream(request, headers)
-        return web.Response(
-            text=f"{self.instance_id} ran {request_id}", headers=headers
-        )
+        text = f"{self.instance_id} ran {request_id}"
+        response = web.Response(text=text, headers=headers)
+        if part_fault is PartFault.EXTRA_BYTES:
+            await response.prepare(request)
+            await response.write_eof()
+            if request.transport is not None:
+                request.transport.write(EXTRA_BYTES)
+        return response
+
+    def _find_part_fault(self, request_id: str) -> PartFault:
+        """Return what happens to a request; the same for each send of it."""
+        is_affected = zlib.crc32(request_id.encode()) % 100 < PART_FAULT_PERCENT
+        return self.part_fault if is_affected else PartFault.NONE
 
     async def _send_stream(self, request, headers) -> web.StreamResponse:
         response = web.StreamResponse(headers=headers)
