Refuse https, and tell a kernel's connect time-out from the limit of the time

The connector that lets uvloop open connections ignored the TLS context, so a URL with https would have been sent unencrypted; no caller of make_session has one. A connect that the kernel gave up counted as the limit on its time, where aiohttp makes it a connector error. test_https_is_refused failed before: a connection was tried.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -54,17 +54,23 @@
         timeout: aiohttp.ClientTimeout,
         **options: Any,
     ) -> tuple[asyncio.Transport, ResponseHandler]:
-        """Open a connection to the first address; without TLS."""
+        """Open a connection to the first address.
+
+        Raises:
+            ValueError: The URL asks for TLS, which is not supported.
+        """
+        if options.get("ssl"):
+            raise ValueError(f"scheme of {req.url}: found https, allowed http")
         address, port = addr_infos[0][4][:2]
         try:
             async with limit_time(self._timers, timeout.sock_connect):
                 return await self._loop.create_connection(
                     protocol_factory, address, port
                 )
-        except TimeoutError:
-            # A TimeoutError is an OSError, too.
-            raise
         except OSError as error:
+            if isinstance(error, TimeoutError) and error.errno is None:
+                # The limit of the time, not an error of the kernel.
+                raise
             raise aiohttp.ClientConnectorError(req.connection_key, error) from error
 
 
--- a/oleanderpier/connections/tests/test_sessions.py
+++ b/oleanderpier/connections/tests/test_sessions.py
@@ -67,6 +67,20 @@
     return run_coroutine(run())
 
 
+class SchemeTest(TestCase):
+    """Only plain HTTP is supported."""
+
+    def test_https_is_refused(self):
+        """Nothing is sent unencrypted to a URL that asks for TLS."""
+
+        async def run() -> None:
+            async with make_session() as session:
+                await session.get("https://127.0.0.1:1/")
+
+        error = self.assertRaises(ValueError, run_coroutine, run())
+        self.assertIn("found https, allowed http", str(error))
+
+
 class _Socket:
     """A fake socket with a given pending error."""
 
