--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -56,6 +56,22 @@
 
         self.assertEqual(["starting", "ready"], run_coroutine(check()))
 
+    def test_invalid_configuration_leaves_the_one_in_force(self):
+        """A value that cannot be decoded is empty in the replica."""
+
+        async def check() -> tuple[int, bool]:
+            node = EntryNode(SETTINGS, None, None)
+            node.view.report_now = lambda: None
+            for revision, value in ((7, encode_table(TABLE)), (8, b"")):
+                item = Item(CONFIGURATION_KEY, revision, value)
+                update = ItemsUpdate(CONFIGURATION, 0, revision, True, [item])
+                node.replicas[CONFIGURATION].apply(update, PLATFORM)
+            node.replicas[SERVERS].apply(ItemsUpdate(SERVERS, 0, 8, True, []), PLATFORM)
+            routed = node.find_route("a.example", "/chat/x").is_ok()
+            return node.route_index.table.version, routed
+
+        self.assertEqual((TABLE.version, True), run_coroutine(check()))
+
     def test_request_is_refused_until_servers_are_replicated(self):
         """With routes but without servers, ``HOST_NOT_READY`` names what is missing."""
 
