Keep a server whose registration ended no longer than the guaranteed time

The detection of outages can note an end more than once, as when a host of a large fleet gets changes while its replica is seconds old. Each such end extended the wait of all registrations that had ended before, so that a deletion could apply later than the users allow.

Change: the wait is set when the end of a registration becomes known. An outage that ends later is not its cause.

--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -50,7 +50,8 @@
         self._entries: dict[str, ServerEntry] = {}
         self._registered: dict[str, list[ServerEntry]] = defaultdict(list)
         self._usable: dict[str, list[ServerEntry]] = defaultdict(list)
-        self._expired: set[str] = set()
+        # Until when servers whose registration ended are kept.
+        self._kept_until_s: dict[str, float] = {}
         self._last_changes: dict[str, tuple[RegistrationChange, float]] = {}
         self._outage_ended_s = -REREGISTRATION_WAIT_S
         self._removal_callbacks: list[Callable[[str], None]] = []
@@ -82,7 +83,7 @@
         previous = self._entries.get(identity)
         if entry is not None:
             self._record_change(identity, previous, entry)
-            self._expired.discard(identity)
+            self._kept_until_s.pop(identity, None)
             self._entries[identity] = entry
             if previous is not None and entry.born_ms != previous.born_ms:
                 # The server restarted under its old id, with an empty cache.
@@ -93,8 +94,10 @@
             return
         if previous is None:
             return
-        if identity not in self._expired:
-            self._expired.add(identity)
+        if identity not in self._kept_until_s:
+            # An outage that ends later is not why the registration ended.
+            kept_until_s = self._outage_ended_s + REREGISTRATION_WAIT_S
+            self._kept_until_s[identity] = kept_until_s
             self._set_last_change(identity, RegistrationChange.ENDED)
         self._remove_expired()
 
@@ -119,14 +122,14 @@
 
     def _remove_expired(self) -> None:
         """Remove servers whose registration ended, unless an outage may be why."""
-        may_return = self._timers.now() < self._outage_ended_s + REREGISTRATION_WAIT_S
+        now_s = self._timers.now()
         gone = [
             identity
-            for identity in self._expired
-            if self._entries[identity].leaving or not may_return
+            for identity, kept_until_s in self._kept_until_s.items()
+            if self._entries[identity].leaving or now_s >= kept_until_s
         ]
         for identity in gone:
-            self._expired.discard(identity)
+            del self._kept_until_s[identity]
             del self._entries[identity]
             del self._last_changes[identity]
             log_message("roster:server_gone", identity=identity)
@@ -142,7 +145,7 @@
             self._set_last_change(identity, RegistrationChange.LEAVING)
         elif previous is None:
             self._set_last_change(identity, RegistrationChange.JOINED)
-        elif identity in self._expired or entry.born_ms != previous.born_ms:
+        elif identity in self._kept_until_s or entry.born_ms != previous.born_ms:
             self._set_last_change(identity, RegistrationChange.RETURNED)
 
     def _set_last_change(self, identity: str, change: RegistrationChange) -> None:
--- a/oleanderpier/routing/tests/test_roster.py
+++ b/oleanderpier/routing/tests/test_roster.py
@@ -54,6 +54,16 @@
         self.roster.update_entry("s1", None)
         self.assertEqual((["s1"], None), (gone, self.roster.get_entry("s1")))
 
+    def test_later_outages_do_not_extend_the_wait(self):
+        """A registration is kept for the guaranteed time at most."""
+        self.roster.record_outage_end(self.timers.now())
+        self.roster.update_entry("s1", None)
+        for _ in range(4):
+            self.timers.advance(REREGISTRATION_WAIT_S / 4)
+            self.roster.record_outage_end(self.timers.now())
+        self.timers.advance(0.3)
+        self.assertEqual([], self.list_usable())
+
     def test_server_registers_again_after_outage(self):
         """A server that registers again in time is kept."""
         self.roster.record_outage_end(self.timers.now())
