--- a/oleanderpier/connections/tests/test_connects.py
+++ b/oleanderpier/connections/tests/test_connects.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import socket
+import time
 
 from testtools import TestCase
 
@@ -12,6 +13,7 @@
 
 # By then a connection over the loopback address has been established.
 MAX_LOOP_ITERATIONS = 6
+CLOSE_TIMEOUT_S = 5.0
 
 
 class CancelledConnectTest(TestCase):
@@ -38,7 +40,9 @@
                 session = make_session()
                 for iterations in range(MAX_LOOP_ITERATIONS):
                     await _cancel_request(session, listener, iterations)
-                await asyncio.sleep(0.2)
+                deadline_s = time.monotonic() + CLOSE_TIMEOUT_S
+                while accepted and time.monotonic() < deadline_s:
+                    await asyncio.sleep(0.01)
                 await session.close()
             return accepted
 
