--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-__all__ = ["Fault", "FaultKind", "make_schedule"]
+__all__ = ["ADDED_KINDS", "Fault", "FaultKind", "make_schedule"]
 
 # Mean time between the starts of two faults, short enough that most faults overlap.
 MEAN_FAULT_INTERVAL_S = 0.5
@@ -57,7 +57,7 @@
 MAX_STORE_RETURN_COUNT = 2
 # Kinds that were added later are drawn apart, so that the other faults of a seed are
 # the same as before.
-_ADDED_KINDS = (
+ADDED_KINDS = (
     FaultKind.HOST_SLOW,
     FaultKind.HOST_KILLED_AFTER_CHANGE,
     FaultKind.SERVER_PARTLY_FAILS,
@@ -96,7 +96,7 @@
         True
     """
     rng = random.Random(seed)
-    apart = {FaultKind.STORE_RETURNS, *_ADDED_KINDS}
+    apart = {FaultKind.STORE_RETURNS, *ADDED_KINDS}
     kinds = [kind for kind in FaultKind if kind not in apart]
     weights = [_WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults = []
@@ -117,7 +117,7 @@
     return [
         Fault(
             rng.uniform(0.2, length_s - MAX_DURATION_S),
-            rng.choice(_ADDED_KINDS),
+            rng.choice(ADDED_KINDS),
             rng.randrange(1 << 16),
             rng.uniform(0.3, MAX_DURATION_S),
         )
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,19 +8,10 @@
 from oleanderpier.utils import run_coroutine
 from soak.checks import find_violations
 from soak.runs import SoakSettings, run_seed
-from soak.schedule import Fault, FaultKind
+from soak.schedule import ADDED_KINDS, Fault, FaultKind
 
 REGRESSIONS = Path(__file__).parents[1] / "regressions.json"
 CI_SEED = 1
-# Kinds that affect a part of the requests, slow a host down, or kill it after a change.
-ADDED_KINDS = (
-    FaultKind.HOST_SLOW,
-    FaultKind.HOST_KILLED_AFTER_CHANGE,
-    FaultKind.SERVER_PARTLY_FAILS,
-    FaultKind.SERVER_PARTLY_MUTE,
-    FaultKind.SERVER_PARTLY_REFUSES,
-    FaultKind.SERVER_PARTLY_SENDS_EXTRA,
-)
 
 
 class SoakTest(TestCase):
@@ -33,7 +24,7 @@
         self.assertEqual([], find_violations(observations))
 
     def test_product_violates_nothing_under_the_added_kinds(self):
-        """Neither do the kinds that seed 1 has few of, all at once."""
+        """Neither do the kinds that are drawn apart, all at once."""
         faults = [
             Fault(0.2 + 0.3 * number, kind, number, 3.0)
             for number, kind in enumerate(ADDED_KINDS)
