Keep the daemon's command a click command, imported without the daemon

It is the click command now and imports the daemon when it runs; signals are held after click is loaded.

--- a/oleanderpier/daemon/program.py
+++ b/oleanderpier/daemon/program.py
@@ -1,4 +1,4 @@
-"""The command ``oleanderpierd``: one daemon of an entry host."""
+"""The program of a daemon: reads settings, serves, drains on SIGTERM."""
 
 import asyncio
 import json
@@ -39,19 +39,11 @@
     return found
 
 
-@click.command()
-@click.option(
-    "--settings",
-    "path",
-    required=True,
-    type=click.Path(dir_okay=False, path_type=Path),
-    help="The JSON file with this host's settings.",
-)
 def run(path: Path) -> None:
-    """Run the daemon of one entry host until SIGTERM or SIGINT.
+    """Run the daemon until SIGTERM or SIGINT; see ``oleanderpier.entrypoints``.
 
-    Exit status 0 after a graceful shutdown, 2 for bad settings, 3 if the
-    event loop opened an io_uring descriptor.
+    Args:
+        path: The settings file.
     """
     result = read_settings(path)
     if result.is_error():
