--- a/oleanderpier/connections/tests/test_connects.py
+++ b/oleanderpier/connections/tests/test_connects.py
@@ -21,7 +21,6 @@
 
     def test_descriptors_that_are_reused_stay_open(self):
         """No descriptor is closed that another socket has got since."""
-        # A cancelled request used to close a descriptor of another connection.
         self.assertEqual([], run_coroutine(_find_closed_descriptors()))
 
     def test_connections_are_closed(self):
--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -38,7 +38,7 @@
     """A host that has just started refuses requests that it cannot route yet."""
 
     def test_host_is_ready_once_routes_and_servers_are_known(self):
-        """It used to look only every 50 ms, a tenth of the time of a start."""
+        """The last value that is needed makes it ready, without a wait."""
 
         async def check() -> list[str]:
             node = EntryNode(SETTINGS, None, None)
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -92,14 +92,15 @@
                 log_message("roster:server", **entry._asdict())
                 self._rebuild_lists()
             return
-        if previous is None:
+        if previous is None or identity in self._kept_until_s:
             return
-        if identity not in self._kept_until_s:
-            # An outage that ends later is not why the registration ended.
-            kept_until_s = self._outage_ended_s + REREGISTRATION_WAIT_S
-            self._kept_until_s[identity] = kept_until_s
-            self._set_last_change(identity, RegistrationChange.ENDED)
-        self._remove_expired()
+        kept_until_s = self._outage_ended_s + REREGISTRATION_WAIT_S
+        if previous.leaving or self._timers.now() >= kept_until_s:
+            self._remove([identity])
+            return
+        # An outage that ends later is not why the registration ended.
+        self._kept_until_s[identity] = kept_until_s
+        self._set_last_change(identity, RegistrationChange.ENDED)
 
     def get_entry(self, identity: str) -> ServerEntry | None:
         """Return a server's registration, even if it is leaving; None if unknown."""
@@ -121,21 +122,24 @@
         return self._usable.get(service, [])
 
     def _remove_expired(self) -> None:
-        """Remove servers whose registration ended, unless an outage may be why."""
+        """Remove the servers that did not register again in time."""
         now_s = self._timers.now()
-        gone = [
+        expired = [
             identity
             for identity, kept_until_s in self._kept_until_s.items()
-            if self._entries[identity].leaving or now_s >= kept_until_s
+            if now_s >= kept_until_s
         ]
-        for identity in gone:
-            del self._kept_until_s[identity]
+        if expired:
+            self._remove(expired)
+
+    def _remove(self, identities: list[str]) -> None:
+        for identity in identities:
+            self._kept_until_s.pop(identity, None)
             del self._entries[identity]
             del self._last_changes[identity]
             log_message("roster:server_gone", identity=identity)
             self._notify_removed(identity)
-        if gone:
-            self._rebuild_lists()
+        self._rebuild_lists()
 
     def _record_change(
         self, identity: str, previous: ServerEntry | None, entry: ServerEntry
--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -26,7 +26,7 @@
     """
 
     def test_termination_ends_a_host_with_status_0(self):
-        """A host that is terminated during its start used to end by the signal."""
+        """A host that is terminated during its start drains and exits."""
         self.assertEqual([0] * len(DELAYS_S), run_coroutine(_terminate_hosts()))
 
     def test_reload_does_not_end_a_host(self):
--- a/tests/test_turned_away.py
+++ b/tests/test_turned_away.py
@@ -25,7 +25,7 @@
     """A third of the hosts is turned away by the store for nine seconds."""
 
     def test_deletion_applies_at_once(self):
-        """Hosts that were turned away used to take a deletion for an expired entry."""
+        """Being turned away is no outage, after which a deletion would be held back."""
         durations = run_coroutine(self._measure_all())
         self.assertEqual(
             {},
