--- a/oleanderpier/replication/tests/test_outages.py
+++ b/oleanderpier/replication/tests/test_outages.py
@@ -1,5 +1,8 @@
 """Tests of what counts as an outage of the platform."""
 
+import asyncio
+import random
+
 from testtools import TestCase
 
 from oleanderpier.replication import (
@@ -7,9 +10,11 @@
     ItemsUpdate,
     OutageDetector,
     Replica,
+    WatchTiming,
+    maintain_replica,
     make_position,
 )
-from oleanderpier.utils import ManualTimers
+from oleanderpier.utils import ManualTimers, run_coroutine
 
 SPACE = "servers"
 # Entries expire no sooner than two heartbeat intervals of 1.2 s after the beginning
@@ -78,3 +83,46 @@
         self.replica.confirm_current()
         self.assertEqual(self.replica.era_changed_s, self.timers.now())
         self.assertEqual([], self.ends_s)
+
+
+class _ReturningStore:
+    """A platform that is out for ``OUTAGE_S``, in which an entry expires."""
+
+    def __init__(self, timers: ManualTimers) -> None:
+        self._timers = timers
+        self._is_out = True
+
+    async def read_snapshot(self, space: str) -> ItemsUpdate:
+        return ItemsUpdate(space, 0, 5, True, [Item("a", 4, b"1")])
+
+    async def wait_for_changes(
+        self, space: str, after: int, wait_s: float
+    ) -> ItemsUpdate:
+        if not self._is_out:
+            raise asyncio.CancelledError
+        self._is_out = False
+        self._timers.advance(OUTAGE_S)
+        return ItemsUpdate(space, after, 6, False, [Item("a", 6, None)])
+
+
+class WatchOrderTest(TestCase):
+    """The end of an outage is known before the deletions that it explains."""
+
+    def test_outage_ends_before_its_deletions_apply(self):
+        """The watch confirms the replica first."""
+        timers = ManualTimers()
+        replica = Replica(SPACE, timers)
+        seen: list[object] = []
+        OutageDetector(replica, timers, lambda ended_s: seen.append("outage ended"))
+        replica.subscribe(lambda change: seen.append(change.items[0].value))
+        watch = maintain_replica(
+            replica,
+            _ReturningStore(timers),
+            timers,
+            random.Random(1),
+            lambda: True,
+            lambda space, reachable: None,
+            timing=WatchTiming(batch_s=0.0),
+        )
+        self.assertRaises(asyncio.CancelledError, run_coroutine, watch)
+        self.assertEqual([b"1", "outage ended", None], seen)
