Log what ends a response's body and where it ended

The logs could not tell the hypotheses of the broken stream that looked complete apart: a send that ended as delivered had neither the response's framing nor whether the stream had ended inside an event. forward:send now has framing (length, chunks, connection), received_bytes and partial_event_bytes; oleanderpier_responses_total counts responses by framing and ending. No decision changes.

--- a/oleanderpier/entry/metrics.py
+++ b/oleanderpier/entry/metrics.py
@@ -4,6 +4,7 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from oleanderpier.connections import Framing
 from oleanderpier.results import Code
 from oleanderpier.routing import AttemptOutcome, RequestKind
 
@@ -52,6 +53,12 @@
         self._attempt_s = self._make_histogram(
             "send_seconds", "One send to a backend server, by its end.", "ending"
         )
+        self._responses = Counter(
+            "oleanderpier_responses",
+            "Responses of backend servers, by what ends their body.",
+            ["framing", "ending"],
+            registry=self.registry,
+        )
         self._platform_s = Histogram(
             "oleanderpier_platform_call_seconds",
             "Calls to the platform, by key space and whether it answered.",
@@ -93,8 +100,18 @@
         if first_s is not None:
             self._first_piece_s.labels(name).observe(first_s)
 
-    def record_attempt(self, outcome: AttemptOutcome, took_s: float) -> None:
-        """Record an attempt at a backend server and its duration in seconds."""
+    def record_attempt(
+        self, outcome: AttemptOutcome, framing: Framing | None, took_s: float
+    ) -> None:
+        """Record an attempt at a backend server.
+
+        Args:
+            outcome: How it ended.
+            framing: What ends the body of the response; None without a response.
+            took_s: Its duration in seconds.
+        """
+        if framing is not None:
+            self._responses.labels(framing.value, outcome.value).inc()
         self._attempt_s.labels(outcome.value).observe(took_s)
 
     def record_platform_call(self, space: str, answered: bool, took_s: float) -> None:
--- a/oleanderpier/entry/tests/test_metrics.py
+++ b/oleanderpier/entry/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from oleanderpier.connections import Framing
 from oleanderpier.entry import EntryMetrics
 from oleanderpier.results import Code
 from oleanderpier.routing import AttemptOutcome, RequestKind
@@ -45,7 +46,7 @@
 
     def test_attempts_and_platform_calls_are_recorded(self):
         """Both dependencies, servers and the platform, have a histogram."""
-        self.metrics.record_attempt(AttemptOutcome.SILENT, 1.0)
+        self.metrics.record_attempt(AttemptOutcome.SILENT, None, 1.0)
         self.metrics.record_platform_call("servers", False, 1.6)
         self.assertEqual(1.0, self.read("send_seconds_count", ending="silent"))
         self.assertEqual(
@@ -53,6 +54,20 @@
             self.read("platform_call_seconds_count", space="servers", answered="false"),
         )
 
+    def test_responses_are_counted_by_framing(self):
+        """An attempt without a response is not counted."""
+        for outcome, framing in (
+            (AttemptOutcome.SILENT, None),
+            (AttemptOutcome.CUT, Framing.CONNECTION),
+        ):
+            self.metrics.record_attempt(outcome, framing, 1.0)
+        self.assertEqual(
+            1.0, self.read("responses_total", framing="connection", ending="cut")
+        )
+        self.assertIsNone(
+            self.read("responses_total", framing="connection", ending="silent")
+        )
+
     def test_gauge_is_read_when_scraped(self):
         """A gauge has the value at the time of the scrape."""
         values = [3.0]
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
+from oleanderpier.connections import Framing, find_framing
 from oleanderpier.exception import MessageError
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.records import Call, Caller, Dialect, ResponseHead
@@ -90,6 +91,8 @@
     Attributes:
         response: The complete response, of a request that is not streamed.
         reason: The reason for the outcome, as text for the log.
+        framing: What ends the body of the response, None before its head.
+        received_bytes: Bytes of the body received so far.
     """
 
     def __init__(
@@ -105,6 +108,8 @@
     ) -> None:
         self.response: BufferedResponse | None = None
         self.reason = ""
+        self.framing: Framing | None = None
+        self.received_bytes = 0
         self._session = session
         self._dialect = dialect
         self._activity = activity
@@ -181,6 +186,7 @@
             self.reason = repr(error)
             return Error(AttemptOutcome.LOST)
         self._http_response = task.result()
+        self.framing = find_framing(self._http_response.headers)
         self._activity.record_activity(server.identity)
         return self._check_head()
 
@@ -223,9 +229,10 @@
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
         try:
-            body = await self._http_response.content.read(MAX_RESPONSE_BYTES)
+            body = b""
             while data := await self._http_response.content.read(MAX_RESPONSE_BYTES):
                 body += data
+                self.received_bytes = len(body)
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise MessageError(f"more than {MAX_RESPONSE_BYTES} bytes")
         except (aiohttp.ClientError, OSError, MessageError) as error:
@@ -291,6 +298,7 @@
                 continue
             self._waiting_since_s = self._timers.now()
             self._activity.record_activity(self._server.identity)
+            self.received_bytes += len(data)
             return data
 
     def _should_fail_over(self, timeout_s: float) -> bool:
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 import aiohttp
 from eliot import log_message
 
+from oleanderpier.connections import Framing
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse, ServerActivity
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.records import (
@@ -68,8 +69,9 @@
         budget: The retry budget.
         server_activity: When each server last sent something.
         timers: The timer service.
-        on_attempt_end: Called after each attempt, with its outcome and its duration
-            in seconds; not called for an attempt that was cancelled.
+        on_attempt_end: Called after each attempt, with its outcome, what ended the
+            response (None without a response) and its duration in seconds; not
+            called for an attempt that was cancelled.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -85,8 +87,8 @@
         server_activity: ServerActivity,
         timers: Timers,
         on_attempt_end: Callable[
-            [AttemptOutcome, float], None
-        ] = lambda outcome, took_s: None,
+            [AttemptOutcome, Framing | None, float], None
+        ] = lambda outcome, framing, took_s: None,
     ) -> None:
         self.on_attempt_end = on_attempt_end
         self.session = session
@@ -170,7 +172,6 @@
                 return await self._refuse(self._get_timeout_code())
             started_s = forwarder.timers.now()
             outcome = await self._run_attempt(choice, started_s)
-            self._log_attempt(choice, outcome.value, started_s)
             decision = decide_retry(outcome, self._get_state())
             if outcome is AttemptOutcome.DELIVERED:
                 return await self._deliver()
@@ -208,13 +209,14 @@
         except BaseException:
             # The deadline has passed, or the caller has disconnected.
             self._attempts += 1
-            self._log_attempt(choice, INTERRUPTED, started_s)
+            self._log_attempt(choice, attempt, INTERRUPTED, started_s)
             raise
         finally:
             took_s = forwarder.timers.now() - started_s
             forwarder.chooser.end_request(identity, took_s)
-        forwarder.on_attempt_end(outcome, took_s)
+        forwarder.on_attempt_end(outcome, attempt.framing, took_s)
         self._reason = attempt.reason
+        self._log_attempt(choice, attempt, outcome.value, started_s)
         self._tried.add(identity)
         self._attempts += outcome is not AttemptOutcome.UNREACHED
         if outcome in (AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN):
@@ -224,7 +226,9 @@
             self._response = attempt.response
         return outcome
 
-    def _log_attempt(self, choice: Choice, outcome: str, started_s: float) -> None:
+    def _log_attempt(
+        self, choice: Choice, attempt: Attempt, outcome: str, started_s: float
+    ) -> None:
         """Log an attempt, with what this host believed when it chose the server."""
         # Loads and statistics are as old as at the start of the attempt.
         mean_age_s = choice.load_age_s + max(0.0, started_s - choice.stats.computed_s)
@@ -247,6 +251,9 @@
             if choice.cache_age_s is None
             else round(choice.cache_age_s, 3),
             source=choice.copy_source.identity if choice.copy_source else "",
+            framing=attempt.framing.value if attempt.framing else "",
+            received_bytes=attempt.received_bytes,
+            partial_event_bytes=len(self._splitter.remainder),
             ending=outcome,
             reason=self._reason,
             took_s=round(self._forwarder.timers.now() - started_s, 4),
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -173,6 +173,30 @@
     return behave
 
 
+def stream_without_length(body: bytes, end: Behaviour) -> Behaviour:
+    """Return a behaviour that streams bytes with neither a length nor chunks.
+
+    Args:
+        body: The bytes after the head.
+        end: How the connection ends.
+    """
+
+    async def behave(request: ReceivedRequest) -> None:
+        await request.send(
+            f"HTTP/1.1 200 OK\r\nId: {request.get_header('id')}\r\nSigned: yes\r\n"
+            "Connection: close\r\n\r\n".encode()
+            + body
+        )
+        await end(request)
+
+    return behave
+
+
+async def close_connection(request: ReceivedRequest) -> None:
+    """Close the connection."""
+    request.writer.close()
+
+
 async def _send_chunk(request: ReceivedRequest, data: bytes) -> None:
     await request.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
