Take a stream that ends inside an event for broken off

Cause: a response with neither a length nor chunks ends with its connection, however that ends. Attempt took the end of the body for the end of the stream, passed the incomplete event on and ended the caller's response.

Change: what the events say goes before what the framing says. A body that ends inside an event is cut, whatever its framing: the stream is resumed elsewhere if it may be, else the caller's connection is aborted. A response that ends with its connection before any event is cut as well. The splitter knows LF, CRLF and CR, since now a stream of CR lines would count as one incomplete event; it looks at each byte once. A response with a length and another content type is a document, delivered whole as before.

Why this works: an event is complete only with its empty line, so a break inside an event always leaves a rest, which no longer reaches the caller.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -18,6 +18,7 @@
 __all__ = ["Attempt", "BufferedResponse", "ServerActivity"]
 
 MAX_RESPONSE_BYTES = 16 << 20
+EVENT_STREAM = "text/event-stream"
 # Interval at which a pending read checks whether the server has become silent.
 SILENCE_CHECK_INTERVAL_S = 0.2
 # Silence of a server, on all connections of this host, after which a stream without
@@ -120,6 +121,7 @@
         self._may_fail_over = may_fail_over
         self._http_response: aiohttp.ClientResponse | None = None
         self._waiting_since_s = timers.now()
+        self._received_events = False
 
     async def run(
         self, caller: Caller, splitter: EventSplitter, response_started: bool
@@ -139,7 +141,7 @@
             if head_result.is_error():
                 return head_result.error
             head = head_result.ok
-            if self._call.route.kind is RequestKind.STREAM and head.status == 200:
+            if self._is_stream(head):
                 return await self._relay_stream(
                     head, caller, splitter, response_started
                 )
@@ -226,6 +228,18 @@
             return Error(AttemptOutcome.LOST)
         return Ok(head)
 
+    def _is_stream(self, head: ResponseHead) -> bool:
+        """Return whether the response is a stream of events.
+
+        A response with a length and another content type is a document.
+        """
+        if self._call.route.kind is not RequestKind.STREAM or head.status != 200:
+            return False
+        headers = self._http_response.headers
+        content_type = headers.get("Content-Type", EVENT_STREAM).partition(";")[0]
+        is_event_stream = content_type.strip().lower() == EVENT_STREAM
+        return is_event_stream or self.framing is not Framing.LENGTH
+
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
         try:
@@ -262,6 +276,7 @@
                 timeout_s = self._get_gap_timeout_s()
                 if not events:
                     continue
+                self._received_events = True
                 if not response_started:
                     await caller.begin_stream(head)
                     response_started = True
@@ -272,6 +287,9 @@
         except (aiohttp.ClientError, MessageError) as error:
             self.reason = f"{error!r} after event {splitter.last_event_id}"
             return AttemptOutcome.CUT
+        if self._is_broken_off(splitter):
+            self.reason = f"ended inside the event after {splitter.last_event_id}"
+            return AttemptOutcome.CUT
         if not response_started:
             await caller.begin_stream(head)
         if splitter.remainder:
@@ -279,6 +297,15 @@
         await caller.finish_stream()
         return AttemptOutcome.DELIVERED
 
+    def _is_broken_off(self, splitter: EventSplitter) -> bool:
+        """Return whether a stream whose body has ended lacks a part.
+
+        The end of a connection alone shows no end of a stream: a server that fails
+        closes its connections as well.
+        """
+        has_no_end = self.framing is Framing.CONNECTION and not self._received_events
+        return splitter.is_inside_event or has_no_end
+
     async def _read_data(
         self, content: aiohttp.StreamReader, timeout_s: float
     ) -> bytes:
--- a/oleanderpier/forwarding/events.py
+++ b/oleanderpier/forwarding/events.py
@@ -9,8 +9,10 @@
 __all__ = ["EventSplitter"]
 
 MAX_EVENT_BYTES = 1 << 20
-LF_EVENT_END = b"\n\n"
-CRLF_EVENT_END = b"\r\n\r\n"
+# An event ends with an empty line. Lines end with LF, CRLF or CR.
+EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
+ID_FIELD = b"id:"
 
 
 class EventSplitter:
@@ -23,22 +25,30 @@
         >>> splitter = EventSplitter()
         >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
         b'id: 1\ndata: a\n\n'
-        >>> splitter.last_event_id, splitter.remainder
-        ('1', b'id: 2\nda')
+        >>> splitter.last_event_id, splitter.remainder, splitter.is_inside_event
+        ('1', b'id: 2\nda', True)
     """
 
     def __init__(self) -> None:
         self.last_event_id: str | None = None
-        self._remainder = b""
+        self._remainder = bytearray()
 
     @property
     def remainder(self) -> bytes:
-        """The buffered bytes of an event that is not complete."""
-        return self._remainder
+        """The buffered bytes, which belong to no complete event."""
+        return bytes(self._remainder)
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the buffered bytes are more than empty lines.
+
+        A stream that ends here has been broken off.
+        """
+        return bool(self._remainder.strip(b"\r\n"))
 
     def drop_remainder(self) -> None:
         """Drop the buffered bytes, because another server resumes the stream."""
-        self._remainder = b""
+        self._remainder.clear()
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete now, byte for byte.
@@ -49,28 +59,28 @@
         Raises:
             MessageError: An event is longer than ``MAX_EVENT_BYTES``.
         """
-        data = self._remainder + data if self._remainder else data
-        end = max(_find_end(data, LF_EVENT_END), _find_end(data, CRLF_EVENT_END))
-        if end == 0:
-            self._remainder = data
-            if len(data) > MAX_EVENT_BYTES:
-                raise MessageError(f"an event of more than {MAX_EVENT_BYTES} bytes")
-            return b""
-        self._remainder = data[end:]
-        events = data[:end]
+        buffer = self._remainder
+        # The buffered bytes contain no whole end of an event.
+        start = max(0, len(buffer) - MAX_EVENT_END_BYTES + 1)
+        buffer += data
+        end = max(_find_end(buffer, event_end, start) for event_end in EVENT_ENDS)
+        events = bytes(buffer[:end])
+        del buffer[:end]
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise MessageError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         self._record_last_id(events)
         return events
 
     def _record_last_id(self, events: bytes) -> None:
         """Record the id of the last event that has one."""
-        at = events.rfind(b"\nid:") + 1
-        if at == 0 and not events.startswith(b"id:"):
+        at = max(events.rfind(b"\n" + ID_FIELD), events.rfind(b"\r" + ID_FIELD)) + 1
+        if at == 0 and not events.startswith(ID_FIELD):
             return
-        line = events[at + 3 : events.find(b"\n", at)]
+        line = events[at + len(ID_FIELD) :].splitlines()[0]
         self.last_event_id = line.strip().decode("latin-1")
 
 
-def _find_end(data: bytes, terminator: bytes) -> int:
-    """Return the offset after the last terminator, 0 if there is none."""
-    at = data.rfind(terminator)
-    return at + len(terminator) if at >= 0 else 0
+def _find_end(data: bytearray, event_end: bytes, start: int) -> int:
+    """Return the offset after the last end of an event, 0 if there is none."""
+    at = data.rfind(event_end, start)
+    return at + len(event_end) if at >= 0 else 0
--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -8,6 +8,7 @@
     close_connection,
     format_events,
     forward_request,
+    respond,
     stream_events,
     stream_without_length,
 )
@@ -76,6 +77,18 @@
             self.assertTrue(fixture.caller.complete)
 
 
+class DocumentTest(TestCase):
+    """A response to a streaming request that is no stream of events."""
+
+    def test_document_with_length_is_passed_on_whole(self):
+        """Another content type with a length is a whole response."""
+        fixture = forward_broken_stream(
+            respond(body=b"{}", headers=["Content-Type: application/json"])
+        )
+        self.assertEqual(Code.DONE, fixture.outcome.code)
+        self.assertEqual((b"{}", True), (fixture.caller.data, fixture.caller.complete))
+
+
 class FramedStreamTest(TestCase):
     """What the events say goes before what the framing says."""
 
