Reset a caller's connection when a stream without chunks is broken off

A caller that speaks HTTP/1.0 got a stream that was broken off as complete.

Cause: such a stream has no chunks and ends with its connection. abort(), a handler that fails or is cancelled, and a process that is killed close it with FIN, like a complete one. Change: SO_LINGER is set to 0 s while such a stream is open and taken back when it is finished, so that every other end is a reset, that of a killed process too. Streams to HTTP/1.1 callers were right.

--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.web_request import BaseRequest
 from eliot import log_message
 
@@ -36,6 +38,10 @@
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 # A request whose body is not complete by then is refused.
 BODY_TIMEOUT_S = 10.0
+# Values of SO_LINGER: with the first one a close, also that of a process that is
+# killed, resets the connection; the second one is the default.
+LINGER_RESET = struct.pack("ii", 1, 0)
+LINGER_OFF = struct.pack("ii", 0, 0)
 # Upper bound of the length of an address list.
 MAX_ADDRESS_COUNT = 64
 
@@ -63,6 +69,7 @@
         if self._close_after:
             response.force_close()
         self.response = response
+        self._set_linger(LINGER_RESET)
         with _convert_connection_errors():
             await response.prepare(self._request)
 
@@ -73,6 +80,7 @@
 
     async def finish_stream(self) -> None:
         """End a streamed response as complete."""
+        self._set_linger(LINGER_OFF)
         with _convert_connection_errors():
             await self.response.write_eof()
 
@@ -101,6 +109,19 @@
         if transport is not None:
             transport.abort()
 
+    def _set_linger(self, value: bytes) -> None:
+        """Set how a connection ends whose stream has no chunks.
+
+        The end of the connection is the end of such a stream, so that only a reset
+        tells the caller that it is incomplete.
+        """
+        transport = self._request.transport
+        if self._request.version >= HttpVersion11 or transport is None:
+            return
+        if not transport.is_closing():
+            opened = transport.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def _set_response(self, response: web.Response) -> None:
         if self._close_after:
             response.force_close()
