--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -1,18 +1,26 @@
 """Tests of streams that servers break off."""
 
+import asyncio
+from typing import NamedTuple
+
 from testtools import TestCase
 
 from oleanderpier.forwarding.tests.fakes import (
+    Behaviour,
     ForwarderFixture,
     ReceivedRequest,
+    RecordingCaller,
     close_connection,
     format_events,
     forward_request,
+    reset_connection,
     respond,
     stream_events,
     stream_without_length,
 )
 from oleanderpier.results import Code
+from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.utils import run_coroutine
 
 EVENTS = format_events(1, 3)
 FOURTH_EVENT = format_events(4, 4)
@@ -77,6 +85,77 @@
             self.assertTrue(fixture.caller.complete)
 
 
+class _Cut(NamedTuple):
+    """Where and how a response is cut.
+
+    Attributes:
+        framing: ``length``, ``chunks`` or ``connection``.
+        size: How many bytes of the response are sent, head included.
+        end: How the connection ends.
+    """
+
+    framing: str
+    size: int
+    end: Behaviour
+
+
+def make_response(framing: str) -> bytes:
+    """Return a whole response to the request of ``make_call``."""
+    header, body = {
+        "length": (f"Content-Length: {len(EVENTS)}\r\n", EVENTS),
+        "chunks": (
+            "Transfer-Encoding: chunked\r\n",
+            f"{len(EVENTS):x}\r\n".encode() + EVENTS + b"\r\n0\r\n\r\n",
+        ),
+        "connection": ("", EVENTS),
+    }[framing]
+    head = "HTTP/1.1 200 OK\r\nId: r-1\r\nSigned: yes\r\n"
+    return f"{head}Content-Type: text/event-stream\r\n{header}\r\n".encode() + body
+
+
+async def forward_cut_response(cut: _Cut) -> RecordingCaller:
+    """Forward a request to a server that cuts its response; return the caller."""
+
+    async def behave(request: ReceivedRequest) -> None:
+        await request.send(make_response(cut.framing)[: cut.size])
+        await cut.end(request)
+
+    fixture = ForwarderFixture([behave])
+    await fixture.forward(make_route(sticky=False, max_attempts=1), timeout_s=5.0)
+    return fixture.caller
+
+
+class CutAtEachOffsetTest(TestCase):
+    """A response that is cut anywhere does not look complete."""
+
+    def test_response_cut_at_each_offset_is_not_complete(self):
+        """Only a close after an event can't be told from the end of the stream."""
+
+        async def run(framing: str) -> None:
+            whole = make_response(framing)
+            event_ends = {
+                size for size in range(len(whole)) if whole[:size].endswith(b"\n\n")
+            }
+            cuts = [
+                _Cut(framing, size, end)
+                for size in range(len(whole))
+                for end in (close_connection, reset_connection)
+            ]
+            callers = await asyncio.gather(*map(forward_cut_response, cuts))
+            for cut, caller in zip(cuts, callers, strict=True):
+                may_be_complete = (
+                    framing == "connection"
+                    and cut.end is close_connection
+                    and cut.size in event_ends
+                )
+                self.assertEqual(may_be_complete, caller.complete, cut)
+                self.assertTrue(EVENTS.startswith(caller.data), cut)
+                self.assertTrue(caller.data[-2:] in (b"", b"\n\n"), cut)
+
+        for framing in ("length", "chunks", "connection"):
+            run_coroutine(run(framing))
+
+
 class DocumentTest(TestCase):
     """A response to a streaming request that is no stream of events."""
 
