Let the soak's proxy pass a reset on as a reset

The proxy closed the other side when one side was reset, so that a response without a length that a server had reset looked complete to the host. test_reset_of_the_target_reaches_the_caller failed before.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -55,10 +55,7 @@
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._open_writers):
-            opened = writer.get_extra_info("socket")
-            if opened is not None:
-                opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            writer.transport.abort()
+            _reset(writer)
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -90,7 +87,7 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, hold_flag: str
     ) -> None:
-        while data := await reader.read(READ_BYTES):
+        while data := await _read(reader, writer):
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             while getattr(self, hold_flag):
@@ -101,3 +98,23 @@
             await writer.drain()
         # Ends the task group, and with it the other direction.
         raise EOFError
+
+
+async def _read(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
+    """Return the next bytes of one side; pass a reset on to the other side.
+
+    Raises:
+        ConnectionResetError: The side has reset its connection.
+    """
+    try:
+        return await reader.read(READ_BYTES)
+    except ConnectionResetError:
+        _reset(writer)
+        raise
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    opened = writer.get_extra_info("socket")
+    if opened is not None:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
