Let the soak's servers send responses without a length

Whole, closed inside an event, or reset, for a part of the requests of one server (SERVER_PARTLY_SENDS_NO_LENGTH). Drawn by a generator of its own name, so that seeds keep their other faults. A naive host that takes the end of a connection for that of a stream is found to violate the guarantee of whole answers.

--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -2,6 +2,7 @@
 
 import random
 from enum import Enum
+from itertools import chain
 from typing import NamedTuple
 
 __all__ = ["ADDED_KINDS", "Fault", "FaultKind", "make_schedule"]
@@ -20,8 +21,9 @@
     the fault lasts. ``HOST_SLOW`` leaves a process an eighth of its processor time.
     ``HOST_KILLED_AFTER_CHANGE`` kills it right after a change of the configuration.
     Of the kinds ``SERVER_PARTLY_*`` a part of the requests at one server is affected,
-    while it counts as healthy: it answers with an error, never, with a refusal, or with
-    bytes after the response.
+    while it counts as healthy: it answers with an error, never, with a refusal, with
+    bytes after the response, or without a length, so that the response ends with its
+    connection, whole or not.
     """
 
     HOST_KILLED = "host_killed"
@@ -48,6 +50,7 @@
     SERVER_PARTLY_MUTE = "server_partly_mute"
     SERVER_PARTLY_REFUSES = "server_partly_refuses"
     SERVER_PARTLY_SENDS_EXTRA = "server_partly_sends_extra"
+    SERVER_PARTLY_SENDS_NO_LENGTH = "server_partly_sends_no_length"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
 
@@ -55,16 +58,20 @@
 # Relative frequencies other than 1; the loss of all hosts is rarer than the rest.
 _WEIGHTS = {FaultKind.ALL_KILLED: 0.3}
 MAX_STORE_RETURN_COUNT = 2
-# Kinds that were added later are drawn apart, so that the other faults of a seed are
-# the same as before.
-ADDED_KINDS = (
-    FaultKind.HOST_SLOW,
-    FaultKind.HOST_KILLED_AFTER_CHANGE,
-    FaultKind.SERVER_PARTLY_FAILS,
-    FaultKind.SERVER_PARTLY_MUTE,
-    FaultKind.SERVER_PARTLY_REFUSES,
-    FaultKind.SERVER_PARTLY_SENDS_EXTRA,
-)
+# Kinds that were added later are drawn apart, each group by a random generator of its
+# own name, so that the other faults of a seed are the same as before.
+_ADDED_GROUPS = {
+    "added kinds": (
+        FaultKind.HOST_SLOW,
+        FaultKind.HOST_KILLED_AFTER_CHANGE,
+        FaultKind.SERVER_PARTLY_FAILS,
+        FaultKind.SERVER_PARTLY_MUTE,
+        FaultKind.SERVER_PARTLY_REFUSES,
+        FaultKind.SERVER_PARTLY_SENDS_EXTRA,
+    ),
+    "no length": (FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH,),
+}
+ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
 
 
@@ -107,17 +114,18 @@
         faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s))
         at_s += rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
     faults += _list_store_returns(seed, length_s)
-    faults += _list_added_faults(seed, length_s)
+    for name in _ADDED_GROUPS:
+        faults += _list_added_faults(name, seed, length_s)
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _list_added_faults(seed: int, length_s: float) -> list[Fault]:
-    """Return the faults of the kinds that were added last."""
-    rng = random.Random(f"added kinds {seed}")
+def _list_added_faults(name: str, seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of one group of kinds that were added later."""
+    rng = random.Random(f"{name} {seed}")
     return [
         Fault(
             rng.uniform(0.2, length_s - MAX_DURATION_S),
-            rng.choice(ADDED_KINDS),
+            rng.choice(_ADDED_GROUPS[name]),
             rng.randrange(1 << 16),
             rng.uniform(0.3, MAX_DURATION_S),
         )
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -39,6 +39,12 @@
         faults = [Fault(0.0, kind, n, 6.0) for n in range(4)]
         self.assertIn("at_most_once", self.find_violated_guarantees(faults, "resend"))
 
+    def test_naive_host_violates_whole_answer_if_streams_have_no_length(self):
+        """A host that takes the end of a connection for that of a stream is found."""
+        kind = FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH
+        faults = [Fault(0.0, kind, n, 6.0) for n in range(4)]
+        self.assertIn("whole_answer", self.find_violated_guarantees(faults, "resend"))
+
     def test_resending_host_violates_at_most_once(self):
         """A host that resends a payout after a lost response is found."""
         # Responses are held back from the first request on, for longer than the
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from demo.fleet import find_free_port
+from standins.raw_responses import ConnectionEnd, pick_end, send_without_length
 from standins.store import StandInStore
 
 __all__ = [
@@ -44,7 +45,8 @@
     """What a server does to a part of its requests while it counts as healthy.
 
     ``ERROR`` and ``MUTE`` execute the request, ``REFUSAL`` does not. ``EXTRA_BYTES``
-    are sent after a whole response.
+    are sent after a whole response. A response ``WITHOUT_LENGTH`` ends with its
+    connection, which may be closed or reset before its end.
     """
 
     NONE = "none"
@@ -52,6 +54,7 @@
     MUTE = "mute"
     REFUSAL = "refusal"
     EXTRA_BYTES = "extra_bytes"
+    WITHOUT_LENGTH = "without_length"
 
 
 class StandInServer:
@@ -111,8 +114,13 @@
             # Ends when the host disconnects.
             await asyncio.Event().wait()
         if request.path.startswith("/chat/"):
-            return await self._send_stream(request, headers)
+            return await self._send_stream(request, headers, part_fault)
         text = f"{self.instance_id} ran {request_id}"
+        if part_fault is PartFault.WITHOUT_LENGTH:
+            end = pick_end(request_id, (ConnectionEnd.AFTER_BODY, ConnectionEnd.RESET))
+            return await send_without_length(
+                request, headers, [text.encode()], end, EVENT_INTERVAL_S
+            )
         response = web.Response(text=text, headers=headers)
         if part_fault is PartFault.EXTRA_BYTES:
             await response.prepare(request)
@@ -126,13 +134,25 @@
         is_affected = zlib.crc32(request_id.encode()) % 100 < PART_FAULT_PERCENT
         return self.part_fault if is_affected else PartFault.NONE
 
-    async def _send_stream(self, request, headers) -> web.StreamResponse:
-        response = web.StreamResponse(headers=headers)
+    async def _send_stream(
+        self, request, headers, part_fault: PartFault
+    ) -> web.StreamResponse:
+        headers["Content-Type"] = "text/event-stream"
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        events = [
+            f"id: {number}\ndata: t{number}\n\n".encode()
+            for number in range(first, self._event_count + 1)
+        ]
+        if part_fault is PartFault.WITHOUT_LENGTH and events:
+            end = pick_end(headers["Request-Id"], tuple(ConnectionEnd))
+            return await send_without_length(
+                request, headers, events, end, EVENT_INTERVAL_S
+            )
+        response = web.StreamResponse(headers=headers)
         try:
             await response.prepare(request)
-            for number in range(first, self._event_count + 1):
-                await response.write(f"id: {number}\ndata: t{number}\n\n".encode())
+            for event in events:
+                await response.write(event)
                 await asyncio.sleep(EVENT_INTERVAL_S)
         except asyncio.CancelledError:
             self.aborted_streams += 1
