Connect at once to a peer that has just shown that it is up

Cause: by the hosts' logs the running hosts knew the newer configuration, but their streams to the host that started were in a back-off of up to 2 s, since it is a seed and they had tried it while it was down. Its own reports reached them meanwhile, so it showed up as a newcomer, and what it was sent waited. Change: a stream from a peer ends the back-off of the stream to it. test_peer_that_starts_is_reached_before_the_backoff_ends failed before.

--- a/oleanderpier/peers/mesh.py
+++ b/oleanderpier/peers/mesh.py
@@ -186,7 +186,7 @@
                 if await self._run_connection(stream):
                     backoff_s = MIN_BACKOFF_S
                     continue
-                await asyncio.sleep(backoff_s)
+                await stream.wait_for_peer(backoff_s)
                 backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         finally:
             stream.detach()
@@ -221,6 +221,12 @@
             writer.close()
         return True
 
+    def _retry_connection(self, host: str) -> None:
+        """Connect now to a host that has just shown that it is up."""
+        stream = self._streams.get(host)
+        if stream is not None:
+            stream.peer_is_up.set()
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -253,6 +259,7 @@
                 message = unpack_message(items)
                 if isinstance(message, Hello):
                     sender.host = message.host
+                    self._retry_connection(message.host)
                 elif isinstance(message, KeepAlive):
                     writer.write(encode_message(KeepAliveReply(message.sequence)))
                 else:
@@ -282,10 +289,14 @@
 
     Args:
         host: The name of the receiving host.
+
+    Attributes:
+        peer_is_up: Set when the host has opened a stream to this one.
     """
 
     def __init__(self, host: str) -> None:
         self.host = host
+        self.peer_is_up = asyncio.Event()
         self._writer: asyncio.StreamWriter | None = None
         self._pending = bytearray()
         self._last_write_s = 0.0
@@ -320,6 +331,13 @@
         self._writer.write(data)
         return True
 
+    async def wait_for_peer(self, timeout_s: float) -> None:
+        """Wait until the host is known to be up, or for ``timeout_s``."""
+        self.peer_is_up.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.peer_is_up.wait()
+
     def check_liveness(self, now_s: float) -> None:
         """Close the connection if it is idle or silent, else send a keep-alive.
 
--- a/oleanderpier/peers/tests/test_mesh.py
+++ b/oleanderpier/peers/tests/test_mesh.py
@@ -54,7 +54,7 @@
         writer.close()
 
 
-async def make_mesh(name):
+async def make_mesh(name, port=0):
     """Return a listening mesh, its port and the list of messages it receives."""
     instance = Mesh(name, 1, LoopTimers(), Clock(LoopTimers()))
     received = []
@@ -62,7 +62,7 @@
     instance.subscribe(
         TextMessage, lambda sender, message: received.append((sender, message.text))
     )
-    await instance.listen("127.0.0.1", 0)
+    await instance.listen("127.0.0.1", port)
     port = instance._server.sockets[0].getsockname()[1]
     return instance, port, received
 
@@ -174,6 +174,30 @@
 
         asyncio.run(asyncio.wait_for(run(), WAIT_S))
 
+    def test_peer_that_starts_is_reached_before_the_backoff_ends(self):
+        """A stream from a peer shows that it is up."""
+        # Longer than WAIT_S.
+        self.patch(mesh, "MIN_BACKOFF_S", 3 * WAIT_S)
+        self.patch(mesh, "MAX_BACKOFF_S", 3 * WAIT_S)
+
+        async def run():
+            one, first_port, _ = await make_mesh("one")
+            two, port, _ = await make_mesh("two")
+            await two.close()
+            one.update_addresses({"two": Address("127.0.0.1", port)})
+            one.send("two", TextMessage("early"))
+            # The connect fails, and the back-off begins.
+            await asyncio.sleep(0.2)
+            two, _, received = await make_mesh("two", port)
+            two.update_addresses({"one": Address("127.0.0.1", first_port)})
+            two.send("one", TextMessage("here"))
+            await wait_for(lambda: received)
+            await one.close()
+            await two.close()
+            return received
+
+        self.assertEqual([("one", "early")], asyncio.run(run()))
+
     def test_stamps_preserve_causal_order(self):
         """An event after a received message has a later stamp than its cause."""
 
