Act on what backend servers say: that they leave, and how long to wait

Now each host keeps what it hears in routing/statements.py, pure state to which time is an argument. A server that says that it leaves gets nothing new until it has started again, whatever the store lists; the other hosts are told once, hosts that start get it from a ready one. A server that asks for time gets nothing until then and a random part more. A request that a server refused never returns to it; 421 means that another server is there, which gets nothing for 2 s.

--- /dev/null
+++ b/oleanderpier/entry/gauges.py
@@ -0,0 +1,39 @@
+"""The metrics of an entry host whose values are read when they are scraped."""
+
+from collections.abc import Callable
+
+__all__ = ["list_gauges"]
+
+
+def list_gauges(node) -> list[tuple[str, str, Callable[[], float]]]:
+    """Return the name, the help text and the reader of each gauge of an entry host.
+
+    Args:
+        node: The ``EntryNode``.
+    """
+    return [
+        ("requests_in_progress", "Requests now.", lambda: node.in_progress),
+        ("peer_bytes_sent", "Bytes to hosts.", lambda: node.mesh.bytes_sent),
+        ("hosts_ready", "Other ready hosts.", lambda: len(node.view.list_ready())),
+        ("servers_known", "Backend servers.", lambda: len(node.roster)),
+        (
+            "servers_leaving",
+            "Servers that have said that they leave.",
+            node.statements.count_leaving,
+        ),
+        (
+            "servers_waited_for",
+            "Servers that get no requests for a time.",
+            lambda: node.statements.count_waits(node.timers.now()),
+        ),
+        (
+            "configuration_version",
+            "Version in force.",
+            lambda: node.route_index.table.version if node.route_index else 0,
+        ),
+        (
+            "configuration_age_seconds",
+            "Since it was known to be the newest.",
+            node.get_configuration_age_s,
+        ),
+    ]
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -14,6 +14,8 @@
     outlasts_server,
     outlasts_table,
 )
+from oleanderpier.entry.gauges import list_gauges
+from oleanderpier.entry.leaving import LeavingNews
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
@@ -21,12 +23,14 @@
 from oleanderpier.events import Clock
 from oleanderpier.fleet import (
     DOMAIN_LOADS_FEATURE,
+    LEAVING_FEATURE,
     CachePlacements,
     DomainLoads,
     FleetLoads,
     FleetSite,
     FleetView,
     HostReport,
+    LeavingServers,
     ServerUse,
 )
 from oleanderpier.forwarding import Dialect, Forwarder, ServerActivity
@@ -56,6 +60,7 @@
     Route,
     RouteIndex,
     ServerHealth,
+    ServerStatements,
 )
 from oleanderpier.utils import LoopTimers
 
@@ -72,6 +77,10 @@
 CONFIGURATION_KEY = "routes"
 
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
+# What this host announces in its reports.
+FEATURES = dict.fromkeys(
+    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE), ReplicaSummary(0, 0, 0.0)
+)
 MILLISECONDS_PER_S = 1000
 # An older configuration may have been replaced. The limit is above the time for
 # which the platform holds a watch call.
@@ -125,7 +134,8 @@
         self._build_fleet(incarnation)
         self._build_routing()
         self._subscribe_components()
-        self._register_gauges()
+        for name, text, read in list_gauges(self):
+            self.metrics.register_gauge(name, text, read)
 
     def _build_fleet(self, incarnation: int) -> None:
         settings, timers = self.settings, self.timers
@@ -185,6 +195,14 @@
         )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
+        self.statements = ServerStatements()
+        self.leaving = LeavingNews(
+            self.statements,
+            lambda: self.view.list_with_feature(LEAVING_FEATURE),
+            timers,
+            self._rng,
+            self.mesh,
+        )
         self.server_activity = ServerActivity(timers)
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
@@ -196,6 +214,7 @@
             self._rng,
             timers,
             self.settings.load_limit_factor,
+            self.statements,
         )
 
     def _subscribe_components(self) -> None:
@@ -211,8 +230,11 @@
             self.replicas.values(),
             self.timers,
             self.mesh,
+            self.leaving.send_all,
         )
         self.view.subscribe_appeared(newcomers.send)
+        self.mesh.subscribe(LeavingServers, self.leaving.receive)
+        self.roster.subscribe_removed(self.statements.record_end)
         self.mesh.subscribe(CachePlacements, newcomers.receive)
         for message_class in (ItemsUpdate, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sync)
@@ -229,26 +251,6 @@
         self.roster.subscribe_removed(self.server_activity.remove_server)
         self.roster.subscribe_removed(self.caches.remove_server)
 
-    def _register_gauges(self) -> None:
-        """Register the metrics whose values are read when metrics are scraped."""
-        for name, text, read in (
-            ("requests_in_progress", "Requests now.", lambda: self.in_progress),
-            ("peer_bytes_sent", "Bytes to hosts.", lambda: self.mesh.bytes_sent),
-            ("hosts_ready", "Other ready hosts.", lambda: len(self.view.list_ready())),
-            ("servers_known", "Backend servers.", lambda: len(self.roster)),
-            (
-                "configuration_version",
-                "Version in force.",
-                lambda: self.route_index.table.version if self.route_index else 0,
-            ),
-            (
-                "configuration_age_seconds",
-                "Since it was known to be the newest.",
-                self.get_configuration_age_s,
-            ),
-        ):
-            self.metrics.register_gauge(name, text, read)
-
     async def start(self) -> None:
         """Join the fleet and start to replicate the platform's values."""
         self.forwarder = Forwarder(
@@ -259,7 +261,10 @@
             self.budget,
             self.server_activity,
             self.timers,
+            self.statements,
+            self._rng,
             self.metrics.record_attempt,
+            self.leaving.announce,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
@@ -440,7 +445,7 @@
             self.settings.caller_address,
             self.state == "ready",
             self.watch_duty.platform_reachable,
-            {**self.sync.summarize(), DOMAIN_LOADS_FEATURE: ReplicaSummary(0, 0, 0.0)},
+            {**self.sync.summarize(), **FEATURES},
             servers,
             self.caches.pop_updates(),
         )
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -7,9 +7,11 @@
 
 __all__ = [
     "DOMAIN_LOADS_FEATURE",
+    "LEAVING_FEATURE",
     "CachePlacements",
     "DomainLoads",
     "HostReport",
+    "LeavingServers",
     "ServerUse",
     "merge_reports",
 ]
@@ -33,6 +35,8 @@
 # ``DomainLoads``. Hosts of earlier versions close the stream on an unknown message, but
 # ignore summaries of unknown key spaces.
 DOMAIN_LOADS_FEATURE = "feature:domain_loads"
+# The same for ``LeavingServers``.
+LEAVING_FEATURE = "feature:leaving_servers"
 
 
 @register_message(135)
@@ -87,6 +91,18 @@
     in_flight: dict[str, int]
 
 
+@register_message(138)
+class LeavingServers(NamedTuple):
+    """Backend servers that have said in a response that they leave.
+
+    Attributes:
+        servers: Pairs of a server's id and the start of its run in Unix
+            milliseconds, 0 if unknown.
+    """
+
+    servers: list[tuple[str, int]]
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -88,6 +88,7 @@
             None for no copy.
         may_fail_over: Returns whether the request may still be sent to another
             server. If not, the attempt waits for a silent server.
+        on_head: Called with the server and the head of its response.
 
     Attributes:
         response: The complete response, of a request that is not streamed.
@@ -106,6 +107,7 @@
         server: ServerEntry,
         copy_source: ServerEntry | None,
         may_fail_over: Callable[[], bool],
+        on_head: Callable[[ServerEntry, ResponseHead], None],
     ) -> None:
         self.response: BufferedResponse | None = None
         self.reason = ""
@@ -119,6 +121,7 @@
         self._server = server
         self._copy_source = copy_source
         self._may_fail_over = may_fail_over
+        self._on_head = on_head
         self._http_response: aiohttp.ClientResponse | None = None
         self._waiting_since_s = timers.now()
         self._received_events = False
@@ -220,6 +223,7 @@
         head = self._dialect.read_response_head(
             self._call, http_response.status, http_response.raw_headers
         )
+        self._on_head(self._server, head)
         if head.not_run:
             self.reason = f"not run, status {head.status}"
             return Error(AttemptOutcome.NOT_RUN)
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards a request to backend servers, with retries, until it has an outcome."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -24,10 +25,14 @@
     Choice,
     Chooser,
     RetryBudget,
+    ServerEntry,
     ServerHealth,
     ServerQuery,
+    ServerStatements,
     ServiceShare,
+    compute_wait_s,
     decide_retry,
+    spread_return_s,
 )
 from oleanderpier.utils import Timers, hash_text
 
@@ -69,9 +74,12 @@
         budget: The retry budget.
         server_activity: When each server last sent something.
         timers: The timer service.
+        statements: What the servers have said of whether they want requests.
+        rng: The source of randomness.
         on_attempt_end: Called after each attempt, with its outcome, what ended the
             response (None without a response) and its duration in seconds; not
             called for an attempt that was cancelled.
+        on_leaving: Called with each server that says to this host that it leaves.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -86,11 +94,17 @@
         budget: RetryBudget,
         server_activity: ServerActivity,
         timers: Timers,
+        statements: ServerStatements,
+        rng: random.Random,
         on_attempt_end: Callable[
             [AttemptOutcome, Framing | None, float], None
         ] = lambda outcome, framing, took_s: None,
+        on_leaving: Callable[[ServerEntry], None] = lambda server: None,
     ) -> None:
         self.on_attempt_end = on_attempt_end
+        self._on_leaving = on_leaving
+        self._statements = statements
+        self.rng = rng
         self.session = session
         self.dialect = dialect
         self.chooser = chooser
@@ -119,6 +133,25 @@
         responses[identity] = responses.get(identity, 0) + 1
         failures[identity] = failures.get(identity, 0) + failed
 
+    def record_statements(self, server: ServerEntry, head: ResponseHead) -> None:
+        """Record what the head of a response says of the server's willingness."""
+        now_s = self.timers.now()
+        identity = server.identity
+        if head.says_leaving and self._statements.record_leaving(
+            identity, server.born_ms, now_s
+        ):
+            log_message("statements:leaving", identity=identity, source="")
+            self._on_leaving(server)
+        wait_s = compute_wait_s(head.refusal, head.wait_s, self.rng)
+        if wait_s and self._statements.record_wait(server, now_s + wait_s):
+            log_message(
+                "statements:wait",
+                identity=identity,
+                refusal=head.refusal.value if head.refusal else "",
+                asked_s=head.wait_s,
+                wait_s=round(wait_s, 3),
+            )
+
     def pop_response_counts(self) -> ResponseCounts:
         """Return the responses counted since the last call, and reset the counts."""
         counts, self.response_counts = self.response_counts, ResponseCounts({}, {})
@@ -139,6 +172,8 @@
         )
         self._query = ServerQuery(self._service, prefixes)
         self._tried: set[str] = set()
+        self._refused_by: set[str] = set()
+        self._retry_after_s = RETRY_AFTER_S
         self._attempts = 0
         self._may_have_run = False
         self._response: BufferedResponse | None = None
@@ -162,9 +197,11 @@
     async def _try_servers(self) -> RequestOutcome:
         forwarder, call = self._forwarder, self._call
         for _ in range(MAX_SERVERS_TRIED):
-            choice = forwarder.chooser.choose(self._query, self._tried)
+            choice = forwarder.chooser.choose(
+                self._query, self._tried, self._refused_by
+            )
             if choice is None:
-                self._reason = f"no server of {self._service}; {self._reason}"
+                self._explain_no_server()
                 break
             time_left_s = call.deadline_s - forwarder.timers.now()
             if time_left_s < MIN_TIME_LEFT_S:
@@ -184,6 +221,15 @@
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
         return await self._finish_unsuccessful(code)
 
+    def _explain_no_server(self) -> None:
+        """Set the reason and the time to come back if no server can be chosen."""
+        wait_s = self._forwarder.chooser.get_shortest_wait_s(self._service)
+        if wait_s:
+            self._retry_after_s = spread_return_s(wait_s, self._forwarder.rng)
+            self._reason = f"all servers ask to wait {wait_s:.3f} s; {self._reason}"
+        else:
+            self._reason = f"no server of {self._service}; {self._reason}"
+
     async def _run_attempt(self, choice: Choice, started_s: float) -> AttemptOutcome:
         """Send the request to a server once, and update its health."""
         forwarder = self._forwarder
@@ -200,6 +246,7 @@
             choice.server,
             choice.copy_source,
             self._may_fail_over,
+            forwarder.record_statements,
         )
         forwarder.chooser.begin_request(self._query, identity)
         try:
@@ -221,6 +268,8 @@
         self._attempts += outcome is not AttemptOutcome.UNREACHED
         if outcome in (AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN):
             self._may_have_run = may_have_run_before
+        if outcome is AttemptOutcome.NOT_RUN:
+            self._refused_by.add(identity)
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
             self._response = attempt.response
@@ -297,7 +346,7 @@
             return self._make_outcome(Code.STREAM_CUT, 0)
         not_run = describe_code(code).fate is Fate.NOT_RUN
         await self._caller.refuse(
-            Failure(code, self._reason, RETRY_AFTER_S if not_run else None)
+            Failure(code, self._reason, self._retry_after_s if not_run else None)
         )
         return self._make_outcome(code, describe_code(code).http_status)
 
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -9,6 +9,7 @@
 from oleanderpier.routing import (
     PromptPart,
     PromptPrefix,
+    Refusal,
     Route,
     ServerEntry,
     WorkspaceEntry,
@@ -75,6 +76,9 @@
         valid: Whether it is an unencoded response of the server itself to this
             request, as far as the head tells.
         signed: Whether the server has signed it.
+        refusal: Why the server has not run the request; None if it may have.
+        says_leaving: Whether the server says that it leaves.
+        wait_s: For how long the server wants no requests, None if it does not say.
     """
 
     status: int
@@ -82,6 +86,9 @@
     not_run: bool
     valid: bool
     signed: bool
+    refusal: Refusal | None = None
+    says_leaving: bool = False
+    wait_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -4,7 +4,7 @@
 import random
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from multidict import CIMultiDict
 
@@ -22,10 +22,12 @@
     CacheMap,
     Chooser,
     PromptPart,
+    Refusal,
     RetryBudget,
     Roster,
     Route,
     ServerHealth,
+    ServerStatements,
 )
 from oleanderpier.routing.tests.fakes import FakeRemoteLoads, make_route, make_server
 from oleanderpier.utils import LoopTimers, run_coroutine
@@ -107,9 +109,13 @@
     return behave
 
 
-def respond_not_run() -> Behaviour:
-    """Return a behaviour that responds that the request was not run."""
-    return respond(503, b"", headers=["Not-Run: 1"])
+def respond_not_run(*headers: str) -> Behaviour:
+    """Return a behaviour that responds that the request was not run.
+
+    Args:
+        headers: Further header lines.
+    """
+    return respond(503, b"", headers=["Not-Run: 1", *headers])
 
 
 async def reset_connection(request: ReceivedRequest) -> None:
@@ -128,12 +134,23 @@
     return b"".join(f"id: {n}\ndata: token {n}\n\n".encode() for n in numbers)
 
 
-def stream_events(last: int, pause_s: float = 0.0) -> Behaviour:
+def stream_events(
+    last: int, pause_s: float = 0.0, headers: Iterable[str] = ()
+) -> Behaviour:
     """Return a behaviour that streams events up to an id.
 
     It begins after the last event that the request names.
+
+    Args:
+        last: The id of the last event.
+        pause_s: Pause after each event, in seconds.
+        headers: Further header lines.
     """
-    return _make_stream(last, pause_s, b"", lambda request: request.send(b"0\r\n\r\n"))
+
+    async def end_stream(request: ReceivedRequest) -> None:
+        await request.send(b"0\r\n\r\n")
+
+    return _make_stream(last, pause_s, b"", end_stream, headers)
 
 
 def cut_stream(last: int, partial_event: bytes = b"", then: Behaviour | None = None):
@@ -154,13 +171,19 @@
 
 
 def _make_stream(
-    last: int, pause_s: float, partial_event: bytes, end_stream
+    last: int,
+    pause_s: float,
+    partial_event: bytes,
+    end_stream: Behaviour,
+    headers: Iterable[str] = (),
 ) -> Behaviour:
     async def behave(request: ReceivedRequest) -> None:
         first = int(request.get_header("after") or 0) + 1
         await request.send(
             f"HTTP/1.1 200 OK\r\nId: {request.get_header('id')}\r\nSigned: yes\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n".encode()
+            "Transfer-Encoding: chunked\r\n".encode()
+            + b"".join(f"{header}\r\n".encode() for header in headers)
+            + b"\r\n"
         )
         for number in range(first, last + 1):
             await _send_chunk(request, format_events(number, number))
@@ -256,7 +279,11 @@
 
 
 class MinimalDialect:
-    """A wire format of ``Id``, ``Left``, ``After``, ``Not-Run`` and ``Signed``."""
+    """A wire format with the headers that the forwarder acts on.
+
+    ``Id``, ``Left`` and ``After`` of requests; ``Not-Run``, ``Signed``, ``Leaving`` and
+    ``Wait`` of responses. ``Not-Run`` may name the reason.
+    """
 
     def format_request(self, call, server, time_left_s, last_event_id, copy_source):
         """Return the headers for a server."""
@@ -269,8 +296,17 @@
         """Return the decoded head of a response."""
         found = {key.decode().lower(): value.decode() for key, value in headers}
         valid = found.get("id") == call.identity and "content-encoding" not in found
+        reason = found.get("not-run")
+        refusals = {refusal.value: refusal for refusal in Refusal}
         return ResponseHead(
-            status, [], "not-run" in found, valid, found.get("signed") == "yes"
+            status,
+            [],
+            reason is not None,
+            valid,
+            found.get("signed") == "yes",
+            None if reason is None else refusals.get(reason, Refusal.BUSY),
+            "leaving" in found,
+            float(found["wait"]) if "wait" in found else None,
         )
 
 
@@ -333,6 +369,13 @@
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
         """Forward one request, then close all servers."""
+        (outcome,) = await self.forward_all(route, timeout_s, [self.caller])
+        return outcome
+
+    async def forward_all(
+        self, route: Route, timeout_s: float, callers: list[RecordingCaller]
+    ) -> list[RequestOutcome]:
+        """Forward the requests of several callers in turn, then close all servers."""
         timers = LoopTimers()
         roster, health = Roster(timers), ServerHealth(timers)
         order = {f"s{number}": number for number in range(len(self.servers))}
@@ -346,14 +389,16 @@
         # are tried in order.
         remote_loads = FakeRemoteLoads()
         remote_loads.in_flight.update(order)
+        statements, rng = ServerStatements(), random.Random(1)
         chooser = Chooser(
             roster,
             health,
             CacheMap(timers),
             "duluth",
             remote_loads,
-            random.Random(1),
+            rng,
             timers,
+            statements=statements,
         )
         async with make_session() as session:
             forwarder = Forwarder(
@@ -364,10 +409,16 @@
                 budget,
                 ServerActivity(timers),
                 timers,
+                statements,
+                rng,
             )
-            call = make_call(route, timers.now() + timeout_s)
             try:
-                return await forwarder.forward(call, self.caller)
+                return [
+                    await forwarder.forward(
+                        make_call(route, timers.now() + timeout_s), caller
+                    )
+                    for caller in callers
+                ]
             finally:
                 self.in_flight = dict(chooser.in_flight)
                 await asyncio.sleep(0.05)
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -1,9 +1,15 @@
 """The wire format of requests and responses: header names and their values."""
 
+import time
+from collections.abc import Callable
+from email.utils import parsedate_to_datetime
+
+from eliot import log_message
 from multidict import CIMultiDict
 
+from oleanderpier.connections import MAX_RETRY_AFTER_S, parse_retry_after
 from oleanderpier.forwarding import Call, ResponseHead
-from oleanderpier.routing import PromptPart, ServerEntry
+from oleanderpier.routing import PromptPart, Refusal, ServerEntry
 
 __all__ = [
     "CREDENTIAL_HEADER",
@@ -39,8 +45,19 @@
 SIGNATURE_HEADER = "response-signature"
 # Set by a server that has not run the request.
 NOT_RUN_HEADER = "not-executed"
+# Set by a server that leaves, in all its responses.
+LEAVING_HEADER = "server-leaving"
+LEAVING_VALUE = "1"
+RETRY_AFTER_HEADER = "retry-after"
 # Returned by a server that is not the expected one; it has not run the request.
 MISDIRECTED_STATUS = 421
+_REFUSALS = {
+    429: Refusal.RATE_LIMITED,
+    503: Refusal.BUSY,
+    MISDIRECTED_STATUS: Refusal.MISDIRECTED,
+}
+# Statuses with which a server may say for how long it wants no requests.
+WAIT_STATUSES = frozenset({429, 503})
 # Statuses that mean that the request was not processed. Such a response is never
 # taken as the request's result.
 NOT_PROCESSED_STATUSES = frozenset({408, 429, 503})
@@ -124,7 +141,14 @@
 
 
 class ServerDialect:
-    """Formats requests to servers and parses the heads of their responses."""
+    """Formats requests to servers and parses the heads of their responses.
+
+    Args:
+        get_unix_s: Returns the time of day in Unix seconds, for HTTP dates.
+    """
+
+    def __init__(self, get_unix_s: Callable[[], float] = time.time) -> None:
+        self._get_unix_s = get_unix_s
 
     def format_request(
         self,
@@ -160,7 +184,10 @@
         ]
         values_by_name = {key.lower(): value for key, value in pairs}
         not_run = NOT_RUN_HEADER in values_by_name or status == MISDIRECTED_STATUS
-        is_own = values_by_name.get(REQUEST_ID_HEADER.lower()) == call.identity
+        identity = values_by_name.get(REQUEST_ID_HEADER.lower())
+        is_own = identity == call.identity
+        # What a response to another request says may be of another server.
+        states_own = is_own or identity is None
         is_unencoded = values_by_name.get("content-encoding", "identity") == "identity"
         return ResponseHead(
             status=status,
@@ -168,4 +195,38 @@
             not_run=not_run,
             valid=is_own and is_unencoded and status not in NOT_PROCESSED_STATUSES,
             signed=SIGNATURE_HEADER in values_by_name,
+            refusal=_REFUSALS.get(status, Refusal.OTHER) if not_run else None,
+            says_leaving=states_own and _read_leaving(values_by_name),
+            wait_s=self._read_wait_s(status, pairs) if states_own else None,
         )
+
+    def _read_wait_s(self, status: int, pairs: list[tuple[str, str]]) -> float | None:
+        """Return for how long a server wants no requests, None if it does not say."""
+        values = [value for key, value in pairs if key.lower() == RETRY_AFTER_HEADER]
+        if not values or status not in WAIT_STATUSES:
+            return None
+        dates = [value for key, value in pairs if key.lower() == "date"]
+        wait_s, ignored = parse_retry_after(values, self._read_date(dates))
+        if ignored:
+            log_message(
+                "server:retry_after_unusual",
+                found=ignored,
+                allowed=f"0 to {MAX_RETRY_AFTER_S:g} seconds, or an HTTP date",
+                used_s=wait_s,
+            )
+        return wait_s
+
+    def _read_date(self, values: list[str]) -> float:
+        """Return when a response was sent, in Unix seconds."""
+        try:
+            return parsedate_to_datetime(values[0]).timestamp()
+        except (IndexError, ValueError, OverflowError):
+            return self._get_unix_s()
+
+
+def _read_leaving(values_by_name: dict[str, str]) -> bool:
+    """Return whether a server says that it leaves; log a value that is not known."""
+    value = values_by_name.get(LEAVING_HEADER, "").strip()
+    if value and value != LEAVING_VALUE:
+        log_message("server:leaving_unknown", found=value[:40], allowed=LEAVING_VALUE)
+    return value == LEAVING_VALUE
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -9,7 +9,7 @@
     filter_headers,
     read_prompt,
 )
-from oleanderpier.routing import RequestKind, WorkspaceEntry
+from oleanderpier.routing import Refusal, RequestKind, WorkspaceEntry
 from oleanderpier.routing.tests.fakes import make_route, make_server
 
 # Headers that a caller may send but that must not be forwarded to a server.
@@ -111,6 +111,40 @@
             head = self.read(status)
             self.assertEqual((False, False), (head.not_run, head.valid), status)
 
+    def test_server_that_leaves(self):
+        """Only the known value counts, and only in a response to the request."""
+        self.assertTrue(self.read(200, Server_Leaving="1").says_leaving)
+        self.assertTrue(self.read(503, Server_Leaving=" 1").says_leaving)
+        for value in ("0", "", "yes"):
+            self.assertFalse(self.read(200, Server_Leaving=value).says_leaving, value)
+        other = self.read(200, Server_Leaving="1", Request_Id="r-2")
+        self.assertFalse(other.says_leaving)
+
+    def test_server_that_asks_for_time(self):
+        """A wait counts with the statuses that turn a request away."""
+        for status in (429, 503):
+            self.assertEqual(1.5, self.read(status, Retry_After="1.5").wait_s)
+        self.assertIsNone(self.read(200, Retry_After="1.5").wait_s)
+        self.assertIsNone(self.read(503).wait_s)
+        self.assertIsNone(self.read(503, Retry_After="2", Request_Id="r-2").wait_s)
+        dates = {
+            "Retry_After": "Sun, 06 Nov 1994 08:49:37 GMT",
+            "Date": "Sun, 06 Nov 1994 08:49:34 GMT",
+        }
+        self.assertEqual(3.0, self.read(503, **dates).wait_s)
+
+    def test_reason_of_a_refusal(self):
+        """A response that may have run the request has none."""
+        cases = {
+            421: Refusal.MISDIRECTED,
+            429: Refusal.RATE_LIMITED,
+            503: Refusal.BUSY,
+            400: Refusal.OTHER,
+        }
+        for status, refusal in cases.items():
+            self.assertEqual(refusal, self.read(status, Not_Executed="1").refusal)
+        self.assertIsNone(self.read(503).refusal)
+
     def test_foreign_or_encoded_response_is_rejected(self):
         """A response with another request's id or an encoding is not accepted."""
         self.assertFalse(self.read(200, Request_Id="r-2").valid)
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -10,6 +10,8 @@
 from oleanderpier.routing.health import *  # noqa: F403
 from oleanderpier.routing.load_model import *  # noqa: F403
 from oleanderpier.routing.records import *  # noqa: F403
+from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
+from oleanderpier.routing.statements import *  # noqa: F403
 from oleanderpier.routing.table import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -13,6 +13,7 @@
   older they are, the further below the load limit has a server to be, and equally
   good servers are chosen at random.
 - Some servers are slow or fail: their recent failures add to their weight.
+- Servers leave or ask for time: they get no requests, whatever else speaks for them.
 - All servers are overloaded: the least loaded one gets the request.
 
 References:
@@ -37,6 +38,7 @@
 )
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
 from oleanderpier.routing.roster import RegistrationChange, Roster
+from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
 
 __all__ = ["Choice", "Chooser", "ServerQuery"]
@@ -123,6 +125,7 @@
         timers: The timer service.
         load_limit_factor: The users' limit on a server's requests in flight, as a
             multiple of the mean of its service.
+        statements: What the servers have said of whether they want requests.
 
     Attributes:
         in_flight: This host's requests in flight, by server id.
@@ -138,6 +141,7 @@
         rng: random.Random,
         timers: Timers,
         load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR,
+        statements: ServerStatements | None = None,
     ) -> None:
         self._timers = timers
         self._service_stats: dict[str, ServiceStats] = {}
@@ -147,6 +151,7 @@
         self._caches = caches
         self._failure_domain = failure_domain
         self._rng = rng
+        self._statements = statements or ServerStatements()
         self._model = LoadModel(roster, health, remote_loads, timers, load_limit_factor)
         self.in_flight = self._model.in_flight
 
@@ -171,15 +176,22 @@
         if self.in_flight[identity] <= 0:
             del self.in_flight[identity]
 
-    def choose(self, query: ServerQuery, avoid: Iterable[str] = ()) -> Choice | None:
+    def choose(
+        self,
+        query: ServerQuery,
+        avoid: Iterable[str] = (),
+        excluded: Iterable[str] = (),
+    ) -> Choice | None:
         """Return the best server for a request, or None if there is none.
 
         Args:
             query: What the request requires.
             avoid: Ids of the servers that were tried before; they are chosen only
                 if no other is left.
+            excluded: Ids of the servers that refused the request; they are never
+                chosen.
         """
-        choice = self._choose_server(query, avoid)
+        choice = self._choose_server(query, set(avoid), set(excluded))
         if choice is None:
             return None
         identity = choice.server.identity
@@ -192,14 +204,28 @@
             server_state_age_s=self._timers.now() - state_since_s,
         )
 
-    def _choose_server(self, query: ServerQuery, avoid: Iterable[str]) -> Choice | None:
+    def get_shortest_wait_s(self, service: str) -> float | None:
+        """Return after how long the first server of a service wants requests.
+
+        None if it has no servers, or if all of them leave.
+        """
+        return self._statements.get_shortest_wait_s(
+            self._roster.list_usable(service), self._timers.now()
+        )
+
+    def _choose_server(
+        self, query: ServerQuery, avoided: set[str], excluded: set[str]
+    ) -> Choice | None:
         """Return the best server, without the ages of the data behind the choice."""
-        avoided = set(avoid)
         if query.cache_key and not avoided:
             choice = self._choose_holder_by_stats(query)
             if choice is not None:
                 return choice
-        usable = self._roster.list_usable(query.service)
+        usable = self._statements.list_willing(
+            self._roster.list_usable(query.service), self._timers.now()
+        )
+        if excluded:
+            usable = [entry for entry in usable if entry.identity not in excluded]
         untried = [entry for entry in usable if entry.identity not in avoided]
         healthy = [
             entry
@@ -273,12 +299,14 @@
             return None
         if self._stats_choices_left[query.service] <= 0:
             return None
+        now_s = self._timers.now()
         holders = [
             entry
             for identity in self._caches.list_holders(query.cache_key)
             if (entry := self._roster.get_entry(identity)) is not None
             and entry.service == query.service
             and not entry.leaving
+            and self._statements.is_willing(entry, now_s)
             and not self._health.is_backing_off(identity)
         ]
         weights = self._compute_weights(holders, stats)
--- /dev/null
+++ b/oleanderpier/routing/statements.py
@@ -0,0 +1,180 @@
+"""What backend servers have said of whether they want requests.
+
+A server can say that it leaves, or for how long it wants no requests. What it says
+holds for the run of the server that said it, whatever the platform's registrations
+show: they may be older.
+
+The module answers these load patterns:
+
+- A release: servers say that they leave before their registrations do, and a part of
+  the hosts cannot read these.
+- Overload: servers ask for time, several at once or one again and again.
+- A server crashes and another one starts at its address, while the registration of the
+  first one has not expired.
+
+All times are arguments, in seconds on the monotonic clock.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from oleanderpier.routing.records import ServerEntry
+
+__all__ = ["LeavingStatement", "ServerStatements", "WaitStatement"]
+
+# How long it is remembered that a server leaves. It is longer than a server keeps
+# running after it has said so.
+LEAVING_KEPT_S = 600.0
+
+
+class LeavingStatement(NamedTuple):
+    """A server has said that it leaves.
+
+    Attributes:
+        born_ms: The start of the server's run, as in ``ServerEntry``.
+        heard_s: When this host heard of it.
+        source: The host that heard it from the server; empty for this host.
+    """
+
+    born_ms: int
+    heard_s: float
+    source: str
+
+
+class WaitStatement(NamedTuple):
+    """A server wants no requests until a time.
+
+    Attributes:
+        born_ms: The start of the server's run, as in ``ServerEntry``.
+        until_s: The time.
+    """
+
+    born_ms: int
+    until_s: float
+
+
+class ServerStatements:
+    """The statements of all servers that are known to this host.
+
+    Examples:
+        >>> server = ServerEntry("s1", "engine", "10.0.0.7:80", "duluth", False, 5)
+        >>> statements = ServerStatements()
+        >>> statements.record_wait(server, until_s=12.0)
+        True
+        >>> statements.list_willing([server], 11.0)
+        []
+        >>> statements.list_willing([server._replace(born_ms=6)], 11.0) == [
+        ...     server._replace(born_ms=6)
+        ... ]
+        True
+    """
+
+    def __init__(self) -> None:
+        self._leaving: dict[str, LeavingStatement] = {}
+        self._waits: dict[str, WaitStatement] = {}
+
+    def record_leaving(
+        self, identity: str, born_ms: int, now_s: float, source: str = ""
+    ) -> bool:
+        """Record that a server leaves, and return whether that was new.
+
+        Args:
+            identity: The server's id.
+            born_ms: The start of the run that said so.
+            now_s: The time.
+            source: The host that heard it from the server; empty for this host.
+        """
+        known = self._leaving.get(identity)
+        if known is not None and known.born_ms >= born_ms:
+            return False
+        self._leaving[identity] = LeavingStatement(born_ms, now_s, source)
+        return True
+
+    def record_wait(self, server: ServerEntry, until_s: float) -> bool:
+        """Record until when a server wants no requests; return whether that is later.
+
+        A shorter time does not end a longer one.
+        """
+        known = self._waits.get(server.identity)
+        if (
+            known is not None
+            and known.born_ms == server.born_ms
+            and until_s <= known.until_s
+        ):
+            return False
+        self._waits[server.identity] = WaitStatement(server.born_ms, until_s)
+        return True
+
+    def record_end(self, identity: str) -> None:
+        """Record that a server's registration ended, or that it has restarted.
+
+        If it is not known when a server started, a later registration under its id
+        is that of a new run.
+        """
+        for statements in (self._leaving, self._waits):
+            known = statements.get(identity)
+            if known is not None and not known.born_ms:
+                del statements[identity]
+
+    def is_leaving(self, server: ServerEntry) -> bool:
+        """Return whether this run of a server has said that it leaves."""
+        known = self._leaving.get(server.identity)
+        return known is not None and known.born_ms == server.born_ms
+
+    def get_wait_s(self, server: ServerEntry, now_s: float) -> float:
+        """Return for how long a server still wants no requests, 0 if it wants some."""
+        known = self._waits.get(server.identity)
+        if known is None or known.born_ms != server.born_ms:
+            return 0.0
+        return max(0.0, known.until_s - now_s)
+
+    def is_willing(self, server: ServerEntry, now_s: float) -> bool:
+        """Return whether a server has said nothing against a request now."""
+        return not self.is_leaving(server) and not self.get_wait_s(server, now_s)
+
+    def list_willing(
+        self, servers: list[ServerEntry], now_s: float
+    ) -> list[ServerEntry]:
+        """Return the servers that have said nothing against a request now."""
+        if not self._leaving and not self._waits:
+            return servers
+        return [server for server in servers if self.is_willing(server, now_s)]
+
+    def get_shortest_wait_s(
+        self, servers: Iterable[ServerEntry], now_s: float
+    ) -> float | None:
+        """Return after how long the first of several servers wants requests.
+
+        None if all of them leave.
+        """
+        waits = [
+            self.get_wait_s(server, now_s)
+            for server in servers
+            if not self.is_leaving(server)
+        ]
+        return min(waits, default=None)
+
+    def list_leaving(self) -> list[tuple[str, int]]:
+        """Return the id and the start of each server that has said that it leaves."""
+        return [(identity, known.born_ms) for identity, known in self._leaving.items()]
+
+    def count_leaving(self) -> int:
+        """Return how many servers are known to have said that they leave."""
+        return len(self._leaving)
+
+    def count_waits(self, now_s: float) -> int:
+        """Return how many servers want no requests now."""
+        return sum(known.until_s > now_s for known in self._waits.values())
+
+    def remove_expired(self, now_s: float) -> None:
+        """Remove the statements that no longer matter."""
+        self._leaving = {
+            identity: known
+            for identity, known in self._leaving.items()
+            if now_s < known.heard_s + LEAVING_KEPT_S
+        }
+        self._waits = {
+            identity: known
+            for identity, known in self._waits.items()
+            if now_s < known.until_s
+        }
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -10,6 +10,7 @@
     Route,
     ServerEntry,
     ServerHealth,
+    ServerStatements,
     ServiceShare,
 )
 from oleanderpier.utils import ManualTimers
@@ -90,6 +91,7 @@
         self.roster = Roster(self.timers)
         self.health = ServerHealth(self.timers)
         self.caches = CacheMap(self.timers)
+        self.statements = ServerStatements()
         self.remote_loads = FakeRemoteLoads(load_age_s)
         self.chooser = Chooser(
             self.roster,
@@ -99,6 +101,7 @@
             self.remote_loads,
             random.Random(1),
             self.timers,
+            statements=self.statements,
         )
         self.roster.subscribe_removed(self.caches.remove_server)
         for number in range(servers):
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -73,6 +73,7 @@
         returns_errors: Whether it answers executed requests with status 500.
         aborted_streams: Number of streams whose host disconnected early.
         part_fault: What it does to a part of its requests.
+        response_headers: Headers that it adds to its responses.
     """
 
     def __init__(self, instance_id: str, event_count: int = 20) -> None:
@@ -83,6 +84,7 @@
         self.request_headers: list[dict[str, str]] = []
         self.aborted_streams = 0
         self.part_fault = PartFault.NONE
+        self.response_headers: dict[str, str] = {}
         self._event_count = event_count
 
     async def start(self, port: int) -> None:
@@ -107,7 +109,11 @@
         self.request_ids.append(request_id)
         self.request_times_s.append(asyncio.get_running_loop().time())
         self.request_headers.append(dict(request.headers))
-        headers = {"Request-Id": request_id, "Response-Signature": self.instance_id}
+        headers = {
+            "Request-Id": request_id,
+            "Response-Signature": self.instance_id,
+            **self.response_headers,
+        }
         if self.returns_errors or part_fault is PartFault.ERROR:
             return web.Response(status=500, headers=headers)
         if part_fault is PartFault.MUTE:
@@ -263,14 +269,17 @@
         self.register_server(server)
         return server
 
-    def register_server(self, server: StandInServer, state: str = "ready") -> None:
-        """Write the entry of a server to the store."""
+    def register_server(
+        self, server: StandInServer, state: str = "ready", **fields: Any
+    ) -> None:
+        """Write the entry of a server to the store, with further fields."""
         entry = {
             "Service": "office",
             "Address": server.address,
             "Zone": "duluth",
             "State": state,
             "Slots": 8,
+            **fields,
         }
         self.store.put(f"servers/{server.instance_id}", entry)
 
