--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,11 +1,17 @@
 """Checks of the fleet's guarantees against the observations of one run."""
 
 import re
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from soak.observations import CallerRequest, InjectedFault, Observations
+from soak.observations import (
+    CallerRequest,
+    Execution,
+    InjectedFault,
+    Observations,
+    Statement,
+)
 from soak.schedule import FaultKind
 
 __all__ = ["CHAT_EVENT_COUNT", "Violation", "find_violations"]
@@ -23,6 +29,9 @@
 ROUTE_TIMEOUT_S = 10.0
 # Upper bound of the time from a caller's send to the arrival at a host or server.
 IN_FLIGHT_S = 0.2
+# Requests that may reach a server while it wants none, from WAIT_APPLY_S on.
+WAIT_APPLY_S = 0.5
+MAX_UNWANTED_REQUESTS = 2
 CHAT_EVENT_COUNT = 8
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -36,6 +45,20 @@
 _STOP_FAULTS = _KILL_FAULTS | {FaultKind.HOST_PAUSED, FaultKind.HOST_SLOW}
 
 
+# With these a host may not have got what a server answered.
+_CUT_FAULTS = frozenset(
+    {
+        FaultKind.SERVER_SILENT,
+        FaultKind.SERVER_DEAF,
+        FaultKind.SERVER_RESET,
+        FaultKind.SERVER_SLOW,
+        FaultKind.SERVER_CRASHES,
+    }
+)
+# A host that has started anew knows nothing of what servers said before.
+_FORGETTING_FAULTS = _STOP_FAULTS | {FaultKind.HOST_TERMINATED}
+
+
 class Violation(NamedTuple):
     """A violation of a guarantee.
 
@@ -114,6 +137,69 @@
             yield Violation("drained_server", text)
 
 
+def _check_leaving_statements(observations: Observations) -> Iterator[Violation]:
+    """Check that a server that says that it leaves gets nothing more from a host."""
+    for statement, host, arrivals in _list_arrivals_after(observations):
+        if statement.wait_s:
+            continue
+        due_s = statement.at_s + LEAVING_APPLY_S + IN_FLIGHT_S
+        for arrival in arrivals:
+            if arrival.at_s > due_s and not _may_not_know(
+                observations, host, statement.at_s, arrival.at_s
+            ):
+                text = (
+                    f"{arrival.request_id} reached {arrival.server} from host {host} "
+                    f"{arrival.at_s - statement.at_s:.2f} s after it said it leaves"
+                )
+                yield Violation("leaving_statement", text)
+
+
+def _check_waits(observations: Observations) -> Iterator[Violation]:
+    """Check that a server that asks for time gets it from each host."""
+    for statement, host, arrivals in _list_arrivals_after(observations):
+        since_s = statement.at_s + WAIT_APPLY_S
+        until_s = statement.at_s + statement.wait_s
+        unwanted = [a for a in arrivals if since_s < a.at_s < until_s]
+        if len(unwanted) > MAX_UNWANTED_REQUESTS and not _may_not_know(
+            observations, host, statement.at_s, until_s
+        ):
+            text = (
+                f"{len(unwanted)} requests reached {statement.server} from host {host} "
+                f"after it had asked for {statement.wait_s:g} s at {statement.at_s:.2f}"
+            )
+            yield Violation("asked_time", text)
+
+
+def _list_arrivals_after(
+    observations: Observations,
+) -> Iterator[tuple[Statement, int, list[Execution]]]:
+    """Yield each statement with the host that got it and that host's later requests."""
+    hosts = {request.request_id: request.host for request in observations.requests}
+    arrivals: dict[tuple[str, int], list[Execution]] = defaultdict(list)
+    for arrival in observations.arrivals:
+        host = hosts.get(arrival.request_id, -1)
+        arrivals[arrival.server, host].append(arrival)
+    for statement in observations.statements:
+        host = hosts.get(statement.request_id, -1)
+        later = [
+            arrival
+            for arrival in arrivals[statement.server, host]
+            if arrival.at_s > statement.at_s
+        ]
+        yield statement, host, later
+
+
+def _may_not_know(
+    observations: Observations, host: int, since_s: float, until_s: float
+) -> bool:
+    """Return whether a host may not know what a server said to it."""
+    return _has_fault(
+        observations, _CUT_FAULTS, since_s - FAULT_MARGIN_S, until_s
+    ) or _has_host_fault(
+        observations, host, since_s - FAULT_MARGIN_S, until_s, _FORGETTING_FAULTS
+    )
+
+
 def _check_revoked_keys(observations: Observations) -> Iterator[Violation]:
     """Check that a revoked credential is refused after ``CONFIG_APPLY_S``."""
     revoked_s = {removal.name: removal.at_s for removal in observations.revoked_keys}
@@ -232,6 +318,8 @@
     _check_refusals,
     _check_complete_responses,
     _check_leaving_servers,
+    _check_leaving_statements,
+    _check_waits,
     _check_revoked_keys,
     _check_graceful_shutdowns,
     _check_response_times,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -3,11 +3,23 @@
 Times are in seconds since the start of the callers.
 """
 
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from soak.schedule import FaultKind
+from standins.platform_fleet import StandInServer
 
-__all__ = ["CallerRequest", "Execution", "InjectedFault", "Observations", "Removal"]
+__all__ = [
+    "CallerRequest",
+    "Execution",
+    "InjectedFault",
+    "Observations",
+    "Removal",
+    "Statement",
+    "list_arrivals",
+    "list_executions",
+    "list_statements",
+]
 
 
 class CallerRequest(NamedTuple):
@@ -50,6 +62,22 @@
     at_s: float
 
 
+class Statement(NamedTuple):
+    """What a backend server said in its response to a request.
+
+    Attributes:
+        request_id: Id of the request.
+        server: Id of the server.
+        at_s: Time of the response.
+        wait_s: Seconds for which it wants no requests; 0 if it leaves.
+    """
+
+    request_id: str
+    server: str
+    at_s: float
+    wait_s: float
+
+
 class InjectedFault(NamedTuple):
     """A fault that was injected.
 
@@ -89,6 +117,8 @@
         revoked_keys: Credentials that were revoked.
         exits: ``(host, exit status, time in seconds)`` of each process that ended.
         faults_ended_s: Time at which the last fault was over.
+        arrivals: Requests that reached the backend servers, executed or not.
+        statements: What the backend servers said.
     """
 
     requests: list[CallerRequest]
@@ -98,3 +128,45 @@
     revoked_keys: list[Removal]
     exits: list[tuple[int, int, float]]
     faults_ended_s: float
+    arrivals: Sequence[Execution] = ()
+    statements: Sequence[Statement] = ()
+
+
+def list_executions(
+    servers: Iterable[StandInServer], started_s: float
+) -> list[Execution]:
+    """Return the executions at some servers.
+
+    Args:
+        servers: The servers.
+        started_s: Start of the callers, on the event loop's clock.
+    """
+    return [
+        Execution(request_id, server.instance_id, at_s - started_s)
+        for server in servers
+        for request_id, at_s in zip(
+            server.request_ids, server.request_times_s, strict=True
+        )
+    ]
+
+
+def list_arrivals(
+    servers: Iterable[StandInServer], started_s: float
+) -> list[Execution]:
+    """Return the requests that reached some servers; see ``list_executions``."""
+    return [
+        Execution(request_id, server.instance_id, at_s - started_s)
+        for server in servers
+        for request_id, at_s in server.arrivals
+    ]
+
+
+def list_statements(
+    servers: Iterable[StandInServer], started_s: float
+) -> list[Statement]:
+    """Return what some servers said; see ``list_executions``."""
+    return [
+        Statement(request_id, server.instance_id, at_s - started_s, wait_s)
+        for server in servers
+        for request_id, at_s, wait_s in server.statements
+    ]
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,10 +10,22 @@
 from demo.fleet import find_free_port
 from soak.callers import Callers
 from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S, SHUTDOWN_GRACE_S
-from soak.observations import Execution, InjectedFault, Observations, Removal
+from soak.observations import (
+    InjectedFault,
+    Observations,
+    Removal,
+    list_arrivals,
+    list_executions,
+    list_statements,
+)
 from soak.proxy import FaultProxy
 from soak.schedule import Fault, FaultKind, make_schedule
-from standins.platform_fleet import PartFault, PlatformFleet, StandInServer
+from standins.platform_fleet import (
+    LEAVING_HEADER,
+    PartFault,
+    PlatformFleet,
+    StandInServer,
+)
 
 __all__ = ["SoakSettings", "run_seed"]
 
@@ -30,6 +42,8 @@
 STORM_VERSION_COUNT = 6
 STORM_INTERVAL_S = 0.1
 SLOW_DELAY_S = 0.15
+# What a server that wants no requests asks for, again and again.
+ASKED_WAIT_S = 1.0
 # Time for which requests are sent after RECOVERY_S, for the check of the recovery.
 POST_RECOVERY_S = 1.5
 KEY_COUNT = 5
@@ -149,14 +163,18 @@
         await asyncio.sleep(RECOVERY_S + POST_RECOVERY_S)
         self._callers.stop()
         await callers_task
+        started_s = asyncio.get_running_loop().time() - self._get_elapsed_s()
+        servers = self._fleet.servers
         return Observations(
             self._callers.requests,
-            self._list_executions(),
+            list_executions(servers, started_s),
             self._faults,
             self._leaving_servers,
             self._revoked_keys,
             self._exits,
             faults_ended_s,
+            list_arrivals(servers, started_s),
+            list_statements(servers, started_s),
         )
 
     async def close(self) -> None:
@@ -171,16 +189,6 @@
     def _get_elapsed_s(self) -> float:
         return self._callers.get_elapsed_s()
 
-    def _list_executions(self) -> list[Execution]:
-        started_s = asyncio.get_running_loop().time() - self._get_elapsed_s()
-        return [
-            Execution(request_id, server.instance_id, at_s - started_s)
-            for server in self._fleet.servers
-            for request_id, at_s in zip(
-                server.request_ids, server.request_times_s, strict=True
-            )
-        ]
-
     def _publish_configuration(self) -> None:
         revoked = self._callers.revoked_keys
         self._version += 1
@@ -372,7 +380,9 @@
         return self._server_proxies[self._find_server(fault).instance_id]
 
     async def _announce_leaving(self, fault: Fault) -> None:
-        server = self._find_server(fault)
+        await self._drain_server(self._find_server(fault))
+
+    async def _drain_server(self, server: StandInServer) -> None:
         self._active_servers.remove(server)
         self._draining_servers.append(server)
         self._fleet.register_server(server, "draining")
@@ -382,6 +392,21 @@
         self._draining_servers.remove(server)
         self._fleet.store.put(f"servers/{server.instance_id}", None)
 
+    async def _say_leaving(self, fault: Fault) -> None:
+        server = self._find_server(fault)
+        server.response_headers[LEAVING_HEADER] = "1"
+        await asyncio.sleep(fault.for_s)
+        if server in self._active_servers:
+            await self._drain_server(server)
+
+    async def _ask_for_time(self, fault: Fault) -> None:
+        server = self._find_server(fault)
+
+        def set_enabled(enabled: bool) -> None:
+            server.asks_to_wait_s = ASKED_WAIT_S if enabled else 0.0
+
+        await self._enable_for_duration(fault, (server, "asks"), set_enabled)
+
     async def _crash_server(self, fault: Fault) -> None:
         server = self._find_server(fault)
         self._active_servers.remove(server)
@@ -459,6 +484,8 @@
     FaultKind.HOST_SLOW: _SoakRun._slow_host,
     FaultKind.HOST_KILLED_AFTER_CHANGE: _SoakRun._kill_host_after_change,
     **dict.fromkeys(_SERVER_PART_FAULTS, _SoakRun._fail_part_of_requests),
+    FaultKind.SERVER_SAYS_LEAVING: _SoakRun._say_leaving,
+    FaultKind.SERVER_ASKS_FOR_TIME: _SoakRun._ask_for_time,
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,7 +23,8 @@
     Of the kinds ``SERVER_PARTLY_*`` a part of the requests at one server is affected,
     while it counts as healthy: it answers with an error, never, with a refusal, with
     bytes after the response, or without a length, so that the response ends with its
-    connection, whole or not.
+    connection, whole or not. A server that ``SAYS_LEAVING`` does so in its responses
+    before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing.
     """
 
     HOST_KILLED = "host_killed"
@@ -51,6 +52,8 @@
     SERVER_PARTLY_REFUSES = "server_partly_refuses"
     SERVER_PARTLY_SENDS_EXTRA = "server_partly_sends_extra"
     SERVER_PARTLY_SENDS_NO_LENGTH = "server_partly_sends_no_length"
+    SERVER_SAYS_LEAVING = "server_says_leaving"
+    SERVER_ASKS_FOR_TIME = "server_asks_for_time"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
 
@@ -70,6 +73,7 @@
         FaultKind.SERVER_PARTLY_SENDS_EXTRA,
     ),
     "no length": (FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH,),
+    "statements": (FaultKind.SERVER_SAYS_LEAVING, FaultKind.SERVER_ASKS_FOR_TIME),
 }
 ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -9,6 +9,7 @@
     InjectedFault,
     Observations,
     Removal,
+    Statement,
 )
 from soak.schedule import FaultKind
 
@@ -84,6 +85,43 @@
             ),
         )
 
+    def test_request_to_a_server_that_said_that_it_leaves(self):
+        """One from the host that heard it is a violation, unless it has restarted."""
+        requests = [
+            SERVED_REQUEST._replace(request_id=name, host=host)
+            for name, host in (("r1", 0), ("r2", 0), ("r3", 1))
+        ]
+        requests = [r._replace(body=f"s1 ran {r.request_id}") for r in requests]
+        arrivals = [Execution("r2", "s1", 33.0)]
+        run = {"requests": requests, "arrivals": arrivals}
+        heard = Statement("r1", "s1", 30.0, 0.0)
+        self.assertEqual(
+            ["leaving_statement"], find_violated_guarantees(statements=[heard], **run)
+        )
+        other = heard._replace(request_id="r3")
+        self.assertEqual([], find_violated_guarantees(statements=[other], **run))
+        restarted = InjectedFault(FaultKind.HOST_KILLED, 31.0, 31.5, 0)
+        self.assertEqual(
+            [], find_violated_guarantees(statements=[heard], faults=[restarted], **run)
+        )
+
+    def test_requests_to_a_server_that_asked_for_time(self):
+        """More than two of one host after half a second are a violation."""
+        names = ["r1", "r2", "r3", "r4"]
+        requests = [
+            SERVED_REQUEST._replace(request_id=name, body=f"s1 ran {name}")
+            for name in names
+        ]
+        asked = [Statement("r1", "s1", 30.0, 2.0)]
+        for count, expected in ((2, []), (3, ["asked_time"])):
+            arrivals = [Execution(n, "s1", 31.0) for n in names[1 : count + 1]]
+            self.assertEqual(
+                expected,
+                find_violated_guarantees(
+                    requests=requests, arrivals=arrivals, statements=asked
+                ),
+            )
+
     def test_revoked_key_admitted(self):
         """A credential that is admitted after the bound is a violation."""
         self.assertEqual(
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -22,6 +22,7 @@
 __all__ = [
     "API_KEY",
     "HOST_NAME",
+    "LEAVING_HEADER",
     "PartFault",
     "PlatformFleet",
     "StandInServer",
@@ -33,6 +34,7 @@
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 EVENT_INTERVAL_S = 0.1
+LEAVING_HEADER = "Server-Leaving"
 
 
 # Share of the requests that a ``PartFault`` affects, in percent.
@@ -74,6 +76,10 @@
         aborted_streams: Number of streams whose host disconnected early.
         part_fault: What it does to a part of its requests.
         response_headers: Headers that it adds to its responses.
+        asks_to_wait_s: Seconds for which it asks in place of executing; 0 to execute.
+        arrivals: Id and time of each request, executed or not.
+        statements: Id and time of each request that was answered with a statement, and
+            the seconds that it asked for, 0 if it said that it leaves.
     """
 
     def __init__(self, instance_id: str, event_count: int = 20) -> None:
@@ -85,6 +91,9 @@
         self.aborted_streams = 0
         self.part_fault = PartFault.NONE
         self.response_headers: dict[str, str] = {}
+        self.asks_to_wait_s = 0.0
+        self.arrivals: list[tuple[str, float]] = []
+        self.statements: list[tuple[str, float, float]] = []
         self._event_count = event_count
 
     async def start(self, port: int) -> None:
@@ -103,11 +112,14 @@
         if request.headers.get("Expect-Instance") != self.instance_id:
             return web.Response(status=421)
         request_id = request.headers["Request-Id"]
+        at_s = asyncio.get_running_loop().time()
+        self.arrivals.append((request_id, at_s))
         part_fault = self._find_part_fault(request_id)
-        if part_fault is PartFault.REFUSAL:
-            return web.Response(status=503, headers={"Not-Executed": "1"})
+        refusal = self._refuse(request_id, at_s, part_fault)
+        if refusal is not None:
+            return refusal
         self.request_ids.append(request_id)
-        self.request_times_s.append(asyncio.get_running_loop().time())
+        self.request_times_s.append(at_s)
         self.request_headers.append(dict(request.headers))
         headers = {
             "Request-Id": request_id,
@@ -135,6 +147,21 @@
                 request.transport.write(EXTRA_BYTES)
         return response
 
+    def _refuse(
+        self, request_id: str, at_s: float, part_fault: PartFault
+    ) -> web.Response | None:
+        """Return the refusal of a request, None to execute it; record statements."""
+        if self.asks_to_wait_s:
+            self.statements.append((request_id, at_s, self.asks_to_wait_s))
+            headers = {"Not-Executed": "1", "Retry-After": str(self.asks_to_wait_s)}
+            return web.Response(status=503, headers=headers)
+        if part_fault is not PartFault.MUTE and LEAVING_HEADER in self.response_headers:
+            self.statements.append((request_id, at_s, 0.0))
+        if part_fault is PartFault.REFUSAL:
+            refusal = {"Not-Executed": "1", **self.response_headers}
+            return web.Response(status=503, headers=refusal)
+        return None
+
     def _find_part_fault(self, request_id: str) -> PartFault:
         """Return what happens to a request; the same for each send of it."""
         is_affected = zlib.crc32(request_id.encode()) % 100 < PART_FAULT_PERCENT
