--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -291,8 +291,8 @@
         except (aiohttp.ClientError, MessageError) as error:
             self.reason = f"{error!r} after event {splitter.last_event_id}"
             return AttemptOutcome.CUT
-        if self._is_broken_off(splitter):
-            self.reason = f"ended inside the event after {splitter.last_event_id}"
+        self.reason = self._explain_missing_part(splitter)
+        if self.reason:
             return AttemptOutcome.CUT
         if not response_started:
             await caller.begin_stream(head)
@@ -301,14 +301,17 @@
         await caller.finish_stream()
         return AttemptOutcome.DELIVERED
 
-    def _is_broken_off(self, splitter: EventSplitter) -> bool:
-        """Return whether a stream whose body has ended lacks a part.
+    def _explain_missing_part(self, splitter: EventSplitter) -> str:
+        """Return why a stream whose body has ended is incomplete, empty if it is not.
 
         The end of a connection alone shows no end of a stream: a server that fails
         closes its connections as well.
         """
-        has_no_end = self.framing is Framing.CONNECTION and not self._received_events
-        return splitter.is_inside_event or has_no_end
+        if splitter.is_inside_event:
+            return f"ended inside the event after {splitter.last_event_id}"
+        if self.framing is Framing.CONNECTION and not self._received_events:
+            return "the connection ended before an event"
+        return ""
 
     async def _read_data(
         self, content: aiohttp.StreamReader, timeout_s: float
