Replay servers that ask for time or say that they leave, at 30 and 300 hosts

The emulator's engines can refuse and ask for time, or say that they leave before the platform lists it, with a part of the hosts cut off. Seven patterns; the policy 'heedless' is the product without attention to statements.

--- a/bench/emulator/__main__.py
+++ b/bench/emulator/__main__.py
@@ -24,6 +24,9 @@
     "OVER LIMIT",
     "WORST 5 S",
     "CHOICE US",
+    "UNWANTED",
+    "REFUSED SENDS",
+    "FAILED",
 ]
 
 
@@ -94,6 +97,9 @@
         f"{mean('over_limit'):.4f}",
         f"{max(run.worst_over_limit for run in runs):.4f}",
         f"{mean('choice_us'):.0f}",
+        f"{mean('unwanted'):.4f}",
+        f"{mean('refused_sends'):.4f}",
+        f"{mean('failed'):.4f}",
     ]
 
 
--- a/bench/emulator/outcomes.py
+++ b/bench/emulator/outcomes.py
@@ -35,6 +35,9 @@
         worst_over_limit: The highest such ratio in any ``LIMIT_WINDOW_S`` seconds.
         choice_us: Mean processor time of a routing decision, in microseconds.
         windows: On-time ratio in each window of ``WINDOW_S`` seconds.
+        unwanted: Sends per request to engines that had told the host to send nothing.
+        refused_sends: Sends per request that an engine refused and asked for time.
+        failed: Ratio of the requests that were given up.
     """
 
     requests: int
@@ -48,6 +51,9 @@
     worst_over_limit: float
     choice_us: float
     windows: list[float]
+    unwanted: float
+    refused_sends: float
+    failed: float
 
 
 class Request:
--- a/bench/emulator/patterns.py
+++ b/bench/emulator/patterns.py
@@ -57,15 +57,27 @@
     Attributes:
         kind: Type of the disturbance.
         at_s: Start time, in seconds of simulated time.
-        for_s: Duration, for disturbances that end.
-        x: Factor by which arrivals become more frequent or engine steps longer.
+        for_s: Duration, for disturbances that end; for engines that say that they
+            leave, the time until the platform lists it.
+        x: Factor by which arrivals become more frequent or engine steps longer, or
+            the seconds that an engine asks for.
         count: Number of engines affected.
         share: Ratio of a class's requests that use one prompt, or of the hosts that
-            are killed.
+            are killed or cut off from the platform.
         name: Request class affected; all classes if absent.
     """
 
-    kind: Literal["burst", "hot_key", "crash", "slow", "join", "leave", "herd_kill"]
+    kind: Literal[
+        "burst",
+        "hot_key",
+        "crash",
+        "slow",
+        "join",
+        "leave",
+        "herd_kill",
+        "ask_for_time",
+        "say_leaving",
+    ]
     at_s: float
     for_s: NotRequired[float]
     x: NotRequired[float]
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -5,14 +5,20 @@
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple, Protocol
 
-from oleanderpier.fleet import DomainLoads, FleetLoads, FleetSite
+from bench.emulator.outboxes import HostMessage
+from bench.emulator.statements import Statement
+from oleanderpier.entry.leaving import LeavingNews
+from oleanderpier.fleet import DomainLoads, FleetLoads, FleetSite, LeavingServers
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
+    Refusal,
     Roster,
     ServerEntry,
     ServerHealth,
     ServerQuery,
+    ServerStatements,
+    compute_wait_s,
 )
 from oleanderpier.utils import Outbox, Timers, rank_candidates
 
@@ -80,8 +86,14 @@
     def receive_report(self, host: str, report: "HostReport") -> None:
         """Apply a report of another host."""
 
-    def receive_total(self, host: str, message: DomainLoads) -> None:
-        """Apply the total load of another failure domain."""
+    def end_refused_request(self, engine: str) -> None:
+        """Count a request as ended that the engine refused."""
+
+    def receive_statement(self, engine: str, statement: Statement) -> None:
+        """Apply what an engine has said in a response to this host."""
+
+    def receive_message(self, host: str, message: HostMessage) -> None:
+        """Apply a total load or news of engines that leave, sent by another host."""
 
 
 class HostReport(NamedTuple):
@@ -105,7 +117,17 @@
     """
 
     def __init__(self, context: HostContext) -> None:
-        timers = context.timers
+        timers, site = context.timers, context.site
+        self._timers = timers
+        self._rng = context.rng
+        self._statements = ServerStatements()
+        self._news = LeavingNews(
+            self._statements,
+            lambda: [host for host in site.list_receivers() if host != site.host],
+            timers,
+            context.rng,
+            context.outbox,
+        )
         self._roster = Roster(timers)
         self._health = ServerHealth(timers)
         self._caches = CacheMap(timers)
@@ -121,8 +143,10 @@
             self._loads,
             context.rng,
             timers,
+            statements=self._statements,
         )
         self._roster.subscribe_removed(self._caches.remove_server)
+        self._roster.subscribe_removed(self._statements.record_end)
 
     def update_engine(self, engine: str, leaving: bool | None) -> None:
         """Apply the state of an engine: available, leaving, or removed (None)."""
@@ -158,9 +182,35 @@
         self._loads.receive_report(host, report.loads)
         self._caches.apply_updates(report.placements)
 
-    def receive_total(self, host: str, message: DomainLoads) -> None:
-        """Apply the total load of another failure domain."""
-        self._loads.receive_total(host, message)
+    def end_refused_request(self, engine: str) -> None:
+        """Count a request as ended that the engine refused."""
+        self._chooser.end_request(engine)
+
+    def receive_statement(self, engine: str, statement: Statement) -> None:
+        """Record that an engine leaves, or until when it wants no requests."""
+        entry, now_s = self._roster.get_entry(engine), self._timers.now()
+        if entry is None:
+            return
+        if statement.wait_s:
+            wait_s = compute_wait_s(Refusal.BUSY, statement.wait_s, self._rng)
+            self._statements.record_wait(entry, now_s + wait_s)
+        elif self._statements.record_leaving(engine, entry.born_ms, now_s):
+            self._news.announce(entry)
+
+    def receive_message(self, host: str, message: HostMessage) -> None:
+        """Apply a total load or news of engines that leave, sent by another host."""
+        handlers = {
+            DomainLoads: self._loads.receive_total,
+            LeavingServers: self._news.receive,
+        }
+        handlers[type(message)](host, message)
+
+
+class HeedlessPolicy(ProductPolicy):
+    """The product without attention to what engines say."""
+
+    def receive_statement(self, engine: str, statement: Statement) -> None:
+        """Ignore the statement."""
 
 
 class NaivePolicy:
@@ -207,8 +257,15 @@
     def receive_report(self, host: str, report: HostReport) -> None:
         """Ignore the report."""
 
-    def receive_total(self, host: str, message: DomainLoads) -> None:
-        """Ignore the total."""
+    def end_refused_request(self, engine: str) -> None:
+        """Count a request as ended that the engine refused."""
+        self._in_flight[engine] -= 1
+
+    def receive_statement(self, engine: str, statement: Statement) -> None:
+        """Ignore the statement."""
+
+    def receive_message(self, host: str, message: HostMessage) -> None:
+        """Ignore the message."""
 
 
 class LeastLoadedPolicy(NaivePolicy):
@@ -275,6 +332,7 @@
 
 POLICIES: dict[str, Callable[[HostContext], Policy]] = {
     "present": ProductPolicy,
+    "heedless": HeedlessPolicy,
     "naive": NaivePolicy,
     "least_loaded": LeastLoadedPolicy,
     "two_choices": TwoChoicesPolicy,
--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -3,10 +3,11 @@
 import random
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bench.emulator.engines import Engine, Job
+from bench.emulator.outboxes import NETWORK_LATENCY_S, DelayedOutbox, HostMessage
 from bench.emulator.outcomes import (
     WINDOW_S,
     Outcome,
@@ -17,14 +18,13 @@
 )
 from bench.emulator.patterns import Disturbance, Pattern, RequestClass
 from bench.emulator.policies import HostContext, HostReport, Policy
-from oleanderpier.fleet import DomainLoads, FleetSite, ReportTiming
+from bench.emulator.statements import EngineStatements, Statement
+from oleanderpier.fleet import FleetSite, ReportTiming
 from oleanderpier.routing import PromptPrefix, ServerQuery
 from oleanderpier.utils import ManualTimers
 
 __all__ = ["World", "run_pattern"]
 
-# One-way network latency.
-NETWORK_LATENCY_S = 0.002
 # Time from the crash of an engine until its entry is removed from the hosts' rosters.
 REMOVAL_DELAY_S = 3.6
 TICK_S = 0.05
@@ -55,35 +55,6 @@
     placements: list[tuple[str, str]]
 
 
-class _HostOutbox:
-    """Sends the messages of one host, with the network latency.
-
-    Args:
-        world: The simulation.
-        sender: The name of the host.
-    """
-
-    def __init__(self, world: "World", sender: str) -> None:
-        self._world = world
-        self._sender = sender
-
-    def send(self, host: str, message: DomainLoads) -> bool:
-        """Send a message to one host."""
-        self.send_to_all([host], message)
-        return True
-
-    def send_to_all(self, hosts: Iterable[str], message: DomainLoads) -> None:
-        """Send a message to several hosts."""
-        receivers = list(hosts)
-        self._world.timers.call_later(
-            NETWORK_LATENCY_S, lambda: self._deliver(receivers, message)
-        )
-
-    def _deliver(self, receivers: list[str], message: DomainLoads) -> None:
-        for receiver in receivers:
-            self._world.deliver_total(self._sender, receiver, message)
-
-
 class World:
     """The engines, hosts and load of one simulation run.
 
@@ -105,6 +76,7 @@
         self._rng = random.Random(seed)
         self._engines: dict[str, Engine] = {}
         self._leaving: set[str] = set()
+        self._statements = EngineStatements(self.timers)
         self._policies: list[Policy | None] = []
         self._requests: list[Request] = []
         self._counts: Counter[str] = Counter()
@@ -154,7 +126,12 @@
         )
         rng = random.Random(self._rng.random())
         policy = self._make_policy(
-            HostContext(self.timers, rng, site, _HostOutbox(self, self._names[host]))
+            HostContext(
+                self.timers,
+                rng,
+                site,
+                DelayedOutbox(self.timers, self._names[host], self.deliver_message),
+            )
         )
         for name in self._engines:
             policy.update_engine(name, name in self._leaving)
@@ -163,11 +140,11 @@
     def _find_domain(self, name: str) -> str:
         return f"d{self._hosts_by_name[name] % self._pattern['failure_domains']}"
 
-    def deliver_total(self, sender: str, receiver: str, message: DomainLoads) -> None:
-        """Deliver the total load of a failure domain to a host, if it is running."""
+    def deliver_message(self, sender: str, receiver: str, message: HostMessage) -> None:
+        """Deliver a message of one host to another one, if it is running."""
         policy = self._policies[self._hosts_by_name[receiver]]
         if policy is not None and self._policies[self._hosts_by_name[sender]]:
-            policy.receive_total(sender, message)
+            policy.receive_message(sender, message)
 
     def _list_hosts(self) -> list[int]:
         return [n for n, policy in enumerate(self._policies) if policy is not None]
@@ -258,9 +235,33 @@
         if not engine.alive:
             self.timers.call_later(NETWORK_LATENCY_S, lambda: handle_end(False))
             return
+        statement = self._statements.record_send(host, selection.engine)
+        if statement is not None:
+            self.timers.call_later(
+                NETWORK_LATENCY_S,
+                lambda: self._deliver_statement(policy, selection.engine, statement),
+            )
+        if statement is not None and statement.wait_s:
+            self.timers.call_later(
+                NETWORK_LATENCY_S, lambda: self._retry(request, host, selection.engine)
+            )
+            return
         job = self._make_job(request, handle_end)
         self._record_prefill_cost(request, engine.submit(job, source))
 
+    def _deliver_statement(
+        self, policy: Policy, engine: str, statement: Statement
+    ) -> None:
+        if policy in self._policies:
+            policy.receive_statement(engine, statement)
+
+    def _retry(self, request: Request, host: int, engine: str) -> None:
+        """Send a request again that an engine has refused."""
+        policy = self._policies[host]
+        if policy is not None:
+            policy.end_refused_request(engine)
+        self._send(request, host)
+
     def _make_job(self, request: Request, on_end: Callable[[bool], None]) -> Job:
         request_class, per_event = (
             request.request_class,
@@ -401,6 +402,34 @@
             self._leaving.add(name)
             self._update_all_hosts(name, True)
 
+    def _let_engines_ask_for_time(self, disturbance: Disturbance) -> None:
+        self._statements.start_asking(
+            self._list_available()[: disturbance["count"]],
+            disturbance["x"],
+            disturbance["for_s"],
+        )
+
+    def _let_engines_say_leaving(self, disturbance: Disturbance) -> None:
+        """Let engines say that they leave before the hosts get it from the platform.
+
+        Hosts that are cut off from the platform never get it from there; none does if
+        the engines stay.
+        """
+        cut_off = round(disturbance.get("share", 0.0) * len(self._policies))
+        for name in self._list_available()[: disturbance["count"]]:
+            self._leaving.add(name)
+            self._statements.start_leaving(name)
+            if "for_s" in disturbance:
+                self.timers.call_later(
+                    disturbance["for_s"],
+                    lambda name=name: self._mark_leaving(name, cut_off),
+                )
+
+    def _mark_leaving(self, engine: str, first_host: int) -> None:
+        for policy in self._policies[first_host:]:
+            if policy is not None:
+                policy.update_engine(engine, True)
+
     def _kill_hosts(self, disturbance: Disturbance) -> None:
         count = round(disturbance["share"] * len(self._policies))
         for host in range(count):
@@ -435,6 +464,9 @@
             worst_over_limit=compute_worst_over_ratio(self._sends),
             choice_us=1e6 * self._selection_cpu_s / counts["choices"],
             windows=windows,
+            unwanted=self._statements.unwanted_sends / len(requests),
+            refused_sends=self._statements.refused_sends / len(requests),
+            failed=sum(r.is_failed for r in requests) / len(requests),
         )
 
 
@@ -461,4 +493,6 @@
     "join": World._add_engines,
     "leave": World._mark_engines_leaving,
     "herd_kill": World._kill_hosts,
+    "ask_for_time": World._let_engines_ask_for_time,
+    "say_leaving": World._let_engines_say_leaving,
 }
