End responses of endless bytes by a bound, not only by the deadline

A server in trouble may send bytes that are no response without end, in a head or a body. In a trial on the code before, with a deadline of 4 s, these were read until the deadline, with a whole core: empty lines before the status line (1.6 GB read), interim responses (21 MB), a chunk extension (1.0 GB), a chunk size (0.4 GB), one-byte chunks and empty lines in a stream. A body without length of 16 MB took 1.9 s, since it was copied for each part.

Now a connection is closed when more than 1 MB and the size of the body have come besides the body; empty lines count towards the bound of an event; the parts of a body are joined once.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -24,6 +24,9 @@
 # Time for which sent data may stay unacknowledged before the kernel closes the
 # connection.
 TCP_USER_TIMEOUT_MS = 5000
+# Bound of the bytes of a response that are not its body: its head, interim responses,
+# chunk sizes and trailers. Chunks may add as many bytes again as the body has.
+MAX_OVERHEAD_BYTES = 1 << 20
 # Headers that aiohttp would add to those of the caller.
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -107,6 +110,45 @@
         super().connection_lost(exc)
 
 
+class _BoundedHandler(_ResetDetectingHandler):
+    """Response handler that ends a connection whose bytes are mostly no body.
+
+    A server in trouble may send empty lines, interim responses, chunk sizes or chunk
+    extensions without end, which the parser skips.
+    """
+
+    _received_bytes = 0
+    _earlier_payload: aiohttp.StreamReader | None = None
+
+    def set_response_params(self, **options: Any) -> None:
+        """Begin to count the bytes of the next response."""
+        self._received_bytes = 0
+        self._earlier_payload = self._payload
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self._received_bytes += len(data)
+        payload = self._payload
+        if payload is None or payload is self._earlier_payload:
+            body_bytes = 0
+        else:
+            body_bytes = payload.total_bytes
+        if self._received_bytes > 2 * body_bytes + MAX_OVERHEAD_BYTES:
+            self._end_connection(payload)
+
+    def _end_connection(self, payload: aiohttp.StreamReader | None) -> None:
+        error = aiohttp.ClientPayloadError(
+            f"{self._received_bytes} bytes received, more than {MAX_OVERHEAD_BYTES} of "
+            "them besides the body"
+        )
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
 def make_session(
     max_connections: int = MAX_CONNECTIONS,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
@@ -132,7 +174,7 @@
         timers or LoopTimers(), **reuse, limit=max_connections, use_dns_cache=False
     )
     connector._factory = functools.partial(
-        _ResetDetectingHandler, loop=asyncio.get_running_loop()
+        _BoundedHandler, loop=asyncio.get_running_loop()
     )
     session = aiohttp.ClientSession(
         connector=connector,
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -247,17 +247,17 @@
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
         try:
-            body = b""
+            parts: list[bytes] = []
             while data := await self._http_response.content.read(MAX_RESPONSE_BYTES):
-                body += data
-                self.received_bytes = len(body)
-                if len(body) > MAX_RESPONSE_BYTES:
+                parts.append(data)
+                self.received_bytes += len(data)
+                if self.received_bytes > MAX_RESPONSE_BYTES:
                     raise MessageError(f"more than {MAX_RESPONSE_BYTES} bytes")
         except (aiohttp.ClientError, OSError, MessageError) as error:
             self.reason = repr(error)
             return AttemptOutcome.LOST
         self._activity.record_activity(self._server.identity)
-        self.response = BufferedResponse(head, body)
+        self.response = BufferedResponse(head, b"".join(parts))
         return AttemptOutcome.FAILED if head.status >= 500 else AttemptOutcome.DELIVERED
 
     async def _relay_stream(
--- a/oleanderpier/forwarding/events.py
+++ b/oleanderpier/forwarding/events.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         self.last_event_id: str | None = None
         self._remainder = bytearray()
+        # Size of the empty lines since the last event.
+        self._empty_bytes = 0
 
     @property
     def remainder(self) -> bytes:
@@ -57,7 +59,8 @@
             data: The next bytes of the stream.
 
         Raises:
-            MessageError: An event is longer than ``MAX_EVENT_BYTES``.
+            MessageError: An event, or a series of empty lines, is longer than
+                ``MAX_EVENT_BYTES``.
         """
         buffer = self._remainder
         # The buffered bytes contain no whole end of an event.
@@ -68,6 +71,9 @@
         del buffer[:end]
         if len(buffer) > MAX_EVENT_BYTES:
             raise MessageError(f"an event of more than {MAX_EVENT_BYTES} bytes")
+        self._empty_bytes = 0 if events.strip(b"\r\n") else self._empty_bytes + end
+        if self._empty_bytes > MAX_EVENT_BYTES:
+            raise MessageError(f"more than {MAX_EVENT_BYTES} bytes of empty lines")
         self._record_last_id(events)
         return events
 
