Bound the body of a response of the store; read bodies in one place

The product's own interface bounds calls and documents already; its probes of engines and the operators' queries do not (only a timeout).

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from oleanderpier.connections import Framing, find_framing
+from oleanderpier.connections import Framing, find_framing, read_body
 from oleanderpier.exception import MessageError
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.records import Call, Caller, Dialect, ResponseHead
@@ -247,17 +247,14 @@
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
         try:
-            parts: list[bytes] = []
-            while data := await self._http_response.content.read(MAX_RESPONSE_BYTES):
-                parts.append(data)
-                self.received_bytes += len(data)
-                if self.received_bytes > MAX_RESPONSE_BYTES:
-                    raise MessageError(f"more than {MAX_RESPONSE_BYTES} bytes")
+            body = await read_body(self._http_response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, OSError, MessageError) as error:
             self.reason = repr(error)
             return AttemptOutcome.LOST
+        finally:
+            self.received_bytes = self._http_response.content.total_bytes
         self._activity.record_activity(self._server.identity)
-        self.response = BufferedResponse(head, b"".join(parts))
+        self.response = BufferedResponse(head, body)
         return AttemptOutcome.FAILED if head.status >= 500 else AttemptOutcome.DELIVERED
 
     async def _relay_stream(
--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -8,6 +8,7 @@
 import msgspec
 from eliot import log_message
 
+from oleanderpier.connections import read_body
 from oleanderpier.entry import (
     CONFIGURATION,
     CONFIGURATION_KEY,
@@ -15,7 +16,12 @@
     encode_server,
     encode_table,
 )
-from oleanderpier.exception import PlatformError, RevisionCompactedError, SettingsError
+from oleanderpier.exception import (
+    MessageError,
+    PlatformError,
+    RevisionCompactedError,
+    SettingsError,
+)
 from oleanderpier.platform.documents import decode_configuration, decode_server
 from oleanderpier.replication import Item, ItemsUpdate, get_revision, make_position
 
@@ -28,6 +34,8 @@
 WATCH_SLACK_S = 0.6
 HISTORY_GONE_STATUS = 410
 MAX_PAGE_COUNT = 1000
+# Pages have about 1 MB; a watch call may return many changes.
+MAX_RESPONSE_BYTES = 32 << 20
 # Rises by one each time the store returns from a copy that is some seconds old.
 ERA_HEADER = "Store-Era"
 MAX_ERA = 1 << 16
@@ -146,10 +154,10 @@
             async with self._session.get(
                 f"{self._url}{path}", params=query, timeout=timeout
             ) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_RESPONSE_BYTES)
                 status = response.status
                 era = self._read_era(response.headers.get(ERA_HEADER))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, MessageError, TimeoutError, OSError) as error:
             raise PlatformError(f"{path}: {error!r}") from error
         if status == HISTORY_GONE_STATUS:
             raise RevisionCompactedError(f"{path}: status {status}")
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 
 from oleanderpier.entry import SERVERS
 from oleanderpier.exception import PlatformError, RevisionCompactedError
+from oleanderpier.platform import store as store_module
 from oleanderpier.platform.store import StoreClient
 from oleanderpier.replication import get_era, get_revision, make_position
 from oleanderpier.utils import run_coroutine
@@ -118,3 +119,36 @@
         )
         self.assertEqual(make_position(5, 2), changes.as_of)
         self.assertTrue(error.needs_full_read)
+
+
+class _EndlessStore:
+    """Store that sends a page without end."""
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application that serves the page."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self._handle_range)
+        return app
+
+    async def _handle_range(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        block = b" " * 1000
+        while True:
+            await response.write(block)
+
+
+class EndlessResponseTest(TestCase):
+    """A response of the store is bounded."""
+
+    def test_endless_page_is_a_failure_of_the_platform(self):
+        """The bound ends it, not the timeout."""
+        self.patch(store_module, "MAX_RESPONSE_BYTES", 10_000)
+
+        async def call(client: StoreClient):
+            return await client.read_snapshot(SERVERS)
+
+        error = self.assertRaises(
+            PlatformError, run_coroutine, call_store(_EndlessStore(), call)
+        )
+        self.assertIn("more than 10000 bytes", str(error))
