--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -7,7 +7,7 @@
 
 from bench.emulator.outboxes import HostMessage
 from bench.emulator.statements import Statement
-from oleanderpier.entry.leaving import LeavingNews
+from oleanderpier.entry.leaving import LeavingGossip
 from oleanderpier.fleet import DomainLoads, FleetLoads, FleetSite, LeavingServers
 from oleanderpier.routing import (
     CacheMap,
@@ -93,7 +93,7 @@
         """Apply what an engine has said in a response to this host."""
 
     def receive_message(self, host: str, message: HostMessage) -> None:
-        """Apply a total load or news of engines that leave, sent by another host."""
+        """Apply a total load, or which engines leave, as sent by another host."""
 
 
 class HostReport(NamedTuple):
@@ -121,7 +121,7 @@
         self._timers = timers
         self._rng = context.rng
         self._statements = ServerStatements()
-        self._news = LeavingNews(
+        self._gossip = LeavingGossip(
             self._statements,
             lambda: [host for host in site.list_receivers() if host != site.host],
             timers,
@@ -195,13 +195,13 @@
             wait_s = compute_wait_s(Refusal.BUSY, statement.wait_s, self._rng)
             self._statements.record_wait(entry, now_s + wait_s)
         elif self._statements.record_leaving(engine, entry.born_ms, now_s):
-            self._news.announce(entry)
+            self._gossip.announce(entry)
 
     def receive_message(self, host: str, message: HostMessage) -> None:
-        """Apply a total load or news of engines that leave, sent by another host."""
+        """Apply a total load, or which engines leave, as sent by another host."""
         handlers = {
             DomainLoads: self._loads.receive_total,
-            LeavingServers: self._news.receive,
+            LeavingServers: self._gossip.receive,
         }
         handlers[type(message)](host, message)
 
--- a/oleanderpier/entry/leaving.py
+++ b/oleanderpier/entry/leaving.py
@@ -1,4 +1,4 @@
-"""Tells the hosts of each other which backend servers have said that they leave."""
+"""Gossip between hosts on the backend servers that have said that they leave."""
 
 import random
 from collections.abc import Callable
@@ -9,15 +9,15 @@
 from oleanderpier.routing import ServerEntry, ServerStatements
 from oleanderpier.utils import Outbox, Timers
 
-__all__ = ["LeavingNews"]
+__all__ = ["LeavingGossip"]
 
-# Upper bound of the random delay before a host tells the others. Most hosts hear of it
-# meanwhile and send nothing.
+# Upper bound of the random delay before a host sends what it has heard. Most hosts get
+# it from another one meanwhile and send nothing.
 MAX_DELAY_S = 0.25
 REMOVAL_INTERVAL_S = 5.0
 
 
-class LeavingNews:
+class LeavingGossip:
     """Sends and receives statements of servers that leave.
 
     Args:
@@ -47,7 +47,7 @@
         )
 
     def announce(self, server: ServerEntry) -> None:
-        """Tell the other hosts that a server has said to this host that it leaves."""
+        """Send the other hosts that a server has said to this host that it leaves."""
         if not self._unsent:
             delay_s = self._rng.uniform(0.0, MAX_DELAY_S)
             self._timers.call_later(delay_s, self._send_unsent)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -15,7 +15,7 @@
     outlasts_table,
 )
 from oleanderpier.entry.gauges import list_gauges
-from oleanderpier.entry.leaving import LeavingNews
+from oleanderpier.entry.leaving import LeavingGossip
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
@@ -196,7 +196,7 @@
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
         self.statements = ServerStatements()
-        self.leaving = LeavingNews(
+        self.leaving = LeavingGossip(
             self.statements,
             lambda: self.view.list_with_feature(LEAVING_FEATURE),
             timers,
--- a/oleanderpier/entry/tests/test_leaving.py
+++ b/oleanderpier/entry/tests/test_leaving.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from oleanderpier.entry.leaving import MAX_DELAY_S, LeavingNews
+from oleanderpier.entry.leaving import MAX_DELAY_S, LeavingGossip
 from oleanderpier.fleet import LeavingServers
 from oleanderpier.routing import ServerStatements
 from oleanderpier.routing.tests.fakes import make_server
@@ -24,15 +24,15 @@
         self.timers = ManualTimers()
         self.sent: list[str] = []
         self.statements: dict[str, ServerStatements] = {}
-        self.news: dict[str, LeavingNews] = {}
+        self.gossips: dict[str, LeavingGossip] = {}
         for number in range(hosts):
             self._add_host(f"h{number}")
 
     def _add_host(self, name: str) -> None:
         self.statements[name] = ServerStatements()
-        self.news[name] = LeavingNews(
+        self.gossips[name] = LeavingGossip(
             self.statements[name],
-            lambda: [host for host in self.news if host != name],
+            lambda: [host for host in self.gossips if host != name],
             self.timers,
             random.Random(name),
             _Outbox(self, name),
@@ -43,7 +43,7 @@
         if self.statements[host].record_leaving(
             server.identity, server.born_ms, self.timers.now()
         ):
-            self.news[host].announce(server)
+            self.gossips[host].announce(server)
 
 
 class _Outbox:
@@ -53,7 +53,7 @@
 
     def send(self, host: str, message: LeavingServers) -> bool:
         self._fleet.sent.append(self._sender)
-        self._fleet.news[host].receive(self._sender, message)
+        self._fleet.gossips[host].receive(self._sender, message)
         return True
 
     def send_to_all(self, hosts: list[str], message: LeavingServers) -> None:
@@ -61,7 +61,7 @@
             self.send(host, message)
 
 
-class LeavingNewsTest(TestCase):
+class LeavingGossipTest(TestCase):
     """All hosts learn that a server leaves, whoever has heard it."""
 
     def test_every_host_learns_of_it(self):
@@ -75,7 +75,7 @@
     def test_only_the_first_of_many_hosts_tells_the_others(self):
         """The messages do not grow with the square of the hosts."""
         fleet = _Fleet(30)
-        for host in fleet.news:
+        for host in fleet.gossips:
             fleet.hear(host)
         fleet.timers.advance(2 * MAX_DELAY_S)
         self.assertEqual(1, len(set(fleet.sent)))
@@ -85,7 +85,7 @@
         """A statement of an earlier run does not hold it back."""
         fleet = _Fleet(3)
         fleet.hear("h0", SERVER._replace(born_ms=9))
-        fleet.news["h0"].receive("h1", LeavingServers([("s1", 5)]))
+        fleet.gossips["h0"].receive("h1", LeavingServers([("s1", 5)]))
         fleet.timers.advance(MAX_DELAY_S)
         self.assertTrue(fleet.statements["h2"].is_leaving(SERVER._replace(born_ms=9)))
 
@@ -95,5 +95,5 @@
         fleet.hear("h0")
         fleet.timers.advance(MAX_DELAY_S)
         fleet._add_host("new")
-        fleet.news["h0"].send_all("new")
+        fleet.gossips["h0"].send_all("new")
         self.assertTrue(fleet.statements["new"].is_leaving(SERVER))
--- a/tests/test_leaving_header.py
+++ b/tests/test_leaving_header.py
@@ -8,7 +8,7 @@
 from standins.platform_fleet import PlatformFleet
 
 # Within this time every host knows what a server has said to one of them.
-NEWS_S = 1.0
+GOSSIP_S = 1.0
 REQUEST_COUNT = 20
 
 
@@ -36,21 +36,21 @@
             leaving.response_headers["Server-Leaving"] = "1"
             await self.send_requests(fleet, 0, "first")
             self.assertEqual(1, len(leaving.request_ids))
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(GOSSIP_S)
             await self.send_requests(fleet, 1, "other")
             fleet.register_server(leaving, "ready", born=7)
             fleet.store.refuses_calls = True
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(GOSSIP_S)
             await self.send_requests(fleet, 0, "outage")
             fleet.store.refuses_calls = False
             # A host that starts later has read only the store.
             await fleet.start_host(2)
             await fleet.wait_until_ready(2)
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(GOSSIP_S)
             await self.send_requests(fleet, 2, "newcomer")
             self.assertEqual(1, len(leaving.request_ids))
             del leaving.response_headers["Server-Leaving"]
             fleet.register_server(leaving, "ready", born=8)
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(GOSSIP_S)
             await self.send_requests(fleet, 0, "restarted")
             self.assertGreater(len(leaving.request_ids), 1)
