Log the parts of the prompt of a response that was not delivered

The logs of the incident can't tell whether the streams that broke before their first event have a part of their prompts in common, which is what divides the hypotheses. forward:send now has the parts, and for how long whole events had arrived. Lines of delivered responses have no parts, so that the volume stays bounded.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -95,6 +95,7 @@
         reason: The reason for the outcome, as text for the log.
         framing: What ends the body of the response, None before its head.
         received_bytes: Bytes of the body received so far.
+        first_event_at_s: When the first whole event was received, None before.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         self.reason = ""
         self.framing: Framing | None = None
         self.received_bytes = 0
+        self.first_event_at_s: float | None = None
         self._session = session
         self._dialect = dialect
         self._activity = activity
@@ -124,7 +126,6 @@
         self._on_head = on_head
         self._http_response: aiohttp.ClientResponse | None = None
         self._waiting_since_s = timers.now()
-        self._received_events = False
 
     async def run(
         self, caller: Caller, splitter: EventSplitter, response_started: bool
@@ -277,7 +278,7 @@
                 timeout_s = self._get_gap_timeout_s()
                 if not events:
                     continue
-                self._received_events = True
+                self._record_events()
                 if not response_started:
                     await caller.begin_stream(head)
                     response_started = True
@@ -298,6 +299,11 @@
         await caller.finish_stream()
         return AttemptOutcome.DELIVERED
 
+    def _record_events(self) -> None:
+        """Record that whole events were received."""
+        if self.first_event_at_s is None:
+            self.first_event_at_s = self._timers.now()
+
     def _explain_missing_part(self, splitter: EventSplitter) -> str:
         """Return why a stream whose body has ended is incomplete, empty if it is not.
 
@@ -306,7 +312,7 @@
         """
         if splitter.is_inside_event:
             return f"ended inside the event after {splitter.last_event_id}"
-        if self.framing is Framing.CONNECTION and not self._received_events:
+        if self.framing is Framing.CONNECTION and self.first_event_at_s is None:
             return "the connection ended before an event"
         return ""
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -47,6 +47,8 @@
 RETRY_AFTER_S = 0.25
 # Number of values of hash_text.
 HASH_RANGE = 1 << 64
+# Upper bound of the parts of a prompt in a line of the log.
+MAX_LOGGED_PARTS = 16
 # Outcome in the log of an attempt that was cancelled.
 INTERRUPTED = "interrupted"
 
@@ -279,6 +281,8 @@
         self, choice: Choice, attempt: Attempt, outcome: str, started_s: float
     ) -> None:
         """Log an attempt, with what this host believed when it chose the server."""
+        ended_s = self._forwarder.timers.now()
+        first_at_s = attempt.first_event_at_s
         # Loads and statistics are as old as at the start of the attempt.
         mean_age_s = choice.load_age_s + max(0.0, started_s - choice.stats.computed_s)
         log_message(
@@ -303,9 +307,13 @@
             framing=attempt.framing.value if attempt.framing else "",
             received_bytes=attempt.received_bytes,
             partial_event_bytes=len(self._splitter.remainder),
+            events_for_s=None if first_at_s is None else round(ended_s - first_at_s, 4),
+            prompt_parts=[]
+            if outcome == AttemptOutcome.DELIVERED.value
+            else [part.identity for part in self._call.prompt_parts][:MAX_LOGGED_PARTS],
             ending=outcome,
             reason=self._reason,
-            took_s=round(self._forwarder.timers.now() - started_s, 4),
+            took_s=round(ended_s - started_s, 4),
         )
 
     def _get_timeout_code(self) -> Code:
--- a/oleanderpier/forwarding/tests/test_logs.py
+++ b/oleanderpier/forwarding/tests/test_logs.py
@@ -67,3 +67,15 @@
                 ),
                 name,
             )
+
+    def test_parts_of_prompt_of_broken_response(self):
+        """The line names the parts, and for how long events had arrived."""
+        cases = {
+            "whole": (stream_events(3), [], True),
+            "broken after an event": (cut_stream(3), ["p", "own"], True),
+            "broken before an event": (cut_stream(0), ["p", "own"], False),
+        }
+        for name, (behave, parts, has_events) in cases.items():
+            line = log_attempt(behave)
+            self.assertEqual(parts, line["prompt_parts"], name)
+            self.assertEqual(has_events, line["events_for_s"] is not None, name)
