--- a/soak/observations.py
+++ b/soak/observations.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from soak.schedule import FaultKind
-from standins.platform_fleet import StandInServer
+from standins.backend_server import StandInServer
 
 __all__ = [
     "CallerRequest",
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -20,12 +20,8 @@
 )
 from soak.proxy import FaultProxy
 from soak.schedule import Fault, FaultKind, make_schedule
-from standins.platform_fleet import (
-    LEAVING_HEADER,
-    PartFault,
-    PlatformFleet,
-    StandInServer,
-)
+from standins.backend_server import LEAVING_HEADER, PartFault, StandInServer
+from standins.platform_fleet import PlatformFleet
 
 __all__ = ["SoakSettings", "run_seed"]
 
--- /dev/null
+++ b/standins/backend_server.py
@@ -0,0 +1,173 @@
+"""A backend server of the users' platform that records what it executes."""
+
+import asyncio
+import zlib
+from enum import Enum
+
+from aiohttp import web
+
+from standins.raw_responses import ConnectionEnd, pick_end, send_without_length
+
+__all__ = ["LEAVING_HEADER", "PartFault", "StandInServer"]
+
+EVENT_INTERVAL_S = 0.1
+LEAVING_HEADER = "Server-Leaving"
+
+
+# Share of the requests that a ``PartFault`` affects, in percent.
+PART_FAULT_PERCENT = 45
+# A whole response that belongs to no request.
+EXTRA_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+
+
+class PartFault(Enum):
+    """What a server does to a part of its requests while it counts as healthy.
+
+    ``ERROR`` and ``MUTE`` execute the request, ``REFUSAL`` does not. ``EXTRA_BYTES``
+    are sent after a whole response. A response ``WITHOUT_LENGTH`` ends with its
+    connection, which may be closed or reset before its end.
+    """
+
+    NONE = "none"
+    ERROR = "error"
+    MUTE = "mute"
+    REFUSAL = "refusal"
+    EXTRA_BYTES = "extra_bytes"
+    WITHOUT_LENGTH = "without_length"
+
+
+class StandInServer:
+    """A backend server that records the requests that it executes.
+
+    Args:
+        instance_id: Id of the server in the store.
+        event_count: Number of events in each stream.
+
+    Attributes:
+        instance_id: Id of the server in the store.
+        address: ``IP:PORT`` at which hosts connect to it.
+        request_ids: Ids of the executed requests, in the order of their arrival.
+        request_times_s: Arrival time of each of them, on the event loop's clock.
+        request_headers: Headers of each of them.
+        returns_errors: Whether it answers executed requests with status 500.
+        aborted_streams: Number of streams whose host disconnected early.
+        part_fault: What it does to a part of its requests.
+        response_headers: Headers that it adds to its responses.
+        asks_to_wait_s: Seconds for which it asks in place of executing; 0 to execute.
+        arrivals: Id and time of each request, executed or not.
+        statements: Id and time of each request that was answered with a statement, and
+            the seconds that it asked for, 0 if it said that it leaves.
+    """
+
+    def __init__(self, instance_id: str, event_count: int = 20) -> None:
+        self.instance_id = instance_id
+        self.request_ids: list[str] = []
+        self.request_times_s: list[float] = []
+        self.returns_errors = False
+        self.request_headers: list[dict[str, str]] = []
+        self.aborted_streams = 0
+        self.part_fault = PartFault.NONE
+        self.response_headers: dict[str, str] = {}
+        self.asks_to_wait_s = 0.0
+        self.arrivals: list[tuple[str, float]] = []
+        self.statements: list[tuple[str, float, float]] = []
+        self._event_count = event_count
+
+    async def start(self, port: int) -> None:
+        """Listen on a port of the loopback address."""
+        server = web.Server(self._handle_request, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self._runner.cleanup()
+
+    async def _handle_request(self, request) -> web.StreamResponse:
+        if request.headers.get("Expect-Instance") != self.instance_id:
+            return web.Response(status=421)
+        request_id = request.headers["Request-Id"]
+        at_s = asyncio.get_running_loop().time()
+        self.arrivals.append((request_id, at_s))
+        part_fault = self._find_part_fault(request_id)
+        refusal = self._refuse(request_id, at_s, part_fault)
+        if refusal is not None:
+            return refusal
+        self.request_ids.append(request_id)
+        self.request_times_s.append(at_s)
+        self.request_headers.append(dict(request.headers))
+        headers = {
+            "Request-Id": request_id,
+            "Response-Signature": self.instance_id,
+            **self.response_headers,
+        }
+        if self.returns_errors or part_fault is PartFault.ERROR:
+            return web.Response(status=500, headers=headers)
+        if part_fault is PartFault.MUTE:
+            # Ends when the host disconnects.
+            await asyncio.Event().wait()
+        if request.path.startswith("/chat/"):
+            return await self._send_stream(request, headers, part_fault)
+        text = f"{self.instance_id} ran {request_id}"
+        if part_fault is PartFault.WITHOUT_LENGTH:
+            end = pick_end(request_id, (ConnectionEnd.AFTER_BODY, ConnectionEnd.RESET))
+            return await send_without_length(
+                request, headers, [text.encode()], end, EVENT_INTERVAL_S
+            )
+        response = web.Response(text=text, headers=headers)
+        if part_fault is PartFault.EXTRA_BYTES:
+            await response.prepare(request)
+            await response.write_eof()
+            if request.transport is not None:
+                request.transport.write(EXTRA_BYTES)
+        return response
+
+    def _refuse(
+        self, request_id: str, at_s: float, part_fault: PartFault
+    ) -> web.Response | None:
+        """Return the refusal of a request, None to execute it; record statements."""
+        if self.asks_to_wait_s:
+            self.statements.append((request_id, at_s, self.asks_to_wait_s))
+            headers = {"Not-Executed": "1", "Retry-After": str(self.asks_to_wait_s)}
+            return web.Response(status=503, headers=headers)
+        if part_fault is not PartFault.MUTE and LEAVING_HEADER in self.response_headers:
+            self.statements.append((request_id, at_s, 0.0))
+        if part_fault is PartFault.REFUSAL:
+            refusal = {"Not-Executed": "1", **self.response_headers}
+            return web.Response(status=503, headers=refusal)
+        return None
+
+    def _find_part_fault(self, request_id: str) -> PartFault:
+        """Return what happens to a request; the same for each send of it."""
+        is_affected = zlib.crc32(request_id.encode()) % 100 < PART_FAULT_PERCENT
+        return self.part_fault if is_affected else PartFault.NONE
+
+    async def _send_stream(
+        self, request, headers, part_fault: PartFault
+    ) -> web.StreamResponse:
+        headers["Content-Type"] = "text/event-stream"
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        events = [
+            f"id: {number}\ndata: t{number}\n\n".encode()
+            for number in range(first, self._event_count + 1)
+        ]
+        if part_fault is PartFault.WITHOUT_LENGTH and events:
+            end = pick_end(headers["Request-Id"], tuple(ConnectionEnd))
+            return await send_without_length(
+                request, headers, events, end, EVENT_INTERVAL_S
+            )
+        response = web.StreamResponse(headers=headers)
+        try:
+            await response.prepare(request)
+            for event in events:
+                await response.write(event)
+                await asyncio.sleep(EVENT_INTERVAL_S)
+        except asyncio.CancelledError:
+            self.aborted_streams += 1
+            raise
+        except ConnectionError:
+            # The host has disconnected.
+            self.aborted_streams += 1
+        return response
