Test that a prompt part that crashes servers is refused; known red

Three hosts and nine servers as in the incident: requests with one part in common, sent to all hosts, no two alike, end each server that begins to answer. That is the record: nothing connects the content of a request with the end of its server.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from collections.abc import Callable
 from enum import Enum
 
 from aiohttp import web
@@ -11,6 +12,9 @@
 __all__ = ["LEAVING_HEADER", "PartFault", "StandInServer"]
 
 EVENT_INTERVAL_S = 0.1
+# Time from a crash until the server listens again.
+RESTART_DELAY_S = 2.0
+PROMPT_HEADER = "Prompt-Prefix"
 LEAVING_HEADER = "Server-Leaving"
 
 
@@ -57,6 +61,11 @@
         arrivals: Id and time of each request, executed or not.
         statements: Id and time of each request that was answered with a statement, and
             the seconds that it asked for, 0 if it said that it leaves.
+        crashing_part: A part of prompts on which the server crashes as soon as it
+            begins to answer; the last part of a prompt does not count.
+        crash_times_s: When it crashed.
+        run: The number of its starts.
+        on_restart: Called when it has started again.
     """
 
     def __init__(self, instance_id: str, event_count: int = 20) -> None:
@@ -71,19 +80,43 @@
         self.asks_to_wait_s = 0.0
         self.arrivals: list[tuple[str, float]] = []
         self.statements: list[tuple[str, float, float]] = []
+        self.crashing_part = ""
+        self.crash_times_s: list[float] = []
+        self.run = 0
+        self.on_restart: Callable[[], None] = lambda: None
         self._event_count = event_count
+        self._restarting: asyncio.Task[None] | None = None
 
     async def start(self, port: int) -> None:
         """Listen on a port of the loopback address."""
-        server = web.Server(self._handle_request, handler_cancellation=True)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self.run += 1
+        self._server = web.Server(self._handle_request, handler_cancellation=True)
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._server, "127.0.0.1", port
+        )
         self.address = f"127.0.0.1:{port}"
 
     async def stop(self) -> None:
         """Stop listening."""
-        await self._runner.cleanup()
+        if self._restarting is not None:
+            self._restarting.cancel()
+        self._listener.close()
+        await self._server.shutdown(0.1)
+
+    def crash(self) -> None:
+        """End all connections and stop listening; start again after some time."""
+        loop = asyncio.get_running_loop()
+        self.crash_times_s.append(loop.time())
+        self._listener.close()
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        self._restarting = loop.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start(int(self.address.rpartition(":")[2]))
+        self.on_restart()
 
     async def _handle_request(self, request) -> web.StreamResponse:
         if request.headers.get("Expect-Instance") != self.instance_id:
@@ -139,6 +172,11 @@
             return web.Response(status=503, headers=refusal)
         return None
 
+    def _crashes_on(self, request) -> bool:
+        """Return whether the prompt of a request has the part that ends the server."""
+        parts = request.headers.get(PROMPT_HEADER, "").split(",")[:-1]
+        return self.crashing_part in [part.partition(":")[0] for part in parts]
+
     def _find_part_fault(self, request_id: str) -> PartFault:
         """Return what happens to a request; the same for each send of it."""
         is_affected = zlib.crc32(request_id.encode()) % 100 < PART_FAULT_PERCENT
@@ -161,6 +199,9 @@
         response = web.StreamResponse(headers=headers)
         try:
             await response.prepare(request)
+            if self._crashes_on(request):
+                self.crash()
+                return response
             for event in events:
                 await response.write(event)
                 await asyncio.sleep(EVENT_INTERVAL_S)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -126,6 +126,7 @@
         """Start a backend server and register it in the store."""
         server = StandInServer(f"i-{len(self.servers)}", event_count)
         await server.start(find_free_port())
+        server.on_restart = lambda: self.register_server(server, born=server.run)
         self.servers.append(server)
         self.register_server(server)
         return server
