Refuse requests with a prompt part that has crashed servers

Cause: nothing connected the content of a request with the end of its server. Each request with the part was a new request to every host, went to the next server, and was even sent to a second one where its route allows that.

Now a response that breaks off before half a second of events is followed by one connection to its server. If that is refused, the server has crashed, and the request is a suspect, with the parts of its prompt but the last one. All hosts get the suspects. A part that was in three crashes, and in no whole response since the first of them, is quarantined: requests with it are refused at once (117, 503) with the time to come back. Parts that were answered before go free first, so that the parts which sound requests share are not blamed; parts that stay equally likely are tried apart, by one host. After the quarantine one host tries one request; the time doubles if that ends a server. A request with a part that was in two crashes is not sent to a second server. The crashed server is backed off from at once, which spares its other requests a refused connect.

Why it works: such a part can't be in a whole response, so its count only rises, while each other part's count begins anew at each of its responses.

--- /dev/null
+++ b/oleanderpier/entry/crash_gossip.py
@@ -0,0 +1,145 @@
+"""Gossip between hosts on servers that crashed, and on the prompts behind it."""
+
+import random
+from collections.abc import Callable
+
+from eliot import log_message
+
+from oleanderpier.fleet import CrashNews, ReportedCrash, ReportedQuarantine
+from oleanderpier.forwarding import log_quarantines
+from oleanderpier.routing import (
+    Crash,
+    PoisonParts,
+    PromptKeys,
+    Quarantine,
+    ServerEntry,
+)
+from oleanderpier.utils import Outbox, Timers
+
+__all__ = ["CrashGossip"]
+
+# Upper bound of the random delay before a host sends that a request was answered. Most
+# hosts get it from another one meanwhile and send nothing.
+MAX_DELAY_S = 0.25
+# Interval at which a host sends its quarantines to one of the others, since messages
+# may be lost.
+REPEAT_INTERVAL_S = 1.0
+REMOVAL_INTERVAL_S = 5.0
+
+
+class CrashGossip:
+    """Sends and receives crashes and what is known of their causes.
+
+    Args:
+        poison: What is known of the parts of prompts that crash servers.
+        list_receivers: Returns the other hosts that take these messages.
+        timers: The timer service.
+        rng: The source of randomness.
+        outbox: Sends messages to other hosts.
+    """
+
+    def __init__(
+        self,
+        poison: PoisonParts,
+        list_receivers: Callable[[], list[str]],
+        timers: Timers,
+        rng: random.Random,
+        outbox: Outbox,
+    ) -> None:
+        self._poison = poison
+        self._list_receivers = list_receivers
+        self._timers = timers
+        self._rng = rng
+        self._outbox = outbox
+        self._unsent_sound_s: dict[str, float] = {}
+        timers.subscribe(REPEAT_INTERVAL_S, self._repeat_quarantines)
+        timers.subscribe(
+            REMOVAL_INTERVAL_S, lambda: poison.remove_expired(timers.now())
+        )
+
+    def announce_crash(
+        self, server: ServerEntry, at_s: float, suspects: list[PromptKeys]
+    ) -> None:
+        """Send the other hosts a crash, with this host's suspects."""
+        crash = Crash(
+            server.identity, server.born_ms, at_s, frozenset(suspects), frozenset()
+        )
+        self._outbox.send_to_all(
+            self._list_receivers(), CrashNews([self._report_crash(crash)], [], [])
+        )
+
+    def announce_sound(self, prompt: PromptKeys) -> None:
+        """Send the other hosts that a request with suspected parts was answered."""
+        if not self._unsent_sound_s:
+            delay_s = self._rng.uniform(0.0, MAX_DELAY_S)
+            self._timers.call_later(delay_s, self._send_sound)
+        self._unsent_sound_s |= dict.fromkeys(prompt, self._timers.now())
+
+    def receive(self, sender: str, message: CrashNews) -> None:
+        """Apply what another host knows."""
+        now_s = self._timers.now()
+        for part, age_s in message.sound:
+            self._unsent_sound_s.pop(part, None)
+            self._poison.record_sound((part,), now_s - age_s)
+        for reported in message.quarantines:
+            quarantine = Quarantine(
+                reported.part,
+                now_s - reported.age_s,
+                reported.term_s,
+                frozenset(reported.group),
+            )
+            if self._poison.receive_quarantine(quarantine):
+                log_quarantines([quarantine], sender)
+        for crash in message.crashes:
+            log_quarantines(
+                self._poison.record_crash(
+                    crash.identity,
+                    crash.born_ms,
+                    now_s - crash.age_s,
+                    [tuple(prompt) for prompt in crash.suspects],
+                ),
+                sender,
+            )
+
+    def send_all(self, newcomer: str) -> None:
+        """Send everything to a host that has just started."""
+        now_s = self._timers.now()
+        crashes = [self._report_crash(crash) for crash in self._poison.list_crashes()]
+        if not crashes or newcomer not in self._list_receivers():
+            return
+        sound = [(part, now_s - at_s) for part, at_s in self._poison.list_sound()]
+        self._outbox.send(
+            newcomer, CrashNews(crashes, sound, self._report_quarantines())
+        )
+        log_message("poison:sent", host=newcomer, crashes=len(crashes))
+
+    def _send_sound(self) -> None:
+        now_s = self._timers.now()
+        sound = [(part, now_s - at_s) for part, at_s in self._unsent_sound_s.items()]
+        self._unsent_sound_s = {}
+        if sound:
+            self._outbox.send_to_all(self._list_receivers(), CrashNews([], sound, []))
+
+    def _repeat_quarantines(self) -> None:
+        quarantines = self._report_quarantines()
+        receivers = self._list_receivers() if quarantines else []
+        if receivers:
+            host = self._rng.choice(receivers)
+            self._outbox.send(host, CrashNews([], [], quarantines))
+
+    def _report_crash(self, crash: Crash) -> ReportedCrash:
+        return ReportedCrash(
+            crash.identity,
+            crash.born_ms,
+            self._timers.now() - crash.at_s,
+            sorted(crash.suspects),
+        )
+
+    def _report_quarantines(self) -> list[ReportedQuarantine]:
+        now_s = self._timers.now()
+        return [
+            ReportedQuarantine(
+                each.part, now_s - each.since_s, each.term_s, sorted(each.group)
+            )
+            for each in self._poison.list_quarantines()
+        ]
--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -26,6 +26,11 @@
             "Servers that get no requests for a time.",
             lambda: node.statements.count_waits(node.timers.now()),
         ),
+        (
+            "prompt_parts_quarantined",
+            "Prompt parts with which requests are refused.",
+            lambda: len(node.poison.list_quarantines()),
+        ),
         (
             "configuration_version",
             "Version in force.",
--- a/oleanderpier/entry/newcomers.py
+++ b/oleanderpier/entry/newcomers.py
@@ -27,7 +27,7 @@
         replicas: The replicas of this host.
         timers: The timer service.
         outbox: Sends messages to other hosts.
-        send_leaving: Sends a host which servers have said that they leave.
+        senders: Each sends a host one kind of further knowledge.
     """
 
     def __init__(
@@ -38,7 +38,7 @@
         replicas: Iterable[Replica],
         timers: Timers,
         outbox: Outbox,
-        send_leaving: Callable[[str], None],
+        senders: Iterable[Callable[[str], None]],
     ) -> None:
         self._host = host
         self._list_ready = list_ready
@@ -46,7 +46,7 @@
         self._replicas = list(replicas)
         self._timers = timers
         self._outbox = outbox
-        self._send_leaving = send_leaving
+        self._senders = list(senders)
 
     def send(self, newcomer: str) -> None:
         """Send the updates to a host, if this is the one that has to.
@@ -59,7 +59,8 @@
         placements = self._caches.list_entries()
         if placements:
             self._outbox.send(newcomer, CachePlacements(placements))
-        self._send_leaving(newcomer)
+        for send in self._senders:
+            send(newcomer)
         self._send_retained_items(newcomer)
 
     def receive(self, sender: str, message: CachePlacements) -> None:
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -8,6 +8,8 @@
 from expression import Error, Result
 
 from oleanderpier.connections import make_session
+from oleanderpier.entry.admission import check_draining_admission
+from oleanderpier.entry.crash_gossip import CrashGossip
 from oleanderpier.entry.encoding import (
     decode_server,
     decode_table,
@@ -19,12 +21,15 @@
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
+from oleanderpier.entry.staleness import convert_if_stale
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
 from oleanderpier.fleet import (
+    CRASHES_FEATURE,
     DOMAIN_LOADS_FEATURE,
     LEAVING_FEATURE,
     CachePlacements,
+    CrashNews,
     DomainLoads,
     FleetLoads,
     FleetSite,
@@ -33,7 +38,7 @@
     LeavingServers,
     ServerUse,
 )
-from oleanderpier.forwarding import Dialect, Forwarder, ServerActivity
+from oleanderpier.forwarding import CrashGuard, Dialect, Forwarder, ServerActivity
 from oleanderpier.membership import HostEndpoint, Members, MemberState
 from oleanderpier.peers import Mesh, split_address
 from oleanderpier.replication import (
@@ -54,7 +59,7 @@
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
-    RequestKind,
+    PoisonParts,
     RetryBudget,
     Roster,
     Route,
@@ -62,7 +67,7 @@
     ServerHealth,
     ServerStatements,
 )
-from oleanderpier.utils import LoopTimers
+from oleanderpier.utils import LoopTimers, rank_candidates
 
 __all__ = [
     "ADDRESS_TTL_S",
@@ -79,12 +84,10 @@
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 # What this host announces in its reports.
 FEATURES = dict.fromkeys(
-    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE), ReplicaSummary(0, 0, 0.0)
+    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE, CRASHES_FEATURE),
+    ReplicaSummary(0, 0, 0.0),
 )
 MILLISECONDS_PER_S = 1000
-# An older configuration may have been replaced. The limit is above the time for
-# which the platform holds a watch call.
-MAX_CONFIGURATION_AGE_S = 4.0
 # How long callers may use an address list. Some use it up to ``MAX_TTL_FACTOR``
 # times as long.
 ADDRESS_TTL_S = 0.5
@@ -203,6 +206,14 @@
             self._rng,
             self.mesh,
         )
+        self.poison = PoisonParts()
+        self.crash_gossip = CrashGossip(
+            self.poison,
+            lambda: self.view.list_with_feature(CRASHES_FEATURE),
+            timers,
+            self._rng,
+            self.mesh,
+        )
         self.server_activity = ServerActivity(timers)
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
@@ -230,10 +241,11 @@
             self.replicas.values(),
             self.timers,
             self.mesh,
-            self.leaving.send_all,
+            (self.leaving.send_all, self.crash_gossip.send_all),
         )
         self.view.subscribe_appeared(newcomers.send)
         self.mesh.subscribe(LeavingServers, self.leaving.receive)
+        self.mesh.subscribe(CrashNews, self.crash_gossip.receive)
         self.roster.subscribe_removed(self.statements.record_end)
         self.mesh.subscribe(CachePlacements, newcomers.receive)
         for message_class in (ItemsUpdate, ItemsQuery):
@@ -262,6 +274,14 @@
             self.server_activity,
             self.timers,
             self.statements,
+            CrashGuard(
+                self.poison,
+                self.health,
+                self.timers,
+                self._is_tester,
+                self.crash_gossip.announce_crash,
+                self.crash_gossip.announce_sound,
+            ),
             self._rng,
             self.metrics.record_attempt,
             self.leaving.announce,
@@ -321,26 +341,17 @@
     def check_admission(self, route: Route) -> Failure | None:
         """Return the failure to refuse a new request with, None to admit it.
 
-        A draining host admits all requests while callers may still use an old
-        address list. After that it admits only requests that are expected to end
-        within half of the grace period, and no streams.
-
         Args:
             route: The request's route.
         """
         if self.state != "draining":
             return None
-        draining_s = self.timers.now() - self._drain_started_s
-        max_ttl_s = MAX_TTL_FACTOR * ADDRESS_TTL_S
-        expected_end_s = draining_s + (
-            route.target_s if route.kind is not RequestKind.STREAM else 0
+        return check_draining_admission(
+            route,
+            self.timers.now() - self._drain_started_s,
+            MAX_TTL_FACTOR * ADDRESS_TTL_S,
+            self.settings.grace_s,
         )
-        if draining_s <= max_ttl_s or (
-            route.kind is not RequestKind.STREAM
-            and expected_end_s < self.settings.grace_s / 2
-        ):
-            return None
-        return Failure(Code.HOST_LEAVING, "", 0.0)
 
     def find_route(self, host_name: str, path: str) -> Result[Route, Failure]:
         """Return the route of a request, or the failure if there is none."""
@@ -350,12 +361,15 @@
         if empty_spaces:
             text = f"nothing is known yet of {' and '.join(empty_spaces)}"
             return Error(Failure(Code.HOST_NOT_READY, text, ADDRESS_TTL_S / 2))
-        return self._convert_if_stale(self.route_index.find_route(host_name, path))
+        return convert_if_stale(
+            self.route_index.find_route(host_name, path), self.get_configuration_age_s()
+        )
 
     def find_workspace(self, route: Route, credential: str | None) -> Result:
         """Return the workspace of a credential, or the failure if there is none."""
-        return self._convert_if_stale(
-            self.route_index.find_workspace(route, credential)
+        return convert_if_stale(
+            self.route_index.find_workspace(route, credential),
+            self.get_configuration_age_s(),
         )
 
     def get_configuration_age_s(self) -> float:
@@ -373,20 +387,6 @@
         self._rng.shuffle(addresses)
         return addresses
 
-    def _convert_if_stale(self, result: Result) -> Result:
-        """Replace the failure of a lookup by ``VIEW_STALE`` if it may be outdated.
-
-        A newer configuration may have the route or workspace, so the caller
-        should retry at another host.
-        """
-        if result.is_ok():
-            return result
-        age_s = self.get_configuration_age_s()
-        if age_s <= MAX_CONFIGURATION_AGE_S:
-            return result
-        text = f"{result.error.text}; configuration confirmed {age_s:.1f} s ago"
-        return Error(Failure(Code.VIEW_STALE, text, 0.0))
-
     def _start_task(self, coroutine) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
@@ -467,6 +467,12 @@
         own = [self.settings.peer_address] if self.state == "ready" else []
         return [*self.view.list_ready(), *own]
 
+    def _is_tester(self, part: str) -> bool:
+        """Return whether this is the host that tries a quarantined prompt part."""
+        return rank_candidates(part, self._list_ready())[:1] == [
+            self.settings.peer_address
+        ]
+
     def _apply_configuration(self, change: Change) -> None:
         for item in change.items:
             if item.key != CONFIGURATION_KEY or not item.value:
@@ -486,9 +492,7 @@
     def _apply_servers(self, change: Change) -> None:
         self.outages.check_age()
         for item in change.items:
-            entry = None
-            if item.value:
-                entry = decode_server(item.value)
+            entry = decode_server(item.value) if item.value else None
             self.roster.update_entry(item.key, entry)
 
 
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -6,12 +6,16 @@
 from oleanderpier.utils import register_message
 
 __all__ = [
+    "CRASHES_FEATURE",
     "DOMAIN_LOADS_FEATURE",
     "LEAVING_FEATURE",
     "CachePlacements",
+    "CrashNews",
     "DomainLoads",
     "HostReport",
     "LeavingServers",
+    "ReportedCrash",
+    "ReportedQuarantine",
     "ServerUse",
     "merge_reports",
 ]
@@ -37,6 +41,8 @@
 DOMAIN_LOADS_FEATURE = "feature:domain_loads"
 # The same for ``LeavingServers``.
 LEAVING_FEATURE = "feature:leaving_servers"
+# The same for ``CrashNews``.
+CRASHES_FEATURE = "feature:crash_news"
 
 
 @register_message(135)
@@ -103,6 +109,54 @@
     servers: list[tuple[str, int]]
 
 
+class ReportedCrash(NamedTuple):
+    """A crash of a backend server.
+
+    Attributes:
+        identity: The server's id.
+        born_ms: The start of the run that ended, in Unix milliseconds, 0 if unknown.
+        age_s: The seconds since it ended.
+        suspects: The prompts of the requests that may have caused it, as part ids.
+    """
+
+    identity: str
+    born_ms: int
+    age_s: float
+    suspects: list[tuple[str, ...]]
+
+
+class ReportedQuarantine(NamedTuple):
+    """A part of prompts with which requests are refused.
+
+    Attributes:
+        part: The part's id.
+        age_s: The seconds since the quarantine began.
+        term_s: Its length, in seconds.
+        group: The ids of the parts that were in the same crashes.
+    """
+
+    part: str
+    age_s: float
+    term_s: float
+    group: list[str]
+
+
+@register_message(139)
+class CrashNews(NamedTuple):
+    """Crashes of backend servers, and what is known of the prompts behind them.
+
+    Attributes:
+        crashes: Crashes with suspects.
+        sound: Pairs of the id of a prompt part under suspicion and the seconds since
+            a request with it was answered.
+        quarantines: The parts with which requests are refused.
+    """
+
+    crashes: list[ReportedCrash]
+    sound: list[tuple[str, float]]
+    quarantines: list[ReportedQuarantine]
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/forwarding/__init__.py
+++ b/oleanderpier/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwarding: sends requests to backend servers and returns complete responses."""
 
 from oleanderpier.forwarding.attempts import *  # noqa: F403
+from oleanderpier.forwarding.crash_guard import *  # noqa: F403
 from oleanderpier.forwarding.events import *  # noqa: F403
 from oleanderpier.forwarding.forwarder import *  # noqa: F403
 from oleanderpier.forwarding.records import *  # noqa: F403
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 
 from oleanderpier.connections import Framing
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse, ServerActivity
+from oleanderpier.forwarding.crash_guard import CrashGuard
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.records import (
     Call,
@@ -77,6 +78,7 @@
         server_activity: When each server last sent something.
         timers: The timer service.
         statements: What the servers have said of whether they want requests.
+        guard: Keeps requests that crash servers away from them.
         rng: The source of randomness.
         on_attempt_end: Called after each attempt, with its outcome, what ended the
             response (None without a response) and its duration in seconds; not
@@ -97,6 +99,7 @@
         server_activity: ServerActivity,
         timers: Timers,
         statements: ServerStatements,
+        guard: CrashGuard,
         rng: random.Random,
         on_attempt_end: Callable[
             [AttemptOutcome, Framing | None, float], None
@@ -106,6 +109,7 @@
         self.on_attempt_end = on_attempt_end
         self._on_leaving = on_leaving
         self._statements = statements
+        self.guard = guard
         self.rng = rng
         self.session = session
         self.dialect = dialect
@@ -186,6 +190,9 @@
         """Try servers until the request has an outcome or its deadline passes."""
         forwarder = self._forwarder
         forwarder.budget.record_request(self._service)
+        refusal = forwarder.guard.find_refusal(self._call)
+        if refusal is not None:
+            return await self._refuse_with(refusal)
         time_left_s = self._call.deadline_s - forwarder.timers.now()
         try:
             async with asyncio.timeout(max(0.0, time_left_s)):
@@ -216,6 +223,9 @@
                 return await self._deliver()
             if not decision.retry:
                 return await self._finish_unsuccessful(decision.code)
+            if not forwarder.guard.may_retry(call):
+                self._reason = f"servers crashed on the prompt; {self._reason}"
+                return await self._finish_unsuccessful(decision.code)
             if decision.uses_budget and not forwarder.budget.try_acquire(self._service):
                 self._reason = f"retry budget is used up; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
@@ -275,6 +285,9 @@
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
             self._response = attempt.response
+        await forwarder.guard.record_attempt(
+            self._call, choice.server, attempt, outcome
+        )
         return outcome
 
     def _log_attempt(
@@ -353,10 +366,14 @@
             self._caller.abort()
             return self._make_outcome(Code.STREAM_CUT, 0)
         not_run = describe_code(code).fate is Fate.NOT_RUN
-        await self._caller.refuse(
+        return await self._refuse_with(
             Failure(code, self._reason, self._retry_after_s if not_run else None)
         )
-        return self._make_outcome(code, describe_code(code).http_status)
+
+    async def _refuse_with(self, failure: Failure) -> RequestOutcome:
+        self._reason = failure.text
+        await self._caller.refuse(failure)
+        return self._make_outcome(failure.code, describe_code(failure.code).http_status)
 
     def _make_outcome(self, code: Code, status: int) -> RequestOutcome:
         return RequestOutcome(
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -11,6 +11,7 @@
 from oleanderpier.connections import make_session
 from oleanderpier.forwarding import (
     Call,
+    CrashGuard,
     Forwarder,
     RequestOutcome,
     ResponseHead,
@@ -21,6 +22,7 @@
     BudgetLimits,
     CacheMap,
     Chooser,
+    PoisonParts,
     PromptPart,
     Refusal,
     RetryBudget,
@@ -410,6 +412,7 @@
                 ServerActivity(timers),
                 timers,
                 statements,
+                CrashGuard(PoisonParts(), health, timers),
                 rng,
             )
             try:
--- /dev/null
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -0,0 +1,119 @@
+"""Tests of requests that crash servers, with servers on loopback."""
+
+import asyncio
+
+from testtools import TestCase
+
+from oleanderpier.connections import refuses_connections
+from oleanderpier.forwarding import list_prompt_keys
+from oleanderpier.forwarding.tests.fakes import (
+    ForwarderFixture,
+    ReceivedRequest,
+    RecordingCaller,
+    cut_stream,
+    make_call,
+    reset_connection,
+    stream_events,
+)
+from oleanderpier.results import Code
+from oleanderpier.routing import PromptPart
+from oleanderpier.routing.crashes import SIMULTANEOUS_S
+from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.utils import LoopTimers, run_coroutine
+
+
+class CrashGuardTest(TestCase):
+    """A request whose prompt has crashed servers is refused at once."""
+
+    def forward(self, fixture: ForwarderFixture, count: int, **changes) -> list:
+        """Return the outcomes of requests with one prompt, sent in turn."""
+        route = make_route(sticky=False, **changes)
+        callers = [RecordingCaller() for _ in range(count)]
+        return run_coroutine(fixture.forward_all(route, 5.0, callers))
+
+    def make_crashing(self, *behaviours) -> ForwarderFixture:
+        """Return servers that stop listening, then behave in a way, in turn."""
+        fixture = ForwarderFixture(*([] for _ in behaviours))
+        for server, behave in zip(fixture.servers, behaviours, strict=True):
+            server._script.append(self._make_crash(server, behave))
+        return fixture
+
+    def _make_crash(self, server, behave):
+        async def crash(request: ReceivedRequest) -> None:
+            await asyncio.sleep(2 * SIMULTANEOUS_S)
+            server._listener.close()
+            await behave(request)
+
+        return crash
+
+    def test_prompt_that_crashed_servers_is_refused(self):
+        """After three servers the fourth one gets no request."""
+        fixture = self.make_crashing(*[reset_connection] * 4)
+        outcomes = self.forward(fixture, 4, max_attempts=1)
+        self.assertEqual([1, 1, 1, 0], fixture.count_requests())
+        self.assertEqual(Code.PROMPT_QUARANTINED, outcomes[-1].code)
+        self.assertEqual((503, 0), (outcomes[-1].status, outcomes[-1].attempts))
+
+    def test_crash_inside_the_first_event_counts(self):
+        """So does one after the head."""
+        fixture = self.make_crashing(
+            cut_stream(0), cut_stream(0, b"id: 1"), *[cut_stream(0)] * 2
+        )
+        self.forward(fixture, 4, max_attempts=1)
+        self.assertEqual([1, 1, 1, 0], fixture.count_requests())
+
+    def test_request_is_not_sent_again_after_two_crashes(self):
+        """The first request is, after one."""
+        fixture = self.make_crashing(*[reset_connection] * 4)
+        self.forward(fixture, 2, max_attempts=4)
+        self.assertEqual([1, 1, 1, 0], fixture.count_requests())
+
+    def test_broken_responses_of_servers_that_live_do_not_count(self):
+        """They still listen."""
+        fixture = ForwarderFixture([reset_connection], slack=1000.0)
+        outcomes = self.forward(fixture, 6, max_attempts=1)
+        self.assertEqual({Code.ANSWER_LOST}, {each.code for each in outcomes})
+
+    def test_sound_request_is_answered_after_a_crash(self):
+        """It was in flight when the server crashed, and is sent to another one."""
+        fixture = self.make_crashing(reset_connection)
+        fixture.servers += ForwarderFixture([stream_events(3)]).servers
+        (outcome,) = self.forward(fixture, 1)
+        self.assertEqual(Code.DONE, outcome.code)
+
+
+class ListeningTest(TestCase):
+    """Only a refused connection shows that nothing listens."""
+
+    def test_addresses(self):
+        """A server that listens, one that has stopped, and an invalid address."""
+
+        async def check() -> list[bool]:
+            listener = await asyncio.start_server(
+                lambda reader, writer: writer.close(), "127.0.0.1", 0
+            )
+            port = listener.sockets[0].getsockname()[1]
+            timers = LoopTimers()
+            listening = await refuses_connections(f"127.0.0.1:{port}", timers)
+            listener.close()
+            await listener.wait_closed()
+            return [
+                listening,
+                await refuses_connections(f"127.0.0.1:{port}", timers),
+                await refuses_connections("nowhere", timers),
+            ]
+
+        self.assertEqual([False, True, False], run_coroutine(check()))
+
+
+class PromptKeysTest(TestCase):
+    """The keys of a prompt are bounded and leave out the request's own part."""
+
+    def test_keys(self):
+        """Long ids are hashed; a prompt of one part has no keys."""
+        parts = tuple(PromptPart(f"p{number}" * 40, 1) for number in range(40))
+        call = make_call(make_route(), 1.0)._replace(prompt_parts=parts)
+        keys = list_prompt_keys(call)
+        self.assertEqual((16, 16), (len(keys), len(set(keys))))
+        self.assertEqual({16}, set(map(len, keys)))
+        self.assertEqual((), list_prompt_keys(call._replace(prompt_parts=parts[:1])))
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -44,6 +44,7 @@
     BODY_TOO_LARGE = 114
     REQUEST_INCOMPLETE = 115
     VIEW_STALE = 116
+    PROMPT_QUARANTINED = 117
 
     CLAIM_HELD = 201
     CLAIM_NO_MAJORITY = 202
@@ -119,6 +120,7 @@
         503,
         "This host may not know the newest configuration; ask another address.",
     ),
+    Code.PROMPT_QUARANTINED: (503, "A part of the prompt has crashed backend servers."),
     Code.CLAIM_HELD: (409, "Another request with this key has the right to run."),
     Code.CLAIM_NO_MAJORITY: (
         503,
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -7,8 +7,10 @@
 from oleanderpier.routing.budget import *  # noqa: F403
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
+from oleanderpier.routing.crashes import *  # noqa: F403
 from oleanderpier.routing.health import *  # noqa: F403
 from oleanderpier.routing.load_model import *  # noqa: F403
+from oleanderpier.routing.poison import *  # noqa: F403
 from oleanderpier.routing.records import *  # noqa: F403
 from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
--- /dev/null
+++ b/oleanderpier/routing/poison.py
@@ -0,0 +1,259 @@
+"""Finds the parts of prompts that crash servers, and decides which requests to refuse.
+
+The module answers this load pattern: requests with one part of their prompts in
+common, which come at any host and are otherwise all different, crash each server that
+begins to answer one of them. The requests beside them share callers and other parts.
+
+A part is taken for the cause when servers have crashed often enough on requests with
+it, and no whole response to a request with it has been received since the first of
+these crashes. Requests with such a part are refused until its quarantine ends; then
+one host tries one of them. All times are arguments, in seconds on the monotonic clock.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from typing import NamedTuple
+
+from oleanderpier.routing.crashes import Crash, CrashLog, PromptKeys
+
+__all__ = ["PoisonParts", "Quarantine", "Verdict"]
+
+# A part that was in this many crashes is quarantined.
+QUARANTINE_CRASHES = 3
+# With a part that was in this many, a request is not sent to another server.
+NO_RETRY_CRASHES = 2
+FIRST_TERM_S = 60.0
+MAX_TERM_S = 960.0
+# One of several parts that were in the same crashes is tried apart after this time.
+APART_TERM_S = 1.0
+# Time in which no other request with the part is tried.
+TRIAL_S = 5.0
+# A quarantine that ended this long ago without a trial is removed.
+UNUSED_KEPT_S = 600.0
+MAX_QUARANTINES = 256
+MAX_SOUND_PARTS = 65_536
+
+
+class Quarantine(NamedTuple):
+    """Requests with a part of a prompt are refused.
+
+    Attributes:
+        part: The part.
+        since_s: When it began, or when a server last crashed on the part.
+        term_s: For how long after that no request with the part is tried.
+        group: The parts that were in the same crashes, including this one.
+        trial_until_s: Until when a trial may be in flight.
+    """
+
+    part: str
+    since_s: float
+    term_s: float
+    group: frozenset[str]
+    trial_until_s: float = float("-inf")
+
+
+class Verdict(NamedTuple):
+    """Whether a request is refused for a part of its prompt.
+
+    Attributes:
+        part: The part; empty if the request may be sent.
+        wait_s: After how long the caller may come back.
+        trial: Whether the request tests whether its part still crashes servers.
+    """
+
+    part: str = ""
+    wait_s: float = 0.0
+    trial: bool = False
+
+
+class PoisonParts:
+    """What is known of the parts of prompts that crash servers.
+
+    Examples:
+        >>> poison = PoisonParts()
+        >>> poison.record_sound(("all",), 1.0)
+        False
+        >>> for at_s in (2.0, 3.0, 4.0):
+        ...     found = poison.record_crash(f"s{at_s}", 1, at_s, [("all", "x")])
+        >>> [quarantine.part for quarantine in found]
+        ['x']
+        >>> poison.check(("all", "x"), 5.0, is_tester=lambda part: True).part
+        'x'
+    """
+
+    def __init__(self) -> None:
+        self._log = CrashLog()
+        self._quarantines: dict[str, Quarantine] = {}
+        # When a request with a part was last answered.
+        self._sound_s: dict[str, float] = {}
+        # Parts that were in a crash, and in no response since.
+        self._suspected: set[str] = set()
+
+    def record_crash(
+        self, identity: str, born_ms: int, at_s: float, suspects: Iterable[PromptKeys]
+    ) -> list[Quarantine]:
+        """Record suspects of a crash, and return the quarantines that begin or go on.
+
+        Args:
+            identity: The server's id.
+            born_ms: The start of the run that ended, as in ``ServerEntry``.
+            at_s: When it ended.
+            suspects: The prompts of requests that may have caused it.
+        """
+        crash = self._log.record_crash(identity, born_ms, at_s, suspects)
+        self._suspected |= crash.parts
+        causes = sorted(crash.parts & self._quarantines.keys())
+        if causes:
+            return [self._renew(part, crash, len(causes) == 1) for part in causes]
+        return self._begin_quarantines(crash.parts, at_s)
+
+    def record_sound(self, prompt: PromptKeys, at_s: float) -> bool:
+        """Record that a request was answered, and return whether that was news.
+
+        It is if a part of its prompt was under suspicion.
+        """
+        was_suspected = any(self._is_suspected(part) for part in prompt)
+        for part in prompt:
+            earlier_s = self._sound_s.pop(part, at_s)
+            if len(self._sound_s) >= MAX_SOUND_PARTS:
+                del self._sound_s[next(iter(self._sound_s))]
+            self._sound_s[part] = max(earlier_s, at_s)
+            self._suspected.discard(part)
+            quarantine = self._quarantines.get(part)
+            if quarantine is not None and quarantine.since_s < at_s:
+                del self._quarantines[part]
+        return was_suspected
+
+    def receive_quarantine(self, quarantine: Quarantine) -> bool:
+        """Apply another host's quarantine, and return whether it was new."""
+        part = quarantine.part
+        known = self._quarantines.get(part)
+        if quarantine.since_s <= self._sound_s.get(part, float("-inf")):
+            return False
+        if known is not None and quarantine.since_s <= known.since_s:
+            return False
+        self._set_quarantine(quarantine)
+        return known is None
+
+    def check(
+        self, prompt: PromptKeys, now_s: float, is_tester: Callable[[str], bool]
+    ) -> Verdict:
+        """Return whether a request is refused.
+
+        Args:
+            prompt: The parts of its prompt.
+            now_s: The time.
+            is_tester: Returns whether this host is the one that tries a part.
+        """
+        if not self._quarantines:
+            return Verdict()
+        found = [
+            self._quarantines[part] for part in prompt if part in self._quarantines
+        ]
+        if not found:
+            return Verdict()
+        due_s = max(self._get_due_s(each, len(found) == 1) for each in found)
+        part = found[0].part
+        if now_s < due_s:
+            return Verdict(part, due_s - now_s)
+        if not is_tester(part):
+            return Verdict(part, TRIAL_S)
+        for each in found:
+            self._quarantines[each.part] = each._replace(trial_until_s=now_s + TRIAL_S)
+        return Verdict(trial=True)
+
+    def may_retry(self, prompt: PromptKeys) -> bool:
+        """Return whether a request may be sent to another server after a crash."""
+        return not any(
+            part in self._quarantines or self._count_crashes(part) >= NO_RETRY_CRASHES
+            for part in prompt
+            if self._is_suspected(part)
+        )
+
+    def list_quarantines(self) -> list[Quarantine]:
+        """Return all quarantines."""
+        return list(self._quarantines.values())
+
+    def list_crashes(self) -> list[Crash]:
+        """Return the crashes that may still lead to a quarantine."""
+        return self._log.list_crashes()
+
+    def list_sound(self) -> list[tuple[str, float]]:
+        """Return the parts in known crashes that were answered, and when last."""
+        parts = {part for crash in self.list_crashes() for part in crash.parts}
+        return [
+            (part, at) for part in parts if (at := self._sound_s.get(part)) is not None
+        ]
+
+    def remove_expired(self, now_s: float) -> None:
+        """Remove the quarantines that have ended without a trial."""
+        self._suspected &= {
+            part for crash in self.list_crashes() for part in crash.parts
+        }
+        self._quarantines = {
+            part: each
+            for part, each in self._quarantines.items()
+            if now_s < each.since_s + each.term_s + UNUSED_KEPT_S
+        }
+
+    def _begin_quarantines(
+        self, parts: Collection[str], at_s: float
+    ) -> list[Quarantine]:
+        """Quarantine the most likely causes of the latest crashes, if there are any.
+
+        Parts that were never in a whole response go before those that were.
+        """
+        counts = {part: self._count_crashes(part) for part in parts}
+        most = max(counts.values(), default=0)
+        if most < QUARANTINE_CRASHES:
+            return []
+        likely = [part for part in sorted(parts) if counts[part] == most]
+        unanswered = [part for part in likely if part not in self._sound_s]
+        group = frozenset(unanswered or likely)
+        quarantines = [
+            Quarantine(part, at_s, FIRST_TERM_S, group) for part in sorted(group)
+        ]
+        for quarantine in quarantines:
+            self._set_quarantine(quarantine)
+        return quarantines
+
+    def _renew(self, part: str, crash: Crash, is_only_cause: bool) -> Quarantine:
+        """Begin the quarantine of a part anew after one more crash.
+
+        A part that was in the crash without the others of its group is the cause.
+        """
+        known = self._quarantines[part]
+        is_over = crash.at_s >= known.since_s + known.term_s
+        renewed = known._replace(
+            since_s=max(known.since_s, crash.at_s),
+            term_s=min(MAX_TERM_S, known.term_s * (2 if is_over else 1)),
+            group=frozenset([part]) if is_only_cause else known.group,
+            trial_until_s=float("-inf"),
+        )
+        self._set_quarantine(renewed)
+        return renewed
+
+    def _set_quarantine(self, quarantine: Quarantine) -> None:
+        """Add or replace a quarantine; drop the oldest one if there are too many."""
+        if quarantine.part not in self._quarantines:
+            while len(self._quarantines) >= MAX_QUARANTINES:
+                del self._quarantines[next(iter(self._quarantines))]
+        self._quarantines[quarantine.part] = quarantine
+
+    def _get_due_s(self, quarantine: Quarantine, is_alone: bool) -> float:
+        """Return when a request with a part may be tried.
+
+        Args:
+            quarantine: The quarantine of the part.
+            is_alone: Whether the request has no other quarantined part.
+        """
+        others = quarantine.group.intersection(self._quarantines) - {quarantine.part}
+        term_s = APART_TERM_S if others and is_alone else quarantine.term_s
+        return max(quarantine.since_s + term_s, quarantine.trial_until_s)
+
+    def _is_suspected(self, part: str) -> bool:
+        return part in self._suspected or part in self._quarantines
+
+    def _count_crashes(self, part: str) -> int:
+        """Return in how many crashes a part was since it was last in a response."""
+        since_s = self._sound_s.get(part, float("-inf"))
+        return self._log.count_crashes(part, since_s, self._quarantines.keys())
