Open a connection for each call to the store

A second copy of a response that came late, on a kept connection that was in use again, was taken for the response to the next call: in the test a deletion of a server is delivered as the change of the configuration, and its revision as that of the key space, so that changes in between are never read. Operators of similar systems have seen this with servers; requests to servers always had connections of their own. The product's own reads of the platform get them as well.

The test failed before: (1, [Item(key='servers/i-1', ...)], 9) in place of (1, [], 20).

--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -52,7 +52,6 @@
 MS_PER_S = 1000
 POLL_INTERVAL_S = 0.1
 CACHE_EVENTS_INTERVAL_S = 5.0
-PLATFORM_IDLE_TIMEOUT_S = 15.0
 SHUTDOWN_TIMEOUT_S = 1.0
 
 _OUTCOME_BY_STEP = {
@@ -185,7 +184,7 @@
     async def open_connections(self) -> None:
         """Open the HTTP sessions and listen for connections of other hosts."""
         settings = self.settings
-        self.session = make_session(keepalive_s=PLATFORM_IDLE_TIMEOUT_S)
+        self.session = make_session()
         self.relay = Relay(
             make_session(),
             self.timers,
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -11,7 +11,6 @@
 from aiohttp import web
 from eliot import add_destinations, log_message
 
-from oleanderpier.connections import make_session
 from oleanderpier.entry import EntryNode, EntrySettings
 from oleanderpier.events import LogWriter
 from oleanderpier.peers import split_address
@@ -23,7 +22,7 @@
 )
 from oleanderpier.platform.dialect import ServerDialect
 from oleanderpier.platform.settings import SETTINGS_VARIABLE, read_entry_settings
-from oleanderpier.platform.store import StoreClient
+from oleanderpier.platform.store import StoreClient, make_store_session
 from oleanderpier.results import Failure, make_refusal_body
 from oleanderpier.signals import release_signals
 from oleanderpier.utils import LoopTimers
@@ -31,7 +30,6 @@
 __all__ = ["run"]
 
 INVALID_SETTINGS_EXIT_CODE = 2
-STORE_IDLE_TIMEOUT_S = 15.0
 # Above any idle time-out that a configuration allows.
 CALLER_IDLE_TIMEOUT_S = 120.0
 MAX_HEADER_BYTES = 64 << 10
@@ -64,7 +62,7 @@
     stopped = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
-    store_session = make_session(keepalive_s=STORE_IDLE_TIMEOUT_S)
+    store_session = make_store_session()
     store = StoreClient(settings.platform_address, store_session)
     node = EntryNode(settings, store, ServerDialect())
     node.metrics.register_gauge(
--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -8,7 +8,7 @@
 import msgspec
 from eliot import log_message
 
-from oleanderpier.connections import read_body
+from oleanderpier.connections import make_session, read_body
 from oleanderpier.entry import (
     CONFIGURATION,
     CONFIGURATION_KEY,
@@ -25,7 +25,7 @@
 from oleanderpier.platform.documents import decode_configuration, decode_server
 from oleanderpier.replication import Item, ItemsUpdate, get_revision, make_position
 
-__all__ = ["StoreClient"]
+__all__ = ["StoreClient", "make_store_session"]
 
 KEY_PREFIXES = {CONFIGURATION: "op/config", SERVERS: "servers/"}
 # The store usually responds in milliseconds, but may be a hundred times slower.
@@ -76,6 +76,15 @@
     body: Any
 
 
+def make_store_session() -> aiohttp.ClientSession:
+    """Return the HTTP client session for a ``StoreClient``.
+
+    Each call opens its own connection: on a kept one, bytes that arrive late could be
+    taken for the response to the next call.
+    """
+    return make_session()
+
+
 class StoreClient:
     """Reads key spaces of the store and watches them; an ``ItemSource``.
 
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -1,13 +1,15 @@
 """Tests of the store's client against the stand-in, over HTTP."""
 
-import aiohttp
+import asyncio
+import json
+
 from aiohttp import web
 from testtools import TestCase
 
-from oleanderpier.entry import SERVERS
+from oleanderpier.entry import CONFIGURATION, SERVERS
 from oleanderpier.exception import PlatformError, RevisionCompactedError
 from oleanderpier.platform import store as store_module
-from oleanderpier.platform.store import StoreClient
+from oleanderpier.platform.store import StoreClient, make_store_session
 from oleanderpier.replication import get_era, get_revision, make_position
 from oleanderpier.utils import run_coroutine
 from standins.store import StandInStore
@@ -51,12 +53,61 @@
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     try:
-        async with aiohttp.ClientSession() as session:
+        async with make_store_session() as session:
             return await call(StoreClient(f"127.0.0.1:{port}", session))
     finally:
         await runner.cleanup()
 
 
+class RepeatingStore:
+    """Store that sends each response once more, after some time.
+
+    The second copy arrives when the connection would be in use again.
+    """
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application that serves the watches."""
+        app = web.Application()
+        app.router.add_get("/kv-watch", self._handle_watch)
+        return app
+
+    async def _handle_watch(self, request: web.Request) -> web.Response:
+        item = {"Key": request.query["Prefix"] + "i-1", "Revision": 5, "Deleted": True}
+        after = int(request.query["After"])
+        events = [] if after else [item]
+        body = json.dumps({"events": events, "AsOf": max(9, after)}).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        loop = asyncio.get_running_loop()
+        if not after:
+            loop.call_later(0.1, self._write, request.transport, head + body)
+        else:
+            await asyncio.sleep(0.2)
+        response = web.Response(body=body)
+        await response.prepare(request)
+        return response
+
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        if not transport.is_closing():
+            transport.write(data)
+
+
+class SecondCopyTest(TestCase):
+    """A call gets its own response, whatever arrives on earlier connections."""
+
+    def test_second_copy_of_response_is_not_taken_for_that_of_the_next_call(self):
+        """The next call watches another key space, from a later revision."""
+
+        async def call(client: StoreClient) -> tuple:
+            first = await client.wait_for_changes(SERVERS, 0, 0.3)
+            await asyncio.sleep(0.05)
+            second = await client.wait_for_changes(
+                CONFIGURATION, make_position(0, 20), 0.3
+            )
+            return len(first.items), second.items, get_revision(second.as_of)
+
+        self.assertEqual((1, [], 20), run_coroutine(call_store(RepeatingStore(), call)))
+
+
 class EraTest(TestCase):
     """Positions have the era of the response."""
 
