Resume a stream elsewhere that sends bytes but no events

A server that had stopped working on a stream and sent a byte now and then, such as a comment or an event without end, held the stream until its deadline: only silence on all connections of the server counted. Now bytes that lead to no event for 1.5 s, or some times the targets if that is longer, count as a break. The time begins with the first byte after an event, so that a stream that waits for its turn is not affected, and it is below the time after which callers give up. An event that takes a second in pieces is awaited, as before.

test_stream_that_sends_bytes_but_no_event_resumes_elsewhere failed before: 206 TARGET_MISSED at the deadline.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -11,6 +11,7 @@
 from oleanderpier.connections import Framing, find_framing, read_body
 from oleanderpier.exception import MessageError
 from oleanderpier.forwarding.events import EventSplitter
+from oleanderpier.forwarding.progress import StreamProgress
 from oleanderpier.forwarding.records import Call, Caller, Dialect, ResponseHead
 from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
 from oleanderpier.utils import Timers
@@ -268,17 +269,18 @@
         """Pass complete events on to the caller as they are received."""
         content = self._http_response.content
         timeout_s = self._get_first_timeout_s()
+        progress = StreamProgress(self._call.route, splitter)
         self._waiting_since_s = self._timers.now()
         try:
-            while True:
-                data = await self._read_data(content, timeout_s)
-                if not data:
-                    break
-                events = splitter.feed(data)
+            while data := await self._read_data(content, timeout_s):
+                events = progress.feed(data, self._timers.now())
+                self.first_event_at_s = progress.first_event_at_s
                 timeout_s = self._get_gap_timeout_s()
+                if self._is_stalled(progress):
+                    self.reason = f"stalled after event {splitter.last_event_id}"
+                    return AttemptOutcome.CUT
                 if not events:
                     continue
-                self._record_events()
                 if not response_started:
                     await caller.begin_stream(head)
                     response_started = True
@@ -299,10 +301,13 @@
         await caller.finish_stream()
         return AttemptOutcome.DELIVERED
 
-    def _record_events(self) -> None:
-        """Record that whole events were received."""
-        if self.first_event_at_s is None:
-            self.first_event_at_s = self._timers.now()
+    def _is_stalled(self, progress: StreamProgress) -> bool:
+        """Return whether a stream is stalled and another server may be tried."""
+        return (
+            progress.is_stalled(self._timers.now())
+            and self._call.route.repeatable
+            and self._may_fail_over()
+        )
 
     def _explain_missing_part(self, splitter: EventSplitter) -> str:
         """Return why a stream whose body has ended is incomplete, empty if it is not.
