Find the naive host that takes closed streams for whole ones in each run

Trace: the violation it looks for was seen in 2 chats a run, since one in seven chats at the affected servers is closed inside an event, and only while the fault lasts; some runs had none. The check itself is the same: the naive host must be found.

--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -43,7 +43,9 @@
         """A host that takes the end of a connection for that of a stream is found."""
         kind = FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH
         faults = [Fault(0.0, kind, n, 6.0) for n in range(4)]
-        self.assertIn("whole_answer", self.find_violated_guarantees(faults, "resend"))
+        # One in seven chats at a server is closed inside an event.
+        violated = self.find_violated_guarantees(faults, "resend", callers=24)
+        self.assertIn("whole_answer", violated)
 
     def test_resending_host_violates_at_most_once(self):
         """A host that resends a payout after a lost response is found."""
@@ -64,9 +66,12 @@
             "graceful_shutdown", self.find_violated_guarantees(faults, "no_drain")
         )
 
-    def find_violated_guarantees(self, faults: list[Fault], variant: str) -> set[str]:
+    def find_violated_guarantees(
+        self, faults: list[Fault], variant: str, callers: int = 6
+    ) -> set[str]:
         """Return the guarantees that a naive host violates under some faults."""
-        settings = SoakSettings(hosts=3, callers=6, program=("soak.naive", variant))
+        program = ("soak.naive", variant)
+        settings = SoakSettings(hosts=3, callers=callers, program=program)
         observations = run_coroutine(run_seed(CI_SEED, settings, faults))
         return {violation.guarantee for violation in find_violations(observations)}
 
