Let the soak's requests crash servers by a prompt part

A kind that is drawn apart, at most once a run: further requests with one part in common, which share their other parts with those of the callers, crash each server that begins to answer; the server and its proxy refuse connections for 2 s. The check has the users' bound: three such requests later than 3 s after the fifth crash, but for hosts that have just started anew. It finds the naive host. The output of naive hosts goes to files, since a host that nobody reads blocks when its pipe is full.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from soak.crashing_prompts import CRASHING_REQUEST_PREFIX
 from soak.observations import (
     CallerRequest,
     Execution,
@@ -32,12 +33,17 @@
 # Requests that may reach a server while it wants none, from WAIT_APPLY_S on.
 WAIT_APPLY_S = 0.5
 MAX_UNWANTED_REQUESTS = 2
+# Requests with a prompt part under which TOLERATED_CRASHES servers crashed that may
+# still reach servers, from CONTACT_S after that on.
+TOLERATED_CRASHES = 5
+CONTACT_S = 3.0
+MAX_CRASHING_REQUESTS = 3
 CHAT_EVENT_COUNT = 8
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 _STORE_FAULTS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 _SERVER_FAULTS = frozenset(
-    kind for kind in FaultKind if kind.value.startswith("server")
+    kind for kind in FaultKind if kind.value.startswith(("server", "prompt"))
 )
 _KILL_FAULTS = frozenset(
     {FaultKind.HOST_KILLED, FaultKind.ALL_KILLED, FaultKind.HOST_KILLED_AFTER_CHANGE}
@@ -53,6 +59,7 @@
         FaultKind.SERVER_RESET,
         FaultKind.SERVER_SLOW,
         FaultKind.SERVER_CRASHES,
+        FaultKind.PROMPT_CRASHES_SERVERS,
     }
 )
 # A host that has started anew knows nothing of what servers said before.
@@ -200,6 +207,29 @@
     )
 
 
+def _check_crashing_prompts(observations: Observations) -> Iterator[Violation]:
+    """Check that requests with a prompt part that crashes servers are kept away."""
+    if len(observations.crashes_s) < TOLERATED_CRASHES:
+        return
+    since_s = observations.crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
+    late = [
+        arrival.request_id
+        for arrival in observations.arrivals
+        if arrival.request_id.startswith(CRASHING_REQUEST_PREFIX)
+        and arrival.at_s > since_s
+        and not _has_host_fault(
+            observations,
+            int(arrival.request_id.rpartition("-")[2]),
+            arrival.at_s - FAULT_MARGIN_S,
+            arrival.at_s,
+            _FORGETTING_FAULTS,
+        )
+    ]
+    if len(late) > MAX_CRASHING_REQUESTS:
+        text = f"{len(late)} after the bound, {len(observations.crashes_s)} crashes"
+        yield Violation("crashing_prompt", f"{text}: {' '.join(late[:8])}")
+
+
 def _check_revoked_keys(observations: Observations) -> Iterator[Violation]:
     """Check that a revoked credential is refused after ``CONFIG_APPLY_S``."""
     revoked_s = {removal.name: removal.at_s for removal in observations.revoked_keys}
@@ -320,6 +350,7 @@
     _check_leaving_servers,
     _check_leaving_statements,
     _check_waits,
+    _check_crashing_prompts,
     _check_revoked_keys,
     _check_graceful_shutdowns,
     _check_response_times,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -17,6 +17,7 @@
     "Removal",
     "Statement",
     "list_arrivals",
+    "list_crashes",
     "list_executions",
     "list_statements",
 ]
@@ -119,6 +120,7 @@
         faults_ended_s: Time at which the last fault was over.
         arrivals: Requests that reached the backend servers, executed or not.
         statements: What the backend servers said.
+        crashes_s: Times at which servers crashed on a prompt part, in order.
     """
 
     requests: list[CallerRequest]
@@ -130,6 +132,7 @@
     faults_ended_s: float
     arrivals: Sequence[Execution] = ()
     statements: Sequence[Statement] = ()
+    crashes_s: Sequence[float] = ()
 
 
 def list_executions(
@@ -161,6 +164,13 @@
     ]
 
 
+def list_crashes(servers: Iterable[StandInServer], started_s: float) -> list[float]:
+    """Return when some servers crashed; see ``list_executions``."""
+    return sorted(
+        at_s - started_s for server in servers for at_s in server.crash_times_s
+    )
+
+
 def list_statements(
     servers: Iterable[StandInServer], started_s: float
 ) -> list[Statement]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -36,10 +36,19 @@
 
     async def start(self, port: int) -> None:
         """Listen on a port of the loopback address."""
+        self._port = port
+        self.address = f"127.0.0.1:{port}"
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Listen, also again after ``refuse_connections``."""
         self._listener = await asyncio.start_server(
-            self._handle_connection, "127.0.0.1", port
+            self._handle_connection, "127.0.0.1", self._port
         )
-        self.address = f"127.0.0.1:{port}"
+
+    def refuse_connections(self) -> None:
+        """Stop listening; open connections go on."""
+        self._listener.close()
 
     async def stop(self) -> None:
         """Stop listening and close every connection."""
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,11 +10,13 @@
 from demo.fleet import find_free_port
 from soak.callers import Callers
 from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S, SHUTDOWN_GRACE_S
+from soak.crashing_prompts import CrashingPrompts, connect_proxy
 from soak.observations import (
     InjectedFault,
     Observations,
     Removal,
     list_arrivals,
+    list_crashes,
     list_executions,
     list_statements,
 )
@@ -123,6 +125,7 @@
         self._schedule = schedule
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._callers = Callers(fleet, random.Random(f"callers {seed}"), self._keys)
+        self.prompts = CrashingPrompts(fleet, seed)
         self._version = 1
         self._store_proxies: list[FaultProxy] = []
         self._server_proxies: dict[str, FaultProxy] = {}
@@ -171,6 +174,7 @@
             faults_ended_s,
             list_arrivals(servers, started_s),
             list_statements(servers, started_s),
+            list_crashes(servers, started_s),
         )
 
     async def close(self) -> None:
@@ -196,10 +200,16 @@
         proxy = FaultProxy(server.address)
         await proxy.start(find_free_port())
         server.address = proxy.address
+        connect_proxy(server, proxy, lambda: self._register_unless_gone(server))
         self._fleet.register_server(server)
         self._server_proxies[server.instance_id] = proxy
         self._active_servers.append(server)
 
+    def _register_unless_gone(self, server: StandInServer) -> None:
+        if server in (*self._active_servers, *self._draining_servers):
+            state = "draining" if server in self._draining_servers else "ready"
+            self._fleet.register_server(server, state, born=server.run)
+
     async def _start_host(self, number: int) -> None:
         process = await self._fleet.start_host(number)
         self._host_processes[number] = process
@@ -482,6 +492,7 @@
     **dict.fromkeys(_SERVER_PART_FAULTS, _SoakRun._fail_part_of_requests),
     FaultKind.SERVER_SAYS_LEAVING: _SoakRun._say_leaving,
     FaultKind.SERVER_ASKS_FOR_TIME: _SoakRun._ask_for_time,
+    FaultKind.PROMPT_CRASHES_SERVERS: lambda run, fault: run.prompts.run(fault),
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -24,7 +24,9 @@
     while it counts as healthy: it answers with an error, never, with a refusal, with
     bytes after the response, or without a length, so that the response ends with its
     connection, whole or not. A server that ``SAYS_LEAVING`` does so in its responses
-    before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing.
+    before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing. With
+    ``PROMPT_CRASHES_SERVERS`` further requests with one prompt part in common crash
+    each server that begins to answer; it starts again after some time.
     """
 
     HOST_KILLED = "host_killed"
@@ -54,6 +56,7 @@
     SERVER_PARTLY_SENDS_NO_LENGTH = "server_partly_sends_no_length"
     SERVER_SAYS_LEAVING = "server_says_leaving"
     SERVER_ASKS_FOR_TIME = "server_asks_for_time"
+    PROMPT_CRASHES_SERVERS = "prompt_crashes_servers"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
 
@@ -74,9 +77,11 @@
     ),
     "no length": (FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH,),
     "statements": (FaultKind.SERVER_SAYS_LEAVING, FaultKind.SERVER_ASKS_FOR_TIME),
+    "crashing prompts": (FaultKind.PROMPT_CRASHES_SERVERS,),
 }
 ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
+_MAX_COUNTS = {"crashing prompts": 1}
 
 
 class Fault(NamedTuple):
@@ -133,7 +138,7 @@
             rng.randrange(1 << 16),
             rng.uniform(0.3, MAX_DURATION_S),
         )
-        for _ in range(rng.randint(0, MAX_ADDED_COUNT))
+        for _ in range(rng.randint(0, _MAX_COUNTS.get(name, MAX_ADDED_COUNT)))
     ]
 
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -40,6 +40,26 @@
         """A valid run has no violations."""
         self.assertEqual([], find_violated_guarantees())
 
+    def test_requests_that_crash_servers(self):
+        """Three may arrive after the bound, and more at hosts that started anew."""
+        crashes_s = [1.0, 2.0, 3.0, 4.0, 5.0, 8.5]
+        late = [Execution(f"crashing-{n}-0", "s1", 8.1 + 0.1 * n) for n in range(4)]
+        killed = InjectedFault(FaultKind.HOST_KILLED, 6.0, 6.5, 0)
+        for arrivals, faults, expected in (
+            (late, [], ["crashing_prompt"]),
+            (late[:3], [], []),
+            ([each._replace(at_s=7.9) for each in late], [], []),
+            (late, [killed], []),
+            (late, [killed._replace(host=1)], ["crashing_prompt"]),
+        ):
+            found = find_violated_guarantees(
+                arrivals=arrivals, crashes_s=crashes_s, faults=faults
+            )
+            self.assertEqual(expected, found)
+        self.assertEqual(
+            [], find_violated_guarantees(arrivals=late, crashes_s=crashes_s[:4])
+        )
+
     def test_payout_executed_twice(self):
         """A payout that two servers executed violates at-most-once."""
         self.assertEqual(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,6 +1,7 @@
 """Short runs of the soak with real processes."""
 
 import json
+import tempfile
 from pathlib import Path
 
 from testtools import TestCase
@@ -54,6 +55,12 @@
         faults = [Fault(0.0, FaultKind.SERVER_DEAF, n, 6.0) for n in range(4)]
         self.assertIn("at_most_once", self.find_violated_guarantees(faults, "resend"))
 
+    def test_naive_host_violates_crashing_prompt(self):
+        """A host that sends on what has crashed server after server is found."""
+        faults = [Fault(0.5, FaultKind.PROMPT_CRASHES_SERVERS, 0, 2.0)]
+        violated = self.find_violated_guarantees(faults, "resend")
+        self.assertIn("crashing_prompt", violated)
+
     def test_host_without_drain_violates_graceful_shutdown(self):
         """A host that exits at once on SIGTERM is found."""
         # All hosts are terminated twice, so that some request is in progress.
@@ -71,8 +78,10 @@
     ) -> set[str]:
         """Return the guarantees that a naive host violates under some faults."""
         program = ("soak.naive", variant)
-        settings = SoakSettings(hosts=3, callers=callers, program=program)
-        observations = run_coroutine(run_seed(CI_SEED, settings, faults))
+        # A naive host that nobody reads would block as soon as its pipe is full.
+        with tempfile.TemporaryDirectory() as folder:
+            settings = SoakSettings(3, 4, callers, 12.0, program, Path(folder))
+            observations = run_coroutine(run_seed(CI_SEED, settings, faults))
         return {violation.guarantee for violation in find_violations(observations)}
 
 
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -65,6 +65,7 @@
             begins to answer; the last part of a prompt does not count.
         crash_times_s: When it crashed.
         run: The number of its starts.
+        on_crash: Called when it crashes.
         on_restart: Called when it has started again.
     """
 
@@ -83,18 +84,23 @@
         self.crashing_part = ""
         self.crash_times_s: list[float] = []
         self.run = 0
+        self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], None] = lambda: None
         self._event_count = event_count
         self._restarting: asyncio.Task[None] | None = None
 
     async def start(self, port: int) -> None:
         """Listen on a port of the loopback address."""
+        self._port = port
+        self.address = f"127.0.0.1:{port}"
+        await self._listen()
+
+    async def _listen(self) -> None:
         self.run += 1
         self._server = web.Server(self._handle_request, handler_cancellation=True)
         self._listener = await asyncio.get_running_loop().create_server(
-            self._server, "127.0.0.1", port
+            self._server, "127.0.0.1", self._port
         )
-        self.address = f"127.0.0.1:{port}"
 
     async def stop(self) -> None:
         """Stop listening."""
@@ -112,10 +118,11 @@
             if connection.transport is not None:
                 connection.transport.abort()
         self._restarting = loop.create_task(self._restart())
+        self.on_crash()
 
     async def _restart(self) -> None:
         await asyncio.sleep(RESTART_DELAY_S)
-        await self.start(int(self.address.rpartition(":")[2]))
+        await self._listen()
         self.on_restart()
 
     async def _handle_request(self, request) -> web.StreamResponse:
