Tell the other hosts only of the prompt parts that were under suspicion

A host announced all parts of an answered prompt, those without suspicion too; these are in no other host's message, so that the random delay suppressed nothing.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -68,12 +68,12 @@
             self._list_receivers(), CrashNews([self._report_crash(crash)], [], [])
         )
 
-    def announce_sound(self, prompt: PromptKeys) -> None:
+    def announce_sound(self, parts: list[str]) -> None:
         """Send the other hosts that a request with suspected parts was answered."""
         if not self._unsent_sound_s:
             delay_s = self._rng.uniform(0.0, MAX_DELAY_S)
             self._timers.call_later(delay_s, self._send_sound)
-        self._unsent_sound_s |= dict.fromkeys(prompt, self._timers.now())
+        self._unsent_sound_s |= dict.fromkeys(parts, self._timers.now())
 
     def receive(self, sender: str, message: CrashNews) -> None:
         """Apply what another host knows."""
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -14,8 +14,10 @@
 from oleanderpier.routing.tests.fakes import make_server
 from oleanderpier.utils import ManualTimers, decode_message, encode_message
 
+__all__ = ["CrashFleet"]
 
-class _Fleet:
+
+class CrashFleet:
     """Hosts that exchange encoded messages without delay.
 
     Attributes:
@@ -33,6 +35,7 @@
             self.add_host(f"h{number}")
 
     def add_host(self, name: str) -> None:
+        """Start a host."""
         self.poison[name] = PoisonParts()
         self.gossips[name] = CrashGossip(
             self.poison[name],
@@ -42,16 +45,19 @@
             _Outbox(self, name),
         )
 
-    def crash(self, host: str, identity: str, *suspects: tuple[str, ...]) -> None:
+    def crash(
+        self, host: str, identity: str, *suspects: tuple[str, ...], born_ms: int = 5
+    ) -> None:
         """Let a server crash on requests of a host."""
-        now_s, server = self.timers.now(), make_server(identity, born_ms=5)
-        self.poison[host].record_crash(identity, 5, now_s, suspects)
+        now_s, server = self.timers.now(), make_server(identity, born_ms=born_ms)
+        self.poison[host].record_crash(identity, born_ms, now_s, suspects)
         self.gossips[host].announce_crash(server, now_s, list(suspects))
 
     def answer(self, host: str, *prompt: str) -> None:
         """Let a request of a host be answered."""
-        if self.poison[host].record_sound(prompt, self.timers.now()):
-            self.gossips[host].announce_sound(prompt)
+        cleared = self.poison[host].record_sound(prompt, self.timers.now())
+        if cleared:
+            self.gossips[host].announce_sound(cleared)
 
     def list_parts(self, host: str) -> list[str]:
         """Return the parts that a host has quarantined."""
@@ -59,23 +65,23 @@
 
 
 class _Outbox:
-    def __init__(self, fleet: _Fleet, sender: str) -> None:
+    def __init__(self, fleet: CrashFleet, sender: str) -> None:
         self._fleet = fleet
         self._sender = sender
 
     def send(self, host: str, message: CrashNews) -> bool:
         self._fleet.sent.append(self._sender)
         if host not in self._fleet.cut_off:
-            decoded = decode_message(encode_message(message))
-            self._fleet.gossips[host].receive(self._sender, decoded)
+            self._fleet.gossips[host].receive(self._sender, message)
         return True
 
     def send_to_all(self, hosts: list[str], message: CrashNews) -> None:
+        decoded = decode_message(encode_message(message))
         for host in hosts:
-            self.send(host, message)
+            self.send(host, decoded)
 
 
-def crash_servers(fleet: _Fleet, hosts: list[str]) -> None:
+def crash_servers(fleet: CrashFleet, hosts: list[str]) -> None:
     """Let a server crash on a request of each host in turn, a second apart."""
     for number, host in enumerate(hosts):
         fleet.answer(host, "all")
@@ -88,14 +94,14 @@
 
     def test_crashes_at_different_hosts_are_added_up(self):
         """Each host has seen one crash, and all quarantine the part at once."""
-        fleet = _Fleet(5)
+        fleet = CrashFleet(5)
         crash_servers(fleet, ["h0", "h1", "h2"])
         for host in fleet.gossips:
             self.assertEqual(["bad"], fleet.list_parts(host), host)
 
     def test_response_at_one_host_clears_a_part_at_all(self):
         """The popular part is in each crash, and answered in between by one host."""
-        fleet = _Fleet(5)
+        fleet = CrashFleet(5)
         for number in range(6):
             fleet.crash(f"h{number % 5}", f"s{number}", ("all", f"own{number}"))
             fleet.answer("h3", "all")
@@ -105,7 +111,7 @@
 
     def test_few_hosts_send_that_a_popular_part_was_answered(self):
         """The others have got it from them before their random delay is over."""
-        fleet = _Fleet(200)
+        fleet = CrashFleet(200)
         fleet.crash("h0", "s0", ("all", "own"))
         fleet.sent.clear()
         for host in fleet.gossips:
@@ -115,7 +121,7 @@
 
     def test_newcomer_gets_all(self):
         """It refuses the part, and counts the crashes before its start."""
-        fleet = _Fleet(2)
+        fleet = CrashFleet(2)
         crash_servers(fleet, ["h0", "h1", "h0"])
         fleet.crash("h0", "t0", ("all", "worse"))
         fleet.timers.advance(1.0)
@@ -130,7 +136,7 @@
 
     def test_host_that_missed_the_messages_gets_the_quarantine_later(self):
         """The others repeat it."""
-        fleet = _Fleet(3)
+        fleet = CrashFleet(3)
         fleet.cut_off.add("h2")
         crash_servers(fleet, ["h0", "h1", "h0"])
         self.assertEqual([], fleet.list_parts("h2"))
@@ -141,7 +147,7 @@
 
     def test_nothing_is_sent_without_crashes(self):
         """A host that knows of none sends a newcomer nothing."""
-        fleet = _Fleet(3)
+        fleet = CrashFleet(3)
         fleet.gossips["h0"].send_all("h1")
         fleet.timers.advance(10.0)
         self.assertEqual([], fleet.sent)
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -53,8 +53,8 @@
         is_tester: Returns whether this host is the one that tries a part.
         on_crash: Called with a server that has crashed, the time and the prompts of
             this host's requests that may have caused it.
-        on_sound: Called with the parts of an answered prompt, if one of them was under
-            suspicion.
+        on_sound: Called with parts that were under suspicion, when a request with them
+            was answered.
         check_server: Returns whether nothing listens at a server's address.
     """
 
@@ -67,7 +67,7 @@
         on_crash: Callable[
             [ServerEntry, float, list[PromptKeys]], None
         ] = lambda server, at_s, suspects: None,
-        on_sound: Callable[[PromptKeys], None] = lambda prompt: None,
+        on_sound: Callable[[list[str]], None] = lambda parts: None,
         check_server: Callable[[str, Timers], Awaitable[bool]] = refuses_connections,
     ) -> None:
         self._poison = poison
@@ -114,9 +114,10 @@
             await self._check_for_crash(server, prompt, now_s)
 
     def _record_sound(self, prompt: PromptKeys, now_s: float) -> None:
-        if self._poison.record_sound(prompt, now_s):
-            log_message("poison:sound", parts=list(prompt))
-            self._on_sound(prompt)
+        cleared = self._poison.record_sound(prompt, now_s)
+        if cleared:
+            log_message("poison:sound", parts=cleared)
+            self._on_sound(cleared)
 
     async def _check_for_crash(
         self, server: ServerEntry, prompt: PromptKeys, at_s: float
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -71,7 +71,7 @@
     Examples:
         >>> poison = PoisonParts()
         >>> poison.record_sound(("all",), 1.0)
-        False
+        []
         >>> for at_s in (2.0, 3.0, 4.0):
         ...     found = poison.record_crash(f"s{at_s}", 1, at_s, [("all", "x")])
         >>> [quarantine.part for quarantine in found]
@@ -106,12 +106,12 @@
             return [self._renew(part, crash, len(causes) == 1) for part in causes]
         return self._begin_quarantines(crash.parts, at_s)
 
-    def record_sound(self, prompt: PromptKeys, at_s: float) -> bool:
-        """Record that a request was answered, and return whether that was news.
+    def record_sound(self, prompt: PromptKeys, at_s: float) -> list[str]:
+        """Record that a request was answered, and return the parts it cleared.
 
-        It is if a part of its prompt was under suspicion.
+        These were under suspicion.
         """
-        was_suspected = any(self._is_suspected(part) for part in prompt)
+        suspected = [part for part in prompt if self._is_suspected(part)]
         for part in prompt:
             earlier_s = self._sound_s.pop(part, at_s)
             if len(self._sound_s) >= MAX_SOUND_PARTS:
@@ -121,7 +121,7 @@
             quarantine = self._quarantines.get(part)
             if quarantine is not None and quarantine.since_s < at_s:
                 del self._quarantines[part]
-        return was_suspected
+        return suspected
 
     def receive_quarantine(self, quarantine: Quarantine) -> bool:
         """Apply another host's quarantine, and return whether it was new."""
--- a/oleanderpier/routing/tests/test_poison.py
+++ b/oleanderpier/routing/tests/test_poison.py
@@ -66,8 +66,8 @@
     def test_response_between_crashes_clears_its_parts(self):
         """Only crashes since the last whole response count."""
         poison = make_poison(crashes=QUARANTINE_CRASHES - 1)
-        self.assertTrue(poison.record_sound(("all", "some"), 2.5))
-        self.assertFalse(poison.record_sound(("all", "some"), 2.6))
+        self.assertEqual(["all"], poison.record_sound(("all", "new"), 2.4))
+        self.assertEqual(["some"], poison.record_sound(("all", "some"), 2.5))
         poison.record_crash("s9", 1, 3.0, [PROMPT])
         self.assertEqual(["bad"], list_parts(poison))
 
