Blame a prompt part that was answered before only after more crashes

Trace: four servers, most of them down; the part was beside the real cause in two crashes and alone in a third one, and in no response in between, while the real cause had been in two. It was blamed for 60 s.

A host does not take such a part over from one that has not been up for as long. Each trial that ends a server now makes the time four times as long, so that a cause that used to be answered is tried three times in a hundred seconds.

test_popular_part_in_crashes_on_another_is_not_quarantined failed before.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -21,7 +21,12 @@
 QUARANTINE_CRASHES = 3
 # With a part that was in this many, a request is not sent to another server.
 NO_RETRY_CRASHES = 2
+# Both are multiplied by this for a part that was answered before the crashes.
+ANSWERED_FACTOR = 2
 FIRST_TERM_S = 60.0
+# The same for a part that was answered before, since it may be blamed by chance.
+ANSWERED_TERM_S = 2.0
+TERM_FACTOR = 4.0
 MAX_TERM_S = 960.0
 # One of several parts that were in the same crashes is tried apart after this time.
 APART_TERM_S = 1.0
@@ -131,6 +136,9 @@
             return False
         if known is not None and quarantine.since_s <= known.since_s:
             return False
+        if part in self._sound_s and not self._reaches_limit(part, QUARANTINE_CRASHES):
+            # The other host has not been up for as long, and knows less of the part.
+            return False
         self._set_quarantine(quarantine)
         return known is None
 
@@ -202,16 +210,17 @@
 
         Parts that were never in a whole response go before those that were.
         """
-        counts = {part: self._count_crashes(part) for part in parts}
-        most = max(counts.values(), default=0)
-        if most < QUARANTINE_CRASHES:
-            return []
-        likely = [part for part in sorted(parts) if counts[part] == most]
-        unanswered = [part for part in likely if part not in self._sound_s]
-        group = frozenset(unanswered or likely)
-        quarantines = [
-            Quarantine(part, at_s, FIRST_TERM_S, group) for part in sorted(group)
-        ]
+        counts = {
+            part: self._count_crashes(part)
+            for part in parts
+            if self._reaches_limit(part, QUARANTINE_CRASHES)
+        }
+        unanswered = counts.keys() - self._sound_s.keys()
+        likely = unanswered or counts.keys()
+        most = max((counts[part] for part in likely), default=0)
+        group = frozenset(part for part in likely if counts[part] == most)
+        term_s = FIRST_TERM_S if unanswered else ANSWERED_TERM_S
+        quarantines = [Quarantine(part, at_s, term_s, group) for part in sorted(group)]
         for quarantine in quarantines:
             self._set_quarantine(quarantine)
         return quarantines
@@ -225,7 +234,7 @@
         is_over = crash.at_s >= known.since_s + known.term_s
         renewed = known._replace(
             since_s=max(known.since_s, crash.at_s),
-            term_s=min(MAX_TERM_S, known.term_s * (2 if is_over else 1)),
+            term_s=min(MAX_TERM_S, known.term_s * (TERM_FACTOR if is_over else 1.0)),
             group=frozenset([part]) if is_only_cause else known.group,
             trial_until_s=float("-inf"),
         )
@@ -253,6 +262,11 @@
     def _is_suspected(self, part: str) -> bool:
         return part in self._suspected or part in self._quarantines
 
+    def _reaches_limit(self, part: str, limit: int) -> bool:
+        """Return whether a part was in so many crashes, or more if it was answered."""
+        factor = ANSWERED_FACTOR if part in self._sound_s else 1
+        return self._count_crashes(part) >= factor * limit
+
     def _count_crashes(self, part: str) -> int:
         """Return in how many crashes a part was since it was last in a response."""
         since_s = self._sound_s.get(part, float("-inf"))
