Take a response without a length for cut if its server ends with it

The postmortem of the broken streams held that such a close can't be told from the end of the response. It can where the server is gone: one connection to it is refused. Then the stream is resumed, or the caller's connection aborted; a call that may not be repeated is answered as may have run. A server that exits right after its last response, whole and without a length, looks the same; its caller is told that the response may be cut, which is the safe side.

test_stream_that_ends_with_its_server_between_events_is_not_complete and test_call_that_ends_with_its_server_may_have_run failed before.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -8,7 +8,12 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from oleanderpier.connections import Framing, find_framing, read_body
+from oleanderpier.connections import (
+    Framing,
+    find_framing,
+    read_body,
+    refuses_connections,
+)
 from oleanderpier.exception import MessageError
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.progress import StreamProgress
@@ -256,6 +261,8 @@
         finally:
             self.received_bytes = self._http_response.content.total_bytes
         self._activity.record_activity(self._server.identity)
+        if await self._ended_with_server():
+            return AttemptOutcome.LOST
         self.response = BufferedResponse(head, body)
         return AttemptOutcome.FAILED if head.status >= 500 else AttemptOutcome.DELIVERED
 
@@ -292,7 +299,7 @@
             self.reason = f"{error!r} after event {splitter.last_event_id}"
             return AttemptOutcome.CUT
         self.reason = self._explain_missing_part(splitter)
-        if self.reason:
+        if self.reason or await self._ended_with_server():
             return AttemptOutcome.CUT
         if not response_started:
             await caller.begin_stream(head)
@@ -321,6 +328,18 @@
             return "the connection ended before an event"
         return ""
 
+    async def _ended_with_server(self) -> bool:
+        """Return whether a response with neither a length nor chunks may be cut.
+
+        Its end is that of its connection, which also ends when the server crashes.
+        """
+        if self.framing is not Framing.CONNECTION:
+            return False
+        if not await refuses_connections(self._server.address, self._timers):
+            return False
+        self.reason = "the server has ended with the connection"
+        return True
+
     async def _read_data(
         self, content: aiohttp.StreamReader, timeout_s: float
     ) -> bytes:
--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -19,6 +19,7 @@
     stream_without_length,
 )
 from oleanderpier.results import Code
+from oleanderpier.routing import RequestKind
 from oleanderpier.routing.tests.fakes import make_route
 from oleanderpier.utils import run_coroutine
 
@@ -194,3 +195,37 @@
             self.assertEqual(Code.STREAM_CUT, fixture.outcome.code, name)
             self.assertEqual(EVENTS, fixture.caller.data, name)
             self.assertFalse(fixture.caller.complete, name)
+
+
+class ServerEndTest(TestCase):
+    """A response without a length that ends as its server ends is not complete."""
+
+    def forward(self, *behaviours, **changes) -> ForwarderFixture:
+        """Forward a request; the first server stops listening with its response."""
+        fixture = ForwarderFixture(*behaviours)
+
+        async def end_server(request: ReceivedRequest) -> None:
+            fixture.servers[0]._listener.close()
+            await close_connection(request)
+
+        fixture.servers[0]._script.append(stream_without_length(EVENTS, end_server))
+        fixture.outcome = forward_request(
+            fixture, max_attempts=2, target_s=0.3, **changes
+        )
+        return fixture
+
+    def test_stream_that_ends_with_its_server_between_events_is_not_complete(self):
+        """It is resumed, or the caller's connection is aborted."""
+        fixture = self.forward([], [stream_events(6)])
+        self.assertEqual(Code.DONE, fixture.outcome.code)
+        self.assertEqual(format_events(1, 6), fixture.caller.data)
+        fixture = self.forward([], resumable=False)
+        self.assertEqual(Code.STREAM_CUT, fixture.outcome.code)
+        self.assertEqual(
+            (True, False), (fixture.caller.aborted, fixture.caller.complete)
+        )
+
+    def test_call_that_ends_with_its_server_may_have_run(self):
+        """Its body may be cut."""
+        fixture = self.forward([], kind=RequestKind.ONCE)
+        self.assertEqual(Code.ANSWER_LOST, fixture.outcome.code)
