Tell reports of one crash from a later crash, and errors from sound responses

Found in a review of the crash guard. A late report of the crash that began a quarantine began it anew, allowed a second trial and could take a part that many use for the only cause. A server that crashed twice before hosts knew that it had started again counted once. A whole error response cleared the parts of its prompt, though a server may send one without a look at it. A late report that a part was answered cleared later crashes.

--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -108,7 +108,9 @@
         now_s = self._timers.now()
         first_at_s = attempt.first_event_at_s
         is_begun = first_at_s is not None and now_s >= first_at_s + SOUND_AFTER_S
-        if outcome is AttemptOutcome.DELIVERED or (outcome in _BROKEN and is_begun):
+        if (outcome is AttemptOutcome.DELIVERED and _is_success(attempt)) or (
+            outcome in _BROKEN and is_begun
+        ):
             self._record_sound(prompt, now_s)
         elif outcome in _BROKEN:
             await self._check_for_crash(server, prompt, now_s)
@@ -159,6 +161,14 @@
         return has_crashed
 
 
+def _is_success(attempt: Attempt) -> bool:
+    """Return whether a delivered response shows that the server can answer.
+
+    A server may send an error without a look at the prompt.
+    """
+    return attempt.response is None or attempt.response.head.status < 300
+
+
 def list_prompt_keys(call: Call) -> PromptKeys:
     """Return the keys of the parts of a prompt that other requests may share.
 
--- a/oleanderpier/forwarding/tests/test_crash_guard.py
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -13,6 +13,7 @@
     cut_stream,
     make_call,
     reset_connection,
+    respond,
     stream_events,
 )
 from oleanderpier.results import Code
@@ -68,6 +69,15 @@
         self.forward(fixture, 2, max_attempts=4)
         self.assertEqual([1, 1, 1, 0], fixture.count_requests())
 
+    def test_error_response_does_not_clear_a_prompt(self):
+        """A server may send it without a look at the prompt."""
+        fixture = self.make_crashing(*[reset_connection] * 4)
+        for server in fixture.servers:
+            server._script.insert(0, respond(404, b"none"))
+        # Each server answers once, and crashes on its second request.
+        self.forward(fixture, 9, max_attempts=1)
+        self.assertEqual(3, sum(count == 2 for count in fixture.count_requests()))
+
     def test_broken_responses_of_servers_that_live_do_not_count(self):
         """They still listen."""
         fixture = ForwarderFixture([reset_connection], slack=1000.0)
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -18,7 +18,8 @@
 MAX_SUSPECTS = 64
 # Crashes within this time of each other have one cause, such as a failed machine.
 SIMULTANEOUS_S = 0.1
-# Reports of one crash of a server whose start is not known are no further apart.
+# Reports of one crash are no further apart. A server may crash again before the hosts
+# know that it has started again.
 SAME_CRASH_S = 2.0
 
 
@@ -66,7 +67,7 @@
                 crash
                 for crash in self._crashes
                 if (crash.identity, crash.born_ms) == (identity, born_ms)
-                and (born_ms or abs(at_s - crash.at_s) < SAME_CRASH_S)
+                and abs(at_s - crash.at_s) < SAME_CRASH_S
             ),
             Crash(identity, born_ms, at_s, frozenset(), frozenset()),
         )
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -108,7 +108,8 @@
         self._suspected |= crash.parts
         causes = sorted(crash.parts & self._quarantines.keys())
         if causes:
-            return [self._renew(part, crash, len(causes) == 1) for part in causes]
+            renewed = [self._renew(part, crash, len(causes) == 1) for part in causes]
+            return [quarantine for quarantine in renewed if quarantine is not None]
         return self._begin_quarantines(crash.parts, at_s)
 
     def record_sound(self, prompt: PromptKeys, at_s: float) -> list[str]:
@@ -122,7 +123,8 @@
             if len(self._sound_s) >= MAX_SOUND_PARTS:
                 del self._sound_s[next(iter(self._sound_s))]
             self._sound_s[part] = max(earlier_s, at_s)
-            self._suspected.discard(part)
+            if part in self._suspected and not self._log.count_crashes(part, at_s, ()):
+                self._suspected.discard(part)
             quarantine = self._quarantines.get(part)
             if quarantine is not None and quarantine.since_s < at_s:
                 del self._quarantines[part]
@@ -172,7 +174,7 @@
     def may_retry(self, prompt: PromptKeys) -> bool:
         """Return whether a request may be sent to another server after a crash."""
         return not any(
-            part in self._quarantines or self._count_crashes(part) >= NO_RETRY_CRASHES
+            part in self._quarantines or self._reaches_limit(part, NO_RETRY_CRASHES)
             for part in prompt
             if self._is_suspected(part)
         )
@@ -225,17 +227,21 @@
             self._set_quarantine(quarantine)
         return quarantines
 
-    def _renew(self, part: str, crash: Crash, is_only_cause: bool) -> Quarantine:
-        """Begin the quarantine of a part anew after one more crash.
+    def _renew(self, part: str, crash: Crash, is_only_cause: bool) -> Quarantine | None:
+        """Begin the quarantine of a part anew after a later crash; None if it is not.
 
-        A part that was in the crash without the others of its group is the cause.
+        A part that was tried apart from the others of its group is the cause.
         """
         known = self._quarantines[part]
+        if crash.at_s <= known.since_s:
+            # One more report of the crash that began it.
+            return None
+        is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
         is_over = crash.at_s >= known.since_s + known.term_s
         renewed = known._replace(
-            since_s=max(known.since_s, crash.at_s),
+            since_s=crash.at_s,
             term_s=min(MAX_TERM_S, known.term_s * (TERM_FACTOR if is_over else 1.0)),
-            group=frozenset([part]) if is_only_cause else known.group,
+            group=frozenset([part]) if is_apart else known.group,
             trial_until_s=float("-inf"),
         )
         self._set_quarantine(renewed)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -61,6 +61,7 @@
         arrivals: Id and time of each request, executed or not.
         statements: Id and time of each request that was answered with a statement, and
             the seconds that it asked for, 0 if it said that it leaves.
+        work_s: How long a request takes, in seconds; a stream until its head.
         crashing_part: A part of prompts on which the server crashes as soon as it
             begins to answer; the last part of a prompt does not count.
         crash_times_s: When it crashed.
@@ -81,6 +82,7 @@
         self.asks_to_wait_s = 0.0
         self.arrivals: list[tuple[str, float]] = []
         self.statements: list[tuple[str, float, float]] = []
+        self.work_s = 0.0
         self.crashing_part = ""
         self.crash_times_s: list[float] = []
         self.run = 0
@@ -138,6 +140,7 @@
         self.request_ids.append(request_id)
         self.request_times_s.append(at_s)
         self.request_headers.append(dict(request.headers))
+        await asyncio.sleep(self.work_s)
         headers = {
             "Request-Id": request_id,
             "Response-Signature": self.instance_id,
