--- a/oleanderpier/cli/tests/test_trace.py
+++ b/oleanderpier/cli/tests/test_trace.py
@@ -75,6 +75,22 @@
         output = run_command("trace", "r1").output.splitlines()
         self.assertEqual("cause: 204 ANSWER_LOST, status 502: no answer", output[-1])
 
+    def test_quarantine_that_refused_a_request_is_shown(self):
+        """However old it is; those of other parts and hosts are not."""
+        reason = "prompt part bad has crashed servers"
+        end = {"code": 117, "name": "PROMPT_QUARANTINED", "status": 503}
+        text = "\n".join(
+            [
+                make_line(1.0, "h1", "poison:quarantine", part="bad", term_s=60.0),
+                make_line(1.0, "h2", "poison:quarantine", part="bad", term_s=60.0),
+                make_line(1.0, "h1", "poison:quarantine", part="has-not", term_s=60.0),
+                make_line(50.0, "h1", "request:end", request="r", reason=reason, **end),
+                make_line(51.0, "h1", "poison:quarantine", part="bad", term_s=60.0),
+            ]
+        )
+        trace = json.loads(run_command("trace", "r", "--json", text=text).output)
+        self.assertEqual([1.0, 50.0], [step["time"] for step in trace["steps"]])
+
     def test_unknown_request_exits_with_status_1(self):
         """An id that no line names gives exit status 1."""
         self.assertEqual(1, run_command("trace", "r9").exit_code)
--- a/oleanderpier/cli/trace.py
+++ b/oleanderpier/cli/trace.py
@@ -18,6 +18,7 @@
 # Fields that the table shows in columns of their own, or that are the same in each row.
 HIDDEN_FIELDS = frozenset({"time", "process", "event", "request"})
 NOT_FOUND_EXIT_STATUS = 1
+QUARANTINE_EVENT = "poison:quarantine"
 
 
 class RequestTrace(NamedTuple):
@@ -63,10 +64,14 @@
     """Return whether a line of no request belongs to the context of a request.
 
     It does if the request's host wrote it shortly before or during the request, and
-    it concerns one of the request's servers or the host as a whole.
+    it concerns one of the request's servers or the host as a whole. A quarantine that
+    is the reason of the request's end may be older.
     """
     if line["process"] not in {each["process"] for each in request_lines}:
         return False
+    if line["event"] == QUARANTINE_EVENT and line["time"] <= request_lines[-1]["time"]:
+        reasons = [each.get("reason", "").split() for each in request_lines]
+        return any(line["part"] in words for words in reasons)
     if (
         not request_lines[0]["time"] - CONTEXT_BEFORE_S
         <= line["time"]
