Keep other suspects of each crash when there are too many

With more than 64 suspects of a crash the first ones in the order of their parts were kept, the same ones each time, so that a cause that sorts last was never seen. The choice now depends on the server as well. test_each_suspect_is_kept_in_some_crashes failed before.

--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
+from oleanderpier.utils import hash_text
+
 __all__ = ["Crash", "CrashLog", "PromptKeys"]
 
 # The keys of the parts of a prompt.
@@ -71,7 +73,11 @@
             ),
             Crash(identity, born_ms, at_s, frozenset(), frozenset()),
         )
-        merged = sorted(known.suspects | set(suspects))[:MAX_SUSPECTS]
+        merged = known.suspects | set(suspects)
+        if len(merged) > MAX_SUSPECTS:
+            # Others for each crash, but the same ones at all hosts.
+            order = sorted(merged, key=lambda each: hash_text(f"{identity} {each}"))
+            merged = set(order[:MAX_SUSPECTS])
         crash = known._replace(
             suspects=frozenset(merged),
             parts=frozenset(part for prompt in merged for part in prompt),
--- a/oleanderpier/routing/tests/test_poison.py
+++ b/oleanderpier/routing/tests/test_poison.py
@@ -272,6 +272,16 @@
         self.assertEqual(MAX_SUSPECTS, len(crash.suspects))
         self.assertEqual(MAX_CRASHES, len(log.list_crashes()))
 
+    def test_each_suspect_is_kept_in_some_crashes(self):
+        """A cause among too many suspects is found all the same."""
+        poison = PoisonParts()
+        waiting = [(f"own{number}",) for number in range(3 * MAX_SUSPECTS)]
+        for number in range(30):
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [*waiting, ("zzz",)])
+            for prompt in waiting:
+                poison.record_sound(prompt, 1.5 + number)
+        self.assertEqual(["zzz"], list_parts(poison))
+
     def test_quarantines_are_bounded(self):
         """The oldest ones are dropped."""
         poison = PoisonParts()
