Show in logs and metrics the limit that a server names, and what was known at a send

Neither the header nor its age was in a log, so that 'no host reads it', 'each host respects it for itself' and 'some sends are left out' looked alike. The limit is kept with the other statements of a server; nothing chooses by it yet.

--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -26,6 +26,11 @@
             "Servers that get no requests for a time.",
             lambda: node.statements.count_waits(node.timers.now()),
         ),
+        (
+            "servers_limited",
+            "Servers that name a limit of requests per second.",
+            lambda: len(node.statements.list_limits()),
+        ),
         (
             "prompt_parts_quarantined",
             "Prompt parts with which requests are refused.",
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -1,6 +1,7 @@
 """Forwards a request to backend servers, with retries, until it has an outcome."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -25,6 +26,7 @@
     AttemptState,
     Choice,
     Chooser,
+    LimitStatement,
     RetryBudget,
     ServerEntry,
     ServerHealth,
@@ -148,6 +150,15 @@
         ):
             log_message("statements:leaving", identity=identity, source="")
             self._on_leaving(server)
+        if head.limit_per_s is not None:
+            limit = LimitStatement(server.born_ms, head.limit_per_s, now_s, "")
+            if self._statements.record_limit(identity, limit):
+                log_message(
+                    "statements:limit",
+                    identity=identity,
+                    per_s=None if math.isinf(limit.per_s) else limit.per_s,
+                    source="",
+                )
         wait_s = compute_wait_s(head.refusal, head.wait_s, self.rng)
         if wait_s and self._statements.record_wait(server, now_s + wait_s):
             log_message(
@@ -313,6 +324,10 @@
             mean_age_s=round(mean_age_s, 3),
             server_state=choice.server_state.value,
             server_state_age_s=round(choice.server_state_age_s, 2),
+            limit_per_s=choice.limit.per_s if choice.limit else None,
+            limit_age_s=round(started_s - choice.limit.heard_s, 3)
+            if choice.limit
+            else None,
             cache_age_s=None
             if choice.cache_age_s is None
             else round(choice.cache_age_s, 3),
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -79,6 +79,8 @@
         refusal: Why the server has not run the request; None if it may have.
         says_leaving: Whether the server says that it leaves.
         wait_s: For how long the server wants no requests, None if it does not say.
+        limit_per_s: The requests per second that the server takes from all hosts
+            together, infinite without a limit; None if the response does not tell.
     """
 
     status: int
@@ -89,6 +91,7 @@
     refusal: Refusal | None = None
     says_leaving: bool = False
     wait_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -1,5 +1,6 @@
 """The wire format of requests and responses: header names and their values."""
 
+import math
 import time
 from collections.abc import Callable
 from email.utils import parsedate_to_datetime
@@ -7,7 +8,11 @@
 from eliot import log_message
 from multidict import CIMultiDict
 
-from oleanderpier.connections import MAX_RETRY_AFTER_S, parse_retry_after
+from oleanderpier.connections import (
+    MAX_RETRY_AFTER_S,
+    parse_rate_limit,
+    parse_retry_after,
+)
 from oleanderpier.forwarding import Call, ResponseHead
 from oleanderpier.routing import PromptPart, Refusal, ServerEntry
 
@@ -49,6 +54,9 @@
 LEAVING_HEADER = "server-leaving"
 LEAVING_VALUE = "1"
 RETRY_AFTER_HEADER = "retry-after"
+# Requests per second that a server takes from all hosts together, in each response for
+# as long as the limit holds.
+LIMIT_HEADER = "server-limit"
 # Returned by a server that is not the expected one; it has not run the request.
 MISDIRECTED_STATUS = 421
 _REFUSALS = {
@@ -183,7 +191,8 @@
             (key.decode("latin-1"), value.decode("latin-1")) for key, value in headers
         ]
         values_by_name = {key.lower(): value for key, value in pairs}
-        not_run = NOT_RUN_HEADER in values_by_name or status == MISDIRECTED_STATUS
+        misdirected = status == MISDIRECTED_STATUS
+        not_run = NOT_RUN_HEADER in values_by_name or misdirected
         identity = values_by_name.get(REQUEST_ID_HEADER.lower())
         is_own = identity == call.identity
         # What a response to another request says may be of another server.
@@ -198,6 +207,7 @@
             refusal=_REFUSALS.get(status, Refusal.OTHER) if not_run else None,
             says_leaving=states_own and _read_leaving(values_by_name),
             wait_s=self._read_wait_s(status, pairs) if states_own else None,
+            limit_per_s=_read_limit(pairs) if is_own and not misdirected else None,
         )
 
     def _read_wait_s(self, status: int, pairs: list[tuple[str, str]]) -> float | None:
@@ -230,3 +240,22 @@
     if value and value != LEAVING_VALUE:
         log_message("server:leaving_unknown", found=value[:40], allowed=LEAVING_VALUE)
     return value == LEAVING_VALUE
+
+
+def _read_limit(pairs: list[tuple[str, str]]) -> float | None:
+    """Return the requests per second that a server takes, infinite without a limit.
+
+    None if it names a limit that can't be read.
+    """
+    values = [value for key, value in pairs if key.lower() == LIMIT_HEADER]
+    if not values:
+        return math.inf
+    per_s, ignored = parse_rate_limit(values)
+    if ignored or per_s is None:
+        log_message(
+            "server:limit_unusual",
+            found=ignored,
+            allowed="requests per second, 0 or more",
+            used_per_s=per_s,
+        )
+    return per_s
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -1,5 +1,7 @@
 """Tests of the wire format of requests and responses."""
 
+import math
+
 from testtools import TestCase
 
 from oleanderpier.forwarding.tests.fakes import make_call
@@ -133,6 +135,21 @@
         }
         self.assertEqual(3.0, self.read(503, **dates).wait_s)
 
+    def test_server_that_names_a_limit(self):
+        """A response of the server tells whether there is a limit, of any status."""
+        for status in (200, 500, 503):
+            self.assertEqual(2.5, self.read(status, Server_Limit="2.5").limit_per_s)
+        self.assertEqual(0.0, self.read(200, Server_Limit="0").limit_per_s)
+        self.assertEqual(math.inf, self.read(200).limit_per_s)
+
+    def test_response_that_does_not_tell_of_a_limit(self):
+        """A value that can't be read, another request's id or another server."""
+        for value in ("few", "-1", "nan", ""):
+            self.assertIsNone(self.read(200, Server_Limit=value).limit_per_s, value)
+        for limit in ({}, {"Server_Limit": "2.5"}):
+            self.assertIsNone(self.read(200, Request_Id="r-2", **limit).limit_per_s)
+            self.assertIsNone(self.read(421, **limit).limit_per_s)
+
     def test_reason_of_a_refusal(self):
         """A response that may have run the request has none."""
         cases = {
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -38,7 +38,7 @@
 )
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
 from oleanderpier.routing.roster import RegistrationChange, Roster
-from oleanderpier.routing.statements import ServerStatements
+from oleanderpier.routing.statements import LimitStatement, ServerStatements
 from oleanderpier.utils import Timers
 
 __all__ = ["Choice", "Chooser", "ServerQuery"]
@@ -98,6 +98,7 @@
             shared prefix, None if never.
         server_state: The last change of the server's registration.
         server_state_age_s: Seconds since then.
+        limit: The limit that the server names, None without one.
     """
 
     server: ServerEntry
@@ -110,6 +111,7 @@
     cache_age_s: float | None = None
     server_state: RegistrationChange = RegistrationChange.JOINED
     server_state_age_s: float = 0.0
+    limit: LimitStatement | None = None
 
 
 class Chooser:
@@ -202,6 +204,7 @@
             cache_age_s=self._caches.get_entry_age_s(query.cache_key, identity),
             server_state=state,
             server_state_age_s=self._timers.now() - state_since_s,
+            limit=self._statements.get_limit(choice.server),
         )
 
     def get_shortest_wait_s(self, service: str) -> float | None:
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -15,16 +15,22 @@
 All times are arguments, in seconds on the monotonic clock.
 """
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from oleanderpier.routing.records import ServerEntry
 
-__all__ = ["LeavingStatement", "ServerStatements", "WaitStatement"]
+__all__ = ["LeavingStatement", "LimitStatement", "ServerStatements", "WaitStatement"]
 
 # How long it is remembered that a server leaves. It is longer than a server keeps
 # running after it has said so.
 LEAVING_KEPT_S = 600.0
+# The same for a limit. Each response of a server renews it.
+LIMIT_KEPT_S = 600.0
+# How long it is remembered that a limit has ended: longer than an older statement is on
+# its way from another host.
+ENDED_LIMIT_KEPT_S = 60.0
 
 
 class LeavingStatement(NamedTuple):
@@ -53,6 +59,23 @@
     until_s: float
 
 
+class LimitStatement(NamedTuple):
+    """A server takes a limited number of requests from all hosts together.
+
+    Attributes:
+        born_ms: The start of the server's run, as in ``ServerEntry``.
+        per_s: The requests per second that it takes; infinite if it no longer names a
+            limit.
+        heard_s: When the server said so.
+        source: The host that heard it from the server; empty for this host.
+    """
+
+    born_ms: int
+    per_s: float
+    heard_s: float
+    source: str
+
+
 class ServerStatements:
     """The statements of all servers that are known to this host.
 
@@ -72,6 +95,7 @@
     def __init__(self) -> None:
         self._leaving: dict[str, LeavingStatement] = {}
         self._waits: dict[str, WaitStatement] = {}
+        self._limits: dict[str, LimitStatement] = {}
 
     def record_leaving(
         self, identity: str, born_ms: int, now_s: float, source: str = ""
@@ -105,13 +129,29 @@
         self._waits[server.identity] = WaitStatement(server.born_ms, until_s)
         return True
 
+    def record_limit(self, identity: str, limit: LimitStatement) -> bool:
+        """Record how many requests a server takes; return whether that has changed.
+
+        The newest statement holds, whoever has heard it.
+        """
+        known = self._limits.get(identity)
+        if known is None or known.born_ms < limit.born_ms:
+            if math.isinf(limit.per_s):
+                return self._limits.pop(identity, None) is not None
+            self._limits[identity] = limit
+            return True
+        if known.born_ms > limit.born_ms or known.heard_s > limit.heard_s:
+            return False
+        self._limits[identity] = limit
+        return known.per_s != limit.per_s
+
     def record_end(self, identity: str) -> None:
         """Record that a server's registration ended, or that it has restarted.
 
         If it is not known when a server started, a later registration under its id
         is that of a new run.
         """
-        for statements in (self._leaving, self._waits):
+        for statements in (self._leaving, self._waits, self._limits):
             known = statements.get(identity)
             if known is not None and not known.born_ms:
                 del statements[identity]
@@ -128,6 +168,13 @@
             return 0.0
         return max(0.0, known.until_s - now_s)
 
+    def get_limit(self, server: ServerEntry) -> LimitStatement | None:
+        """Return the limit that this run of a server names, None without one."""
+        known = self._limits.get(server.identity)
+        if known is None or known.born_ms != server.born_ms or math.isinf(known.per_s):
+            return None
+        return known
+
     def is_willing(self, server: ServerEntry, now_s: float) -> bool:
         """Return whether a server has said nothing against a request now."""
         return not self.is_leaving(server) and not self.get_wait_s(server, now_s)
@@ -158,6 +205,14 @@
         """Return the id and the start of each server that has said that it leaves."""
         return [(identity, known.born_ms) for identity, known in self._leaving.items()]
 
+    def list_limits(self) -> list[tuple[str, LimitStatement]]:
+        """Return the id and the statement of each server that names a limit."""
+        return [
+            (identity, known)
+            for identity, known in self._limits.items()
+            if not math.isinf(known.per_s)
+        ]
+
     def count_leaving(self) -> int:
         """Return how many servers are known to have said that they leave."""
         return len(self._leaving)
@@ -178,3 +233,13 @@
             for identity, known in self._waits.items()
             if now_s < known.until_s
         }
+        self._limits = {
+            identity: known
+            for identity, known in self._limits.items()
+            if now_s < known.heard_s + _get_limit_kept_s(known)
+        }
+
+
+def _get_limit_kept_s(limit: LimitStatement) -> float:
+    """Return how long a limit, or its end, is remembered after it was heard."""
+    return ENDED_LIMIT_KEPT_S if math.isinf(limit.per_s) else LIMIT_KEPT_S
--- a/oleanderpier/routing/tests/test_statements.py
+++ b/oleanderpier/routing/tests/test_statements.py
@@ -1,10 +1,12 @@
 """Tests of what servers say of whether they want requests."""
 
+import math
 import random
 
 from testtools import TestCase
 
 from oleanderpier.routing import (
+    LimitStatement,
     PromptPrefix,
     Refusal,
     ServerQuery,
@@ -12,7 +14,7 @@
     compute_wait_s,
 )
 from oleanderpier.routing.refusals import MISDIRECTED_WAIT_S
-from oleanderpier.routing.statements import LEAVING_KEPT_S
+from oleanderpier.routing.statements import ENDED_LIMIT_KEPT_S, LEAVING_KEPT_S
 from oleanderpier.routing.tests.fakes import ENGINE, RoutingFixture, make_server
 
 SERVER = make_server("s1", born_ms=5)
@@ -61,6 +63,64 @@
         self.assertEqual([], self.statements.list_leaving())
 
 
+class LimitTest(TestCase):
+    """The newest statement of a run tells whether it takes a limited rate."""
+
+    def setUp(self):
+        """Record the limit of one run of a server."""
+        super().setUp()
+        self.statements = ServerStatements()
+        self.record(2.0, 10.0)
+
+    def record(self, per_s: float, heard_s: float, born_ms: int = 5) -> bool:
+        """Record a limit, infinite for none."""
+        return self.statements.record_limit(
+            "s1", LimitStatement(born_ms, per_s, heard_s, "")
+        )
+
+    def get_per_s(self, server=SERVER) -> float | None:
+        """Return the limit in force."""
+        limit = self.statements.get_limit(server)
+        return limit and limit.per_s
+
+    def test_newest_statement_holds(self):
+        """Another host may have heard it earlier than it arrives here."""
+        self.assertTrue(self.record(3.0, 11.0))
+        self.assertFalse(self.record(4.0, 10.5))
+        self.assertEqual(3.0, self.get_per_s())
+        self.assertFalse(self.record(3.0, 12.0))
+
+    def test_limit_ends_when_it_is_no_longer_named(self):
+        """An older statement does not bring it back, a newer one does."""
+        self.assertTrue(self.record(math.inf, 11.0))
+        self.assertIsNone(self.get_per_s())
+        self.assertEqual([], self.statements.list_limits())
+        self.assertFalse(self.record(2.0, 10.5))
+        self.assertIsNone(self.get_per_s())
+        self.assertTrue(self.record(2.0, 11.5))
+        self.assertEqual(2.0, self.get_per_s())
+
+    def test_limit_holds_for_the_run(self):
+        """A new start ends it; a late statement of an earlier run is ignored."""
+        self.assertIsNone(self.get_per_s(RESTARTED))
+        self.assertTrue(self.record(4.0, 12.0, born_ms=6))
+        self.assertFalse(self.record(2.0, 13.0, born_ms=5))
+        self.assertEqual(4.0, self.get_per_s(RESTARTED))
+
+    def test_responses_without_a_limit_cost_no_memory(self):
+        """Most servers never name one."""
+        statements = ServerStatements()
+        limit = LimitStatement(5, math.inf, 1.0, "")
+        self.assertFalse(statements.record_limit("s2", limit))
+        self.assertEqual({}, statements._limits)
+
+    def test_ended_limit_is_forgotten(self):
+        """A statement that is as old can't arrive any more."""
+        self.record(math.inf, 11.0)
+        self.statements.remove_expired(11.0 + ENDED_LIMIT_KEPT_S)
+        self.assertEqual({}, self.statements._limits)
+
+
 class WaitTest(TestCase):
     """A server gets no requests until the time that it asked for has passed."""
 
