Hold the limit that a server names over all hosts together

No caller was refused or late for it.

Cause: no host acted on the header. A limit for all hosts can't be kept by what one host sees, nor in time by reports that are 0.1 to 6 s old: each limit now has an owner among the ready hosts, by rendezvous hashing, which counts the sends of all hosts in a token bucket. Without its reply a host uses a share; owner and shares together stay within what the users allow. A server without room is left out for that long, so the others serve, or the caller is refused at once. Limits, and their ends, are told to all hosts.

The mean leaves out servers that name a limit (LimitedServerTest fails without it).

--- /dev/null
+++ b/oleanderpier/entry/exchange.py
@@ -0,0 +1,105 @@
+"""What a host knows of backend servers from responses, and shares with other hosts."""
+
+import random
+from collections.abc import Callable
+
+from oleanderpier.entry.crash_gossip import CrashGossip
+from oleanderpier.entry.leaving import LeavingGossip
+from oleanderpier.entry.limit_gossip import LimitGossip
+from oleanderpier.entry.send_limits import SendLimits
+from oleanderpier.fleet import (
+    CRASHES_FEATURE,
+    LEAVING_FEATURE,
+    LIMITS_FEATURE,
+    CrashNews,
+    FleetView,
+    LeavingServers,
+    LimitedServers,
+    LimitQuery,
+    LimitReply,
+)
+from oleanderpier.peers import Mesh
+from oleanderpier.routing import PoisonParts, ServerStatements
+from oleanderpier.utils import Timers
+
+__all__ = ["ServerExchange"]
+
+
+class ServerExchange:
+    """Holds what servers have said or done, and the parts that exchange it.
+
+    Args:
+        view: The other hosts.
+        list_ready: Returns the ready hosts, including this one if it is ready.
+        timers: The timer service.
+        rng: The source of randomness.
+        mesh: The streams to the other hosts.
+
+    Attributes:
+        statements: What the servers have said.
+        leaving: Exchanges which servers leave.
+        limits: Exchanges the limits that servers name.
+        send_limits: Holds these limits over all hosts together.
+        poison: The parts of prompts that crash servers.
+        crash_gossip: Exchanges crashes and what is known of their causes.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        list_ready: Callable[[], list[str]],
+        timers: Timers,
+        rng: random.Random,
+        mesh: Mesh,
+    ) -> None:
+        self._mesh = mesh
+        self.statements = ServerStatements()
+        self.leaving = LeavingGossip(
+            self.statements,
+            lambda: view.list_with_feature(LEAVING_FEATURE),
+            timers,
+            rng,
+            mesh,
+        )
+        self.limits = LimitGossip(
+            self.statements,
+            lambda: view.list_with_feature(LIMITS_FEATURE),
+            timers,
+            rng,
+            mesh,
+        )
+        self.send_limits = SendLimits(
+            mesh.host,
+            self.statements,
+            lambda: _keep_supporting(list_ready(), mesh.host, view),
+            timers,
+            rng,
+            mesh,
+        )
+        self.poison = PoisonParts()
+        self.crash_gossip = CrashGossip(
+            self.poison,
+            lambda: view.list_with_feature(CRASHES_FEATURE),
+            timers,
+            rng,
+            mesh,
+        )
+
+    def subscribe(self) -> None:
+        """Take the messages of the other hosts."""
+        self._mesh.subscribe(LeavingServers, self.leaving.receive)
+        self._mesh.subscribe(LimitedServers, self.limits.receive)
+        self._mesh.subscribe(LimitQuery, self.send_limits.receive_query)
+        self._mesh.subscribe(LimitReply, self.send_limits.receive_reply)
+        self._mesh.subscribe(CrashNews, self.crash_gossip.receive)
+
+    def send_all(self, newcomer: str) -> None:
+        """Send everything to a host that has just started."""
+        for part in (self.leaving, self.limits, self.crash_gossip):
+            part.send_all(newcomer)
+
+
+def _keep_supporting(hosts: list[str], own: str, view: FleetView) -> list[str]:
+    """Return those of several hosts that reply to ``LimitQuery``."""
+    supporting = {own, *view.list_with_feature(LIMITS_FEATURE)}
+    return [host for host in hosts if host in supporting]
--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -19,22 +19,22 @@
         (
             "servers_leaving",
             "Servers that have said that they leave.",
-            node.statements.count_leaving,
+            node.exchange.statements.count_leaving,
         ),
         (
             "servers_waited_for",
             "Servers that get no requests for a time.",
-            lambda: node.statements.count_waits(node.timers.now()),
+            lambda: node.exchange.statements.count_waits(node.timers.now()),
         ),
         (
             "servers_limited",
             "Servers that name a limit of requests per second.",
-            lambda: len(node.statements.list_limits()),
+            lambda: len(node.exchange.statements.list_limits()),
         ),
         (
             "prompt_parts_quarantined",
             "Prompt parts with which requests are refused.",
-            lambda: len(node.poison.list_quarantines()),
+            lambda: len(node.exchange.poison.list_quarantines()),
         ),
         (
             "configuration_version",
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -9,15 +9,14 @@
 
 from oleanderpier.connections import make_session
 from oleanderpier.entry.admission import check_draining_admission
-from oleanderpier.entry.crash_gossip import CrashGossip
 from oleanderpier.entry.encoding import (
     decode_server,
     decode_table,
     outlasts_server,
     outlasts_table,
 )
+from oleanderpier.entry.exchange import ServerExchange
 from oleanderpier.entry.gauges import list_gauges
-from oleanderpier.entry.leaving import LeavingGossip
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
@@ -28,17 +27,22 @@
     CRASHES_FEATURE,
     DOMAIN_LOADS_FEATURE,
     LEAVING_FEATURE,
+    LIMITS_FEATURE,
     CachePlacements,
-    CrashNews,
     DomainLoads,
     FleetLoads,
     FleetSite,
     FleetView,
     HostReport,
-    LeavingServers,
     ServerUse,
 )
-from oleanderpier.forwarding import CrashGuard, Dialect, Forwarder, ServerActivity
+from oleanderpier.forwarding import (
+    CrashGuard,
+    Dialect,
+    Forwarder,
+    ServerActivity,
+    StatementRecorder,
+)
 from oleanderpier.membership import HostEndpoint, Members, MemberState
 from oleanderpier.peers import Mesh, split_address
 from oleanderpier.replication import (
@@ -59,13 +63,11 @@
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
-    PoisonParts,
     RetryBudget,
     Roster,
     Route,
     RouteIndex,
     ServerHealth,
-    ServerStatements,
 )
 from oleanderpier.utils import LoopTimers, rank_candidates
 
@@ -84,7 +86,7 @@
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 # What this host announces in its reports.
 FEATURES = dict.fromkeys(
-    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE, CRASHES_FEATURE),
+    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE, CRASHES_FEATURE, LIMITS_FEATURE),
     ReplicaSummary(0, 0, 0.0),
 )
 MILLISECONDS_PER_S = 1000
@@ -198,21 +200,8 @@
         )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
-        self.statements = ServerStatements()
-        self.leaving = LeavingGossip(
-            self.statements,
-            lambda: self.view.list_with_feature(LEAVING_FEATURE),
-            timers,
-            self._rng,
-            self.mesh,
-        )
-        self.poison = PoisonParts()
-        self.crash_gossip = CrashGossip(
-            self.poison,
-            lambda: self.view.list_with_feature(CRASHES_FEATURE),
-            timers,
-            self._rng,
-            self.mesh,
+        self.exchange = ServerExchange(
+            self.view, self._list_ready, timers, self._rng, self.mesh
         )
         self.server_activity = ServerActivity(timers)
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
@@ -225,7 +214,7 @@
             self._rng,
             timers,
             self.settings.load_limit_factor,
-            self.statements,
+            self.exchange.statements,
         )
 
     def _subscribe_components(self) -> None:
@@ -241,12 +230,11 @@
             self.replicas.values(),
             self.timers,
             self.mesh,
-            (self.leaving.send_all, self.crash_gossip.send_all),
+            (self.exchange.send_all,),
         )
         self.view.subscribe_appeared(newcomers.send)
-        self.mesh.subscribe(LeavingServers, self.leaving.receive)
-        self.mesh.subscribe(CrashNews, self.crash_gossip.receive)
-        self.roster.subscribe_removed(self.statements.record_end)
+        self.exchange.subscribe()
+        self.roster.subscribe_removed(self.exchange.statements.record_end)
         self.mesh.subscribe(CachePlacements, newcomers.receive)
         for message_class in (ItemsUpdate, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sync)
@@ -265,6 +253,7 @@
 
     async def start(self) -> None:
         """Join the fleet and start to replicate the platform's values."""
+        exchange = self.exchange
         self.forwarder = Forwarder(
             make_session(connect_timeout_s=CONNECT_TIMEOUT_S),
             self._dialect,
@@ -273,18 +262,24 @@
             self.budget,
             self.server_activity,
             self.timers,
-            self.statements,
+            StatementRecorder(
+                exchange.statements,
+                self.timers,
+                self._rng,
+                exchange.leaving.announce,
+                exchange.limits.announce,
+            ).record,
             CrashGuard(
-                self.poison,
+                exchange.poison,
                 self.health,
                 self.timers,
                 self._is_tester,
-                self.crash_gossip.announce_crash,
-                self.crash_gossip.announce_sound,
+                exchange.crash_gossip.announce_crash,
+                exchange.crash_gossip.announce_sound,
             ),
             self._rng,
             self.metrics.record_attempt,
-            self.leaving.announce,
+            exchange.send_limits.request_send,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -9,12 +9,17 @@
     "CRASHES_FEATURE",
     "DOMAIN_LOADS_FEATURE",
     "LEAVING_FEATURE",
+    "LIMITS_FEATURE",
     "CachePlacements",
     "CrashNews",
     "DomainLoads",
     "HostReport",
     "LeavingServers",
+    "LimitQuery",
+    "LimitReply",
+    "LimitedServers",
     "ReportedCrash",
+    "ReportedLimit",
     "ReportedQuarantine",
     "ServerUse",
     "merge_reports",
@@ -43,6 +48,8 @@
 LEAVING_FEATURE = "feature:leaving_servers"
 # The same for ``CrashNews``.
 CRASHES_FEATURE = "feature:crash_news"
+# The same for ``LimitedServers`` and ``LimitQuery``.
+LIMITS_FEATURE = "feature:server_limits"
 
 
 @register_message(135)
@@ -157,6 +164,62 @@
     quarantines: list[ReportedQuarantine]
 
 
+class ReportedLimit(NamedTuple):
+    """How many requests a backend server takes from all hosts together.
+
+    Attributes:
+        identity: The server's id.
+        born_ms: The start of the run that said so, in Unix milliseconds, 0 if unknown.
+        per_s: The requests per second; infinite if it no longer names a limit.
+        age_s: The seconds since it said so.
+    """
+
+    identity: str
+    born_ms: int
+    per_s: float
+    age_s: float
+
+
+@register_message(140)
+class LimitedServers(NamedTuple):
+    """Backend servers that have named a limit, or no longer do.
+
+    Attributes:
+        limits: What they have said.
+    """
+
+    limits: list[ReportedLimit]
+
+
+@register_message(141)
+class LimitQuery(NamedTuple):
+    """Asks the owner of a server's limit whether one more request may be sent.
+
+    Attributes:
+        number: The number of the query, unique on the sending host.
+        limit: The limit as the sending host knows it.
+    """
+
+    number: int
+    limit: ReportedLimit
+
+
+@register_message(142)
+class LimitReply(NamedTuple):
+    """Answers a ``LimitQuery``.
+
+    Attributes:
+        number: The number of the query.
+        decision: A ``LimitDecision``.
+        wait_s: The seconds until the server takes the next request; 0 unless its limit
+            is used up.
+    """
+
+    number: int
+    decision: int
+    wait_s: float
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -1,7 +1,6 @@
 """Forwards a request to backend servers, with retries, until it has an outcome."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -26,14 +25,11 @@
     AttemptState,
     Choice,
     Chooser,
-    LimitStatement,
     RetryBudget,
     ServerEntry,
     ServerHealth,
     ServerQuery,
-    ServerStatements,
     ServiceShare,
-    compute_wait_s,
     decide_retry,
     spread_return_s,
 )
@@ -43,6 +39,8 @@
 
 # Servers tried for one request, including unreachable ones.
 MAX_SERVERS_TRIED = 5
+# Choices for one request among servers whose limits may have no room for it.
+MAX_LIMITED_CHOICES = 24
 # With less time left a request is not sent, since no response could arrive in time.
 MIN_TIME_LEFT_S = 0.005
 # Delay that a refusal asks the caller to wait: long enough for a server in backoff
@@ -79,13 +77,14 @@
         budget: The retry budget.
         server_activity: When each server last sent something.
         timers: The timer service.
-        statements: What the servers have said of whether they want requests.
+        record_statements: Records what the head of a server's response says.
         guard: Keeps requests that crash servers away from them.
         rng: The source of randomness.
         on_attempt_end: Called after each attempt, with its outcome, what ended the
             response (None without a response) and its duration in seconds; not
             called for an attempt that was cancelled.
-        on_leaving: Called with each server that says to this host that it leaves.
+        request_send: Asks whether a request may be sent to a server that may name a
+            limit; called with the server and a callback for the decision.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -100,17 +99,19 @@
         budget: RetryBudget,
         server_activity: ServerActivity,
         timers: Timers,
-        statements: ServerStatements,
+        record_statements: Callable[[ServerEntry, ResponseHead], None],
         guard: CrashGuard,
         rng: random.Random,
         on_attempt_end: Callable[
             [AttemptOutcome, Framing | None, float], None
         ] = lambda outcome, framing, took_s: None,
-        on_leaving: Callable[[ServerEntry], None] = lambda server: None,
+        request_send: Callable[
+            [ServerEntry, Callable[[bool], None]], None
+        ] = lambda server, notify: notify(True),
     ) -> None:
         self.on_attempt_end = on_attempt_end
-        self._on_leaving = on_leaving
-        self._statements = statements
+        self._request_send = request_send
+        self.record_statements = record_statements
         self.guard = guard
         self.rng = rng
         self.session = session
@@ -134,6 +135,17 @@
         """
         return await _RequestForwarding(self, call, caller).run()
 
+    async def may_send(self, server: ServerEntry) -> bool:
+        """Return whether a server's limit has room for a request now."""
+        decision = asyncio.get_running_loop().create_future()
+
+        def notify(may_send: bool) -> None:
+            if not decision.done():
+                decision.set_result(may_send)
+
+        self._request_send(server, notify)
+        return await decision
+
     def record_response(self, identity: str, failed: bool) -> None:
         """Record a server's response, in its health and for this host's reports."""
         self.health.record_response(identity, failed)
@@ -141,34 +153,6 @@
         responses[identity] = responses.get(identity, 0) + 1
         failures[identity] = failures.get(identity, 0) + failed
 
-    def record_statements(self, server: ServerEntry, head: ResponseHead) -> None:
-        """Record what the head of a response says of the server's willingness."""
-        now_s = self.timers.now()
-        identity = server.identity
-        if head.says_leaving and self._statements.record_leaving(
-            identity, server.born_ms, now_s
-        ):
-            log_message("statements:leaving", identity=identity, source="")
-            self._on_leaving(server)
-        if head.limit_per_s is not None:
-            limit = LimitStatement(server.born_ms, head.limit_per_s, now_s, "")
-            if self._statements.record_limit(identity, limit):
-                log_message(
-                    "statements:limit",
-                    identity=identity,
-                    per_s=None if math.isinf(limit.per_s) else limit.per_s,
-                    source="",
-                )
-        wait_s = compute_wait_s(head.refusal, head.wait_s, self.rng)
-        if wait_s and self._statements.record_wait(server, now_s + wait_s):
-            log_message(
-                "statements:wait",
-                identity=identity,
-                refusal=head.refusal.value if head.refusal else "",
-                asked_s=head.wait_s,
-                wait_s=round(wait_s, 3),
-            )
-
     def pop_response_counts(self) -> ResponseCounts:
         """Return the responses counted since the last call, and reset the counts."""
         counts, self.response_counts = self.response_counts, ResponseCounts({}, {})
@@ -217,9 +201,7 @@
     async def _try_servers(self) -> RequestOutcome:
         forwarder, call = self._forwarder, self._call
         for _ in range(MAX_SERVERS_TRIED):
-            choice = forwarder.chooser.choose(
-                self._query, self._tried, self._refused_by
-            )
+            choice = await self._choose_server()
             if choice is None:
                 self._explain_no_server()
                 break
@@ -244,12 +226,27 @@
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
         return await self._finish_unsuccessful(code)
 
+    async def _choose_server(self) -> Choice | None:
+        """Return the best server whose limit has room, None if there is none.
+
+        A server without room is left out of the next choice.
+        """
+        for _ in range(MAX_LIMITED_CHOICES):
+            choice = self._forwarder.chooser.choose(
+                self._query, self._tried, self._refused_by
+            )
+            if choice is None or await self._forwarder.may_send(choice.server):
+                return choice
+        return None
+
     def _explain_no_server(self) -> None:
         """Set the reason and the time to come back if no server can be chosen."""
         wait_s = self._forwarder.chooser.get_shortest_wait_s(self._service)
         if wait_s:
-            self._retry_after_s = spread_return_s(wait_s, self._forwarder.rng)
-            self._reason = f"all servers ask to wait {wait_s:.3f} s; {self._reason}"
+            self._retry_after_s = spread_return_s(
+                max(RETRY_AFTER_S, wait_s), self._forwarder.rng
+            )
+            self._reason = f"no server wants it for {wait_s:.3f} s; {self._reason}"
         else:
             self._reason = f"no server of {self._service}; {self._reason}"
 
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -16,6 +16,7 @@
     RequestOutcome,
     ResponseHead,
     ServerActivity,
+    StatementRecorder,
 )
 from oleanderpier.results import Failure, describe_code
 from oleanderpier.routing import (
@@ -411,7 +412,7 @@
                 budget,
                 ServerActivity(timers),
                 timers,
-                statements,
+                StatementRecorder(statements, timers, rng).record,
                 CrashGuard(PoisonParts(), health, timers),
                 rng,
             )
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -11,6 +11,7 @@
 from oleanderpier.routing.health import *  # noqa: F403
 from oleanderpier.routing.load_model import *  # noqa: F403
 from oleanderpier.routing.poison import *  # noqa: F403
+from oleanderpier.routing.rate_limits import *  # noqa: F403
 from oleanderpier.routing.records import *  # noqa: F403
 from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -238,7 +238,7 @@
         servers = healthy or untried or usable
         if not servers:
             return None
-        stats = self._model.compute_stats(query.service, servers)
+        stats = self._model.compute_stats(query.service, servers, self._statements)
         if healthy and not avoided:
             self._service_stats[query.service] = stats
             self._stats_choices_left[query.service] = int(
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -19,6 +19,7 @@
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.residence import ResidenceTimes
 from oleanderpier.routing.roster import Roster
+from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
 
 __all__ = [
@@ -117,17 +118,26 @@
         """Return the mean age of the other hosts' requests, in seconds."""
         return self._remote_loads.get_age_s()
 
-    def compute_stats(self, service: str, servers: list[ServerEntry]) -> ServiceStats:
+    def compute_stats(
+        self,
+        service: str,
+        servers: list[ServerEntry],
+        statements: ServerStatements,
+    ) -> ServiceStats:
         """Return the statistics of a service.
 
         The mean is over all registered servers, as the users count it: a server that
-        leaves or fails holds little, and lowers the limit of the others.
+        leaves or fails holds little, and lowers the limit of the others. Only those
+        that name a limit are left out, since the others have to hold what they do not
+        take.
 
         Args:
             service: The service.
             servers: The servers that may be chosen.
+            statements: What the servers have said.
         """
         registered = self._roster.list_registered(service)
+        registered = statements.list_unlimited(registered) or registered
         survival = self.residence_times.estimate_survival(service, self.get_age_s())
         remote = own = 0.0
         for entry in registered:
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -187,6 +187,12 @@
             return servers
         return [server for server in servers if self.is_willing(server, now_s)]
 
+    def list_unlimited(self, servers: list[ServerEntry]) -> list[ServerEntry]:
+        """Return the servers that name no limit."""
+        if not self._limits:
+            return servers
+        return [server for server in servers if self.get_limit(server) is None]
+
     def get_shortest_wait_s(
         self, servers: Iterable[ServerEntry], now_s: float
     ) -> float | None:
--- a/oleanderpier/routing/tests/test_load_model.py
+++ b/oleanderpier/routing/tests/test_load_model.py
@@ -1,10 +1,11 @@
 """Tests of the choice by loads that are older than requests take."""
 
+import math
 from collections import Counter
 
 from testtools import TestCase
 
-from oleanderpier.routing import PromptPrefix, ServerQuery
+from oleanderpier.routing import LimitStatement, PromptPrefix, ServerQuery
 from oleanderpier.routing.residence import ResidenceTimes
 from oleanderpier.routing.tests.fakes import ENGINE, RoutingFixture
 
@@ -110,3 +111,28 @@
         times = ResidenceTimes()
         times.record_duration(ENGINE, 0.0)
         self.assertEqual(0.0, times.estimate_survival(ENGINE, 0.1))
+
+
+class LimitedServerTest(TestCase):
+    """The others hold what servers that name a limit do not take."""
+
+    def choose_under_load(self, limit_per_s: float) -> str:
+        """Return the reason of the choice for a prompt that a busy server has cached.
+
+        Six servers name a limit and hold little; the others are busy, alike.
+        """
+        limited = [f"s{n}" for n in range(6)]
+        loads = dict.fromkeys(limited, 1) | {f"s{n}": 20 for n in range(6, 9)}
+        fixture = make_fixture(0.0, loads)
+        fixture.caches.apply_updates([("k", "s7")])
+        for identity in limited:
+            server = fixture.roster.get_entry(identity)
+            limit = LimitStatement(server.born_ms, limit_per_s, 0.0, "")
+            fixture.statements.record_limit(identity, limit)
+            fixture.statements.record_wait(server, 1.0)
+        return fixture.chooser.choose(QUERY).reason
+
+    def test_prompts_stay_cached_at_the_servers_without_a_limit(self):
+        """Their load is not measured against that of the limited ones."""
+        self.assertEqual("cached", self.choose_under_load(2.0))
+        self.assertEqual("least_loaded", self.choose_under_load(math.inf))
