Refuse at once what full servers would hold besides those that name a limit

Cause: the mean load leaves out servers that name a limit, so that one server alone is its own mean and is never over the load limit; nothing else bounds what it holds. Servers tell their slots in Server-Load, which nothing read. Where a server of the service names a limit, one that holds as many requests as it runs at a time gets no more, but for requests that were sent before.

The two tests of full servers failed before.

--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -248,7 +248,7 @@
             )
             self._reason = f"no server wants it for {wait_s:.3f} s; {self._reason}"
         else:
-            self._reason = f"no server of {self._service}; {self._reason}"
+            self._reason = f"no server of {self._service} has room; {self._reason}"
 
     async def _run_attempt(self, choice: Choice, started_s: float) -> AttemptOutcome:
         """Send the request to a server once, and update its health."""
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -81,6 +81,7 @@
         wait_s: For how long the server wants no requests, None if it does not say.
         limit_per_s: The requests per second that the server takes from all hosts
             together, infinite without a limit; None if the response does not tell.
+        slots: How many requests the server runs at a time, None if it does not say.
     """
 
     status: int
@@ -92,6 +93,7 @@
     says_leaving: bool = False
     wait_s: float | None = None
     limit_per_s: float | None = None
+    slots: int | None = None
 
 
 class Dialect(Protocol):
--- a/oleanderpier/forwarding/statements.py
+++ b/oleanderpier/forwarding/statements.py
@@ -50,6 +50,8 @@
         self._record_leaving(server, head)
         self._record_limit(server, head)
         self._record_wait(server, head)
+        if head.slots is not None:
+            self._statements.record_slots(server, head.slots)
 
     def _record_leaving(self, server: ServerEntry, head: ResponseHead) -> None:
         now_s = self._timers.now()
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -57,6 +57,9 @@
 # Requests per second that a server takes from all hosts together, in each response for
 # as long as the limit holds.
 LIMIT_HEADER = "server-limit"
+# Running requests, waiting requests and slots, separated by commas.
+LOAD_HEADER = "server-load"
+LOAD_COUNTS = 3
 # Returned by a server that is not the expected one; it has not run the request.
 MISDIRECTED_STATUS = 421
 _REFUSALS = {
@@ -208,6 +211,7 @@
             says_leaving=states_own and _read_leaving(values_by_name),
             wait_s=self._read_wait_s(status, pairs) if states_own else None,
             limit_per_s=_read_limit(pairs) if is_own and not misdirected else None,
+            slots=_read_slots(values_by_name) if is_own and not misdirected else None,
         )
 
     def _read_wait_s(self, status: int, pairs: list[tuple[str, str]]) -> float | None:
@@ -259,3 +263,17 @@
             used_per_s=per_s,
         )
     return per_s
+
+
+def _read_slots(values_by_name: dict[str, str]) -> int | None:
+    """Return how many requests a server runs at a time, None if it does not say."""
+    value = values_by_name.get(LOAD_HEADER, "")
+    if not value:
+        return None
+    counts = [text.strip() for text in value.split(",")]
+    if len(counts) == LOAD_COUNTS and all(count.isdecimal() for count in counts):
+        return int(counts[-1]) or None
+    log_message(
+        "server:load_unusual", found=value[:40], allowed="RUNNING,WAITING,SLOTS"
+    )
+    return None
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -150,6 +150,14 @@
             self.assertIsNone(self.read(200, Request_Id="r-2", **limit).limit_per_s)
             self.assertIsNone(self.read(421, **limit).limit_per_s)
 
+    def test_server_that_tells_its_slots(self):
+        """A value that can't be read tells nothing."""
+        self.assertEqual(64, self.read(200, Server_Load="3,0,64").slots)
+        self.assertEqual(64, self.read(503, Server_Load=" 3, 0, 64 ").slots)
+        for value in ("", "3,0", "3,0,x", "3,0,-1", "3,0,0", "3,0,64,1"):
+            self.assertIsNone(self.read(200, Server_Load=value).slots, value)
+        self.assertIsNone(self.read(421, Server_Load="3,0,64").slots)
+
     def test_reason_of_a_refusal(self):
         """A response that may have run the request has none."""
         cases = {
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -14,6 +14,8 @@
   good servers are chosen at random.
 - Some servers are slow or fail: their recent failures add to their weight.
 - Servers leave or ask for time: they get no requests, whatever else speaks for them.
+- Servers name a limit: the others serve what these do not take, up to what they run at
+  a time. More would wait there until callers have given up.
 - All servers are overloaded: the least loaded one gets the request.
 
 References:
@@ -227,6 +229,8 @@
         usable = self._statements.list_willing(
             self._roster.list_usable(query.service), self._timers.now()
         )
+        if not avoided and self._names_limit(query.service):
+            usable = [entry for entry in usable if not self._is_full(entry)]
         if excluded:
             usable = [entry for entry in usable if entry.identity not in excluded]
         untried = [entry for entry in usable if entry.identity not in avoided]
@@ -253,6 +257,17 @@
         reason = "least_loaded" if healthy else "last_resort"
         return self._make_choice(server, reason, stats)
 
+    def _names_limit(self, service: str) -> bool:
+        """Return whether a server of a service names a limit."""
+        registered = self._roster.list_registered(service)
+        return len(self._statements.list_unlimited(registered)) < len(registered)
+
+    def _is_full(self, server: ServerEntry) -> bool:
+        """Return whether a server holds as many requests as it runs at a time."""
+        return self.count_in_flight(server.identity) >= self._statements.get_slots(
+            server
+        )
+
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
         return self._model.count_in_flight(identity)
@@ -303,6 +318,7 @@
         if self._stats_choices_left[query.service] <= 0:
             return None
         now_s = self._timers.now()
+        names_limit = self._names_limit(query.service)
         holders = [
             entry
             for identity in self._caches.list_holders(query.cache_key)
@@ -310,6 +326,7 @@
             and entry.service == query.service
             and not entry.leaving
             and self._statements.is_willing(entry, now_s)
+            and not (names_limit and self._is_full(entry))
             and not self._health.is_backing_off(identity)
         ]
         weights = self._compute_weights(holders, stats)
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -96,6 +96,8 @@
         self._leaving: dict[str, LeavingStatement] = {}
         self._waits: dict[str, WaitStatement] = {}
         self._limits: dict[str, LimitStatement] = {}
+        # How many requests each server runs at a time.
+        self._slots: dict[str, int] = {}
 
     def record_leaving(
         self, identity: str, born_ms: int, now_s: float, source: str = ""
@@ -145,12 +147,17 @@
         self._limits[identity] = limit
         return known.per_s != limit.per_s
 
+    def record_slots(self, server: ServerEntry, slots: int) -> None:
+        """Record how many requests a server runs at a time."""
+        self._slots[server.identity] = slots
+
     def record_end(self, identity: str) -> None:
         """Record that a server's registration ended, or that it has restarted.
 
         If it is not known when a server started, a later registration under its id
         is that of a new run.
         """
+        self._slots.pop(identity, None)
         for statements in (self._leaving, self._waits, self._limits):
             known = statements.get(identity)
             if known is not None and not known.born_ms:
@@ -187,6 +194,10 @@
             return servers
         return [server for server in servers if self.is_willing(server, now_s)]
 
+    def get_slots(self, server: ServerEntry) -> float:
+        """Return how many requests a server runs at a time, infinite if unknown."""
+        return self._slots.get(server.identity, math.inf)
+
     def list_unlimited(self, servers: list[ServerEntry]) -> list[ServerEntry]:
         """Return the servers that name no limit."""
         if not self._limits:
--- a/oleanderpier/routing/tests/test_load_model.py
+++ b/oleanderpier/routing/tests/test_load_model.py
@@ -116,23 +116,46 @@
 class LimitedServerTest(TestCase):
     """The others hold what servers that name a limit do not take."""
 
-    def choose_under_load(self, limit_per_s: float) -> str:
-        """Return the reason of the choice for a prompt that a busy server has cached.
+    SLOTS = 64
 
-        Six servers name a limit and hold little; the others are busy, alike.
+    def make_fixture(self, limit_per_s: float, busy_load: int) -> RoutingFixture:
+        """Return a host that knows six servers with a limit and three busy ones.
+
+        The limits are used up, if they are finite; a busy server has the prompt cached.
         """
         limited = [f"s{n}" for n in range(6)]
-        loads = dict.fromkeys(limited, 1) | {f"s{n}": 20 for n in range(6, 9)}
+        loads = dict.fromkeys(limited, 1) | {f"s{n}": busy_load for n in range(6, 9)}
         fixture = make_fixture(0.0, loads)
         fixture.caches.apply_updates([("k", "s7")])
-        for identity in limited:
-            server = fixture.roster.get_entry(identity)
-            limit = LimitStatement(server.born_ms, limit_per_s, 0.0, "")
-            fixture.statements.record_limit(identity, limit)
-            fixture.statements.record_wait(server, 1.0)
-        return fixture.chooser.choose(QUERY).reason
+        for number in range(9):
+            server = fixture.roster.get_entry(f"s{number}")
+            fixture.statements.record_slots(server, self.SLOTS)
+            if server.identity in limited:
+                limit = LimitStatement(server.born_ms, limit_per_s, 0.0, "")
+                fixture.statements.record_limit(server.identity, limit)
+                fixture.statements.record_wait(server, 1.0)
+        return fixture
 
     def test_prompts_stay_cached_at_the_servers_without_a_limit(self):
         """Their load is not measured against that of the limited ones."""
-        self.assertEqual("cached", self.choose_under_load(2.0))
-        self.assertEqual("least_loaded", self.choose_under_load(math.inf))
+        for limit_per_s, reason in ((2.0, "cached"), (math.inf, "least_loaded")):
+            fixture = self.make_fixture(limit_per_s, busy_load=20)
+            self.assertEqual(reason, fixture.chooser.choose(QUERY).reason)
+
+    def test_full_servers_get_nothing_that_limited_ones_do_not_take(self):
+        """It would wait there until its caller has given up."""
+        for query in (QUERY, ServerQuery(ENGINE)):
+            fixture = self.make_fixture(2.0, busy_load=self.SLOTS)
+            self.assertIsNone(fixture.chooser.choose(query))
+            fixture.remote_loads.in_flight["s8"] = self.SLOTS - 1
+            self.assertEqual("s8", fixture.chooser.choose(query).server.identity)
+
+    def test_request_that_was_sent_before_goes_to_a_full_server(self):
+        """A caller may have a part of its response."""
+        fixture = self.make_fixture(2.0, busy_load=self.SLOTS)
+        self.assertIsNotNone(fixture.chooser.choose(QUERY, avoid=["s6"]))
+
+    def test_full_servers_are_used_if_none_names_a_limit(self):
+        """Then all are alike, and each has a queue of its own."""
+        fixture = self.make_fixture(math.inf, busy_load=self.SLOTS)
+        self.assertIsNotNone(fixture.chooser.choose(QUERY))
