Let the soak's servers name limits

Up to three servers a run name 0.5 requests a second for some seconds, drawn apart from the other kinds; the check is the users' bound. A naive host is found by it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from soak.crashing_prompts import CRASHING_REQUEST_PREFIX
+from soak.limits import LIMIT_PER_S, NamedLimit
 from soak.observations import (
     CallerRequest,
     Execution,
@@ -38,6 +39,10 @@
 TOLERATED_CRASHES = 5
 CONTACT_S = 3.0
 MAX_CRASHING_REQUESTS = 3
+# From CONTACT_S after a server first named a limit it gets no more than this in any
+# LIMIT_WINDOW_S.
+LIMIT_WINDOW_S = 4.0
+MAX_LIMITED_REQUESTS = 1.5 * LIMIT_WINDOW_S * LIMIT_PER_S + 5
 CHAT_EVENT_COUNT = 8
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -230,6 +235,50 @@
         yield Violation("crashing_prompt", f"{text}: {' '.join(late[:8])}")
 
 
+def _check_limits(observations: Observations) -> Iterator[Violation]:
+    """Check that a server gets no more than the limit that it names."""
+    for limit in observations.limits:
+        times_s = _list_limited_times_s(observations, limit)
+        most = max(
+            (
+                sum(start_s <= at_s < start_s + LIMIT_WINDOW_S for at_s in times_s)
+                for start_s in times_s
+            ),
+            default=0,
+        )
+        if most > MAX_LIMITED_REQUESTS:
+            text = f"{most} requests in {LIMIT_WINDOW_S:g} s reached {limit.server}"
+            yield Violation("server_limit", f"{text}, from {limit.began_s:.2f} s on")
+
+
+def _list_limited_times_s(observations: Observations, limit: NamedLimit) -> list[float]:
+    """Return when requests reached a server that count against its limit."""
+    hosts = {request.request_id: request.host for request in observations.requests}
+    arrivals = [
+        arrival
+        for arrival in observations.arrivals
+        if arrival.server == limit.server
+        and limit.began_s <= arrival.at_s <= limit.ended_s
+    ]
+    # The response to the first of these names it.
+    first_s = min((arrival.at_s for arrival in arrivals), default=limit.ended_s)
+    since_s = first_s + CONTACT_S
+    if _has_fault(observations, _CUT_FAULTS, first_s - FAULT_MARGIN_S, since_s):
+        return []
+    return [
+        arrival.at_s
+        for arrival in arrivals
+        if arrival.at_s >= since_s
+        and not _has_host_fault(
+            observations,
+            hosts.get(arrival.request_id, -1),
+            arrival.at_s - FAULT_MARGIN_S,
+            arrival.at_s,
+            _FORGETTING_FAULTS,
+        )
+    ]
+
+
 def _check_revoked_keys(observations: Observations) -> Iterator[Violation]:
     """Check that a revoked credential is refused after ``CONFIG_APPLY_S``."""
     revoked_s = {removal.name: removal.at_s for removal in observations.revoked_keys}
@@ -351,6 +400,7 @@
     _check_leaving_statements,
     _check_waits,
     _check_crashing_prompts,
+    _check_limits,
     _check_revoked_keys,
     _check_graceful_shutdowns,
     _check_response_times,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from soak.limits import NamedLimit
 from soak.schedule import FaultKind
 from standins.backend_server import StandInServer
 
@@ -121,6 +122,7 @@
         arrivals: Requests that reached the backend servers, executed or not.
         statements: What the backend servers said.
         crashes_s: Times at which servers crashed on a prompt part, in order.
+        limits: The limits that backend servers named.
     """
 
     requests: list[CallerRequest]
@@ -133,6 +135,7 @@
     arrivals: Sequence[Execution] = ()
     statements: Sequence[Statement] = ()
     crashes_s: Sequence[float] = ()
+    limits: Sequence[NamedLimit] = ()
 
 
 def list_executions(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,6 +11,7 @@
 from soak.callers import Callers
 from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S, SHUTDOWN_GRACE_S
 from soak.crashing_prompts import CrashingPrompts, connect_proxy
+from soak.limits import ServerLimits
 from soak.observations import (
     InjectedFault,
     Observations,
@@ -20,6 +21,7 @@
     list_executions,
     list_statements,
 )
+from soak.processes import slow_process
 from soak.proxy import FaultProxy
 from soak.schedule import Fault, FaultKind, make_schedule
 from standins.backend_server import LEAVING_HEADER, PartFault, StandInServer
@@ -45,9 +47,6 @@
 # Time for which requests are sent after RECOVERY_S, for the check of the recovery.
 POST_RECOVERY_S = 1.5
 KEY_COUNT = 5
-# A slow host runs for this long in each period, an eighth of it.
-SLOW_RUN_S = 0.01
-SLOW_PERIOD_S = 0.08
 _SERVER_PART_FAULTS = {
     FaultKind.SERVER_PARTLY_FAILS: PartFault.ERROR,
     FaultKind.SERVER_PARTLY_MUTE: PartFault.MUTE,
@@ -126,6 +125,7 @@
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._callers = Callers(fleet, random.Random(f"callers {seed}"), self._keys)
         self.prompts = CrashingPrompts(fleet, seed)
+        self._limits = ServerLimits(self._get_elapsed_s)
         self._version = 1
         self._store_proxies: list[FaultProxy] = []
         self._server_proxies: dict[str, FaultProxy] = {}
@@ -175,6 +175,7 @@
             list_arrivals(servers, started_s),
             list_statements(servers, started_s),
             list_crashes(servers, started_s),
+            self._limits.named,
         )
 
     async def close(self) -> None:
@@ -268,14 +269,8 @@
         self._send_signal(number, signal.SIGCONT)
 
     async def _slow_host(self, fault: Fault) -> None:
-        """Stop a host's process for most of each period."""
         number = fault.target % self._settings.hosts
-        end_s = self._get_elapsed_s() + fault.for_s
-        while self._get_elapsed_s() < end_s:
-            self._send_signal(number, signal.SIGSTOP)
-            await asyncio.sleep(SLOW_PERIOD_S - SLOW_RUN_S)
-            self._send_signal(number, signal.SIGCONT)
-            await asyncio.sleep(SLOW_RUN_S)
+        await slow_process(lambda sent: self._send_signal(number, sent), fault.for_s)
 
     async def _kill_host_after_change(self, fault: Fault) -> None:
         self._publish_configuration()
@@ -413,6 +408,9 @@
 
         await self._enable_for_duration(fault, (server, "asks"), set_enabled)
 
+    async def _name_limit(self, fault: Fault) -> None:
+        await self._limits.run(self._find_server(fault), fault.for_s)
+
     async def _crash_server(self, fault: Fault) -> None:
         server = self._find_server(fault)
         self._active_servers.remove(server)
@@ -493,6 +491,7 @@
     FaultKind.SERVER_SAYS_LEAVING: _SoakRun._say_leaving,
     FaultKind.SERVER_ASKS_FOR_TIME: _SoakRun._ask_for_time,
     FaultKind.PROMPT_CRASHES_SERVERS: lambda run, fault: run.prompts.run(fault),
+    FaultKind.SERVER_NAMES_LIMIT: _SoakRun._name_limit,
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,7 +26,8 @@
     connection, whole or not. A server that ``SAYS_LEAVING`` does so in its responses
     before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing. With
     ``PROMPT_CRASHES_SERVERS`` further requests with one prompt part in common crash
-    each server that begins to answer; it starts again after some time.
+    each server that begins to answer; it starts again after some time. A server that
+    ``NAMES_LIMIT`` executes all that it gets.
     """
 
     HOST_KILLED = "host_killed"
@@ -57,6 +58,7 @@
     SERVER_SAYS_LEAVING = "server_says_leaving"
     SERVER_ASKS_FOR_TIME = "server_asks_for_time"
     PROMPT_CRASHES_SERVERS = "prompt_crashes_servers"
+    SERVER_NAMES_LIMIT = "server_names_limit"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
 
@@ -78,10 +80,11 @@
     "no length": (FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH,),
     "statements": (FaultKind.SERVER_SAYS_LEAVING, FaultKind.SERVER_ASKS_FOR_TIME),
     "crashing prompts": (FaultKind.PROMPT_CRASHES_SERVERS,),
+    "limits": (FaultKind.SERVER_NAMES_LIMIT,),
 }
 ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
-_MAX_COUNTS = {"crashing prompts": 1}
+_MAX_COUNTS = {"crashing prompts": 1, "limits": 3}
 
 
 class Fault(NamedTuple):
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from soak.checks import CHAT_EVENT_COUNT, find_violations
+from soak.limits import NamedLimit
 from soak.observations import (
     CallerRequest,
     Execution,
@@ -60,6 +61,26 @@
             [], find_violated_guarantees(arrivals=late, crashes_s=crashes_s[:4])
         )
 
+    def test_requests_over_the_limit_of_a_server(self):
+        """Eight in four seconds are allowed, and more of hosts that started anew."""
+        limit = NamedLimit("s1", 1.0, 20.0)
+        first = Execution("r0", "s1", 1.5)
+        late = [Execution("r1", "s1", 5.0 + 0.4 * number) for number in range(9)]
+        killed = InjectedFault(FaultKind.HOST_KILLED, 4.0, 9.0, 0)
+        silent = InjectedFault(FaultKind.SERVER_SILENT, 3.0, 3.5, -1)
+        for arrivals, faults, expected in (
+            ([first, *late], [], ["server_limit"]),
+            ([first, *late[:8]], [], []),
+            ([first, *(each._replace(at_s=4.4) for each in late)], [], []),
+            ([first, *late], [killed], []),
+            ([first, *late], [killed._replace(host=1)], ["server_limit"]),
+            ([first, *late], [silent], []),
+        ):
+            found = find_violated_guarantees(
+                arrivals=arrivals, limits=[limit], faults=faults
+            )
+            self.assertEqual(expected, found)
+
     def test_payout_executed_twice(self):
         """A payout that two servers executed violates at-most-once."""
         self.assertEqual(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -55,6 +55,12 @@
         faults = [Fault(0.0, FaultKind.SERVER_DEAF, n, 6.0) for n in range(4)]
         self.assertIn("at_most_once", self.find_violated_guarantees(faults, "resend"))
 
+    def test_naive_host_violates_server_limit(self):
+        """A host that sends as many requests as without a limit is found."""
+        faults = [Fault(0.5, FaultKind.SERVER_NAMES_LIMIT, n, 3.0) for n in range(4)]
+        violated = self.find_violated_guarantees(faults, "resend", callers=24)
+        self.assertIn("server_limit", violated)
+
     def test_naive_host_violates_crashing_prompt(self):
         """A host that sends on what has crashed server after server is found."""
         faults = [Fault(0.5, FaultKind.PROMPT_CRASHES_SERVERS, 0, 2.0)]
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -9,13 +9,14 @@
 
 from standins.raw_responses import ConnectionEnd, pick_end, send_without_length
 
-__all__ = ["LEAVING_HEADER", "PartFault", "StandInServer"]
+__all__ = ["LEAVING_HEADER", "LIMIT_HEADER", "PartFault", "StandInServer"]
 
 EVENT_INTERVAL_S = 0.1
 # Time from a crash until the server listens again.
 RESTART_DELAY_S = 2.0
 PROMPT_HEADER = "Prompt-Prefix"
 LEAVING_HEADER = "Server-Leaving"
+LIMIT_HEADER = "Server-Limit"
 
 
 # Share of the requests that a ``PartFault`` affects, in percent.
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from oleanderpier.utils import run_coroutine
-from standins.backend_server import StandInServer
+from standins.backend_server import LIMIT_HEADER, StandInServer
 from standins.platform_fleet import PlatformFleet, stop_gracefully
 
 HOST_COUNT = 3
@@ -73,7 +73,7 @@
             servers = [await fleet.add_server() for _ in range(SERVER_COUNT)]
             limited = servers[: SERVER_COUNT // 2]
             for server in limited:
-                server.response_headers["Server-Limit"] = str(LIMIT_PER_S)
+                server.response_headers[LIMIT_HEADER] = str(LIMIT_PER_S)
             await fleet.start_all()
             stopped = asyncio.create_task(_restart_host(fleet))
             results = await send_requests(fleet, lambda number: 1 + number % 2)
@@ -86,7 +86,7 @@
         async with PlatformFleet(HOST_COUNT) as fleet:
             servers = [await fleet.add_server() for _ in range(SERVER_COUNT)]
             for server in servers:
-                server.response_headers["Server-Limit"] = str(LIMIT_PER_S)
+                server.response_headers[LIMIT_HEADER] = str(LIMIT_PER_S)
             await fleet.start_all()
             results = await send_requests(fleet, lambda number: 0)
         for server in servers:
