Describe limits of servers; count those with a limit once for each statistic

The choice by stored statistics no longer passes over all servers of a service to see whether one names a limit.

--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -318,7 +318,6 @@
         if self._stats_choices_left[query.service] <= 0:
             return None
         now_s = self._timers.now()
-        names_limit = self._names_limit(query.service)
         holders = [
             entry
             for identity in self._caches.list_holders(query.cache_key)
@@ -326,7 +325,7 @@
             and entry.service == query.service
             and not entry.leaving
             and self._statements.is_willing(entry, now_s)
-            and not (names_limit and self._is_full(entry))
+            and not (stats.has_limits and self._is_full(entry))
             and not self._health.is_backing_off(identity)
         ]
         weights = self._compute_weights(holders, stats)
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -60,13 +60,14 @@
     """Statistics over all servers of a service, cached since they cost O(servers).
 
     Attributes:
-        mean_load: Expected requests in flight per registered server.
-        mean_remote_load: Those of the other hosts, per registered server.
+        mean_load: Expected requests in flight per registered server without a limit.
+        mean_remote_load: Those of the other hosts, per such server.
         load_limit: The users' limit on the requests in flight at a server.
         survival: Probability that a reported request of another host is still in
             flight: 1 if loads are known exactly, near 0 if they are older than
             requests take.
         min_failure_rate: The lowest failure rate of a server, 0 to 1.
+        has_limits: Whether a server of the service names a limit.
         computed_s: When they were computed, on the monotonic clock.
     """
 
@@ -75,6 +76,7 @@
     load_limit: float
     survival: float
     min_failure_rate: float
+    has_limits: bool
     computed_s: float
 
 
@@ -137,22 +139,25 @@
             statements: What the servers have said.
         """
         registered = self._roster.list_registered(service)
-        registered = statements.list_unlimited(registered) or registered
+        unlimited = statements.list_unlimited(registered)
+        has_limits = len(unlimited) < len(registered)
+        counted = unlimited or registered
         survival = self.residence_times.estimate_survival(service, self.get_age_s())
         remote = own = 0.0
-        for entry in registered:
+        for entry in counted:
             remote += self._estimate_remote_load(entry.identity, survival)
             own += self.in_flight[entry.identity]
-        mean = (remote + own) / len(registered)
+        mean = (remote + own) / len(counted)
         failure_rates = (
             self._health.get_failure_rate(entry.identity) for entry in servers
         )
         return ServiceStats(
             mean,
-            remote / len(registered),
+            remote / len(counted),
             self._load_limit_factor * mean + LOAD_LIMIT_OFFSET,
             survival,
             min(failure_rates),
+            has_limits,
             self._timers.now(),
         )
 
