--- a/oleanderpier/entry/send_limits.py
+++ b/oleanderpier/entry/send_limits.py
@@ -14,6 +14,7 @@
 from eliot import log_message
 
 from oleanderpier.fleet import LimitQuery, LimitReply, ReportedLimit
+from oleanderpier.forwarding import log_limit
 from oleanderpier.routing import (
     LimitBuckets,
     LimitStatement,
@@ -135,7 +136,8 @@
         now_s = self._timers.now()
         identity, born_ms, per_s, age_s = message.limit
         known = LimitStatement(born_ms, per_s, now_s - age_s, sender)
-        self._statements.record_limit(identity, known)
+        if self._statements.record_limit(identity, known):
+            log_limit(identity, known)
         server = ServerEntry(identity, "", "", "", False, born_ms)
         limit = self._statements.get_limit(server)
         wait_s = 0.0
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -200,6 +200,7 @@
         is_own = identity == call.identity
         # What a response to another request says may be of another server.
         states_own = is_own or identity is None
+        is_meant = is_own and not misdirected
         is_unencoded = values_by_name.get("content-encoding", "identity") == "identity"
         return ResponseHead(
             status=status,
@@ -210,8 +211,8 @@
             refusal=_REFUSALS.get(status, Refusal.OTHER) if not_run else None,
             says_leaving=states_own and _read_leaving(values_by_name),
             wait_s=self._read_wait_s(status, pairs) if states_own else None,
-            limit_per_s=_read_limit(pairs) if is_own and not misdirected else None,
-            slots=_read_slots(values_by_name) if is_own and not misdirected else None,
+            limit_per_s=_read_limit(pairs, values_by_name) if is_meant else None,
+            slots=_read_slots(values_by_name) if is_meant else None,
         )
 
     def _read_wait_s(self, status: int, pairs: list[tuple[str, str]]) -> float | None:
@@ -246,14 +247,20 @@
     return value == LEAVING_VALUE
 
 
-def _read_limit(pairs: list[tuple[str, str]]) -> float | None:
+def _read_limit(
+    pairs: list[tuple[str, str]], values_by_name: dict[str, str]
+) -> float | None:
     """Return the requests per second that a server takes, infinite without a limit.
 
     None if it names a limit that can't be read.
+
+    Args:
+        pairs: The headers, as pairs of name and value.
+        values_by_name: The last value of each header, by name in lower case.
     """
-    values = [value for key, value in pairs if key.lower() == LIMIT_HEADER]
-    if not values:
+    if LIMIT_HEADER not in values_by_name:
         return math.inf
+    values = [value for key, value in pairs if key.lower() == LIMIT_HEADER]
     per_s, ignored = parse_rate_limit(values)
     if ignored or per_s is None:
         log_message(
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -1,14 +1,15 @@
 """What backend servers have said of whether they want requests.
 
-A server can say that it leaves, or for how long it wants no requests. What it says
-holds for the run of the server that said it, whatever the platform's registrations
-show: they may be older.
+A server can say that it leaves, for how long it wants no requests, or how many a second
+it takes from all hosts together. What it says holds for the run of the server that said
+it, whatever the platform's registrations show: they may be older.
 
 The module answers these load patterns:
 
 - A release: servers say that they leave before their registrations do, and a part of
   the hosts cannot read these.
-- Overload: servers ask for time, several at once or one again and again.
+- Overload: servers ask for time, several at once or one again and again, or name a
+  limit that all hosts share.
 - A server crashes and another one starts at its address, while the registration of the
   first one has not expired.
 
@@ -48,7 +49,7 @@
 
 
 class WaitStatement(NamedTuple):
-    """A server wants no requests until a time.
+    """A server wants no requests until a time, or its limit is used up until then.
 
     Attributes:
         born_ms: The start of the server's run, as in ``ServerEntry``.
