--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -29,6 +29,7 @@
     RetryBudget,
     Roster,
     Route,
+    ServerEntry,
     ServerHealth,
     ServerStatements,
 )
@@ -36,6 +37,7 @@
 from oleanderpier.utils import LoopTimers, run_coroutine
 
 __all__ = [
+    "USED_UP_S",
     "ForwarderFixture",
     "RecordingCaller",
     "cut_stream",
@@ -48,6 +50,7 @@
     "stream_events",
 ]
 
+USED_UP_S = 1.0
 Behaviour = Callable[["ReceivedRequest"], Awaitable[None]]
 # SO_LINGER with a timeout of 0 s: closing the socket sends a TCP reset.
 ZERO_LINGER = struct.pack("ii", 1, 0)
@@ -363,12 +366,19 @@
     Args:
         scripts: The behaviours of each server; earlier servers are preferred.
         slack: Retries that the retry budget allows over all hosts.
+        used_up: Ids of the servers whose limits are used up, for ``USED_UP_S``.
     """
 
-    def __init__(self, *scripts: list[Behaviour], slack: float = 80.0) -> None:
+    def __init__(
+        self,
+        *scripts: list[Behaviour],
+        slack: float = 80.0,
+        used_up: tuple[str, ...] = (),
+    ) -> None:
         self.servers = [ScriptedServer(*script) for script in scripts]
         self.caller = RecordingCaller()
         self._slack = slack
+        self._used_up = used_up
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
         """Forward one request, then close all servers."""
@@ -403,6 +413,12 @@
             timers,
             statements=statements,
         )
+
+        def request_send(server: ServerEntry, notify: Callable[[bool], None]) -> None:
+            if server.identity in self._used_up:
+                statements.record_wait(server, timers.now() + USED_UP_S)
+            notify(server.identity not in self._used_up)
+
         async with make_session() as session:
             forwarder = Forwarder(
                 session,
@@ -415,6 +431,7 @@
                 StatementRecorder(statements, timers, rng).record,
                 CrashGuard(PoisonParts(), health, timers),
                 rng,
+                request_send=request_send,
             )
             try:
                 return [
--- a/oleanderpier/forwarding/tests/test_statements.py
+++ b/oleanderpier/forwarding/tests/test_statements.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from oleanderpier.forwarding.tests.fakes import (
+    USED_UP_S,
     ForwarderFixture,
     RecordingCaller,
     format_events,
@@ -77,6 +78,31 @@
         self.assertEqual([False, True], [caller.complete for caller in callers])
 
 
+class UsedUpLimitTest(TestCase):
+    """A server whose limit is used up gets no request."""
+
+    def test_other_server_gets_the_request(self):
+        """Also one that may not run twice: the first server has not got it."""
+        for kind in (RequestKind.STREAM, RequestKind.ONCE):
+            behave = stream_events(3) if kind is RequestKind.STREAM else respond()
+            fixture = ForwarderFixture([behave], [behave], used_up=("s0",))
+            callers = forward_requests(fixture, 3, kind=kind, max_attempts=1)
+            self.assertEqual([None] * 3, [caller.failure for caller in callers])
+            self.assertEqual([0, 3], fixture.count_requests())
+
+    def test_callers_are_refused_at_once_if_all_limits_are_used_up(self):
+        """They get the time until a server takes the next request."""
+        fixture = ForwarderFixture(
+            [stream_events(3)], [stream_events(3)], used_up=("s0", "s1")
+        )
+        callers = forward_requests(fixture, 3, max_attempts=2)
+        self.assertEqual([0, 0], fixture.count_requests())
+        for caller in callers:
+            self.assertEqual(Code.NO_BACKEND_SERVER, caller.failure.code)
+            returns_s = caller.failure.retry_after_s
+            self.assertTrue(USED_UP_S - 0.5 < returns_s <= 1.25 * USED_UP_S, returns_s)
+
+
 class LeavingTest(TestCase):
     """A server that says that it leaves gets no requests."""
 
