Show in logs what connections hold when a listener closes, and when in a drain a request ends

The hosts' logs could not tell requests that are read after the drain's last look from answers that are not out when the process ends: `node:drained` counts neither. `listener:closed` has the idle and busy connections of each listener and the bytes that were written and are not sent; `request:end` has the time since SIGTERM. The runners move into a class of their own for it; nothing else changes.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -333,6 +333,10 @@
         await self.forwarder.session.close()
         await self.mesh.close()
 
+    def get_draining_s(self) -> float:
+        """Return the seconds since this host began to drain."""
+        return self.timers.now() - self._drain_started_s
+
     def check_admission(self, route: Route) -> Failure | None:
         """Return the failure to refuse a new request with, None to admit it.
 
@@ -343,7 +347,7 @@
             return None
         return check_draining_admission(
             route,
-            self.timers.now() - self._drain_started_s,
+            self.get_draining_s(),
             MAX_TTL_FACTOR * ADDRESS_TTL_S,
             self.settings.grace_s,
         )
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -251,6 +251,9 @@
         if outcome.stream_start_s is None
         else round(outcome.stream_start_s, 4),
         took_s=round(took_s, 4),
+        draining_s=None
+        if node.state != "draining"
+        else round(node.get_draining_s(), 3),
     )
 
 
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from eliot import add_destinations, log_message
 
+from oleanderpier.connections import HttpListener
 from oleanderpier.entry import EntryNode, EntrySettings
 from oleanderpier.events import LogWriter
 from oleanderpier.peers import split_address
@@ -36,7 +37,6 @@
 # The settings file is polled, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.05
-LISTEN_BACKLOG = 512
 
 
 def run() -> None:
@@ -73,26 +73,28 @@
     release_signals()
     node.timers.subscribe(SETTINGS_CHECK_INTERVAL_S, reloader.reload_if_modified)
     await node.start()
-    runners = [
-        await _listen(make_request_handler(node), settings.caller_address),
-        await _listen(make_ready_handler(node), settings.ready_address),
-        await _listen(make_directory_handler(node), settings.directory_address),
+    listeners = [
+        await _listen(name, handler, address)
+        for name, handler, address in (
+            ("callers", make_request_handler(node), settings.caller_address),
+            ("ready", make_ready_handler(node), settings.ready_address),
+            ("directory", make_directory_handler(node), settings.directory_address),
+            ("metrics", make_metrics_handler(node), settings.metrics_address),
+        )
+        if address is not None
     ]
-    if settings.metrics_address is not None:
-        handler = make_metrics_handler(node)
-        runners.append(await _listen(handler, settings.metrics_address))
     log_message("node:started", **settings._asdict())
     await stopped.wait()
     await node.drain()
-    for runner in runners:
-        await runner.cleanup()
+    for listener in listeners:
+        await listener.close()
     await node.stop()
     await store_session.close()
     log_message("node:stopped")
     writer.flush()
 
 
-async def _listen(handler, address: str) -> web.ServerRunner:
+async def _listen(name: str, handler, address: str) -> HttpListener:
     server = web.Server(
         handler,
         handler_cancellation=True,
@@ -103,9 +105,9 @@
         max_field_size=MAX_HEADER_BYTES,
     )
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    await runner.setup()
-    await web.TCPSite(runner, *split_address(address), backlog=LISTEN_BACKLOG).start()
-    return runner
+    listener = HttpListener(name, runner)
+    await listener.start(*split_address(address))
+    return listener
 
 
 class _SettingsReloader:
