--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -63,6 +63,7 @@
         statements: Id and time of each request that was answered with a statement, and
             the seconds that it asked for, 0 if it said that it leaves.
         work_s: How long a request takes, in seconds; a stream until its head.
+        padding_bytes: Bytes by which it makes a response that is no stream longer.
         crashing_part: A part of prompts on which the server crashes as soon as it
             begins to answer; the last part of a prompt does not count.
         crash_times_s: When it crashed.
@@ -84,6 +85,7 @@
         self.arrivals: list[tuple[str, float]] = []
         self.statements: list[tuple[str, float, float]] = []
         self.work_s = 0.0
+        self.padding_bytes = 0
         self.crashing_part = ""
         self.crash_times_s: list[float] = []
         self.run = 0
@@ -154,7 +156,7 @@
             await asyncio.Event().wait()
         if request.path.startswith("/chat/"):
             return await self._send_stream(request, headers, part_fault)
-        text = f"{self.instance_id} ran {request_id}"
+        text = f"{self.instance_id} ran {request_id}" + " " * self.padding_bytes
         if part_fault is PartFault.WITHOUT_LENGTH:
             end = pick_end(request_id, (ConnectionEnd.AFTER_BODY, ConnectionEnd.RESET))
             return await send_without_length(
