Close a connection only once all that was read from it is answered

Callers that used an open connection until it was closed got nothing for a request that had been read and passed on, in a planned stop.

Cause: the drain looked whether requests are in progress, and in later turns of the event loop the runner closed the listener and the connections. A request that was read between was cancelled 50 ms later, or dropped unread by aiohttp if its connection was already marked as closing (so were bodies in flight). And requests count as ended before their responses are out, so that the process ended with responses in its buffers.

Now there is no moment between the look and the end: the listener stops to accept, then closes each connection in the very step in which it is found idle (what arrives later stays unread in the socket, and the caller's connection is reset), and waits for the others until their responses are out. A response whose head is sent during a drain says that the connection closes, also if its request came before.

--- a/oleanderpier/connections/listeners.py
+++ b/oleanderpier/connections/listeners.py
@@ -4,14 +4,18 @@
 open connections until these are closed.
 """
 
+import asyncio
 from typing import NamedTuple
 
 from aiohttp import web
 from eliot import log_message
 
+from oleanderpier.utils import Timers
+
 __all__ = ["ConnectionCounts", "HttpListener"]
 
 LISTEN_BACKLOG = 512
+POLL_INTERVAL_S = 0.02
 
 
 class ConnectionCounts(NamedTuple):
@@ -34,19 +38,45 @@
     Args:
         name: What it serves, for the log.
         runner: The server's runner; set up by ``start``.
+        timers: The timer service.
     """
 
-    def __init__(self, name: str, runner: web.BaseRunner) -> None:
+    def __init__(self, name: str, runner: web.BaseRunner, timers: Timers) -> None:
         self._name = name
         self._runner = runner
+        self._timers = timers
 
     async def start(self, host: str, port: int) -> None:
         """Listen on a port of an IP address."""
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port, backlog=LISTEN_BACKLOG).start()
 
+    async def finish(self, deadline_s: float) -> bool:
+        """Stop listening; close each connection once all that it has read is answered.
+
+        An idle connection is closed in the same step in which it is found idle, so
+        that a request which arrives later is never read.
+
+        Args:
+            deadline_s: When to stop waiting, on the timer service's clock.
+
+        Returns:
+            Whether no connection is left.
+        """
+        for site in self._runner.sites:
+            await site.stop()
+        while True:
+            # A connection that was just accepted is counted one step later.
+            await asyncio.sleep(POLL_INTERVAL_S)
+            connections = self._runner.server.connections
+            for connection in connections:
+                if _is_idle(connection):
+                    connection.transport.close()
+            if not connections or self._timers.now() >= deadline_s:
+                return not connections
+
     async def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop listening and end all connections, answered or not."""
         counts = self.count_connections()
         log_message("listener:closed", listener=self._name, **counts._asdict())
         await self._runner.cleanup()
@@ -64,6 +94,10 @@
 
 
 def _is_idle(connection: web.RequestHandler) -> bool:
-    """Return whether every request that was read whole has its response."""
+    """Return whether every request that was read whole has its response.
+
+    aiohttp has no public way to tell: a connection's task waits for this future, which
+    is done as soon as a request was read.
+    """
     waiter = connection._waiter
     return waiter is not None and not waiter.done()
--- /dev/null
+++ b/oleanderpier/entry/draining.py
@@ -0,0 +1,75 @@
+"""Decides how long a draining host admits requests and waits for them.
+
+It answers this load pattern: a planned stop under load, with callers that use an old
+address list until it expires, and open connections until they are closed.
+"""
+
+from oleanderpier.entry.admission import check_draining_admission
+from oleanderpier.results import Failure
+from oleanderpier.routing import Route
+from oleanderpier.utils import Timers
+
+__all__ = ["ADDRESS_TTL_S", "Drain"]
+
+# How long callers may use an address list. Some use it up to ``MAX_TTL_FACTOR``
+# times as long.
+ADDRESS_TTL_S = 0.5
+MAX_TTL_FACTOR = 3.0
+# Minimum time between the last use of an old address list and the closing of the
+# listeners.
+DRAIN_SLACK_S = 0.3
+# Part of the grace period that is reserved for the last responses and for closing
+# connections.
+SHUTDOWN_RESERVE_S = 0.4
+
+
+class Drain:
+    """The drain of one host; nothing is refused before it begins.
+
+    Args:
+        timers: The timer service.
+        grace_s: The time from the begin of the drain until the process is killed, in
+            seconds.
+    """
+
+    def __init__(self, timers: Timers, grace_s: float) -> None:
+        self._timers = timers
+        self._grace_s = grace_s
+        self._limit_s = grace_s - SHUTDOWN_RESERVE_S
+        self._started_s: float | None = None
+
+    def begin(self) -> None:
+        """Begin the drain now."""
+        self._started_s = self._timers.now()
+
+    def get_elapsed_s(self) -> float | None:
+        """Return the seconds since the drain began, None before."""
+        if self._started_s is None:
+            return None
+        return self._timers.now() - self._started_s
+
+    def get_deadline_s(self) -> float:
+        """Return when the last request must end, on the timer service's clock."""
+        return self._started_s + self._limit_s
+
+    def may_stop_listening(self, in_progress: int) -> bool:
+        """Return whether to accept no more connections.
+
+        Args:
+            in_progress: The number of requests in progress.
+        """
+        elapsed_s = self.get_elapsed_s()
+        lists_expired = elapsed_s >= MAX_TTL_FACTOR * ADDRESS_TTL_S + DRAIN_SLACK_S
+        return elapsed_s >= self._limit_s or (lists_expired and not in_progress)
+
+    def check_admission(self, route: Route) -> Failure | None:
+        """Return the failure to refuse a new request with, None to admit it.
+
+        Args:
+            route: The request's route.
+        """
+        elapsed_s = self.get_elapsed_s()
+        if elapsed_s is None:
+            return None
+        max_ttl_s = MAX_TTL_FACTOR * ADDRESS_TTL_S
+        return check_draining_admission(route, elapsed_s, max_ttl_s, self._grace_s)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -8,7 +8,7 @@
 from expression import Error, Result
 
 from oleanderpier.connections import make_session
-from oleanderpier.entry.admission import check_draining_admission
+from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import (
     decode_server,
     decode_table,
@@ -72,7 +72,6 @@
 from oleanderpier.utils import LoopTimers, rank_candidates
 
 __all__ = [
-    "ADDRESS_TTL_S",
     "CONFIGURATION",
     "CONFIGURATION_KEY",
     "SERVERS",
@@ -90,18 +89,9 @@
     ReplicaSummary(0, 0, 0.0),
 )
 MILLISECONDS_PER_S = 1000
-# How long callers may use an address list. Some use it up to ``MAX_TTL_FACTOR``
-# times as long.
-ADDRESS_TTL_S = 0.5
-MAX_TTL_FACTOR = 3.0
 # With this many ready hosts in its failure domain, a host lists only these to
 # callers: hosts of other domains report less often, so their state is older.
 MIN_DOMAIN_HOST_COUNT = 8
-# Minimum time between the last use of an old address list and the closing of the
-# listeners.
-DRAIN_SLACK_S = 0.3
-# Part of the grace period that is reserved for closing connections.
-SHUTDOWN_RESERVE_S = 0.4
 POLL_INTERVAL_S = 0.05
 CONNECT_TIMEOUT_S = 0.3
 
@@ -130,9 +120,9 @@
         self.route_index: RouteIndex | None = None
         self.metrics = EntryMetrics()
         self.timers = LoopTimers()
+        self.draining = Drain(self.timers, settings.grace_s)
         self._source = source
         self._dialect = dialect
-        self._drain_started_s = 0.0
         self._tasks: list[asyncio.Task] = []
         incarnation = int(self.timers.wall() * MILLISECONDS_PER_S)
         self._rng = random.Random(f"{settings.peer_address}:{incarnation}")
@@ -307,21 +297,13 @@
         self.members.add_seeds(_make_endpoint(seed, "") for seed in others)
 
     async def drain(self) -> None:
-        """Leave the directory, then wait for requests in progress to end.
-
-        Waits at least until callers have stopped using old address lists, and
-        at most until shortly before the grace period ends.
-        """
-        started_s = self._drain_started_s = self.timers.now()
+        """Leave the directory, then wait until no more connections need be accepted."""
+        self.draining.begin()
         self.state = "draining"
         log_message("node:draining", in_progress=self.in_progress)
         self.view.report_now()
         self.members.leave()
-        earliest_s = started_s + MAX_TTL_FACTOR * ADDRESS_TTL_S + DRAIN_SLACK_S
-        latest_s = started_s + self.settings.grace_s - SHUTDOWN_RESERVE_S
-        while self.timers.now() < latest_s:
-            if not self.in_progress and self.timers.now() >= earliest_s:
-                break
+        while not self.draining.may_stop_listening(self.in_progress):
             await asyncio.sleep(POLL_INTERVAL_S)
         log_message("node:drained", left_over=self.in_progress)
 
@@ -333,25 +315,6 @@
         await self.forwarder.session.close()
         await self.mesh.close()
 
-    def get_draining_s(self) -> float:
-        """Return the seconds since this host began to drain."""
-        return self.timers.now() - self._drain_started_s
-
-    def check_admission(self, route: Route) -> Failure | None:
-        """Return the failure to refuse a new request with, None to admit it.
-
-        Args:
-            route: The request's route.
-        """
-        if self.state != "draining":
-            return None
-        return check_draining_admission(
-            route,
-            self.get_draining_s(),
-            MAX_TTL_FACTOR * ADDRESS_TTL_S,
-            self.settings.grace_s,
-        )
-
     def find_route(self, host_name: str, path: str) -> Result[Route, Failure]:
         """Return the route of a request, or the failure if there is none."""
         empty_spaces = [
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import struct
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import HttpVersion11, web
@@ -51,22 +52,23 @@
 
     Args:
         request: The HTTP request.
-        close_after: Whether to close the connection after the response.
+        closes: Returns whether to close the connection after a response that begins
+            now.
 
     Attributes:
         response: The response that the HTTP handler returns; None before one
             was started.
     """
 
-    def __init__(self, request: BaseRequest, close_after: bool) -> None:
+    def __init__(self, request: BaseRequest, closes: Callable[[], bool]) -> None:
         self.response: web.StreamResponse | None = None
         self._request = request
-        self._close_after = close_after
+        self._closes = closes
 
     async def begin_stream(self, head: ResponseHead) -> None:
         """Send the head of a streamed response."""
         response = web.StreamResponse(status=head.status, headers=head.headers)
-        if self._close_after:
+        if self._closes():
             response.force_close()
         self.response = response
         self._set_linger(LINGER_RESET)
@@ -123,7 +125,7 @@
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
     def _set_response(self, response: web.Response) -> None:
-        if self._close_after:
+        if self._closes():
             response.force_close()
         self.response = response
 
@@ -141,7 +143,7 @@
     """Return the handler of requests of callers."""
 
     async def handle(request: BaseRequest) -> web.StreamResponse:
-        caller = HttpCaller(request, close_after=node.state == "draining")
+        caller = HttpCaller(request, lambda: node.state == "draining")
         node.in_progress += 1
         try:
             await _serve_request(node, request, caller)
@@ -230,6 +232,7 @@
 ) -> None:
     route = call.route if isinstance(call, Call) else None
     took_s = node.timers.now() - started_s
+    draining_s = node.draining.get_elapsed_s()
     node.metrics.record_request_end(
         route and route.kind, outcome.code, took_s, outcome.stream_start_s
     )
@@ -251,9 +254,7 @@
         if outcome.stream_start_s is None
         else round(outcome.stream_start_s, 4),
         took_s=round(took_s, 4),
-        draining_s=None
-        if node.state != "draining"
-        else round(node.get_draining_s(), 3),
+        draining_s=draining_s and round(draining_s, 3),
     )
 
 
@@ -274,7 +275,7 @@
     workspace = node.find_workspace(route, request.headers.get(CREDENTIAL_HEADER))
     if workspace.is_error():
         return workspace.error
-    refusal = node.check_admission(route)
+    refusal = node.draining.check_admission(route)
     if refusal is not None:
         return refusal
     body = await _read_body(node, request)
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -74,7 +74,7 @@
     node.timers.subscribe(SETTINGS_CHECK_INTERVAL_S, reloader.reload_if_modified)
     await node.start()
     listeners = [
-        await _listen(name, handler, address)
+        await _listen(name, handler, address, node.timers)
         for name, handler, address in (
             ("callers", make_request_handler(node), settings.caller_address),
             ("ready", make_ready_handler(node), settings.ready_address),
@@ -86,15 +86,24 @@
     log_message("node:started", **settings._asdict())
     await stopped.wait()
     await node.drain()
-    for listener in listeners:
-        await listener.close()
+    await _close_listeners(node, listeners)
     await node.stop()
     await store_session.close()
     log_message("node:stopped")
     writer.flush()
 
 
-async def _listen(name: str, handler, address: str) -> HttpListener:
+async def _close_listeners(node: EntryNode, listeners: list[HttpListener]) -> None:
+    """Close the listeners, that of the callers first, after the last response."""
+    callers, *others = listeners
+    await callers.finish(node.draining.get_deadline_s())
+    await callers.close()
+    deadline_s = node.timers.now() + SHUTDOWN_TIMEOUT_S
+    await asyncio.gather(*(listener.finish(deadline_s) for listener in others))
+    await asyncio.gather(*(listener.close() for listener in others))
+
+
+async def _listen(name: str, handler, address: str, timers: LoopTimers) -> HttpListener:
     server = web.Server(
         handler,
         handler_cancellation=True,
@@ -105,7 +114,7 @@
         max_field_size=MAX_HEADER_BYTES,
     )
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    listener = HttpListener(name, runner)
+    listener = HttpListener(name, runner, timers)
     await listener.start(*split_address(address))
     return listener
 
--- a/oleanderpier/platform/tests/test_callers.py
+++ b/oleanderpier/platform/tests/test_callers.py
@@ -44,7 +44,7 @@
 
     async def run() -> tuple[bytes, bool]:
         async def handle(request) -> web.StreamResponse:
-            caller = HttpCaller(request, close_after=False)
+            caller = HttpCaller(request, lambda: False)
             await caller.begin_stream(HEAD)
             await caller.write(EVENT)
             # The event is to be read before the end.
