Give requests in progress a final response when the grace period ends

Callers whose request was still in progress 7.6 s after SIGTERM lost their connection without an answer or a refusal. Cause: the process cancelled the handlers, whose only end was a closed connection; the log named the caller as the one who left. Evidence: 20 of 20 requests to a server that works longer.

Before the end each request's time limit is now set to the present, so that it ends as at its deadline: 503 if it certainly has not run, 502 if it was sent; a stream that has begun is broken off as before. A handler that is cancelled after that is logged as cut by this host.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -307,6 +307,11 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         log_message("node:drained", left_over=self.in_progress)
 
+    def end_requests(self) -> None:
+        """Give every request in progress its final response."""
+        log_message("node:requests_ended", in_progress=self.in_progress)
+        self.forwarder.end_requests()
+
     async def stop(self) -> None:
         """Cancel the background tasks and close all connections."""
         for task in self._tasks:
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -88,6 +88,8 @@
 
     Attributes:
         response_counts: Responses since the counts were last reset.
+        ending: Whether this host ends its requests because it stops.
+        time_limits: The time limit of each request in progress.
     """
 
     def __init__(
@@ -122,6 +124,8 @@
         self.server_activity = server_activity
         self.timers = timers
         self.response_counts = ResponseCounts({}, {})
+        self.ending = False
+        self.time_limits: set[asyncio.Timeout] = set()
 
     async def forward(self, call: Call, caller: Caller) -> RequestOutcome:
         """Forward a request until the caller has a response or a refusal.
@@ -135,6 +139,14 @@
         """
         return await _RequestForwarding(self, call, caller).run()
 
+    def end_requests(self) -> None:
+        """Give each request in progress its final response, since this host stops."""
+        self.ending = True
+        now_s = asyncio.get_running_loop().time()
+        for limit in self.time_limits:
+            if not limit.expired():
+                limit.reschedule(now_s)
+
     async def may_send(self, server: ServerEntry) -> bool:
         """Return whether a server's limit has room for a request now."""
         decision = asyncio.get_running_loop().create_future()
@@ -190,13 +202,19 @@
             return await self._refuse_with(refusal)
         time_left_s = self._call.deadline_s - forwarder.timers.now()
         try:
-            async with asyncio.timeout(max(0.0, time_left_s)):
+            async with asyncio.timeout(max(0.0, time_left_s)) as limit:
+                forwarder.time_limits.add(limit)
                 return await self._try_servers()
         except TimeoutError:
+            if forwarder.ending:
+                self._reason = f"this host stops; {self._reason}"
+                return await self._refuse(self._get_end_code())
             if self._server:
                 forwarder.health.record_broken_response(self._server)
             self._reason = f"out of time; {self._reason}"
             return await self._refuse(self._get_timeout_code())
+        finally:
+            forwarder.time_limits.discard(limit)
 
     async def _try_servers(self) -> RequestOutcome:
         forwarder, call = self._forwarder, self._call
@@ -345,6 +363,10 @@
         """Return the result code of a request whose deadline has passed."""
         return Code.TARGET_MISSED if self._may_have_run else Code.TARGET_UNREACHABLE
 
+    def _get_end_code(self) -> Code:
+        """Return the result code of a request that this host ends as it stops."""
+        return Code.ANSWER_LOST if self._may_have_run else Code.HOST_LEAVING
+
     def _may_fail_over(self) -> bool:
         """Return whether the request may still be sent to another server."""
         return self._attempts + 1 < self._call.route.max_attempts
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -204,19 +204,20 @@
     except CallerDisconnectedError as error:
         outcome = RequestOutcome(Code.CALLER_LEFT, 0, 0, "", str(error))
     except asyncio.CancelledError:
-        outcome = _classify_cancellation(request)
+        outcome = _classify_cancellation(node, request)
         _record_end(node, request, call, outcome, started_s)
         raise
     _record_end(node, request, call, outcome, started_s)
 
 
-def _classify_cancellation(request: BaseRequest) -> RequestOutcome:
+def _classify_cancellation(node: EntryNode, request: BaseRequest) -> RequestOutcome:
     """Return the end of a request whose handler was cancelled.
 
     Either the caller closed its connection, or this host is shutting down.
     """
     transport = request.transport
-    if transport is None or transport.is_closing():
+    is_closed = transport is None or transport.is_closing()
+    if is_closed and not node.forwarder.ending:
         return RequestOutcome(Code.CALLER_LEFT, 0, 0, "", "the connection was closed")
     return RequestOutcome(
         Code.STREAM_CUT, 0, 0, "", "this host ended before the answer"
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -37,6 +37,8 @@
 # The settings file is polled, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.05
+# Time for the last responses to be sent when the grace period ends.
+LAST_RESPONSE_TIMEOUT_S = 0.15
 
 
 def run() -> None:
@@ -96,7 +98,9 @@
 async def _close_listeners(node: EntryNode, listeners: list[HttpListener]) -> None:
     """Close the listeners, that of the callers first, after the last response."""
     callers, *others = listeners
-    await callers.finish(node.draining.get_deadline_s())
+    if not await callers.finish(node.draining.get_deadline_s()):
+        node.end_requests()
+        await callers.finish(node.timers.now() + LAST_RESPONSE_TIMEOUT_S)
     await callers.close()
     deadline_s = node.timers.now() + SHUTDOWN_TIMEOUT_S
     await asyncio.gather(*(listener.finish(deadline_s) for listener in others))
