Refuse a call during a drain that may outlast it

A draining host admitted calls by the time that they should take, so that one with a long time limit could still be in progress at the end of the grace period, where it only gets 502, may have run. After the address lists have expired, a call is admitted only if its time limit ends within the drain; else it is refused at once, to be sent to another host.

test_request_that_may_outlast_the_drain_is_refused: the function took no time limit before, so that its second case was admitted.

--- a/oleanderpier/entry/draining.py
+++ b/oleanderpier/entry/draining.py
@@ -34,7 +34,6 @@
 
     def __init__(self, timers: Timers, grace_s: float) -> None:
         self._timers = timers
-        self._grace_s = grace_s
         self._limit_s = grace_s - SHUTDOWN_RESERVE_S
         self._started_s: float | None = None
 
@@ -62,14 +61,17 @@
         lists_expired = elapsed_s >= MAX_TTL_FACTOR * ADDRESS_TTL_S + DRAIN_SLACK_S
         return elapsed_s >= self._limit_s or (lists_expired and not in_progress)
 
-    def check_admission(self, route: Route) -> Failure | None:
+    def check_admission(self, route: Route, time_limit_s: float) -> Failure | None:
         """Return the failure to refuse a new request with, None to admit it.
 
         Args:
             route: The request's route.
+            time_limit_s: The request's time limit, in seconds.
         """
         elapsed_s = self.get_elapsed_s()
         if elapsed_s is None:
             return None
         max_ttl_s = MAX_TTL_FACTOR * ADDRESS_TTL_S
-        return check_draining_admission(route, elapsed_s, max_ttl_s, self._grace_s)
+        return check_draining_admission(
+            route, time_limit_s, elapsed_s, max_ttl_s, self._limit_s
+        )
--- a/oleanderpier/entry/tests/test_draining.py
+++ b/oleanderpier/entry/tests/test_draining.py
@@ -3,6 +3,7 @@
 from testtools import TestCase
 
 from oleanderpier.entry.draining import Drain
+from oleanderpier.results import Code
 from oleanderpier.routing import RequestKind
 from oleanderpier.routing.tests.fakes import make_route
 from oleanderpier.utils import ManualTimers
@@ -22,7 +23,15 @@
 
     def test_everything_is_admitted_before_the_drain(self):
         """A host that does not drain refuses nothing."""
-        self.assertIsNone(self.drain.check_admission(self.route))
+        self.assertIsNone(self.drain.check_admission(self.route, 3600.0))
+
+    def test_request_that_may_outlast_the_drain_is_refused(self):
+        """It is expected to end soon, but its time limit is after the grace period."""
+        self.drain.begin()
+        self.timers.advance(2.0)
+        self.assertIsNone(self.drain.check_admission(self.route, 5.0))
+        refused = self.drain.check_admission(self.route, 6.5)
+        self.assertEqual(Code.HOST_LEAVING, refused.code)
 
     def test_listener_stays_open_while_requests_are_in_progress(self):
         """Callers with an old list are get a refusal in place of a reset."""
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -276,7 +276,8 @@
     workspace = node.find_workspace(route, request.headers.get(CREDENTIAL_HEADER))
     if workspace.is_error():
         return workspace.error
-    refusal = node.draining.check_admission(route)
+    time_limit_s = _read_timeout_s(request, route)
+    refusal = node.draining.check_admission(route, time_limit_s)
     if refusal is not None:
         return refusal
     body = await _read_body(node, request)
@@ -292,7 +293,7 @@
         workspace=workspace.ok,
         prompt_parts=read_prompt(request.headers.get(PROMPT_HEADER)),
         last_event_id=request.headers.get(RESUME_AFTER_HEADER),
-        deadline_s=started_s + _read_timeout_s(request, route),
+        deadline_s=started_s + time_limit_s,
     )
 
 
