Let a host that read an old copy of the store first learn what the others retain

After the store's return from a copy, a host that started before any other had read the new era kept the copy's configuration: a revoked key was valid there for as long as nothing was written.

Cause: the others learned of the era from that host. They kept their later values, but send what they retain only if they read the era from the store themselves, or to hosts that appear later; and the summaries, by which hosts find out that they lack something, were equal.

The comparison of summaries does the rest: a host without it queries for it.

test_host_that_read_the_copy_first_gets_retained_values failed before ([v2, v2, v1]).

--- a/oleanderpier/replication/positions.py
+++ b/oleanderpier/replication/positions.py
@@ -4,7 +4,13 @@
 and are given out again, and its era rises. A position orders by era, then by revision.
 """
 
-__all__ = ["get_era", "get_revision", "make_position", "mark_retained"]
+__all__ = [
+    "get_era",
+    "get_revision",
+    "is_retained",
+    "make_position",
+    "mark_retained",
+]
 
 REVISION_BITS = 44
 RETAINED_BIT = 1
@@ -34,9 +40,9 @@
 
 
 def mark_retained(position: int) -> int:
-    """Return the position of a known item that is retained over one of the store.
+    """Return the position of what is retained over the store's state at a position.
 
-    It is higher than that of the store's item, and lower than any later one.
+    It is higher than the store's, and lower than any later one.
 
     Examples:
         >>> position = make_position(2, 41)
@@ -44,3 +50,8 @@
         True
     """
     return position | RETAINED_BIT
+
+
+def is_retained(position: int) -> bool:
+    """Return whether a position is that of something that is retained."""
+    return bool(position & RETAINED_BIT)
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -6,7 +6,12 @@
 from eliot import log_message
 
 from oleanderpier.replication.messages import PLATFORM, Item, ItemsUpdate
-from oleanderpier.replication.positions import get_era, get_revision, mark_retained
+from oleanderpier.replication.positions import (
+    get_era,
+    get_revision,
+    is_retained,
+    mark_retained,
+)
 from oleanderpier.utils import Timers
 
 __all__ = ["Change", "Replica"]
@@ -147,10 +152,13 @@
             )
             return
         previous_change, previous_as_of = self.last_change, self.as_of
-        items = self._list_effects(update)
         if era_changed:
-            items = self._begin_era(items, source)
-        changed = self._store_items(update, items, source)
+            self._begin_era()
+        items = self._list_effects(update)
+        retained = self._find_retained(
+            items, update.as_of, era_changed and source == PLATFORM
+        )
+        changed = self._store_items(update, items, retained, source)
         if era_changed:
             # Hosts of the earlier era have missed a change, whatever they know.
             self.last_change = max(self.last_change, update.as_of)
@@ -172,9 +180,20 @@
         return [*update.items, *deletions]
 
     def _store_items(
-        self, update: ItemsUpdate, items: list[Item], source: str
+        self,
+        update: ItemsUpdate,
+        items: list[Item],
+        retained: dict[str, Item],
+        source: str,
     ) -> list[Item]:
-        """Store the items of an update, and return those whose value changed."""
+        """Store the items of an update, and return those whose value changed.
+
+        Args:
+            update: The update.
+            items: Its items and the deletions that it implies.
+            retained: What is stored in place of an item, by key.
+            source: Where the update came from.
+        """
         is_contiguous = (
             not update.is_snapshot
             and get_era(update.after) == get_era(update.as_of)
@@ -182,50 +201,86 @@
         )
         # Updates from hosts omit a deletion if the key was created again since.
         all_changes_seen = is_contiguous and source == PLATFORM
-        changed = [item for item in items if self._store(item, all_changes_seen)]
+        stored = [
+            (
+                retained.get(item.key, item),
+                all_changes_seen and item.key not in retained,
+            )
+            for item in items
+        ]
+        changed = [item for item, seen in stored if self._store(item, seen)]
         if update.is_snapshot:
             # A snapshot does not list the keys that were deleted before it.
             self._tombstones_complete_after = max(
                 self._tombstones_complete_after, update.as_of
             )
         if update.is_snapshot or is_contiguous:
-            self.as_of = max(self.as_of, update.as_of)
+            # Peers without the retained items learn from the summary that they lack
+            # something.
+            revisions = [item.revision for item in retained.values()]
+            self.as_of = max(self.as_of, update.as_of, *revisions)
+            self.last_change = max([self.last_change, *revisions])
         if changed:
             self.last_change = max(
                 self.last_change, *(item.revision for item in changed)
             )
         return changed
 
-    def _begin_era(self, items: list[Item], source: str) -> list[Item]:
-        """Announce a new era, and return the items of its snapshot to store."""
+    def _begin_era(self) -> None:
+        """Announce a new era."""
         self.era_changed_s = self._timers.now()
         for callback in list(self._era_callbacks):
             callback()
-        if source != PLATFORM:
-            return items
-        return [self._retain_deletion(item) for item in items]
 
-    def _retain_deletion(self, item: Item) -> Item:
-        """Return an item of a new era's snapshot, or the deletion known of its key.
+    def _find_retained(
+        self, items: list[Item], as_of: int, retains_deletions: bool
+    ) -> dict[str, Item]:
+        """Return what is known of keys and retained over the store's items, by key.
+
+        Args:
+            items: The store's items.
+            as_of: The revision of the update that has them.
+            retains_deletions: Whether known deletions are retained.
+        """
+        found = {}
+        for item in items:
+            revision = mark_retained(max(as_of, item.revision))
+            if item.revision <= self._revisions.get(item.key, 0):
+                continue
+            if self._retains_value(item):
+                value = self._items[item.key].value
+                found[item.key] = Item(item.key, revision, value)
+            elif retains_deletions and self._retains_deletion(item):
+                found[item.key] = Item(item.key, revision, None)
+        return found
+
+    def _retains_value(self, item: Item) -> bool:
+        """Return whether the known value of a key outlasts the store's item."""
+        current = self._items.get(item.key)
+        if current is None or current.value == item.value:
+            return False
+        era_changed = get_era(item.revision) > get_era(self._revisions[item.key])
+        return self._outlasts(current.value, item.value, era_changed)
+
+    def _retains_deletion(self, item: Item) -> bool:
+        """Return whether the known deletion of a key is later than the store's item.
 
         The copy from which the store has returned may hold a key that was deleted
         afterwards. Who still writes the key writes it again.
         """
         tombstone = self._tombstones.get(item.key)
-        if (
-            tombstone is None
-            or item.value is None
-            or get_revision(tombstone.revision) <= get_revision(item.revision)
-        ):
-            return item
-        return Item(item.key, mark_retained(item.revision), None)
+        return (
+            tombstone is not None
+            and item.value is not None
+            and get_revision(tombstone.revision) > get_revision(item.revision)
+        )
 
     def _log_era(self, previous_as_of: int, changed: list[Item], source: str) -> None:
         dropped = [item.key for item in changed if item.value is None]
         retained = [
             item.key
             for item in (*self._items.values(), *self._tombstones.values())
-            if item.revision == mark_retained(item.revision)
+            if is_retained(item.revision)
         ]
         log_message(
             "replication:era",
@@ -297,13 +352,6 @@
         if item.revision <= known_revision:
             return False
         current = self._items.get(item.key)
-        era_changed = get_era(item.revision) > get_era(known_revision)
-        if (
-            current is not None
-            and current.value != item.value
-            and self._outlasts(current.value, item.value, era_changed)
-        ):
-            item = Item(item.key, mark_retained(item.revision), current.value)
         self._revisions[item.key] = item.revision
         if item.value is None:
             return self._delete(item, current is not None)
