Retain a known deletion also if another host read the store's old copy

A server that had left before the store's return was in use again where a host learned of the new era from a host that had only read the copy.

test_deletion_is_retained_over_the_copy_of_another_host failed before.

--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -155,9 +155,7 @@
         if era_changed:
             self._begin_era()
         items = self._list_effects(update)
-        retained = self._find_retained(
-            items, update.as_of, era_changed and source == PLATFORM
-        )
+        retained = self._find_retained(items, update.as_of, era_changed)
         changed = self._store_items(update, items, retained, source)
         if era_changed:
             # Hosts of the earlier era have missed a change, whatever they know.
--- a/oleanderpier/replication/tests/test_eras.py
+++ b/oleanderpier/replication/tests/test_eras.py
@@ -193,6 +193,23 @@
             network.timers.advance(0.25)
         self.assertEqual([b"v3"] * 3, network.list_values())
 
+    def test_deletion_is_retained_over_the_copy_of_another_host(self):
+        """The host that read the copy first has a key that the others know is gone."""
+        network = Network(3)
+        for host in ("h0", "h1"):
+            for update in (
+                make_update(1, 0, 40, ("s", 31, b"1"), is_snapshot=True),
+                make_update(1, 40, 50, ("s", 50, None)),
+            ):
+                network.replicas[host].apply(update, PLATFORM)
+        copy = make_update(2, 0, 42, ("s", 31, b"1"), is_snapshot=True)
+        network.replicas["h2"].apply(copy, PLATFORM)
+        for _ in range(6):
+            network.report()
+            network.timers.advance(0.25)
+        found = [replica.get("s") for replica in network.replicas.values()]
+        self.assertEqual([None] * 3, found)
+
     def test_neighbours_get_retained_deletions(self):
         """A host does not take the copy's key from another one afterwards."""
         replica, sent = make_replica(), []
