--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -1,12 +1,9 @@
 """A small fleet and its stand-ins, each as a separate process."""
 
 import asyncio
-import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import sys
 from asyncio.subprocess import DEVNULL, Process
 from pathlib import Path
@@ -14,21 +11,16 @@
 
 import aiohttp
 
+from demo.ports import LOOPBACK_ADDRESS, find_free_port
+
 __all__ = ["Endpoint", "Fleet", "find_free_port"]
 
-LOOPBACK_ADDRESS = "127.0.0.1"
 FAILURE_DOMAINS = ("duluth", "alpena", "erie-port")
 START_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.05
-MIN_PORT = 10_000
-PORT_LIMIT = 32_000
 DEFAULT_LIMITS = {"address_keep_s": 3.0, "drain_s": 30.0}
 
 
-_port_generator = random.Random(os.getpid())
-_reserved_ports: set[int] = set()
-
-
 class Endpoint(NamedTuple):
     """The endpoint of a process.
 
@@ -48,21 +40,6 @@
         return f"http://{LOOPBACK_ADDRESS}:{self.port}"
 
 
-def find_free_port() -> int:
-    """Return a free TCP port, a different one at each call.
-
-    The port lies below the ephemeral port range. Otherwise an outgoing connection
-    could use it before its process listens.
-    """
-    while True:
-        port = _port_generator.randrange(MIN_PORT, PORT_LIMIT)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((LOOPBACK_ADDRESS, port))
-            if port not in _reserved_ports:
-                _reserved_ports.add(port)
-                return port
-
-
 class Fleet:
     """The processes of a small fleet.
 
