--- a/oleanderpier/cli/tests/test_pages.py
+++ b/oleanderpier/cli/tests/test_pages.py
@@ -156,7 +156,7 @@
 
     def test_pinned_packages_have_rows(self):
         """The rows are exactly the pinned packages with their versions."""
-        rows = self.list_rows("DEPENDENCIES.md", r"\| `([\w.]+)` \| (\d\S*) \|")
+        rows = self.list_rows("DEPENDENCIES.md", r"\| `([\w.-]+)` \| (\d\S*) \|")
         lines = (ROOT / "requirements.txt").read_text().split()
         pinned = {tuple(line.split("==")) for line in lines}
         build = tomllib.loads((ROOT / "pyproject.toml").read_text())["build-system"]
