Admit repeatable calls during a drain as before; end a stop within its grace period

A call with a time limit of 10 s was refused from 1.5 s after SIGTERM on, at a host that answered 22 of 25 such calls before (2 of 25 then); with all hosts stopping there is no other one. Only a call that runs at most once has to be certain to end, since only its caller can't repeat it. 'Half of the grace period' is half of it again.

A stop could pass the grace period: 300 requests in progress on a quarter of a processor were answered by 7.98 s and the process was killed at 8 s, and a refused body that never ends held a stop for 7.9 s, 1.9 s before. The end of the requests and of their responses are now shares of the grace period instead of fixed times, the rest of a refused body is read for 2 s instead of 10, and the last lines of the log wait 0.1 s for a slow reader.

--- a/oleanderpier/entry/draining.py
+++ b/oleanderpier/entry/draining.py
@@ -4,7 +4,7 @@
 address list until it expires, and open connections until they are closed.
 """
 
-from oleanderpier.entry.admission import check_draining_admission
+from oleanderpier.entry.admission import DrainLimits, check_draining_admission
 from oleanderpier.results import Failure
 from oleanderpier.routing import Route
 from oleanderpier.utils import Timers
@@ -18,9 +18,12 @@
 # Minimum time between the last use of an old address list and the closing of the
 # listeners.
 DRAIN_SLACK_S = 0.3
-# Part of the grace period that is reserved for the last responses and for closing
-# connections.
-SHUTDOWN_RESERVE_S = 0.4
+# Shares of the grace period after which the last request must end, and its response
+# must be sent. The rest is for closing the other connections and the process's end.
+DRAIN_SHARE = 0.9
+LAST_RESPONSE_SHARE = 0.96
+# Share of the grace period until which a call has to be expected to end.
+CALLS_SHARE = 0.5
 
 
 class Drain:
@@ -34,7 +37,12 @@
 
     def __init__(self, timers: Timers, grace_s: float) -> None:
         self._timers = timers
-        self._limit_s = grace_s - SHUTDOWN_RESERVE_S
+        self._grace_s = grace_s
+        self._limits = DrainLimits(
+            MAX_TTL_FACTOR * ADDRESS_TTL_S,
+            CALLS_SHARE * grace_s,
+            DRAIN_SHARE * grace_s,
+        )
         self._started_s: float | None = None
 
     def begin(self) -> None:
@@ -49,7 +57,11 @@
 
     def get_deadline_s(self) -> float:
         """Return when the last request must end, on the timer service's clock."""
-        return self._started_s + self._limit_s
+        return self._started_s + self._limits.end_s
+
+    def get_last_response_deadline_s(self) -> float:
+        """Return until when the last response may be sent, on the same clock."""
+        return self._started_s + LAST_RESPONSE_SHARE * self._grace_s
 
     def may_stop_listening(self, in_progress: int) -> bool:
         """Return whether to accept no more connections.
@@ -58,8 +70,8 @@
             in_progress: The number of requests in progress.
         """
         elapsed_s = self.get_elapsed_s()
-        lists_expired = elapsed_s >= MAX_TTL_FACTOR * ADDRESS_TTL_S + DRAIN_SLACK_S
-        return elapsed_s >= self._limit_s or (lists_expired and not in_progress)
+        lists_expired = elapsed_s >= self._limits.max_ttl_s + DRAIN_SLACK_S
+        return elapsed_s >= self._limits.end_s or (lists_expired and not in_progress)
 
     def check_admission(self, route: Route, time_limit_s: float) -> Failure | None:
         """Return the failure to refuse a new request with, None to admit it.
@@ -71,7 +83,4 @@
         elapsed_s = self.get_elapsed_s()
         if elapsed_s is None:
             return None
-        max_ttl_s = MAX_TTL_FACTOR * ADDRESS_TTL_S
-        return check_draining_admission(
-            route, time_limit_s, elapsed_s, max_ttl_s, self._limit_s
-        )
+        return check_draining_admission(route, time_limit_s, elapsed_s, self._limits)
--- a/oleanderpier/events/writer.py
+++ b/oleanderpier/events/writer.py
@@ -1,5 +1,6 @@
 """Log output that never blocks the process."""
 
+import asyncio
 import os
 import select
 from collections import Counter, deque
@@ -12,6 +13,7 @@
 __all__ = ["LogWriter"]
 
 FLUSH_INTERVAL_S = 0.1
+FINISH_POLL_INTERVAL_S = 0.01
 # Lines that wait to be written; further ones are dropped and counted by type.
 MAX_QUEUED_LINES = 4096
 # A write of up to PIPE_BUF (4096) bytes to a pipe that polls as writable does not
@@ -61,6 +63,14 @@
                 line[key] = value
         self._lines.append(msgspec.json.encode(line, enc_hook=repr) + b"\n")
 
+    async def finish(self, timeout_s: float) -> None:
+        """Write the queued lines; wait for a slow reader, but not longer than this."""
+        deadline_s = self._timers.now() + timeout_s
+        self.flush()
+        while self._lines and self._timers.now() < deadline_s:
+            await asyncio.sleep(FINISH_POLL_INTERVAL_S)
+            self.flush()
+
     def flush(self) -> None:
         """Write queued lines as long as the descriptor is writable."""
         if self._dropped_by_type and len(self._lines) < MAX_QUEUED_LINES // 2:
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -37,8 +37,10 @@
 # The settings file is polled, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.05
-# Time for the last responses to be sent when the grace period ends.
-LAST_RESPONSE_TIMEOUT_S = 0.15
+LOG_FLUSH_TIMEOUT_S = 0.1
+# After a refusal the rest of the request's body is read for this long, since closing
+# with unread bytes would reset the refusal away.
+LINGERING_TIME_S = 2.0
 
 
 def run() -> None:
@@ -92,7 +94,7 @@
     await node.stop()
     await store_session.close()
     log_message("node:stopped")
-    writer.flush()
+    await writer.finish(LOG_FLUSH_TIMEOUT_S)
 
 
 async def _close_listeners(node: EntryNode, listeners: list[HttpListener]) -> None:
@@ -100,7 +102,7 @@
     callers, *others = listeners
     if not await callers.finish(node.draining.get_deadline_s()):
         node.end_requests()
-        await callers.finish(node.timers.now() + LAST_RESPONSE_TIMEOUT_S)
+        await callers.finish(node.draining.get_last_response_deadline_s())
     await callers.close()
     deadline_s = node.timers.now() + SHUTDOWN_TIMEOUT_S
     await asyncio.gather(*(listener.finish(deadline_s) for listener in others))
@@ -112,6 +114,7 @@
         handler,
         handler_cancellation=True,
         keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
+        lingering_time=LINGERING_TIME_S,
         access_log=None,
         auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
