End requests whose body is still read when the grace period ends

Cause: the time limits were ended of requests that are being forwarded, not of those that are not yet, nor of new ones.

All time limits of requests, that for reading the body too, now belong to one object that ends them, and each later one is over at once. Admission is checked again once the body is there.

--- a/oleanderpier/connections/tests/test_listeners.py
+++ b/oleanderpier/connections/tests/test_listeners.py
@@ -11,6 +11,9 @@
 
 WORK_S = 0.1
 FINISH_TIMEOUT_S = 2.0
+BUSY_CALLER_COUNT = 100
+BUSY_WORK_S = 0.01
+BUSY_ROUNDS = 3
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 BODY = b"body"
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
@@ -40,6 +43,56 @@
         self.assertEqual((False, b""), finish_while(send_head))
 
 
+class BusyConnectionsTest(TestCase):
+    """Callers send without a pause while the listener finishes."""
+
+    def test_begun_requests_are_answered(self):
+        """Each request whose handler has begun has a response."""
+        for _ in range(BUSY_ROUNDS):
+            begun, answered = run_coroutine(_finish_under_load())
+            self.assertGreater(len(begun), BUSY_CALLER_COUNT)
+            self.assertEqual(set(), begun - answered)
+
+
+async def _finish_under_load() -> tuple[set[str], set[str]]:
+    """Return the ids of the requests that were begun and of those with a response."""
+    begun, answered = set(), set()
+
+    async def handle(request) -> web.Response:
+        begun.add(request.headers["Request-Id"])
+        await asyncio.sleep(BUSY_WORK_S)
+        return web.Response()
+
+    async def send_until_closed(caller: int, port: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        number = 0
+        try:
+            while True:
+                number += 1
+                identity = f"{caller}-{number}"
+                head = f"GET / HTTP/1.1\r\nHost: a\r\nRequest-Id: {identity}\r\n\r\n"
+                writer.write(head.encode())
+                await reader.readuntil(b"\r\n\r\n")
+                answered.add(identity)
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    timers = LoopTimers()
+    runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.05)
+    listener = HttpListener("callers", runner, timers)
+    await listener.start("127.0.0.1", 0)
+    port = runner.addresses[0][1]
+    callers = [
+        asyncio.create_task(send_until_closed(number, port))
+        for number in range(BUSY_CALLER_COUNT)
+    ]
+    await asyncio.sleep(10 * BUSY_WORK_S)
+    await listener.finish(timers.now() + FINISH_TIMEOUT_S)
+    await listener.close()
+    await asyncio.gather(*callers)
+    return begun, answered
+
+
 async def send_before(streams: Streams, finish: Callable[[], Awaitable[bool]]) -> bool:
     """Send a request; finish when it is in progress."""
     streams[1].write(HEAD + BODY)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -310,7 +310,7 @@
     def end_requests(self) -> None:
         """Give every request in progress its final response."""
         log_message("node:requests_ended", in_progress=self.in_progress)
-        self.forwarder.end_requests()
+        self.forwarder.limits.end()
 
     async def stop(self) -> None:
         """Cancel the background tasks and close all connections."""
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -33,7 +33,7 @@
     decide_retry,
     spread_return_s,
 )
-from oleanderpier.utils import Timers, hash_text
+from oleanderpier.utils import EndableLimits, Timers, hash_text
 
 __all__ = ["Forwarder", "ResponseCounts"]
 
@@ -88,8 +88,7 @@
 
     Attributes:
         response_counts: Responses since the counts were last reset.
-        ending: Whether this host ends its requests because it stops.
-        time_limits: The time limit of each request in progress.
+        limits: The time limits of the requests in progress; ended when this host stops.
     """
 
     def __init__(
@@ -124,8 +123,7 @@
         self.server_activity = server_activity
         self.timers = timers
         self.response_counts = ResponseCounts({}, {})
-        self.ending = False
-        self.time_limits: set[asyncio.Timeout] = set()
+        self.limits = EndableLimits()
 
     async def forward(self, call: Call, caller: Caller) -> RequestOutcome:
         """Forward a request until the caller has a response or a refusal.
@@ -139,13 +137,11 @@
         """
         return await _RequestForwarding(self, call, caller).run()
 
-    def end_requests(self) -> None:
-        """Give each request in progress its final response, since this host stops."""
-        self.ending = True
-        now_s = asyncio.get_running_loop().time()
-        for limit in self.time_limits:
-            if not limit.expired():
-                limit.reschedule(now_s)
+    def find_refusal(self, call: Call) -> Failure | None:
+        """Return the failure to refuse a request with at once, None to forward it."""
+        if self.limits.ended:
+            return Failure(Code.HOST_LEAVING, "this host stops", 0.0)
+        return self.guard.find_refusal(call)
 
     async def may_send(self, server: ServerEntry) -> bool:
         """Return whether a server's limit has room for a request now."""
@@ -197,24 +193,21 @@
         """Try servers until the request has an outcome or its deadline passes."""
         forwarder = self._forwarder
         forwarder.budget.record_request(self._service)
-        refusal = forwarder.guard.find_refusal(self._call)
+        refusal = forwarder.find_refusal(self._call)
         if refusal is not None:
             return await self._refuse_with(refusal)
         time_left_s = self._call.deadline_s - forwarder.timers.now()
         try:
-            async with asyncio.timeout(max(0.0, time_left_s)) as limit:
-                forwarder.time_limits.add(limit)
+            async with forwarder.limits.limit(max(0.0, time_left_s)):
                 return await self._try_servers()
         except TimeoutError:
-            if forwarder.ending:
+            if forwarder.limits.ended:
                 self._reason = f"this host stops; {self._reason}"
                 return await self._refuse(self._get_end_code())
             if self._server:
                 forwarder.health.record_broken_response(self._server)
             self._reason = f"out of time; {self._reason}"
             return await self._refuse(self._get_timeout_code())
-        finally:
-            forwarder.time_limits.discard(limit)
 
     async def _try_servers(self) -> RequestOutcome:
         forwarder, call = self._forwarder, self._call
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -217,7 +217,7 @@
     """
     transport = request.transport
     is_closed = transport is None or transport.is_closing()
-    if is_closed and not node.forwarder.ending:
+    if is_closed and not node.forwarder.limits.ended:
         return RequestOutcome(Code.CALLER_LEFT, 0, 0, "", "the connection was closed")
     return RequestOutcome(
         Code.STREAM_CUT, 0, 0, "", "this host ended before the answer"
@@ -283,6 +283,10 @@
     body = await _read_body(node, request)
     if isinstance(body, Failure):
         return body
+    # The body may have come much later than the head.
+    refusal = node.draining.check_admission(route, time_limit_s)
+    if refusal is not None:
+        return refusal
     return Call(
         identity=request.headers.get(REQUEST_ID_HEADER, ""),
         method=request.method,
@@ -320,7 +324,7 @@
         request.writer.output_size = 0
     parts, size = [], 0
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with node.forwarder.limits.limit(BODY_TIMEOUT_S):
             while data := await request.content.readany():
                 size += len(data)
                 if size > limit:
--- a/oleanderpier/utils/limits.py
+++ b/oleanderpier/utils/limits.py
@@ -6,7 +6,7 @@
 
 from oleanderpier.utils.timers import Timers
 
-__all__ = ["limit_time"]
+__all__ = ["EndableLimits", "limit_time"]
 
 
 @asynccontextmanager
@@ -30,3 +30,40 @@
             yield
         finally:
             timer.cancel()
+
+
+class EndableLimits:
+    """Time limits that can all be ended at once.
+
+    Attributes:
+        ended: Whether they were; then every new one is over at once.
+    """
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._limits: set[asyncio.Timeout] = set()
+
+    def end(self) -> None:
+        """End every time limit now."""
+        self.ended = True
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now_s)
+
+    @asynccontextmanager
+    async def limit(self, limit_s: float) -> AsyncIterator[None]:
+        """Cancel the body of an ``async with`` when its time is over.
+
+        Args:
+            limit_s: The limit in seconds.
+
+        Raises:
+            TimeoutError: The limit was exceeded, or all limits were ended.
+        """
+        async with asyncio.timeout(0.0 if self.ended else limit_s) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
