Answer a request that was read behind another one before a connection closes

Of two payouts sent in one segment, with SIGTERM while the first is in progress, the second got nothing: 10 of 10. Cause, since: the first response says that the connection closes, and what was read behind it is dropped. A response no longer says so while another request is queued; the last one does.

--- a/oleanderpier/connections/listeners.py
+++ b/oleanderpier/connections/listeners.py
@@ -12,7 +12,7 @@
 
 from oleanderpier.utils import Timers
 
-__all__ = ["ConnectionCounts", "HttpListener"]
+__all__ = ["ConnectionCounts", "HttpListener", "has_queued_request"]
 
 LISTEN_BACKLOG = 512
 POLL_INTERVAL_S = 0.02
@@ -93,6 +93,11 @@
         return ConnectionCounts(idle, len(connections) - idle, unsent_bytes)
 
 
+def has_queued_request(connection: web.RequestHandler) -> bool:
+    """Return whether another request was read behind the one in progress."""
+    return bool(connection._messages)
+
+
 def _is_idle(connection: web.RequestHandler) -> bool:
     """Return whether every request that was read whole has its response.
 
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -11,6 +11,7 @@
 from aiohttp.web_request import BaseRequest
 from eliot import log_message
 
+from oleanderpier.connections import has_queued_request
 from oleanderpier.entry import ADDRESS_TTL_S, EntryNode
 from oleanderpier.events import make_metrics_response
 from oleanderpier.exception import CallerDisconnectedError
@@ -143,7 +144,10 @@
     """Return the handler of requests of callers."""
 
     async def handle(request: BaseRequest) -> web.StreamResponse:
-        caller = HttpCaller(request, lambda: node.state == "draining")
+        def closes() -> bool:
+            return node.state == "draining" and not has_queued_request(request.protocol)
+
+        caller = HttpCaller(request, closes)
         node.in_progress += 1
         try:
             await _serve_request(node, request, caller)
--- a/tests/test_stop_on_open_connections.py
+++ b/tests/test_stop_on_open_connections.py
@@ -50,6 +50,11 @@
         answers = run_coroutine(_stop(_send_no_bodies))
         self.assertEqual({(408, False): CALLER_COUNT}, answers)
 
+    def test_request_behind_another_one_is_answered(self):
+        """Both were read before the stop; the first response ends during it."""
+        answers = run_coroutine(_stop(_send_in_pairs))
+        self.assertEqual({(200, True): CALLER_COUNT}, answers)
+
     def test_answer_that_is_read_slowly_is_delivered(self):
         """The response is larger than what the sockets hold."""
         answers = run_coroutine(_stop(_read_large_responses))
@@ -165,3 +170,19 @@
             )
         )
     )
+
+
+async def _send_in_pairs(
+    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+) -> list[int]:
+    """Send two requests at once on each of half of the connections."""
+    server.work_s = WORK_S
+    pairs = [
+        asyncio.create_task(
+            caller.send_two("/payout/x", (f"r-{2 * number}", f"r-{2 * number + 1}"))
+        )
+        for number, caller in enumerate(callers[: CALLER_COUNT // 2])
+    ]
+    await asyncio.sleep(WORK_S / 2)
+    fleet.processes[0].send_signal(signal.SIGTERM)
+    return [answer for pair in await asyncio.gather(*pairs) for answer in pair]
