--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -60,6 +60,7 @@
         self.store = StandInStore()
         self.servers: list[StandInServer] = []
         self.processes: list[Process] = []
+        self._latest_processes: dict[int, Process] = {}
         self.settings: list[dict[str, Any]] = []
         self.metrics_addresses: list[str] = []
         self._host_count = hosts
@@ -156,6 +157,7 @@
             **self._open_logs(number),
         )
         self.processes.append(process)
+        self._latest_processes[number] = process
         return process
 
     def _open_logs(self, number: int) -> dict[str, Any]:
@@ -184,10 +186,24 @@
             await self.wait_until_ready(number)
 
     async def wait_until_ready(self, number: int) -> None:
-        """Wait until the readiness check of a host succeeds."""
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            while await self.read_ready_status(number) != 200:
-                await asyncio.sleep(POLL_INTERVAL_S)
+        """Wait until the readiness check of a host succeeds.
+
+        Raises:
+            TimeoutError: It doesn't in time; says how the host's process has ended.
+        """
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while await self.read_ready_status(number) != 200:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError as error:
+            text = await self._describe_end(self._latest_processes[number])
+            raise TimeoutError(f"host {number} is not ready, {text}") from error
+
+    async def _describe_end(self, process: Process) -> str:
+        if process.returncode is None:
+            return "its process runs"
+        output = b"" if process.stderr is None else await process.stderr.read()
+        return f"its process ended with {process.returncode}: {output[-2000:].decode()}"
 
     async def read_ready_status(self, number: int) -> int:
         """Return the status of a host's readiness check, 0 without a response."""
