--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -89,3 +89,17 @@
             self.assertTrue(node.find_route("a.example", "/chat/x").is_ok())
 
         run_coroutine(check())
+
+    def test_request_is_refused_while_the_store_has_no_configuration(self):
+        """The copy is complete but has no configuration, as in an empty store."""
+
+        async def check() -> tuple[Code, str]:
+            node = EntryNode(SETTINGS, None, None)
+            node.view.report_now = lambda: None
+            for space in (CONFIGURATION, SERVERS):
+                update = ItemsUpdate(space, 0, 7, True, [])
+                node.replicas[space].apply(update, PLATFORM)
+            refused = node.find_route("a.example", "/chat/x").error
+            return refused.code, node.state
+
+        self.assertEqual((Code.HOST_NOT_READY, "starting"), run_coroutine(check()))
