Refuse requests as not ready while the store has no configuration

A host whose copy of the store is complete and has no configuration, as after the loss of the store's content, answered each request 500, closed the connection, and logged no end of the request.

Cause: find_route asks whether the copies are complete, and takes the routes for granted then; without a configuration there are none (AttributeError). Evidence: 500 to three of three requests to a host as a process with an empty store.

Now it answers 503, not run, with when to come back, as for any host that can't route yet.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -328,6 +328,9 @@
         if empty_spaces:
             text = f"nothing is known yet of {' and '.join(empty_spaces)}"
             return Error(Failure(Code.HOST_NOT_READY, text, ADDRESS_TTL_S / 2))
+        if self.route_index is None:
+            text = "the platform's store has no configuration yet"
+            return Error(Failure(Code.HOST_NOT_READY, text, ADDRESS_TTL_S / 2))
         return convert_if_stale(
             self.route_index.find_route(host_name, path), self.get_configuration_age_s()
         )
