--- a/oleanderpier/platform/tests/test_callers.py
+++ b/oleanderpier/platform/tests/test_callers.py
@@ -6,7 +6,10 @@
 from testtools import TestCase
 
 from oleanderpier.forwarding import ResponseHead
+from oleanderpier.forwarding.tests.fakes import make_call
 from oleanderpier.platform.callers import HttpCaller
+from oleanderpier.platform.dialect import ServerDialect
+from oleanderpier.routing.tests.fakes import make_route
 from oleanderpier.utils import run_coroutine
 
 HEAD = ResponseHead(200, [], not_run=False, valid=True, signed=True)
@@ -42,16 +45,29 @@
         end: What ends the stream after its first event.
     """
 
-    async def run() -> tuple[bytes, bool]:
-        async def handle(request) -> web.StreamResponse:
-            caller = HttpCaller(request, lambda: False)
-            await caller.begin_stream(HEAD)
-            await caller.write(EVENT)
-            # The event is to be read before the end.
-            await asyncio.sleep(0.05)
-            await end(caller)
-            return caller.response
+    async def handle(request) -> web.StreamResponse:
+        caller = HttpCaller(request, lambda: False)
+        await caller.begin_stream(HEAD)
+        await caller.write(EVENT)
+        # The event is to be read before the end.
+        await asyncio.sleep(0.05)
+        await end(caller)
+        return caller.response
+
+    received, was_reset = call_handler(handle, version, b"\r\n0\r\n\r\n")
+    return received.partition(b"\r\n\r\n")[2], was_reset
+
+
+def call_handler(handle, version: str, end: bytes) -> tuple[bytes, bool]:
+    """Return the bytes that a caller gets, and whether the connection was reset.
+
+    Args:
+        handle: The handler of the caller's request.
+        version: The HTTP version of the request.
+        end: The last bytes of a complete response, unless the connection ends.
+    """
 
+    async def run() -> tuple[bytes, bool]:
         runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -65,13 +81,13 @@
             async with asyncio.timeout(READ_TIMEOUT_S):
                 while data := await reader.read(1 << 16):
                     received += data
-                    if received.endswith(b"\r\n0\r\n\r\n"):
+                    if received.endswith(end):
                         break
         except ConnectionResetError:
             was_reset = True
         writer.close()
         await runner.cleanup()
-        return received.partition(b"\r\n\r\n")[2], was_reset
+        return received, was_reset
 
     return run_coroutine(run())
 
@@ -93,3 +109,22 @@
             received, _ = stream_to_caller("HTTP/1.1", end)
             expected = chunk + b"0\r\n\r\n" * (end is finish)
             self.assertEqual(expected, received, end.__name__)
+
+
+class DeliveryTest(TestCase):
+    """A caller gets a server's response."""
+
+    def test_control_character_in_a_header_does_not_lose_the_response(self):
+        """An HTTP server refuses to send such a character."""
+
+        async def handle(request) -> web.StreamResponse:
+            call = make_call(make_route(), 0.0)
+            raw = ((b"Request-Id", call.identity.encode()), (b"X-Note", b"a\x01b\tc"))
+            head = ServerDialect().read_response_head(call, 200, raw)
+            caller = HttpCaller(request, lambda: False)
+            await caller.deliver(head, b"whole")
+            return caller.response
+
+        received, _ = call_handler(handle, "HTTP/1.1", b"whole")
+        self.assertTrue(received.endswith(b"\r\n\r\nwhole"), received)
+        self.assertIn(b"\r\nX-Note: a b\tc\r\n", received)
