Deliver a response that has a control character in a header

A server's whole, signed response was lost if any of its headers had a control character: the host had passed the request on and closed the caller's connection without a byte; the caller of a stream got 500.

Cause: the HTTP client accepts such a character, and aiohttp's server refuses to send it with a ValueError. That is raised after the handler has returned, where aiohttp closes the connection. Evidence: with 0x01 and 0x7f in a header no byte of an answer on safe and unsafe routes, 500 on a streaming route, with a host as a process.

Now each control character but the tab is read as a space, as RFC 9110, section 5.5, provides for.

--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -107,6 +107,9 @@
         "tenant-name",
     }
 )
+# Not allowed in the value of a header, but HTTP clients accept them; a space may stand
+# for each (RFC 9110, section 5.5).
+CONTROL_CHARACTERS = dict.fromkeys((*range(0x09), *range(0x0A, 0x20), 0x7F), " ")
 # Headers of servers' responses that the HTTP server sets anew.
 DROPPED_RESPONSE_HEADERS = frozenset({"content-length", "date", "server"})
 
@@ -191,7 +194,8 @@
     ) -> ResponseHead:
         """Parse the head of a response."""
         pairs = [
-            (key.decode("latin-1"), value.decode("latin-1")) for key, value in headers
+            (key.decode("latin-1"), _decode_header_value(value))
+            for key, value in headers
         ]
         values_by_name = {key.lower(): value for key, value in pairs}
         misdirected = status == MISDIRECTED_STATUS
@@ -239,6 +243,11 @@
             return self._get_unix_s()
 
 
+def _decode_header_value(value: bytes) -> str:
+    """Return the value of a header with a space for each control character."""
+    return value.decode("latin-1").translate(CONTROL_CHARACTERS)
+
+
 def _read_leaving(values_by_name: dict[str, str]) -> bool:
     """Return whether a server says that it leaves; log a value that is not known."""
     value = values_by_name.get(LEAVING_HEADER, "").strip()
