Ignore signals between the end of a stop and the end of the process

A host that was sent SIGHUP or a second SIGTERM in the last moments of its stop ended by that signal, with status -1 or -15 in place of 0, though it had answered everything.

Cause: the event loop removes the handlers when it is closed, and the interpreter takes about 50 ms more to end; the actions are the default ones then. Blocking the signals in the main thread does not help (tried): the process has four more threads, which take them.

Now they are ignored from the last line of the log on. The default action remains for the time between two calls in a row, since the loop resets it when it removes a handler.

--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -25,7 +25,7 @@
 from oleanderpier.platform.settings import SETTINGS_VARIABLE, read_entry_settings
 from oleanderpier.platform.store import StoreClient, make_store_session
 from oleanderpier.results import Failure, make_refusal_body
-from oleanderpier.signals import release_signals
+from oleanderpier.signals import ignore_signals, release_signals
 from oleanderpier.utils import LoopTimers
 
 __all__ = ["run"]
@@ -95,6 +95,7 @@
     await store_session.close()
     log_message("node:stopped")
     await writer.finish(LOG_FLUSH_TIMEOUT_S)
+    ignore_signals(loop)
 
 
 async def _close_listeners(node: EntryNode, listeners: list[HttpListener]) -> None:
