--- a/oleanderpier/connections/tests/test_listeners.py
+++ b/oleanderpier/connections/tests/test_listeners.py
@@ -1,10 +1,11 @@
 """Tests of listeners that close while callers use their connections."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
 from oleanderpier.connections import HttpListener
 from oleanderpier.utils import LoopTimers, run_coroutine
@@ -16,6 +17,9 @@
 BUSY_ROUNDS = 3
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 BODY = b"body"
+# More than the sockets hold.
+STREAM_BYTES = 64 << 20
+READ_TIMEOUT_S = 2.0
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -43,6 +47,42 @@
         self.assertEqual((False, b""), finish_while(send_head))
 
 
+class CloseTest(TestCase):
+    """A listener that closes cuts what is not out so that callers see it."""
+
+    def test_stream_with_unsent_bytes_does_not_look_complete(self):
+        """HTTP/1.0 has no chunks, so only a reset shows that bytes are missing."""
+        with ExpectedException(ConnectionResetError):
+            run_coroutine(read_stream_after_close())
+
+
+async def read_stream_after_close() -> None:
+    """Close a listener when a part of a whole stream is out; read it to its end."""
+    written = asyncio.Event()
+
+    async def handle(request) -> web.StreamResponse:
+        request.transport.set_write_buffer_limits(high=2 * STREAM_BYTES)
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(bytes(STREAM_BYTES))
+        written.set()
+        return response
+
+    timers = LoopTimers()
+    runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.05)
+    listener = HttpListener("callers", runner, timers)
+    await listener.start("127.0.0.1", 0)
+    # A plain socket: uvloop's streams show some resets as a regular end.
+    with socket.create_connection(runner.addresses[0]) as caller:
+        caller.settimeout(READ_TIMEOUT_S)
+        caller.sendall(b"GET / HTTP/1.0\r\n\r\n")
+        await written.wait()
+        await listener.finish(timers.now())
+        await listener.close()
+        while caller.recv(1 << 20):
+            pass
+
+
 class BusyConnectionsTest(TestCase):
     """Callers send without a pause while the listener finishes."""
 
