Reset what is left when a listener closes

Cause: the stream was finished, so that its connection ends regularly, and its last bytes were dropped with the process. What is left when a listener closes is incomplete; it is now reset.

--- a/oleanderpier/connections/listeners.py
+++ b/oleanderpier/connections/listeners.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from typing import NamedTuple
 
 from aiohttp import web
@@ -16,6 +18,8 @@
 
 LISTEN_BACKLOG = 512
 POLL_INTERVAL_S = 0.02
+# Value of SO_LINGER with which a close resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class ConnectionCounts(NamedTuple):
@@ -76,9 +80,16 @@
                 return not connections
 
     async def close(self) -> None:
-        """Stop listening and end all connections, answered or not."""
+        """Stop listening and end all connections, answered or not.
+
+        Those that are left are reset, since a regular end may look like that of a whole
+        response.
+        """
         counts = self.count_connections()
         log_message("listener:closed", listener=self._name, **counts._asdict())
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                _reset(connection.transport)
         await self._runner.cleanup()
 
     def count_connections(self) -> ConnectionCounts:
@@ -93,6 +104,13 @@
         return ConnectionCounts(idle, len(connections) - idle, unsent_bytes)
 
 
+def _reset(transport: asyncio.Transport) -> None:
+    opened = transport.get_extra_info("socket")
+    if opened is not None:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    transport.abort()
+
+
 def has_queued_request(connection: web.RequestHandler) -> bool:
     """Return whether another request was read behind the one in progress."""
     return bool(connection._messages)
