--- a/tests/raw_callers.py
+++ b/tests/raw_callers.py
@@ -1,6 +1,7 @@
 """Callers that use one connection for all requests, until it is closed."""
 
 import asyncio
+import socket
 
 from standins.platform_fleet import API_KEY, HOST_NAME
 
@@ -25,10 +26,25 @@
         self._writer = writer
 
     @classmethod
-    async def connect(cls, address: str) -> "RawCaller":
-        """Open a connection to an address, given as ``IP:PORT``."""
+    async def connect(
+        cls, address: str, buffer_bytes: int | None = None
+    ) -> "RawCaller":
+        """Open a connection to an address, given as ``IP:PORT``.
+
+        Args:
+            address: The address.
+            buffer_bytes: The most that is held of what the caller has not read;
+                None for the defaults.
+        """
         host, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
+        if buffer_bytes is None:
+            return cls(*await asyncio.open_connection(host, int(port)))
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+        streams = await asyncio.open_connection(sock=connection, limit=buffer_bytes)
+        return cls(*streams)
 
     async def send(self, path: str, request_id: str, read_delay_s: float = 0.0) -> int:
         """Send a request; return the status of its response, or ``NO_ANSWER``.
@@ -48,19 +64,38 @@
             "Content-Length: 0",
             "\r\n",
         )
+        status, _ = await self.exchange("\r\n".join(head).encode(), read_delay_s)
+        return status
+
+    async def exchange(
+        self, request: bytes, read_delay_s: float = 0.0
+    ) -> tuple[int, bytes]:
+        """Send bytes; return the status and the body of one response.
+
+        Args:
+            request: A request, or b"" if it was sent before.
+            read_delay_s: Time to wait before the response is read, in seconds.
+
+        Returns:
+            The status and the body; ``NO_ANSWER`` and what the connection ended with
+            if the response is not whole.
+        """
         try:
-            self._writer.write("\r\n".join(head).encode())
+            if request:
+                self._writer.write(request)
             await asyncio.sleep(read_delay_s)
             return await self._read_response()
-        except (asyncio.IncompleteReadError, OSError):
-            return NO_ANSWER
+        except asyncio.IncompleteReadError as error:
+            return NO_ANSWER, error.partial
+        except OSError:
+            return NO_ANSWER, b""
 
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
 
-    async def _read_response(self) -> int:
-        """Return the status of a response after its whole body was read.
+    async def _read_response(self) -> tuple[int, bytes]:
+        """Return the status and the whole body of a response.
 
         Raises:
             asyncio.IncompleteReadError: The connection has ended.
@@ -69,5 +104,15 @@
             (await self._reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")
         )
         headers = dict(line.split(": ", 1) for line in lines if line)
-        await self._reader.readexactly(int(headers["content-length"]))
-        return int(status_line.split()[1])
+        if "content-length" in headers:
+            body = await self._reader.readexactly(int(headers["content-length"]))
+        else:
+            body = await self._read_chunks()
+        return int(status_line.split()[1]), body
+
+    async def _read_chunks(self) -> bytes:
+        body = b""
+        while size := int(await self._reader.readuntil(b"\r\n"), 16):
+            body += (await self._reader.readexactly(size + 2))[:size]
+        await self._reader.readexactly(2)
+        return body
