Answer operators' queries to the end of a drain

Operators whose query had been read got a part of the response, or none, when the daemon stopped. Cause: their listener was closed first, by aiohttp's runner, which cuts what is not out 2 s later.

Their listener now finishes as the callers' does, after it, so that a drain can be watched; the background tasks are cancelled after both. It waits until the drain's deadline, or 0.15 s if that has passed.

--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -1,6 +1,7 @@
 """One daemon: its components, from start to graceful shutdown."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Awaitable
@@ -56,6 +57,8 @@
 # Part of ``drain_s`` that is reserved for the last responses and for closing
 # connections.
 SHUTDOWN_RESERVE_S = 0.6
+# Time for the last responses to be sent when the drain has to end.
+LAST_RESPONSE_TIMEOUT_S = 0.15
 SHUTDOWN_TIMEOUT_S = 1.0
 
 _OUTCOME_BY_STEP = {
@@ -95,6 +98,7 @@
         self.registry = CollectorRegistry()
         self.counts = RequestCounts(self.registry)
         self._listeners: dict[str, HttpListener] = {}
+        self._drain_deadline_s = math.inf
         self._tasks: list[asyncio.Task] = []
         self._probe_tasks: set[asyncio.Task] = set()
         self._create_components()
@@ -256,7 +260,7 @@
         self._update_placement_hosts()
         limits = self.settings["limits"]
         drain_limit_s = max(0.0, limits["drain_s"] - SHUTDOWN_RESERVE_S)
-        deadline_s = self.timers.now() + drain_limit_s
+        self._drain_deadline_s = deadline_s = self.timers.now() + drain_limit_s
         await asyncio.sleep(min(limits["address_keep_s"], drain_limit_s))
         self.address_expired = True
         while self.in_progress and self.timers.now() < deadline_s:
@@ -267,12 +271,14 @@
         await callers.close()
 
     async def stop(self) -> None:
-        """Cancel the background tasks and close all servers and connections."""
+        """Answer the operators, then cancel the tasks and close all connections."""
+        operators = self._listeners.pop("operators")
+        last_response_s = self.timers.now() + LAST_RESPONSE_TIMEOUT_S
+        await operators.finish(max(self._drain_deadline_s, last_response_s))
+        await operators.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for listener in self._listeners.values():
-            await listener.close()
         await self.relay.close()
         await self.relay.session.close()
         await self.mesh.close()
