End chats in progress with a failure when a daemon's drain ends

Callers of a chat that was in progress at the end of drain_s lost their connection without a last event or a status. Cause: the handler was cancelled, and the relay passes on a cancellation that isn't its own.

Before the listener closes, the relay's watchdog now interrupts each response: STREAM_CUT (502, or the failed event of a stream that has begun) if an engine may have it, else HOST_LEAVING.

--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from aiohttp import web
+from eliot import log_message
 from expression import Result
 from prometheus_client import CollectorRegistry, Gauge
 
@@ -58,7 +59,7 @@
 # connections.
 SHUTDOWN_RESERVE_S = 0.6
 # Time for the last responses to be sent when the drain has to end.
-LAST_RESPONSE_TIMEOUT_S = 0.15
+LAST_RESPONSE_TIMEOUT_S = 0.2
 SHUTDOWN_TIMEOUT_S = 1.0
 
 _OUTCOME_BY_STEP = {
@@ -268,8 +269,15 @@
         callers = self._listeners.pop("callers")
         await callers.finish(deadline_s)
         await finish_calls(max(0.0, deadline_s - self.timers.now()))
+        self.end_requests()
+        await callers.finish(self.timers.now() + LAST_RESPONSE_TIMEOUT_S)
         await callers.close()
 
+    def end_requests(self) -> None:
+        """Give each request in progress its final response."""
+        log_message("daemon:requests_ended", in_progress=self.in_progress)
+        self.relay.watchdogs.end_all()
+
     async def stop(self) -> None:
         """Answer the operators, then cancel the tasks and close all connections."""
         operators = self._listeners.pop("operators")
--- a/oleanderpier/relay/responses.py
+++ b/oleanderpier/relay/responses.py
@@ -436,6 +436,14 @@
         self._failure = Failure(code, "", RETRY_AFTER_S)
         return Step.FAILED
 
+    async def _handle_stop(self, step: Step) -> Step:
+        """Set the result code of a response that this host ends as it stops."""
+        may_have_run = self._may_have_run or self._permit is not None
+        self._cancel_generation()
+        code = Code.STREAM_CUT if may_have_run else Code.HOST_LEAVING
+        self._failure = Failure(code, "this host stops", 0.0)
+        return Step.FAILED
+
     async def _send_failure(self, step: Step) -> Step:
         """Report the failure to the caller, by an HTTP status if still possible."""
         log_message(
@@ -477,6 +485,7 @@
     Step.DISORDERED: _ResponseRelay._handle_attempt_failure,
     Step.UNPLACED: _ResponseRelay._handle_no_permit,
     Step.TOO_LATE: _ResponseRelay._handle_missed_deadline,
+    Step.STOPPED: _ResponseRelay._handle_stop,
     Step.CALLER_LEFT: _ResponseRelay._handle_lost_caller,
     Step.CALLER_STUCK: _ResponseRelay._handle_lost_caller,
     Step.FAILED: _ResponseRelay._send_failure,
--- a/oleanderpier/relay/tests/test_watchdog.py
+++ b/oleanderpier/relay/tests/test_watchdog.py
@@ -69,6 +69,19 @@
         """Act as if the engine had sent bytes."""
         self.watchdog.read_count += 1
 
+    def test_stop_interrupts_in_every_phase_but_writing(self):
+        """A response that is writing is interrupted once it has written."""
+        for phase in (Phase.PLACING, Phase.OPENING, Phase.READING):
+            self.watchdog.phase = phase
+            self.watchdogs.end_all()
+            self.assertIs(Step.STOPPED, self.watchdog.pop_interruption())
+        self.watchdog.phase = Phase.WRITING
+        self.watchdogs.end_all()
+        self.assertIsNone(self.watchdog.pop_interruption())
+        self.watchdog.phase = Phase.READING
+        self.advance(SETTINGS.check_interval_s)
+        self.assertIs(Step.STOPPED, self.watchdog.pop_interruption())
+
     def test_silent_engine_is_detected_within_half_of_target(self):
         """Silence is found before half of the target, but after 2 heartbeats."""
         for phase in (Phase.OPENING, Phase.READING):
--- a/oleanderpier/relay/watchdog.py
+++ b/oleanderpier/relay/watchdog.py
@@ -28,6 +28,7 @@
             ``EventSequence`` holds the fault.
         UNPLACED: No permit for an engine was granted.
         TOO_LATE: The deadline of the response has passed.
+        STOPPED: This host stops.
         CALLER_LEFT: The caller closed its connection.
         CALLER_STUCK: The caller read nothing within its limit.
         FAILED: The response failed; report the failure to the caller.
@@ -44,6 +45,7 @@
     DISORDERED = "disordered"
     UNPLACED = "unplaced"
     TOO_LATE = "too_late"
+    STOPPED = "stopped"
     CALLER_LEFT = "caller_left"
     CALLER_STUCK = "caller_stuck"
     FAILED = "failed"
@@ -123,6 +125,7 @@
         self._stalled_ticks = 0
         self._read_count_at_progress = 0
         self._forwarded_offset = sequence.next_offset
+        self._ending = False
         self._ticks_without_event = (
             limits.caller_heartbeat_ticks - limits.first_heartbeat_ticks
         )
@@ -140,6 +143,9 @@
         if self._caller.is_gone():
             self._interrupt(Step.CALLER_LEFT)
             return
+        if self._ending and self.phase is not Phase.WRITING:
+            self._interrupt(Step.STOPPED)
+            return
         past_deadline = now_s >= self._deadline_s
         self._check_caller_heartbeat()
         if self.phase is Phase.PLACING:
@@ -161,6 +167,18 @@
         self._interrupt(Step.MOVED)
         return True
 
+    def end(self, now_s: float) -> None:
+        """Interrupt the response because this host stops.
+
+        A response that is writing is interrupted at the first check after that, so
+        that its caller gets whole events.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self._ending = True
+        self.check(now_s)
+
     def pop_interruption(self) -> Step | None:
         """Return why the response was interrupted, and clear the reason."""
         interruption, self.interruption = self.interruption, None
@@ -260,6 +278,12 @@
         """Exclude a stream from the checks."""
         self._watchdogs.pop(id(watchdog), None)
 
+    def end_all(self) -> None:
+        """Interrupt all streams because this host stops."""
+        now_s = self._timers.now()
+        for watchdog in tuple(self._watchdogs.values()):
+            watchdog.end(now_s)
+
     def _check_all(self) -> None:
         now_s = self._timers.now()
         for watchdog in tuple(self._watchdogs.values()):
