End calls in progress with a failure when a daemon's drain ends

Callers of a call without a key that was in progress at the end of drain_s lost their connection without an answer. Cause: the handler was cancelled.

What such a call waits for is now cancelled by a limit that the daemon sets to the present before it closes the listener (daemon/ending.py): the caller gets ANSWER_LOST (502) if a permit was granted, since the call may have been sent, else HOST_LEAVING.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -8,7 +8,9 @@
 
 from oleanderpier.claims import BackendResponse, Outcome, run_call
 from oleanderpier.configuration import WorkClass
+from oleanderpier.daemon.ending import make_end_failure
 from oleanderpier.daemon.node import Node
+from oleanderpier.daemon.permits import HeldPermit
 from oleanderpier.daemon.requests import CallRequest, ChatRequest, read_request
 from oleanderpier.exception import SettingsError
 from oleanderpier.placement import PermitRequest
@@ -142,14 +144,26 @@
         return Error(Failure(Code.KEY_REQUIRED, ""))
     permit_request = make_permit_request(node, body, work_class)
     response_timer = node.relay.metrics.start_response(work_class["name"])
-    result = await send_repeatable_call(
-        node.relay.session,
-        node.timers,
-        lambda avoid: node.permits.acquire(permit_request, avoid),
-        work_class["needs"],
-        body["body"],
-        work_class["first_token_s"],
-    )
+    may_have_run = False
+
+    async def acquire(avoid: frozenset[str]) -> Result[HeldPermit, Failure]:
+        nonlocal may_have_run
+        acquired = await node.permits.acquire(permit_request, avoid)
+        may_have_run = may_have_run or acquired.is_ok()
+        return acquired
+
+    try:
+        async with node.request_end.limit():
+            result = await send_repeatable_call(
+                node.relay.session,
+                node.timers,
+                acquire,
+                work_class["needs"],
+                body["body"],
+                work_class["first_token_s"],
+            )
+    except TimeoutError:
+        return Error(make_end_failure(may_have_run))
     if result.is_ok():
         response_timer.record_delivery()
         response_timer.record_completion()
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -25,6 +25,7 @@
 from oleanderpier.connections import HttpListener
 from oleanderpier.daemon.counts import RequestCounts
 from oleanderpier.daemon.directory import Directory
+from oleanderpier.daemon.ending import RequestEnd
 from oleanderpier.daemon.permits import PermitClient
 from oleanderpier.daemon.probes import CacheEvent, poll_cache_events, probe_server
 from oleanderpier.daemon.recorder import EventRecorder
@@ -82,6 +83,7 @@
         incarnation: Wall clock at the start in milliseconds. It identifies one
             start of the daemon on this host, and increases with each.
         in_progress: Number of callers' requests that are being served.
+        request_end: Ends what calls and look-ups wait for.
         address_expired: Whether all address lists that name this host have
             expired during a drain. New requests are then refused.
     """
@@ -98,6 +100,7 @@
         self.rng = random.Random(f"{self.host}:{self.incarnation}")
         self.registry = CollectorRegistry()
         self.counts = RequestCounts(self.registry)
+        self.request_end = RequestEnd()
         self._listeners: dict[str, HttpListener] = {}
         self._drain_deadline_s = math.inf
         self._tasks: list[asyncio.Task] = []
@@ -277,6 +280,7 @@
         """Give each request in progress its final response."""
         log_message("daemon:requests_ended", in_progress=self.in_progress)
         self.relay.watchdogs.end_all()
+        self.request_end.reach()
 
     async def stop(self) -> None:
         """Answer the operators, then cancel the tasks and close all connections."""
