End calls with a key and look-ups with a failure when a daemon's drain ends

Callers of a call with a key lost their connection without an answer, at the end of drain_s or 2 s after a drain that had found nothing in progress. Cause: the handler was cancelled while the send or the claim ran.

Each wait is now limited by itself, so that the refusal is true. An open claim: CLAIM_NO_MAJORITY (503, may have run; a right that is won later is voided, as before). A claim that was granted, without a permit: HOST_LEAVING, and the key is voided. With a permit: ANSWER_LOST (502), and the key is settled with it. Sends without a caller end in the same way. A look-up gets CLAIM_NO_MAJORITY; a reply after its handler was cancelled raised InvalidStateError (read in the code, not shown).

Nothing needs the 2 s of aiohttp's runner any more (0.05 s for each of its two waits), so that the daemon ends before drain_s.

--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -23,6 +23,7 @@
 from oleanderpier.results import (
     Code,
     Failure,
+    MaybeSent,
     NotSent,
     SendError,
     describe_code,
@@ -186,12 +187,18 @@
     timeout_s = work_class["first_token_s"] if work_class else RETRY_AFTER_S
 
     async def send(remaining_s: float) -> Result[BackendResponse, SendError]:
+        node.request_end.lift(claim_limit)
         class_result = check_request(node, body, "service")
         if class_result.is_error():
             return Error(NotSent(class_result.error))
         return await send_claimed_call(node, body, class_result.ok, remaining_s)
 
-    return await run_call(node.claims, body["key"], send, timeout_s)
+    try:
+        async with node.request_end.limit() as claim_limit:
+            return await run_call(node.claims, body["key"], send, timeout_s)
+    except TimeoutError:
+        text = "this host stops; ask another with the same key"
+        return Error(Failure(Code.CLAIM_NO_MAJORITY, text, 0.0))
 
 
 async def send_claimed_call(
@@ -209,7 +216,12 @@
         The body of the response; or ``NotSent`` or ``MaybeSent`` with the reason.
     """
     deadline_s = node.timers.now() + remaining_s
-    acquired = await node.permits.acquire(make_permit_request(node, body, work_class))
+    permit_request = make_permit_request(node, body, work_class)
+    try:
+        async with node.request_end.limit():
+            acquired = await node.permits.acquire(permit_request)
+    except TimeoutError:
+        return Error(NotSent(make_end_failure(False)))
     if acquired.is_error():
         return Error(NotSent(acquired.error))
     permit = acquired.ok
@@ -218,17 +230,20 @@
         permit.abandon()
         return Error(NotSent(Failure(Code.TARGET_UNREACHABLE, "", RETRY_AFTER_S)))
     try:
-        # The caller can look up a response that arrives after the target, so the
-        # send may wait for whole_s.
-        sent = await send_call(
-            node.relay.session,
-            node.timers,
-            permit.backend_server,
-            work_class["needs"],
-            body["key"],
-            body["body"],
-            max(remaining_s, work_class["whole_s"]),
-        )
+        async with node.request_end.limit():
+            # The caller can look up a response that arrives after the target, so
+            # the send may wait for whole_s.
+            sent = await send_call(
+                node.relay.session,
+                node.timers,
+                permit.backend_server,
+                work_class["needs"],
+                body["key"],
+                body["body"],
+                max(remaining_s, work_class["whole_s"]),
+            )
+    except TimeoutError:
+        return Error(MaybeSent(make_end_failure(True)))
     finally:
         permit.release()
     return sent.map(
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 from eliot import log_message
-from expression import Result
+from expression import Error, Result
 from prometheus_client import CollectorRegistry, Gauge
 
 from oleanderpier.claims import Claims, HostLists, Outcome, finish_calls
@@ -61,7 +61,7 @@
 SHUTDOWN_RESERVE_S = 0.6
 # Time for the last responses to be sent when the drain has to end.
 LAST_RESPONSE_TIMEOUT_S = 0.2
-SHUTDOWN_TIMEOUT_S = 1.0
+SHUTDOWN_TIMEOUT_S = 0.05
 
 _OUTCOME_BY_STEP = {
     Step.UNREACHED: ServerOutcome.REFUSED,
@@ -273,7 +273,9 @@
         await callers.finish(deadline_s)
         await finish_calls(max(0.0, deadline_s - self.timers.now()))
         self.end_requests()
-        await callers.finish(self.timers.now() + LAST_RESPONSE_TIMEOUT_S)
+        last_response_s = self.timers.now() + LAST_RESPONSE_TIMEOUT_S
+        await callers.finish(last_response_s)
+        await finish_calls(max(0.0, last_response_s - self.timers.now()))
         await callers.close()
 
     def end_requests(self) -> None:
@@ -307,8 +309,18 @@
     async def look_up_call(self, key: str) -> Result[Outcome, Failure]:
         """Return the outcome of the call with an idempotency key."""
         future = asyncio.get_running_loop().create_future()
-        self.claims.look_up(key, future.set_result)
-        return await future
+
+        def notify(result: Result[Outcome, Failure]) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        self.claims.look_up(key, notify)
+        try:
+            async with self.request_end.limit():
+                return await future
+        except TimeoutError:
+            text = "this host stops; ask another"
+            return Error(Failure(Code.CLAIM_NO_MAJORITY, text, 0.0))
 
     def record_end(self, work_class: str, code: Code, late: bool, subject: str) -> None:
         """Count a request that has ended, and record an event if it failed.
