Test that a daemon ends within drain_s, and that ended calls can be looked up

docs/OPERATIONS.md promises the exit at the latest after drain_s. With drain_s 2.0 and requests in progress, ended 4.1 s after SIGTERM, and 3.1 s with look-ups; every test of the file checks it now. On test_daemon_ends_within_the_drain_limit, test_look_up_in_progress_at_the_end_of_the_drain_is_answered and test_outcome_of_a_call_that_was_ended_can_be_looked_up fail, the last one by the time alone: what its look-up got was not seen.

--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -53,6 +53,16 @@
         answers = stop_while(send_long_keyed_calls, SHORT_DRAIN)
         self.assertEqual({(502, 204): CALLER_COUNT}, count_codes(answers))
 
+    def test_daemon_ends_within_the_drain_limit(self):
+        """Chats, calls and look-ups are in progress until then."""
+        answers = stop_while(send_long_requests, SHORT_DRAIN)
+        self.assertEqual(0, count_lost(answers), count_statuses(answers))
+
+    def test_outcome_of_a_call_that_was_ended_can_be_looked_up(self):
+        """Its witnesses on other hosts know that it may have run."""
+        answers = stop_while(look_up_long_call, SHORT_DRAIN, 3)
+        self.assertEqual({(502, 204): 2}, count_codes(answers))
+
     def test_look_up_in_progress_after_the_drain_is_answered(self):
         """A witness is silent until after the addresses have expired."""
         answers = stop_while(send_look_ups, LONG_DRAIN, 3)
@@ -101,6 +111,17 @@
             caller.close()
         await super().__aexit__()
 
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        if number == signal.SIGTERM:
+            self.terminated_s = time.monotonic()
+        super().send_signal(name, number)
+
+    async def wait_for_end(self) -> float:
+        """Return when the first daemon ends, on the monotonic clock in seconds."""
+        await self.processes[HOST].wait()
+        return time.monotonic()
+
     async def connect(
         self,
         count: int,
@@ -121,15 +142,20 @@
         send: Sends requests and SIGTERM.
         limits: The daemon's limits.
         hosts: The number of daemons in the fleet.
+
+    Raises:
+        AssertionError: The daemon has not ended within ``drain_s`` of SIGTERM.
     """
 
     async def run(folder: Path) -> Answers:
         async with CallersFleet(folder, hosts, engines=1, limits=limits) as fleet:
             await fleet.publish("configuration", **make_patient_configuration())
             await asyncio.sleep(START_MARGIN_S)
+            ended = asyncio.ensure_future(fleet.wait_for_end())
             answers = await send(fleet)
             async with asyncio.timeout(LONG_S):
-                await fleet.processes[HOST].wait()
+                ended_s = await ended - fleet.terminated_s
+            assert ended_s <= fleet.limits["drain_s"], ended_s
             return answers
 
     with tempfile.TemporaryDirectory() as folder:
@@ -154,6 +180,26 @@
     return await send_and_stop(fleet, [make_keyed_call() for _ in range(CALLER_COUNT)])
 
 
+async def send_long_requests(fleet: CallersFleet) -> Answers:
+    """Send requests of three kinds that take longer than the drain."""
+    await fleet.set_faults(fleet.engines[0], late_s=LONG_S)
+    await fleet.set_faults(fleet.services[0], late_s=LONG_S)
+    return await send_and_stop(fleet, [make_chat(0), make_call(), make_keyed_call()])
+
+
+async def look_up_long_call(fleet: CallersFleet) -> Answers:
+    """Send a call with a key; look up its outcome at another host after the stop."""
+    await fleet.set_faults(fleet.services[0], late_s=LONG_S)
+    key = make_key(time.time(), random.Random())
+    answers = await send_and_stop(fleet, [make_keyed_call(key)])
+    await fleet.processes[HOST].wait()
+    address = f"{LOOPBACK_ADDRESS}:{fleet.hosts[1]['caller_port']}"
+    caller = await RawCaller.connect(address)
+    answers.append(await caller.exchange(make_get(f"/v1/calls/{key}")))
+    caller.close()
+    return answers
+
+
 async def send_look_ups(fleet: CallersFleet) -> Answers:
     """Look up keys while a witness is held up, just before the addresses expire."""
     callers = await fleet.connect(CALLER_COUNT)
@@ -276,9 +322,9 @@
     return make_post("/v1/calls", "balance-lookup", {"body": {"text": text}})
 
 
-def make_keyed_call() -> bytes:
-    """Return a call with a new key."""
-    key = make_key(time.time(), random.Random())
+def make_keyed_call(key: str = "") -> bytes:
+    """Return a call with a key, a new one if none is given."""
+    key = key or make_key(time.time(), random.Random())
     return make_post("/v1/calls", "payout-post", {"key": key, "body": {}})
 
 
