--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -1,13 +1,15 @@
 """One daemon: its components, from start to graceful shutdown."""
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Awaitable
 from typing import Any
 
 from aiohttp import web
-from expression import Result
+from eliot import log_message
+from expression import Error, Result
 from prometheus_client import CollectorRegistry, Gauge
 
 from oleanderpier.claims import Claims, HostLists, Outcome, finish_calls
@@ -20,8 +22,10 @@
     WorkClass,
     watch_platform,
 )
+from oleanderpier.connections import HttpListener
 from oleanderpier.daemon.counts import RequestCounts
 from oleanderpier.daemon.directory import Directory
+from oleanderpier.daemon.ending import RequestEnd
 from oleanderpier.daemon.permits import PermitClient
 from oleanderpier.daemon.probes import CacheEvent, poll_cache_events, probe_server
 from oleanderpier.daemon.recorder import EventRecorder
@@ -52,7 +56,12 @@
 MS_PER_S = 1000
 POLL_INTERVAL_S = 0.1
 CACHE_EVENTS_INTERVAL_S = 5.0
-SHUTDOWN_TIMEOUT_S = 1.0
+# Part of ``drain_s`` that is reserved for the last responses and for closing
+# connections.
+SHUTDOWN_RESERVE_S = 0.6
+# Time for the last responses to be sent when the drain has to end.
+LAST_RESPONSE_TIMEOUT_S = 0.2
+SHUTDOWN_TIMEOUT_S = 0.05
 
 _OUTCOME_BY_STEP = {
     Step.UNREACHED: ServerOutcome.REFUSED,
@@ -74,6 +83,7 @@
         incarnation: Wall clock at the start in milliseconds. It identifies one
             start of the daemon on this host, and increases with each.
         in_progress: Number of callers' requests that are being served.
+        request_end: Ends what calls and look-ups wait for.
         address_expired: Whether all address lists that name this host have
             expired during a drain. New requests are then refused.
     """
@@ -90,7 +100,9 @@
         self.rng = random.Random(f"{self.host}:{self.incarnation}")
         self.registry = CollectorRegistry()
         self.counts = RequestCounts(self.registry)
-        self._runners: list[web.AppRunner] = []
+        self.request_end = RequestEnd()
+        self._listeners: dict[str, HttpListener] = {}
+        self._drain_deadline_s = math.inf
         self._tasks: list[asyncio.Task] = []
         self._probe_tasks: set[asyncio.Task] = set()
         self._create_components()
@@ -221,10 +233,11 @@
         self._start_task(self._enter_ready_state())
         self.recorder.record_state(self.host, "started")
 
-    async def serve(self, app: web.Application, port: int) -> None:
+    async def serve(self, name: str, app: web.Application, port: int) -> None:
         """Serve an HTTP application until the daemon stops.
 
         Args:
+            name: Whom it serves, ``callers`` or ``operators``.
             app: The application.
             port: The TCP port to listen on, at the address in the settings.
         """
@@ -234,36 +247,52 @@
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
-        await runner.setup()
-        await web.TCPSite(runner, self.settings["address"], port).start()
-        self._runners.append(runner)
+        listener = HttpListener(name, runner, self.timers)
+        await listener.start(self.settings["address"], port)
+        self._listeners[name] = listener
 
     async def drain(self) -> None:
         """Shut down gracefully: leave the fleet, then finish open requests.
 
         New requests are accepted for ``address_keep_s``, as long as callers may
-        use an address list with this host. Open requests may run until
-        ``drain_s`` after the start of the drain.
+        use an address list with this host. Open requests may run until shortly
+        before ``drain_s`` after the start of the drain.
         """
         self.state = "draining"
         self.recorder.record_state(self.host, "draining")
         self.members.leave()
         self._update_placement_hosts()
         limits = self.settings["limits"]
-        deadline_s = self.timers.now() + limits["drain_s"]
-        await asyncio.sleep(limits["address_keep_s"])
+        drain_limit_s = max(0.0, limits["drain_s"] - SHUTDOWN_RESERVE_S)
+        self._drain_deadline_s = deadline_s = self.timers.now() + drain_limit_s
+        await asyncio.sleep(min(limits["address_keep_s"], drain_limit_s))
         self.address_expired = True
         while self.in_progress and self.timers.now() < deadline_s:
             await asyncio.sleep(POLL_INTERVAL_S)
+        callers = self._listeners.pop("callers")
+        await callers.finish(deadline_s)
         await finish_calls(max(0.0, deadline_s - self.timers.now()))
+        self.end_requests()
+        last_response_s = self.timers.now() + LAST_RESPONSE_TIMEOUT_S
+        await callers.finish(last_response_s)
+        await finish_calls(max(0.0, last_response_s - self.timers.now()))
+        await callers.close()
+
+    def end_requests(self) -> None:
+        """Give each request in progress its final response."""
+        log_message("daemon:requests_ended", in_progress=self.in_progress)
+        self.relay.watchdogs.end_all()
+        self.request_end.reach()
 
     async def stop(self) -> None:
-        """Cancel the background tasks and close all servers and connections."""
+        """Answer the operators, then cancel the tasks and close all connections."""
+        operators = self._listeners.pop("operators")
+        last_response_s = self.timers.now() + LAST_RESPONSE_TIMEOUT_S
+        await operators.finish(max(self._drain_deadline_s, last_response_s))
+        await operators.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for runner in self._runners:
-            await runner.cleanup()
         await self.relay.close()
         await self.relay.session.close()
         await self.mesh.close()
@@ -280,8 +309,18 @@
     async def look_up_call(self, key: str) -> Result[Outcome, Failure]:
         """Return the outcome of the call with an idempotency key."""
         future = asyncio.get_running_loop().create_future()
-        self.claims.look_up(key, future.set_result)
-        return await future
+
+        def notify(result: Result[Outcome, Failure]) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        self.claims.look_up(key, notify)
+        try:
+            async with self.request_end.limit():
+                return await future
+        except TimeoutError:
+            text = "this host stops; ask another"
+            return Error(Failure(Code.CLAIM_NO_MAJORITY, text, 0.0))
 
     def record_end(self, work_class: str, code: Code, late: bool, subject: str) -> None:
         """Count a request that has ended, and record an event if it failed.
--- a/tests/raw_callers.py
+++ b/tests/raw_callers.py
@@ -1,6 +1,7 @@
 """Callers that use one connection for all requests, until it is closed."""
 
 import asyncio
+import socket
 
 from standins.platform_fleet import API_KEY, HOST_NAME
 
@@ -28,10 +29,25 @@
         self._writer = writer
 
     @classmethod
-    async def connect(cls, address: str) -> "RawCaller":
-        """Open a connection to an address, given as ``IP:PORT``."""
+    async def connect(
+        cls, address: str, buffer_bytes: int | None = None
+    ) -> "RawCaller":
+        """Open a connection to an address, given as ``IP:PORT``.
+
+        Args:
+            address: The address.
+            buffer_bytes: The most that is held of what the caller has not read;
+                None for the defaults.
+        """
         host, _, port = address.rpartition(":")
-        return cls(*await asyncio.open_connection(host, int(port)))
+        if buffer_bytes is None:
+            return cls(*await asyncio.open_connection(host, int(port)))
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        connection.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(connection, (host, int(port)))
+        streams = await asyncio.open_connection(sock=connection, limit=buffer_bytes)
+        return cls(*streams)
 
     async def send(
         self,
@@ -51,36 +67,51 @@
             body_delay_s: Time to wait before the body is sent, in seconds; None to send
                 the head only.
         """
+        self._writer.write(_make_head(path, request_id, deadline_ms))
+        if body_delay_s is None:
+            status, _ = await self.exchange(b"", read_delay_s)
+            return status
+        await asyncio.sleep(body_delay_s)
+        status, _ = await self.exchange(BODY, read_delay_s)
+        return status
+
+    async def exchange(
+        self, request: bytes, read_delay_s: float = 0.0
+    ) -> tuple[int, bytes]:
+        """Send bytes; return the status and the body of one response.
+
+        Args:
+            request: A request, or b"" if it was sent before.
+            read_delay_s: Time to wait before the response is read, in seconds.
+
+        Returns:
+            The status and the body; ``NO_ANSWER`` and what the connection ended with
+            if the response is not whole.
+        """
         try:
-            self._writer.write(_make_head(path, request_id, deadline_ms))
-            if body_delay_s is not None:
-                await asyncio.sleep(body_delay_s)
-                self._writer.write(BODY)
+            if request:
+                self._writer.write(request)
             await asyncio.sleep(read_delay_s)
             async with asyncio.timeout(READ_TIMEOUT_S):
                 return await self._read_response()
-        except (asyncio.IncompleteReadError, OSError):
-            return NO_ANSWER
+        except asyncio.IncompleteReadError as error:
+            return NO_ANSWER, error.partial
+        except OSError:
+            return NO_ANSWER, b""
 
     async def send_two(self, path: str, request_ids: tuple[str, str]) -> list[int]:
         """Send two requests at once; return what ``send`` does for each of them."""
         heads = [_make_head(path, identity, DEADLINE_MS) for identity in request_ids]
-        self._writer.write(b"".join(head + BODY for head in heads))
-        answers = [NO_ANSWER, NO_ANSWER]
-        try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                for number in range(len(answers)):
-                    answers[number] = await self._read_response()
-        except (asyncio.IncompleteReadError, OSError):
-            return answers
-        return answers
+        first, _ = await self.exchange(b"".join(head + BODY for head in heads))
+        second, _ = await self.exchange(b"")
+        return [first, second]
 
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
 
-    async def _read_response(self) -> int:
-        """Return the status of a response after its whole body was read.
+    async def _read_response(self) -> tuple[int, bytes]:
+        """Return the status and the whole body of a response.
 
         Raises:
             asyncio.IncompleteReadError: The connection has ended.
@@ -89,8 +120,18 @@
             (await self._reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")
         )
         headers = dict(line.split(": ", 1) for line in lines if line)
-        await self._reader.readexactly(int(headers["content-length"]))
-        return int(status_line.split()[1])
+        if "content-length" in headers:
+            body = await self._reader.readexactly(int(headers["content-length"]))
+        else:
+            body = await self._read_chunks()
+        return int(status_line.split()[1]), body
+
+    async def _read_chunks(self) -> bytes:
+        body = b""
+        while size := int(await self._reader.readuntil(b"\r\n"), 16):
+            body += (await self._reader.readexactly(size + 2))[:size]
+        await self._reader.readexactly(2)
+        return body
 
 
 def _make_head(path: str, request_id: str, deadline_ms: int) -> bytes:
