Split the hosts' processes off the soak's runs

The processes of the hosts, their restarts and the signals to them are in soak/hosts.py now, without other changes.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import random
-import signal
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 
 from demo.fleet import find_free_port
 from soak.callers import Callers
-from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S, SHUTDOWN_GRACE_S
+from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S
 from soak.crashing_prompts import CrashingPrompts, connect_proxy
+from soak.hosts import HostProcesses
 from soak.limits import ServerLimits
 from soak.observations import (
     InjectedFault,
@@ -21,7 +21,6 @@
     list_executions,
     list_statements,
 )
-from soak.processes import slow_process
 from soak.proxy import FaultProxy
 from soak.schedule import Fault, FaultKind, make_schedule
 from standins.backend_server import LEAVING_HEADER, PartFault, StandInServer
@@ -29,8 +28,6 @@
 
 __all__ = ["SoakSettings", "run_seed"]
 
-# Time from the end of a process to its restart.
-RESTART_DELAY_S = 0.3
 # A leaving server is deleted from the store this long after LEAVING_APPLY_S.
 LEAVE_REMOVAL_DELAY_S = 2.0
 # A crashed server is still listed for three of its heartbeat intervals.
@@ -125,20 +122,17 @@
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._callers = Callers(fleet, random.Random(f"callers {seed}"), self._keys)
         self.prompts = CrashingPrompts(fleet, seed)
+        self.hosts = HostProcesses(fleet, self._get_elapsed_s)
         self._limits = ServerLimits(self._get_elapsed_s)
         self._version = 1
         self._store_proxies: list[FaultProxy] = []
         self._server_proxies: dict[str, FaultProxy] = {}
         self._active_servers: list[StandInServer] = []
         self._draining_servers: list[StandInServer] = []
-        self._host_processes: dict[int, asyncio.subprocess.Process] = {}
-        self._restart_tasks: list[asyncio.Task] = []
         self._overlap_counts: Counter[object] = Counter()
         self._faults: list[InjectedFault] = []
         self._leaving_servers: list[Removal] = []
         self._revoked_keys: list[Removal] = []
-        self._exits: list[tuple[int, int, float]] = []
-        self._closing = False
 
     async def run(self) -> Observations:
         """Start the fleet and the callers, inject the faults, await the recovery."""
@@ -148,7 +142,7 @@
             await proxy.start(find_free_port())
             self._store_proxies.append(proxy)
             fields["Platform"]["Address"] = proxy.address
-            await self._start_host(number)
+            await self.hosts.start(number)
         for _ in range(self._settings.servers):
             await self._add_server()
         for number in range(self._settings.hosts):
@@ -170,7 +164,7 @@
             self._faults,
             self._leaving_servers,
             self._revoked_keys,
-            self._exits,
+            self.hosts.exits,
             faults_ended_s,
             list_arrivals(servers, started_s),
             list_statements(servers, started_s),
@@ -180,10 +174,7 @@
 
     async def close(self) -> None:
         """Stop the restarts and the proxies; the fleet itself is stopped elsewhere."""
-        self._closing = True
-        for task in self._restart_tasks:
-            task.cancel()
-        await asyncio.gather(*self._restart_tasks, return_exceptions=True)
+        await self.hosts.close()
         for proxy in [*self._store_proxies, *self._server_proxies.values()]:
             await proxy.stop()
 
@@ -211,30 +202,11 @@
             state = "draining" if server in self._draining_servers else "ready"
             self._fleet.register_server(server, state, born=server.run)
 
-    async def _start_host(self, number: int) -> None:
-        process = await self._fleet.start_host(number)
-        self._host_processes[number] = process
-        self._restart_tasks.append(
-            asyncio.create_task(self._restart_on_exit(number, process))
-        )
-
-    async def _restart_on_exit(
-        self, number: int, process: asyncio.subprocess.Process
-    ) -> None:
-        """Record the exit of a host's process and start it again."""
-        status = await process.wait()
-        del self._host_processes[number]
-        self._exits.append((number, status, self._get_elapsed_s()))
-        await asyncio.sleep(RESTART_DELAY_S)
-        if not self._closing:
-            await self._start_host(number)
-
     async def _inject(self, fault: Fault) -> None:
         """Inject one fault at its time and record it."""
         await asyncio.sleep(fault.at_s)
         began_s = self._get_elapsed_s()
-        number = fault.target % self._settings.hosts
-        host = number if fault.kind.value.startswith("host") else -1
+        host = self.find_host(fault) if fault.kind.value.startswith("host") else -1
         index = len(self._faults)
         # An infinite end marks a fault in progress until its end is known.
         self._faults.append(InjectedFault(fault.kind, began_s, float("inf"), host))
@@ -243,55 +215,19 @@
             fault.kind, began_s, self._get_elapsed_s(), host
         )
 
-    def _send_signal(self, number: int, signal_number: signal.Signals) -> None:
-        """Send a signal to a host's process, if one is running."""
-        process = self._host_processes.get(number)
-        if process is not None and process.returncode is None:
-            process.send_signal(signal_number)
-
-    async def _kill_host(self, fault: Fault) -> None:
-        await self._kill_hosts([fault.target % self._settings.hosts])
+    def find_host(self, fault: Fault) -> int:
+        """Return the number of the host that a fault selects."""
+        return fault.target % self._settings.hosts
 
     async def _kill_all_hosts(self, fault: Fault) -> None:
-        await self._kill_hosts(range(self._settings.hosts))
-
-    async def _kill_hosts(self, numbers) -> None:
-        for number in numbers:
-            self._send_signal(number, signal.SIGKILL)
-        await asyncio.sleep(RESTART_DELAY_S)
-        for number in numbers:
-            await self._fleet.wait_until_ready(number)
-
-    async def _pause_host(self, fault: Fault) -> None:
-        number = fault.target % self._settings.hosts
-        self._send_signal(number, signal.SIGSTOP)
-        await asyncio.sleep(fault.for_s)
-        self._send_signal(number, signal.SIGCONT)
-
-    async def _slow_host(self, fault: Fault) -> None:
-        number = fault.target % self._settings.hosts
-        await slow_process(lambda sent: self._send_signal(number, sent), fault.for_s)
+        await self.hosts.kill(range(self._settings.hosts))
 
     async def _kill_host_after_change(self, fault: Fault) -> None:
         self._publish_configuration()
-        await self._kill_host(fault)
-
-    async def _terminate_host(self, fault: Fault) -> None:
-        number = fault.target % self._settings.hosts
-        process = self._host_processes.get(number)
-        self._send_signal(number, signal.SIGTERM)
-        if process is not None:
-            try:
-                async with asyncio.timeout(SHUTDOWN_GRACE_S):
-                    await process.wait()
-            except TimeoutError:
-                # The shutdown exceeded its grace period.
-                self._send_signal(number, signal.SIGKILL)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self._fleet.wait_until_ready(number)
+        await self.hosts.kill([self.find_host(fault)])
 
     async def _reload_host(self, fault: Fault) -> None:
-        self._send_signal(fault.target % self._settings.hosts, signal.SIGHUP)
+        self.hosts.reload(self.find_host(fault))
 
     async def _enable_for_duration(
         self, fault: Fault, effect: object, set_enabled: Callable
@@ -467,10 +403,14 @@
 
 
 _ACTIONS = {
-    FaultKind.HOST_KILLED: _SoakRun._kill_host,
+    FaultKind.HOST_KILLED: lambda run, fault: run.hosts.kill([run.find_host(fault)]),
     FaultKind.ALL_KILLED: _SoakRun._kill_all_hosts,
-    FaultKind.HOST_PAUSED: _SoakRun._pause_host,
-    FaultKind.HOST_TERMINATED: _SoakRun._terminate_host,
+    FaultKind.HOST_PAUSED: lambda run, fault: run.hosts.pause(
+        run.find_host(fault), fault.for_s
+    ),
+    FaultKind.HOST_TERMINATED: lambda run, fault: run.hosts.terminate(
+        run.find_host(fault)
+    ),
     FaultKind.HOST_RELOADED: _SoakRun._reload_host,
     FaultKind.STORE_REFUSES: _SoakRun._refuse_store_calls,
     FaultKind.STORE_CUT_OFF: _SoakRun._cut_off_store,
@@ -485,7 +425,9 @@
     FaultKind.SERVER_RESET: _SoakRun._reset_server_connections,
     FaultKind.SERVER_SLOW: _SoakRun._slow_server,
     FaultKind.SERVER_FAILS: _SoakRun._fail_server,
-    FaultKind.HOST_SLOW: _SoakRun._slow_host,
+    FaultKind.HOST_SLOW: lambda run, fault: run.hosts.slow(
+        run.find_host(fault), fault.for_s
+    ),
     FaultKind.HOST_KILLED_AFTER_CHANGE: _SoakRun._kill_host_after_change,
     **dict.fromkeys(_SERVER_PART_FAULTS, _SoakRun._fail_part_of_requests),
     FaultKind.SERVER_SAYS_LEAVING: _SoakRun._say_leaving,
