Let callers of the soak keep a connection until it is closed

The soak's callers left an open connection as soon as the directory no longer listed its host, so that no request came on an idle connection at the end of a drain, which is where requests were lost.

Requests may name how long the server works.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -27,6 +27,12 @@
     "--servers", default=4, show_default=True, help="Backend servers per run."
 )
 @click.option("--callers", default=8, show_default=True, help="Callers per run.")
+@click.option(
+    "--keeping-callers",
+    default=48,
+    show_default=True,
+    help="Further callers per run, with one kept connection each.",
+)
 @click.option(
     "--seconds", default=12.0, show_default=True, help="Duration of the faults."
 )
@@ -49,6 +55,7 @@
     hosts: int,
     servers: int,
     callers: int,
+    keeping_callers: int,
     seconds: float,
     jobs: int,
     program: str,
@@ -64,15 +71,19 @@
             with tempfile.TemporaryDirectory() as name:
                 folder = Path(name)
                 settings = SoakSettings(
-                    hosts, servers, callers, seconds, HOST_PROGRAMS[program], folder
+                    hosts,
+                    servers,
+                    callers,
+                    seconds,
+                    HOST_PROGRAMS[program],
+                    folder,
+                    keeping_callers,
                 )
                 observations = await run_seed(seed, settings)
                 violations = find_violations(observations)
                 _print_summary(seed, observations, violations)
                 if violations and keep is not None:
-                    _save_failure(
-                        keep / f"seed-{seed}", folder, seed, seconds, violations
-                    )
+                    _save_failure(keep / f"seed-{seed}", seed, settings, violations)
         return not violations
 
     async def run_all() -> list[bool]:
@@ -99,15 +110,18 @@
 
 
 def _save_failure(
-    target: Path, logs: Path, seed: int, seconds: float, violations: list[Violation]
+    target: Path,
+    seed: int,
+    settings: SoakSettings,
+    violations: list[Violation],
 ) -> None:
     """Save the logs, the violations and the schedule of a failed run."""
     target.mkdir(parents=True, exist_ok=True)
-    for path in logs.iterdir():
+    for path in settings.log_folder.iterdir():
         (target / path.name).write_bytes(path.read_bytes())
     schedule = [
         {**fault._asdict(), "kind": fault.kind.value}
-        for fault in make_schedule(seed, seconds)
+        for fault in make_schedule(seed, settings.faults_s)
     ]
     record = {"seed": seed, "findings": violations, "schedule": schedule}
     (target / "run.json").write_text(json.dumps(record, indent=1))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,11 +1,13 @@
 """Callers that resolve the hosts through the directory and send requests to them."""
 
 import asyncio
+import contextlib
 import random
 
 import aiohttp
 
 from oleanderpier.connections import make_session
+from soak.checks import DEADLINE_S
 from soak.observations import CallerRequest
 from standins.platform_fleet import HOST_NAME, PlatformFleet
 
@@ -51,7 +53,7 @@
             for number, fields in enumerate(fleet.settings)
         }
         self._request_count = 0
-        self._stopped = False
+        self._stopping = asyncio.Event()
 
     async def run(self, count: int) -> None:
         """Run a number of callers until ``stop``, and wait for their open requests."""
@@ -62,7 +64,17 @@
 
     def stop(self) -> None:
         """Stop sending new requests."""
-        self._stopped = True
+        self._stopping.set()
+
+    def is_stopped(self) -> bool:
+        """Return whether no new requests are sent."""
+        return self._stopping.is_set()
+
+    async def wait_until_stopped(self, timeout_s: float) -> None:
+        """Wait for ``stop``, at most for some seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._stopping.wait()
 
     def get_elapsed_s(self) -> float:
         """Return the seconds since the callers were started."""
@@ -73,15 +85,15 @@
         keep_s = ADDRESS_KEEP_S * rng.choice((1.0, 1.0, LONG_KEEP_FACTOR))
         addresses, asked_s = [], -keep_s
         async with make_session(keepalive_s=KEEPALIVE_S) as session:
-            while not self._stopped:
+            while not self.is_stopped():
                 if self.get_elapsed_s() - asked_s >= keep_s:
-                    addresses = await self._resolve(session, rng) or addresses
+                    addresses = await self.resolve(session, rng) or addresses
                     asked_s = self.get_elapsed_s()
                 if addresses:
                     await self._send(session, rng, rng.choice(addresses))
                 await asyncio.sleep(rng.uniform(*PAUSE_RANGE_S))
 
-    async def _resolve(
+    async def resolve(
         self, session: aiohttp.ClientSession, rng: random.Random
     ) -> list[str]:
         """Return the addresses from a host's directory, or none if none responds."""
@@ -105,9 +117,8 @@
         self, session: aiohttp.ClientSession, rng: random.Random, address: str
     ) -> None:
         """Send one request and record its outcome."""
-        self._request_count += 1
-        request_id, kind = f"r{self._request_count}", rng.choice(_REQUEST_KINDS)
-        credential = self._choose_credential(rng)
+        request_id, kind = self.make_request_id(), rng.choice(_REQUEST_KINDS)
+        credential = self.choose_credential(rng)
         sent_s = self.get_elapsed_s()
         status, body, complete = 0, b"", False
         try:
@@ -118,7 +129,7 @@
                 headers={
                     "Host": HOST_NAME,
                     "Request-Id": request_id,
-                    "Request-Deadline-Ms": "8000",
+                    "Request-Deadline-Ms": f"{1000 * DEADLINE_S:.0f}",
                     "Credential": credential,
                     "Prompt-Prefix": f"p{rng.randrange(6)}:700,{request_id}:40",
                 },
@@ -135,7 +146,7 @@
                 request_id,
                 kind,
                 credential,
-                self._host_numbers.get(address, -1),
+                self.find_host(address),
                 sent_s,
                 self.get_elapsed_s(),
                 status,
@@ -144,7 +155,17 @@
             )
         )
 
-    def _choose_credential(self, rng: random.Random) -> str:
+    def make_request_id(self) -> str:
+        """Return the id of a new request."""
+        self._request_count += 1
+        return f"r{self._request_count}"
+
+    def find_host(self, address: str) -> int:
+        """Return the number of the host with an address, -1 if there is none."""
+        return self._host_numbers.get(address, -1)
+
+    def choose_credential(self, rng: random.Random) -> str:
+        """Return a credential for a new request, rarely a revoked one."""
         valid = [key for key in self._keys if key not in self.revoked_keys]
         if self.revoked_keys and rng.random() < REVOKED_KEY_RATIO:
             return rng.choice(sorted(self.revoked_keys))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,8 @@
 RESPONSE_SLACK_S = 0.5
 # Time-out of the routes in the stand-in configuration.
 ROUTE_TIMEOUT_S = 10.0
+# For how long a caller waits for its response.
+DEADLINE_S = 8.0
 # Upper bound of the time from a caller's send to the arrival at a host or server.
 IN_FLIGHT_S = 0.2
 # Requests that may reach a server while it wants none, from WAIT_APPLY_S on.
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -3,6 +3,7 @@
 Times are in seconds since the start of the callers.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -37,6 +38,8 @@
         status: Status of the response, 0 if the connection ended before it.
         body: Body received so far.
         complete: Whether the response was received to its end.
+        written_s: Time at which its last byte was sent; infinite if it is not known or
+            if it was not sent whole.
     """
 
     request_id: str
@@ -48,6 +51,7 @@
     status: int
     body: str
     complete: bool
+    written_s: float = math.inf
 
 
 class Execution(NamedTuple):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,6 +11,7 @@
 from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S
 from soak.crashing_prompts import CrashingPrompts, connect_proxy
 from soak.hosts import HostProcesses
+from soak.keeping_callers import KeepingCallers
 from soak.limits import ServerLimits
 from soak.observations import (
     InjectedFault,
@@ -63,6 +64,7 @@
         faults_s: Duration of the fault injection, in seconds.
         program: The module that each host runs, and its arguments.
         log_folder: Folder for the hosts' output; None keeps it in pipes.
+        keeping_callers: Number of callers that keep a connection, beside the others.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         faults_s: float = 12.0,
         program: tuple[str, ...] = ("oleanderpier.platform",),
         log_folder: Path | None = None,
+        keeping_callers: int = 48,
     ) -> None:
         self.hosts = hosts
         self.servers = servers
@@ -80,6 +83,7 @@
         self.faults_s = faults_s
         self.program = program
         self.log_folder = log_folder
+        self.keeping_callers = keeping_callers
 
 
 async def run_seed(
@@ -121,6 +125,8 @@
         self._schedule = schedule
         self._keys = [f"key-{number}" for number in range(KEY_COUNT)]
         self._callers = Callers(fleet, random.Random(f"callers {seed}"), self._keys)
+        keeping_rng = random.Random(f"keeping callers {seed}")
+        self._keeping_callers = KeepingCallers(self._callers, keeping_rng)
         self.prompts = CrashingPrompts(fleet, seed)
         self.hosts = HostProcesses(fleet, self._get_elapsed_s)
         self._limits = ServerLimits(self._get_elapsed_s)
@@ -149,13 +155,16 @@
             await self._fleet.wait_until_ready(number)
         callers_task = asyncio.create_task(self._callers.run(self._settings.callers))
         await asyncio.sleep(0)
+        keeping_task = asyncio.create_task(
+            self._keeping_callers.run(self._settings.keeping_callers)
+        )
         async with asyncio.TaskGroup() as group:
             for fault in self._schedule:
                 group.create_task(self._inject(fault))
         faults_ended_s = self._get_elapsed_s()
         await asyncio.sleep(RECOVERY_S + POST_RECOVERY_S)
         self._callers.stop()
-        await callers_task
+        await asyncio.gather(callers_task, keeping_task)
         started_s = asyncio.get_running_loop().time() - self._get_elapsed_s()
         servers = self._fleet.servers
         return Observations(
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -9,7 +9,13 @@
 
 from standins.raw_responses import ConnectionEnd, pick_end, send_without_length
 
-__all__ = ["LEAVING_HEADER", "LIMIT_HEADER", "PartFault", "StandInServer"]
+__all__ = [
+    "LEAVING_HEADER",
+    "LIMIT_HEADER",
+    "WORK_HEADER",
+    "PartFault",
+    "StandInServer",
+]
 
 EVENT_INTERVAL_S = 0.1
 # Time from a crash until the server listens again.
@@ -17,6 +23,8 @@
 PROMPT_HEADER = "Prompt-Prefix"
 LEAVING_HEADER = "Server-Leaving"
 LIMIT_HEADER = "Server-Limit"
+# Header of a request that names its ``work_s``.
+WORK_HEADER = "Work-S"
 
 
 # Share of the requests that a ``PartFault`` affects, in percent.
@@ -143,7 +151,7 @@
         self.request_ids.append(request_id)
         self.request_times_s.append(at_s)
         self.request_headers.append(dict(request.headers))
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(float(request.headers.get(WORK_HEADER, self.work_s)))
         headers = {
             "Request-Id": request_id,
             "Response-Signature": self.instance_id,
--- a/tests/test_stop_on_open_connections.py
+++ b/tests/test_stop_on_open_connections.py
@@ -10,7 +10,7 @@
 from oleanderpier.utils import run_coroutine
 from standins.backend_server import StandInServer
 from standins.platform_fleet import PlatformFleet
-from tests.raw_callers import NO_ANSWER, RawCaller
+from standins.raw_callers import NO_ANSWER, RawCaller
 
 CALLER_COUNT = 20
 WORK_S = 0.2
