Check in the soak that each request that was read is answered

graceful_shutdown sees only requests sent up to 0.2 s after SIGTERM, so that it missed requests that were read at the end of a drain and got no answer.

The check 'answered' holds for each request at any time. A host that exits at once on SIGTERM (no_drain) is found.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -83,7 +83,9 @@
                 violations = find_violations(observations)
                 _print_summary(seed, observations, violations)
                 if violations and keep is not None:
-                    _save_failure(keep / f"seed-{seed}", seed, settings, violations)
+                    _save_failure(
+                        keep / f"seed-{seed}", seed, settings, observations, violations
+                    )
         return not violations
 
     async def run_all() -> list[bool]:
@@ -113,9 +115,10 @@
     target: Path,
     seed: int,
     settings: SoakSettings,
+    observations: Observations,
     violations: list[Violation],
 ) -> None:
-    """Save the logs, the violations and the schedule of a failed run."""
+    """Save the logs, the violations, the schedule and the faults of a failed run."""
     target.mkdir(parents=True, exist_ok=True)
     for path in settings.log_folder.iterdir():
         (target / path.name).write_bytes(path.read_bytes())
@@ -123,7 +126,15 @@
         {**fault._asdict(), "kind": fault.kind.value}
         for fault in make_schedule(seed, settings.faults_s)
     ]
-    record = {"seed": seed, "findings": violations, "schedule": schedule}
+    injected = [
+        {**fault._asdict(), "kind": fault.kind.value} for fault in observations.faults
+    ]
+    record = {
+        "seed": seed,
+        "findings": violations,
+        "schedule": schedule,
+        "injected": injected,
+    }
     (target / "run.json").write_text(json.dumps(record, indent=1))
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -27,6 +27,13 @@
 RECOVERY_S = 12.0
 SHUTDOWN_GRACE_S = 8.0
 RESPONSE_SLACK_S = 0.5
+# A connection that ends earlier after a request may have been closed before the request
+# was read.
+LOST_SLACK_S = 0.2
+# A response that has begun may end early in the last part of the grace period, if its
+# request was sent no later than EARLY_IN_DRAIN_S after SIGTERM.
+LAST_GRACE_RATIO = 5 / 6
+EARLY_IN_DRAIN_S = 3.0
 # Time-out of the routes in the stand-in configuration.
 ROUTE_TIMEOUT_S = 10.0
 # For how long a caller waits for its response.
@@ -52,6 +59,16 @@
 _SERVER_FAULTS = frozenset(
     kind for kind in FaultKind if kind.value.startswith(("server", "prompt"))
 )
+# Behind these a server breaks nothing off.
+_SOUND_SERVER_FAULTS = frozenset(
+    {
+        FaultKind.SERVER_LEAVES,
+        FaultKind.SERVER_SAYS_LEAVING,
+        FaultKind.SERVER_ASKS_FOR_TIME,
+        FaultKind.SERVER_NAMES_LIMIT,
+    }
+)
+_BREAKING_FAULTS = _SERVER_FAULTS - _SOUND_SERVER_FAULTS
 _KILL_FAULTS = frozenset(
     {FaultKind.HOST_KILLED, FaultKind.ALL_KILLED, FaultKind.HOST_KILLED_AFTER_CHANGE}
 )
@@ -327,6 +344,61 @@
     ) or _has_host_fault(observations, request.host, since_s - FAULT_MARGIN_S, until_s)
 
 
+def _check_answers(observations: Observations) -> Iterator[Violation]:
+    """Check that each request that a host has read whole ends in a response."""
+    servers: dict[str, set[str]] = defaultdict(set)
+    for arrival in observations.arrivals:
+        servers[arrival.request_id].add(arrival.server)
+    for request in observations.requests:
+        reached = servers[request.request_id]
+        was_read = reached or request.ended_s > request.written_s + LOST_SLACK_S
+        if (
+            not request.complete
+            and was_read
+            and not _was_broken_off(observations, request, reached)
+            and not (request.status and _may_end_early(observations, request))
+        ):
+            text = (
+                f"{request.request_id} ({request.kind}, status {request.status}) of "
+                f"host {request.host}, sent at {request.sent_s:.2f} s, reached "
+                f"{' '.join(sorted(reached)) or 'no server'}, but was cut at "
+                f"{request.ended_s:.2f} s"
+            )
+            yield Violation("answered", text)
+
+
+def _was_broken_off(
+    observations: Observations, request: CallerRequest, reached: set[str]
+) -> bool:
+    """Return whether a fault of its host or servers may have ended a connection.
+
+    A host that stands still for some time answers what it has passed on all the same.
+    """
+    since_s, until_s = request.sent_s - FAULT_MARGIN_S, request.ended_s
+    kinds = _KILL_FAULTS if reached else _STOP_FAULTS
+    return _has_host_fault(observations, request.host, since_s, until_s, kinds) or any(
+        fault.kind in _BREAKING_FAULTS
+        and (fault.server in reached or (reached and not fault.server))
+        and fault.began_s <= until_s
+        and fault.ended_s >= since_s
+        for fault in observations.faults
+    )
+
+
+def _may_end_early(observations: Observations, request: CallerRequest) -> bool:
+    """Return whether a response that has begun may end before it is complete."""
+    if request.ended_s - request.sent_s >= DEADLINE_S:
+        return True
+    return any(
+        fault.kind is FaultKind.HOST_TERMINATED
+        and fault.host == request.host
+        and request.sent_s <= fault.began_s + EARLY_IN_DRAIN_S
+        and request.ended_s >= fault.began_s + LAST_GRACE_RATIO * SHUTDOWN_GRACE_S
+        and request.ended_s <= fault.began_s + SHUTDOWN_GRACE_S
+        for fault in observations.faults
+    )
+
+
 def _check_response_times(observations: Observations) -> Iterator[Violation]:
     """Check that every request has its final response by the route's time-out."""
     for request in observations.requests:
@@ -405,6 +477,7 @@
     _check_limits,
     _check_revoked_keys,
     _check_graceful_shutdowns,
+    _check_answers,
     _check_response_times,
     _check_recovery,
     _check_exits,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -92,12 +92,14 @@
         began_s: Time at which it began.
         ended_s: Time at which it was over; infinite while it lasts.
         host: Number of the affected host, -1 for all hosts or none.
+        server: Id of the affected backend server, empty for all servers or none.
     """
 
     kind: FaultKind
     began_s: float
     ended_s: float
     host: int
+    server: str = ""
 
 
 class Removal(NamedTuple):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -216,13 +216,14 @@
         await asyncio.sleep(fault.at_s)
         began_s = self._get_elapsed_s()
         host = self.find_host(fault) if fault.kind.value.startswith("host") else -1
+        affects_server = fault.kind.value.startswith("server")
+        server = self._find_server(fault).instance_id if affects_server else ""
         index = len(self._faults)
         # An infinite end marks a fault in progress until its end is known.
-        self._faults.append(InjectedFault(fault.kind, began_s, float("inf"), host))
+        record = InjectedFault(fault.kind, began_s, float("inf"), host, server)
+        self._faults.append(record)
         await _ACTIONS[fault.kind](self, fault)
-        self._faults[index] = InjectedFault(
-            fault.kind, began_s, self._get_elapsed_s(), host
-        )
+        self._faults[index] = record._replace(ended_s=self._get_elapsed_s())
 
     def find_host(self, fault: Fault) -> int:
         """Return the number of the host that a fault selects."""
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -1,5 +1,7 @@
 """Tests that each check reports its violation and accepts what is allowed."""
 
+import math
+
 from testtools import TestCase
 
 from soak.checks import CHAT_EVENT_COUNT, find_violations
@@ -188,6 +190,68 @@
             [], find_violated_guarantees(requests=requests, faults=[terminated, killed])
         )
 
+    def test_request_cut_without_an_answer(self):
+        """One that was read is a violation; one that crosses a close is not."""
+        unread = SERVED_REQUEST._replace(
+            request_id="r2",
+            sent_s=9.0,
+            written_s=9.1,
+            ended_s=9.25,
+            status=0,
+            body="",
+            complete=False,
+        )
+        late = unread._replace(ended_s=9.35)
+        reached = [Execution("r2", "s1", 9.2)]
+        killed = InjectedFault(FaultKind.HOST_KILLED, 5.0, 6.5, 0)
+        silent = InjectedFault(FaultKind.SERVER_SILENT, 5.0, 6.5, -1, "s1")
+        leaves = silent._replace(kind=FaultKind.SERVER_LEAVES)
+        crashes = silent._replace(kind=FaultKind.PROMPT_CRASHES_SERVERS, server="")
+        for request, arrivals, faults, expected in (
+            (unread, [], [], []),
+            (unread, reached, [], ["answered"]),
+            (unread._replace(written_s=math.inf), reached, [], ["answered"]),
+            (late, [], [], ["answered"]),
+            (late._replace(status=502, complete=True), reached, [], []),
+            (late._replace(written_s=math.inf), [], [], []),
+            (late, [], [killed], []),
+            (late, [], [killed._replace(host=1)], ["answered"]),
+            (late, reached, [killed], []),
+            (late, [], [killed._replace(kind=FaultKind.HOST_PAUSED)], []),
+            (late, reached, [killed._replace(kind=FaultKind.HOST_SLOW)], ["answered"]),
+            (late, [], [killed._replace(ended_s=5.9)], ["answered"]),
+            (late, [], [silent], ["answered"]),
+            (late, reached, [silent], []),
+            (late, reached, [silent._replace(server="s2")], ["answered"]),
+            (late, reached, [crashes], []),
+            (late, reached, [leaves], ["answered"]),
+        ):
+            found = find_violated_guarantees(
+                requests=[request, SERVED_REQUEST], arrivals=arrivals, faults=faults
+            )
+            self.assertEqual(expected, found, (request, arrivals, faults))
+
+    def test_stream_cut_at_the_end_of_the_grace(self):
+        """One that has begun may end in the last sixth, unless it was sent late."""
+        stopped = InjectedFault(FaultKind.HOST_TERMINATED, 2.0, 11.0, 0)
+        stream = SERVED_REQUEST._replace(
+            kind="chat", sent_s=4.9, ended_s=9.6, body="id: 1\n", complete=False
+        )
+        for request, expected in (
+            (stream, []),
+            (stream._replace(status=0), ["answered"]),
+            (stream._replace(ended_s=8.6), ["answered"]),
+            (stream._replace(sent_s=5.1), ["answered"]),
+            (stream._replace(host=1), ["answered"]),
+            (stream._replace(sent_s=1.5, ended_s=9.5, host=1), []),
+        ):
+            found = find_violated_guarantees(
+                requests=[request, SERVED_REQUEST],
+                arrivals=[Execution("r1", "s1", 5.2)],
+                faults=[stopped],
+            )
+            self.assertEqual(expected, found, request)
+
     def test_response_after_timeout(self):
         """A final response after the route's time-out is a violation."""
         late = SERVED_REQUEST._replace(sent_s=5.0, ended_s=16.0, status=504)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -68,16 +68,16 @@
         self.assertIn("crashing_prompt", violated)
 
     def test_host_without_drain_violates_graceful_shutdown(self):
-        """A host that exits at once on SIGTERM is found."""
+        """A host that exits at once on SIGTERM is found, by both checks of it."""
         # All hosts are terminated twice, so that some request is in progress.
         faults = [
             Fault(at_s, FaultKind.HOST_TERMINATED, n, 0.0)
             for at_s in (1.0, 4.0)
             for n in range(3)
         ]
-        self.assertIn(
-            "graceful_shutdown", self.find_violated_guarantees(faults, "no_drain")
-        )
+        violated = self.find_violated_guarantees(faults, "no_drain")
+        self.assertIn("graceful_shutdown", violated)
+        self.assertIn("answered", violated)
 
     def find_violated_guarantees(
         self, faults: list[Fault], variant: str, callers: int = 6
