Tell in the soak whether a host had read a request when it ended a connection

A request that a host has read, but not passed on, and for which it ends the connection was excused if the host stood still in the 3 s before, as from outside it was not known to have been read. These are excused only by a kill now. Responses that have begun may end until 1 s after the grace period (the span of the users' rule LOST).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -34,6 +34,7 @@
 # request was sent no later than EARLY_IN_DRAIN_S after SIGTERM.
 LAST_GRACE_RATIO = 5 / 6
 EARLY_IN_DRAIN_S = 3.0
+GRACE_SLACK_S = 1.0
 # Time-out of the routes in the stand-in configuration.
 ROUTE_TIMEOUT_S = 10.0
 # For how long a caller waits for its response.
@@ -372,10 +373,12 @@
 ) -> bool:
     """Return whether a fault of its host or servers may have ended a connection.
 
-    A host that stands still for some time answers what it has passed on all the same.
+    A host that stands still for some time answers what it has read all the same, but
+    may end a connection with a reset before it has read a request.
     """
     since_s, until_s = request.sent_s - FAULT_MARGIN_S, request.ended_s
-    kinds = _KILL_FAULTS if reached else _STOP_FAULTS
+    may_be_unread = request.was_reset and not reached
+    kinds = _STOP_FAULTS if may_be_unread else _KILL_FAULTS
     return _has_host_fault(observations, request.host, since_s, until_s, kinds) or any(
         fault.kind in _BREAKING_FAULTS
         and (fault.server in reached or (reached and not fault.server))
@@ -394,7 +397,7 @@
         and fault.host == request.host
         and request.sent_s <= fault.began_s + EARLY_IN_DRAIN_S
         and request.ended_s >= fault.began_s + LAST_GRACE_RATIO * SHUTDOWN_GRACE_S
-        and request.ended_s <= fault.began_s + SHUTDOWN_GRACE_S
+        and request.ended_s <= fault.began_s + SHUTDOWN_GRACE_S + GRACE_SLACK_S
         for fault in observations.faults
     )
 
--- a/soak/keeping_callers.py
+++ b/soak/keeping_callers.py
@@ -107,7 +107,7 @@
         )
         started_s = asyncio.get_running_loop().time() - callers.get_elapsed_s()
         sent_s = callers.get_elapsed_s()
-        response = RawResponse(NO_ANSWER, b"", False, True, math.inf)
+        response = RawResponse(NO_ANSWER, b"", False, True, math.inf, False)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
                 response = await connection.exchange(request)
@@ -123,6 +123,7 @@
                 response.body.decode(),
                 response.complete,
                 response.written_s - started_s,
+                response.was_reset,
             )
         )
         return response
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -40,6 +40,8 @@
         complete: Whether the response was received to its end.
         written_s: Time at which its last byte was sent; infinite if it is not known or
             if it was not sent whole.
+        was_reset: Whether the connection ended with a reset. If it ended without one
+            later than its last byte was sent, the host had read the whole request.
     """
 
     request_id: str
@@ -52,6 +54,7 @@
     body: str
     complete: bool
     written_s: float = math.inf
+    was_reset: bool = False
 
 
 class Execution(NamedTuple):
--- a/standins/raw_callers.py
+++ b/standins/raw_callers.py
@@ -1,7 +1,6 @@
 """Callers that use one connection for all requests, until it is closed."""
 
 import asyncio
-import contextlib
 from collections.abc import Mapping
 from enum import Enum
 from typing import NamedTuple
@@ -52,6 +51,8 @@
         closes: Whether the connection can't be used again.
         written_s: Time at which the last byte of the request was sent, on the event
             loop's clock; infinite if it was not sent whole.
+        was_reset: Whether the connection ended with a reset. A host's system sends one
+            if the host closes the connection before it has read all that has arrived.
     """
 
     status: int
@@ -59,6 +60,7 @@
     complete: bool
     closes: bool
     written_s: float
+    was_reset: bool
 
 
 class RawCaller:
@@ -129,7 +131,8 @@
     async def _read_response(self, delay_s: float) -> RawResponse:
         """Return a response as far as it was received, without ``written_s``."""
         status, body, complete, closes = NO_ANSWER, bytearray(), False, True
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        was_reset = False
+        try:
             await asyncio.sleep(delay_s)
             status_line, *lines = (
                 (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -142,8 +145,12 @@
             closes = headers.get("connection") == "close"
             await self._read_body(headers, body)
             complete = True
-        closes = closes or not complete
-        return RawResponse(status, bytes(body), complete, closes, float("inf"))
+        except asyncio.IncompleteReadError:
+            closes = True
+        except OSError:
+            closes = was_reset = True
+        written_s = float("inf")
+        return RawResponse(status, bytes(body), complete, closes, written_s, was_reset)
 
     async def _read_body(self, headers: Mapping[str, str], body: bytearray) -> None:
         """Append a response's body.
