Leave the exit status of a host that has just ended to the event loop

A host that got a signal just as it ended was recorded with exit status 255: Process.send_signal polls the process, takes its status, and the event loop finds 'Unknown child process'.

--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from soak.checks import SHUTDOWN_GRACE_S
-from soak.processes import slow_process
+from soak.processes import send_signal, slow_process
 from standins.platform_fleet import PlatformFleet
 
 __all__ = ["HostProcesses"]
@@ -98,5 +98,5 @@
     def _send_signal(self, number: int, signal_number: signal.Signals) -> None:
         """Send a signal to a host's process, if one is running."""
         process = self._processes.get(number)
-        if process is not None and process.returncode is None:
-            process.send_signal(signal_number)
+        if process is not None:
+            send_signal(process, signal_number)
