Let some callers of the soak read large responses late

A host that ends before its responses are out was not seen by the soak, as all responses fitted into the sockets. One in twenty of the requests of callers that keep their connection asks for 15 MB and begins to read after 3 s.

--- a/soak/keeping_callers.py
+++ b/soak/keeping_callers.py
@@ -11,7 +11,7 @@
 from soak.callers import Callers
 from soak.checks import DEADLINE_S
 from soak.observations import CallerRequest
-from standins.backend_server import WORK_HEADER
+from standins.backend_server import PADDING_HEADER, WORK_HEADER
 from standins.raw_callers import NO_ANSWER, BodyForm, RawCaller, RawRequest, RawResponse
 
 __all__ = ["KeepingCallers"]
@@ -27,6 +27,12 @@
 # How long a server works on a request, in seconds, and how often in 100 requests.
 _WORK_WEIGHTS = {0.0: 30, 0.3: 65, 1.0: 5}
 
+# Some callers begin to read only after some time, a response that is larger than what
+# the sockets hold.
+SLOW_READER_RATIO = 0.05
+READ_DELAY_S = 3.0
+LARGE_RESPONSE_BYTES = 15 << 20
+
 _REQUEST_KINDS = ("payout", "payout", "lookup", "chat")
 
 
@@ -93,6 +99,7 @@
         )
         (work_s,) = rng.choices(list(_WORK_WEIGHTS), list(_WORK_WEIGHTS.values()))
         is_lookup = kind == "lookup"
+        is_slow = kind != "chat" and rng.random() < SLOW_READER_RATIO
         request = RawRequest(
             f"/{kind}/x",
             request_id,
@@ -103,6 +110,7 @@
                 "Credential": credential,
                 "Prompt-Prefix": f"p{rng.randrange(6)}:700,{request_id}:40",
                 WORK_HEADER: str(work_s),
+                PADDING_HEADER: str(LARGE_RESPONSE_BYTES if is_slow else 0),
             },
         )
         started_s = asyncio.get_running_loop().time() - callers.get_elapsed_s()
@@ -110,7 +118,8 @@
         response = RawResponse(NO_ANSWER, b"", False, True, math.inf, False)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(RESPONSE_TIMEOUT_S):
-                response = await connection.exchange(request)
+                delay_s = READ_DELAY_S if is_slow else 0.0
+                response = await connection.exchange(request, delay_s)
         callers.requests.append(
             CallerRequest(
                 request_id,
@@ -120,7 +129,7 @@
                 sent_s,
                 callers.get_elapsed_s(),
                 response.status,
-                response.body.decode(),
+                response.body.decode().rstrip(" "),
                 response.complete,
                 response.written_s - started_s,
                 response.was_reset,
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -12,6 +12,7 @@
 __all__ = [
     "LEAVING_HEADER",
     "LIMIT_HEADER",
+    "PADDING_HEADER",
     "WORK_HEADER",
     "PartFault",
     "StandInServer",
@@ -23,8 +24,9 @@
 PROMPT_HEADER = "Prompt-Prefix"
 LEAVING_HEADER = "Server-Leaving"
 LIMIT_HEADER = "Server-Limit"
-# Header of a request that names its ``work_s``.
+# Headers of a request that name its ``work_s`` and ``padding_bytes``.
 WORK_HEADER = "Work-S"
+PADDING_HEADER = "Padding-Bytes"
 
 
 # Share of the requests that a ``PartFault`` affects, in percent.
@@ -164,7 +166,8 @@
             await asyncio.Event().wait()
         if request.path.startswith("/chat/"):
             return await self._send_stream(request, headers, part_fault)
-        text = f"{self.instance_id} ran {request_id}" + " " * self.padding_bytes
+        padding = " " * int(request.headers.get(PADDING_HEADER, self.padding_bytes))
+        text = f"{self.instance_id} ran {request_id}{padding}"
         if part_fault is PartFault.WITHOUT_LENGTH:
             end = pick_end(request_id, (ConnectionEnd.AFTER_BODY, ConnectionEnd.RESET))
             return await send_without_length(
