Add planned work in series and overlapping to the soak

Stops, reloads, configurations and leaving servers came one by one and at random moments, mostly beside other faults. New kinds, drawn apart from the others, so that a seed keeps its faults: hosts that are stopped one after the other without pauses, all hosts at once, a series of SIGHUP during a drain, a stop during a configuration storm and while a server leaves, and a stop of a host that stands still again and again, so that it finds requests and timers at once. Each consists of faults of the kinds that there were, which are recorded and checked as such.

Failed seeds are saved with the faults that were injected.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,6 @@
 from soak.checks import Violation, find_violations
 from soak.observations import Observations
 from soak.runs import SoakSettings, run_seed
-from soak.schedule import make_schedule
 
 HOST_PROGRAMS = {
     "product": ("oleanderpier.platform",),
@@ -33,6 +32,7 @@
     show_default=True,
     help="Further callers per run, with one kept connection each.",
 )
+@click.option("--planned", is_flag=True, help="Nothing but planned work.")
 @click.option(
     "--seconds", default=12.0, show_default=True, help="Duration of the faults."
 )
@@ -56,6 +56,7 @@
     servers: int,
     callers: int,
     keeping_callers: int,
+    planned: bool,
     seconds: float,
     jobs: int,
     program: str,
@@ -78,6 +79,7 @@
                     HOST_PROGRAMS[program],
                     folder,
                     keeping_callers,
+                    planned,
                 )
                 observations = await run_seed(seed, settings)
                 violations = find_violations(observations)
@@ -124,7 +126,7 @@
         (target / path.name).write_bytes(path.read_bytes())
     schedule = [
         {**fault._asdict(), "kind": fault.kind.value}
-        for fault in make_schedule(seed, settings.faults_s)
+        for fault in settings.make_schedule(seed)
     ]
     injected = [
         {**fault._asdict(), "kind": fault.kind.value} for fault in observations.faults
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -12,6 +12,7 @@
 
 # Time from the end of a process to its restart.
 RESTART_DELAY_S = 0.3
+RELOAD_INTERVAL_S = 0.2
 
 
 class HostProcesses:
@@ -84,6 +85,19 @@
         """Let a host read its settings again."""
         self._send_signal(number, signal.SIGHUP)
 
+    async def reload_until_exit(self, number: int) -> None:
+        """Let a host read its settings again and again until its process ends."""
+        process = self._processes.get(number)
+        while process is not None and process.returncode is None:
+            send_signal(process, signal.SIGHUP)
+            await asyncio.sleep(RELOAD_INTERVAL_S)
+
+    async def wait_for_exit(self, number: int) -> None:
+        """Wait until the process of a host ends, if one is running."""
+        process = self._processes.get(number)
+        if process is not None:
+            await process.wait()
+
     async def _restart_on_exit(
         self, number: int, process: asyncio.subprocess.Process
     ) -> None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -22,8 +22,9 @@
     list_executions,
     list_statements,
 )
+from soak.planned_work import PlannedWork
 from soak.proxy import FaultProxy
-from soak.schedule import Fault, FaultKind, make_schedule
+from soak.schedule import Fault, FaultKind, make_planned_schedule, make_schedule
 from standins.backend_server import LEAVING_HEADER, PartFault, StandInServer
 from standins.platform_fleet import PlatformFleet
 
@@ -65,6 +66,7 @@
         program: The module that each host runs, and its arguments.
         log_folder: Folder for the hosts' output; None keeps it in pipes.
         keeping_callers: Number of callers that keep a connection, beside the others.
+        planned_only: Whether there is nothing but planned work.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         program: tuple[str, ...] = ("oleanderpier.platform",),
         log_folder: Path | None = None,
         keeping_callers: int = 48,
+        planned_only: bool = False,
     ) -> None:
         self.hosts = hosts
         self.servers = servers
@@ -84,6 +87,12 @@
         self.program = program
         self.log_folder = log_folder
         self.keeping_callers = keeping_callers
+        self.planned_only = planned_only
+
+    def make_schedule(self, seed: int) -> list[Fault]:
+        """Return the faults of a seed."""
+        make = make_planned_schedule if self.planned_only else make_schedule
+        return make(seed, self.faults_s)
 
 
 async def run_seed(
@@ -102,7 +111,7 @@
     fleet = PlatformFleet(settings.hosts, settings.program, settings.log_folder)
     async with fleet:
         if schedule is None:
-            schedule = make_schedule(seed, settings.faults_s)
+            schedule = settings.make_schedule(seed)
         run = _SoakRun(seed, settings, fleet, schedule)
         try:
             return await run.run()
@@ -129,6 +138,7 @@
         self._keeping_callers = KeepingCallers(self._callers, keeping_rng)
         self.prompts = CrashingPrompts(fleet, seed)
         self.hosts = HostProcesses(fleet, self._get_elapsed_s)
+        self.planned_work = PlannedWork(self.hosts, settings.hosts, self._apply)
         self._limits = ServerLimits(self._get_elapsed_s)
         self._version = 1
         self._store_proxies: list[FaultProxy] = []
@@ -214,6 +224,10 @@
     async def _inject(self, fault: Fault) -> None:
         """Inject one fault at its time and record it."""
         await asyncio.sleep(fault.at_s)
+        await self._apply(fault)
+
+    async def _apply(self, fault: Fault) -> None:
+        """Inject one fault now and record it."""
         began_s = self._get_elapsed_s()
         host = self.find_host(fault) if fault.kind.value.startswith("host") else -1
         affects_server = fault.kind.value.startswith("server")
@@ -446,4 +460,17 @@
     FaultKind.SERVER_NAMES_LIMIT: _SoakRun._name_limit,
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
+    FaultKind.STOPS_IN_SERIES: lambda run, fault: run.planned_work.stop_in_series(
+        fault
+    ),
+    FaultKind.ALL_STOPPED: lambda run, fault: run.planned_work.stop_all(fault),
+    FaultKind.RELOADS_DURING_DRAIN: (
+        lambda run, fault: run.planned_work.reload_while_stopping(fault)
+    ),
+    FaultKind.STOP_WITH_PAUSES: (
+        lambda run, fault: run.planned_work.stop_with_pauses(fault)
+    ),
+    FaultKind.STOP_DURING_CHANGES: (
+        lambda run, fault: run.planned_work.stop_during_changes(fault)
+    ),
 }
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -5,7 +5,14 @@
 from itertools import chain
 from typing import NamedTuple
 
-__all__ = ["ADDED_KINDS", "Fault", "FaultKind", "make_schedule"]
+__all__ = [
+    "ADDED_KINDS",
+    "PLANNED_KINDS",
+    "Fault",
+    "FaultKind",
+    "make_planned_schedule",
+    "make_schedule",
+]
 
 # Mean time between the starts of two faults, short enough that most faults overlap.
 MEAN_FAULT_INTERVAL_S = 0.5
@@ -27,7 +34,9 @@
     before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing. With
     ``PROMPT_CRASHES_SERVERS`` further requests with one prompt part in common crash
     each server that begins to answer; it starts again after some time. A server that
-    ``NAMES_LIMIT`` executes all that it gets.
+    ``NAMES_LIMIT`` executes all that it gets. ``STOPS_IN_SERIES``, ``ALL_STOPPED``,
+    ``RELOADS_DURING_DRAIN``, ``STOP_WITH_PAUSES`` and ``STOP_DURING_CHANGES`` are
+    planned work that consists of faults of other kinds, in series or overlapping.
     """
 
     HOST_KILLED = "host_killed"
@@ -61,6 +70,11 @@
     SERVER_NAMES_LIMIT = "server_names_limit"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
+    STOPS_IN_SERIES = "stops_in_series"
+    ALL_STOPPED = "all_stopped"
+    RELOADS_DURING_DRAIN = "reloads_during_drain"
+    STOP_WITH_PAUSES = "stop_with_pauses"
+    STOP_DURING_CHANGES = "stop_during_changes"
 
 
 # Relative frequencies other than 1; the loss of all hosts is rarer than the rest.
@@ -81,10 +95,27 @@
     "statements": (FaultKind.SERVER_SAYS_LEAVING, FaultKind.SERVER_ASKS_FOR_TIME),
     "crashing prompts": (FaultKind.PROMPT_CRASHES_SERVERS,),
     "limits": (FaultKind.SERVER_NAMES_LIMIT,),
+    "planned work": (
+        FaultKind.STOPS_IN_SERIES,
+        FaultKind.ALL_STOPPED,
+        FaultKind.RELOADS_DURING_DRAIN,
+        FaultKind.STOP_WITH_PAUSES,
+        FaultKind.STOP_DURING_CHANGES,
+    ),
 }
 ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
-_MAX_COUNTS = {"crashing prompts": 1, "limits": 3}
+_MAX_COUNTS = {"crashing prompts": 1, "limits": 3, "planned work": 3}
+# What operators do on purpose; nobody may notice any of it.
+PLANNED_KINDS = (
+    FaultKind.HOST_TERMINATED,
+    FaultKind.HOST_RELOADED,
+    FaultKind.SERVER_LEAVES,
+    FaultKind.SERVER_SAYS_LEAVING,
+    FaultKind.CONFIGURATION_STORM,
+    *_ADDED_GROUPS["planned work"],
+)
+MEAN_PLANNED_INTERVAL_S = 1.0
 
 
 class Fault(NamedTuple):
@@ -131,6 +162,19 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def make_planned_schedule(seed: int, length_s: float) -> list[Fault]:
+    """Return a run's schedule with nothing but planned work; see ``make_schedule``."""
+    rng = random.Random(f"only planned work {seed}")
+    faults = []
+    at_s = rng.uniform(0.2, MEAN_PLANNED_INTERVAL_S)
+    while at_s < length_s - MAX_DURATION_S:
+        kind = rng.choice(PLANNED_KINDS)
+        for_s = rng.uniform(0.3, MAX_DURATION_S)
+        faults.append(Fault(at_s, kind, rng.randrange(1 << 16), for_s))
+        at_s += rng.expovariate(1 / MEAN_PLANNED_INTERVAL_S)
+    return faults
+
+
 def _list_added_faults(name: str, seed: int, length_s: float) -> list[Fault]:
     """Return the faults of one group of kinds that were added later."""
     rng = random.Random(f"{name} {seed}")
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Short runs of the soak with real processes."""
 
+import asyncio
 import json
 import tempfile
 from pathlib import Path
@@ -8,6 +9,7 @@
 
 from oleanderpier.utils import run_coroutine
 from soak.checks import find_violations
+from soak.observations import Observations
 from soak.runs import SoakSettings, run_seed
 from soak.schedule import ADDED_KINDS, Fault, FaultKind
 
@@ -19,10 +21,20 @@
     """The product violates no guarantee; naive hosts are found to violate one."""
 
     def test_product_violates_nothing(self):
-        """One seed with a few seconds of faults gives no violations."""
-        settings = SoakSettings(hosts=3, callers=4, faults_s=7.0)
-        observations = run_coroutine(run_seed(CI_SEED, settings))
-        self.assertEqual([], find_violations(observations))
+        """One seed with a few seconds of faults gives no violations.
+
+        Neither does another fleet at the same time, with nothing but planned work.
+        """
+
+        async def run() -> list[Observations]:
+            mixed = SoakSettings(hosts=3, callers=4, faults_s=7.0)
+            planned = SoakSettings(hosts=3, callers=4, faults_s=7.0, planned_only=True)
+            return await asyncio.gather(
+                run_seed(CI_SEED, mixed), run_seed(CI_SEED, planned)
+            )
+
+        for observations in run_coroutine(run()):
+            self.assertEqual([], find_violations(observations))
 
     def test_product_violates_nothing_under_the_added_kinds(self):
         """Neither do the kinds that are drawn apart, all at once."""
