--- a/standins/raw_callers.py
+++ b/standins/raw_callers.py
@@ -1,6 +1,7 @@
 """Callers that use one connection for all requests, until it is closed."""
 
 import asyncio
+import math
 from collections.abc import Mapping
 from enum import Enum
 from typing import NamedTuple
@@ -106,7 +107,10 @@
         reading = asyncio.create_task(self._read_response(read_delay_s))
         try:
             written_s = await self._write(request, reading)
-            return (await reading)._replace(written_s=written_s)
+            response = await reading
+            # What is sent next would be taken for the rest of the request.
+            closes = response.closes or math.isinf(written_s)
+            return response._replace(written_s=written_s, closes=closes)
         finally:
             reading.cancel()
 
@@ -124,7 +128,7 @@
             if number:
                 await asyncio.wait({reading}, timeout=SEGMENT_PAUSE_S)
             if reading.done() or self._writer.is_closing():
-                return float("inf")
+                return math.inf
             self._writer.write(segment)
         return asyncio.get_running_loop().time()
 
@@ -149,8 +153,7 @@
             closes = True
         except OSError:
             closes = was_reset = True
-        written_s = float("inf")
-        return RawResponse(status, bytes(body), complete, closes, written_s, was_reset)
+        return RawResponse(status, bytes(body), complete, closes, math.inf, was_reset)
 
     async def _read_body(self, headers: Mapping[str, str], body: bytearray) -> None:
         """Append a response's body.
