--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,6 @@
 from soak.checks import Violation, find_violations
 from soak.observations import Observations
 from soak.runs import SoakSettings, run_seed
-from soak.schedule import make_schedule
 
 HOST_PROGRAMS = {
     "product": ("oleanderpier.platform",),
@@ -27,6 +26,13 @@
     "--servers", default=4, show_default=True, help="Backend servers per run."
 )
 @click.option("--callers", default=8, show_default=True, help="Callers per run.")
+@click.option(
+    "--keeping-callers",
+    default=48,
+    show_default=True,
+    help="Further callers per run, with one kept connection each.",
+)
+@click.option("--planned", is_flag=True, help="Nothing but planned work.")
 @click.option(
     "--seconds", default=12.0, show_default=True, help="Duration of the faults."
 )
@@ -49,6 +55,8 @@
     hosts: int,
     servers: int,
     callers: int,
+    keeping_callers: int,
+    planned: bool,
     seconds: float,
     jobs: int,
     program: str,
@@ -64,14 +72,21 @@
             with tempfile.TemporaryDirectory() as name:
                 folder = Path(name)
                 settings = SoakSettings(
-                    hosts, servers, callers, seconds, HOST_PROGRAMS[program], folder
+                    hosts,
+                    servers,
+                    callers,
+                    seconds,
+                    HOST_PROGRAMS[program],
+                    folder,
+                    keeping_callers,
+                    planned,
                 )
                 observations = await run_seed(seed, settings)
                 violations = find_violations(observations)
                 _print_summary(seed, observations, violations)
                 if violations and keep is not None:
                     _save_failure(
-                        keep / f"seed-{seed}", folder, seed, seconds, violations
+                        keep / f"seed-{seed}", seed, settings, observations, violations
                     )
         return not violations
 
@@ -99,17 +114,29 @@
 
 
 def _save_failure(
-    target: Path, logs: Path, seed: int, seconds: float, violations: list[Violation]
+    target: Path,
+    seed: int,
+    settings: SoakSettings,
+    observations: Observations,
+    violations: list[Violation],
 ) -> None:
-    """Save the logs, the violations and the schedule of a failed run."""
+    """Save the logs, the violations, the schedule and the faults of a failed run."""
     target.mkdir(parents=True, exist_ok=True)
-    for path in logs.iterdir():
+    for path in settings.log_folder.iterdir():
         (target / path.name).write_bytes(path.read_bytes())
     schedule = [
         {**fault._asdict(), "kind": fault.kind.value}
-        for fault in make_schedule(seed, seconds)
+        for fault in settings.make_schedule(seed)
+    ]
+    injected = [
+        {**fault._asdict(), "kind": fault.kind.value} for fault in observations.faults
     ]
-    record = {"seed": seed, "findings": violations, "schedule": schedule}
+    record = {
+        "seed": seed,
+        "findings": violations,
+        "schedule": schedule,
+        "injected": injected,
+    }
     (target / "run.json").write_text(json.dumps(record, indent=1))
 
 
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -3,6 +3,7 @@
 Times are in seconds since the start of the callers.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -37,6 +38,10 @@
         status: Status of the response, 0 if the connection ended before it.
         body: Body received so far.
         complete: Whether the response was received to its end.
+        written_s: Time at which its last byte was sent; infinite if it is not known or
+            if it was not sent whole.
+        was_reset: Whether the connection ended with a reset. If it ended without one
+            later than its last byte was sent, the host had read the whole request.
     """
 
     request_id: str
@@ -48,6 +53,8 @@
     status: int
     body: str
     complete: bool
+    written_s: float = math.inf
+    was_reset: bool = False
 
 
 class Execution(NamedTuple):
@@ -88,12 +95,14 @@
         began_s: Time at which it began.
         ended_s: Time at which it was over; infinite while it lasts.
         host: Number of the affected host, -1 for all hosts or none.
+        server: Id of the affected backend server, empty for all servers or none.
     """
 
     kind: FaultKind
     began_s: float
     ended_s: float
     host: int
+    server: str = ""
 
 
 class Removal(NamedTuple):
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -9,7 +9,14 @@
 
 from standins.raw_responses import ConnectionEnd, pick_end, send_without_length
 
-__all__ = ["LEAVING_HEADER", "LIMIT_HEADER", "PartFault", "StandInServer"]
+__all__ = [
+    "LEAVING_HEADER",
+    "LIMIT_HEADER",
+    "PADDING_HEADER",
+    "WORK_HEADER",
+    "PartFault",
+    "StandInServer",
+]
 
 EVENT_INTERVAL_S = 0.1
 # Time from a crash until the server listens again.
@@ -17,6 +24,9 @@
 PROMPT_HEADER = "Prompt-Prefix"
 LEAVING_HEADER = "Server-Leaving"
 LIMIT_HEADER = "Server-Limit"
+# Headers of a request that name its ``work_s`` and ``padding_bytes``.
+WORK_HEADER = "Work-S"
+PADDING_HEADER = "Padding-Bytes"
 
 
 # Share of the requests that a ``PartFault`` affects, in percent.
@@ -143,7 +153,7 @@
         self.request_ids.append(request_id)
         self.request_times_s.append(at_s)
         self.request_headers.append(dict(request.headers))
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(float(request.headers.get(WORK_HEADER, self.work_s)))
         headers = {
             "Request-Id": request_id,
             "Response-Signature": self.instance_id,
@@ -156,7 +166,8 @@
             await asyncio.Event().wait()
         if request.path.startswith("/chat/"):
             return await self._send_stream(request, headers, part_fault)
-        text = f"{self.instance_id} ran {request_id}" + " " * self.padding_bytes
+        padding = " " * int(request.headers.get(PADDING_HEADER, self.padding_bytes))
+        text = f"{self.instance_id} ran {request_id}{padding}"
         if part_fault is PartFault.WITHOUT_LENGTH:
             end = pick_end(request_id, (ConnectionEnd.AFTER_BODY, ConnectionEnd.RESET))
             return await send_without_length(
--- a/tests/raw_callers.py
+++ b/tests/byte_callers.py
@@ -1,20 +1,19 @@
-"""Callers that use one connection for all requests, until it is closed."""
+"""Callers that send bytes as a test gives them on one connection."""
 
 import asyncio
 import socket
 
 from standins.platform_fleet import API_KEY, HOST_NAME
+from standins.raw_callers import NO_ANSWER
 
-__all__ = ["NO_ANSWER", "RawCaller"]
+__all__ = ["NO_ANSWER", "ByteCaller"]
 
-# In place of a status: the connection ended without a whole response.
-NO_ANSWER = 0
 DEADLINE_MS = 3000
 READ_TIMEOUT_S = 30.0
 BODY = b"body"
 
 
-class RawCaller:
+class ByteCaller:
     """A caller with one open connection to a host.
 
     Args:
@@ -31,7 +30,7 @@
     @classmethod
     async def connect(
         cls, address: str, buffer_bytes: int | None = None
-    ) -> "RawCaller":
+    ) -> "ByteCaller":
         """Open a connection to an address, given as ``IP:PORT``.
 
         Args:
--- a/tests/test_daemon_stop.py
+++ b/tests/test_daemon_stop.py
@@ -14,7 +14,7 @@
 
 from demo.fleet import CONFIGURATION, LOOPBACK_ADDRESS, Fleet
 from oleanderpier.utils import make_key, run_coroutine
-from tests.raw_callers import NO_ANSWER, RawCaller
+from tests.byte_callers import NO_ANSWER, ByteCaller
 
 HOST = "host-0"
 CALLER_COUNT = 10
@@ -101,7 +101,7 @@
 
     async def __aenter__(self) -> "CallersFleet":
         """Start every process."""
-        self._callers: list[RawCaller] = []
+        self._callers: list[ByteCaller] = []
         await super().__aenter__()
         return self
 
@@ -127,10 +127,12 @@
         count: int,
         port_field: str = "caller_port",
         buffer_bytes: int | None = None,
-    ) -> list[RawCaller]:
+    ) -> list[ByteCaller]:
         """Open connections to the first daemon."""
         address = f"{LOOPBACK_ADDRESS}:{self.hosts[0][port_field]}"
-        callers = [await RawCaller.connect(address, buffer_bytes) for _ in range(count)]
+        callers = [
+            await ByteCaller.connect(address, buffer_bytes) for _ in range(count)
+        ]
         self._callers += callers
         return callers
 
@@ -194,7 +196,7 @@
     answers = await send_and_stop(fleet, [make_keyed_call(key)])
     await fleet.processes[HOST].wait()
     address = f"{LOOPBACK_ADDRESS}:{fleet.hosts[1]['caller_port']}"
-    caller = await RawCaller.connect(address)
+    caller = await ByteCaller.connect(address)
     answers.append(await caller.exchange(make_get(f"/v1/calls/{key}")))
     caller.close()
     return answers
@@ -240,7 +242,7 @@
 
 
 async def send_while_held_up(
-    fleet: CallersFleet, callers: list[RawCaller], requests: list[bytes]
+    fleet: CallersFleet, callers: list[ByteCaller], requests: list[bytes]
 ) -> Answers:
     """Let the end of the drain and the requests fall into one turn of the loop."""
     await exchange_all(callers, [make_get("/metrics") for _ in callers])
@@ -273,7 +275,7 @@
 
 
 async def stop_and_read_slowly(
-    fleet: CallersFleet, caller: RawCaller, requests: list[bytes]
+    fleet: CallersFleet, caller: ByteCaller, requests: list[bytes]
 ) -> Answers:
     """Send requests on one connection, stop the daemon, then read the answers."""
     first = asyncio.ensure_future(caller.exchange(b"".join(requests), READ_DELAY_S))
@@ -292,7 +294,7 @@
     return await exchange_all(callers, requests)
 
 
-async def exchange_all(callers: list[RawCaller], requests: list[bytes]) -> Answers:
+async def exchange_all(callers: list[ByteCaller], requests: list[bytes]) -> Answers:
     """Send a request per connection; return the answers."""
     return await asyncio.gather(
         *(
--- a/tests/test_stop_on_open_connections.py
+++ b/tests/test_stop_on_open_connections.py
@@ -10,7 +10,7 @@
 from oleanderpier.utils import run_coroutine
 from standins.backend_server import StandInServer
 from standins.platform_fleet import PlatformFleet
-from tests.raw_callers import RawCaller
+from tests.byte_callers import ByteCaller
 
 CALLER_COUNT = 20
 WORK_S = 0.2
@@ -62,7 +62,7 @@
 
 
 async def _stop(
-    send: Callable[[PlatformFleet, StandInServer, list[RawCaller]], Awaitable[list]],
+    send: Callable[[PlatformFleet, StandInServer, list[ByteCaller]], Awaitable[list]],
 ) -> Counter:
     """Stop a host that has idle connections.
 
@@ -77,7 +77,7 @@
         process = await fleet.start_host(0)
         await fleet.wait_until_ready(0)
         address = fleet.settings[0]["Listen"]["Front"]
-        callers = [await RawCaller.connect(address) for _ in range(CALLER_COUNT)]
+        callers = [await ByteCaller.connect(address) for _ in range(CALLER_COUNT)]
         for number, caller in enumerate(callers):
             await caller.send("/lookup/x", f"warm-{number}")
         server.arrivals.clear()
@@ -93,7 +93,7 @@
 
 
 async def _send_while_held_up(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Let the end of the drain and the requests fall into one turn of the loop."""
     process = fleet.processes[0]
@@ -111,7 +111,7 @@
 
 
 async def _send_long_requests(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Send requests that are in progress when the grace period ends."""
     server.work_s = 30.0
@@ -125,7 +125,7 @@
 
 
 async def _read_large_responses(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Read large responses only when no request is in progress any more."""
     server.padding_bytes = LARGE_RESPONSE_BYTES
@@ -139,7 +139,7 @@
 
 
 async def _send_late_bodies(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Send each body at another moment around the end of the drain."""
     delays_s = [BODY_DELAY_S + number * BODY_STEP_S for number in range(len(callers))]
@@ -147,7 +147,7 @@
 
 
 async def _send_no_bodies(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Send the heads of requests only."""
     return await _send_bodies(fleet, server, callers, [None] * len(callers))
@@ -156,7 +156,7 @@
 async def _send_bodies(
     fleet: PlatformFleet,
     server: StandInServer,
-    callers: list[RawCaller],
+    callers: list[ByteCaller],
     delays_s: list[float | None],
 ) -> list[int]:
     server.work_s = 30.0
@@ -173,7 +173,7 @@
 
 
 async def _send_in_pairs(
-    fleet: PlatformFleet, server: StandInServer, callers: list[RawCaller]
+    fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
     """Send two requests at once on each of half of the connections."""
     server.work_s = WORK_S
