Wait for a silent server if a request could not go to another one

A repeatable request was given up after its server's silence even if no other server was left or the retry budget was used up: it went to the same server once more, or ended with 502, though the server would have answered (2 of 2 look-ups of 1.2 s after the other server had left). Cause: only the number of attempts was looked at. A silent server is now given up only if the request would be sent to another one at once; that is asked again as long as the silence lasts.

test_slow_server_is_awaited_if_there_is_no_other failed before: the server got the request twice.

--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -361,8 +361,16 @@
         return Code.ANSWER_LOST if self._may_have_run else Code.HOST_LEAVING
 
     def _may_fail_over(self) -> bool:
-        """Return whether the request may still be sent to another server."""
-        return self._attempts + 1 < self._call.route.max_attempts
+        """Return whether the request would be sent to another server now.
+
+        If not, a silent server's response is waited for.
+        """
+        forwarder = self._forwarder
+        return (
+            self._attempts + 1 < self._call.route.max_attempts
+            and forwarder.chooser.has_other(self._query, {*self._tried, self._server})
+            and forwarder.budget.has_room(self._service)
+        )
 
     def _get_state(self) -> AttemptState:
         route = self._call.route
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -90,17 +90,19 @@
 
 
 def respond(status: int = 200, body: bytes = b"done", **options) -> Behaviour:
-    """Return a behaviour that sends a complete response at once.
+    """Return a behaviour that sends a complete response.
 
     Args:
         status: The HTTP status.
         body: The body.
         options: ``identity`` in place of the request's; ``signed``, whether the
             response is signed; ``size``, the content length in place of the body's;
-            ``headers``, further header lines.
+            ``headers``, further header lines; ``delay_s``, the seconds until the
+            response, 0 if not given.
     """
 
     async def behave(request: ReceivedRequest) -> None:
+        await asyncio.sleep(options.get("delay_s", 0.0))
         identity = options.get("identity") or request.get_header("id")
         lines = [
             f"HTTP/1.1 {status} X",
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -23,6 +23,7 @@
 ONCE = {"kind": RequestKind.ONCE, "resumable": False, "target_s": 0.2}
 IDEMPOTENT = {"kind": RequestKind.IDEMPOTENT, "resumable": False, "target_s": 0.2}
 
+SLOW_RESPONSE_S = 1.0
 # Responses that are lost or invalid before the caller has received any of them.
 INVALID_RESPONSES = {
     "reset": reset_connection,
@@ -95,6 +96,12 @@
 class RepeatableTest(TestCase):
     """A repeatable request is retried after any failure."""
 
+    def test_slow_server_is_awaited_if_there_is_no_other(self):
+        """It is silent for longer than a server may be if there is another one."""
+        fixture = ForwarderFixture([respond(delay_s=SLOW_RESPONSE_S)])
+        outcome = forward_request(fixture, max_attempts=2, **IDEMPOTENT)
+        self.assertEqual((Code.DONE, [1]), (outcome.code, fixture.count_requests()))
+
     def test_second_server_responds(self):
         """The caller receives the response of the second server."""
         cases = {
--- a/oleanderpier/routing/budget.py
+++ b/oleanderpier/routing/budget.py
@@ -68,13 +68,16 @@
 
     def try_acquire(self, service: str) -> bool:
         """Return whether a service may get one more retry, and count it if so."""
-        allowed = self._compute_allowance(service)
-        retries = self._retries[service]
-        if self._count_recent(retries) + 1 > allowed:
+        if not self.has_room(service):
             return False
-        retries.append(self._timers.now())
+        self._retries[service].append(self._timers.now())
         return True
 
+    def has_room(self, service: str) -> bool:
+        """Return whether a service may get one more retry now."""
+        used = self._count_recent(self._retries[service])
+        return used + 1 <= self._compute_allowance(service)
+
     def _compute_allowance(self, service: str) -> float:
         """Return this host's retries to a service in the current window."""
         limits = self._limits
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -209,6 +209,18 @@
             limit=self._statements.get_limit(choice.server),
         )
 
+    def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
+        """Return whether a healthy server is left besides those that were tried."""
+        usable = self._statements.list_willing(
+            self._roster.list_usable(query.service), self._timers.now()
+        )
+        tried = set(tried)
+        return any(
+            entry.identity not in tried
+            and not self._health.is_backing_off(entry.identity)
+            for entry in usable
+        )
+
     def get_shortest_wait_s(self, service: str) -> float | None:
         """Return after how long the first server of a service wants requests.
 
