--- a/oleanderpier/events/writer.py
+++ b/oleanderpier/events/writer.py
@@ -1,6 +1,7 @@
 """Log output that never blocks the process."""
 
 import asyncio
+import json
 import os
 import select
 from collections import Counter, deque
@@ -61,7 +62,7 @@
         for key, value in message.items():
             if key not in _ENVELOPE:
                 line[key] = value
-        self._lines.append(msgspec.json.encode(line, enc_hook=repr) + b"\n")
+        self._lines.append(_encode(line) + b"\n")
 
     async def finish(self, timeout_s: float) -> None:
         """Write the queued lines; wait for a slow reader, but not longer than this."""
@@ -93,4 +94,12 @@
         return bool(ready) and bool(ready[0][1] & select.POLLOUT)
 
 
+def _encode(line: dict[str, Any]) -> bytes:
+    try:
+        return msgspec.json.encode(line, enc_hook=repr)
+    except UnicodeEncodeError:
+        # A caller's header that is not UTF-8; the bytes are written as escapes.
+        return json.dumps(line, default=repr).encode()
+
+
 _ENVELOPE = frozenset({"timestamp", "message_type", "task_uuid", "task_level"})
