Take numbers of unusual digits or length in headers for malformed

A prompt's part with a superscript digit or over 4,300 digits as its tokens got 500 and no request:end; a server's sound response with such a Server-Load was lost. The two checks of digits now are one, which int() accepts. Both cases are in the tests of malformed headers, and failed before.

--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -110,6 +110,8 @@
 # Not allowed in the value of a header, but HTTP clients accept them; a space may stand
 # for each (RFC 9110, section 5.5).
 CONTROL_CHARACTERS = dict.fromkeys((*range(0x09), *range(0x0A, 0x20), 0x7F), " ")
+# Numbers of more digits in a header are malformed.
+MAX_COUNT_DIGITS = 12
 # Headers of servers' responses that the HTTP server sets anew.
 DROPPED_RESPONSE_HEADERS = frozenset({"content-length", "date", "server"})
 
@@ -148,12 +150,17 @@
     parts = []
     for text in (value or "").split(","):
         identity, _, tokens = text.strip().partition(":")
-        if not identity or not tokens.isdigit():
+        if not identity or not _is_count(tokens):
             return ()
         parts.append(PromptPart(identity, int(tokens)))
     return tuple(parts)
 
 
+def _is_count(text: str) -> bool:
+    """Return whether a text is a whole number of a usual size."""
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
+
+
 class ServerDialect:
     """Formats requests to servers and parses the heads of their responses.
 
@@ -287,7 +294,7 @@
     if not value:
         return None
     counts = [text.strip() for text in value.split(",")]
-    if len(counts) == LOAD_COUNTS and all(count.isdecimal() for count in counts):
+    if len(counts) == LOAD_COUNTS and all(_is_count(count) for count in counts):
         return int(counts[-1]) or None
     log_message(
         "server:load_unusual", found=value[:40], allowed="RUNNING,WAITING,SLOTS"
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -80,7 +80,16 @@
     def test_malformed_prompt_has_no_parts(self):
         """A prompt header is parsed as a whole or not at all."""
         self.assertEqual(2, len(read_prompt("5c1e:800, 91bd:410")))
-        for text in (None, "", "5c1e", "5c1e:x", ":4", "a:1,,b:2"):
+        for text in (
+            None,
+            "",
+            "5c1e",
+            "5c1e:x",
+            ":4",
+            "a:1,,b:2",
+            "a:\u00b2",
+            "a:" + "9" * 5000,
+        ):
             self.assertEqual((), read_prompt(text), text)
 
 
@@ -154,7 +163,15 @@
         """A value that can't be read tells nothing."""
         self.assertEqual(64, self.read(200, Server_Load="3,0,64").slots)
         self.assertEqual(64, self.read(503, Server_Load=" 3, 0, 64 ").slots)
-        for value in ("", "3,0", "3,0,x", "3,0,-1", "3,0,0", "3,0,64,1"):
+        for value in (
+            "",
+            "3,0",
+            "3,0,x",
+            "3,0,-1",
+            "3,0,0",
+            "3,0,64,1",
+            "3,0," + "9" * 5000,
+        ):
             self.assertIsNone(self.read(200, Server_Load=value).slots, value)
         self.assertIsNone(self.read(421, Server_Load="3,0,64").slots)
 
