Do not take over the position of a host that may not know of a deletion

And the summary of a host without any state set an age of an hour, which the first answer of the store ended like an outage, so that deletions were held back.

A summary now also says from where on all deletions are known. A host without state confirms nothing.

The three tests of UnknownDeletionTest failed before.

--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -19,6 +19,8 @@
 # When more deletions than this are kept, the oldest is dropped; a peer that is
 # behind it then gets a snapshot instead of single changes.
 MAX_TOMBSTONE_COUNT = 512
+# A replica that no peer could confirm for this long gets a snapshot from one.
+MAX_UNCONFIRMED_AGE_S = 1.0
 # Limit on the keys that the log names at a change of era.
 MAX_LOGGED_KEYS = 20
 
@@ -295,16 +297,26 @@
             items=len(self._items),
         )
 
-    def apply_summary(self, as_of: int, last_change: int, age_s: float) -> bool:
+    @property
+    def deletions_after(self) -> int:
+        """The revision after which all deletions are known."""
+        return self._tombstones_complete_after
+
+    def apply_summary(
+        self, as_of: int, last_change: int, age_s: float, deletions_after: int = 0
+    ) -> bool:
         """Apply the summary of a peer's replica to this one.
 
         If this replica misses no change and the peer's revision is at least its
-        own, its revision and age are set to the peer's.
+        own, its revision and age are set to the peer's. A peer that has read a snapshot
+        after this replica's revision can't tell whether it misses a deletion; another
+        one may, so that the peer is queried only if none does for some time.
 
         Args:
             as_of: The revision up to which the peer has all changes.
             last_change: The revision of the peer's last change to a value.
             age_s: The seconds since the peer's was known to be the newest state.
+            deletions_after: The revision after which the peer knows all deletions.
 
         Returns:
             Whether this replica has every change that the peer's has.
@@ -312,7 +324,9 @@
         is_later_era = self.as_of > 0 and get_era(as_of) > get_era(self.as_of)
         if is_later_era or last_change > self.as_of:
             return False
-        if as_of >= self.as_of:
+        if as_of > self.as_of and deletions_after > self.as_of:
+            return self.get_age_s() < MAX_UNCONFIRMED_AGE_S
+        if as_of and as_of >= self.as_of:
             self.as_of = as_of
             self.confirm_current(age_s)
         return True
--- a/oleanderpier/replication/sync.py
+++ b/oleanderpier/replication/sync.py
@@ -29,6 +29,7 @@
 # A query without a reply is sent again after this time, to the next peer that
 # reports a newer change.
 QUERY_RETRY_S = 0.4
+DELETIONS_SUFFIX = ":deletions"
 # Upper bound of reported ages; a replica without any state has an infinite age.
 MAX_REPORTED_AGE_S = 3600.0
 
@@ -79,15 +80,19 @@
             )
 
     def summarize(self) -> dict[str, ReplicaSummary]:
-        """Return the summary of each replica, by key space."""
-        return {
-            space: ReplicaSummary(
-                replica.as_of,
-                replica.last_change,
-                min(replica.get_age_s(), MAX_REPORTED_AGE_S),
+        """Return the summary of each replica, by key space.
+
+        What is known of its deletions is a summary by a name of its own, which hosts of
+        an earlier version skip.
+        """
+        summaries = {}
+        for space, replica in self._replicas.items():
+            age_s = min(replica.get_age_s(), MAX_REPORTED_AGE_S)
+            summaries[space] = ReplicaSummary(replica.as_of, replica.last_change, age_s)
+            summaries[space + DELETIONS_SUFFIX] = ReplicaSummary(
+                replica.deletions_after, 0, age_s
             )
-            for space, replica in self._replicas.items()
-        }
+        return summaries
 
     def receive_summaries(
         self, host: str, summaries: dict[str, ReplicaSummary]
@@ -102,7 +107,9 @@
             replica = self._replicas.get(space)
             if replica is None:
                 continue
-            if replica.apply_summary(*summary):
+            deletions = summaries.get(space + DELETIONS_SUFFIX)
+            deletions_after = deletions.as_of if deletions else 0
+            if replica.apply_summary(*summary, deletions_after):
                 continue
             if self._is_query_due(replica):
                 self._outbox.send(host, ItemsQuery(space, replica.as_of))
--- a/oleanderpier/replication/tests/test_sync.py
+++ b/oleanderpier/replication/tests/test_sync.py
@@ -39,6 +39,12 @@
             for host, replica in self.replicas.items()
         }
 
+    def run(self, rounds: int) -> None:
+        """Let all hosts report every quarter of a second."""
+        for _ in range(rounds):
+            self.report()
+            self.timers.advance(0.25)
+
     def publish(self, host: str, revision: int, value: bytes) -> None:
         """Let one host receive a value from the platform."""
         replica = self.replicas[host]
@@ -60,6 +66,52 @@
         return [item.value if item else b"" for item in items]
 
 
+class UnknownDeletionTest(TestCase):
+    """A host that has read a snapshot does not know what was deleted before it."""
+
+    def make_network(self) -> Network:
+        """Return a network in which h0 has a key that is deleted, and h2 no state."""
+        network = Network(3)
+        for host in ("h0", "h1"):
+            items = [Item("routes", 40, b"r"), Item("s", 41, b"1")]
+            first = ItemsUpdate(SPACE, 0, 50, True, items)
+            network.replicas[host].apply(first, "platform")
+            network.replicas[host].confirm_current()
+        return network
+
+    def start_host(self, network: Network) -> None:
+        """Let h2 read a snapshot after the deletion."""
+        snapshot = ItemsUpdate(SPACE, 0, 60, True, [Item("routes", 40, b"r")])
+        network.replicas["h2"].apply(snapshot, "platform")
+        network.replicas["h2"].confirm_current()
+
+    def test_deletion_before_a_snapshot_is_not_hidden(self):
+        """The host that saw the deletion reports after the one that did not."""
+        network = self.make_network()
+        self.start_host(network)
+        network.syncs["h0"].receive_summaries("h2", network.syncs["h2"].summarize())
+        deletion = ItemsUpdate(SPACE, 50, 58, False, [Item("s", 58, None)])
+        network.replicas["h1"].apply(deletion, "platform")
+        network.run(4)
+        self.assertIsNone(network.replicas["h0"].get("s"))
+
+    def test_deletion_that_only_a_snapshot_shows_is_learnt(self):
+        """No host saw the deletion itself."""
+        network = self.make_network()
+        self.start_host(network)
+        network.run(8)
+        found = [replica.get("s") for replica in network.replicas.values()]
+        self.assertEqual([None] * 3, found)
+
+    def test_host_without_state_confirms_nothing(self):
+        """Its summary is not the begin of an outage that the first answer ends."""
+        replica = Replica(SPACE, ManualTimers())
+        calls = []
+        replica.subscribe_confirmed(lambda *times: calls.append(times))
+        replica.apply_summary(0, 0, 3600.0)
+        self.assertEqual([], calls)
+
+
 class _Outbox:
     def __init__(self, network: Network, host: str) -> None:
         self._network = network
