--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -323,7 +323,8 @@
         """
         is_later_era = self.as_of > 0 and get_era(as_of) > get_era(self.as_of)
         if is_later_era or last_change > self.as_of:
-            return False
+            # A peer that is no further can't fill the gap before the last change.
+            return as_of <= self.as_of and last_change <= self.last_change
         if as_of > self.as_of and deletions_after > self.as_of:
             return self.get_age_s() < MAX_UNCONFIRMED_AGE_S
         if as_of and as_of >= self.as_of:
--- a/oleanderpier/replication/sync.py
+++ b/oleanderpier/replication/sync.py
@@ -168,8 +168,10 @@
             updates = [replica.list_changes_since(0), replica.list_tombstones()]
             receivers = self._list_neighbours()
         else:
+            # A follower behind a snapshot may have missed a deletion before it.
+            after = max(change.after, replica.deletions_after)
             update = ItemsUpdate(
-                replica.space, change.after, replica.as_of, False, change.items
+                replica.space, after, replica.as_of, False, change.items
             )
             updates, receivers = [update], self._list_followers()
         for host in receivers:
--- a/oleanderpier/replication/tests/test_sync.py
+++ b/oleanderpier/replication/tests/test_sync.py
@@ -103,6 +103,17 @@
         found = [replica.get("s") for replica in network.replicas.values()]
         self.assertEqual([None] * 3, found)
 
+    def test_push_after_a_snapshot_does_not_hide_a_deletion(self):
+        """The host that read the snapshot watches, and tells of the next change."""
+        network = self.make_network()
+        network.followers["h2"] = ["h0", "h1"]
+        self.start_host(network)
+        network.publish("h2", 62, b"r2")
+        network.run(8)
+        found = [replica.get("s") for replica in network.replicas.values()]
+        self.assertEqual([None] * 3, found)
+        self.assertEqual([b"r2"] * 3, network.list_values())
+
     def test_host_without_state_confirms_nothing(self):
         """Its summary is not the begin of an outage that the first answer ends."""
         replica = Replica(SPACE, ManualTimers())
