Reserve a second for the end of a daemon's drain

Cause: the two waits for last responses, two closings of listeners and the end of the process add up to more than the 0.6 s reserved for them.

--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -58,7 +58,7 @@
 CACHE_EVENTS_INTERVAL_S = 5.0
 # Part of ``drain_s`` that is reserved for the last responses and for closing
 # connections.
-SHUTDOWN_RESERVE_S = 0.6
+SHUTDOWN_RESERVE_S = 1.0
 # Time for the last responses to be sent when the drain has to end.
 LAST_RESPONSE_TIMEOUT_S = 0.2
 SHUTDOWN_TIMEOUT_S = 0.05
