--- a/oleanderpier/connections/tests/test_listeners.py
+++ b/oleanderpier/connections/tests/test_listeners.py
@@ -90,7 +90,6 @@
         """Each request whose handler has begun has a response."""
         for _ in range(BUSY_ROUNDS):
             begun, answered = run_coroutine(_finish_under_load())
-            self.assertGreater(len(begun), BUSY_CALLER_COUNT)
             self.assertEqual(set(), begun - answered)
 
 
@@ -126,7 +125,8 @@
         asyncio.create_task(send_until_closed(number, port))
         for number in range(BUSY_CALLER_COUNT)
     ]
-    await asyncio.sleep(10 * BUSY_WORK_S)
+    while len(begun) <= BUSY_CALLER_COUNT:
+        await asyncio.sleep(BUSY_WORK_S)
     await listener.finish(timers.now() + FINISH_TIMEOUT_S)
     await listener.close()
     await asyncio.gather(*callers)
