--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -157,6 +157,8 @@
         if era_changed:
             self._begin_era()
         items = self._list_effects(update)
+        if source != PLATFORM and not era_changed:
+            items = [item for item in items if not self._is_deleted(item)]
         retained = self._find_retained(items, update.as_of, era_changed)
         changed = self._store_items(update, items, retained, source)
         if era_changed:
@@ -226,6 +228,14 @@
             )
         return changed
 
+    def _is_deleted(self, item: Item) -> bool:
+        """Return whether a peer's item has a key that was deleted since.
+
+        All keys up to this replica's revision are known but for those deleted before
+        its snapshot, which has no tombstones.
+        """
+        return item.key not in self._revisions and item.revision <= self.as_of
+
     def _begin_era(self) -> None:
         """Announce a new era."""
         self.era_changed_s = self._timers.now()
--- a/oleanderpier/replication/tests/test_sync.py
+++ b/oleanderpier/replication/tests/test_sync.py
@@ -114,6 +114,14 @@
         self.assertEqual([None] * 3, found)
         self.assertEqual([b"r2"] * 3, network.list_values())
 
+    def test_older_snapshot_of_a_peer_does_not_restore_a_key(self):
+        """The key was deleted before the snapshot that this host has read."""
+        network = self.make_network()
+        self.start_host(network)
+        older = network.replicas["h0"].list_changes_since(0)
+        network.replicas["h2"].apply(older, "h0")
+        self.assertIsNone(network.replicas["h2"].get("s"))
+
     def test_host_without_state_confirms_nothing(self):
         """Its summary is not the begin of an outage that the first answer ends."""
         replica = Replica(SPACE, ManualTimers())
