--- a/oleanderpier/connections/listeners.py
+++ b/oleanderpier/connections/listeners.py
@@ -14,11 +14,17 @@
 
 from oleanderpier.utils import Timers
 
-__all__ = ["ConnectionCounts", "HttpListener", "has_queued_request"]
+__all__ = [
+    "LINGER_RESET",
+    "ConnectionCounts",
+    "HttpListener",
+    "has_queued_request",
+]
 
 LISTEN_BACKLOG = 512
 POLL_INTERVAL_S = 0.02
-# Value of SO_LINGER with which a close resets the connection.
+# Value of SO_LINGER with which a close, also that of a process that is killed, resets
+# the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
--- a/oleanderpier/daemon/callers.py
+++ b/oleanderpier/daemon/callers.py
@@ -154,7 +154,7 @@
         return acquired
 
     try:
-        async with node.request_end.limit():
+        async with node.request_limits.limit(None):
             result = await send_repeatable_call(
                 node.relay.session,
                 node.timers,
@@ -187,14 +187,14 @@
     timeout_s = work_class["first_token_s"] if work_class else RETRY_AFTER_S
 
     async def send(remaining_s: float) -> Result[BackendResponse, SendError]:
-        node.request_end.lift(claim_limit)
+        node.request_limits.lift(claim_limit)
         class_result = check_request(node, body, "service")
         if class_result.is_error():
             return Error(NotSent(class_result.error))
         return await send_claimed_call(node, body, class_result.ok, remaining_s)
 
     try:
-        async with node.request_end.limit() as claim_limit:
+        async with node.request_limits.limit(None) as claim_limit:
             return await run_call(node.claims, body["key"], send, timeout_s)
     except TimeoutError:
         text = "this host stops; ask another with the same key"
@@ -218,7 +218,7 @@
     deadline_s = node.timers.now() + remaining_s
     permit_request = make_permit_request(node, body, work_class)
     try:
-        async with node.request_end.limit():
+        async with node.request_limits.limit(None):
             acquired = await node.permits.acquire(permit_request)
     except TimeoutError:
         return Error(NotSent(make_end_failure(False)))
@@ -230,7 +230,7 @@
         permit.abandon()
         return Error(NotSent(Failure(Code.TARGET_UNREACHABLE, "", RETRY_AFTER_S)))
     try:
-        async with node.request_end.limit():
+        async with node.request_limits.limit(None):
             # The caller can look up a response that arrives after the target, so
             # the send may wait for whole_s.
             sent = await send_call(
--- a/oleanderpier/daemon/node.py
+++ b/oleanderpier/daemon/node.py
@@ -25,7 +25,6 @@
 from oleanderpier.connections import HttpListener
 from oleanderpier.daemon.counts import RequestCounts
 from oleanderpier.daemon.directory import Directory
-from oleanderpier.daemon.ending import RequestEnd
 from oleanderpier.daemon.permits import PermitClient
 from oleanderpier.daemon.probes import CacheEvent, poll_cache_events, probe_server
 from oleanderpier.daemon.recorder import EventRecorder
@@ -43,7 +42,7 @@
 from oleanderpier.relay import Relay, Step, make_session
 from oleanderpier.results import Code, Failure
 from oleanderpier.settings import Settings
-from oleanderpier.utils import LoopTimers
+from oleanderpier.utils import EndableLimits, LoopTimers
 
 __all__ = ["Node"]
 
@@ -83,7 +82,7 @@
         incarnation: Wall clock at the start in milliseconds. It identifies one
             start of the daemon on this host, and increases with each.
         in_progress: Number of callers' requests that are being served.
-        request_end: Ends what calls and look-ups wait for.
+        request_limits: End what calls and look-ups wait for.
         address_expired: Whether all address lists that name this host have
             expired during a drain. New requests are then refused.
     """
@@ -100,7 +99,7 @@
         self.rng = random.Random(f"{self.host}:{self.incarnation}")
         self.registry = CollectorRegistry()
         self.counts = RequestCounts(self.registry)
-        self.request_end = RequestEnd()
+        self.request_limits = EndableLimits()
         self._listeners: dict[str, HttpListener] = {}
         self._drain_deadline_s = math.inf
         self._tasks: list[asyncio.Task] = []
@@ -282,7 +281,7 @@
         """Give each request in progress its final response."""
         log_message("daemon:requests_ended", in_progress=self.in_progress)
         self.relay.watchdogs.end_all()
-        self.request_end.reach()
+        self.request_limits.end()
 
     async def stop(self) -> None:
         """Answer the operators, then cancel the tasks and close all connections."""
@@ -316,7 +315,7 @@
 
         self.claims.look_up(key, notify)
         try:
-            async with self.request_end.limit():
+            async with self.request_limits.limit(None):
                 return await future
         except TimeoutError:
             text = "this host stops; ask another"
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -11,7 +11,7 @@
 from aiohttp.web_request import BaseRequest
 from eliot import log_message
 
-from oleanderpier.connections import has_queued_request
+from oleanderpier.connections import LINGER_RESET, has_queued_request
 from oleanderpier.entry import ADDRESS_TTL_S, EntryNode
 from oleanderpier.events import make_metrics_response
 from oleanderpier.exception import CallerDisconnectedError
@@ -40,9 +40,7 @@
 DEFAULT_MAX_BODY_BYTES = 4 << 20
 # A request whose body is not complete by then is refused.
 BODY_TIMEOUT_S = 10.0
-# Values of SO_LINGER: with the first one a close, also that of a process that is
-# killed, resets the connection; the second one is the default.
-LINGER_RESET = struct.pack("ii", 1, 0)
+# The default value of SO_LINGER.
 LINGER_OFF = struct.pack("ii", 0, 0)
 # Upper bound of the length of an address list.
 MAX_ADDRESS_COUNT = 64
--- a/oleanderpier/utils/limits.py
+++ b/oleanderpier/utils/limits.py
@@ -52,11 +52,14 @@
                 limit.reschedule(now_s)
 
     @asynccontextmanager
-    async def limit(self, limit_s: float) -> AsyncIterator[None]:
+    async def limit(self, limit_s: float | None) -> AsyncIterator[asyncio.Timeout]:
         """Cancel the body of an ``async with`` when its time is over.
 
         Args:
-            limit_s: The limit in seconds.
+            limit_s: The limit in seconds; None for one that only ``end`` ends.
+
+        Yields:
+            The limit, which ``lift`` takes.
 
         Raises:
             TimeoutError: The limit was exceeded, or all limits were ended.
@@ -64,6 +67,10 @@
         async with asyncio.timeout(0.0 if self.ended else limit_s) as limit:
             self._limits.add(limit)
             try:
-                yield
+                yield limit
             finally:
                 self._limits.discard(limit)
+
+    def lift(self, limit: asyncio.Timeout) -> None:
+        """Let the body of a limit run on when the limits are ended."""
+        self._limits.discard(limit)
--- a/oleanderpier/utils/tests/test_limits.py
+++ b/oleanderpier/utils/tests/test_limits.py
@@ -4,7 +4,14 @@
 
 from testtools import TestCase
 
-from oleanderpier.utils import ManualTimers, limit_time, run_coroutine
+from oleanderpier.utils import (
+    EndableLimits,
+    ManualTimers,
+    limit_time,
+    run_coroutine,
+)
+
+WAIT_S = 0.05
 
 
 class LimitTimeTest(TestCase):
@@ -39,3 +46,58 @@
     def test_no_limit(self):
         """Without a limit nothing is cancelled."""
         self.assertFalse(self.run_limited(1000.0, None))
+
+
+class EndableLimitsTest(TestCase):
+    """Which waits end when requests have to end."""
+
+    def test_wait_in_progress_ends(self):
+        """It began before the end."""
+        self.assertEqual("ended", run_coroutine(wait_while(EndableLimits.end)))
+
+    def test_wait_that_begins_after_the_end_ends(self):
+        """A request that was read after another one on its connection."""
+        limits = EndableLimits()
+
+        async def run() -> str:
+            limits.end()
+            return await wait_for(limits)
+
+        self.assertEqual("ended", run_coroutine(run()))
+
+    def test_wait_without_an_end_runs_on(self):
+        """The limit has no time of its own."""
+        self.assertEqual("whole", run_coroutine(wait_while(lambda limits: None)))
+
+    def test_lifted_wait_runs_on(self):
+        """What follows has a limit of its own."""
+
+        async def run() -> str:
+            limits = EndableLimits()
+            waiting = asyncio.ensure_future(wait_for(limits, lifted=True))
+            await asyncio.sleep(0)
+            limits.end()
+            return await waiting
+
+        self.assertEqual("whole", run_coroutine(run()))
+
+
+async def wait_while(act) -> str:
+    """Return how a wait ended during which ``act`` was called."""
+    limits = EndableLimits()
+    waiting = asyncio.ensure_future(wait_for(limits))
+    await asyncio.sleep(0)
+    act(limits)
+    return await waiting
+
+
+async def wait_for(limits: EndableLimits, lifted: bool = False) -> str:
+    """Return ``whole`` if a limited wait was, ``ended`` if it was not."""
+    try:
+        async with limits.limit(None) as limit:
+            if lifted:
+                limits.lift(limit)
+            await asyncio.sleep(WAIT_S)
+    except TimeoutError:
+        return "ended"
+    return "whole"
