Close the connections of raw handlers in tests, however they end

make test failed in test_calls.py: a raw handler raised IncompleteReadError when its caller left, its writer stayed open, and the ResourceWarning of the socket was blamed on whichever test ran when it was collected.

serve_raw_connections moves to standins, closes each connection and awaits its handler; a handler that fails otherwise now fails its own test. test_sessions, test_raw_callers and test_proxy use it; handlers of test_connects and test_mesh close in a finally block.

--- a/oleanderpier/connections/tests/test_connects.py
+++ b/oleanderpier/connections/tests/test_connects.py
@@ -31,9 +31,13 @@
 
             async def serve(reader, writer) -> None:
                 accepted.add(writer)
-                await reader.read()
-                accepted.discard(writer)
-                writer.close()
+                try:
+                    await reader.read()
+                except ConnectionError:
+                    return
+                finally:
+                    accepted.discard(writer)
+                    writer.close()
 
             async with await asyncio.start_server(serve, "127.0.0.1", 0) as listener:
                 session = make_session()
@@ -94,8 +98,12 @@
 
 
 async def _hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    await reader.read()
-    writer.close()
+    try:
+        await reader.read()
+    except ConnectionError:
+        return
+    finally:
+        writer.close()
 
 
 def _is_open(descriptor: int) -> bool:
--- a/oleanderpier/connections/tests/test_sessions.py
+++ b/oleanderpier/connections/tests/test_sessions.py
@@ -10,6 +10,7 @@
 
 from oleanderpier.connections import make_session
 from oleanderpier.utils import run_coroutine
+from standins.raw_listeners import serve_raw_connections
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 WITHOUT_LENGTH = HEAD + b"Connection: close\r\n\r\n"
@@ -52,17 +53,17 @@
 
     async def run():
         server = _Server(response, end)
-        listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
-        port = listener.sockets[0].getsockname()[1]
-        session = make_session(**options)
-        try:
-            async with session.request(method, f"http://127.0.0.1:{port}/") as received:
-                return await received.read(), server.requests
-        except aiohttp.ClientError as error:
-            return error, server.requests
-        finally:
-            await session.close()
-            listener.close()
+        async with serve_raw_connections(server.serve) as port:
+            session = make_session(**options)
+            try:
+                async with session.request(
+                    method, f"http://127.0.0.1:{port}/"
+                ) as received:
+                    return await received.read(), server.requests
+            except aiohttp.ClientError as error:
+                return error, server.requests
+            finally:
+                await session.close()
 
     return run_coroutine(run())
 
--- a/oleanderpier/peers/tests/test_mesh.py
+++ b/oleanderpier/peers/tests/test_mesh.py
@@ -48,10 +48,14 @@
 
     async def copy(self, reader, writer, silent):
         """Copy data until the end; drop it once ``silent`` is set."""
-        while data := await reader.read(65536):
-            if not silent.is_set():
-                writer.write(data)
-        writer.close()
+        try:
+            while data := await reader.read(65536):
+                if not silent.is_set():
+                    writer.write(data)
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
 
 
 async def make_mesh(name, port=0):
--- a/oleanderpier/relay/tests/test_calls.py
+++ b/oleanderpier/relay/tests/test_calls.py
@@ -22,6 +22,7 @@
 )
 from oleanderpier.results import Code, MaybeSent, NotSent
 from oleanderpier.utils import LoopTimers, ManualTimers
+from standins.raw_listeners import serve_raw_connections
 from standins.service import Service, make_service_app
 
 KEY = "01890a5d-ac96-774b-bcce-b302099a8057"
@@ -43,16 +44,6 @@
         yield service, make_server(name, port, "service")
 
 
-@contextlib.asynccontextmanager
-async def serve_raw_connections(handle) -> AsyncIterator[int]:
-    """Serve raw connections; yield the port."""
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
-    try:
-        yield server.sockets[0].getsockname()[1]
-    finally:
-        server.close()
-
-
 async def send_payout(server: dict, key: str | None = KEY, timers=None):
     """Send one call over a session of its own."""
     timers = timers or LoopTimers()
@@ -174,7 +165,6 @@
                     writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
                     if b"connection: close" in head.lower():
                         break
-            writer.close()
 
         async def run_pooled_session() -> None:
             async with (
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -7,6 +7,7 @@
 
 from oleanderpier.utils import run_coroutine
 from soak.proxy import LINGER_RESET, FaultProxy
+from standins.raw_listeners import serve_raw_connections
 
 
 def end_target_connection(with_reset: bool) -> bool:
@@ -21,20 +22,19 @@
         writer.transport.abort()
 
     async def run() -> bool:
-        target = await asyncio.start_server(serve, "127.0.0.1", 0)
-        proxy = FaultProxy(f"127.0.0.1:{target.sockets[0].getsockname()[1]}")
-        await proxy.start(0)
-        port = proxy._listener.sockets[0].getsockname()[1]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(b"x")
-        try:
-            data = await reader.read()
-        except ConnectionResetError:
-            return True
-        finally:
-            writer.close()
-            await proxy.stop()
-            target.close()
+        async with serve_raw_connections(serve) as target_port:
+            proxy = FaultProxy(f"127.0.0.1:{target_port}")
+            await proxy.start(0)
+            port = proxy._listener.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"x")
+            try:
+                data = await reader.read()
+            except ConnectionResetError:
+                return True
+            finally:
+                writer.close()
+                await proxy.stop()
         assert data == b"x"
         return False
 
--- a/standins/tests/test_raw_callers.py
+++ b/standins/tests/test_raw_callers.py
@@ -9,6 +9,7 @@
 from oleanderpier.utils import run_coroutine
 from soak.proxy import LINGER_RESET
 from standins.raw_callers import BodyForm, RawCaller, RawRequest, RawResponse
+from standins.raw_listeners import serve_raw_connections
 
 # Time for which the server leaves the connection open after its response.
 OPEN_S = 0.1
@@ -45,13 +46,11 @@
         writer.transport.abort()
 
     async def run() -> RawResponse:
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        caller = await RawCaller.connect(f"127.0.0.1:{port}")
-        received = await caller.exchange(REQUEST._replace(form=form))
-        caller.close()
-        server.close()
-        await asyncio.sleep(CLOSE_S)
+        async with serve_raw_connections(serve) as port:
+            caller = await RawCaller.connect(f"127.0.0.1:{port}")
+            received = await caller.exchange(REQUEST._replace(form=form))
+            caller.close()
+            await asyncio.sleep(CLOSE_S)
         return received
 
     return run_coroutine(run())
