Log a key of the path, the caller and the body of requests that broke off

The logs had the path of a request, but neither its caller nor its body, so that they could not show whether the requests that were in flight at servers that ended were one and the same. forward:send now has request_key for responses that were lost or cut and for attempts that were cancelled: a hash that is equal whenever the request is sent again, at any host.

--- a/oleanderpier/forwarding/__init__.py
+++ b/oleanderpier/forwarding/__init__.py
@@ -5,4 +5,5 @@
 from oleanderpier.forwarding.events import *  # noqa: F403
 from oleanderpier.forwarding.forwarder import *  # noqa: F403
 from oleanderpier.forwarding.records import *  # noqa: F403
+from oleanderpier.forwarding.request_keys import *  # noqa: F403
 from oleanderpier.forwarding.statements import *  # noqa: F403
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -9,6 +9,7 @@
 from oleanderpier.connections import refuses_connections
 from oleanderpier.forwarding.attempts import Attempt
 from oleanderpier.forwarding.records import Call
+from oleanderpier.forwarding.request_keys import list_prompt_keys
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
     AttemptOutcome,
@@ -18,15 +19,12 @@
     ServerEntry,
     ServerHealth,
 )
-from oleanderpier.utils import Timers, hash_text
+from oleanderpier.utils import Timers
 
-__all__ = ["CrashGuard", "list_prompt_keys", "log_quarantines"]
+__all__ = ["CrashGuard", "log_quarantines"]
 
 # A response whose events have arrived for this long shows that the server can answer.
 SOUND_AFTER_S = 0.5
-# Further parts of a prompt are not examined.
-MAX_PARTS = 16
-MAX_KEY_LENGTH = 64
 # Outcomes after which the server may have ended.
 _BROKEN = frozenset({AttemptOutcome.CUT, AttemptOutcome.LOST})
 
@@ -169,17 +167,6 @@
     return attempt.response is None or attempt.response.head.status < 300
 
 
-def list_prompt_keys(call: Call) -> PromptKeys:
-    """Return the keys of the parts of a prompt that other requests may share.
-
-    The last part belongs to the request alone. Long ids are replaced by hashes.
-    """
-    return tuple(
-        identity if len(identity) <= MAX_KEY_LENGTH else f"{hash_text(identity):016x}"
-        for identity, _ in call.prompt_parts[:-1][:MAX_PARTS]
-    )
-
-
 def log_quarantines(quarantines: list[Quarantine], source: str = "") -> None:
     """Log quarantines that have begun, or begun anew.
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -19,6 +19,7 @@
     RequestOutcome,
     ResponseHead,
 )
+from oleanderpier.forwarding.request_keys import RequestKeys
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     AttemptOutcome,
@@ -52,6 +53,10 @@
 MAX_LOGGED_PARTS = 16
 # Outcome in the log of an attempt that was cancelled.
 INTERRUPTED = "interrupted"
+# Outcomes after which the log has the key of the request as a whole.
+_BROKEN_ENDINGS = frozenset(
+    {AttemptOutcome.LOST.value, AttemptOutcome.CUT.value, INTERRUPTED}
+)
 
 
 class ResponseCounts(NamedTuple):
@@ -173,6 +178,7 @@
     def __init__(self, forwarder: Forwarder, call: Call, caller: Caller) -> None:
         self._forwarder = forwarder
         self._call = call
+        self._keys = RequestKeys(call)
         self._caller = _TrackedCaller(caller, forwarder.timers)
         self._splitter = EventSplitter()
         prefixes = call.shared_prefixes
@@ -347,6 +353,7 @@
             prompt_parts=[]
             if outcome == AttemptOutcome.DELIVERED.value
             else [part.identity for part in self._call.prompt_parts][:MAX_LOGGED_PARTS],
+            request_key=self._keys.whole if outcome in _BROKEN_ENDINGS else "",
             ending=outcome,
             reason=self._reason,
             took_s=round(ended_s - started_s, 4),
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -10,10 +10,12 @@
 
 from oleanderpier.utils import hash_text
 
-__all__ = ["Crash", "CrashLog", "PromptKeys"]
+__all__ = ["REQUEST_KEY_PREFIX", "Crash", "CrashLog", "PromptKeys"]
 
 # The keys of the parts of a prompt.
 PromptKeys = tuple[str, ...]
+# Begins the key of a whole request. Ids of prompt parts have no colon.
+REQUEST_KEY_PREFIX = "request:"
 
 CRASH_KEPT_S = 600.0
 MAX_CRASHES = 256
