--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -19,6 +19,7 @@
 ]
 
 EVENT_INTERVAL_S = 0.1
+CRASH_DELAY_S = 0.03
 # Time from a crash until the server listens again.
 RESTART_DELAY_S = 2.0
 PROMPT_HEADER = "Prompt-Prefix"
@@ -76,6 +77,9 @@
         padding_bytes: Bytes by which it makes a response that is no stream longer.
         crashing_part: A part of prompts on which the server crashes as soon as it
             begins to answer; the last part of a prompt does not count.
+        crashing_request: The path, with its query, and the body of requests that crash
+            the server after ``CRASH_DELAY_S`` of work, whoever sends them; None for
+            none.
         crash_times_s: When it crashed.
         run: The number of its starts.
         on_crash: Called when it crashes.
@@ -97,6 +101,7 @@
         self.work_s = 0.0
         self.padding_bytes = 0
         self.crashing_part = ""
+        self.crashing_request: tuple[str, bytes] | None = None
         self.crash_times_s: list[float] = []
         self.run = 0
         self.on_crash: Callable[[], None] = lambda: None
@@ -125,7 +130,12 @@
         await self._server.shutdown(0.1)
 
     def crash(self) -> None:
-        """End all connections and stop listening; start again after some time."""
+        """End all connections and stop listening; start again after some time.
+
+        A server that has not started again does not crash.
+        """
+        if self._restarting is not None and not self._restarting.done():
+            return
         loop = asyncio.get_running_loop()
         self.crash_times_s.append(loop.time())
         self._listener.close()
@@ -159,6 +169,9 @@
             "Response-Signature": self.instance_id,
             **self.response_headers,
         }
+        if (request.raw_path, await request.read()) == self.crashing_request:
+            await asyncio.sleep(CRASH_DELAY_S)
+            self.crash()
         if self.returns_errors or part_fault is PartFault.ERROR:
             return web.Response(status=500, headers=headers)
         if part_fault is PartFault.MUTE:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -228,13 +228,23 @@
         samples = (line.rpartition(" ") for line in lines if line[:1] != "#")
         return {name: float(value) for name, _, value in samples}
 
-    def request(self, number: int, path: str, request_id: str, **headers: str):
-        """Return the context manager of a request to a host."""
+    def request(
+        self,
+        number: int,
+        path: str,
+        request_id: str,
+        body: bytes = b"body",
+        **headers: str,
+    ):
+        """Return the context manager of a request to a host.
+
+        A lookup has no body.
+        """
         method = "GET" if path.startswith("/lookup") else "POST"
         return self._session.request(
             method,
             f"http://{self.settings[number]['Listen']['Front']}{path}",
-            data=None if method == "GET" else b"body",
+            data=None if method == "GET" else body,
             headers={
                 "Host": HOST_NAME,
                 "Request-Id": request_id,
