Hold back a request that has crashed three servers, and it alone

One lookup ended all three servers of its service, one after the other, each time that it came; it was sent on to the next server at every host.

Cause: a fault that travels with the request was looked for only in the parts of prompts. Path, caller and body never reached the decision: a request without a prompt was no suspect of any crash, and no check was made whether its server had ended. Besides, crashes within 0.1 s of each other counted once, and a resent request crashes the next server after 0.06 s.

Now each request has a key of its path, caller and body, which is a suspect beside the parts of its prompt, also when its events had arrived for a while. After three crashes since it was last answered it is refused, whether it was answered before or not. It goes before the parts of its prompt unless another request with the part crashes a server too. A request that is sent when a crash on it is known carries a mark, with which its crash counts for itself. Keys and marks travel like prompt parts, so that hosts of the version before pass them on to hosts that start.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -10,9 +10,9 @@
 from oleanderpier.routing import (
     Crash,
     PoisonParts,
-    PromptKeys,
     Quarantine,
     ServerEntry,
+    SuspectKeys,
 )
 from oleanderpier.utils import Outbox, Timers
 
@@ -58,7 +58,7 @@
         )
 
     def announce_crash(
-        self, server: ServerEntry, at_s: float, suspects: list[PromptKeys]
+        self, server: ServerEntry, at_s: float, suspects: list[SuspectKeys]
     ) -> None:
         """Send the other hosts a crash, with this host's suspects."""
         crash = Crash(
--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -11,6 +11,7 @@
     CRASHES_FEATURE,
     LEAVING_FEATURE,
     LIMITS_FEATURE,
+    REQUEST_KEYS_FEATURE,
     CrashNews,
     FleetView,
     LeavingServers,
@@ -19,8 +20,8 @@
     LimitReply,
 )
 from oleanderpier.peers import Mesh
-from oleanderpier.routing import PoisonParts, ServerStatements
-from oleanderpier.utils import Timers
+from oleanderpier.routing import PoisonParts, ServerStatements, is_request_key
+from oleanderpier.utils import Timers, rank_candidates
 
 __all__ = ["ServerExchange"]
 
@@ -53,6 +54,8 @@
         mesh: Mesh,
     ) -> None:
         self._mesh = mesh
+        self._view = view
+        self._list_ready = list_ready
         self.statements = ServerStatements()
         self.leaving = LeavingGossip(
             self.statements,
@@ -71,7 +74,7 @@
         self.send_limits = SendLimits(
             mesh.host,
             self.statements,
-            lambda: _keep_supporting(list_ready(), mesh.host, view),
+            lambda: _keep_supporting(LIMITS_FEATURE, list_ready(), mesh.host, view),
             timers,
             rng,
             mesh,
@@ -93,13 +96,22 @@
         self._mesh.subscribe(LimitReply, self.send_limits.receive_reply)
         self._mesh.subscribe(CrashNews, self.crash_gossip.receive)
 
+    def is_tester(self, key: str) -> bool:
+        """Return whether this is the host that tries a quarantined key."""
+        feature = REQUEST_KEYS_FEATURE if is_request_key(key) else CRASHES_FEATURE
+        own = self._mesh.host
+        hosts = _keep_supporting(feature, self._list_ready(), own, self._view)
+        return rank_candidates(key, hosts)[:1] == [own]
+
     def send_all(self, newcomer: str) -> None:
         """Send everything to a host that has just started."""
         for part in (self.leaving, self.limits, self.crash_gossip):
             part.send_all(newcomer)
 
 
-def _keep_supporting(hosts: list[str], own: str, view: FleetView) -> list[str]:
-    """Return those of several hosts that reply to ``LimitQuery``."""
-    supporting = {own, *view.list_with_feature(LIMITS_FEATURE)}
+def _keep_supporting(
+    feature: str, hosts: list[str], own: str, view: FleetView
+) -> list[str]:
+    """Return those of several hosts that announce a feature, including this host."""
+    supporting = {own, *view.list_with_feature(feature)}
     return [host for host in hosts if host in supporting]
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -28,6 +28,7 @@
     DOMAIN_LOADS_FEATURE,
     LEAVING_FEATURE,
     LIMITS_FEATURE,
+    REQUEST_KEYS_FEATURE,
     CachePlacements,
     DomainLoads,
     FleetLoads,
@@ -69,7 +70,7 @@
     RouteIndex,
     ServerHealth,
 )
-from oleanderpier.utils import LoopTimers, rank_candidates
+from oleanderpier.utils import LoopTimers
 
 __all__ = [
     "CONFIGURATION",
@@ -85,7 +86,13 @@
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 # What this host announces in its reports.
 FEATURES = dict.fromkeys(
-    (DOMAIN_LOADS_FEATURE, LEAVING_FEATURE, CRASHES_FEATURE, LIMITS_FEATURE),
+    (
+        DOMAIN_LOADS_FEATURE,
+        LEAVING_FEATURE,
+        CRASHES_FEATURE,
+        LIMITS_FEATURE,
+        REQUEST_KEYS_FEATURE,
+    ),
     ReplicaSummary(0, 0, 0.0),
 )
 MILLISECONDS_PER_S = 1000
@@ -263,7 +270,7 @@
                 exchange.poison,
                 self.health,
                 self.timers,
-                self._is_tester,
+                exchange.is_tester,
                 exchange.crash_gossip.announce_crash,
                 exchange.crash_gossip.announce_sound,
             ),
@@ -437,12 +444,6 @@
         own = [self.settings.peer_address] if self.state == "ready" else []
         return [*self.view.list_ready(), *own]
 
-    def _is_tester(self, part: str) -> bool:
-        """Return whether this is the host that tries a quarantined prompt part."""
-        return rank_candidates(part, self._list_ready())[:1] == [
-            self.settings.peer_address
-        ]
-
     def _apply_configuration(self, change: Change) -> None:
         for item in change.items:
             if item.key != CONFIGURATION_KEY or not item.value:
--- a/oleanderpier/entry/tests/test_crash_patterns.py
+++ b/oleanderpier/entry/tests/test_crash_patterns.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from oleanderpier.entry.tests.test_crash_gossip import CrashFleet
-from oleanderpier.routing import PromptKeys
+from oleanderpier.routing import SuspectKeys
 
 SERVER_COUNT = 78
 DOWN_S = 3.0
@@ -24,12 +24,13 @@
 CONTACT_S = 3.0
 
 
-class _Replay:
+class CrashReplay:
     """Requests to servers that crash, on the clock of the hosts' timers.
 
     Args:
         hosts: The number of hosts.
         random_crashes_per_s: How often a server crashes whatever it works on.
+        servers: The number of servers.
 
     Attributes:
         crashes: Servers that crashed, by cause.
@@ -39,7 +40,12 @@
         served: Requests that were answered, by kind.
     """
 
-    def __init__(self, hosts: int, random_crashes_per_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        hosts: int,
+        random_crashes_per_s: float = 0.0,
+        servers: int = SERVER_COUNT,
+    ) -> None:
         self.fleet = CrashFleet(hosts)
         self.crashes: Counter[str] = Counter()
         self.bad_sent_s: list[float] = []
@@ -49,11 +55,14 @@
         self._hosts = list(self.fleet.gossips)
         self._rng = random.Random(hosts)
         self._random_crashes_per_s = random_crashes_per_s
-        self._runs = [1] * SERVER_COUNT
-        self._down_until_s = [0.0] * SERVER_COUNT
-        self._in_flight: list[dict[int, tuple[str, PromptKeys, float]]] = [
-            {} for _ in range(SERVER_COUNT)
+        self._servers = servers
+        self._runs = [1] * servers
+        self._down_until_s = [0.0] * servers
+        self._in_flight: list[dict[int, tuple[str, SuspectKeys, float]]] = [
+            {} for _ in range(servers)
         ]
+        # The numbers of requests that were sent before to another server.
+        self._resent: set[int] = set()
         self._events: list = []
         self._numbers = itertools.count()
 
@@ -72,10 +81,10 @@
             self.fleet.timers.advance(max(0.0, at_s - self.fleet.timers.now()))
             step(*arguments)
 
-    def count_late(self) -> int:
+    def count_late(self, tolerated: int = TOLERATED_CRASHES) -> int:
         """Return how many bad requests were sent after the bound."""
-        fifth = self.bad_crashes_s[TOLERATED_CRASHES - 1 : TOLERATED_CRASHES]
-        return sum(at_s > fifth[0] + CONTACT_S for at_s in self.bad_sent_s if fifth)
+        last = self.bad_crashes_s[tolerated - 1 : tolerated]
+        return sum(at_s > last[0] + CONTACT_S for at_s in self.bad_sent_s if last)
 
     def _schedule(self, at_s: float, step, *arguments) -> None:
         heapq.heappush(self._events, (at_s, next(self._numbers), step, arguments))
@@ -88,13 +97,16 @@
         rng = self._rng
         self._send(BAD, (f"first{rng.randrange(3)}", BAD, f"p{rng.randrange(300)}"))
 
-    def _send(self, kind: str, prompt: PromptKeys) -> None:
-        host, now_s = self._rng.choice(self._hosts), self.fleet.timers.now()
+    def _send(self, kind: str, prompt: SuspectKeys, host: str = "") -> None:
+        host = host or self._rng.choice(self._hosts)
+        now_s = self.fleet.timers.now()
         poison = self.fleet.poison[host]
         if poison.check(prompt, now_s, lambda part: host == "h0").part:
             self.refused[kind] += 1
             return
-        up = [n for n in range(SERVER_COUNT) if now_s >= self._down_until_s[n]]
+        up = [n for n in range(self._servers) if now_s >= self._down_until_s[n]]
+        if not up:
+            return
         server, number = self._rng.choice(up), next(self._numbers)
         self._in_flight[server][number] = (host, prompt, now_s)
         after_s, step = (RESPONSE_S, self._answer)
@@ -116,14 +128,14 @@
             self._crash(server, BAD)
 
     def _crash_any(self) -> None:
-        server = self._rng.randrange(SERVER_COUNT)
+        server = self._rng.randrange(self._servers)
         if self.fleet.timers.now() >= self._down_until_s[server]:
             self._crash(server, "other")
 
     def _crash(self, server: int, cause: str) -> None:
         self.crashes[cause] += 1
         now_s = self.fleet.timers.now()
-        suspects: dict[str, list[PromptKeys]] = {}
+        suspects: dict[str, list[SuspectKeys]] = {}
         for host, prompt, sent_s in self._in_flight[server].values():
             if now_s < sent_s + FIRST_EVENT_S:
                 suspects.setdefault(host, []).append(prompt)
@@ -140,7 +152,7 @@
     def test_requests_with_one_part_crash_few_servers(self):
         """The requests come at any host, for ten seconds."""
         for hosts in (7, 78, 300):
-            replay = _Replay(hosts)
+            replay = CrashReplay(hosts)
             replay.run(12.0, bad_from_s=2.0, bad_per_s=4.0)
             self.assertLessEqual(replay.count_late(), TOLERATED_ARRIVALS, hosts)
             self.assertGreater(replay.refused[BAD], 20, hosts)
@@ -148,14 +160,14 @@
 
     def test_part_is_found_among_other_crashes(self):
         """A server crashes for another reason twice a second."""
-        replay = _Replay(78, random_crashes_per_s=2.0)
+        replay = CrashReplay(78, random_crashes_per_s=2.0)
         replay.run(12.0, bad_from_s=2.0, bad_per_s=4.0)
         self.assertLessEqual(replay.count_late(), TOLERATED_ARRIVALS)
         self.assertEqual(0, replay.refused["sound"])
 
     def test_crashes_for_other_reasons_refuse_nothing(self):
         """Servers crash for a minute, twice a second."""
-        replay = _Replay(20, random_crashes_per_s=2.0)
+        replay = CrashReplay(20, random_crashes_per_s=2.0)
         replay.run(60.0, bad_from_s=60.0, bad_per_s=0.0)
         self.assertGreater(replay.crashes["other"], 80)
         self.assertEqual(0, replay.refused["sound"])
@@ -164,7 +176,7 @@
         """Each host gets a few messages for each crash."""
         received = {}
         for hosts in (78, 300):
-            replay = _Replay(hosts, random_crashes_per_s=2.0)
+            replay = CrashReplay(hosts, random_crashes_per_s=2.0)
             replay.run(60.0, bad_from_s=60.0, bad_per_s=0.0)
             crashes = replay.crashes["other"]
             received[hosts] = len(replay.fleet.sent) / hosts / crashes
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -10,6 +10,7 @@
     "DOMAIN_LOADS_FEATURE",
     "LEAVING_FEATURE",
     "LIMITS_FEATURE",
+    "REQUEST_KEYS_FEATURE",
     "CachePlacements",
     "CrashNews",
     "DomainLoads",
@@ -48,6 +49,9 @@
 LEAVING_FEATURE = "feature:leaving_servers"
 # The same for ``CrashNews``.
 CRASHES_FEATURE = "feature:crash_news"
+# The same for keys of whole requests in ``CrashNews``. Hosts without it take them for
+# prompt parts that no request has.
+REQUEST_KEYS_FEATURE = "feature:request_keys"
 # The same for ``LimitedServers`` and ``LimitQuery``.
 LIMITS_FEATURE = "feature:server_limits"
 
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -8,22 +8,24 @@
 
 from oleanderpier.connections import refuses_connections
 from oleanderpier.forwarding.attempts import Attempt
-from oleanderpier.forwarding.records import Call
-from oleanderpier.forwarding.request_keys import list_prompt_keys
+from oleanderpier.forwarding.request_keys import RequestKeys
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
     AttemptOutcome,
     PoisonParts,
-    PromptKeys,
     Quarantine,
     ServerEntry,
     ServerHealth,
+    SuspectKeys,
+    is_request_key,
+    make_resend_mark,
 )
 from oleanderpier.utils import Timers
 
 __all__ = ["CrashGuard", "log_quarantines"]
 
-# A response whose events have arrived for this long shows that the server can answer.
+# A response whose events have arrived for this long shows that the server can read the
+# prompt.
 SOUND_AFTER_S = 0.5
 # Outcomes after which the server may have ended.
 _BROKEN = frozenset({AttemptOutcome.CUT, AttemptOutcome.LOST})
@@ -34,24 +36,24 @@
 
     Attributes:
         task: Returns whether it has.
-        suspects: The prompts of the requests that wait for it.
+        suspects: The keys of the requests that wait for it.
     """
 
     task: asyncio.Task[bool]
-    suspects: list[PromptKeys]
+    suspects: list[SuspectKeys]
 
 
 class CrashGuard:
     """Finds out which requests crash servers, and refuses them.
 
     Args:
-        poison: What is known of the parts of prompts that crash servers.
+        poison: What is known of the causes of crashes.
         health: Failures and backoff of the servers.
         timers: The timer service.
-        is_tester: Returns whether this host is the one that tries a part.
-        on_crash: Called with a server that has crashed, the time and the prompts of
-            this host's requests that may have caused it.
-        on_sound: Called with parts that were under suspicion, when a request with them
+        is_tester: Returns whether this host is the one that tries a key.
+        on_crash: Called with a server that has crashed, the time and the keys of this
+            host's requests that may have caused it.
+        on_sound: Called with keys that were under suspicion, when a request with them
             was answered.
         check_server: Returns whether nothing listens at a server's address.
     """
@@ -63,7 +65,7 @@
         timers: Timers,
         is_tester: Callable[[str], bool] = lambda part: True,
         on_crash: Callable[
-            [ServerEntry, float, list[PromptKeys]], None
+            [ServerEntry, float, list[SuspectKeys]], None
         ] = lambda server, at_s, suspects: None,
         on_sound: Callable[[list[str]], None] = lambda parts: None,
         check_server: Callable[[str, Timers], Awaitable[bool]] = refuses_connections,
@@ -77,50 +79,70 @@
         self._check_server = check_server
         self._checks: dict[tuple[str, int], _Check] = {}
 
-    def find_refusal(self, call: Call) -> Failure | None:
+    def find_refusal(self, keys: RequestKeys) -> Failure | None:
         """Return the failure to refuse a request with, None to send it."""
+        if not self._poison.is_watching():
+            return None
         verdict = self._poison.check(
-            list_prompt_keys(call), self._timers.now(), self._is_tester
+            (*keys.prompt, keys.whole), self._timers.now(), self._is_tester
         )
         if verdict.trial:
-            log_message("poison:trial", request=call.identity)
+            log_message("poison:trial", request=keys.identity, request_key=keys.whole)
         if not verdict.part:
             return None
-        text = f"prompt part {verdict.part} has crashed servers"
+        text = f"{_describe_key(verdict.part)} has crashed servers"
         return Failure(Code.PROMPT_QUARANTINED, text, verdict.wait_s)
 
-    def may_retry(self, call: Call) -> bool:
+    def may_retry(self, keys: RequestKeys) -> bool:
         """Return whether a request may be sent to another server."""
-        return self._poison.may_retry(list_prompt_keys(call))
+        return not self._poison.is_watching() or self._poison.may_retry(
+            (*keys.prompt, keys.whole)
+        )
+
+    def begin_attempt(self, keys: RequestKeys) -> None:
+        """Mark a request that is sent now, if an earlier crash on it is known."""
+        keys.marks = ()
+        if self._poison.is_watching() and self._poison.is_suspected(keys.whole):
+            keys.marks = (make_resend_mark(keys.whole),)
 
     async def record_attempt(
-        self, call: Call, server: ServerEntry, attempt: Attempt, outcome: AttemptOutcome
+        self,
+        keys: RequestKeys,
+        server: ServerEntry,
+        attempt: Attempt,
+        outcome: AttemptOutcome,
     ) -> None:
-        """Record what an attempt tells of the prompt, and of whether the server lives.
+        """Record what an attempt tells of the request, and of whether the server lives.
 
         After a response that broke off it waits until that is known.
+
+        Args:
+            keys: The keys of the request.
+            server: The server.
+            attempt: The attempt.
+            outcome: How it ended.
         """
-        prompt = list_prompt_keys(call)
-        if not prompt:
-            return
         now_s = self._timers.now()
-        first_at_s = attempt.first_event_at_s
-        is_begun = first_at_s is not None and now_s >= first_at_s + SOUND_AFTER_S
-        if (outcome is AttemptOutcome.DELIVERED and _is_success(attempt)) or (
-            outcome in _BROKEN and is_begun
-        ):
-            self._record_sound(prompt, now_s)
+        if outcome is AttemptOutcome.DELIVERED and _is_success(attempt):
+            whole = (keys.whole,) if self._poison.is_watching() else ()
+            self._record_sound((*keys.prompt, *whole), now_s)
         elif outcome in _BROKEN:
-            await self._check_for_crash(server, prompt, now_s)
-
-    def _record_sound(self, prompt: PromptKeys, now_s: float) -> None:
-        cleared = self._poison.record_sound(prompt, now_s)
+            first_at_s = attempt.first_event_at_s
+            is_begun = first_at_s is not None and now_s >= first_at_s + SOUND_AFTER_S
+            if is_begun:
+                self._record_sound(keys.prompt, now_s)
+            prompt = () if is_begun else keys.prompt
+            suspect = (*prompt, keys.whole, *keys.marks)
+            await self._check_for_crash(server, suspect, now_s)
+
+    def _record_sound(self, keys: SuspectKeys, now_s: float) -> None:
+        cleared = self._poison.record_sound(keys, now_s)
         if cleared:
             log_message("poison:sound", parts=cleared)
             self._on_sound(cleared)
 
     async def _check_for_crash(
-        self, server: ServerEntry, prompt: PromptKeys, at_s: float
+        self, server: ServerEntry, suspect: SuspectKeys, at_s: float
     ) -> None:
         """Check whether a server has crashed; its requests share one check.
 
@@ -129,14 +151,14 @@
         key = (server.identity, server.born_ms)
         check = self._checks.get(key)
         if check is None:
-            suspects: list[PromptKeys] = []
+            suspects: list[SuspectKeys] = []
             task = asyncio.create_task(self._run_check(server, at_s, suspects))
             check = self._checks[key] = _Check(task, suspects)
-        check.suspects.append(prompt)
+        check.suspects.append(suspect)
         await asyncio.shield(check.task)
 
     async def _run_check(
-        self, server: ServerEntry, at_s: float, suspects: list[PromptKeys]
+        self, server: ServerEntry, at_s: float, suspects: list[SuspectKeys]
     ) -> bool:
         try:
             has_crashed = await self._check_server(server.address, self._timers)
@@ -147,7 +169,7 @@
                 "poison:crash",
                 identity=server.identity,
                 born_ms=server.born_ms,
-                suspects=[list(prompt) for prompt in suspects],
+                suspects=[list(suspect) for suspect in suspects],
             )
             self._health.record_unreachable(server.identity)
             log_quarantines(
@@ -167,6 +189,11 @@
     return attempt.response is None or attempt.response.head.status < 300
 
 
+def _describe_key(key: str) -> str:
+    """Return what a key stands for, for the caller."""
+    return "this request" if is_request_key(key) else f"prompt part {key}"
+
+
 def log_quarantines(quarantines: list[Quarantine], source: str = "") -> None:
     """Log quarantines that have begun, or begun anew.
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -30,11 +30,11 @@
     ServerEntry,
     ServerHealth,
     ServerQuery,
-    ServiceShare,
     decide_retry,
+    pick_service,
     spread_return_s,
 )
-from oleanderpier.utils import EndableLimits, Timers, hash_text
+from oleanderpier.utils import EndableLimits, Timers
 
 __all__ = ["Forwarder", "ResponseCounts"]
 
@@ -47,8 +47,6 @@
 # Delay that a refusal asks the caller to wait: long enough for a server in backoff
 # to be tried again, short against the latency targets.
 RETRY_AFTER_S = 0.25
-# Number of values of hash_text.
-HASH_RANGE = 1 << 64
 # Upper bound of the parts of a prompt in a line of the log.
 MAX_LOGGED_PARTS = 16
 # Outcome in the log of an attempt that was cancelled.
@@ -142,11 +140,11 @@
         """
         return await _RequestForwarding(self, call, caller).run()
 
-    def find_refusal(self, call: Call) -> Failure | None:
+    def find_refusal(self, keys: RequestKeys) -> Failure | None:
         """Return the failure to refuse a request with at once, None to forward it."""
         if self.limits.ended:
             return Failure(Code.HOST_LEAVING, "this host stops", 0.0)
-        return self.guard.find_refusal(call)
+        return self.guard.find_refusal(keys)
 
     async def may_send(self, server: ServerEntry) -> bool:
         """Return whether a server's limit has room for a request now."""
@@ -182,8 +180,8 @@
         self._caller = _TrackedCaller(caller, forwarder.timers)
         self._splitter = EventSplitter()
         prefixes = call.shared_prefixes
-        self._service = _pick_service(
-            call, prefixes[-1].key if prefixes else call.identity
+        self._service = pick_service(
+            call.route.shares, prefixes[-1].key if prefixes else call.identity
         )
         self._query = ServerQuery(self._service, prefixes)
         self._tried: set[str] = set()
@@ -199,7 +197,7 @@
         """Try servers until the request has an outcome or its deadline passes."""
         forwarder = self._forwarder
         forwarder.budget.record_request(self._service)
-        refusal = forwarder.find_refusal(self._call)
+        refusal = forwarder.find_refusal(self._keys)
         if refusal is not None:
             return await self._refuse_with(refusal)
         time_left_s = self._call.deadline_s - forwarder.timers.now()
@@ -233,8 +231,8 @@
                 return await self._deliver()
             if not decision.retry:
                 return await self._finish_unsuccessful(decision.code)
-            if not forwarder.guard.may_retry(call):
-                self._reason = f"servers crashed on the prompt; {self._reason}"
+            if not forwarder.guard.may_retry(self._keys):
+                self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
             if decision.uses_budget and not forwarder.budget.try_acquire(self._service):
                 self._reason = f"retry budget is used up; {self._reason}"
@@ -285,6 +283,7 @@
             self._may_fail_over,
             forwarder.record_statements,
         )
+        forwarder.guard.begin_attempt(self._keys)
         forwarder.chooser.begin_request(self._query, identity)
         try:
             outcome = await attempt.run(
@@ -311,7 +310,7 @@
         if attempt.response is not None:
             self._response = attempt.response
         await forwarder.guard.record_attempt(
-            self._call, choice.server, attempt, outcome
+            self._keys, choice.server, attempt, outcome
         )
         return outcome
 
@@ -483,21 +482,3 @@
     AttemptOutcome.SILENT: _record_unreachable,
     AttemptOutcome.CUT: _record_broken_response,
 }
-
-
-def _pick_service(call: Call, key: str) -> str:
-    """Return a service of the route by weight, the same one for equal keys."""
-    shares = [share for share in call.route.shares if share.weight > 0]
-    if not shares:
-        return call.route.shares[0].service
-    point = hash_text(key) / HASH_RANGE
-    return _pick_service_at(shares, point * sum(share.weight for share in shares))
-
-
-def _pick_service_at(shares: list[ServiceShare], point: float) -> str:
-    """Return the service at a point on the line of cumulative weights."""
-    for share in shares:
-        point -= share.weight
-        if point < 0:
-            return share.service
-    return shares[-1].service
--- a/oleanderpier/forwarding/request_keys.py
+++ b/oleanderpier/forwarding/request_keys.py
@@ -4,7 +4,7 @@
 from functools import cached_property
 
 from oleanderpier.forwarding.records import Call
-from oleanderpier.routing import REQUEST_KEY_PREFIX, PromptKeys
+from oleanderpier.routing import REQUEST_KEY_PREFIX, SuspectKeys
 from oleanderpier.utils import hash_text
 
 __all__ = ["RequestKeys", "list_prompt_keys"]
@@ -21,13 +21,19 @@
 
     Args:
         call: The request.
+
+    Attributes:
+        identity: The caller's id of the request.
+        marks: Further keys of the attempt that is made now.
     """
 
     def __init__(self, call: Call) -> None:
+        self.identity = call.identity
+        self.marks: SuspectKeys = ()
         self._call = call
 
     @cached_property
-    def prompt(self) -> PromptKeys:
+    def prompt(self) -> SuspectKeys:
         """The keys of the parts of its prompt that other requests may share."""
         return list_prompt_keys(self._call)
 
@@ -49,7 +55,7 @@
         return REQUEST_KEY_PREFIX + digest.hexdigest()
 
 
-def list_prompt_keys(call: Call) -> PromptKeys:
+def list_prompt_keys(call: Call) -> SuspectKeys:
     """Return the keys of the parts of a prompt that other requests may share.
 
     The last part belongs to the request alone. Long ids are replaced by hashes.
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -1,8 +1,9 @@
-"""The crashes of backend servers, and the prompts that may have caused them.
+"""The crashes of backend servers, and the requests that may have caused them.
 
-A request is a suspect of a crash if its server had not yet sent enough of the response
-to show that it can answer the request. All times are arguments, in seconds on the
-monotonic clock.
+A suspect is described by its keys: those of the parts of its prompt, and one of the
+request as a whole. A request is a suspect of a crash if its response was not complete;
+the parts of its prompt are if its server had not yet sent enough of the response to
+show that it can read them. All times are arguments, in seconds on the monotonic clock.
 """
 
 from collections.abc import Collection, Iterable
@@ -10,12 +11,22 @@
 
 from oleanderpier.utils import hash_text
 
-__all__ = ["REQUEST_KEY_PREFIX", "Crash", "CrashLog", "PromptKeys"]
-
-# The keys of the parts of a prompt.
-PromptKeys = tuple[str, ...]
+__all__ = [
+    "REQUEST_KEY_PREFIX",
+    "Crash",
+    "CrashLog",
+    "SuspectKeys",
+    "is_request_key",
+    "list_causes",
+    "make_resend_mark",
+]
+
+# The keys of a request: of the parts of its prompt, and of the request as a whole.
+SuspectKeys = tuple[str, ...]
 # Begins the key of a whole request. Ids of prompt parts have no colon.
 REQUEST_KEY_PREFIX = "request:"
+# Begins the mark of a request that was sent when an earlier crash on it was known.
+RESEND_MARK_PREFIX = "resend:"
 
 CRASH_KEPT_S = 600.0
 MAX_CRASHES = 256
@@ -34,15 +45,34 @@
         identity: The server's id.
         born_ms: The start of the run, as in ``ServerEntry``.
         at_s: When it ended.
-        suspects: The prompts of the requests that may have caused it, over all hosts.
-        parts: The parts of all suspects.
+        suspects: The keys of the requests that may have caused it, over all hosts.
+        keys: The keys of all suspects.
     """
 
     identity: str
     born_ms: int
     at_s: float
-    suspects: frozenset[PromptKeys]
-    parts: frozenset[str]
+    suspects: frozenset[SuspectKeys]
+    keys: frozenset[str]
+
+
+def is_request_key(key: str) -> bool:
+    """Return whether a key stands for a whole request, not for a part of a prompt."""
+    return key.startswith(REQUEST_KEY_PREFIX)
+
+
+def make_resend_mark(request_key: str) -> str:
+    """Return the mark of a request that is sent when a crash on it is known.
+
+    It goes into the keys of a suspect like a further key, so that hosts of earlier
+    versions pass it on.
+    """
+    return RESEND_MARK_PREFIX + request_key.removeprefix(REQUEST_KEY_PREFIX)
+
+
+def list_causes(keys: Iterable[str]) -> list[str]:
+    """Return those of several keys that may cause a crash, so without marks."""
+    return [key for key in keys if not key.startswith(RESEND_MARK_PREFIX)]
 
 
 class CrashLog:
@@ -60,7 +90,7 @@
         self._crashes: list[Crash] = []
 
     def record_crash(
-        self, identity: str, born_ms: int, at_s: float, suspects: Iterable[PromptKeys]
+        self, identity: str, born_ms: int, at_s: float, suspects: Iterable[SuspectKeys]
     ) -> Crash:
         """Record suspects of a crash, and return what is known of it.
 
@@ -82,7 +112,7 @@
             merged = set(order[:MAX_SUSPECTS])
         crash = known._replace(
             suspects=frozenset(merged),
-            parts=frozenset(part for prompt in merged for part in prompt),
+            keys=frozenset(key for suspect in merged for key in suspect),
         )
         others = [each for each in self._crashes if each is not known]
         self._crashes = [
@@ -92,28 +122,46 @@
         ]
         return crash
 
-    def count_crashes(self, part: str, since_s: float, causes: Collection[str]) -> int:
-        """Return how often servers have crashed on requests with a part.
+    def count_crashes(self, key: str, since_s: float, causes: Collection[str]) -> int:
+        """Return how often servers have crashed on requests with a key.
+
+        Simultaneous crashes count once, but not those on a request that was sent when
+        the earlier one was known.
 
         Args:
-            part: The part of a prompt.
+            key: The key.
             since_s: Earlier crashes do not count.
-            causes: Parts that are known to crash servers. A crash with such a suspect
+            causes: Keys that are known to crash servers. A crash with such a suspect
                 says nothing about others.
         """
-        times_s = sorted(
-            crash.at_s
+        crashes = sorted(
+            (crash.at_s, make_resend_mark(key) in crash.keys)
             for crash in self._crashes
             if crash.at_s > since_s
-            and part in crash.parts
-            and (part in causes or crash.parts.isdisjoint(causes))
+            and key in crash.keys
+            and (key in causes or not _is_explained(crash, key, causes))
         )
         count, last_s = 0, float("-inf")
-        for at_s in times_s:
-            if at_s - last_s >= SIMULTANEOUS_S:
+        for at_s, is_resent in crashes:
+            if is_resent or at_s - last_s >= SIMULTANEOUS_S:
                 count, last_s = count + 1, at_s
         return count
 
     def list_crashes(self) -> list[Crash]:
         """Return the known crashes, in the order of their last report."""
         return list(self._crashes)
+
+
+def _is_explained(crash: Crash, key: str, causes: Collection[str]) -> bool:
+    """Return whether a crash has a known cause that is not a request with this key.
+
+    A request that crashed servers explains a crash only for the others: its prompt part
+    may be the cause, which shows when another request with the part crashes a server.
+    """
+    if crash.keys.isdisjoint(causes):
+        return False
+    return any(
+        not (key in suspect and all(map(is_request_key, found)))
+        for suspect in crash.suspects
+        if (found := [each for each in suspect if each in causes])
+    )
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -1,19 +1,30 @@
-"""Finds the parts of prompts that crash servers, and decides which requests to refuse.
-
-The module answers this load pattern: requests with one part of their prompts in
-common, which come at any host and are otherwise all different, crash each server that
-begins to answer one of them. The requests beside them share callers and other parts.
-
-A part is taken for the cause when servers have crashed often enough on requests with
-it, and no whole response to a request with it has been received since the first of
-these crashes. Requests with such a part are refused until its quarantine ends; then
-one host tries one of them. All times are arguments, in seconds on the monotonic clock.
+"""Finds what crashes servers, and decides which requests to refuse.
+
+The module answers two load patterns. One request, with the same path, caller and
+body, comes again and again at any host and crashes each server that runs it; it may
+have been answered for long before. Or requests with one part of their prompts in
+common, which are otherwise all different, crash each server that begins to answer one
+of them. The requests beside them share paths, callers and other parts.
+
+A request has a key as a whole, and one for each part of its prompt. A key is taken for
+the cause when servers have crashed often enough on requests with it, and no whole
+response to a request with it has been received since the first of these crashes. A
+request as a whole goes before the parts of its prompt, unless others with the part
+crashed servers too. Requests with such a key are refused until its quarantine ends;
+then one host tries one of them. All times are arguments, in seconds on the monotonic
+clock.
 """
 
 from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
-from oleanderpier.routing.crashes import Crash, CrashLog, PromptKeys
+from oleanderpier.routing.crashes import (
+    Crash,
+    CrashLog,
+    SuspectKeys,
+    is_request_key,
+    list_causes,
+)
 
 __all__ = ["PoisonParts", "Quarantine", "Verdict"]
 
@@ -24,6 +35,9 @@
 # Both are multiplied by this for a part that was answered before the crashes.
 ANSWERED_FACTOR = 2
 FIRST_TERM_S = 60.0
+# Longer for a request as a whole: a refusal concerns one caller, but a trial that
+# crashes a server all requests there.
+REQUEST_TERM_S = 240.0
 # The same for a part that was answered before, since it may be blamed by chance.
 ANSWERED_TERM_S = 2.0
 TERM_FACTOR = 4.0
@@ -94,7 +108,7 @@
         self._suspected: set[str] = set()
 
     def record_crash(
-        self, identity: str, born_ms: int, at_s: float, suspects: Iterable[PromptKeys]
+        self, identity: str, born_ms: int, at_s: float, suspects: Iterable[SuspectKeys]
     ) -> list[Quarantine]:
         """Record suspects of a crash, and return the quarantines that begin or go on.
 
@@ -105,20 +119,23 @@
             suspects: The prompts of requests that may have caused it.
         """
         crash = self._log.record_crash(identity, born_ms, at_s, suspects)
-        self._suspected |= crash.parts
-        causes = sorted(crash.parts & self._quarantines.keys())
+        self._suspected.update(list_causes(crash.keys))
+        causes = sorted(crash.keys & self._quarantines.keys())
         if causes:
             renewed = [self._renew(part, crash, len(causes) == 1) for part in causes]
             return [quarantine for quarantine in renewed if quarantine is not None]
-        return self._begin_quarantines(crash.parts, at_s)
+        return self._begin_quarantines(crash.keys, at_s)
 
-    def record_sound(self, prompt: PromptKeys, at_s: float) -> list[str]:
+    def record_sound(self, prompt: SuspectKeys, at_s: float) -> list[str]:
         """Record that a request was answered, and return the parts it cleared.
 
         These were under suspicion.
         """
-        suspected = [part for part in prompt if self._is_suspected(part)]
+        suspected = [part for part in prompt if self.is_suspected(part)]
         for part in prompt:
+            if is_request_key(part) and part not in suspected:
+                # Most requests are not repeated; they would displace the prompt parts.
+                continue
             earlier_s = self._sound_s.pop(part, at_s)
             if len(self._sound_s) >= MAX_SOUND_PARTS:
                 del self._sound_s[next(iter(self._sound_s))]
@@ -134,18 +151,23 @@
         """Apply another host's quarantine, and return whether it was new."""
         part = quarantine.part
         known = self._quarantines.get(part)
+        if not list_causes([part]) or self._is_of_one_request(part):
+            # Hosts of earlier versions do not tell requests as a whole.
+            return False
         if quarantine.since_s <= self._sound_s.get(part, float("-inf")):
             return False
         if known is not None and quarantine.since_s <= known.since_s:
             return False
-        if part in self._sound_s and not self._reaches_limit(part, QUARANTINE_CRASHES):
+        if self._was_answered(part) and not self._reaches_limit(
+            part, QUARANTINE_CRASHES
+        ):
             # The other host has not been up for as long, and knows less of the part.
             return False
         self._set_quarantine(quarantine)
         return known is None
 
     def check(
-        self, prompt: PromptKeys, now_s: float, is_tester: Callable[[str], bool]
+        self, prompt: SuspectKeys, now_s: float, is_tester: Callable[[str], bool]
     ) -> Verdict:
         """Return whether a request is refused.
 
@@ -171,12 +193,19 @@
             self._quarantines[each.part] = each._replace(trial_until_s=now_s + TRIAL_S)
         return Verdict(trial=True)
 
-    def may_retry(self, prompt: PromptKeys) -> bool:
+    def is_watching(self) -> bool:
+        """Return whether anything is suspected or refused.
+
+        If not, the keys of requests need not be computed.
+        """
+        return bool(self._suspected or self._quarantines)
+
+    def may_retry(self, prompt: SuspectKeys) -> bool:
         """Return whether a request may be sent to another server after a crash."""
         return not any(
             part in self._quarantines or self._reaches_limit(part, NO_RETRY_CRASHES)
             for part in prompt
-            if self._is_suspected(part)
+            if self.is_suspected(part)
         )
 
     def list_quarantines(self) -> list[Quarantine]:
@@ -189,16 +218,14 @@
 
     def list_sound(self) -> list[tuple[str, float]]:
         """Return the parts in known crashes that were answered, and when last."""
-        parts = {part for crash in self.list_crashes() for part in crash.parts}
+        keys = {key for crash in self.list_crashes() for key in crash.keys}
         return [
-            (part, at) for part in parts if (at := self._sound_s.get(part)) is not None
+            (part, at) for part in keys if (at := self._sound_s.get(part)) is not None
         ]
 
     def remove_expired(self, now_s: float) -> None:
         """Remove the quarantines that have ended without a trial."""
-        self._suspected &= {
-            part for crash in self.list_crashes() for part in crash.parts
-        }
+        self._suspected &= {key for crash in self.list_crashes() for key in crash.keys}
         self._quarantines = {
             part: each
             for part, each in self._quarantines.items()
@@ -210,18 +237,23 @@
     ) -> list[Quarantine]:
         """Quarantine the most likely causes of the latest crashes, if there are any.
 
-        Parts that were never in a whole response go before those that were.
+        Parts that were never in a whole response go before those that were, and
+        requests as a whole before parts of their prompts that were in no more crashes.
         """
         counts = {
             part: self._count_crashes(part)
-            for part in parts
+            for part in list_causes(parts)
             if self._reaches_limit(part, QUARANTINE_CRASHES)
         }
-        unanswered = counts.keys() - self._sound_s.keys()
+        unanswered = {part for part in counts if not self._was_answered(part)}
         likely = unanswered or counts.keys()
         most = max((counts[part] for part in likely), default=0)
         group = frozenset(part for part in likely if counts[part] == most)
-        term_s = FIRST_TERM_S if unanswered else ANSWERED_TERM_S
+        requests = frozenset(filter(is_request_key, group))
+        group = requests or group
+        term_s = ANSWERED_TERM_S
+        if unanswered:
+            term_s = REQUEST_TERM_S if requests else FIRST_TERM_S
         quarantines = [Quarantine(part, at_s, term_s, group) for part in sorted(group)]
         for quarantine in quarantines:
             self._set_quarantine(quarantine)
@@ -265,14 +297,38 @@
         term_s = APART_TERM_S if others and is_alone else quarantine.term_s
         return max(quarantine.since_s + term_s, quarantine.trial_until_s)
 
-    def _is_suspected(self, part: str) -> bool:
+    def is_suspected(self, part: str) -> bool:
+        """Return whether a part was in a crash, and in no whole response since."""
         return part in self._suspected or part in self._quarantines
 
     def _reaches_limit(self, part: str, limit: int) -> bool:
         """Return whether a part was in so many crashes, or more if it was answered."""
-        factor = ANSWERED_FACTOR if part in self._sound_s else 1
+        factor = ANSWERED_FACTOR if self._was_answered(part) else 1
         return self._count_crashes(part) >= factor * limit
 
+    def _was_answered(self, part: str) -> bool:
+        """Return whether a part was answered, so that it may be blamed by chance.
+
+        Not for a request as a whole: it is the same request that crashes servers later.
+        """
+        return part in self._sound_s and not is_request_key(part)
+
+    def _is_of_one_request(self, part: str) -> bool:
+        """Return whether all crashes on a part were on one request with it."""
+        if is_request_key(part):
+            return False
+        crashes = [
+            {each for each in crash.suspects if part in each}
+            for crash in self._log.list_crashes()
+            if part in crash.keys
+        ]
+        shared = [
+            frozenset(filter(is_request_key, suspect))
+            for suspects in crashes
+            for suspect in suspects
+        ]
+        return bool(shared and frozenset.intersection(*shared))
+
     def _count_crashes(self, part: str) -> int:
         """Return in how many crashes a part was since it was last in a response."""
         since_s = self._sound_s.get(part, float("-inf"))
--- /dev/null
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -0,0 +1,137 @@
+"""Tests of the search for whole requests that crash servers."""
+
+from testtools import TestCase
+
+from oleanderpier.routing import PoisonParts, Quarantine, make_resend_mark
+from oleanderpier.routing.crashes import SIMULTANEOUS_S
+from oleanderpier.routing.poison import (
+    APART_TERM_S,
+    FIRST_TERM_S,
+    MAX_SOUND_PARTS,
+    QUARANTINE_CRASHES,
+    REQUEST_TERM_S,
+)
+from oleanderpier.routing.tests.test_poison import always, list_parts
+
+BAD = "request:bad"
+SOUND = "request:sound"
+
+
+def make_poison(
+    *suspects: tuple[str, ...], crashes: int = QUARANTINE_CRASHES
+) -> PoisonParts:
+    """Return the state after crashes with these suspects, one a second from 1 s."""
+    poison = PoisonParts()
+    for number in range(crashes):
+        poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
+    return poison
+
+
+class RequestQuarantineTest(TestCase):
+    """A request is refused after its third crash, and no other one."""
+
+    def test_request_without_prompt_is_quarantined(self):
+        """Requests that were in one of the crashes are not."""
+        poison = PoisonParts()
+        for number in range(QUARANTINE_CRASHES):
+            self.assertEqual([], list_parts(poison))
+            beside = (f"request:{number}",)
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [(BAD,), beside])
+        (quarantine,) = poison.list_quarantines()
+        self.assertEqual((BAD, REQUEST_TERM_S), (quarantine.part, quarantine.term_s))
+
+    def test_request_goes_before_the_parts_of_its_prompt(self):
+        """Other requests with its prompt are sent."""
+        poison = make_poison(("all", "own", BAD))
+        self.assertEqual([BAD], list_parts(poison))
+        self.assertEqual("", poison.check(("all", "own", SOUND), 4.0, always).part)
+
+    def test_part_that_crashes_servers_in_another_request_is_quarantined_too(self):
+        """The request was only the first one with the part, and came again."""
+        poison = make_poison(("all", "part", BAD))
+        poison.record_sound(("all",), 3.5)
+        poison.record_crash("t", 1, 4.0, [("all", "part", "request:other")])
+        self.assertEqual(["part", BAD], list_parts(poison))
+
+    def test_request_that_was_answered_before_is_quarantined_as_soon(self):
+        """Its answers from before the first crash say nothing of later ones."""
+        poison = make_poison((BAD,), crashes=1)
+        poison.record_sound((BAD,), 1.5)
+        for number in range(QUARANTINE_CRASHES):
+            self.assertEqual([], list_parts(poison))
+            poison.record_crash(f"t{number}", 1, 2.0 + number, [(BAD,)])
+        self.assertEqual([BAD], list_parts(poison))
+
+    def test_request_that_is_answered_between_crashes_is_not_quarantined(self):
+        """It waited at the servers by chance."""
+        poison = PoisonParts()
+        for number in range(9):
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [(BAD,)])
+            poison.record_sound((BAD,), 1.5 + number)
+        self.assertEqual([], list_parts(poison))
+
+    def test_request_that_is_sent_again_at_once_counts_again(self):
+        """It crashes the next server within the time of simultaneous crashes."""
+        poison = make_poison((BAD,), crashes=1)
+        resent = (BAD, make_resend_mark(BAD))
+        for number in range(1, QUARANTINE_CRASHES):
+            at_s = 1.0 + 0.5 * SIMULTANEOUS_S * number
+            poison.record_crash(f"s{number}", 1, at_s, [resent, (SOUND,)])
+        self.assertEqual([BAD], list_parts(poison))
+
+    def test_servers_of_one_machine_count_once(self):
+        """A request that many send is in flight at all of them."""
+        poison = PoisonParts()
+        for number in range(9):
+            poison.record_crash(f"s{number}", 1, 1.0 + 0.01 * number, [(SOUND,)])
+        self.assertEqual([], list_parts(poison))
+
+    def test_requests_of_the_same_crashes_are_tried_apart(self):
+        """The one that is answered is sent again at once."""
+        poison = make_poison((BAD,), (SOUND,))
+        self.assertEqual([BAD, SOUND], list_parts(poison))
+        soon_s = float(QUARANTINE_CRASHES) + APART_TERM_S
+        self.assertTrue(poison.check((SOUND,), soon_s, always).trial)
+        poison.record_sound((SOUND,), soon_s + 0.1)
+        self.assertEqual("", poison.check((SOUND,), soon_s + 0.2, always).part)
+        verdict = poison.check((BAD,), soon_s + 0.2, always)
+        self.assertGreater(verdict.wait_s, REQUEST_TERM_S - 2.0)
+
+    def test_response_to_a_request_ends_its_quarantine(self):
+        """The trial after its term was answered."""
+        poison = make_poison((BAD,))
+        self.assertTrue(poison.check((BAD,), 3.0 + REQUEST_TERM_S, always).trial)
+        poison.record_sound((BAD,), 4.0 + REQUEST_TERM_S)
+        self.assertEqual([], list_parts(poison))
+
+    def test_responses_to_requests_do_not_displace_parts(self):
+        """Only those to requests under suspicion are kept."""
+        poison = make_poison((BAD,), crashes=1)
+        poison.record_sound(("part",), 1.0)
+        for number in range(MAX_SOUND_PARTS):
+            poison.record_sound((f"request:{number}",), 2.0)
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"t{number}", 1, 3.0 + number, [("part",)])
+        self.assertEqual([], list_parts(poison))
+
+
+class OlderHostsTest(TestCase):
+    """Hosts that know only parts of prompts report and quarantine these."""
+
+    def test_part_of_one_request_is_not_quarantined_for_them(self):
+        """They take a part for the cause if one request with it crashes servers."""
+        poison = make_poison(("part", BAD))
+        group = frozenset(["part"])
+        theirs = Quarantine("part", 4.0, FIRST_TERM_S, group)
+        self.assertFalse(poison.receive_quarantine(theirs))
+        # One of them has seen a crash on another request with the part.
+        poison.record_crash("t", 1, 5.0, [("part",)])
+        self.assertEqual(["part", BAD], list_parts(poison))
+
+    def test_mark_is_never_quarantined(self):
+        """They take it for a further part."""
+        mark = make_resend_mark(BAD)
+        poison = make_poison((BAD, mark))
+        self.assertEqual([BAD], list_parts(poison))
+        theirs = Quarantine(mark, 4.0, FIRST_TERM_S, frozenset([BAD, mark]))
+        self.assertFalse(poison.receive_quarantine(theirs))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -212,15 +212,26 @@
     headers = {}
     if request.prompt:
         headers["Prompt-Prefix"] = f"{request.prompt},{identity}:9"
-    try:
-        async with fleet.request(
-            host, request.path, identity, request.body, **headers
-        ) as response:
-            await response.read()
-            status = response.status
-            retry_after = response.headers.get("Retry-After", "")
-    except aiohttp.ClientError:
-        status, retry_after = 0, ""
+    status, retry_after = 0, ""
+    # A caller goes on to another host if one does not listen.
+    for number in range(HOST_COUNT):
+        try:
+            async with fleet.request(
+                (host + number) % HOST_COUNT,
+                request.path,
+                identity,
+                request.body,
+                Connection="close",
+                **headers,
+            ) as response:
+                await response.read()
+                status = response.status
+                retry_after = response.headers.get("Retry-After", "")
+        except aiohttp.ClientConnectorError:
+            continue
+        except aiohttp.ClientError:
+            pass
+        break
     return Result(sent_s, status, loop.time() - sent_s, retry_after)
 
 
