Refuse odd entries among those of the servers, and follow the list after them

What callers saw: after an entry that another writer had left among those of the servers, hosts stopped following the list: servers that joined got nothing, servers that left were still used, and a host that started never became ready.

Cause: decoding such an entry raised another error than the one that is expected, and the task that follows the store ended: RecursionError for deep nesting, OverflowError for a number of more than 64 bits when the entry was encoded for the other hosts. Ports out of range, other digits, host names and paths in the address were taken for servers, and ids with control characters were put into a header.

Now each of them is a SettingsError that names the field, what was found and what is allowed; the entry is logged and names no server. The key without an id is no longer taken for the entry of a server named like the configuration's key.

--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -1,8 +1,10 @@
 """Decodes the platform's documents: configurations and server entries."""
 
-from typing import Any, NotRequired, TypedDict
+import ipaddress
+from typing import Annotated, Any, NotRequired, TypedDict
 
 import msgspec
+from msgspec import Meta
 
 from oleanderpier.exception import SettingsError
 from oleanderpier.routing import (
@@ -19,6 +21,9 @@
 __all__ = ["decode_configuration", "decode_server"]
 
 MILLISECONDS_PER_S = 1000.0
+MAX_PORT = 65535
+# The largest integer that messages between hosts can hold.
+MAX_INTEGER = (1 << 63) - 1
 
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -77,7 +82,7 @@
     Zone: str
     State: str
     # When the server started, in milliseconds since the Unix epoch.
-    born: NotRequired[int | None]
+    born: NotRequired[Annotated[int, Meta(ge=0, le=MAX_INTEGER)] | None]
 
 
 # The states of a server, and whether it gets no new requests.
@@ -117,9 +122,11 @@
     value = convert_mapping(_Server, _decode_json(data))
     if value["State"] not in _LEAVING_BY_STATE:
         raise SettingsError("$.State", value["State"], " or ".join(_LEAVING_BY_STATE))
-    address, colon, port = value["Address"].rpartition(":")
-    if not (address and colon and port.isdigit()):
-        raise SettingsError("$.Address", value["Address"], "IP:PORT")
+    if not _is_address(value["Address"]):
+        allowed = f"IP:PORT with a port from 1 to {MAX_PORT}"
+        raise SettingsError("$.Address", value["Address"][:80], allowed)
+    if not (identity.isascii() and identity.isprintable() and identity.split()):
+        raise SettingsError("the entry's id", repr(identity), "printable ASCII")
     return ServerEntry(
         identity=identity,
         service=value["Service"],
@@ -130,10 +137,21 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IP address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    return is_number and 1 <= int(port) <= MAX_PORT
+
+
 def _decode_json(data: bytes) -> Any:
     try:
         return msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError("$", str(error), "JSON") from error
 
 
--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -200,7 +200,9 @@
 
     A value that cannot be decoded becomes empty, and is logged.
     """
-    key = item["Key"].removeprefix(KEY_PREFIXES[space]) or CONFIGURATION_KEY
+    key = item["Key"].removeprefix(KEY_PREFIXES[space])
+    if space == CONFIGURATION:
+        key = key or CONFIGURATION_KEY
     revision = make_position(era, item["Revision"])
     if item.get("Deleted") or "Value" not in item:
         return Item(key, revision, None)
--- a/oleanderpier/platform/tests/test_documents.py
+++ b/oleanderpier/platform/tests/test_documents.py
@@ -127,3 +127,30 @@
         ]
         for data in cases:
             self.assertRaises(SettingsError, decode_server, "i", data)
+
+    def test_odd_entry_is_rejected(self):
+        """Another writer's nesting, numbers and addresses raise no other error."""
+        addresses = (
+            "10.0.0.9:0",
+            "10.0.0.9:65536",
+            "10.0.0.9:" + "9" * 5000,
+            "10.0.0.9:\u0668\u0660",
+            "10.0.0.9/x?:80",
+            "localhost:80",
+        )
+        nested = b"[" * 5000 + b"]" * 5000
+        cases = [
+            *(encode(SERVER, Address=address) for address in addresses),
+            encode(SERVER)[:-1] + b',"born":1' + b"0" * 30 + b"}",
+            encode(SERVER)[:-1] + b',"born":-1' + b"0" * 30 + b"}",
+            encode(SERVER)[:-1] + b',"born":1' + b"0" * 5000 + b"}",
+            encode(SERVER)[:-1] + b',"Further":' + nested + b"}",
+            nested,
+        ]
+        for data in cases:
+            self.assertRaises(SettingsError, decode_server, "i", data)
+        for identity in ("", " ", "a\nb", "\xe4"):
+            self.assertRaises(SettingsError, decode_server, identity, encode(SERVER))
+        self.assertEqual(
+            "[::1]:80", decode_server("i", encode(SERVER, Address="[::1]:80")).address
+        )
--- a/standins/store.py
+++ b/standins/store.py
@@ -36,17 +36,27 @@
     def put(self, key: str, document: Any) -> int:
         """Store a document as JSON, or delete the key if it is None.
 
+        Returns:
+            The new revision of the store.
+        """
+        return self.put_bytes(
+            key, None if document is None else msgspec.json.encode(document)
+        )
+
+    def put_bytes(self, key: str, data: bytes | None) -> int:
+        """Store any bytes, or delete the key if they are None.
+
         Returns:
             The new revision of the store.
         """
         self._revision += 1
         event: dict[str, Any] = {"Key": key, "Revision": self._revision}
-        if document is None:
+        if data is None:
             self._items.pop(key, None)
             event["Deleted"] = True
         else:
-            data = base64.b64encode(msgspec.json.encode(document)).decode()
-            event.update(Value=data, CreatedRev=self._revision, Lease=0)
+            value = base64.b64encode(data).decode()
+            event.update(Value=value, CreatedRev=self._revision, Lease=0)
             self._items[key] = event
         self._history.append(event)
         return self._revision
