Blame a prompt part before requests that share a path and differ in their prompts

When servers crashed on one part, all chats were refused (recovery: 503 for each chat after the faults), beside the part. Where the suspects with a request's key have different prompts, a part that is as likely goes first. test_part_goes_before_requests_that_differ_in_their_prompts fails without it.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -239,6 +239,7 @@
 
         Parts that were never in a whole response go before those that were, and
         requests as a whole before parts of their prompts that were in no more crashes.
+        A request whose prompts differ is not one request: a part of them goes first.
         """
         counts = {
             part: self._count_crashes(part)
@@ -247,6 +248,8 @@
         }
         unanswered = {part for part in counts if not self._was_answered(part)}
         likely = unanswered or counts.keys()
+        if any(not is_request_key(part) for part in likely):
+            likely = {part for part in likely if not self._has_several_prompts(part)}
         most = max((counts[part] for part in likely), default=0)
         group = frozenset(part for part in likely if counts[part] == most)
         requests = frozenset(filter(is_request_key, group))
@@ -313,6 +316,18 @@
         """
         return part in self._sound_s and not is_request_key(part)
 
+    def _has_several_prompts(self, key: str) -> bool:
+        """Return whether a key stands for requests as a whole whose prompts differ."""
+        prompts = {
+            tuple(each for each in list_causes(suspect) if not is_request_key(each))
+            for crash in self._log.list_crashes()
+            if is_request_key(key) and key in crash.keys
+            for suspect in crash.suspects
+            if key in suspect
+        }
+        # The parts of a prompt that the server has read are left out of a suspect.
+        return len(prompts - {()}) > 1
+
     def _is_of_one_request(self, part: str) -> bool:
         """Return whether all crashes on a part were on one request with it."""
         if is_request_key(part):
--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -53,6 +53,14 @@
         poison.record_crash("t", 1, 4.0, [("all", "part", "request:other")])
         self.assertEqual(["part", BAD], list_parts(poison))
 
+    def test_part_goes_before_requests_that_differ_in_their_prompts(self):
+        """Their path, caller and body are the same, so that they share a key."""
+        poison = PoisonParts()
+        for number in range(QUARANTINE_CRASHES):
+            suspects = [("part", f"own{number}", BAD), (f"other{number}", BAD)]
+            poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
+        self.assertEqual(["part"], list_parts(poison))
+
     def test_request_that_was_answered_before_is_quarantined_as_soon(self):
         """Its answers from before the first crash say nothing of later ones."""
         poison = make_poison((BAD,), crashes=1)
