--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -33,7 +33,7 @@
         ),
         (
             "prompt_parts_quarantined",
-            "Prompt parts with which requests are refused.",
+            "Prompt parts, and requests as a whole, that are refused.",
             lambda: len(node.exchange.poison.list_quarantines()),
         ),
         (
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -90,7 +90,10 @@
             log_message("poison:trial", request=keys.identity, request_key=keys.whole)
         if not verdict.part:
             return None
-        text = f"{_describe_key(verdict.part)} has crashed servers"
+        if is_request_key(verdict.part):
+            text = f"{verdict.part} has crashed servers"
+            return Failure(Code.REQUEST_QUARANTINED, text, verdict.wait_s)
+        text = f"prompt part {verdict.part} has crashed servers"
         return Failure(Code.PROMPT_QUARANTINED, text, verdict.wait_s)
 
     def may_retry(self, keys: RequestKeys) -> bool:
@@ -189,11 +192,6 @@
     return attempt.response is None or attempt.response.head.status < 300
 
 
-def _describe_key(key: str) -> str:
-    """Return what a key stands for, for the caller."""
-    return "this request" if is_request_key(key) else f"prompt part {key}"
-
-
 def log_quarantines(quarantines: list[Quarantine], source: str = "") -> None:
     """Log quarantines that have begun, or begun anew.
 
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -369,6 +369,10 @@
         scripts: The behaviours of each server; earlier servers are preferred.
         slack: Retries that the retry budget allows over all hosts.
         used_up: Ids of the servers whose limits are used up, for ``USED_UP_S``.
+
+    Attributes:
+        differ_in_path: Whether each request has another path.
+        differ_in_prompt: Whether each request has another prompt.
     """
 
     def __init__(
@@ -380,6 +384,8 @@
         self.servers = [ScriptedServer(*script) for script in scripts]
         self.caller = RecordingCaller()
         self._slack = slack
+        self.differ_in_path = False
+        self.differ_in_prompt = False
         self._used_up = used_up
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
@@ -438,9 +444,9 @@
             try:
                 return [
                     await forwarder.forward(
-                        make_call(route, timers.now() + timeout_s), caller
+                        self._make_call(number, route, timers.now() + timeout_s), caller
                     )
-                    for caller in callers
+                    for number, caller in enumerate(callers)
                 ]
             finally:
                 self.in_flight = dict(chooser.in_flight)
@@ -448,6 +454,16 @@
                 for server in self.servers:
                     await server.close()
 
+    def _make_call(self, number: int, route: Route, deadline_s: float) -> Call:
+        """Return the request of one of several callers."""
+        call = make_call(route, deadline_s)
+        if self.differ_in_path:
+            call = call._replace(path=f"{call.path}{number}")
+        if self.differ_in_prompt:
+            parts = (PromptPart(f"p{number}", 10), PromptPart("own", 5))
+            call = call._replace(prompt_parts=parts)
+        return call
+
     def count_requests(self) -> list[int]:
         """Return the number of requests that each server received."""
         return [len(server.requests) for server in self.servers]
--- a/oleanderpier/forwarding/tests/test_crash_guard.py
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -21,7 +21,7 @@
 
 
 class CrashGuardTest(TestCase):
-    """A request whose prompt has crashed servers is refused at once."""
+    """A request that has crashed servers, or whose prompt has, is refused at once."""
 
     def forward(self, fixture: ForwarderFixture, count: int, **changes) -> list:
         """Return the outcomes of requests with one prompt, sent in turn."""
@@ -44,14 +44,30 @@
 
         return crash
 
-    def test_prompt_that_crashed_servers_is_refused(self):
+    def test_request_that_crashed_servers_is_refused(self):
         """After three servers the fourth one gets no request."""
         fixture = self.make_crashing(*[reset_connection] * 4)
         outcomes = self.forward(fixture, 4, max_attempts=1)
         self.assertEqual([1, 1, 1, 0], fixture.count_requests())
-        self.assertEqual(Code.PROMPT_QUARANTINED, outcomes[-1].code)
+        self.assertEqual(Code.REQUEST_QUARANTINED, outcomes[-1].code)
         self.assertEqual((503, 0), (outcomes[-1].status, outcomes[-1].attempts))
 
+    def test_prompt_part_that_crashed_servers_is_refused(self):
+        """The requests share nothing but it."""
+        fixture = self.make_crashing(*[reset_connection] * 4)
+        fixture.differ_in_path = True
+        outcomes = self.forward(fixture, 4, max_attempts=1)
+        self.assertEqual([1, 1, 1, 0], fixture.count_requests())
+        self.assertEqual(Code.PROMPT_QUARANTINED, outcomes[-1].code)
+
+    def test_other_requests_are_sent_after_the_crashes(self):
+        """They share neither prompt parts nor path with those that crashed servers."""
+        fixture = self.make_crashing(*[reset_connection] * 3)
+        fixture.servers += ForwarderFixture([stream_events(3)]).servers
+        fixture.differ_in_path = fixture.differ_in_prompt = True
+        outcomes = self.forward(fixture, 6, max_attempts=1)
+        self.assertEqual([Code.DONE] * 3, [each.code for each in outcomes[3:]])
+
     def test_crash_inside_the_first_event_counts(self):
         """So does one after the head."""
         fixture = self.make_crashing(
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -45,6 +45,7 @@
     REQUEST_INCOMPLETE = 115
     VIEW_STALE = 116
     PROMPT_QUARANTINED = 117
+    REQUEST_QUARANTINED = 118
 
     CLAIM_HELD = 201
     CLAIM_NO_MAJORITY = 202
@@ -121,6 +122,7 @@
         "This host may not know the newest configuration; ask another address.",
     ),
     Code.PROMPT_QUARANTINED: (503, "A part of the prompt has crashed backend servers."),
+    Code.REQUEST_QUARANTINED: (503, "This request has crashed backend servers."),
     Code.CLAIM_HELD: (409, "Another request with this key has the right to run."),
     Code.CLAIM_NO_MAJORITY: (
         503,
