Send a request on that reached no server, also if it was in two crashes

What callers saw: 503 for a sound request that had been in flight in two crashes and then met a server that did not listen, though others did. Cause: whether a request may be sent to another server after crashes was asked after every attempt, also after one that has certainly not run.

--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -231,7 +231,7 @@
                 return await self._deliver()
             if not decision.retry:
                 return await self._finish_unsuccessful(decision.code)
-            if not forwarder.guard.may_retry(self._keys):
+            if self._may_have_run and not forwarder.guard.may_retry(self._keys):
                 self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
             if decision.uses_budget and not forwarder.budget.try_acquire(self._service):
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -371,6 +371,7 @@
         used_up: Ids of the servers whose limits are used up, for ``USED_UP_S``.
 
     Attributes:
+        unreachable: The numbers of servers that do not listen.
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
     """
@@ -384,6 +385,7 @@
         self.servers = [ScriptedServer(*script) for script in scripts]
         self.caller = RecordingCaller()
         self._slack = slack
+        self.unreachable: tuple[int, ...] = ()
         self.differ_in_path = False
         self.differ_in_prompt = False
         self._used_up = used_up
@@ -403,6 +405,8 @@
         for identity, server in zip(order, self.servers, strict=True):
             address = await server.listen()
             roster.update_entry(identity, make_server(identity, address=address))
+            if order[identity] in self.unreachable:
+                server._listener.close()
         budget = RetryBudget(
             BudgetLimits(0.0, self._slack, 10.0), timers, lambda: len(order)
         )
--- a/oleanderpier/forwarding/tests/test_crash_guard.py
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -82,6 +82,15 @@
         self.forward(fixture, 2, max_attempts=4)
         self.assertEqual([1, 1, 1, 0], fixture.count_requests())
 
+    def test_request_that_reached_no_server_is_sent_again_after_two_crashes(self):
+        """It may be the cause of neither crash."""
+        fixture = self.make_crashing(*[reset_connection] * 2)
+        fixture.servers += ForwarderFixture([], [stream_events(3)]).servers
+        fixture.unreachable = (2,)
+        outcomes = self.forward(fixture, 3, max_attempts=1)
+        self.assertEqual([1, 1, 0, 1], fixture.count_requests())
+        self.assertEqual(Code.DONE, outcomes[-1].code)
+
     def test_error_response_does_not_clear_a_prompt(self):
         """A server may send it without a look at the prompt."""
         fixture = self.make_crashing(*[reset_connection] * 4)
