Name the causes of crashes after what they are: parts of prompts or whole requests

PoisonParts held parts of prompts only; it is CrashCauses now, and its quarantines have a key in place of a part. Messages and logs are as before. No behaviour changes.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -1,4 +1,4 @@
-"""Gossip between hosts on servers that crashed, and on the prompts behind it."""
+"""Gossip between hosts on servers that crashed, and on the requests behind it."""
 
 import random
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 from oleanderpier.forwarding import log_quarantines
 from oleanderpier.routing import (
     Crash,
-    PoisonParts,
+    CrashCauses,
     Quarantine,
     ServerEntry,
     SuspectKeys,
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        poison: PoisonParts,
+        poison: CrashCauses,
         list_receivers: Callable[[], list[str]],
         timers: Timers,
         rng: random.Random,
@@ -139,7 +139,7 @@
         now_s = self._timers.now()
         return [
             ReportedQuarantine(
-                each.part, now_s - each.since_s, each.term_s, sorted(each.group)
+                each.key, now_s - each.since_s, each.term_s, sorted(each.group)
             )
             for each in self._poison.list_quarantines()
         ]
--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -20,7 +20,7 @@
     LimitReply,
 )
 from oleanderpier.peers import Mesh
-from oleanderpier.routing import PoisonParts, ServerStatements, is_request_key
+from oleanderpier.routing import CrashCauses, ServerStatements, is_request_key
 from oleanderpier.utils import Timers, rank_candidates
 
 __all__ = ["ServerExchange"]
@@ -79,7 +79,7 @@
             rng,
             mesh,
         )
-        self.poison = PoisonParts()
+        self.poison = CrashCauses()
         self.crash_gossip = CrashGossip(
             self.poison,
             lambda: view.list_with_feature(CRASHES_FEATURE),
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -10,7 +10,7 @@
     CrashGossip,
 )
 from oleanderpier.fleet import CrashNews
-from oleanderpier.routing import PoisonParts
+from oleanderpier.routing import CrashCauses
 from oleanderpier.routing.tests.fakes import make_server
 from oleanderpier.utils import ManualTimers, decode_message, encode_message
 
@@ -29,14 +29,14 @@
         self.timers = ManualTimers()
         self.sent: list[str] = []
         self.cut_off: set[str] = set()
-        self.poison: dict[str, PoisonParts] = {}
+        self.poison: dict[str, CrashCauses] = {}
         self.gossips: dict[str, CrashGossip] = {}
         for number in range(hosts):
             self.add_host(f"h{number}")
 
     def add_host(self, name: str) -> None:
         """Start a host."""
-        self.poison[name] = PoisonParts()
+        self.poison[name] = CrashCauses()
         self.gossips[name] = CrashGossip(
             self.poison[name],
             lambda: [host for host in self.gossips if host != name],
@@ -61,7 +61,7 @@
 
     def list_parts(self, host: str) -> list[str]:
         """Return the parts that a host has quarantined."""
-        return [each.part for each in self.poison[host].list_quarantines()]
+        return [each.key for each in self.poison[host].list_quarantines()]
 
 
 class _Outbox:
--- a/oleanderpier/entry/tests/test_crash_patterns.py
+++ b/oleanderpier/entry/tests/test_crash_patterns.py
@@ -101,7 +101,7 @@
         host = host or self._rng.choice(self._hosts)
         now_s = self.fleet.timers.now()
         poison = self.fleet.poison[host]
-        if poison.check(prompt, now_s, lambda part: host == "h0").part:
+        if poison.check(prompt, now_s, lambda part: host == "h0").key:
             self.refused[kind] += 1
             return
         up = [n for n in range(self._servers) if now_s >= self._down_until_s[n]]
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -127,7 +127,8 @@
         identity: The server's id.
         born_ms: The start of the run that ended, in Unix milliseconds, 0 if unknown.
         age_s: The seconds since it ended.
-        suspects: The prompts of the requests that may have caused it, as part ids.
+        suspects: The keys of the requests that may have caused it: ids of prompt parts,
+            and keys of requests as a whole.
     """
 
     identity: str
@@ -137,10 +138,10 @@
 
 
 class ReportedQuarantine(NamedTuple):
-    """A part of prompts with which requests are refused.
+    """A prompt part, or the key of a request as a whole, that is refused.
 
     Attributes:
-        part: The part's id.
+        part: The part's id, or the key.
         age_s: The seconds since the quarantine began.
         term_s: Its length, in seconds.
         group: The ids of the parts that were in the same crashes.
@@ -154,7 +155,7 @@
 
 @register_message(139)
 class CrashNews(NamedTuple):
-    """Crashes of backend servers, and what is known of the prompts behind them.
+    """Crashes of backend servers, and what is known of the requests behind them.
 
     Attributes:
         crashes: Crashes with suspects.
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -12,7 +12,7 @@
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
     AttemptOutcome,
-    PoisonParts,
+    CrashCauses,
     Quarantine,
     ServerEntry,
     ServerHealth,
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        poison: PoisonParts,
+        poison: CrashCauses,
         health: ServerHealth,
         timers: Timers,
         is_tester: Callable[[str], bool] = lambda part: True,
@@ -88,12 +88,12 @@
         )
         if verdict.trial:
             log_message("poison:trial", request=keys.identity, request_key=keys.whole)
-        if not verdict.part:
+        if not verdict.key:
             return None
-        if is_request_key(verdict.part):
-            text = f"{verdict.part} has crashed servers"
+        if is_request_key(verdict.key):
+            text = f"{verdict.key} has crashed servers"
             return Failure(Code.REQUEST_QUARANTINED, text, verdict.wait_s)
-        text = f"prompt part {verdict.part} has crashed servers"
+        text = f"prompt part {verdict.key} has crashed servers"
         return Failure(Code.PROMPT_QUARANTINED, text, verdict.wait_s)
 
     def may_retry(self, keys: RequestKeys) -> bool:
@@ -202,7 +202,7 @@
     for quarantine in quarantines:
         log_message(
             "poison:quarantine",
-            part=quarantine.part,
+            part=quarantine.key,
             term_s=quarantine.term_s,
             group=sorted(quarantine.group),
             source=source,
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -23,7 +23,7 @@
     BudgetLimits,
     CacheMap,
     Chooser,
-    PoisonParts,
+    CrashCauses,
     PromptPart,
     Refusal,
     RetryBudget,
@@ -441,7 +441,7 @@
                 ServerActivity(timers),
                 timers,
                 StatementRecorder(statements, timers, rng).record,
-                CrashGuard(PoisonParts(), health, timers),
+                CrashGuard(CrashCauses(), health, timers),
                 rng,
                 request_send=request_send,
             )
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -26,44 +26,44 @@
     list_causes,
 )
 
-__all__ = ["PoisonParts", "Quarantine", "Verdict"]
+__all__ = ["CrashCauses", "Quarantine", "Verdict"]
 
-# A part that was in this many crashes is quarantined.
+# A key that was in this many crashes is quarantined.
 QUARANTINE_CRASHES = 3
-# With a part that was in this many, a request is not sent to another server.
+# With a key that was in this many, a request is not sent to another server.
 NO_RETRY_CRASHES = 2
-# Both are multiplied by this for a part that was answered before the crashes.
+# Both are multiplied by this for a prompt part that was answered before the crashes.
 ANSWERED_FACTOR = 2
 FIRST_TERM_S = 60.0
+# The same for a prompt part that was answered before, since it may be blamed by chance.
+ANSWERED_TERM_S = 2.0
 # Longer for a request as a whole: a refusal concerns one caller, but a trial that
 # crashes a server all requests there.
 REQUEST_TERM_S = 240.0
-# The same for a part that was answered before, since it may be blamed by chance.
-ANSWERED_TERM_S = 2.0
 TERM_FACTOR = 4.0
 MAX_TERM_S = 960.0
-# One of several parts that were in the same crashes is tried apart after this time.
+# One of several keys that were in the same crashes is tried apart after this time.
 APART_TERM_S = 1.0
-# Time in which no other request with the part is tried.
+# Time in which no other request with the key is tried.
 TRIAL_S = 5.0
 # A quarantine that ended this long ago without a trial is removed.
 UNUSED_KEPT_S = 600.0
 MAX_QUARANTINES = 256
-MAX_SOUND_PARTS = 65_536
+MAX_SOUND_KEYS = 65_536
 
 
 class Quarantine(NamedTuple):
-    """Requests with a part of a prompt are refused.
+    """Requests with a key are refused.
 
     Attributes:
-        part: The part.
-        since_s: When it began, or when a server last crashed on the part.
-        term_s: For how long after that no request with the part is tried.
-        group: The parts that were in the same crashes, including this one.
+        key: The key.
+        since_s: When it began, or when a server last crashed on the key.
+        term_s: For how long after that no request with the key is tried.
+        group: The keys that were in the same crashes, including this one.
         trial_until_s: Until when a trial may be in flight.
     """
 
-    part: str
+    key: str
     since_s: float
     term_s: float
     group: frozenset[str]
@@ -71,40 +71,40 @@
 
 
 class Verdict(NamedTuple):
-    """Whether a request is refused for a part of its prompt.
+    """Whether a request is refused for one of its keys.
 
     Attributes:
-        part: The part; empty if the request may be sent.
+        key: The key; empty if the request may be sent.
         wait_s: After how long the caller may come back.
-        trial: Whether the request tests whether its part still crashes servers.
+        trial: Whether the request tests whether its key still crashes servers.
     """
 
-    part: str = ""
+    key: str = ""
     wait_s: float = 0.0
     trial: bool = False
 
 
-class PoisonParts:
-    """What is known of the parts of prompts that crash servers.
+class CrashCauses:
+    """What is known of the requests and the prompt parts that crash servers.
 
     Examples:
-        >>> poison = PoisonParts()
+        >>> poison = CrashCauses()
         >>> poison.record_sound(("all",), 1.0)
         []
         >>> for at_s in (2.0, 3.0, 4.0):
         ...     found = poison.record_crash(f"s{at_s}", 1, at_s, [("all", "x")])
-        >>> [quarantine.part for quarantine in found]
+        >>> [quarantine.key for quarantine in found]
         ['x']
-        >>> poison.check(("all", "x"), 5.0, is_tester=lambda part: True).part
+        >>> poison.check(("all", "x"), 5.0, is_tester=lambda key: True).key
         'x'
     """
 
     def __init__(self) -> None:
         self._log = CrashLog()
         self._quarantines: dict[str, Quarantine] = {}
-        # When a request with a part was last answered.
+        # When a request with a key was last answered.
         self._sound_s: dict[str, float] = {}
-        # Parts that were in a crash, and in no response since.
+        # Keys that were in a crash, and in no response since.
         self._suspected: set[str] = set()
 
     def record_crash(
@@ -116,81 +116,77 @@
             identity: The server's id.
             born_ms: The start of the run that ended, as in ``ServerEntry``.
             at_s: When it ended.
-            suspects: The prompts of requests that may have caused it.
+            suspects: The keys of requests that may have caused it.
         """
         crash = self._log.record_crash(identity, born_ms, at_s, suspects)
         self._suspected.update(list_causes(crash.keys))
         causes = sorted(crash.keys & self._quarantines.keys())
         if causes:
-            renewed = [self._renew(part, crash, len(causes) == 1) for part in causes]
+            renewed = [self._renew(key, crash, len(causes) == 1) for key in causes]
             return [quarantine for quarantine in renewed if quarantine is not None]
         return self._begin_quarantines(crash.keys, at_s)
 
-    def record_sound(self, prompt: SuspectKeys, at_s: float) -> list[str]:
-        """Record that a request was answered, and return the parts it cleared.
+    def record_sound(self, keys: SuspectKeys, at_s: float) -> list[str]:
+        """Record that a request was answered, and return the keys it cleared.
 
         These were under suspicion.
         """
-        suspected = [part for part in prompt if self.is_suspected(part)]
-        for part in prompt:
-            if is_request_key(part) and part not in suspected:
+        suspected = [key for key in keys if self.is_suspected(key)]
+        for key in keys:
+            if is_request_key(key) and key not in suspected:
                 # Most requests are not repeated; they would displace the prompt parts.
                 continue
-            earlier_s = self._sound_s.pop(part, at_s)
-            if len(self._sound_s) >= MAX_SOUND_PARTS:
+            earlier_s = self._sound_s.pop(key, at_s)
+            if len(self._sound_s) >= MAX_SOUND_KEYS:
                 del self._sound_s[next(iter(self._sound_s))]
-            self._sound_s[part] = max(earlier_s, at_s)
-            if part in self._suspected and not self._log.count_crashes(part, at_s, ()):
-                self._suspected.discard(part)
-            quarantine = self._quarantines.get(part)
+            self._sound_s[key] = max(earlier_s, at_s)
+            if key in self._suspected and not self._log.count_crashes(key, at_s, ()):
+                self._suspected.discard(key)
+            quarantine = self._quarantines.get(key)
             if quarantine is not None and quarantine.since_s < at_s:
-                del self._quarantines[part]
+                del self._quarantines[key]
         return suspected
 
     def receive_quarantine(self, quarantine: Quarantine) -> bool:
         """Apply another host's quarantine, and return whether it was new."""
-        part = quarantine.part
-        known = self._quarantines.get(part)
-        if not list_causes([part]) or self._is_of_one_request(part):
+        key = quarantine.key
+        known = self._quarantines.get(key)
+        if not list_causes([key]) or self._is_of_one_request(key):
             # Hosts of earlier versions do not tell requests as a whole.
             return False
-        if quarantine.since_s <= self._sound_s.get(part, float("-inf")):
+        if quarantine.since_s <= self._sound_s.get(key, float("-inf")):
             return False
         if known is not None and quarantine.since_s <= known.since_s:
             return False
-        if self._was_answered(part) and not self._reaches_limit(
-            part, QUARANTINE_CRASHES
-        ):
-            # The other host has not been up for as long, and knows less of the part.
+        if self._was_answered(key) and not self._reaches_limit(key, QUARANTINE_CRASHES):
+            # The other host has not been up for as long, and knows less of the key.
             return False
         self._set_quarantine(quarantine)
         return known is None
 
     def check(
-        self, prompt: SuspectKeys, now_s: float, is_tester: Callable[[str], bool]
+        self, keys: SuspectKeys, now_s: float, is_tester: Callable[[str], bool]
     ) -> Verdict:
         """Return whether a request is refused.
 
         Args:
-            prompt: The parts of its prompt.
+            keys: The keys of the request.
             now_s: The time.
-            is_tester: Returns whether this host is the one that tries a part.
+            is_tester: Returns whether this host is the one that tries a key.
         """
         if not self._quarantines:
             return Verdict()
-        found = [
-            self._quarantines[part] for part in prompt if part in self._quarantines
-        ]
+        found = [self._quarantines[key] for key in keys if key in self._quarantines]
         if not found:
             return Verdict()
         due_s = max(self._get_due_s(each, len(found) == 1) for each in found)
-        part = found[0].part
+        key = found[0].key
         if now_s < due_s:
-            return Verdict(part, due_s - now_s)
-        if not is_tester(part):
-            return Verdict(part, TRIAL_S)
+            return Verdict(key, due_s - now_s)
+        if not is_tester(key):
+            return Verdict(key, TRIAL_S)
         for each in found:
-            self._quarantines[each.part] = each._replace(trial_until_s=now_s + TRIAL_S)
+            self._quarantines[each.key] = each._replace(trial_until_s=now_s + TRIAL_S)
         return Verdict(trial=True)
 
     def is_watching(self) -> bool:
@@ -200,12 +196,16 @@
         """
         return bool(self._suspected or self._quarantines)
 
-    def may_retry(self, prompt: SuspectKeys) -> bool:
+    def is_suspected(self, key: str) -> bool:
+        """Return whether a key was in a crash, and in no whole response since."""
+        return key in self._suspected or key in self._quarantines
+
+    def may_retry(self, keys: SuspectKeys) -> bool:
         """Return whether a request may be sent to another server after a crash."""
         return not any(
-            part in self._quarantines or self._reaches_limit(part, NO_RETRY_CRASHES)
-            for part in prompt
-            if self.is_suspected(part)
+            key in self._quarantines or self._reaches_limit(key, NO_RETRY_CRASHES)
+            for key in keys
+            if self.is_suspected(key)
         )
 
     def list_quarantines(self) -> list[Quarantine]:
@@ -217,23 +217,21 @@
         return self._log.list_crashes()
 
     def list_sound(self) -> list[tuple[str, float]]:
-        """Return the parts in known crashes that were answered, and when last."""
+        """Return the keys in known crashes that were answered, and when last."""
         keys = {key for crash in self.list_crashes() for key in crash.keys}
-        return [
-            (part, at) for part in keys if (at := self._sound_s.get(part)) is not None
-        ]
+        return [(key, at) for key in keys if (at := self._sound_s.get(key)) is not None]
 
     def remove_expired(self, now_s: float) -> None:
         """Remove the quarantines that have ended without a trial."""
         self._suspected &= {key for crash in self.list_crashes() for key in crash.keys}
         self._quarantines = {
-            part: each
-            for part, each in self._quarantines.items()
+            key: each
+            for key, each in self._quarantines.items()
             if now_s < each.since_s + each.term_s + UNUSED_KEPT_S
         }
 
     def _begin_quarantines(
-        self, parts: Collection[str], at_s: float
+        self, keys: Collection[str], at_s: float
     ) -> list[Quarantine]:
         """Quarantine the most likely causes of the latest crashes, if there are any.
 
@@ -242,32 +240,32 @@
         A request whose prompts differ is not one request: a part of them goes first.
         """
         counts = {
-            part: self._count_crashes(part)
-            for part in list_causes(parts)
-            if self._reaches_limit(part, QUARANTINE_CRASHES)
+            key: self._count_crashes(key)
+            for key in list_causes(keys)
+            if self._reaches_limit(key, QUARANTINE_CRASHES)
         }
-        unanswered = {part for part in counts if not self._was_answered(part)}
+        unanswered = {key for key in counts if not self._was_answered(key)}
         likely = unanswered or counts.keys()
-        if any(not is_request_key(part) for part in likely):
-            likely = {part for part in likely if not self._has_several_prompts(part)}
-        most = max((counts[part] for part in likely), default=0)
-        group = frozenset(part for part in likely if counts[part] == most)
+        if any(not is_request_key(key) for key in likely):
+            likely = {key for key in likely if not self._has_several_prompts(key)}
+        most = max((counts[key] for key in likely), default=0)
+        group = frozenset(key for key in likely if counts[key] == most)
         requests = frozenset(filter(is_request_key, group))
         group = requests or group
         term_s = ANSWERED_TERM_S
         if unanswered:
             term_s = REQUEST_TERM_S if requests else FIRST_TERM_S
-        quarantines = [Quarantine(part, at_s, term_s, group) for part in sorted(group)]
+        quarantines = [Quarantine(key, at_s, term_s, group) for key in sorted(group)]
         for quarantine in quarantines:
             self._set_quarantine(quarantine)
         return quarantines
 
-    def _renew(self, part: str, crash: Crash, is_only_cause: bool) -> Quarantine | None:
-        """Begin the quarantine of a part anew after a later crash; None if it is not.
+    def _renew(self, key: str, crash: Crash, is_only_cause: bool) -> Quarantine | None:
+        """Begin the quarantine of a key anew after a later crash; None if it is not.
 
-        A part that was tried apart from the others of its group is the cause.
+        A key that was tried apart from the others of its group is the cause.
         """
-        known = self._quarantines[part]
+        known = self._quarantines[key]
         if crash.at_s <= known.since_s:
             # One more report of the crash that began it.
             return None
@@ -276,7 +274,7 @@
         renewed = known._replace(
             since_s=crash.at_s,
             term_s=min(MAX_TERM_S, known.term_s * (TERM_FACTOR if is_over else 1.0)),
-            group=frozenset([part]) if is_apart else known.group,
+            group=frozenset([key]) if is_apart else known.group,
             trial_until_s=float("-inf"),
         )
         self._set_quarantine(renewed)
@@ -284,40 +282,36 @@
 
     def _set_quarantine(self, quarantine: Quarantine) -> None:
         """Add or replace a quarantine; drop the oldest one if there are too many."""
-        if quarantine.part not in self._quarantines:
+        if quarantine.key not in self._quarantines:
             while len(self._quarantines) >= MAX_QUARANTINES:
                 del self._quarantines[next(iter(self._quarantines))]
-        self._quarantines[quarantine.part] = quarantine
+        self._quarantines[quarantine.key] = quarantine
 
     def _get_due_s(self, quarantine: Quarantine, is_alone: bool) -> float:
-        """Return when a request with a part may be tried.
+        """Return when a request with a key may be tried.
 
         Args:
-            quarantine: The quarantine of the part.
-            is_alone: Whether the request has no other quarantined part.
+            quarantine: The quarantine of the key.
+            is_alone: Whether the request has no other quarantined key.
         """
-        others = quarantine.group.intersection(self._quarantines) - {quarantine.part}
+        others = quarantine.group.intersection(self._quarantines) - {quarantine.key}
         term_s = APART_TERM_S if others and is_alone else quarantine.term_s
         return max(quarantine.since_s + term_s, quarantine.trial_until_s)
 
-    def is_suspected(self, part: str) -> bool:
-        """Return whether a part was in a crash, and in no whole response since."""
-        return part in self._suspected or part in self._quarantines
-
-    def _reaches_limit(self, part: str, limit: int) -> bool:
-        """Return whether a part was in so many crashes, or more if it was answered."""
-        factor = ANSWERED_FACTOR if self._was_answered(part) else 1
-        return self._count_crashes(part) >= factor * limit
+    def _reaches_limit(self, key: str, limit: int) -> bool:
+        """Return whether a key was in so many crashes, or more for an answered part."""
+        factor = ANSWERED_FACTOR if self._was_answered(key) else 1
+        return self._count_crashes(key) >= factor * limit
 
-    def _was_answered(self, part: str) -> bool:
-        """Return whether a part was answered, so that it may be blamed by chance.
+    def _was_answered(self, key: str) -> bool:
+        """Return whether a prompt part was answered, so that chance may blame it.
 
         Not for a request as a whole: it is the same request that crashes servers later.
         """
-        return part in self._sound_s and not is_request_key(part)
+        return key in self._sound_s and not is_request_key(key)
 
     def _has_several_prompts(self, key: str) -> bool:
-        """Return whether a key stands for requests as a whole whose prompts differ."""
+        """Return whether a key stands for several requests, whose prompts differ."""
         prompts = {
             tuple(each for each in list_causes(suspect) if not is_request_key(each))
             for crash in self._log.list_crashes()
@@ -328,14 +322,14 @@
         # The parts of a prompt that the server has read are left out of a suspect.
         return len(prompts - {()}) > 1
 
-    def _is_of_one_request(self, part: str) -> bool:
-        """Return whether all crashes on a part were on one request with it."""
-        if is_request_key(part):
+    def _is_of_one_request(self, key: str) -> bool:
+        """Return whether all crashes on a prompt part were on one request with it."""
+        if is_request_key(key):
             return False
         crashes = [
-            {each for each in crash.suspects if part in each}
+            {each for each in crash.suspects if key in each}
             for crash in self._log.list_crashes()
-            if part in crash.keys
+            if key in crash.keys
         ]
         shared = [
             frozenset(filter(is_request_key, suspect))
@@ -344,7 +338,7 @@
         ]
         return bool(shared and frozenset.intersection(*shared))
 
-    def _count_crashes(self, part: str) -> int:
-        """Return in how many crashes a part was since it was last in a response."""
-        since_s = self._sound_s.get(part, float("-inf"))
-        return self._log.count_crashes(part, since_s, self._quarantines.keys())
+    def _count_crashes(self, key: str) -> int:
+        """Return in how many crashes a key was since it was last in a response."""
+        since_s = self._sound_s.get(key, float("-inf"))
+        return self._log.count_crashes(key, since_s, self._quarantines.keys())
--- a/oleanderpier/routing/tests/test_poison.py
+++ b/oleanderpier/routing/tests/test_poison.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from oleanderpier.routing import PoisonParts, Quarantine
+from oleanderpier.routing import CrashCauses, Quarantine
 from oleanderpier.routing.crashes import MAX_CRASHES, MAX_SUSPECTS, CrashLog
 from oleanderpier.routing.poison import (
     ANSWERED_FACTOR,
@@ -31,23 +31,23 @@
     return True
 
 
-def make_poison(*sound: str, crashes: int = QUARANTINE_CRASHES) -> PoisonParts:
+def make_poison(*sound: str, crashes: int = QUARANTINE_CRASHES) -> CrashCauses:
     """Return the state after some crashes, one a second from 1 s on.
 
     Args:
         sound: Parts that were in a whole response before.
         crashes: The number of crashes with the suspect ``PROMPT``.
     """
-    poison = PoisonParts()
+    poison = CrashCauses()
     poison.record_sound(sound, 0.0)
     for number in range(crashes):
         poison.record_crash(f"s{number}", 1, 1.0 + number, [PROMPT])
     return poison
 
 
-def list_parts(poison: PoisonParts) -> list[str]:
+def list_parts(poison: CrashCauses) -> list[str]:
     """Return the quarantined parts."""
-    return sorted(each.part for each in poison.list_quarantines())
+    return sorted(each.key for each in poison.list_quarantines())
 
 
 class QuarantineTest(TestCase):
@@ -78,18 +78,18 @@
 
     def test_part_that_used_to_be_answered_is_quarantined(self):
         """So it is after a change of the engines, after more crashes and for less."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         poison.record_sound(PROMPT, 0.0)
         for number in range(ANSWERED_FACTOR * QUARANTINE_CRASHES):
             self.assertEqual([], list_parts(poison))
             poison.record_sound(("all", "some"), 0.5 + number)
             poison.record_crash(f"s{number}", 1, 1.0 + number, [PROMPT])
         (quarantine,) = poison.list_quarantines()
-        self.assertEqual(("bad", ANSWERED_TERM_S), (quarantine.part, quarantine.term_s))
+        self.assertEqual(("bad", ANSWERED_TERM_S), (quarantine.key, quarantine.term_s))
 
     def test_popular_part_in_crashes_on_another_is_not_quarantined(self):
         """Most servers are down, so that it is not answered in between."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         poison.record_sound(("popular",), 0.0)
         poison.record_crash("s0", 1, 1.0, [("popular", "bad")])
         poison.record_crash("s1", 1, 2.0, [("popular", "bad")])
@@ -100,28 +100,28 @@
 
     def test_simultaneous_crashes_count_once(self):
         """Servers of one machine end together, whatever they work on."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(9):
             poison.record_crash(f"s{number}", 1, 1.0 + 0.001 * number, [PROMPT])
         self.assertEqual([], list_parts(poison))
 
     def test_reports_of_one_crash_count_once(self):
         """Each host reports its own suspects."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(9):
             poison.record_crash("s1", 1, 1.0 + 0.2 * number, [("all", f"own{number}")])
         self.assertEqual([], list_parts(poison))
 
     def test_server_that_crashes_again_counts_again(self):
         """Its new start may not be known yet."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(QUARANTINE_CRASHES):
             poison.record_crash("s1", 1, 1.0 + 3.0 * number, [PROMPT])
         self.assertIn("bad", list_parts(poison))
 
     def test_bystanders_are_not_quarantined(self):
         """Requests that wait at the servers meanwhile differ from crash to crash."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(QUARANTINE_CRASHES):
             at_s = 1.0 + number
             poison.record_sound(("all",), at_s - 0.5)
@@ -148,7 +148,7 @@
     def test_random_crashes_quarantine_nothing(self):
         """A tenth of the servers crash again and again, whatever they work on."""
         rng = random.Random(1)
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(400):
             now_s = 0.25 * number
             waiting = [
@@ -170,7 +170,7 @@
         poison = make_poison("all", "some")
         verdict = poison.check(("all", "bad"), 4.0, always)
         self.assertEqual(("bad", FIRST_TERM_S - 1.0, False), verdict)
-        self.assertEqual("", poison.check(("all", "some"), 4.0, always).part)
+        self.assertEqual("", poison.check(("all", "some"), 4.0, always).key)
 
     def test_one_host_tries_one_request_after_the_term(self):
         """The others, and further requests, are refused meanwhile."""
@@ -178,7 +178,7 @@
         over_s = 3.0 + FIRST_TERM_S
         self.assertEqual(("bad", TRIAL_S, False), poison.check(PROMPT, over_s, never))
         self.assertEqual(("", 0.0, True), poison.check(PROMPT, over_s, always))
-        self.assertEqual("bad", poison.check(PROMPT, over_s + 1.0, always).part)
+        self.assertEqual("bad", poison.check(PROMPT, over_s + 1.0, always).key)
         self.assertTrue(poison.check(PROMPT, over_s + TRIAL_S, always).trial)
 
     def test_trial_that_crashes_a_server_prolongs_the_term(self):
@@ -200,27 +200,27 @@
         self.assertEqual(([], before), (late, poison.list_quarantines()))
         self.assertTrue(poison.check(("all", "x"), 5.0, always).trial)
         poison.record_crash("s2", 1, 3.02, [("all", "y")])
-        self.assertEqual("all", poison.check(("all", "x"), 6.0, always).part)
+        self.assertEqual("all", poison.check(("all", "x"), 6.0, always).key)
 
     def test_trial_that_is_answered_ends_the_quarantine(self):
         """Requests are sent again at once."""
         poison = make_poison("all", "some")
         poison.record_sound(PROMPT, 100.0)
         self.assertEqual([], list_parts(poison))
-        self.assertEqual("", poison.check(PROMPT, 100.0, never).part)
+        self.assertEqual("", poison.check(PROMPT, 100.0, never).key)
 
     def test_parts_of_the_same_crashes_are_tried_apart(self):
         """A request with only one of them tells which one is the cause."""
         poison = make_poison()
         self.assertEqual(["all", "bad", "some"], list_parts(poison))
         soon_s = 3.0 + APART_TERM_S
-        self.assertEqual("all", poison.check(PROMPT, soon_s, always).part)
+        self.assertEqual("all", poison.check(PROMPT, soon_s, always).key)
         self.assertTrue(poison.check(("all", "x"), soon_s, always).trial)
         poison.record_sound(("all", "x"), soon_s + 0.1)
         poison.record_sound(("some", "x"), soon_s + 0.2)
         # The last one left is the cause.
         verdict = poison.check(("all", "bad"), soon_s + 0.3, always)
-        self.assertEqual("bad", verdict.part)
+        self.assertEqual("bad", verdict.key)
         self.assertGreater(verdict.wait_s, FIRST_TERM_S - 5.0)
 
     def test_quarantine_without_requests_is_removed(self):
@@ -237,14 +237,14 @@
 
     def test_quarantine_from_before_a_response_is_ignored(self):
         """A host that has not heard of the response sends it."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         poison.record_sound(("bad",), 5.0)
         group = frozenset(["bad"])
         self.assertFalse(poison.receive_quarantine(Quarantine("bad", 4.0, 60.0, group)))
 
     def test_quarantine_of_part_that_is_answered_here_is_ignored(self):
         """A host that has just started may blame a part that is often used."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         poison.record_sound(("popular",), 5.0)
         group = frozenset(["popular"])
         quarantine = Quarantine("popular", 6.0, 60.0, group)
@@ -274,7 +274,7 @@
 
     def test_each_suspect_is_kept_in_some_crashes(self):
         """A cause among too many suspects is found all the same."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         waiting = [(f"own{number}",) for number in range(3 * MAX_SUSPECTS)]
         for number in range(30):
             poison.record_crash(f"s{number}", 1, 1.0 + number, [*waiting, ("zzz",)])
@@ -284,7 +284,7 @@
 
     def test_quarantines_are_bounded(self):
         """The oldest ones are dropped."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(MAX_QUARANTINES + 10):
             part = f"p{number}"
             poison.receive_quarantine(Quarantine(part, 1.0, 60.0, frozenset([part])))
--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -2,12 +2,12 @@
 
 from testtools import TestCase
 
-from oleanderpier.routing import PoisonParts, Quarantine, make_resend_mark
+from oleanderpier.routing import CrashCauses, Quarantine, make_resend_mark
 from oleanderpier.routing.crashes import SIMULTANEOUS_S
 from oleanderpier.routing.poison import (
     APART_TERM_S,
     FIRST_TERM_S,
-    MAX_SOUND_PARTS,
+    MAX_SOUND_KEYS,
     QUARANTINE_CRASHES,
     REQUEST_TERM_S,
 )
@@ -19,9 +19,9 @@
 
 def make_poison(
     *suspects: tuple[str, ...], crashes: int = QUARANTINE_CRASHES
-) -> PoisonParts:
+) -> CrashCauses:
     """Return the state after crashes with these suspects, one a second from 1 s."""
-    poison = PoisonParts()
+    poison = CrashCauses()
     for number in range(crashes):
         poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
     return poison
@@ -32,19 +32,19 @@
 
     def test_request_without_prompt_is_quarantined(self):
         """Requests that were in one of the crashes are not."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(QUARANTINE_CRASHES):
             self.assertEqual([], list_parts(poison))
             beside = (f"request:{number}",)
             poison.record_crash(f"s{number}", 1, 1.0 + number, [(BAD,), beside])
         (quarantine,) = poison.list_quarantines()
-        self.assertEqual((BAD, REQUEST_TERM_S), (quarantine.part, quarantine.term_s))
+        self.assertEqual((BAD, REQUEST_TERM_S), (quarantine.key, quarantine.term_s))
 
     def test_request_goes_before_the_parts_of_its_prompt(self):
         """Other requests with its prompt are sent."""
         poison = make_poison(("all", "own", BAD))
         self.assertEqual([BAD], list_parts(poison))
-        self.assertEqual("", poison.check(("all", "own", SOUND), 4.0, always).part)
+        self.assertEqual("", poison.check(("all", "own", SOUND), 4.0, always).key)
 
     def test_part_that_crashes_servers_in_another_request_is_quarantined_too(self):
         """The request was only the first one with the part, and came again."""
@@ -55,7 +55,7 @@
 
     def test_part_goes_before_requests_that_differ_in_their_prompts(self):
         """Their path, caller and body are the same, so that they share a key."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(QUARANTINE_CRASHES):
             suspects = [("part", f"own{number}", BAD), (f"other{number}", BAD)]
             poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
@@ -72,7 +72,7 @@
 
     def test_request_that_is_answered_between_crashes_is_not_quarantined(self):
         """It waited at the servers by chance."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(9):
             poison.record_crash(f"s{number}", 1, 1.0 + number, [(BAD,)])
             poison.record_sound((BAD,), 1.5 + number)
@@ -89,7 +89,7 @@
 
     def test_servers_of_one_machine_count_once(self):
         """A request that many send is in flight at all of them."""
-        poison = PoisonParts()
+        poison = CrashCauses()
         for number in range(9):
             poison.record_crash(f"s{number}", 1, 1.0 + 0.01 * number, [(SOUND,)])
         self.assertEqual([], list_parts(poison))
@@ -101,7 +101,7 @@
         soon_s = float(QUARANTINE_CRASHES) + APART_TERM_S
         self.assertTrue(poison.check((SOUND,), soon_s, always).trial)
         poison.record_sound((SOUND,), soon_s + 0.1)
-        self.assertEqual("", poison.check((SOUND,), soon_s + 0.2, always).part)
+        self.assertEqual("", poison.check((SOUND,), soon_s + 0.2, always).key)
         verdict = poison.check((BAD,), soon_s + 0.2, always)
         self.assertGreater(verdict.wait_s, REQUEST_TERM_S - 2.0)
 
@@ -116,7 +116,7 @@
         """Only those to requests under suspicion are kept."""
         poison = make_poison((BAD,), crashes=1)
         poison.record_sound(("part",), 1.0)
-        for number in range(MAX_SOUND_PARTS):
+        for number in range(MAX_SOUND_KEYS):
             poison.record_sound((f"request:{number}",), 2.0)
         for number in range(QUARANTINE_CRASHES):
             poison.record_crash(f"t{number}", 1, 3.0 + number, [("part",)])
--- a/tests/test_errors_after_broken_streams.py
+++ b/tests/test_errors_after_broken_streams.py
@@ -1,4 +1,4 @@
-"""Tests of hosts, as processes: after a broken stream the next server sends an error."""
+"""Tests of hosts, as processes: after a broken stream a server sends an error."""
 
 import asyncio
 import re
