Try a request apart that was in the same crashes as an unrelated prompt part

Callers there send one and the same request, which was in flight at each server that ended.

Cause: a request went before all parts in the same crashes, not only before those of its own prompt; so it was blamed alone, for 240 s, and the part was not. Now parts go only if no other request has them; else all are tried apart after 1 s. A request that was answered between crashes is tried after 2 s, and if that crashes a server, after 240 s.

Two unit tests failed before.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -35,7 +35,8 @@
 # Both are multiplied by this for a prompt part that was answered before the crashes.
 ANSWERED_FACTOR = 2
 FIRST_TERM_S = 60.0
-# The same for a prompt part that was answered before, since it may be blamed by chance.
+# The same for a key that was answered between crashes, since it may be blamed by
+# chance.
 ANSWERED_TERM_S = 2.0
 # Longer for a request as a whole: a refusal concerns one caller, but a trial that
 # crashes a server all requests there.
@@ -236,7 +237,7 @@
         """Quarantine the most likely causes of the latest crashes, if there are any.
 
         Parts that were never in a whole response go before those that were, and
-        requests as a whole before parts of their prompts that were in no more crashes.
+        requests as a whole before parts that only their prompts have.
         A request whose prompts differ is not one request: a part of them goes first.
         """
         counts = {
@@ -250,12 +251,11 @@
             likely = {key for key in likely if not self._has_several_prompts(key)}
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
-        requests = frozenset(filter(is_request_key, group))
-        group = requests or group
-        term_s = ANSWERED_TERM_S
-        if unanswered:
-            term_s = REQUEST_TERM_S if requests else FIRST_TERM_S
-        quarantines = [Quarantine(key, at_s, term_s, group) for key in sorted(group)]
+        group = frozenset(key for key in group if not self._is_part_of_any(key, group))
+        quarantines = [
+            Quarantine(key, at_s, self._get_first_term_s(key), group)
+            for key in sorted(group)
+        ]
         for quarantine in quarantines:
             self._set_quarantine(quarantine)
         return quarantines
@@ -270,10 +270,13 @@
             # One more report of the crash that began it.
             return None
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
-        is_over = crash.at_s >= known.since_s + known.term_s
+        term_s = known.term_s
+        if crash.at_s >= known.since_s + term_s:
+            least_s = REQUEST_TERM_S if is_request_key(key) else 0.0
+            term_s = min(MAX_TERM_S, max(least_s, term_s * TERM_FACTOR))
         renewed = known._replace(
             since_s=crash.at_s,
-            term_s=min(MAX_TERM_S, known.term_s * (TERM_FACTOR if is_over else 1.0)),
+            term_s=term_s,
             group=frozenset([key]) if is_apart else known.group,
             trial_until_s=float("-inf"),
         )
@@ -322,21 +325,30 @@
         # The parts of a prompt that the server has read are left out of a suspect.
         return len(prompts - {()}) > 1
 
-    def _is_of_one_request(self, key: str) -> bool:
+    def _get_first_term_s(self, key: str) -> float:
+        """Return the first term of a key's quarantine."""
+        if key in self._sound_s:
+            return ANSWERED_TERM_S
+        return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
+
+    def _is_part_of_any(self, part: str, keys: Collection[str]) -> bool:
+        """Return whether only requests with one of several keys have a prompt part."""
+        return not self._list_common_requests(part).isdisjoint(keys)
+
+    def _is_of_one_request(self, part: str) -> bool:
         """Return whether all crashes on a prompt part were on one request with it."""
-        if is_request_key(key):
-            return False
-        crashes = [
-            {each for each in crash.suspects if key in each}
-            for crash in self._log.list_crashes()
-            if key in crash.keys
-        ]
-        shared = [
+        return bool(self._list_common_requests(part))
+
+    def _list_common_requests(self, part: str) -> frozenset[str]:
+        """Return the keys of the request that all suspects with a prompt part have."""
+        requests = [
             frozenset(filter(is_request_key, suspect))
-            for suspects in crashes
-            for suspect in suspects
+            for crash in self._log.list_crashes()
+            if part in crash.keys and not is_request_key(part)
+            for suspect in crash.suspects
+            if part in suspect
         ]
-        return bool(shared and frozenset.intersection(*shared))
+        return frozenset.intersection(*requests) if requests else frozenset()
 
     def _count_crashes(self, key: str) -> int:
         """Return in how many crashes a key was since it was last in a response."""
--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -5,6 +5,7 @@
 from oleanderpier.routing import CrashCauses, Quarantine, make_resend_mark
 from oleanderpier.routing.crashes import SIMULTANEOUS_S
 from oleanderpier.routing.poison import (
+    ANSWERED_TERM_S,
     APART_TERM_S,
     FIRST_TERM_S,
     MAX_SOUND_KEYS,
@@ -61,6 +62,31 @@
             poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
         self.assertEqual(["part"], list_parts(poison))
 
+    def test_request_beside_a_part_that_crashes_servers_is_tried_apart(self):
+        """Many send it, so that it was in flight at each server that ended."""
+        poison = CrashCauses()
+        for number in range(QUARANTINE_CRASHES):
+            suspects = [("part", f"request:{number}"), (SOUND,)]
+            poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
+        self.assertEqual(["part", SOUND], list_parts(poison))
+        soon_s = float(QUARANTINE_CRASHES) + APART_TERM_S
+        self.assertTrue(poison.check((SOUND,), soon_s, always).trial)
+        poison.record_sound((SOUND,), soon_s + 0.1)
+        self.assertEqual(["part"], list_parts(poison))
+
+    def test_request_that_was_answered_between_crashes_is_tried_soon(self):
+        """Many send it; if it crashes a server then, it is not tried for longer."""
+        poison = make_poison((BAD,), crashes=1)
+        poison.record_sound((BAD,), 1.5)
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"t{number}", 1, 2.0 + number, [(BAD,)])
+        (quarantine,) = poison.list_quarantines()
+        self.assertEqual(ANSWERED_TERM_S, quarantine.term_s)
+        over_s = quarantine.since_s + ANSWERED_TERM_S
+        self.assertTrue(poison.check((BAD,), over_s, always).trial)
+        poison.record_crash("u", 1, over_s + 0.1, [(BAD,)])
+        self.assertEqual(REQUEST_TERM_S, poison.list_quarantines()[0].term_s)
+
     def test_request_that_was_answered_before_is_quarantined_as_soon(self):
         """Its answers from before the first crash say nothing of later ones."""
         poison = make_poison((BAD,), crashes=1)
