Leave no moment at the end of a stop in which a signal ends the process

What operators saw: a process that had stopped well ended with -1 for a SIGHUP. Cause: the event loop's handler is removed, the default action holds, then the signal is ignored; and the loop's four threads, which started after the signals had been released, would get a signal that the main thread blocks. Now these threads are started while signals are held, and the main thread blocks them while it replaces the handlers.

--- a/oleanderpier/daemon/program.py
+++ b/oleanderpier/daemon/program.py
@@ -17,7 +17,7 @@
 from oleanderpier.operators import make_operator_app
 from oleanderpier.results import Code, Failure
 from oleanderpier.settings import Settings, read_settings
-from oleanderpier.signals import release_signals
+from oleanderpier.signals import ignore_signals, release_signals, start_worker_threads
 
 __all__ = ["list_io_uring_descriptors", "run"]
 
@@ -66,6 +66,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _log_unsupported_reload)
+    await start_worker_threads()
     release_signals()
     node = Node(settings)
     await node.open_connections()
@@ -78,6 +79,7 @@
     await node.drain()
     await node.stop()
     log_message("daemon:stopped", host=settings["host"])
+    ignore_signals(loop)
 
 
 def _log_unsupported_reload() -> None:
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -25,7 +25,7 @@
 from oleanderpier.platform.settings import SETTINGS_VARIABLE, read_entry_settings
 from oleanderpier.platform.store import StoreClient, make_store_session
 from oleanderpier.results import Failure, make_refusal_body
-from oleanderpier.signals import ignore_signals, release_signals
+from oleanderpier.signals import ignore_signals, release_signals, start_worker_threads
 from oleanderpier.utils import LoopTimers
 
 __all__ = ["run"]
@@ -74,6 +74,7 @@
     )
     reloader = _SettingsReloader(path, node)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    await start_worker_threads()
     release_signals()
     node.timers.subscribe(SETTINGS_CHECK_INTERVAL_S, reloader.reload_if_modified)
     await node.start()
