Take ids of prompt parts and requests that are not ASCII for what they are

What callers saw: 500 for a prompt or a request id with a byte that is not UTF-8, as it can't be encoded to be hashed, nor in messages to other hosts. Now such a prompt is malformed and ignored, like others, and hashes take any text. The case of read_prompt failed before.

--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -150,7 +150,7 @@
     parts = []
     for text in (value or "").split(","):
         identity, _, tokens = text.strip().partition(":")
-        if not identity or not _is_count(tokens):
+        if not (identity and identity.isascii()) or not _is_count(tokens):
             return ()
         parts.append(PromptPart(identity, int(tokens)))
     return tuple(parts)
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -89,6 +89,7 @@
             "a:1,,b:2",
             "a:\u00b2",
             "a:" + "9" * 5000,
+            "caf\udce9:4,b:1",
         ):
             self.assertEqual((), read_prompt(text), text)
 
--- a/oleanderpier/utils/ranking.py
+++ b/oleanderpier/utils/ranking.py
@@ -19,7 +19,7 @@
         >>> hash_text("chat-1") == hash_text("chat-1")
         True
     """
-    return xxhash.xxh3_64_intdigest(text.encode())
+    return xxhash.xxh3_64_intdigest(text.encode("utf-8", "surrogatepass"))
 
 
 def rank_candidates(key: str, candidates: Iterable[str]) -> list[str]:
