Treat all values of the store that can't be decoded or sent on as odd

Text outside ASCII in place of base64 (ValueError), numbers of over 64 bits in the configuration (OverflowError when it is encoded for other hosts) and a deeply nested response still ended the task that follows the store.

--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -1,7 +1,6 @@
 """A read-only client of the platform's store."""
 
 import base64
-import binascii
 from typing import Any, NamedTuple, NotRequired, TypedDict
 
 import aiohttp
@@ -174,7 +173,7 @@
             raise PlatformError(f"{path}: status {status}")
         try:
             return _Response(era, msgspec.json.decode(data, type=schema))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise PlatformError(f"{path}: {error}") from error
 
     def _read_era(self, text: str | None) -> int:
@@ -212,7 +211,8 @@
             value = encode_table(decode_configuration(data))
         else:
             value = encode_server(decode_server(key, data))
-    except (SettingsError, binascii.Error) as error:
+    except (SettingsError, ValueError, OverflowError) as error:
+        # A number or text that can't be encoded for the other hosts, among others.
         log_message("store:value_refused", key=item["Key"], reason=str(error))
         return Item(key, revision, b"")
     return Item(key, revision, value)
