Try a request that many send soon, and count one crash once under several starts

A request whose prompts differ is now tried after 2 s, as one that was answered between crashes is. Reports of one crash by hosts that know different starts of the server counted apart for resent requests; the server's id and the time tell them now.

--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -100,8 +100,7 @@
             (
                 crash
                 for crash in self._crashes
-                if (crash.identity, crash.born_ms) == (identity, born_ms)
-                and abs(at_s - crash.at_s) < SAME_CRASH_S
+                if crash.identity == identity and abs(at_s - crash.at_s) < SAME_CRASH_S
             ),
             Crash(identity, born_ms, at_s, frozenset(), frozenset()),
         )
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -35,11 +35,10 @@
 # Both are multiplied by this for a prompt part that was answered before the crashes.
 ANSWERED_FACTOR = 2
 FIRST_TERM_S = 60.0
-# The same for a key that was answered between crashes, since it may be blamed by
-# chance.
+# The same for a prompt part that was answered before, since it may be blamed by chance.
 ANSWERED_TERM_S = 2.0
-# Longer for a request as a whole: a refusal concerns one caller, but a trial that
-# crashes a server all requests there.
+# Longer for a request as a whole, also after such a short term: a refusal concerns one
+# caller, but a trial that crashes a server all requests there.
 REQUEST_TERM_S = 240.0
 TERM_FACTOR = 4.0
 MAX_TERM_S = 960.0
@@ -270,13 +269,13 @@
             # One more report of the crash that began it.
             return None
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
-        term_s = known.term_s
-        if crash.at_s >= known.since_s + term_s:
-            least_s = REQUEST_TERM_S if is_request_key(key) else 0.0
-            term_s = min(MAX_TERM_S, max(least_s, term_s * TERM_FACTOR))
+        is_over = crash.at_s >= known.since_s + known.term_s
+        term_s = known.term_s * (TERM_FACTOR if is_over else 1.0)
+        if is_apart and is_request_key(key):
+            term_s = max(term_s, REQUEST_TERM_S)
         renewed = known._replace(
             since_s=crash.at_s,
-            term_s=term_s,
+            term_s=min(MAX_TERM_S, term_s),
             group=frozenset([key]) if is_apart else known.group,
             trial_until_s=float("-inf"),
         )
@@ -327,7 +326,7 @@
 
     def _get_first_term_s(self, key: str) -> float:
         """Return the first term of a key's quarantine."""
-        if key in self._sound_s:
+        if key in self._sound_s or self._has_several_prompts(key):
             return ANSWERED_TERM_S
         return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
 
