Ask again whether a request is held back before it goes to another server

A request that had reached no server was sent on, also if it had been held back meanwhile. The method leaves the key: the users' words are path, caller and body.

--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -81,12 +81,13 @@
 
     def find_refusal(self, keys: RequestKeys) -> Failure | None:
         """Return the failure to refuse a request with, None to send it."""
-        if not self._poison.is_watching():
+        if keys.is_trial or not self._poison.is_watching():
             return None
         verdict = self._poison.check(
             (*keys.prompt, keys.whole), self._timers.now(), self._is_tester
         )
         if verdict.trial:
+            keys.is_trial = True
             log_message("poison:trial", request=keys.identity, request_key=keys.whole)
         if not verdict.key:
             return None
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -231,6 +231,9 @@
                 return await self._deliver()
             if not decision.retry:
                 return await self._finish_unsuccessful(decision.code)
+            refusal = None if self._may_have_run else forwarder.find_refusal(self._keys)
+            if refusal is not None:
+                return await self._refuse_with(refusal)
             if self._may_have_run and not forwarder.guard.may_retry(self._keys):
                 self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
--- a/oleanderpier/forwarding/request_keys.py
+++ b/oleanderpier/forwarding/request_keys.py
@@ -25,11 +25,13 @@
     Attributes:
         identity: The caller's id of the request.
         marks: Further keys of the attempt that is made now.
+        is_trial: Whether it tests if a quarantined key still crashes servers.
     """
 
     def __init__(self, call: Call) -> None:
         self.identity = call.identity
         self.marks: SuspectKeys = ()
+        self.is_trial = False
         self._call = call
 
     @cached_property
@@ -47,7 +49,7 @@
         call = self._call
         caller = "" if call.workspace is None else call.workspace.name
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-        for field in (call.method, call.route.host_name, call.path, caller):
+        for field in (call.route.host_name, call.path, caller):
             encoded = field.encode("utf-8", "surrogateescape")
             digest.update(len(encoded).to_bytes(LENGTH_BYTES, "big"))
             digest.update(encoded)
