--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -136,15 +136,21 @@
         self, server: StandInServer, state: str = "ready", **fields: Any
     ) -> None:
         """Write the entry of a server to the store, with further fields."""
+        self.register_address(server.instance_id, server.address, state, **fields)
+
+    def register_address(
+        self, identity: str, address: str, state: str = "ready", **fields: Any
+    ) -> None:
+        """Write the entry of a server with an id and an address to the store."""
         entry = {
             "Service": "office",
-            "Address": server.address,
+            "Address": address,
             "Zone": "duluth",
             "State": state,
             "Slots": 8,
             **fields,
         }
-        self.store.put(f"servers/{server.instance_id}", entry)
+        self.store.put(f"servers/{identity}", entry)
 
     async def start_host(self, number: int) -> Process:
         """Start the process of one host."""
--- a/tests/test_earlier_refusals.py
+++ b/tests/test_earlier_refusals.py
@@ -54,13 +54,7 @@
             PlatformFleet(1) as fleet,
         ):
             for port in (first, second):
-                entry = {
-                    "Service": "office",
-                    "Address": f"127.0.0.1:{port}",
-                    "Zone": "duluth",
-                    "State": "ready",
-                }
-                fleet.store.put(f"servers/i-{port}", entry)
+                fleet.register_address(f"i-{port}", f"127.0.0.1:{port}")
             await fleet.start_all()
             results = [
                 await fleet.fetch(0, f"{path}/{number}", f"r{number}")
--- a/tests/test_errors_after_broken_streams.py
+++ b/tests/test_errors_after_broken_streams.py
@@ -73,13 +73,7 @@
             PlatformFleet(1) as fleet,
         ):
             for port in (first, second):
-                entry = {
-                    "Service": "office",
-                    "Address": f"127.0.0.1:{port}",
-                    "Zone": "duluth",
-                    "State": "ready",
-                }
-                fleet.store.put(f"servers/i-{port}", entry)
+                fleet.register_address(f"i-{port}", f"127.0.0.1:{port}")
             await fleet.start_all()
             caller = await RawCaller.connect(fleet.settings[0]["Listen"]["Front"])
             response = await caller.exchange(RawRequest("/chat/x", "r1", b"body"))
