--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -13,6 +13,7 @@
     Call,
     CrashGuard,
     Forwarder,
+    RequestKeys,
     RequestOutcome,
     ResponseHead,
     ServerActivity,
@@ -25,6 +26,7 @@
     Chooser,
     CrashCauses,
     PromptPart,
+    Quarantine,
     Refusal,
     RetryBudget,
     Roster,
@@ -328,6 +330,7 @@
 
     Attributes:
         unreachable: The numbers of servers that do not listen.
+        held_back: Whether other hosts hold the requests back from the first attempt on.
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
     """
@@ -342,6 +345,7 @@
         self.caller = RecordingCaller()
         self._slack = slack
         self.unreachable: tuple[int, ...] = ()
+        self.held_back = False
         self.differ_in_path = False
         self.differ_in_prompt = False
         self._used_up = used_up
@@ -387,6 +391,7 @@
                 statements.record_wait(server, timers.now() + USED_UP_S)
             notify(server.identity not in self._used_up)
 
+        causes = CrashCauses()
         async with make_session() as session:
             forwarder = Forwarder(
                 session,
@@ -397,9 +402,10 @@
                 ServerActivity(timers),
                 timers,
                 StatementRecorder(statements, timers, rng).record,
-                CrashGuard(CrashCauses(), health, timers),
+                CrashGuard(causes, health, timers),
                 rng,
-                request_send=request_send,
+                self._make_attempt_recorder(causes, route, timers),
+                request_send,
             )
             try:
                 return [
@@ -414,6 +420,19 @@
                 for server in self.servers:
                     await server.close()
 
+    def _make_attempt_recorder(
+        self, causes: CrashCauses, route: Route, timers: LoopTimers
+    ) -> Callable[..., None]:
+        """Return what is called after each attempt; see ``Forwarder``."""
+
+        def record(outcome, framing, took_s) -> None:
+            if self.held_back:
+                key = RequestKeys(make_call(route, 0.0)).whole
+                group = frozenset([key])
+                causes.receive_quarantine(Quarantine(key, timers.now(), 60.0, group))
+
+        return record
+
     def _make_call(self, number: int, route: Route, deadline_s: float) -> Call:
         """Return the request of one of several callers."""
         call = make_call(route, deadline_s)
--- a/oleanderpier/forwarding/tests/test_crash_guard.py
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -91,6 +91,15 @@
         self.assertEqual([1, 1, 0, 1], fixture.count_requests())
         self.assertEqual(Code.DONE, outcomes[-1].code)
 
+    def test_request_that_is_held_back_meanwhile_is_not_sent_on(self):
+        """It has reached no server yet, so that it has not run."""
+        fixture = ForwarderFixture([], [stream_events(3)])
+        fixture.unreachable = (0,)
+        fixture.held_back = True
+        (outcome,) = self.forward(fixture, 1)
+        self.assertEqual([0, 0], fixture.count_requests())
+        self.assertEqual(Code.REQUEST_QUARANTINED, outcome.code)
+
     def test_error_response_does_not_clear_a_prompt(self):
         """A server may send it without a look at the prompt."""
         fixture = self.make_crashing(*[reset_connection] * 4)
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the store's client against the stand-in, over HTTP."""
 
 import asyncio
+import base64
 import json
 
 from aiohttp import web
@@ -203,3 +204,50 @@
             PlatformError, run_coroutine, call_store(_EndlessStore(), call)
         )
         self.assertIn("more than 10000 bytes", str(error))
+
+
+class _OddStore:
+    """Store with one item that can't be decoded or sent on.
+
+    Args:
+        key: The key of the item.
+        value: Its value, as the response has it.
+    """
+
+    def __init__(self, key: str, value: str) -> None:
+        self._item = {"Key": key, "Revision": 5, "Value": value}
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application that serves the item."""
+        app = web.Application()
+        app.router.add_get("/kv-range", self._handle_range)
+        return app
+
+    async def _handle_range(self, request: web.Request) -> web.Response:
+        return web.json_response({"Items": [self._item], "HasMore": False, "AsOf": 7})
+
+
+class OddValueTest(TestCase):
+    """A value that can't be decoded or sent to other hosts becomes empty."""
+
+    def test_odd_values(self):
+        """Text that is not base64, deep nesting, and numbers of over 64 bits."""
+        nested = json.dumps({**ENTRY, "Service": "@"}).replace(
+            '"@"', "[" * 900 + "]" * 900
+        )
+        table = json.dumps(
+            {"Version": 10**30, "Routes": [], "Limits": {"MaxBodyBytes": 1}}
+        )
+        for space, key, value in (
+            (SERVERS, "servers/i-1", "\u00e9"),
+            (SERVERS, "servers/i-1", "a"),
+            (SERVERS, "servers/i-1", base64.b64encode(nested.encode()).decode()),
+            (CONFIGURATION, "op/config", base64.b64encode(table.encode()).decode()),
+        ):
+            update = run_coroutine(
+                call_store(
+                    _OddStore(key, value),
+                    lambda client, of=space: client.read_snapshot(of),
+                )
+            )
+            self.assertEqual([b""], [item.value for item in update.items], value[:20])
