Blame a prompt part that is found after the requests that differ in it

Callers got 503 for up to 240 s for requests that crash nothing, if they share path, caller and body with requests of which one prompt part crashes servers.

Cause: the common key of such requests reaches the limit before the part does, as a request that is sent again at once counts again. It was quarantined for 2 s. From then on crashes said nothing about the part, since they had a known cause; and the trial after the 2 s was a request with the part, which crashed its server, so that the common key was refused for 240 s. While requests that share a key differ in their prompts, crashes now still count for the parts, and a part that is found takes the place of the key, also if another host repeats the quarantine. A trial that may have crashed its server by a part of its prompt extends the quarantine by the usual factor.

Both new tests failed before.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -106,6 +106,8 @@
         self._sound_s: dict[str, float] = {}
         # Keys that were in a crash, and in no response since.
         self._suspected: set[str] = set()
+        # Keys that requests with different prompts have in common.
+        self._shared: set[str] = set()
 
     def record_crash(
         self, identity: str, born_ms: int, at_s: float, suspects: Iterable[SuspectKeys]
@@ -120,11 +122,16 @@
         """
         crash = self._log.record_crash(identity, born_ms, at_s, suspects)
         self._suspected.update(list_causes(crash.keys))
+        self._shared.update(filter(self._has_several_prompts, crash.keys))
         causes = sorted(crash.keys & self._quarantines.keys())
-        if causes:
+        found = self._find_causes(crash.keys) if self._shared.issuperset(causes) else ()
+        if causes and all(map(is_request_key, found)):
             renewed = [self._renew(key, crash, len(causes) == 1) for key in causes]
             return [quarantine for quarantine in renewed if quarantine is not None]
-        return self._begin_quarantines(crash.keys, at_s)
+        for key in causes:
+            # A part of their prompts is the cause.
+            del self._quarantines[key]
+        return self._begin_quarantines(found, at_s)
 
     def record_sound(self, keys: SuspectKeys, at_s: float) -> list[str]:
         """Record that a request was answered, and return the keys it cleared.
@@ -158,7 +165,8 @@
             return False
         if known is not None and quarantine.since_s <= known.since_s:
             return False
-        if self._was_answered(key) and not self._reaches_limit(key, QUARANTINE_CRASHES):
+        is_doubtful = self._was_answered(key) or key in self._shared
+        if is_doubtful and not self._reaches_limit(key, QUARANTINE_CRASHES):
             # The other host has not been up for as long, and knows less of the key.
             return False
         self._set_quarantine(quarantine)
@@ -223,17 +231,17 @@
 
     def remove_expired(self, now_s: float) -> None:
         """Remove the quarantines that have ended without a trial."""
-        self._suspected &= {key for crash in self.list_crashes() for key in crash.keys}
+        in_crashes = {key for crash in self.list_crashes() for key in crash.keys}
+        self._suspected &= in_crashes
+        self._shared &= in_crashes
         self._quarantines = {
             key: each
             for key, each in self._quarantines.items()
             if now_s < each.since_s + each.term_s + UNUSED_KEPT_S
         }
 
-    def _begin_quarantines(
-        self, keys: Collection[str], at_s: float
-    ) -> list[Quarantine]:
-        """Quarantine the most likely causes of the latest crashes, if there are any.
+    def _find_causes(self, keys: Collection[str]) -> frozenset[str]:
+        """Return the most likely causes of the latest crashes, if there are any.
 
         Parts that were never in a whole response go before those that were, and
         requests as a whole before parts that only their prompts have.
@@ -247,12 +255,17 @@
         unanswered = {key for key in counts if not self._was_answered(key)}
         likely = unanswered or counts.keys()
         if any(not is_request_key(key) for key in likely):
-            likely = {key for key in likely if not self._has_several_prompts(key)}
+            likely -= self._shared
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
-        group = frozenset(key for key in group if not self._is_part_of_any(key, group))
+        return frozenset(key for key in group if not self._is_part_of_any(key, group))
+
+    def _begin_quarantines(
+        self, group: Collection[str], at_s: float
+    ) -> list[Quarantine]:
+        """Quarantine the keys that were in the same crashes."""
         quarantines = [
-            Quarantine(key, at_s, self._get_first_term_s(key), group)
+            Quarantine(key, at_s, self._get_first_term_s(key), frozenset(group))
             for key in sorted(group)
         ]
         for quarantine in quarantines:
@@ -271,7 +284,8 @@
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
         is_over = crash.at_s >= known.since_s + known.term_s
         term_s = known.term_s * (TERM_FACTOR if is_over else 1.0)
-        if is_apart and is_request_key(key):
+        is_certain = key not in self._shared or len(list_causes(crash.keys)) == 1
+        if is_apart and is_request_key(key) and is_certain:
             term_s = max(term_s, REQUEST_TERM_S)
         renewed = known._replace(
             since_s=crash.at_s,
@@ -313,11 +327,13 @@
         return key in self._sound_s and not is_request_key(key)
 
     def _has_several_prompts(self, key: str) -> bool:
-        """Return whether a key stands for several requests, whose prompts differ."""
+        """Return whether requests with a key differ in their prompts."""
+        if not is_request_key(key):
+            return False
         prompts = {
             tuple(each for each in list_causes(suspect) if not is_request_key(each))
             for crash in self._log.list_crashes()
-            if is_request_key(key) and key in crash.keys
+            if key in crash.keys
             for suspect in crash.suspects
             if key in suspect
         }
@@ -326,7 +342,7 @@
 
     def _get_first_term_s(self, key: str) -> float:
         """Return the first term of a key's quarantine."""
-        if key in self._sound_s or self._has_several_prompts(key):
+        if key in self._sound_s or key in self._shared:
             return ANSWERED_TERM_S
         return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
 
@@ -352,4 +368,8 @@
     def _count_crashes(self, key: str) -> int:
         """Return in how many crashes a key was since it was last in a response."""
         since_s = self._sound_s.get(key, float("-inf"))
-        return self._log.count_crashes(key, since_s, self._quarantines.keys())
+        causes = self._quarantines.keys()
+        if not is_request_key(key):
+            # A part may be what crashes the requests that share a key.
+            causes -= self._shared
+        return self._log.count_crashes(key, since_s, causes)
--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -11,6 +11,7 @@
     MAX_SOUND_KEYS,
     QUARANTINE_CRASHES,
     REQUEST_TERM_S,
+    TERM_FACTOR,
 )
 from oleanderpier.routing.tests.test_poison import always, list_parts
 
@@ -63,6 +64,36 @@
             poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
         self.assertEqual(["part"], list_parts(poison))
 
+    def test_part_that_is_found_after_requests_that_differ_in_it_is_blamed(self):
+        """Their common key reached the limit first, since it was sent again at once."""
+        poison = CrashCauses()
+        resent = (BAD, make_resend_mark(BAD))
+        poison.record_crash("s0", 1, 1.0, [("part", "p0", BAD), ("p1", BAD)])
+        for number in (1, 2):
+            at_s = 1.0 + 0.5 * SIMULTANEOUS_S * number
+            suspects = [("part", "p0", *resent), ("p1", *resent)]
+            poison.record_crash(f"s{number}", 1, at_s, suspects)
+        self.assertEqual([BAD], list_parts(poison))
+        poison.record_sound(("p0", "p1"), 1.5)
+        poison.record_crash("t0", 1, 2.0, [("part", "p1", BAD)])
+        poison.record_crash("t1", 1, 3.2, [("part", "p0", BAD)])
+        self.assertEqual(["part"], list_parts(poison))
+        self.assertEqual("", poison.check(("p0", BAD), 3.3, always).key)
+        theirs = Quarantine(BAD, 3.0, REQUEST_TERM_S, frozenset([BAD]))
+        self.assertFalse(poison.receive_quarantine(theirs))
+
+    def test_trial_with_a_possible_cause_in_its_prompt_is_repeated_sooner(self):
+        """The requests that share a key differ in their prompts."""
+        poison = CrashCauses()
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [(f"p{number}", BAD)])
+        self.assertEqual([BAD], list_parts(poison))
+        over_s = 3.0 + ANSWERED_TERM_S
+        self.assertTrue(poison.check(("part", BAD), over_s, always).trial)
+        poison.record_crash("t", 1, over_s + 0.1, [("part", BAD)])
+        (quarantine,) = poison.list_quarantines()
+        self.assertEqual(TERM_FACTOR * ANSWERED_TERM_S, quarantine.term_s)
+
     def test_request_beside_a_part_that_crashes_servers_is_tried_apart(self):
         """Many send it, so that it was in flight at each server that ended."""
         poison = CrashCauses()
