Send a newcomer quarantines also without their crashes

A host that was told of quarantines alone sent a host that had just started nothing, which then let such requests through until somebody repeated them to it. The test failed before.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -105,12 +105,11 @@
         """Send everything to a host that has just started."""
         now_s = self._timers.now()
         crashes = [self._report_crash(crash) for crash in self._poison.list_crashes()]
-        if not crashes or newcomer not in self._list_receivers():
+        quarantines = self._report_quarantines()
+        if not (crashes or quarantines) or newcomer not in self._list_receivers():
             return
         sound = [(part, now_s - at_s) for part, at_s in self._poison.list_sound()]
-        self._outbox.send(
-            newcomer, CrashNews(crashes, sound, self._report_quarantines())
-        )
+        self._outbox.send(newcomer, CrashNews(crashes, sound, quarantines))
         log_message("poison:sent", host=newcomer, crashes=len(crashes))
 
     def _send_sound(self) -> None:
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -145,6 +145,19 @@
             fleet.timers.advance(REPEAT_INTERVAL_S)
         self.assertEqual(["bad"], fleet.list_parts("h2"))
 
+    def test_newcomer_gets_quarantines_without_their_crashes(self):
+        """The host that sends them was told of the quarantines alone."""
+        fleet = CrashFleet(3)
+        fleet.cut_off.add("h2")
+        crash_servers(fleet, ["h0", "h1", "h0"])
+        fleet.cut_off.clear()
+        for _ in range(10):
+            fleet.timers.advance(REPEAT_INTERVAL_S)
+        self.assertEqual([], fleet.poison["h2"].list_crashes())
+        fleet.add_host("h3")
+        fleet.gossips["h2"].send_all("h3")
+        self.assertEqual(["bad"], fleet.list_parts("h3"))
+
     def test_nothing_is_sent_without_crashes(self):
         """A host that knows of none sends a newcomer nothing."""
         fleet = CrashFleet(3)
