Find the request that crashes servers behind those that many send

One request that crashed servers was refused only after 7 crashes, and others with 503 that crash nothing: 259 of 1,210 requests of the soak's callers.

Cause: while all servers of a service end within a second, a request that many send (the soak's chats share path, caller and body) is in flight at each of them and is answered nowhere, so that it reaches the limit too, at times some milliseconds before the report of another host that names the cause. It was quarantined, and from then on explained the crashes on the other one, whose crashes did not count. Now the cause is looked for anew when another host reports the crash that began the quarantine, and a key that requests with different prompts share never explains a crash on something else; the cause that is found takes its place.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -24,6 +24,7 @@
     SuspectKeys,
     is_request_key,
     list_causes,
+    make_common_mark,
 )
 
 __all__ = ["CrashCauses", "Quarantine", "Verdict"]
@@ -124,12 +125,13 @@
         self._suspected.update(list_causes(crash.keys))
         self._shared.update(filter(self._has_several_prompts, crash.keys))
         causes = sorted(crash.keys & self._quarantines.keys())
-        found = self._find_causes(crash.keys) if self._shared.issuperset(causes) else ()
-        if causes and all(map(is_request_key, found)):
+        found: frozenset[str] = frozenset()
+        if all(self._is_uncertain(key, crash) for key in causes):
+            found = self._find_causes(crash.keys, causes)
+        if causes and found.issubset(causes):
             renewed = [self._renew(key, crash, len(causes) == 1) for key in causes]
             return [quarantine for quarantine in renewed if quarantine is not None]
         for key in causes:
-            # A part of their prompts is the cause.
             del self._quarantines[key]
         return self._begin_quarantines(found, at_s)
 
@@ -240,22 +242,36 @@
             if now_s < each.since_s + each.term_s + UNUSED_KEPT_S
         }
 
-    def _find_causes(self, keys: Collection[str]) -> frozenset[str]:
+    def _is_uncertain(self, key: str, crash: Crash) -> bool:
+        """Return whether a crash may have another cause than a quarantined key.
+
+        Requests that many send are in flight at most servers that end. One may reach
+        the limit before the report of another host that names the cause.
+        """
+        is_first = crash.at_s <= self._quarantines[key].since_s
+        return key in self._shared or (is_first and is_request_key(key))
+
+    def _find_causes(
+        self, keys: Collection[str], ignored: Collection[str]
+    ) -> frozenset[str]:
         """Return the most likely causes of the latest crashes, if there are any.
 
         Parts that were never in a whole response go before those that were, and
         requests as a whole before parts that only their prompts have.
-        A request whose prompts differ is not one request: a part of them goes first.
+        A request whose prompts differ is not one request: other causes go first.
+
+        Args:
+            keys: The keys that may be the cause.
+            ignored: Quarantined keys that may not be.
         """
         counts = {
-            key: self._count_crashes(key)
+            key: self._count_crashes(key, ignored)
             for key in list_causes(keys)
-            if self._reaches_limit(key, QUARANTINE_CRASHES)
+            if self._reaches_limit(key, QUARANTINE_CRASHES, ignored)
         }
         unanswered = {key for key in counts if not self._was_answered(key)}
         likely = unanswered or counts.keys()
-        if any(not is_request_key(key) for key in likely):
-            likely -= self._shared
+        likely = (likely - self._shared) or likely
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
         return frozenset(key for key in group if not self._is_part_of_any(key, group))
@@ -284,7 +300,7 @@
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
         is_over = crash.at_s >= known.since_s + known.term_s
         term_s = known.term_s * (TERM_FACTOR if is_over else 1.0)
-        is_certain = key not in self._shared or len(list_causes(crash.keys)) == 1
+        is_certain = not self._is_common(key) or len(list_causes(crash.keys)) == 1
         if is_apart and is_request_key(key) and is_certain:
             term_s = max(term_s, REQUEST_TERM_S)
         renewed = known._replace(
@@ -314,10 +330,12 @@
         term_s = APART_TERM_S if others and is_alone else quarantine.term_s
         return max(quarantine.since_s + term_s, quarantine.trial_until_s)
 
-    def _reaches_limit(self, key: str, limit: int) -> bool:
+    def _reaches_limit(
+        self, key: str, limit: int, ignored: Collection[str] = ()
+    ) -> bool:
         """Return whether a key was in so many crashes, or more for an answered part."""
         factor = ANSWERED_FACTOR if self._was_answered(key) else 1
-        return self._count_crashes(key) >= factor * limit
+        return self._count_crashes(key, ignored) >= factor * limit
 
     def _was_answered(self, key: str) -> bool:
         """Return whether a prompt part was answered, so that chance may blame it.
@@ -342,7 +360,7 @@
 
     def _get_first_term_s(self, key: str) -> float:
         """Return the first term of a key's quarantine."""
-        if key in self._sound_s or key in self._shared:
+        if key in self._sound_s or self._is_common(key):
             return ANSWERED_TERM_S
         return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
 
@@ -365,11 +383,12 @@
         ]
         return frozenset.intersection(*requests) if requests else frozenset()
 
-    def _count_crashes(self, key: str) -> int:
+    def _is_common(self, key: str) -> bool:
+        """Return whether many send requests with a key, as far as crashes show it."""
+        return key in self._shared or self._log.has_mark(make_common_mark(key))
+
+    def _count_crashes(self, key: str, ignored: Collection[str] = ()) -> int:
         """Return in how many crashes a key was since it was last in a response."""
         since_s = self._sound_s.get(key, float("-inf"))
-        causes = self._quarantines.keys()
-        if not is_request_key(key):
-            # A part may be what crashes the requests that share a key.
-            causes -= self._shared
+        causes = self._quarantines.keys() - self._shared - set(ignored)
         return self._log.count_crashes(key, since_s, causes)
