Let one request crash the servers of the soak

The soak's requests that crash servers had a prompt part in common and differed otherwise. The check is the one of prompt parts, now for both, with the requests on which servers crashed told apart. Naive hosts are found to violate it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from soak.crashing_prompts import CRASHING_REQUEST_PREFIX
+from soak.crashing_requests import CRASHING_PROMPT_PREFIX, REPEATED_REQUEST_PREFIX
 from soak.limits import LIMIT_PER_S, NamedLimit
 from soak.observations import (
     CallerRequest,
@@ -44,11 +44,14 @@
 # Requests that may reach a server while it wants none, from WAIT_APPLY_S on.
 WAIT_APPLY_S = 0.5
 MAX_UNWANTED_REQUESTS = 2
-# Requests with a prompt part under which TOLERATED_CRASHES servers crashed that may
-# still reach servers, from CONTACT_S after that on.
-TOLERATED_CRASHES = 5
+# Requests that may still reach servers from CONTACT_S on after the last tolerated crash
+# on requests whose ids begin alike.
 CONTACT_S = 3.0
 MAX_CRASHING_REQUESTS = 3
+_TOLERATED_CRASHES = {
+    "crashing_prompt": (CRASHING_PROMPT_PREFIX, 5),
+    "crashing_request": (REPEATED_REQUEST_PREFIX, 3),
+}
 # From CONTACT_S after a server first named a limit it gets no more than this in any
 # LIMIT_WINDOW_S.
 LIMIT_WINDOW_S = 4.0
@@ -58,7 +61,7 @@
 
 _STORE_FAULTS = frozenset(kind for kind in FaultKind if kind.value.startswith("store"))
 _SERVER_FAULTS = frozenset(
-    kind for kind in FaultKind if kind.value.startswith(("server", "prompt"))
+    kind for kind in FaultKind if kind.value.startswith(("server", "prompt", "request"))
 )
 # Behind these a server breaks nothing off.
 _SOUND_SERVER_FAULTS = frozenset(
@@ -85,6 +88,7 @@
         FaultKind.SERVER_SLOW,
         FaultKind.SERVER_CRASHES,
         FaultKind.PROMPT_CRASHES_SERVERS,
+        FaultKind.REQUEST_CRASHES_SERVERS,
     }
 )
 # A host that has started anew knows nothing of what servers said before.
@@ -232,27 +236,33 @@
     )
 
 
-def _check_crashing_prompts(observations: Observations) -> Iterator[Violation]:
-    """Check that requests with a prompt part that crashes servers are kept away."""
-    if len(observations.crashes_s) < TOLERATED_CRASHES:
-        return
-    since_s = observations.crashes_s[TOLERATED_CRASHES - 1] + CONTACT_S
-    late = [
-        arrival.request_id
-        for arrival in observations.arrivals
-        if arrival.request_id.startswith(CRASHING_REQUEST_PREFIX)
-        and arrival.at_s > since_s
-        and not _has_host_fault(
-            observations,
-            int(arrival.request_id.rpartition("-")[2]),
-            arrival.at_s - FAULT_MARGIN_S,
-            arrival.at_s,
-            _FORGETTING_FAULTS,
-        )
-    ]
-    if len(late) > MAX_CRASHING_REQUESTS:
-        text = f"{len(late)} after the bound, {len(observations.crashes_s)} crashes"
-        yield Violation("crashing_prompt", f"{text}: {' '.join(late[:8])}")
+def _check_crashes(observations: Observations) -> Iterator[Violation]:
+    """Check that requests that crash servers are kept away from them."""
+    for guarantee, (prefix, tolerated) in _TOLERATED_CRASHES.items():
+        crashes_s = [
+            crash.at_s
+            for crash in observations.crashes
+            if crash.request_id.startswith(prefix)
+        ]
+        if len(crashes_s) < tolerated:
+            continue
+        since_s = crashes_s[tolerated - 1] + CONTACT_S
+        late = [
+            arrival.request_id
+            for arrival in observations.arrivals
+            if arrival.request_id.startswith(prefix)
+            and arrival.at_s > since_s
+            and not _has_host_fault(
+                observations,
+                int(arrival.request_id.rpartition("-")[2]),
+                arrival.at_s - FAULT_MARGIN_S,
+                arrival.at_s,
+                _FORGETTING_FAULTS,
+            )
+        ]
+        if len(late) > MAX_CRASHING_REQUESTS:
+            text = f"{len(late)} after the bound, {len(crashes_s)} crashes"
+            yield Violation(guarantee, f"{text}: {' '.join(late[:8])}")
 
 
 def _check_limits(observations: Observations) -> Iterator[Violation]:
@@ -476,7 +486,7 @@
     _check_leaving_servers,
     _check_leaving_statements,
     _check_waits,
-    _check_crashing_prompts,
+    _check_crashes,
     _check_limits,
     _check_revoked_keys,
     _check_graceful_shutdowns,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -130,7 +130,7 @@
         faults_ended_s: Time at which the last fault was over.
         arrivals: Requests that reached the backend servers, executed or not.
         statements: What the backend servers said.
-        crashes_s: Times at which servers crashed on a prompt part, in order.
+        crashes: The requests on which servers crashed, in order.
         limits: The limits that backend servers named.
     """
 
@@ -143,7 +143,7 @@
     faults_ended_s: float
     arrivals: Sequence[Execution] = ()
     statements: Sequence[Statement] = ()
-    crashes_s: Sequence[float] = ()
+    crashes: Sequence[Execution] = ()
     limits: Sequence[NamedLimit] = ()
 
 
@@ -176,11 +176,16 @@
     ]
 
 
-def list_crashes(servers: Iterable[StandInServer], started_s: float) -> list[float]:
-    """Return when some servers crashed; see ``list_executions``."""
-    return sorted(
-        at_s - started_s for server in servers for at_s in server.crash_times_s
-    )
+def list_crashes(servers: Iterable[StandInServer], started_s: float) -> list[Execution]:
+    """Return the requests on which some servers crashed; see ``list_executions``."""
+    crashes = [
+        Execution(request_id, server.instance_id, at_s - started_s)
+        for server in servers
+        for request_id, at_s in zip(
+            server.crash_causes, server.crash_times_s, strict=True
+        )
+    ]
+    return sorted(crashes, key=lambda crash: crash.at_s)
 
 
 def list_statements(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -9,7 +9,7 @@
 from demo.fleet import find_free_port
 from soak.callers import Callers
 from soak.checks import CHAT_EVENT_COUNT, LEAVING_APPLY_S, RECOVERY_S
-from soak.crashing_prompts import CrashingPrompts, connect_proxy
+from soak.crashing_requests import CrashingPrompts, RepeatedRequest, connect_proxy
 from soak.hosts import HostProcesses
 from soak.keeping_callers import KeepingCallers
 from soak.limits import ServerLimits
@@ -137,6 +137,7 @@
         keeping_rng = random.Random(f"keeping callers {seed}")
         self._keeping_callers = KeepingCallers(self._callers, keeping_rng)
         self.prompts = CrashingPrompts(fleet, seed)
+        self.repeated = RepeatedRequest(fleet, seed)
         self.hosts = HostProcesses(fleet, self._get_elapsed_s)
         self.planned_work = PlannedWork(self.hosts, settings.hosts, self._apply)
         self._limits = ServerLimits(self._get_elapsed_s)
@@ -211,7 +212,9 @@
         proxy = FaultProxy(server.address)
         await proxy.start(find_free_port())
         server.address = proxy.address
-        connect_proxy(server, proxy, lambda: self._register_unless_gone(server))
+        connect_proxy(
+            server, proxy, self.repeated, lambda: self._register_unless_gone(server)
+        )
         self._fleet.register_server(server)
         self._server_proxies[server.instance_id] = proxy
         self._active_servers.append(server)
@@ -457,6 +460,7 @@
     FaultKind.SERVER_SAYS_LEAVING: _SoakRun._say_leaving,
     FaultKind.SERVER_ASKS_FOR_TIME: _SoakRun._ask_for_time,
     FaultKind.PROMPT_CRASHES_SERVERS: lambda run, fault: run.prompts.run(fault),
+    FaultKind.REQUEST_CRASHES_SERVERS: lambda run, fault: run.repeated.run(fault),
     FaultKind.SERVER_NAMES_LIMIT: _SoakRun._name_limit,
     FaultKind.KEY_REVOKED: _SoakRun._revoke_key,
     FaultKind.CONFIGURATION_STORM: _SoakRun._publish_repeatedly,
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,10 +33,12 @@
     connection, whole or not. A server that ``SAYS_LEAVING`` does so in its responses
     before it is listed as leaving; one that ``ASKS_FOR_TIME`` executes nothing. With
     ``PROMPT_CRASHES_SERVERS`` further requests with one prompt part in common crash
-    each server that begins to answer; it starts again after some time. A server that
-    ``NAMES_LIMIT`` executes all that it gets. ``STOPS_IN_SERIES``, ``ALL_STOPPED``,
-    ``RELOADS_DURING_DRAIN``, ``STOP_WITH_PAUSES`` and ``STOP_DURING_CHANGES`` are
-    planned work that consists of faults of other kinds, in series or overlapping.
+    each server that begins to answer; it starts again after some time. With
+    ``REQUEST_CRASHES_SERVERS`` one request does so, which comes again and again. A
+    server that ``NAMES_LIMIT`` executes all that it gets. ``STOPS_IN_SERIES``,
+    ``ALL_STOPPED``, ``RELOADS_DURING_DRAIN``, ``STOP_WITH_PAUSES`` and
+    ``STOP_DURING_CHANGES`` are planned work that consists of faults of other kinds, in
+    series or overlapping.
     """
 
     HOST_KILLED = "host_killed"
@@ -67,6 +69,7 @@
     SERVER_SAYS_LEAVING = "server_says_leaving"
     SERVER_ASKS_FOR_TIME = "server_asks_for_time"
     PROMPT_CRASHES_SERVERS = "prompt_crashes_servers"
+    REQUEST_CRASHES_SERVERS = "request_crashes_servers"
     SERVER_NAMES_LIMIT = "server_names_limit"
     KEY_REVOKED = "key_revoked"
     CONFIGURATION_STORM = "configuration_storm"
@@ -94,6 +97,7 @@
     "no length": (FaultKind.SERVER_PARTLY_SENDS_NO_LENGTH,),
     "statements": (FaultKind.SERVER_SAYS_LEAVING, FaultKind.SERVER_ASKS_FOR_TIME),
     "crashing prompts": (FaultKind.PROMPT_CRASHES_SERVERS,),
+    "crashing requests": (FaultKind.REQUEST_CRASHES_SERVERS,),
     "limits": (FaultKind.SERVER_NAMES_LIMIT,),
     "planned work": (
         FaultKind.STOPS_IN_SERIES,
@@ -105,7 +109,12 @@
 }
 ADDED_KINDS = tuple(chain.from_iterable(_ADDED_GROUPS.values()))
 MAX_ADDED_COUNT = 5
-_MAX_COUNTS = {"crashing prompts": 1, "limits": 3, "planned work": 3}
+_MAX_COUNTS = {
+    "crashing prompts": 1,
+    "crashing requests": 1,
+    "limits": 3,
+    "planned work": 3,
+}
 # What operators do on purpose; nobody may notice any of it.
 PLANNED_KINDS = (
     FaultKind.HOST_TERMINATED,
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -45,23 +45,31 @@
 
     def test_requests_that_crash_servers(self):
         """Three may arrive after the bound, and more at hosts that started anew."""
-        crashes_s = [1.0, 2.0, 3.0, 4.0, 5.0, 8.5]
-        late = [Execution(f"crashing-{n}-0", "s1", 8.1 + 0.1 * n) for n in range(4)]
-        killed = InjectedFault(FaultKind.HOST_KILLED, 6.0, 6.5, 0)
-        for arrivals, faults, expected in (
-            (late, [], ["crashing_prompt"]),
-            (late[:3], [], []),
-            ([each._replace(at_s=7.9) for each in late], [], []),
-            (late, [killed], []),
-            (late, [killed._replace(host=1)], ["crashing_prompt"]),
+        for guarantee, name, tolerated in (
+            ("crashing_prompt", "crashing", 5),
+            ("crashing_request", "repeated", 3),
         ):
-            found = find_violated_guarantees(
-                arrivals=arrivals, crashes_s=crashes_s, faults=faults
-            )
-            self.assertEqual(expected, found)
-        self.assertEqual(
-            [], find_violated_guarantees(arrivals=late, crashes_s=crashes_s[:4])
-        )
+            at_s = [*(float(number + 1) for number in range(tolerated)), 8.5]
+            crashes = [Execution(f"{name}-90-0", "s1", each) for each in at_s]
+            late_s = tolerated + 3.1
+            late = [
+                Execution(f"{name}-{number}-0", "s1", late_s + 0.1 * number)
+                for number in range(4)
+            ]
+            killed = InjectedFault(FaultKind.HOST_KILLED, late_s - 2, late_s - 1, 0)
+            for arrivals, faults, expected in (
+                (late, [], [guarantee]),
+                (late[:3], [], []),
+                ([each._replace(at_s=late_s - 0.2) for each in late], [], []),
+                (late, [killed], []),
+                (late, [killed._replace(host=1)], [guarantee]),
+            ):
+                found = find_violated_guarantees(
+                    arrivals=arrivals, crashes=crashes, faults=faults
+                )
+                self.assertEqual(expected, found)
+            few = crashes[: tolerated - 1]
+            self.assertEqual([], find_violated_guarantees(arrivals=late, crashes=few))
 
     def test_requests_over_the_limit_of_a_server(self):
         """Eight in four seconds are allowed, and more of hosts that started anew."""
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -79,6 +79,12 @@
         violated = self.find_violated_guarantees(faults, "resend")
         self.assertIn("crashing_prompt", violated)
 
+    def test_naive_host_violates_crashing_request(self):
+        """Neither does it hold back one request that comes again and again."""
+        faults = [Fault(0.5, FaultKind.REQUEST_CRASHES_SERVERS, 0, 2.0)]
+        violated = self.find_violated_guarantees(faults, "resend")
+        self.assertIn("crashing_request", violated)
+
     def test_host_without_drain_violates_graceful_shutdown(self):
         """A host that exits at once on SIGTERM is found, by both checks of it."""
         # All hosts are terminated twice, so that some request is in progress.
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -81,6 +81,7 @@
             the server after ``CRASH_DELAY_S`` of work, whoever sends them; None for
             none.
         crash_times_s: When it crashed.
+        crash_causes: The ids of the requests on which it did.
         run: The number of its starts.
         on_crash: Called when it crashes.
         on_restart: Called when it has started again.
@@ -103,6 +104,7 @@
         self.crashing_part = ""
         self.crashing_request: tuple[str, bytes] | None = None
         self.crash_times_s: list[float] = []
+        self.crash_causes: list[str] = []
         self.run = 0
         self.on_crash: Callable[[], None] = lambda: None
         self.on_restart: Callable[[], None] = lambda: None
@@ -129,15 +131,19 @@
         self._listener.close()
         await self._server.shutdown(0.1)
 
-    def crash(self) -> None:
+    def crash(self, request_id: str) -> None:
         """End all connections and stop listening; start again after some time.
 
         A server that has not started again does not crash.
+
+        Args:
+            request_id: The id of the request on which it crashes.
         """
         if self._restarting is not None and not self._restarting.done():
             return
         loop = asyncio.get_running_loop()
         self.crash_times_s.append(loop.time())
+        self.crash_causes.append(request_id)
         self._listener.close()
         for connection in self._server.connections:
             if connection.transport is not None:
@@ -174,7 +180,7 @@
         }
         if (request.raw_path, await request.read()) == self.crashing_request:
             await asyncio.sleep(CRASH_DELAY_S)
-            self.crash()
+            self.crash(request_id)
         if self.returns_errors or part_fault is PartFault.ERROR:
             return web.Response(status=500, headers=headers)
         if part_fault is PartFault.MUTE:
@@ -248,7 +254,7 @@
         try:
             await response.prepare(request)
             if self._crashes_on(request):
-                self.crash()
+                self.crash(headers["Request-Id"])
                 return response
             for event in events:
                 await response.write(event)
