--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -121,9 +121,11 @@
             at_s: When it ended.
             suspects: The keys of requests that may have caused it.
         """
+        suspects = list(suspects)
         crash = self._log.record_crash(identity, born_ms, at_s, suspects)
         self._suspected.update(list_causes(crash.keys))
-        self._shared.update(filter(self._has_several_prompts, crash.keys))
+        reported = {key for suspect in suspects for key in suspect}
+        self._shared.update(filter(self._has_several_prompts, reported))
         causes = sorted(crash.keys & self._quarantines.keys())
         found: frozenset[str] = frozenset()
         if all(self._is_uncertain(key, crash) for key in causes):
