Hold a request that callers send in parallel back at once again

Two callers that send such a request at about the same time are no reason to let it through: the refusal concerns it alone. The mark is taken out; the cause is still looked for anew among all.

--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -1,7 +1,6 @@
 """Keeps requests that crash backend servers away from them."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -19,7 +18,6 @@
     ServerHealth,
     SuspectKeys,
     is_request_key,
-    make_common_mark,
     make_resend_mark,
 )
 from oleanderpier.utils import Timers
@@ -171,7 +169,6 @@
         finally:
             del self._checks[server.identity, server.born_ms]
         if has_crashed:
-            suspects = _mark_common(suspects)
             log_message(
                 "poison:crash",
                 identity=server.identity,
@@ -188,15 +185,6 @@
         return has_crashed
 
 
-def _mark_common(suspects: list[SuspectKeys]) -> list[SuspectKeys]:
-    """Mark the requests of which several were in flight at the same server."""
-    counts = Counter(key for each in suspects for key in each if is_request_key(key))
-    return [
-        (*each, *(make_common_mark(key) for key in each if counts[key] > 1))
-        for each in suspects
-    ]
-
-
 def _is_success(attempt: Attempt) -> bool:
     """Return whether a delivered response shows that the server can answer.
 
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -18,7 +18,6 @@
     "SuspectKeys",
     "is_request_key",
     "list_causes",
-    "make_common_mark",
     "make_resend_mark",
 ]
 
@@ -28,8 +27,6 @@
 REQUEST_KEY_PREFIX = "request:"
 # Begins the mark of a request that was sent when an earlier crash on it was known.
 RESEND_MARK_PREFIX = "resend:"
-# Begins the mark of a request of which a host had several at the server.
-COMMON_MARK_PREFIX = "common:"
 
 CRASH_KEPT_S = 600.0
 MAX_CRASHES = 256
@@ -73,15 +70,9 @@
     return RESEND_MARK_PREFIX + request_key.removeprefix(REQUEST_KEY_PREFIX)
 
 
-def make_common_mark(request_key: str) -> str:
-    """Return the mark of a request that many send, so that it is there by chance."""
-    return COMMON_MARK_PREFIX + request_key.removeprefix(REQUEST_KEY_PREFIX)
-
-
 def list_causes(keys: Iterable[str]) -> list[str]:
     """Return those of several keys that may cause a crash, so without marks."""
-    marks = (RESEND_MARK_PREFIX, COMMON_MARK_PREFIX)
-    return [key for key in keys if not key.startswith(marks)]
+    return [key for key in keys if not key.startswith(RESEND_MARK_PREFIX)]
 
 
 class CrashLog:
@@ -155,10 +146,6 @@
                 count, last_s = count + 1, at_s
         return count
 
-    def has_mark(self, mark: str) -> bool:
-        """Return whether a suspect of a known crash has a mark."""
-        return any(mark in crash.keys for crash in self._crashes)
-
     def list_crashes(self) -> list[Crash]:
         """Return the known crashes, in the order of their last report."""
         return list(self._crashes)
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -24,7 +24,6 @@
     SuspectKeys,
     is_request_key,
     list_causes,
-    make_common_mark,
 )
 
 __all__ = ["CrashCauses", "Quarantine", "Verdict"]
@@ -302,7 +301,7 @@
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
         is_over = crash.at_s >= known.since_s + known.term_s
         term_s = known.term_s * (TERM_FACTOR if is_over else 1.0)
-        is_certain = not self._is_common(key) or len(list_causes(crash.keys)) == 1
+        is_certain = key not in self._shared or len(list_causes(crash.keys)) == 1
         if is_apart and is_request_key(key) and is_certain:
             term_s = max(term_s, REQUEST_TERM_S)
         renewed = known._replace(
@@ -362,7 +361,7 @@
 
     def _get_first_term_s(self, key: str) -> float:
         """Return the first term of a key's quarantine."""
-        if key in self._sound_s or self._is_common(key):
+        if key in self._sound_s or key in self._shared:
             return ANSWERED_TERM_S
         return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
 
@@ -385,10 +384,6 @@
         ]
         return frozenset.intersection(*requests) if requests else frozenset()
 
-    def _is_common(self, key: str) -> bool:
-        """Return whether many send requests with a key, as far as crashes show it."""
-        return key in self._shared or self._log.has_mark(make_common_mark(key))
-
     def _count_crashes(self, key: str, ignored: Collection[str] = ()) -> int:
         """Return in how many crashes a key was since it was last in a response."""
         since_s = self._sound_s.get(key, float("-inf"))
