Send requests to the hosts of a fleet in one place of the tests

Three tests had a record of what a caller got, and a function that sends a request, of their own. Bounds and requests are the same as before.

--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import random
-from typing import NamedTuple
 
-import aiohttp
 from testtools import TestCase
 
 from oleanderpier.utils import run_coroutine
 from standins.platform_fleet import PlatformFleet
+from tests.fleet_callers import Result, send_request
 
 HOST_COUNT = 3
 SERVER_COUNT = 9
@@ -24,22 +23,6 @@
 FAULT_INTERVAL_S = 0.2
 
 
-class Result(NamedTuple):
-    """What the caller of a request got.
-
-    Attributes:
-        sent_s: When it was sent, on the event loop's clock.
-        status: The status of the response; 0 if it did not arrive whole.
-        took_s: Time until then.
-        retry_after: The header ``Retry-After``, empty without one.
-    """
-
-    sent_s: float
-    status: int
-    took_s: float
-    retry_after: str
-
-
 class CrashingPromptTest(TestCase):
     """Requests with one part of their prompts in common crash server after server."""
 
@@ -103,27 +86,9 @@
     while loop.time() < ends_s:
         number = len(tasks)
         prompt = f"first{rng.randrange(3)}:9,{name}:9,other{rng.randrange(20)}:9"
-        request = send_request(
-            fleet, number % HOST_COUNT, f"{name}-{number}", f"{prompt},{name}{number}:9"
-        )
+        headers = {"Prompt-Prefix": f"{prompt},{name}{number}:9"}
+        hosts, identity = (number % HOST_COUNT,), f"{name}-{number}"
+        request = send_request(fleet, hosts, "/chat/x", identity, **headers)
         tasks.append(asyncio.create_task(request))
         await asyncio.sleep(rng.uniform(0.5, 1.5) * interval_s)
     return list(await asyncio.gather(*tasks))
-
-
-async def send_request(
-    fleet: PlatformFleet, host: int, identity: str, prompt: str
-) -> Result:
-    """Send a chat to a host, and return what the caller got."""
-    loop = asyncio.get_running_loop()
-    sent_s = loop.time()
-    try:
-        async with fleet.request(
-            host, "/chat/x", identity, **{"Prompt-Prefix": prompt}
-        ) as response:
-            await response.read()
-            status = response.status
-            retry_after = response.headers.get("Retry-After", "")
-    except aiohttp.ClientError:
-        status, retry_after = 0, ""
-    return Result(sent_s, status, loop.time() - sent_s, retry_after)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
 from typing import NamedTuple
 
-import aiohttp
 from testtools import TestCase
 
 from oleanderpier.utils import run_coroutine
 from standins.platform_fleet import PlatformFleet, stop_gracefully
+from tests.fleet_callers import Result, send_request
 
 HOST_COUNT = 3
 SERVER_COUNT = 9
@@ -38,22 +39,6 @@
     prompt: str = ""
 
 
-class Result(NamedTuple):
-    """What the caller of a request got.
-
-    Attributes:
-        sent_s: When it was sent, on the event loop's clock.
-        status: The status of the response; 0 if it did not arrive whole.
-        took_s: Time until then.
-        retry_after: The header ``Retry-After``, empty without one.
-    """
-
-    sent_s: float
-    status: int
-    took_s: float
-    retry_after: str
-
-
 class CrashingRequestTest(TestCase):
     """The same path, caller and body crash server after server."""
 
@@ -194,45 +179,22 @@
         request = requests[number % len(requests)]
         tasks.append(
             asyncio.create_task(
-                send_request(
-                    fleet, rng.randrange(HOST_COUNT), f"{name}-{number}", request
-                )
+                _send(fleet, rng.randrange(HOST_COUNT), f"{name}-{number}", request)
             )
         )
         await asyncio.sleep(rng.uniform(0.5, 1.5) * interval_s)
     return list(await asyncio.gather(*tasks))
 
 
-async def send_request(
+def _send(
     fleet: PlatformFleet, host: int, identity: str, request: Request
-) -> Result:
-    """Send a request to a host, and return what the caller got."""
-    loop = asyncio.get_running_loop()
-    sent_s = loop.time()
-    headers = {}
+) -> Coroutine[None, None, Result]:
+    """Return the sending of a request to a host, or the next one that listens."""
+    headers = {"Connection": "close"}
     if request.prompt:
         headers["Prompt-Prefix"] = f"{request.prompt},{identity}:9"
-    status, retry_after = 0, ""
-    # A caller goes on to another host if one does not listen.
-    for number in range(HOST_COUNT):
-        try:
-            async with fleet.request(
-                (host + number) % HOST_COUNT,
-                request.path,
-                identity,
-                request.body,
-                Connection="close",
-                **headers,
-            ) as response:
-                await response.read()
-                status = response.status
-                retry_after = response.headers.get("Retry-After", "")
-        except aiohttp.ClientConnectorError:
-            continue
-        except aiohttp.ClientError:
-            pass
-        break
-    return Result(sent_s, status, loop.time() - sent_s, retry_after)
+    hosts = [(host + number) % HOST_COUNT for number in range(HOST_COUNT)]
+    return send_request(fleet, hosts, request.path, identity, request.body, **headers)
 
 
 def _get_body(request: Request) -> bytes:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import bisect
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine
 
-import aiohttp
 from testtools import TestCase
 
 from oleanderpier.utils import run_coroutine
 from standins.backend_server import LIMIT_HEADER, StandInServer
 from standins.platform_fleet import PlatformFleet, stop_gracefully
+from tests.fleet_callers import Result, send_request
 
 HOST_COUNT = 3
 SERVER_COUNT = 4
@@ -29,22 +28,6 @@
 MIN_USED_RATIO = 0.9
 
 
-class Result(NamedTuple):
-    """What the caller of a request got.
-
-    Attributes:
-        sent_s: When it was sent, on the event loop's clock.
-        status: The status of the response; 0 if it did not arrive whole.
-        took_s: Time until then.
-        retry_after: The header ``Retry-After``, empty without one.
-    """
-
-    sent_s: float
-    status: int
-    took_s: float
-    retry_after: str
-
-
 class ServerLimitTest(TestCase):
     """The limit of a server holds for all hosts together."""
 
@@ -123,25 +106,16 @@
     tasks = []
     while loop.time() < ends_s:
         number = len(tasks)
-        tasks.append(
-            asyncio.create_task(send_request(fleet, pick_host(number), number))
-        )
+        tasks.append(asyncio.create_task(_send(fleet, pick_host(number), number)))
         await asyncio.sleep(INTERVAL_S)
     return list(await asyncio.gather(*tasks))
 
 
-async def send_request(fleet: PlatformFleet, host: int, number: int) -> Result:
-    """Send a request to a host, and return what the caller got."""
-    loop = asyncio.get_running_loop()
-    sent_s = loop.time()
+def _send(
+    fleet: PlatformFleet, host: int, number: int
+) -> Coroutine[None, None, Result]:
+    """Return the sending of a chat or of a lookup."""
     is_chat = number % 3 == 0
     path = "/chat/x" if is_chat else "/lookup/x"
     prompt = {"Prompt-Prefix": f"shared:900,own{number}:9"} if is_chat else {}
-    try:
-        async with fleet.request(host, path, f"r-{number}", **prompt) as response:
-            await response.read()
-            status = response.status
-            retry_after = response.headers.get("Retry-After", "")
-    except aiohttp.ClientError:
-        status, retry_after = 0, ""
-    return Result(sent_s, status, loop.time() - sent_s, retry_after)
+    return send_request(fleet, (host,), path, f"r-{number}", **prompt)
