Refuse requests that differ in their prompts no longer than their trial needs

Causes, by the hosts' logs: a prompt part that a server had answered once, and that crashed six since, was no candidate while the key that the requests share was one, as only parts that were never answered were looked at then; and each crash on a stream from before the quarantine extended it, also when the crash had another cause. An answered part that has reached its limit now goes before such a key, and a crash before its next trial is due leaves its quarantine as it is. Keys of requests whose prompts do not differ are judged as before.

Both new tests failed before.

--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -270,9 +270,8 @@
             for key in list_causes(keys)
             if self._reaches_limit(key, QUARANTINE_CRASHES, ignored)
         }
-        unanswered = {key for key in counts if not self._was_answered(key)}
-        likely = unanswered or counts.keys()
-        likely = (likely - self._shared) or likely
+        likely = (counts.keys() - self._shared) or counts.keys()
+        likely = {key for key in likely if not self._was_answered(key)} or likely
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
         return frozenset(key for key in group if not self._is_part_of_any(key, group))
@@ -298,6 +297,10 @@
         if crash.at_s <= known.since_s:
             # One more report of the crash that began it.
             return None
+        tried_s = known.since_s + self._get_term_s(known, is_only_cause)
+        if key in self._shared and crash.at_s < tried_s:
+            # The requests were sent before.
+            return None
         is_apart = is_only_cause and crash.at_s >= known.since_s + APART_TERM_S
         is_over = crash.at_s >= known.since_s + known.term_s
         term_s = known.term_s * (TERM_FACTOR if is_over else 1.0)
@@ -321,15 +324,19 @@
         self._quarantines[quarantine.key] = quarantine
 
     def _get_due_s(self, quarantine: Quarantine, is_alone: bool) -> float:
-        """Return when a request with a key may be tried.
+        """Return when a request with a key may be tried; see ``_get_term_s``."""
+        term_s = self._get_term_s(quarantine, is_alone)
+        return max(quarantine.since_s + term_s, quarantine.trial_until_s)
+
+    def _get_term_s(self, quarantine: Quarantine, is_alone: bool) -> float:
+        """Return for how long no request with a key is tried.
 
         Args:
             quarantine: The quarantine of the key.
             is_alone: Whether the request has no other quarantined key.
         """
         others = quarantine.group.intersection(self._quarantines) - {quarantine.key}
-        term_s = APART_TERM_S if others and is_alone else quarantine.term_s
-        return max(quarantine.since_s + term_s, quarantine.trial_until_s)
+        return APART_TERM_S if others and is_alone else quarantine.term_s
 
     def _reaches_limit(
         self, key: str, limit: int, ignored: Collection[str] = ()
--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -5,6 +5,7 @@
 from oleanderpier.routing import CrashCauses, Quarantine, make_resend_mark
 from oleanderpier.routing.crashes import SIMULTANEOUS_S
 from oleanderpier.routing.poison import (
+    ANSWERED_FACTOR,
     ANSWERED_TERM_S,
     APART_TERM_S,
     FIRST_TERM_S,
@@ -94,6 +95,24 @@
         (quarantine,) = poison.list_quarantines()
         self.assertEqual(TERM_FACTOR * ANSWERED_TERM_S, quarantine.term_s)
 
+    def test_answered_part_goes_before_requests_that_differ_in_their_prompts(self):
+        """It was answered once, and has crashed twice as many servers since."""
+        poison = CrashCauses()
+        poison.record_sound(("part",), 0.0)
+        for number in range(ANSWERED_FACTOR * QUARANTINE_CRASHES):
+            suspects = [("part", f"own{number}", BAD), (f"other{number}", BAD)]
+            poison.record_crash(f"s{number}", 1, 1.0 + number, suspects)
+        self.assertEqual(["part"], list_parts(poison))
+
+    def test_crash_on_requests_from_before_does_not_extend_their_refusal(self):
+        """Streams with the key go on while it is refused, until their server ends."""
+        poison = CrashCauses()
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [(f"p{number}", BAD)])
+        over_s = 3.0 + ANSWERED_TERM_S
+        poison.record_crash("t", 1, over_s - 0.5, [(BAD,)])
+        self.assertTrue(poison.check((BAD,), over_s, always).trial)
+
     def test_request_beside_a_part_that_crashes_servers_is_tried_apart(self):
         """Many send it, so that it was in flight at each server that ended."""
         poison = CrashCauses()
