--- a/oleanderpier/routing/tests/test_request_causes.py
+++ b/oleanderpier/routing/tests/test_request_causes.py
@@ -138,6 +138,17 @@
                 poison.record_crash(f"s{number}", 1, 1.002 + number, [(BAD,)])
             self.assertEqual(expected, list_parts(poison))
 
+    def test_cause_stays_refused_when_late_reports_name_others(self):
+        """The others were in one more crash before."""
+        poison = make_poison((BAD,))
+        poison.record_crash("earlier", 1, 0.5, [(SOUND,)])
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"s{number}", 1, 1.002 + number, [(SOUND,)])
+        self.assertEqual([BAD, SOUND], list_parts(poison))
+        soon_s = float(QUARANTINE_CRASHES) + APART_TERM_S
+        self.assertEqual(BAD, poison.check((BAD,), soon_s - 0.1, always).key)
+        self.assertTrue(poison.check((SOUND,), soon_s + 0.1, always).trial)
+
     def test_request_that_many_send_is_tried_soon(self):
         """It was answered between crashes, or its prompts differ."""
         answered = make_poison((BAD,), crashes=1)
