Tell a host that repeats an outdated quarantine of the answer since

Callers of one host got 503 for requests that others served, until ten minutes after the end of a quarantine: the host had missed the message that such a request was answered, as it or the others had just started. It repeated the quarantine to them, which they refused silently, and waited for the trial of the host that tries the key, where nothing was left to try.

The host that knows of the answer now says so to the sender. The test failed before.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -81,6 +81,7 @@
         for part, age_s in message.sound:
             self._unsent_sound_s.pop(part, None)
             self._poison.record_sound((part,), now_s - age_s)
+        outdated: list[tuple[str, float]] = []
         for reported in message.quarantines:
             quarantine = Quarantine(
                 reported.part,
@@ -88,8 +89,14 @@
                 reported.term_s,
                 frozenset(reported.group),
             )
-            if self._poison.receive_quarantine(quarantine):
+            answered_s = self._poison.find_answer(quarantine)
+            if answered_s is not None:
+                outdated.append((reported.part, now_s - answered_s))
+            elif self._poison.receive_quarantine(quarantine):
                 log_quarantines([quarantine], sender)
+        if outdated:
+            # It has missed the message on the answer, and would go on refusing.
+            self._outbox.send(sender, CrashNews([], outdated, []))
         for crash in message.crashes:
             log_quarantines(
                 self._poison.record_crash(
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -145,6 +145,19 @@
             fleet.timers.advance(REPEAT_INTERVAL_S)
         self.assertEqual(["bad"], fleet.list_parts("h2"))
 
+    def test_host_that_missed_an_answer_gets_it_later(self):
+        """It repeats the quarantine to hosts that know of the answer."""
+        fleet = CrashFleet(3)
+        crash_servers(fleet, ["h0", "h1", "h0"])
+        fleet.timers.advance(1.0)
+        fleet.cut_off.add("h2")
+        fleet.answer("h0", "bad")
+        fleet.timers.advance(MAX_DELAY_S)
+        fleet.cut_off.clear()
+        self.assertEqual([[], [], ["bad"]], list(map(fleet.list_parts, fleet.gossips)))
+        fleet.timers.advance(2 * REPEAT_INTERVAL_S)
+        self.assertEqual([[], [], []], list(map(fleet.list_parts, fleet.gossips)))
+
     def test_newcomer_gets_quarantines_without_their_crashes(self):
         """The host that sends them was told of the quarantines alone."""
         fleet = CrashFleet(3)
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -164,7 +164,7 @@
         if not list_causes([key]) or self._is_of_one_request(key):
             # Hosts of earlier versions do not tell requests as a whole.
             return False
-        if quarantine.since_s <= self._sound_s.get(key, float("-inf")):
+        if self.find_answer(quarantine) is not None:
             return False
         if known is not None and quarantine.since_s <= known.since_s:
             return False
@@ -175,6 +175,11 @@
         self._set_quarantine(quarantine)
         return known is None
 
+    def find_answer(self, quarantine: Quarantine) -> float | None:
+        """Return when a request with the key of a quarantine was answered since."""
+        answered_s = self._sound_s.get(quarantine.key, float("-inf"))
+        return answered_s if answered_s >= quarantine.since_s else None
+
     def check(
         self, keys: SuspectKeys, now_s: float, is_tester: Callable[[str], bool]
     ) -> Verdict:
