Try parts soon that a host refuses before it has seen ten answers

Common prompt parts were refused for 60 s by hosts that had just started, since these had seen no answer to a request with them: p1 in the soak 0.5 s after the start of two hosts. A host that knows better clears it by its answers; if all have just started, nobody does. The first term of a part is now the short one until a host has had ten answers to requests with prompts. A host that has the long one keeps it.

That it led to refusals at all hosts was not seen. test_parts_are_tried_soon is new with the argument, so that it could not fail before.

--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -20,7 +20,12 @@
     LimitReply,
 )
 from oleanderpier.peers import Mesh
-from oleanderpier.routing import CrashCauses, ServerStatements, is_request_key
+from oleanderpier.routing import (
+    MIN_ANSWERS,
+    CrashCauses,
+    ServerStatements,
+    is_request_key,
+)
 from oleanderpier.utils import Timers, rank_candidates
 
 __all__ = ["ServerExchange"]
@@ -79,7 +84,7 @@
             rng,
             mesh,
         )
-        self.poison = CrashCauses()
+        self.poison = CrashCauses(MIN_ANSWERS)
         self.crash_gossip = CrashGossip(
             self.poison,
             lambda: view.list_with_feature(CRASHES_FEATURE),
--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -140,7 +140,7 @@
             await self._check_for_crash(server, suspect, now_s)
 
     def _record_sound(self, keys: SuspectKeys, now_s: float) -> None:
-        cleared = self._poison.record_sound(keys, now_s)
+        cleared = self._poison.record_answer(keys, now_s)
         if cleared:
             log_message("poison:sound", parts=cleared)
             self._on_sound(cleared)
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -26,8 +26,10 @@
     list_causes,
 )
 
-__all__ = ["CrashCauses", "Quarantine", "Verdict"]
+__all__ = ["MIN_ANSWERS", "CrashCauses", "Quarantine", "Verdict"]
 
+# A host that has seen fewer answers does not know which parts are common.
+MIN_ANSWERS = 10
 # A key that was in this many crashes is quarantined.
 QUARANTINE_CRASHES = 3
 # With a key that was in this many, a request is not sent to another server.
@@ -87,6 +89,10 @@
 class CrashCauses:
     """What is known of the requests and the prompt parts that crash servers.
 
+    Args:
+        min_answers: Answers to requests with prompts from which on a part that was in
+            none of them is refused for the whole first term.
+
     Examples:
         >>> poison = CrashCauses()
         >>> poison.record_sound(("all",), 1.0)
@@ -99,7 +105,8 @@
         'x'
     """
 
-    def __init__(self) -> None:
+    def __init__(self, min_answers: int = 0) -> None:
+        self._missing_answers = min_answers
         self._log = CrashLog()
         self._quarantines: dict[str, Quarantine] = {}
         # When a request with a key was last answered.
@@ -157,6 +164,12 @@
                 del self._quarantines[key]
         return suspected
 
+    def record_answer(self, keys: SuspectKeys, at_s: float) -> list[str]:
+        """Record that this host had a request answered; see ``record_sound``."""
+        if self._missing_answers and not all(map(is_request_key, keys)):
+            self._missing_answers -= 1
+        return self.record_sound(keys, at_s)
+
     def receive_quarantine(self, quarantine: Quarantine) -> bool:
         """Apply another host's quarantine, and return whether it was new."""
         key = quarantine.key
@@ -172,6 +185,10 @@
         if is_doubtful and not self._reaches_limit(key, QUARANTINE_CRASHES):
             # The other host has not been up for as long, and knows less of the key.
             return False
+        if known is not None:
+            # The other host may not have seen enough answers for the whole term.
+            term_s = max(known.term_s, quarantine.term_s)
+            quarantine = quarantine._replace(term_s=term_s)
         self._set_quarantine(quarantine)
         return known is None
 
@@ -375,7 +392,9 @@
         """Return the first term of a key's quarantine."""
         if key in self._sound_s or key in self._shared:
             return ANSWERED_TERM_S
-        return REQUEST_TERM_S if is_request_key(key) else FIRST_TERM_S
+        if is_request_key(key):
+            return REQUEST_TERM_S
+        return ANSWERED_TERM_S if self._missing_answers else FIRST_TERM_S
 
     def _is_part_of_any(self, part: str, keys: Collection[str]) -> bool:
         """Return whether only requests with one of several keys have a prompt part."""
--- a/oleanderpier/routing/tests/test_poison.py
+++ b/oleanderpier/routing/tests/test_poison.py
@@ -13,6 +13,7 @@
     FIRST_TERM_S,
     MAX_QUARANTINES,
     MAX_TERM_S,
+    MIN_ANSWERS,
     QUARANTINE_CRASHES,
     TRIAL_S,
     UNUSED_KEPT_S,
@@ -50,6 +51,31 @@
     return sorted(each.key for each in poison.list_quarantines())
 
 
+class NewHostTest(TestCase):
+    """A host that has just started has not seen which parts are answered."""
+
+    def find_term_s(self, answers: int) -> float:
+        """Return the first term of a part after some answers without it."""
+        poison = CrashCauses(MIN_ANSWERS)
+        for number in range(answers):
+            poison.record_answer(("other",), 0.01 * number)
+        for number in range(QUARANTINE_CRASHES):
+            poison.record_crash(f"s{number}", 1, 1.0 + number, [PROMPT])
+        return poison.list_quarantines()[0].term_s
+
+    def test_parts_are_tried_soon_at_first(self):
+        """Common ones may be among them."""
+        self.assertEqual(ANSWERED_TERM_S, self.find_term_s(MIN_ANSWERS - 1))
+        self.assertEqual(FIRST_TERM_S, self.find_term_s(MIN_ANSWERS))
+
+    def test_term_of_a_host_that_knows_more_is_kept(self):
+        """Another host has the same crashes, and repeats its quarantine."""
+        poison = make_poison("all", "some")
+        theirs = Quarantine("bad", 3.01, ANSWERED_TERM_S, frozenset(["bad"]))
+        poison.receive_quarantine(theirs)
+        self.assertEqual(FIRST_TERM_S, poison.list_quarantines()[0].term_s)
+
+
 class QuarantineTest(TestCase):
     """A part is quarantined when it is the most likely cause of some crashes."""
 
