Give the test of busy connections the users' grace period to finish

Traced by runs of the test beside 24 busy processes: in one of six rounds the listener had 3 connections left after 2.02 s, when the test's own limit of 2 s was over, and those were cut. A connection is closed when it is found idle; callers that send without a pause are found so by chance. The product also lets each response close its connection by then, which the test's handler does not.

The limit is now the users' 8 s from SIGTERM, and the test also asserts that the listener has finished within it, which it did not before.

--- a/oleanderpier/connections/tests/test_listeners.py
+++ b/oleanderpier/connections/tests/test_listeners.py
@@ -15,6 +15,8 @@
 BUSY_CALLER_COUNT = 100
 BUSY_WORK_S = 0.01
 BUSY_ROUNDS = 3
+# The users' bound on the time from SIGTERM until all requests are answered.
+GRACE_S = 8.0
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
 BODY = b"body"
 # More than the sockets hold.
@@ -89,12 +91,16 @@
     def test_begun_requests_are_answered(self):
         """Each request whose handler has begun has a response."""
         for _ in range(BUSY_ROUNDS):
-            begun, answered = run_coroutine(_finish_under_load())
+            finished, begun, answered = run_coroutine(_finish_under_load())
+            self.assertTrue(finished)
             self.assertEqual(set(), begun - answered)
 
 
-async def _finish_under_load() -> tuple[set[str], set[str]]:
-    """Return the ids of the requests that were begun and of those with a response."""
+async def _finish_under_load() -> tuple[bool, set[str], set[str]]:
+    """Return whether all connections ended within ``GRACE_S``, and ids of requests.
+
+    These are the requests that were begun, and those with a response.
+    """
     begun, answered = set(), set()
 
     async def handle(request) -> web.Response:
@@ -127,10 +133,10 @@
     ]
     while len(begun) <= BUSY_CALLER_COUNT:
         await asyncio.sleep(BUSY_WORK_S)
-    await listener.finish(timers.now() + FINISH_TIMEOUT_S)
+    finished = await listener.finish(timers.now() + GRACE_S)
     await listener.close()
     await asyncio.gather(*callers)
-    return begun, answered
+    return finished, begun, answered
 
 
 async def send_before(streams: Streams, finish: Callable[[], Awaitable[bool]]) -> bool:
