Do not blame a request that many send for the end of a failure domain

Sound requests got 503 for 240 s if three servers ended within 0.1 s of each other, as those of one failure domain do, and one of the same path, caller and body was in progress at each. Crashes that close count once, but not if the request was sent when a crash on its key was known, and a request that many send always was. Now only a request that was itself at a server that crashed, and is sent again, counts again.

The price: crashes within 0.1 s on one request from different callers count once.

test_request_that_many_send_is_not_blamed_for_them failed before.

--- a/oleanderpier/forwarding/crash_guard.py
+++ b/oleanderpier/forwarding/crash_guard.py
@@ -104,10 +104,12 @@
         )
 
     def begin_attempt(self, keys: RequestKeys) -> None:
-        """Mark a request that is sent now, if an earlier crash on it is known."""
-        keys.marks = ()
-        if self._poison.is_watching() and self._poison.is_suspected(keys.whole):
-            keys.marks = (make_resend_mark(keys.whole),)
+        """Mark a request that is sent again after a server crashed on it.
+
+        Others with its key are not marked: many may send it, and be at each server of a
+        failure domain that ends.
+        """
+        keys.marks = (make_resend_mark(keys.whole),) if keys.was_in_crash else ()
 
     async def record_attempt(
         self,
@@ -137,7 +139,8 @@
                 self._record_sound(keys.prompt, now_s)
             prompt = () if is_begun else keys.prompt
             suspect = (*prompt, keys.whole, *keys.marks)
-            await self._check_for_crash(server, suspect, now_s)
+            if await self._check_for_crash(server, suspect, now_s):
+                keys.was_in_crash = True
 
     def _record_sound(self, keys: SuspectKeys, now_s: float) -> None:
         cleared = self._poison.record_answer(keys, now_s)
@@ -147,8 +150,8 @@
 
     async def _check_for_crash(
         self, server: ServerEntry, suspect: SuspectKeys, at_s: float
-    ) -> None:
-        """Check whether a server has crashed; its requests share one check.
+    ) -> bool:
+        """Return whether a server has crashed; its requests share one check.
 
         The check goes on if the caller of the request leaves.
         """
@@ -159,7 +162,7 @@
             task = asyncio.create_task(self._run_check(server, at_s, suspects))
             check = self._checks[key] = _Check(task, suspects)
         check.suspects.append(suspect)
-        await asyncio.shield(check.task)
+        return await asyncio.shield(check.task)
 
     async def _run_check(
         self, server: ServerEntry, at_s: float, suspects: list[SuspectKeys]
--- a/oleanderpier/forwarding/request_keys.py
+++ b/oleanderpier/forwarding/request_keys.py
@@ -25,12 +25,14 @@
     Attributes:
         identity: The caller's id of the request.
         marks: Further keys of the attempt that is made now.
+        was_in_crash: Whether a server crashed during an earlier attempt.
         is_trial: Whether it tests if a quarantined key still crashes servers.
     """
 
     def __init__(self, call: Call) -> None:
         self.identity = call.identity
         self.marks: SuspectKeys = ()
+        self.was_in_crash = False
         self.is_trial = False
         self._call = call
 
--- a/oleanderpier/forwarding/tests/test_crash_guard.py
+++ b/oleanderpier/forwarding/tests/test_crash_guard.py
@@ -1,23 +1,28 @@
 """Tests of requests that crash servers, with servers on loopback."""
 
 import asyncio
+from types import SimpleNamespace
 
 from testtools import TestCase
 
 from oleanderpier.connections import refuses_connections
+from oleanderpier.forwarding import CrashGuard, RequestKeys
 from oleanderpier.forwarding.tests.fakes import (
     ForwarderFixture,
     ReceivedRequest,
     RecordingCaller,
     cut_stream,
+    make_call,
     reset_connection,
     respond,
     stream_events,
 )
 from oleanderpier.results import Code
+from oleanderpier.routing import AttemptOutcome, CrashCauses, ServerHealth
 from oleanderpier.routing.crashes import SIMULTANEOUS_S
-from oleanderpier.routing.tests.fakes import make_route
-from oleanderpier.utils import LoopTimers, run_coroutine
+from oleanderpier.routing.poison import QUARANTINE_CRASHES
+from oleanderpier.routing.tests.fakes import make_route, make_server
+from oleanderpier.utils import LoopTimers, Timers, run_coroutine
 
 
 class CrashGuardTest(TestCase):
@@ -123,6 +128,48 @@
         self.assertEqual(Code.DONE, outcome.code)
 
 
+class SimultaneousCrashesTest(TestCase):
+    """Servers of one failure domain end one after the other within 0.1 s."""
+
+    def crash_servers(self, requests: list[RequestKeys]) -> list[str]:
+        """Return what is quarantined after a server ended under each request."""
+        causes = CrashCauses()
+
+        async def send_all() -> None:
+            timers = LoopTimers()
+
+            async def find_crashed(address: str, timers: Timers) -> bool:
+                return True
+
+            guard = CrashGuard(
+                causes, ServerHealth(timers), timers, check_server=find_crashed
+            )
+            attempt = SimpleNamespace(first_event_at_s=None)
+            for number, keys in enumerate(requests):
+                guard.begin_attempt(keys)
+                await asyncio.sleep(SIMULTANEOUS_S / 10)
+                server = make_server(f"s{number}")
+                await guard.record_attempt(keys, server, attempt, AttemptOutcome.LOST)
+
+        run_coroutine(send_all())
+        return [quarantine.key for quarantine in causes.list_quarantines()]
+
+    def test_request_that_many_send_is_not_blamed_for_them(self):
+        """Another one of the same path, caller and body was in progress at each."""
+        requests = [make_keys() for _ in range(2 * QUARANTINE_CRASHES)]
+        self.assertEqual([], self.crash_servers(requests))
+
+    def test_request_that_was_at_each_of_them_is_blamed(self):
+        """It was sent again after each crash."""
+        keys = make_keys()
+        self.assertEqual([keys.whole], self.crash_servers([keys] * QUARANTINE_CRASHES))
+
+
+def make_keys() -> RequestKeys:
+    """Return the keys of a request, the same ones for each."""
+    return RequestKeys(make_call(make_route(sticky=False), 0.0))
+
+
 class ListeningTest(TestCase):
     """Only a refused connection shows that nothing listens."""
 
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -25,7 +25,7 @@
 SuspectKeys = tuple[str, ...]
 # Begins the key of a whole request. Ids of prompt parts have no colon.
 REQUEST_KEY_PREFIX = "request:"
-# Begins the mark of a request that was sent when an earlier crash on it was known.
+# Begins the mark of a request that was sent again after a server crashed on it.
 RESEND_MARK_PREFIX = "resend:"
 
 CRASH_KEPT_S = 600.0
@@ -62,7 +62,7 @@
 
 
 def make_resend_mark(request_key: str) -> str:
-    """Return the mark of a request that is sent when a crash on it is known.
+    """Return the mark of a request that is sent again after a crash on it.
 
     It goes into the keys of a suspect like a further key, so that hosts of earlier
     versions pass it on.
@@ -124,8 +124,8 @@
     def count_crashes(self, key: str, since_s: float, causes: Collection[str]) -> int:
         """Return how often servers have crashed on requests with a key.
 
-        Simultaneous crashes count once, but not those on a request that was sent when
-        the earlier one was known.
+        Simultaneous crashes count once, but not those on a request that was sent again
+        after the earlier one.
 
         Args:
             key: The key.
