Show that a host that stops gives up streams of a silent server

Cause: a server that is silent for 0.8 s is given up as soon as another one is known, whether or not that one takes the request; by then its connection is closed, and the attempts of the request are used up.

That of requests that come several at once gives way; its play stays as the main program of review/crashes.py.

--- a/review/crashes.py
+++ b/review/crashes.py
@@ -3,10 +3,15 @@
 The part, never the last of a prompt, crashes each server that begins to answer a
 request with it; the server is back after ``DOWN_S``. No two of these requests are
 alike, and sound ones share their caller and their other parts.
+
+``python3 crashes.py RECORD`` plays six such requests at once, five times; its exit
+status is that of a case.
 """
 
 import asyncio
 import itertools
+import sys
+from pathlib import Path
 from typing import NamedTuple
 
 from stand_ins import (
@@ -194,3 +199,12 @@
         return 2
     finally:
         await case.end()
+
+
+SEVERAL_AT_ONCE = Plan(
+    bursts=5, burst_size=6, gap_s=6.0, before=("91bd0000",), after=40
+)
+
+if __name__ == "__main__":
+    played = play(SEVERAL_AT_ONCE, Record(Path(sys.argv[1])), trouble=True)
+    sys.exit(asyncio.run(played))
--- a/review/server.py
+++ b/review/server.py
@@ -1,7 +1,8 @@
 """A server of the service ``office``: a sound one, as the users' pages describe it.
 
 It writes a line for each event: ``runs ID``, ``ended ID``, ``left ID`` (the caller has
-closed its connection) or ``crashed-on ID``. Its first line says that it listens.
+closed its connection), ``rejects ID`` or ``crashed-on ID``. Its first line says that it
+listens.
 """
 
 import argparse
@@ -50,6 +51,9 @@
         if path == "/health":
             extra = f"Instance-Id: {self._options.id}\r\n"
             return await self._send(writer, 200, request, b"", extra)
+        if self._options.full:
+            say("rejects", request)
+            return await self._send(writer, 503, request, b"", "Not-Executed: 1\r\n")
         say("runs", request)
         if self._crashes_on(path, headers):
             await asyncio.sleep(self._options.crash_after_s)
@@ -83,22 +87,33 @@
         return True
 
     async def _stream(self, reader, writer, request: str) -> None:
-        """Send an answer with neither a length nor chunks, event by event."""
+        """Send an answer event by event, with chunks or up to the connection's end."""
+        options = self._options
+        framing = "Transfer-Encoding: chunked\r\n" if options.chunked else ""
         writer.write(
             f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\n"
-            f"Response-Signature: {self._options.id}.1\r\n"
+            f"Response-Signature: {options.id}.1\r\n{framing}"
             "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n".encode()
         )
-        for number in range(1, self._options.events + 1):
-            writer.write(f"id: {number}\n{DATA}\n\n".encode())
+        for number in range(1, options.events + 1):
+            event = f"id: {number}\n{DATA}\n\n".encode()
+            writer.write(make_chunk(event) if options.chunked else event)
             await writer.drain()
-            await asyncio.sleep(self._options.interval_s)
+            is_paused = number == options.pause_after
+            await asyncio.sleep(options.pause_s if is_paused else options.interval_s)
             if reader.at_eof():
                 say("left", request)
                 return
+        if options.chunked:
+            writer.write(make_chunk(b""))
         say("ended", request)
 
 
+def make_chunk(data: bytes) -> bytes:
+    """Return the chunk of some data; the last chunk of an answer for none."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 def say(kind: str, request: str) -> None:
     """Write the line of an event."""
     sys.stdout.write(f"{kind} {request}\n")
@@ -113,6 +128,10 @@
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--interval-s", type=float, default=0.1)
     parser.add_argument("--work-s", type=float, default=0.02)
+    parser.add_argument("--chunked", action="store_true")
+    parser.add_argument("--full", action="store_true")
+    parser.add_argument("--pause-after", type=int)
+    parser.add_argument("--pause-s", type=float, default=0.0)
     parser.add_argument("--crash-part")
     parser.add_argument("--crash-path")
     parser.add_argument("--crash-after-s", type=float, default=0.02)
