--- a/review/server.py
+++ b/review/server.py
@@ -12,6 +12,7 @@
 import sys
 
 DATA = "data: " + "x" * 60
+PARENT_CHECK_S = 0.5
 
 
 class Server:
@@ -25,12 +26,16 @@
         self._options = options
 
     async def serve(self) -> None:
-        """Listen, and answer until the process is ended."""
+        """Listen, and answer until the process or that of the script is ended."""
         server = await asyncio.start_server(
             self._handle, "127.0.0.1", self._options.port
         )
         say("listens", "-")
-        await server.serve_forever()
+        parent = os.getppid()
+        # Ends with the script that started it.
+        while os.getppid() == parent:
+            await asyncio.sleep(PARENT_CHECK_S)
+        server.close()
 
     async def _handle(self, reader, writer) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
