Keep a silent server's response until another server makes progress

Cause: silence was an outcome of an attempt. The connection was closed first, and only then another server was asked; when that one rejected the request, no attempt was left.

Change: attempts no longer end by silence or a stall. The request is sent to another server beside the silent one, within the route's attempts and the retry budget, and the first attempt with an event or a whole response cancels the others in the same step. The same for responses that are not streamed, also in their body, and before the head. A 5xx response is kept while the silent server may still respond.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -1,6 +1,5 @@
 """One attempt to send a request to a backend server."""
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -15,9 +14,10 @@
     refuses_connections,
 )
 from oleanderpier.exception import MessageError
-from oleanderpier.forwarding.events import EventSplitter
+from oleanderpier.forwarding.callers import TrackedCaller
+from oleanderpier.forwarding.events import MAX_EVENT_BYTES, EventSplitter
 from oleanderpier.forwarding.progress import StreamProgress
-from oleanderpier.forwarding.records import Call, Caller, Dialect, ResponseHead
+from oleanderpier.forwarding.records import Call, Dialect, ResponseHead
 from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
 from oleanderpier.utils import Timers
 
@@ -25,10 +25,8 @@
 
 MAX_RESPONSE_BYTES = 16 << 20
 EVENT_STREAM = "text/event-stream"
-# Interval at which a pending read checks whether the server has become silent.
-SILENCE_CHECK_INTERVAL_S = 0.2
 # Silence of a server, on all connections of this host, after which a stream without
-# an event fails over; the route's latency target if that is longer.
+# an event is delayed; the route's latency target if that is longer.
 MIN_FIRST_EVENT_TIMEOUT_S = 1.0
 # The same between two events: GAP_TIMEOUT_FACTOR times the route's target for gaps.
 GAP_TIMEOUT_FACTOR = 2.0
@@ -92,11 +90,14 @@
         server: The server.
         copy_source: The server from which it is to copy the prompt's shared prefix,
             None for no copy.
-        may_fail_over: Returns whether the request may still be sent to another
-            server. If not, the attempt waits for a silent server.
+        splitter: Splits the stream; holds the id of the event to begin after.
         on_head: Called with the server and the head of its response.
+        claim: Called before a part of the response is passed on, with the attempt and
+            whether the part is progress. Returns whether it may be passed on.
 
     Attributes:
+        server: The server.
+        splitter: Splits the stream into events.
         response: The complete response, of a request that is not streamed.
         reason: The reason for the outcome, as text for the log.
         framing: What ends the body of the response, None before its head.
@@ -113,9 +114,12 @@
         call: Call,
         server: ServerEntry,
         copy_source: ServerEntry | None,
-        may_fail_over: Callable[[], bool],
+        splitter: EventSplitter,
         on_head: Callable[[ServerEntry, ResponseHead], None],
+        claim: Callable[["Attempt", bool], bool],
     ) -> None:
+        self.server = server
+        self.splitter = splitter
         self.response: BufferedResponse | None = None
         self.reason = ""
         self.framing: Framing | None = None
@@ -126,111 +130,97 @@
         self._activity = activity
         self._timers = timers
         self._call = call
-        self._server = server
         self._copy_source = copy_source
-        self._may_fail_over = may_fail_over
         self._on_head = on_head
+        self._claim = claim
         self._http_response: aiohttp.ClientResponse | None = None
-        self._waiting_since_s = timers.now()
+        self._progress: StreamProgress | None = None
+        self._timeout_s = self._get_first_timeout_s()
+        # When the wait for the server's next bytes began, None while there is none.
+        self._waiting_since_s: float | None = None
+        # Events without progress that were not passed on yet.
+        self._held_events = b""
+
+    def is_silent(self) -> bool:
+        """Return whether the server has sent this host nothing for too long."""
+        if self._waiting_since_s is None:
+            return False
+        silence_s = self._activity.get_silence_s(
+            self.server.identity, self._waiting_since_s
+        )
+        return silence_s >= self._timeout_s
 
-    async def run(
-        self, caller: Caller, splitter: EventSplitter, response_started: bool
-    ) -> AttemptOutcome:
+    def is_stalled(self) -> bool:
+        """Return whether the server sends bytes, but no events of a stream."""
+        return (
+            self._waiting_since_s is not None
+            and self._progress is not None
+            and self._call.route.repeatable
+            and self._progress.is_stalled(self._timers.now())
+        )
+
+    async def run(self, caller: TrackedCaller) -> AttemptOutcome:
         """Send the request and pass its response on as far as it is received.
 
         Args:
             caller: Receives the events of a stream.
-            splitter: Holds the id of the last event that the caller received.
-            response_started: Whether the caller has received the head of a response.
 
         Returns:
             The outcome. The connection is closed in every case.
         """
         try:
-            head_result = await self._open_response(splitter.last_event_id)
+            head_result = await self._open_response()
             if head_result.is_error():
                 return head_result.error
             head = head_result.ok
             if self._is_stream(head):
-                return await self._relay_stream(
-                    head, caller, splitter, response_started
-                )
-            if response_started:
+                return await self._relay_stream(head, caller)
+            if caller.response_started:
                 self.reason = f"no stream to go on with, status {head.status}"
                 return AttemptOutcome.CUT
             return await self._read_response(head)
         finally:
+            self._waiting_since_s = None
             self._close()
 
-    async def _open_response(
-        self, last_event_id: str | None
-    ) -> Result[ResponseHead, AttemptOutcome]:
+    async def _open_response(self) -> Result[ResponseHead, AttemptOutcome]:
         """Send the request and wait for the head of the response."""
-        call, server = self._call, self._server
-        time_left_s = call.deadline_s - self._timers.now()
+        call, server = self._call, self.server
         headers = self._dialect.format_request(
             call,
             server,
-            time_left_s,
-            last_event_id or call.last_event_id,
+            call.deadline_s - self._timers.now(),
+            self.splitter.last_event_id or call.last_event_id,
             self._copy_source,
         )
         url = URL(f"http://{server.address}{call.path}", encoded=True)
         self._waiting_since_s = self._timers.now()
-        task = asyncio.ensure_future(
-            self._session.request(
+        try:
+            self._http_response = await self._session.request(
                 call.method,
                 url,
                 headers=headers,
                 data=call.body or (b"" if call.method == "POST" else None),
                 allow_redirects=False,
             )
-        )
-        try:
-            await self._wait_for_head(task, self._get_first_timeout_s())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self.reason = repr(error)
             return Error(AttemptOutcome.UNREACHED)
-        except TimeoutError:
-            self.reason = "no answer"
-            return Error(AttemptOutcome.SILENT)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.reason = repr(error)
             return Error(AttemptOutcome.LOST)
-        self._http_response = task.result()
+        self._waiting_since_s = None
         self.framing = find_framing(self._http_response.headers)
         self._activity.record_activity(server.identity)
         return self._check_head()
 
-    async def _wait_for_head(self, task: asyncio.Future, timeout_s: float) -> None:
-        """Wait for the head of the response.
-
-        Raises:
-            TimeoutError: The server was silent for too long, and the request may be
-                sent to another one.
-        """
-        try:
-            while True:
-                done, _ = await asyncio.wait({task}, timeout=SILENCE_CHECK_INTERVAL_S)
-                if done:
-                    await task
-                    return
-                if self._should_fail_over(timeout_s):
-                    raise TimeoutError
-        finally:
-            if not task.done():
-                task.cancel()
-                await asyncio.wait({task})
-            if not task.cancelled() and task.exception() is None:
-                self._http_response = task.result()
-
     def _check_head(self) -> Result[ResponseHead, AttemptOutcome]:
         """Return the head if the response is valid, else how the attempt ended."""
         http_response = self._http_response
         head = self._dialect.read_response_head(
             self._call, http_response.status, http_response.raw_headers
         )
-        self._on_head(self._server, head)
+        self._on_head(self.server, head)
         if head.not_run:
             self.reason = f"not run, status {head.status}"
             return Error(AttemptOutcome.NOT_RUN)
@@ -253,6 +243,7 @@
 
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
+        self._waiting_since_s = self._timers.now()
         try:
             body = await read_body(self._http_response, MAX_RESPONSE_BYTES)
         except (aiohttp.ClientError, OSError, MessageError) as error:
@@ -260,61 +251,69 @@
             return AttemptOutcome.LOST
         finally:
             self.received_bytes = self._http_response.content.total_bytes
-        self._activity.record_activity(self._server.identity)
+        self._activity.record_activity(self.server.identity)
         if await self._ended_with_server():
             return AttemptOutcome.LOST
         self.response = BufferedResponse(head, body)
-        return AttemptOutcome.FAILED if head.status >= 500 else AttemptOutcome.DELIVERED
+        if head.status >= 500:
+            return AttemptOutcome.FAILED
+        self._claim(self, True)
+        return AttemptOutcome.DELIVERED
 
     async def _relay_stream(
-        self,
-        head: ResponseHead,
-        caller: Caller,
-        splitter: EventSplitter,
-        response_started: bool,
+        self, head: ResponseHead, caller: TrackedCaller
     ) -> AttemptOutcome:
         """Pass complete events on to the caller as they are received."""
-        content = self._http_response.content
-        timeout_s = self._get_first_timeout_s()
-        progress = StreamProgress(self._call.route, splitter)
-        self._waiting_since_s = self._timers.now()
+        splitter = self.splitter
         try:
-            while data := await self._read_data(content, timeout_s):
-                events = progress.feed(data, self._timers.now())
-                self.first_event_at_s = progress.first_event_at_s
-                timeout_s = self._get_gap_timeout_s()
-                if self._is_stalled(progress):
-                    self.reason = f"stalled after event {splitter.last_event_id}"
-                    return AttemptOutcome.CUT
-                if not events:
-                    continue
-                if not response_started:
-                    await caller.begin_stream(head)
-                    response_started = True
-                await caller.write(events)
-        except TimeoutError:
-            self.reason = f"silent after event {splitter.last_event_id}"
-            return AttemptOutcome.SILENT
+            await self._relay_events(head, caller)
         except (aiohttp.ClientError, MessageError) as error:
             self.reason = f"{error!r} after event {splitter.last_event_id}"
             return AttemptOutcome.CUT
         self.reason = self._explain_missing_part(splitter)
         if self.reason or await self._ended_with_server():
             return AttemptOutcome.CUT
-        if not response_started:
+        self._claim(self, True)
+        if not caller.response_started:
             await caller.begin_stream(head)
-        if splitter.remainder:
-            await caller.write(splitter.remainder)
+        rest = self._held_events + splitter.remainder
+        if rest:
+            await caller.write(rest)
         await caller.finish_stream()
         return AttemptOutcome.DELIVERED
 
-    def _is_stalled(self, progress: StreamProgress) -> bool:
-        """Return whether a stream is stalled and another server may be tried."""
-        return (
-            progress.is_stalled(self._timers.now())
-            and self._call.route.repeatable
-            and self._may_fail_over()
-        )
+    async def _relay_events(self, head: ResponseHead, caller: TrackedCaller) -> None:
+        """Pass complete events on until the body ends.
+
+        Raises:
+            aiohttp.ClientError: The connection failed.
+            MessageError: The bytes are no events.
+        """
+        content = self._http_response.content
+        progress = self._progress = StreamProgress(self._call.route, self.splitter)
+        while data := await self._read_data(content):
+            events = self._held_events + progress.feed(data, self._timers.now())
+            self.first_event_at_s = progress.first_event_at_s
+            self._timeout_s = self._get_gap_timeout_s()
+            if not events:
+                continue
+            if not self._claim(self, progress.has_advanced):
+                self._hold_events(events)
+                continue
+            self._held_events = b""
+            if not caller.response_started:
+                await caller.begin_stream(head)
+            await caller.write(events)
+
+    def _hold_events(self, events: bytes) -> None:
+        """Keep events that another attempt at the request does not let through.
+
+        Raises:
+            MessageError: They are more than ``MAX_EVENT_BYTES``.
+        """
+        if len(events) > MAX_EVENT_BYTES:
+            raise MessageError(f"more than {MAX_EVENT_BYTES} bytes without an event")
+        self._held_events = events
 
     def _explain_missing_part(self, splitter: EventSplitter) -> str:
         """Return why a stream whose body has ended is incomplete, empty if it is not.
@@ -335,45 +334,25 @@
         """
         if self.framing is not Framing.CONNECTION:
             return False
-        if not await refuses_connections(self._server.address, self._timers):
+        if not await refuses_connections(self.server.address, self._timers):
             return False
         self.reason = "the server has ended with the connection"
         return True
 
-    async def _read_data(
-        self, content: aiohttp.StreamReader, timeout_s: float
-    ) -> bytes:
-        """Return the next bytes of a stream, empty at its end.
-
-        Raises:
-            TimeoutError: The server was silent for too long, and the request may be
-                sent to another one.
-        """
-        while True:
-            try:
-                async with asyncio.timeout(SILENCE_CHECK_INTERVAL_S):
-                    data = await content.readany()
-            except TimeoutError:
-                if self._should_fail_over(timeout_s):
-                    raise
-                continue
-            self._waiting_since_s = self._timers.now()
-            self._activity.record_activity(self._server.identity)
-            self.received_bytes += len(data)
-            return data
-
-    def _should_fail_over(self, timeout_s: float) -> bool:
-        """Return whether the server is silent and another one may be tried."""
-        silence_s = self._activity.get_silence_s(
-            self._server.identity, self._waiting_since_s
-        )
-        return silence_s >= timeout_s and self._may_fail_over()
+    async def _read_data(self, content: aiohttp.StreamReader) -> bytes:
+        """Return the next bytes of a stream, empty at its end."""
+        self._waiting_since_s = self._timers.now()
+        data = await content.readany()
+        self._waiting_since_s = None
+        self._activity.record_activity(self.server.identity)
+        self.received_bytes += len(data)
+        return data
 
     def _get_first_timeout_s(self) -> float:
         """Return how long a server may be silent until its first event or response.
 
         Infinite if the request is not repeatable, since it can't be sent to another
-        server then.
+        server meanwhile.
         """
         route = self._call.route
         if not route.repeatable:
--- a/oleanderpier/forwarding/events.py
+++ b/oleanderpier/forwarding/events.py
@@ -6,7 +6,7 @@
 
 from oleanderpier.exception import MessageError
 
-__all__ = ["EventSplitter"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
 
 MAX_EVENT_BYTES = 1 << 20
 # An event ends with an empty line. Lines end with LF, CRLF or CR.
@@ -18,6 +18,9 @@
 class EventSplitter:
     r"""Returns complete events and buffers the beginning of the next one.
 
+    Args:
+        last_event_id: The id of the event that the stream goes on after.
+
     Attributes:
         last_event_id: The id of the last complete event that had one, None before.
 
@@ -29,8 +32,8 @@
         ('1', b'id: 2\nda', True)
     """
 
-    def __init__(self) -> None:
-        self.last_event_id: str | None = None
+    def __init__(self, last_event_id: str | None = None) -> None:
+        self.last_event_id = last_event_id
         self._remainder = bytearray()
         # Size of the empty lines since the last event.
         self._empty_bytes = 0
@@ -48,10 +51,6 @@
         """
         return bool(self._remainder.strip(b"\r\n"))
 
-    def drop_remainder(self) -> None:
-        """Drop the buffered bytes, because another server resumes the stream."""
-        self._remainder.clear()
-
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete now, byte for byte.
 
--- a/oleanderpier/forwarding/progress.py
+++ b/oleanderpier/forwarding/progress.py
@@ -27,10 +27,12 @@
 
     Attributes:
         first_event_at_s: When the first event was received, None before.
+        has_advanced: Whether the last bytes completed an event.
     """
 
     def __init__(self, route: Route, splitter: EventSplitter) -> None:
         self.first_event_at_s: float | None = None
+        self.has_advanced = False
         self._splitter = splitter
         self._last_event_id = splitter.last_event_id
         # The limit is below the time after which callers give up.
@@ -48,7 +50,10 @@
         Comments and events that repeat an id without data are no progress.
         """
         events = self._splitter.feed(data)
-        if DATA_FIELD in events or self._splitter.last_event_id != self._last_event_id:
+        self.has_advanced = (
+            DATA_FIELD in events or self._splitter.last_event_id != self._last_event_id
+        )
+        if self.has_advanced:
             self._last_event_id = self._splitter.last_event_id
             if self.first_event_at_s is None:
                 self.first_event_at_s = now_s
--- a/oleanderpier/routing/retries.py
+++ b/oleanderpier/routing/retries.py
@@ -5,7 +5,13 @@
 
 from oleanderpier.results import Code
 
-__all__ = ["AttemptOutcome", "AttemptState", "RetryDecision", "decide_retry"]
+__all__ = [
+    "NOT_EXECUTED",
+    "AttemptOutcome",
+    "AttemptState",
+    "RetryDecision",
+    "decide_retry",
+]
 
 
 class AttemptOutcome(Enum):
@@ -17,7 +23,7 @@
         UNREACHED: No connection could be made.
         NOT_RUN: The server said that it has not run the request.
         LOST: The connection failed, or the response was invalid.
-        SILENT: The server sent nothing for too long.
+        SILENT: The server sent nothing for too long, and another one was first.
         CUT: The stream ended before its final event.
     """
 
@@ -63,7 +69,7 @@
 
 
 # Outcomes after which the server has certainly not run the request.
-_NOT_EXECUTED = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN})
+NOT_EXECUTED = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN})
 _OUTCOME_CODES = {
     AttemptOutcome.DELIVERED: Code.DONE,
     AttemptOutcome.FAILED: Code.DONE,
@@ -91,7 +97,7 @@
         RetryDecision(retry=True, uses_budget=False, code=<Code.NO_BACKEND_SERVER: 108>)
     """
     code = _OUTCOME_CODES[outcome]
-    if outcome in _NOT_EXECUTED and state.may_have_run:
+    if outcome in NOT_EXECUTED and state.may_have_run:
         code = Code.STREAM_CUT if state.response_started else Code.ANSWER_LOST
     if outcome is AttemptOutcome.DELIVERED:
         return RetryDecision(False, False, code)
