Bound the bytes of all responses that a host holds

Callers saw (other operators): a faulty server sent bytes without end; the host kept them and ran out of memory, and the requests of other clients ended with it.

Attempts and requests referred to each other, so that their buffers stayed until a garbage collection.

Change: ResponseBuffers counts the bytes of all responses, and ends the largest response of the server with the most bytes beyond 64 MB. Heads and interim responses may take 16 KB, parsed 4 KB at a time; chunk sizes and trailers 64 KB. A stated length above 16 MB is refused at the head. Attempts drop their buffers when they end.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -24,9 +24,13 @@
 # Time for which sent data may stay unacknowledged before the kernel closes the
 # connection.
 TCP_USER_TIMEOUT_MS = 5000
-# Bound of the bytes of a response that are not its body: its head, interim responses,
-# chunk sizes and trailers. Chunks may add as many bytes again as the body has.
-MAX_OVERHEAD_BYTES = 1 << 20
+# Bound of the bytes of a response before its body: its head and interim responses.
+MAX_HEAD_BYTES = 1 << 14
+# Largest part of these bytes that is parsed at a time.
+HEAD_SLICE_BYTES = 1 << 12
+# Bound of the bytes of a response that are not its body: also chunk sizes and trailers.
+# Chunks may add as many bytes again as the body has.
+MAX_OVERHEAD_BYTES = 1 << 16
 # Headers that aiohttp would add to those of the caller.
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -127,20 +131,32 @@
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
+        # Interim responses are short, and each becomes an object in memory.
+        while len(data) > HEAD_SLICE_BYTES and not self._count_body_bytes():
+            self._receive(data[:HEAD_SLICE_BYTES])
+            data = data[HEAD_SLICE_BYTES:]
+            if self.transport is None or self.transport.is_closing():
+                return
+        self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
         super().data_received(data)
         self._received_bytes += len(data)
+        body_bytes = self._count_body_bytes()
+        max_bytes = 2 * body_bytes + MAX_OVERHEAD_BYTES
+        if self._received_bytes > (max_bytes if body_bytes else MAX_HEAD_BYTES):
+            self._end_connection(self._payload)
+
+    def _count_body_bytes(self) -> int:
         payload = self._payload
         if payload is None or payload is self._earlier_payload:
-            body_bytes = 0
-        else:
-            body_bytes = payload.total_bytes
-        if self._received_bytes > 2 * body_bytes + MAX_OVERHEAD_BYTES:
-            self._end_connection(payload)
+            return 0
+        return payload.total_bytes
 
     def _end_connection(self, payload: aiohttp.StreamReader | None) -> None:
         error = aiohttp.ClientPayloadError(
-            f"{self._received_bytes} bytes received, more than {MAX_OVERHEAD_BYTES} of "
-            "them besides the body"
+            f"{self._received_bytes} bytes received, too many of them besides the body "
+            f"(allowed: {MAX_HEAD_BYTES} before it, {MAX_OVERHEAD_BYTES} in all)"
         )
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -7,13 +7,9 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from oleanderpier.connections import (
-    Framing,
-    find_framing,
-    read_body,
-    refuses_connections,
-)
+from oleanderpier.connections import Framing, find_framing, refuses_connections
 from oleanderpier.exception import MessageError
+from oleanderpier.forwarding.buffers import ResponseBuffers
 from oleanderpier.forwarding.callers import TrackedCaller
 from oleanderpier.forwarding.events import MAX_EVENT_BYTES, EventSplitter
 from oleanderpier.forwarding.progress import StreamProgress
@@ -85,6 +81,7 @@
         session: The HTTP client.
         dialect: The wire format of the backend servers.
         activity: When each server last sent something.
+        buffers: The buffered bytes of all responses.
         timers: The timer service.
         call: The request.
         server: The server.
@@ -110,6 +107,7 @@
         session: aiohttp.ClientSession,
         dialect: Dialect,
         activity: ServerActivity,
+        buffers: ResponseBuffers,
         timers: Timers,
         call: Call,
         server: ServerEntry,
@@ -140,6 +138,8 @@
         self._waiting_since_s: float | None = None
         # Events without progress that were not passed on yet.
         self._held_events = b""
+        self._body_parts: list[bytes] = []
+        self._buffer = buffers.open(server.identity, self._end_overflow)
 
     def is_silent(self) -> bool:
         """Return whether the server has sent this host nothing for too long."""
@@ -166,7 +166,8 @@
             caller: Receives the events of a stream.
 
         Returns:
-            The outcome. The connection is closed in every case.
+            The outcome. The connection is closed in every case; what was received
+            counts as buffered until ``release``.
         """
         try:
             head_result = await self._open_response()
@@ -183,6 +184,24 @@
             self._waiting_since_s = None
             self._close()
 
+    def release(self) -> None:
+        """Drop what is buffered of the response."""
+        self.splitter.drop_remainder()
+        self._held_events = b""
+        self._body_parts.clear()
+        self._buffer.close()
+
+    def _end_overflow(self) -> None:
+        """End a response that has too large a part of what this host may buffer."""
+        if self.response is not None:
+            return
+        self._body_parts.clear()
+        error = MessageError(
+            f"{self.received_bytes} bytes of a response, and all responses together "
+            "are more than this host may hold"
+        )
+        self._http_response.content.set_exception(error)
+
     async def _open_response(self) -> Result[ResponseHead, AttemptOutcome]:
         """Send the request and wait for the head of the response."""
         call, server = self._call, self.server
@@ -243,15 +262,11 @@
 
     async def _read_response(self, head: ResponseHead) -> AttemptOutcome:
         """Read a response that is not streamed."""
-        self._waiting_since_s = self._timers.now()
         try:
-            body = await read_body(self._http_response, MAX_RESPONSE_BYTES)
+            body = await self._read_body()
         except (aiohttp.ClientError, OSError, MessageError) as error:
             self.reason = repr(error)
             return AttemptOutcome.LOST
-        finally:
-            self.received_bytes = self._http_response.content.total_bytes
-        self._activity.record_activity(self.server.identity)
         if await self._ended_with_server():
             return AttemptOutcome.LOST
         self.response = BufferedResponse(head, body)
@@ -260,6 +275,24 @@
         self._claim(self, True)
         return AttemptOutcome.DELIVERED
 
+    async def _read_body(self) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            MessageError: It is too large.
+        """
+        length = self._http_response.content_length
+        if length is not None and length > MAX_RESPONSE_BYTES:
+            raise MessageError(f"a body of {length} bytes")
+        while data := await self._read_data(self._http_response.content):
+            if self.received_bytes > MAX_RESPONSE_BYTES:
+                raise MessageError(f"a body of more than {MAX_RESPONSE_BYTES} bytes")
+            self._body_parts.append(data)
+            self._buffer.resize(self.received_bytes)
+        body = b"".join(self._body_parts)
+        self._body_parts.clear()
+        return body
+
     async def _relay_stream(
         self, head: ResponseHead, caller: TrackedCaller
     ) -> AttemptOutcome:
@@ -293,6 +326,7 @@
         progress = self._progress = StreamProgress(self._call.route, self.splitter)
         while data := await self._read_data(content):
             events = self._held_events + progress.feed(data, self._timers.now())
+            self._buffer.resize(self.splitter.buffered_bytes + len(self._held_events))
             self.first_event_at_s = progress.first_event_at_s
             self._timeout_s = self._get_gap_timeout_s()
             if not events:
--- /dev/null
+++ b/oleanderpier/forwarding/buffers.py
@@ -0,0 +1,104 @@
+"""Bounds the bytes of responses that a host holds, over all its requests.
+
+It answers this load pattern: a faulty server sends bytes without end to many requests
+at a time. The largest response of the server with the most bytes is ended then, so that
+the responses of other servers are not.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+
+__all__ = ["MAX_BUFFERED_BYTES", "ResponseBuffer", "ResponseBuffers"]
+
+MAX_BUFFERED_BYTES = 64 << 20
+
+
+class ResponseBuffer:
+    """The buffered bytes of one response.
+
+    Args:
+        buffers: The buffers of the host.
+        server: The id of the server that sends the response.
+        on_overflow: Called if the response has to be ended; it has to drop the bytes.
+
+    Attributes:
+        size: The number of bytes.
+        server: The id of the server.
+    """
+
+    def __init__(
+        self,
+        buffers: "ResponseBuffers",
+        server: str,
+        on_overflow: Callable[[], None],
+    ) -> None:
+        self.size = 0
+        self.server = server
+        self._buffers = buffers
+        self._on_overflow: Callable[[], None] | None = on_overflow
+
+    def resize(self, size: int) -> None:
+        """Set the number of bytes, and end responses while there are too many."""
+        self._buffers.add(self, size - self.size)
+
+    def overflow(self) -> None:
+        """End the response."""
+        on_overflow = self._on_overflow
+        self.close()
+        if on_overflow is not None:
+            on_overflow()
+
+    def close(self) -> None:
+        """Count the bytes no more."""
+        self._on_overflow = None
+        self._buffers.add(self, -self.size)
+
+
+class ResponseBuffers:
+    """The buffered bytes of all responses that a host receives.
+
+    Args:
+        max_bytes: Upper bound of their sum.
+
+    Attributes:
+        total_bytes: Their sum.
+
+    Examples:
+        >>> buffers = ResponseBuffers(max_bytes=100)
+        >>> ended = []
+        >>> first = buffers.open("s1", lambda: ended.append("first"))
+        >>> second = buffers.open("s2", lambda: ended.append("second"))
+        >>> first.resize(40)
+        >>> second.resize(70)
+        >>> ended, buffers.total_bytes
+        (['second'], 40)
+    """
+
+    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        self.total_bytes = 0
+        self._max_bytes = max_bytes
+        self._used: set[ResponseBuffer] = set()
+
+    def open(self, server: str, on_overflow: Callable[[], None]) -> ResponseBuffer:
+        """Return an empty buffer; see ``ResponseBuffer``."""
+        return ResponseBuffer(self, server, on_overflow)
+
+    def add(self, buffer: ResponseBuffer, change: int) -> None:
+        """Change the size of a buffer, and end responses while the sum is too large."""
+        buffer.size += change
+        self.total_bytes += change
+        if buffer.size:
+            self._used.add(buffer)
+        else:
+            self._used.discard(buffer)
+        while self.total_bytes > self._max_bytes:
+            self._find_largest().overflow()
+
+    def _find_largest(self) -> ResponseBuffer:
+        """Return the largest buffer of the server with the most bytes."""
+        by_server: Counter[str] = Counter()
+        for buffer in self._used:
+            by_server[buffer.server] += buffer.size
+        return max(
+            self._used, key=lambda buffer: (by_server[buffer.server], buffer.size)
+        )
--- a/oleanderpier/forwarding/events.py
+++ b/oleanderpier/forwarding/events.py
@@ -38,6 +38,11 @@
         # Size of the empty lines since the last event.
         self._empty_bytes = 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The size of the remainder."""
+        return len(self._remainder)
+
     @property
     def remainder(self) -> bytes:
         """The buffered bytes, which belong to no complete event."""
@@ -51,6 +56,10 @@
         """
         return bool(self._remainder.strip(b"\r\n"))
 
+    def drop_remainder(self) -> None:
+        """Drop the buffered bytes, since no more of the stream are read."""
+        self._remainder.clear()
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete now, byte for byte.
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 
 from oleanderpier.connections import Framing
 from oleanderpier.forwarding.attempts import ServerActivity
+from oleanderpier.forwarding.buffers import ResponseBuffers
 from oleanderpier.forwarding.crash_guard import CrashGuard
 from oleanderpier.forwarding.records import (
     Call,
@@ -67,6 +68,7 @@
     Attributes:
         response_counts: Responses since the counts were last reset.
         limits: The time limits of the requests in progress; ended when this host stops.
+        buffers: The buffered bytes of all responses.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self.timers = timers
         self.response_counts = ResponseCounts({}, {})
         self.limits = EndableLimits()
+        self.buffers = ResponseBuffers()
 
     async def forward(self, call: Call, caller: Caller) -> RequestOutcome:
         """Forward a request until the caller has a response or a refusal.
--- a/oleanderpier/forwarding/hedging.py
+++ b/oleanderpier/forwarding/hedging.py
@@ -124,4 +124,8 @@
         tasks = [*self._tasks.values(), *self._lost_tasks]
         if tasks:
             await asyncio.gather(*tasks, return_exceptions=True)
+        # Attempts refer to their request, so that these references form cycles.
         self._tasks.clear()
+        self._lost_tasks.clear()
+        self._losses.clear()
+        self._owner = None
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -81,6 +81,8 @@
         # When the attempts began that count as requests in flight.
         self._in_flight: dict[Attempt, float] = {}
         self._response: BufferedResponse | None = None
+        # The attempts whose buffers hold a response.
+        self._responding: list[Attempt] = []
         self._server = ""
         self._reason = ""
 
@@ -118,6 +120,9 @@
             # A task that was cancelled before its first step has not run at all.
             for attempt in list(self._in_flight):
                 self._end_in_flight(attempt)
+            for attempt in self._responding:
+                attempt.release()
+            self._responding.clear()
 
     async def _try_in_turn(self) -> RequestOutcome:
         """Make an attempt after each one that has failed, and hedges meanwhile."""
@@ -233,6 +238,7 @@
             forwarder.session,
             forwarder.dialect,
             forwarder.server_activity,
+            forwarder.buffers,
             forwarder.timers,
             self._call,
             choice.server,
@@ -288,6 +294,9 @@
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
             self._response = attempt.response
+            self._responding.append(attempt)
+        else:
+            attempt.release()
         await forwarder.guard.record_attempt(
             self._keys, choice.server, attempt, outcome
         )
@@ -306,6 +315,7 @@
             )
         attempt.reason = f"cancelled after event {attempt.splitter.last_event_id}"
         self._log_attempt(choice, attempt, loss.value if loss else INTERRUPTED, took_s)
+        attempt.release()
 
     def _log_attempt(
         self, choice: Choice, attempt: Attempt, outcome: str, took_s: float
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -333,6 +333,7 @@
         held_back: Whether other hosts hold the requests back from the first attempt on.
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
+        at_once: Whether the requests are forwarded at the same time.
     """
 
     def __init__(
@@ -348,6 +349,7 @@
         self.held_back = False
         self.differ_in_path = False
         self.differ_in_prompt = False
+        self.at_once = False
         self._used_up = used_up
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
@@ -358,7 +360,7 @@
     async def forward_all(
         self, route: Route, timeout_s: float, callers: list[RecordingCaller]
     ) -> list[RequestOutcome]:
-        """Forward the requests of several callers in turn, then close all servers."""
+        """Forward the requests of several callers, then close all servers."""
         timers = LoopTimers()
         roster, health = Roster(timers), ServerHealth(timers)
         order = {f"s{number}": number for number in range(len(self.servers))}
@@ -408,12 +410,15 @@
                 request_send,
             )
             try:
-                return [
-                    await forwarder.forward(
+                requests = [
+                    lambda caller=caller, number=number: forwarder.forward(
                         self._make_call(number, route, timers.now() + timeout_s), caller
                     )
                     for number, caller in enumerate(callers)
                 ]
+                if self.at_once:
+                    return await asyncio.gather(*(request() for request in requests))
+                return [await request() for request in requests]
             finally:
                 self.in_flight = dict(chooser.in_flight)
                 await asyncio.sleep(0.05)
