Test that requests late in the grace period are not cut

Callers saw (other operators): in a planned stop of one host, in calm, requests that came late in the grace period were passed on and cut without an answer.

Not found here: a request every 0.4 s on open connections, calls that run once and lookups, from SIGTERM to the end of the grace period. With a server that works for 2.5 s each request that reached it got 200; with one that works for 30 s it got 504 at its deadline or 502 at the end of the grace period. All others got 503, or their connection ended unread.

--- a/tests/test_stop_on_open_connections.py
+++ b/tests/test_stop_on_open_connections.py
@@ -10,7 +10,7 @@
 from oleanderpier.utils import run_coroutine
 from standins.backend_server import StandInServer
 from standins.platform_fleet import PlatformFleet
-from tests.byte_callers import ByteCaller
+from tests.byte_callers import NO_ANSWER, ByteCaller
 
 CALLER_COUNT = 20
 WORK_S = 0.2
@@ -24,6 +24,10 @@
 BODY_STEP_S = 0.04
 SLOW_CALLER_COUNT = 2
 READ_DELAY_S = 3.0
+# Requests are sent at this interval until the process is killed.
+SEND_INTERVAL_S = 0.4
+SLOW_WORK_S = 2.5
+LONG_WORK_S = 30.0
 LARGE_RESPONSE_BYTES = 15 << 20
 
 
@@ -55,6 +59,21 @@
         answers = run_coroutine(_stop(_send_in_pairs))
         self.assertEqual({(200, True): CALLER_COUNT}, answers)
 
+    def test_request_that_comes_late_in_the_grace_is_not_cut(self):
+        """The server ends in time, or after the deadlines and the grace period."""
+        for work_s, statuses in ((SLOW_WORK_S, {200}), (LONG_WORK_S, {502, 504})):
+
+            async def send(fleet, server, callers, work_s=work_s) -> list[int]:
+                server.work_s = work_s
+                return await _send_through_the_grace(fleet, callers)
+
+            answers = run_coroutine(_stop(send))
+            reached = {status for status, arrived in answers if arrived}
+            self.assertEqual(statuses, reached, work_s)
+            refused = {status for status, arrived in answers if not arrived}
+            self.assertIn(503, refused, work_s)
+            self.assertLessEqual(refused, {503, NO_ANSWER}, work_s)
+
     def test_answer_that_is_read_slowly_is_delivered(self):
         """The response is larger than what the sockets hold."""
         answers = run_coroutine(_stop(_read_large_responses))
@@ -124,6 +143,22 @@
     )
 
 
+async def _send_through_the_grace(
+    fleet: PlatformFleet, callers: list[ByteCaller]
+) -> list[int]:
+    """Send a request on each connection in turn, until the end of the grace period."""
+    fleet.processes[0].send_signal(signal.SIGTERM)
+
+    async def send(number: int, caller: ByteCaller) -> int:
+        await asyncio.sleep(number * SEND_INTERVAL_S)
+        path = "/payout/x" if number % 2 else "/lookup/x"
+        return await caller.send(path, f"r-{number}", 5000)
+
+    return await asyncio.gather(
+        *(send(number, caller) for number, caller in enumerate(callers))
+    )
+
+
 async def _read_large_responses(
     fleet: PlatformFleet, server: StandInServer, callers: list[ByteCaller]
 ) -> list[int]:
