Test that a response cut in its head reaches no caller

Callers saw (other operators): a server stopped in the middle of its head and closed; clients got a 200 with an empty or short body, framed as whole.

Not found here: responses with a length, with chunks and with neither, cut after each byte of their head by a close or a reset, for requests of each kind: always a 502. Streams were tested before; calls are new.

--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -114,7 +114,9 @@
     return f"{head}Content-Type: text/event-stream\r\n{header}\r\n".encode() + body
 
 
-async def forward_cut_response(cut: _Cut) -> RecordingCaller:
+async def forward_cut_response(
+    cut: _Cut, kind: RequestKind = RequestKind.STREAM
+) -> RecordingCaller:
     """Forward a request to a server that cuts its response; return the caller."""
 
     async def behave(request: ReceivedRequest) -> None:
@@ -122,7 +124,8 @@
         await cut.end(request)
 
     fixture = ForwarderFixture([behave])
-    await fixture.forward(make_route(sticky=False, max_attempts=1), timeout_s=5.0)
+    route = make_route(sticky=False, max_attempts=1, kind=kind)
+    await fixture.forward(route, timeout_s=5.0)
     return fixture.caller
 
 
@@ -157,6 +160,31 @@
             run_coroutine(run(framing))
 
 
+class CutHeadTest(TestCase):
+    """A response that ends in its head never reaches the caller."""
+
+    def test_response_cut_in_its_head_is_not_delivered(self):
+        """Requests of each kind, with each way to end a body."""
+
+        async def run(framing: str, kind: RequestKind) -> list[RecordingCaller]:
+            head_size = make_response(framing).index(b"\r\n\r\n") + 4
+            cuts = [
+                _Cut(framing, size, end)
+                for size in range(head_size)
+                for end in (close_connection, reset_connection)
+            ]
+            return await asyncio.gather(
+                *(forward_cut_response(cut, kind) for cut in cuts)
+            )
+
+        for framing in ("length", "chunks", "connection"):
+            for kind in RequestKind:
+                for caller in run_coroutine(run(framing, kind)):
+                    self.assertEqual(b"", caller.data, (framing, kind))
+                    self.assertEqual(502, caller.status, (framing, kind))
+                    self.assertFalse(caller.complete, (framing, kind))
+
+
 class DocumentTest(TestCase):
     """A response to a streaming request that is no stream of events."""
 
