Refuse server entries that lack a field

Change: all eight fields are required, each of its type; an IPv6 address needs brackets. The stand-ins write complete entries.

--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -22,9 +22,12 @@
 
 MILLISECONDS_PER_S = 1000.0
 MAX_PORT = 65535
+# Without brackets the port could not be told from the address.
+IP_VERSION_IN_BRACKETS = 6
 # The largest integer that messages between hosts can hold.
 MAX_INTEGER = (1 << 63) - 1
 
+_Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE,
@@ -77,12 +80,17 @@
 
 
 class _Server(TypedDict):
+    # An entry that lacks a field, or has one of another type, is another writer's.
     Service: str
     Address: str
     Zone: str
+    Version: str | int
+    Slots: _Count
     State: str
+    ColdRemainingMs: Annotated[float, Meta(ge=0)]
+    Sequence: _Count
     # When the server started, in milliseconds since the Unix epoch.
-    born: NotRequired[Annotated[int, Meta(ge=0, le=MAX_INTEGER)] | None]
+    born: NotRequired[_Count | None]
 
 
 # The states of a server, and whether it gets no new requests.
@@ -140,10 +148,13 @@
 def _is_address(text: str) -> bool:
     """Return whether a text is an IP address and a port."""
     host, _, port = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         return False
+    if is_bracketed != (address.version == IP_VERSION_IN_BRACKETS):
+        return False
     is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
     return is_number and 1 <= int(port) <= MAX_PORT
 
--- a/oleanderpier/platform/tests/test_documents.py
+++ b/oleanderpier/platform/tests/test_documents.py
@@ -43,8 +43,10 @@
     "Service": "one",
     "Address": "10.0.0.9:80",
     "Zone": "duluth",
+    "Version": "v1",
     "Slots": 64,
     "State": "ready",
+    "ColdRemainingMs": 0,
     "Sequence": 4,
     "born": 1700000000000,
 }
@@ -128,10 +130,36 @@
         for data in cases:
             self.assertRaises(SettingsError, decode_server, "i", data)
 
+    def test_entry_that_lacks_a_field_names_no_server(self):
+        """So does one with a field of another type; the error names the field."""
+        odd_values = {
+            "Service": (7, None),
+            "Address": (7, None),
+            "Zone": (7, None),
+            "Version": (None, [], True),
+            "Slots": ("64", None, 1.5, -1),
+            "State": (7, None),
+            "ColdRemainingMs": ("0", None, [], -1),
+            "Sequence": ("4", None, 1.5, -1),
+        }
+        for name, values in odd_values.items():
+            for value in (..., *values):
+                error = self.assertRaises(
+                    SettingsError,
+                    decode_server,
+                    "i",
+                    encode(SERVER, **{name: value}),
+                )
+                found = f"{error.path} {error}"
+                self.assertIn(name, found, (name, value))
+
     def test_odd_entry_is_rejected(self):
         """Another writer's nesting, numbers and addresses raise no other error."""
         addresses = (
             "10.0.0.9:0",
+            "::1:8080",
+            "[10.0.0.9]:80",
+            "[::1:80",
             "10.0.0.9:65536",
             "10.0.0.9:" + "9" * 5000,
             "10.0.0.9:\u0668\u0660",
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -15,7 +15,16 @@
 from oleanderpier.utils import run_coroutine
 from standins.store import StandInStore
 
-ENTRY = {"Service": "office", "Address": "127.0.0.1:1", "Zone": "d", "State": "ready"}
+ENTRY = {
+    "Service": "office",
+    "Address": "127.0.0.1:1",
+    "Zone": "d",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 1,
+}
 
 
 class PagedStore:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -146,8 +146,11 @@
             "Service": "office",
             "Address": address,
             "Zone": "duluth",
-            "State": state,
+            "Version": "v1",
             "Slots": 8,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
             **fields,
         }
         self.store.put(f"servers/{identity}", entry)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,11 +12,17 @@
     "Service": "office",
     "Address": "127.0.0.1:9",
     "Zone": "duluth",
+    "Version": "v1",
+    "Slots": 8,
     "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 1,
 }
 # The users' bound of a change in the store.
 APPLY_S = 2.0
 REQUESTS = 12
+# Fields that another writer may not know.
+FURTHER_FIELDS = ("Version", "Slots", "ColdRemainingMs", "Sequence")
 
 
 def make_entry(**changes) -> bytes:
@@ -35,6 +41,7 @@
     "port_of_other_digits": make_entry(Address="127.0.0.1:\u0668\u0660"),
     "port_zero": make_entry(Address="127.0.0.1:0"),
     "path_in_address": make_entry(Address="127.0.0.1/x?:80"),
+    "address_without_brackets": make_entry(Address="::1:8080"),
     "not_text": b"\xff\xfe\x00",
 }
 
@@ -46,6 +53,30 @@
         """A server that joins later is used; payouts reach no odd address."""
         run_coroutine(self._check())
 
+    def test_incomplete_entry_names_no_server(self):
+        """It neither moves a server to another service nor ends its drain."""
+        run_coroutine(self._check_incomplete())
+
+    async def _check_incomplete(self) -> None:
+        async with PlatformFleet(2) as fleet:
+            sound, other, leaving = [await fleet.add_server() for _ in range(3)]
+            fleet.register_server(other, Service="ledger")
+            fleet.register_server(leaving, "draining")
+            await fleet.start_all()
+            for server in (other, leaving):
+                entry = {**ENTRY, "Address": server.address}
+                for name in FURTHER_FIELDS:
+                    del entry[name]
+                fleet.store.put(f"servers/{server.instance_id}", entry)
+            await asyncio.sleep(APPLY_S)
+            results = [
+                await fleet.fetch(number % 2, f"/payout/{number}", f"r{number}")
+                for number in range(REQUESTS)
+            ]
+        self.assertEqual({200}, {status for status, _ in results})
+        self.assertEqual(REQUESTS, len(sound.request_ids))
+        self.assertEqual([[], []], [list(s.request_ids) for s in (other, leaving)])
+
     async def _check(self) -> None:
         async with PlatformFleet(2) as fleet:
             first = await fleet.add_server()
