Keep a slow service's repeatable call until another one responds

Callers saw: a repeatable call of the daemon's own interface failed with half of its time left, though its service would have responded, if no other service took it.

Change: after that time the call is sent to another service besides, and the first response counts. All attempts may use the time that is left.

Result: test_slow_service_is_not_given_up_for_one_that_fails fails without the change, with no other service (tried first), and passes with it, also if the other one refuses, loses its answer or is silent.

--- a/oleanderpier/relay/calls.py
+++ b/oleanderpier/relay/calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services, whose errors say whether a call may have run."""
 
+import asyncio
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -20,8 +21,8 @@
 ]
 
 MAX_RESPONSE_BYTES = 1 << 20
-# Fraction of the remaining time for one attempt, which leaves time for another.
-ATTEMPT_TIMEOUT_RATIO = 0.5
+# Fraction of the remaining time after which another service is tried besides.
+HEDGE_TIME_RATIO = 0.5
 MAX_ATTEMPTS = 5
 RETRY_AFTER_S = 1.0
 
@@ -130,10 +131,10 @@
     body: dict[str, Any],
     timeout_s: float,
 ) -> Result[CallResponse, Failure]:
-    """Send a call that may be repeated, to one service after another.
+    """Send a call that may be repeated, to another service if one fails or is silent.
 
-    Each attempt may use half of the remaining time, so that a silent service
-    leaves time for another one.
+    A service that has not responded in half of the remaining time is not given up: the
+    call is sent to another one besides, and the first response counts.
 
     Args:
         session: A session from ``make_session``.
@@ -147,34 +148,119 @@
         The response, or the failure to report. It says that the call may have
         run if any attempt may have sent it.
     """
-    deadline_s = timers.now() + timeout_s
-    avoid: frozenset[str] = frozenset()
-    failure: Failure | None = None
-    for _ in range(MAX_ATTEMPTS):
-        if timers.now() >= deadline_s:
-            break
-        acquired = await acquire_permit(avoid)
-        if acquired.is_error():
-            return Error(failure or acquired.error)
-        permit: Permit = acquired.ok
+    call = _RepeatableCall(session, timers, acquire_permit, operation, body, timeout_s)
+    return await call.run()
+
+
+class _RepeatableCall:
+    """The attempts at one call; see ``send_repeatable_call``."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        timers: Timers,
+        acquire_permit: AcquirePermit,
+        operation: str,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> None:
+        self._session = session
+        self._timers = timers
+        self._acquire_permit = acquire_permit
+        self._operation = operation
+        self._body = body
+        self._deadline_s = timers.now() + timeout_s
+        self._avoid: frozenset[str] = frozenset()
+        self._attempts = 0
+        self._failure: Failure | None = None
+        self._sending: set[asyncio.Task[Result[CallResponse, SendError]]] = set()
+        self._placing: asyncio.Task[Result[Permit, Failure]] | None = None
+        # When the call is sent to another service besides.
+        self._hedge_at_s = self._deadline_s
+
+    async def run(self) -> Result[CallResponse, Failure]:
+        """Return the first response, or the failure when no attempt is left."""
+        self._start_placing()
         try:
-            attempt_timeout_s = (deadline_s - timers.now()) * ATTEMPT_TIMEOUT_RATIO
-            sent = await send_call(
-                session,
-                timers,
+            while self._sending or self._placing is not None:
+                await self._wait()
+                response = self._handle_ended_attempts()
+                if response is not None:
+                    return response
+                self._handle_placed()
+        finally:
+            await self._cancel()
+        return Error(
+            self._failure or Failure(Code.TARGET_UNREACHABLE, "", RETRY_AFTER_S)
+        )
+
+    async def _wait(self) -> None:
+        """Wait until a task ends, or until the call is to be sent once more."""
+        placing = set() if self._placing is None else {self._placing}
+        wait_s = None if placing else max(0.0, self._hedge_at_s - self._timers.now())
+        done, _ = await asyncio.wait(
+            self._sending | placing,
+            timeout=wait_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not done:
+            self._hedge_at_s = self._deadline_s
+            self._start_placing()
+
+    def _start_placing(self) -> None:
+        """Start to acquire a permit for a service that was not tried."""
+        has_time = self._timers.now() < self._deadline_s
+        if self._placing is None and self._attempts < MAX_ATTEMPTS and has_time:
+            self._placing = asyncio.ensure_future(self._acquire_permit(self._avoid))
+
+    def _handle_ended_attempts(self) -> Result[CallResponse, Failure] | None:
+        """Return a response if there is one; try another service after a failure."""
+        for task in [task for task in self._sending if task.done()]:
+            self._sending.remove(task)
+            sent = task.result()
+            if sent.is_ok():
+                return sent
+            self._failure = _choose_failure(self._failure, sent.error)
+            self._start_placing()
+        return None
+
+    def _handle_placed(self) -> None:
+        """Send the call to the service that a permit was granted for."""
+        if self._placing is None or not self._placing.done():
+            return
+        acquired, self._placing = self._placing.result(), None
+        if acquired.is_error():
+            self._failure = self._failure or acquired.error
+            return
+        permit = acquired.ok
+        self._attempts += 1
+        self._avoid |= {permit.backend_server["name"]}
+        time_left_s = self._deadline_s - self._timers.now()
+        self._hedge_at_s = self._timers.now() + time_left_s * HEDGE_TIME_RATIO
+        task = asyncio.create_task(
+            send_call(
+                self._session,
+                self._timers,
                 permit.backend_server,
-                operation,
+                self._operation,
                 None,
-                body,
-                attempt_timeout_s,
+                self._body,
+                time_left_s,
             )
-        finally:
-            permit.release()
-        if sent.is_ok():
-            return sent
-        failure = _choose_failure(failure, sent.error)
-        avoid |= {permit.backend_server["name"]}
-    return Error(failure or Failure(Code.TARGET_UNREACHABLE, "", RETRY_AFTER_S))
+        )
+        # Also called if the task is cancelled before its first step.
+        task.add_done_callback(lambda task: permit.release())
+        self._sending.add(task)
+
+    async def _cancel(self) -> None:
+        """End the attempts in progress, and return a permit that is not used."""
+        placing = set() if self._placing is None else {self._placing}
+        for task in self._sending | placing:
+            task.cancel()
+        await asyncio.gather(*self._sending, *placing, return_exceptions=True)
+        for task in placing:
+            if not task.cancelled() and task.exception() is None:
+                task.result().map(lambda permit: permit.abandon())
 
 
 def _choose_failure(previous: Failure | None, error: SendError) -> Failure:
--- a/oleanderpier/relay/tests/test_calls.py
+++ b/oleanderpier/relay/tests/test_calls.py
@@ -206,6 +206,18 @@
                 {1}, {permit.release_count for permit in placement.permits}
             )
 
+    def test_slow_service_is_not_given_up_for_one_that_fails(self):
+        """It needs over half of the time; the other one fails, or there is none."""
+        late = {"late_s": 0.55}
+        others = ([], [{"refuse": True}], [{"lose_answer": True}], [{"silent": True}])
+        for other in others:
+            result, placement = asyncio.run(self._run_call([late, *other]))
+            self.assertTrue(result.is_ok(), other)
+            self.assertEqual("ledger-0", result.ok.backend_server)
+            self.assertEqual(
+                {1}, {permit.release_count for permit in placement.permits}
+            )
+
     def test_failure_without_remaining_service(self):
         """The failure says "may have run" only if the call may have been sent."""
         result, _ = asyncio.run(
