--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -283,7 +283,9 @@
         """
         length = self._http_response.content_length
         if length is not None and length > MAX_RESPONSE_BYTES:
-            raise MessageError(f"a body of {length} bytes")
+            raise MessageError(
+                f"a body of {length} bytes, allowed {MAX_RESPONSE_BYTES}"
+            )
         while data := await self._read_data(self._http_response.content):
             if self.received_bytes > MAX_RESPONSE_BYTES:
                 raise MessageError(f"a body of more than {MAX_RESPONSE_BYTES} bytes")
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards one request to backend servers, with retries, until it has an outcome."""
+"""Forwards one request to backend servers, with retries and hedges."""
 
 from __future__ import annotations
 
@@ -160,7 +160,9 @@
 
         While the server of each attempt is silent, others are tried.
         """
-        interval_s = SILENCE_CHECK_INTERVAL_S if self._call.route.repeatable else None
+        route = self._call.route
+        may_hedge = route.repeatable and route.max_attempts > 1
+        interval_s = SILENCE_CHECK_INTERVAL_S if may_hedge else None
         while True:
             outcomes = await self._running.wait(interval_s)
             if AttemptOutcome.DELIVERED in outcomes:
@@ -191,16 +193,15 @@
             return
         if not forwarder.budget.try_acquire(self._service):
             return
-        for attempt in self._running.list_running():
+        delayed = self._running.list_running()
+        for attempt in delayed:
             record = _record_unreachable if attempt.is_silent() else _record_broken
             record(forwarder, attempt.server.identity)
         log_message(
             "forward:hedge",
             request=self._call.identity,
             server=choice.server.identity,
-            delayed=[
-                attempt.server.identity for attempt in self._running.list_running()
-            ],
+            delayed=[attempt.server.identity for attempt in delayed],
             after=self._splitter.last_event_id,
         )
         self._start_attempt(choice)
@@ -445,6 +446,5 @@
     AttemptOutcome.UNREACHED: _record_unreachable,
     AttemptOutcome.NOT_RUN: _record_nothing,
     AttemptOutcome.LOST: _record_broken,
-    AttemptOutcome.SILENT: _record_unreachable,
     AttemptOutcome.CUT: _record_broken,
 }
