Halve the bytes of responses that a host may hold

Callers saw: nothing yet; at 400 endless bodies at a time a host took 245 of its 300 MB.

Cause: besides the buffered bytes, each connection takes some 200 kB for what it reads at a time, and freed memory does not all go back to the system.

Evidence: one host as a process, endless bodies without a length: 245 MB at 400 requests and 170 MB at 100 with a bound of 64 MB.

Change: the bound is 32 MB, two responses of the largest size that is accepted.

--- a/oleanderpier/forwarding/buffers.py
+++ b/oleanderpier/forwarding/buffers.py
@@ -10,7 +10,7 @@
 
 __all__ = ["MAX_BUFFERED_BYTES", "ResponseBuffer", "ResponseBuffers"]
 
-MAX_BUFFERED_BYTES = 64 << 20
+MAX_BUFFERED_BYTES = 32 << 20
 
 
 class ResponseBuffer:
