--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -70,6 +70,9 @@
         part_fault: What it does to a part of its requests.
         response_headers: Headers that it adds to its responses.
         asks_to_wait_s: Seconds for which it asks in place of executing; 0 to execute.
+        is_full: Whether it refuses each request.
+        pause_after: The event after which each stream pauses; 0 for no pause.
+        pause_s: How long it pauses, in seconds.
         arrivals: Id and time of each request, executed or not.
         statements: Id and time of each request that was answered with a statement, and
             the seconds that it asked for, 0 if it said that it leaves.
@@ -97,6 +100,9 @@
         self.part_fault = PartFault.NONE
         self.response_headers: dict[str, str] = {}
         self.asks_to_wait_s = 0.0
+        self.is_full = False
+        self.pause_after = 0
+        self.pause_s = 0.0
         self.arrivals: list[tuple[str, float]] = []
         self.statements: list[tuple[str, float, float]] = []
         self.work_s = 0.0
@@ -217,7 +223,7 @@
             return web.Response(status=503, headers=headers)
         if part_fault is not PartFault.MUTE and LEAVING_HEADER in self.response_headers:
             self.statements.append((request_id, at_s, 0.0))
-        if part_fault is PartFault.REFUSAL:
+        if self.is_full or part_fault is PartFault.REFUSAL:
             refusal = {
                 "Request-Id": request_id,
                 "Not-Executed": "1",
@@ -256,9 +262,11 @@
             if self._crashes_on(request):
                 self.crash(headers["Request-Id"])
                 return response
-            for event in events:
+            for number, event in enumerate(events, first):
                 await response.write(event)
                 await asyncio.sleep(EVENT_INTERVAL_S)
+                if number == self.pause_after:
+                    await asyncio.sleep(self.pause_s)
         except asyncio.CancelledError:
             self.aborted_streams += 1
             raise
