--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -153,7 +153,8 @@
         address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         return False
-    if is_bracketed != (address.version == IP_VERSION_IN_BRACKETS):
+    # A scope is an interface of the host that wrote it.
+    if "%" in host or is_bracketed != (address.version == IP_VERSION_IN_BRACKETS):
         return False
     is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
     return is_number and 1 <= int(port) <= MAX_PORT
