Deliver a failure response that is ready when no time is left for a retry

Callers saw: 504 in place of the 500 that a server had sent, if less than 5 ms were left for another attempt.

Cause: the check of the time left refused the request without a look at the response.

Change: the response is delivered. The decision on hedges stands beside that on retries, in routing/retries.py, apart from the clock and the tasks; it is the same decision.

Result: test_response_that_is_ready_is_delivered_with_no_time_left fails without the change. HedgeTest plays all states of the decision; test_silent_server_is_awaited_without_a_retry_budget passes before as well.

--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -14,12 +14,14 @@
 from oleanderpier.forwarding.request_keys import RequestKeys
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
+    MIN_TIME_LEFT_S,
     NOT_EXECUTED,
     AttemptOutcome,
     AttemptState,
     Choice,
     ServerQuery,
     decide_retry,
+    may_hedge,
     pick_service,
     spread_return_s,
 )
@@ -33,8 +35,6 @@
 MAX_SERVERS_TRIED = 5
 # Choices for one request among servers whose limits may have no room for it.
 MAX_LIMITED_CHOICES = 24
-# With less time left a request is not sent, since no response could arrive in time.
-MIN_TIME_LEFT_S = 0.005
 # Delay that a refusal asks the caller to wait: long enough for a server in backoff
 # to be tried again, short against the latency targets.
 RETRY_AFTER_S = 0.25
@@ -135,7 +135,7 @@
             time_left_s = call.deadline_s - forwarder.timers.now()
             if time_left_s < MIN_TIME_LEFT_S:
                 self._reason = f"{time_left_s:.4f} s left; {self._reason}"
-                return await self._refuse(self._get_timeout_code())
+                return await self._finish_unsuccessful(self._get_timeout_code())
             self._start_attempt(choice)
             outcome = await self._wait_for_outcome()
             if outcome is AttemptOutcome.DELIVERED:
@@ -161,8 +161,8 @@
         While the server of each attempt is silent, others are tried.
         """
         route = self._call.route
-        may_hedge = route.repeatable and route.max_attempts > 1
-        interval_s = SILENCE_CHECK_INTERVAL_S if may_hedge else None
+        has_hedges = route.repeatable and route.max_attempts > 1
+        interval_s = SILENCE_CHECK_INTERVAL_S if has_hedges else None
         while True:
             outcomes = await self._running.wait(interval_s)
             if AttemptOutcome.DELIVERED in outcomes:
@@ -178,8 +178,7 @@
         time_left_s = self._call.deadline_s - forwarder.timers.now()
         return (
             self._servers_tried < MAX_SERVERS_TRIED
-            and self._attempts + len(self._running) < self._call.route.max_attempts
-            and time_left_s >= MIN_TIME_LEFT_S
+            and may_hedge(self._get_state(), len(self._running), time_left_s)
             and forwarder.chooser.has_other(self._query, self._tried)
             and forwarder.budget.has_room(self._service)
             and forwarder.guard.may_retry(self._keys)
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -1,6 +1,7 @@
 """Tests of forwarding to servers that fail in different ways."""
 
 import asyncio
+from unittest import mock
 
 from testtools import TestCase
 
@@ -23,6 +24,9 @@
 ONCE = {"kind": RequestKind.ONCE, "resumable": False, "target_s": 0.2}
 IDEMPOTENT = {"kind": RequestKind.IDEMPOTENT, "resumable": False, "target_s": 0.2}
 
+# No other server is tried before the response.
+PATIENT = {**IDEMPOTENT, "target_s": 2.0}
+
 SLOW_RESPONSE_S = 1.0
 # Responses that are lost or invalid before the caller has received any of them.
 INVALID_RESPONSES = {
@@ -135,6 +139,23 @@
         self.assertEqual([1, 0], fixture.count_requests())
         self.assertEqual(500, fixture.caller.status)
 
+    def test_response_that_is_ready_is_delivered_with_no_time_left(self):
+        """The failure of the first server is not replaced by a refusal."""
+        module = "oleanderpier.forwarding.request_forwarding"
+        with mock.patch(f"{module}.MIN_TIME_LEFT_S", 1.0):
+            fixture = ForwarderFixture([respond(500, b"a", delay_s=0.8)], [respond()])
+            forward_request(fixture, timeout_s=1.5, max_attempts=2, **PATIENT)
+        self.assertEqual([1, 0], fixture.count_requests())
+        self.assertEqual((500, b"a"), (fixture.caller.status, fixture.caller.data))
+
+    def test_silent_server_is_awaited_without_a_retry_budget(self):
+        """It goes on later than another server would be tried."""
+        fixture = ForwarderFixture(
+            [respond(delay_s=SLOW_RESPONSE_S)], [respond()], slack=0.0
+        )
+        outcome = forward_request(fixture, max_attempts=2, **IDEMPOTENT)
+        self.assertEqual((Code.DONE, [1, 0]), (outcome.code, fixture.count_requests()))
+
 
 class StreamTest(TestCase):
     """A stream is complete and in order, or does not look complete."""
--- a/oleanderpier/routing/retries.py
+++ b/oleanderpier/routing/retries.py
@@ -1,4 +1,8 @@
-"""Decides whether a request is retried after an attempt at a backend server."""
+"""Decides whether a request is retried after, or hedged during, an attempt.
+
+It answers these load patterns: servers that fail or refuse, and servers that are silent
+for a while and go on later, while other servers are full.
+"""
 
 from enum import Enum
 from typing import NamedTuple
@@ -6,11 +10,13 @@
 from oleanderpier.results import Code
 
 __all__ = [
+    "MIN_TIME_LEFT_S",
     "NOT_EXECUTED",
     "AttemptOutcome",
     "AttemptState",
     "RetryDecision",
     "decide_retry",
+    "may_hedge",
 ]
 
 
@@ -68,6 +74,8 @@
     code: Code
 
 
+# With less time left a request is not sent, since no response could arrive in time.
+MIN_TIME_LEFT_S = 0.005
 # Outcomes after which the server has certainly not run the request.
 NOT_EXECUTED = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN})
 _OUTCOME_CODES = {
@@ -105,3 +113,28 @@
     if outcome is AttemptOutcome.UNREACHED:
         return RetryDecision(allowed, False, code)
     return RetryDecision(allowed and state.attempts < state.max_attempts, True, code)
+
+
+def may_hedge(state: AttemptState, running: int, time_left_s: float) -> bool:
+    """Return whether a request may be sent to another server besides.
+
+    Args:
+        state: The state of the request; ``attempts`` are those that have ended.
+        running: How many attempts are in progress, all at servers that are silent.
+        time_left_s: The time until the deadline, in seconds.
+
+    Examples:
+        >>> silent = AttemptState(
+        ...     True, 0, 2, may_have_run=True, response_started=True
+        ... )
+        >>> may_hedge(silent, running=1, time_left_s=3.0)
+        True
+        >>> may_hedge(silent, running=2, time_left_s=3.0)
+        False
+    """
+    return (
+        state.repeatable
+        and running > 0
+        and state.attempts + running < state.max_attempts
+        and time_left_s >= MIN_TIME_LEFT_S
+    )
--- a/oleanderpier/routing/tests/test_retries.py
+++ b/oleanderpier/routing/tests/test_retries.py
@@ -5,7 +5,13 @@
 from testtools import TestCase
 
 from oleanderpier.results import Code, Fate, describe_code
-from oleanderpier.routing import AttemptOutcome, AttemptState, decide_retry
+from oleanderpier.routing import (
+    MIN_TIME_LEFT_S,
+    AttemptOutcome,
+    AttemptState,
+    decide_retry,
+    may_hedge,
+)
 
 # Outcomes after which a server may have begun to work on the request.
 MAY_HAVE_RUN = {
@@ -62,3 +68,21 @@
         self.assertEqual(
             Code.NO_BACKEND_SERVER, decide_retry(AttemptOutcome.NOT_RUN, last).code
         )
+
+
+class HedgeTest(TestCase):
+    """Which requests are sent to another server while the first one is silent."""
+
+    def test_hedge_keeps_the_limits_of_the_route(self):
+        """No more servers than it allows, and none for a request that runs once."""
+        states = itertools.product((False, True), (0, 1), (1, 2, 3), (0, 1, 2))
+        for repeatable, attempts, limit, running in states:
+            state = AttemptState(repeatable, attempts, limit, True, False)
+            allowed = may_hedge(state, running, 1.0)
+            case = (state, running)
+            self.assertEqual(
+                repeatable and running > 0 and attempts + running + 1 <= limit,
+                allowed,
+                case,
+            )
+            self.assertFalse(may_hedge(state, running, MIN_TIME_LEFT_S / 2), case)
