Keep a whole response when responses take too much memory

Callers saw: nothing yet; by reading. A whole response that waited for delivery could be chosen as the one to end; it was kept, but counted no more, so that the sum of the bytes was too low.

Change: a whole response counts until it is released and is never chosen.

Result: test_whole_response_remains fails without the change.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -193,8 +193,6 @@
 
     def _end_overflow(self) -> None:
         """End a response that has too large a part of what this host may buffer."""
-        if self.response is not None:
-            return
         self._body_parts.clear()
         error = MessageError(
             f"{self.received_bytes} bytes of a response, and all responses together "
@@ -291,6 +289,7 @@
                 raise MessageError(f"a body of more than {MAX_RESPONSE_BYTES} bytes")
             self._body_parts.append(data)
             self._buffer.resize(self.received_bytes)
+        self._buffer.complete()
         body = b"".join(self._body_parts)
         self._body_parts.clear()
         return body
--- a/oleanderpier/forwarding/buffers.py
+++ b/oleanderpier/forwarding/buffers.py
@@ -41,12 +41,20 @@
         """Set the number of bytes, and end responses while there are too many."""
         self._buffers.add(self, size - self.size)
 
+    @property
+    def may_end(self) -> bool:
+        """Whether the response may be ended: it is not whole."""
+        return self._on_overflow is not None
+
+    def complete(self) -> None:
+        """Count the bytes on, but keep them: the response is whole."""
+        self._on_overflow = None
+
     def overflow(self) -> None:
         """End the response."""
         on_overflow = self._on_overflow
         self.close()
-        if on_overflow is not None:
-            on_overflow()
+        on_overflow()
 
     def close(self) -> None:
         """Count the bytes no more."""
@@ -92,13 +100,21 @@
         else:
             self._used.discard(buffer)
         while self.total_bytes > self._max_bytes:
-            self._find_largest().overflow()
+            largest = self._find_largest()
+            if largest is None:
+                return
+            largest.overflow()
+
+    def _find_largest(self) -> ResponseBuffer | None:
+        """Return the largest buffer of the server with the most bytes.
 
-    def _find_largest(self) -> ResponseBuffer:
-        """Return the largest buffer of the server with the most bytes."""
+        None if all responses are whole.
+        """
         by_server: Counter[str] = Counter()
         for buffer in self._used:
             by_server[buffer.server] += buffer.size
         return max(
-            self._used, key=lambda buffer: (by_server[buffer.server], buffer.size)
+            (buffer for buffer in self._used if buffer.may_end),
+            key=lambda buffer: (by_server[buffer.server], buffer.size),
+            default=None,
         )
--- a/oleanderpier/forwarding/tests/test_buffers.py
+++ b/oleanderpier/forwarding/tests/test_buffers.py
@@ -42,3 +42,11 @@
         only = self.open("s1", "only")
         only.resize(101)
         self.assertEqual((["only"], 0), (self.ended, self.buffers.total_bytes))
+
+    def test_whole_response_remains(self):
+        """It counts, and the next one is ended in its place."""
+        whole = self.open("s1", "whole")
+        whole.resize(90)
+        whole.complete()
+        self.open("s2", "next").resize(20)
+        self.assertEqual((["next"], 90), (self.ended, self.buffers.total_bytes))
