--- a/oleanderpier/relay/calls.py
+++ b/oleanderpier/relay/calls.py
@@ -1,6 +1,7 @@
 """Calls to plain services, whose errors say whether a call may have run."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -39,6 +40,9 @@
     body: dict[str, Any]
 
 
+SendingCall = Coroutine[Any, Any, Result[CallResponse, SendError]]
+
+
 async def send_call(
     session: aiohttp.ClientSession,
     timers: Timers,
@@ -148,27 +152,41 @@
         The response, or the failure to report. It says that the call may have
         run if any attempt may have sent it.
     """
-    call = _RepeatableCall(session, timers, acquire_permit, operation, body, timeout_s)
-    return await call.run()
+
+    def send(permit: Permit, time_left_s: float) -> SendingCall:
+        return send_call(
+            session,
+            timers,
+            permit.backend_server,
+            operation,
+            None,
+            body,
+            time_left_s,
+        )
+
+    return await _RepeatableCall(timers, acquire_permit, send, timeout_s).run()
 
 
 class _RepeatableCall:
-    """The attempts at one call; see ``send_repeatable_call``."""
+    """The attempts at one call; see ``send_repeatable_call``.
+
+    Args:
+        timers: The clock.
+        acquire_permit: Waits for a permit for a service other than those named.
+        send: Sends the call once, with the time left in seconds.
+        timeout_s: The time for all attempts, in seconds.
+    """
 
     def __init__(
         self,
-        session: aiohttp.ClientSession,
         timers: Timers,
         acquire_permit: AcquirePermit,
-        operation: str,
-        body: dict[str, Any],
+        send: Callable[[Permit, float], SendingCall],
         timeout_s: float,
     ) -> None:
-        self._session = session
         self._timers = timers
         self._acquire_permit = acquire_permit
-        self._operation = operation
-        self._body = body
+        self._send = send
         self._deadline_s = timers.now() + timeout_s
         self._avoid: frozenset[str] = frozenset()
         self._attempts = 0
@@ -237,17 +255,7 @@
         self._avoid |= {permit.backend_server["name"]}
         time_left_s = self._deadline_s - self._timers.now()
         self._hedge_at_s = self._timers.now() + time_left_s * HEDGE_TIME_RATIO
-        task = asyncio.create_task(
-            send_call(
-                self._session,
-                self._timers,
-                permit.backend_server,
-                self._operation,
-                None,
-                self._body,
-                time_left_s,
-            )
-        )
+        task = asyncio.create_task(self._send(permit, time_left_s))
         # Also called if the task is cancelled before its first step.
         task.add_done_callback(lambda task: permit.release())
         self._sending.add(task)
