Keep a silent engine's stream until another permit is granted

What callers saw: with the daemon, a stream whose engine paused for longer than its limit ended with a failed event (205) when no other engine had room, although the engine would have gone on.

The watchdog's silence ended the attempt, and the permit was returned, before another one was asked for.

Now the watchdog reports the silence, and the stream goes on while a permit is acquired. The present attempt ends only when that permit is there and the engine is still silent; at the deadline it ends as before.

--- a/oleanderpier/relay/__init__.py
+++ b/oleanderpier/relay/__init__.py
@@ -7,5 +7,6 @@
 from oleanderpier.relay.events import *  # noqa: F403
 from oleanderpier.relay.limits import *  # noqa: F403
 from oleanderpier.relay.metrics import *  # noqa: F403
+from oleanderpier.relay.records import *  # noqa: F403
 from oleanderpier.relay.responses import *  # noqa: F403
 from oleanderpier.relay.watchdog import *  # noqa: F403
--- a/oleanderpier/relay/calls.py
+++ b/oleanderpier/relay/calls.py
@@ -11,7 +11,7 @@
 
 from oleanderpier.configuration import BackendServer
 from oleanderpier.relay.connections import CONNECT_TIMEOUT_S, format_url
-from oleanderpier.relay.responses import AcquirePermit, Permit
+from oleanderpier.relay.records import AcquirePermit, Permit
 from oleanderpier.results import Code, Failure, MaybeSent, NotSent, SendError
 from oleanderpier.utils import Timers, limit_time
 
--- a/oleanderpier/relay/responses.py
+++ b/oleanderpier/relay/responses.py
@@ -2,97 +2,38 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from collections.abc import Awaitable, Callable, Coroutine
 
 import aiohttp
 from aiohttp import web
 from eliot import log_message
 from expression import Result
 
-from oleanderpier.configuration import BackendServer, WorkClass
 from oleanderpier.relay.attempts import GenerateBody, StreamContext, run_attempt
 from oleanderpier.relay.callers import CallerStream
 from oleanderpier.relay.connections import Cancellations
 from oleanderpier.relay.events import EventSequence, format_end
 from oleanderpier.relay.limits import RelaySettings, compute_watchdog_limits
 from oleanderpier.relay.metrics import RelayMetrics
+from oleanderpier.relay.records import (
+    AcquirePermit,
+    Permit,
+    RelayRequest,
+    RelayResult,
+)
 from oleanderpier.relay.watchdog import Phase, Step, StreamWatchdog, StreamWatchdogs
 from oleanderpier.results import Code, Failure, make_refusal_response
 from oleanderpier.utils import Timers
 
-__all__ = [
-    "AcquirePermit",
-    "Permit",
-    "Relay",
-    "RelayRequest",
-    "RelayResult",
-    "relay_response",
-]
+__all__ = ["Relay", "relay_response"]
 
 RETRY_AFTER_S = 1.0
 # Attempts without a new event after which a server is excluded for the response.
 MAX_FAILURES_PER_SERVER = 2
 
-
-class Permit(Protocol):
-    """The permission to send one request to a backend server.
-
-    Attributes:
-        backend_server: The server that may run the request.
-        priority: Priority at the engine; lower values run first.
-    """
-
-    backend_server: BackendServer
-    priority: int
-
-    def release(self) -> None:
-        """Return the permit; the server no longer works on the request."""
-
-    def abandon(self) -> None:
-        """Return the permit unused."""
-
-
-AcquirePermit = Callable[[frozenset[str]], Awaitable[Result[Permit, Failure]]]
 NotifyAttemptFailure = Callable[[str, Step], None]
 
 
-class RelayRequest(NamedTuple):
-    """A chat whose response is to be streamed.
-
-    Attributes:
-        request_id: The request's unique id, which all events carry.
-        work_class: The class of work with its targets.
-        chat: The chat's id.
-        messages: The messages of the chat, oldest first.
-        max_tokens: Largest number of tokens in the response.
-        priority: Added to the permit's priority.
-    """
-
-    request_id: str
-    work_class: WorkClass
-    chat: str
-    messages: list[str]
-    max_tokens: int
-    priority: int
-
-
-class RelayResult(NamedTuple):
-    """The result of relaying a response.
-
-    Attributes:
-        response: The HTTP response for the handler to return.
-        code: The result code; ``STREAM_CUT`` if the caller left.
-        event_count: Number of token events forwarded.
-        attempt_count: Number of attempts at engines.
-    """
-
-    response: web.StreamResponse
-    code: Code
-    event_count: int
-    attempt_count: int
-
-
 class Relay:
     """State shared by all responses that one process relays.
 
@@ -206,8 +147,25 @@
     def start_move(self) -> None:
         """Start to acquire a permit for another engine, and move there."""
         if self._move_task is None and self._permit is not None:
-            self._move_task = asyncio.create_task(self._acquire_and_move())
-            self._move_task.add_done_callback(self._handle_move_end)
+            self._run_move(self._acquire_and_move())
+
+    def _start_replacement(self) -> None:
+        """Start to acquire a permit for another attempt, while this one is silent.
+
+        The response stays where it is if no permit is granted, or if the engine sends
+        something meanwhile.
+        """
+        if (
+            self._move_task is None
+            and self._count_attempts_without_event()
+            < self._relay.settings.max_attempts_without_event
+        ):
+            failures = self._count_server_failures(Step.SILENT)
+            self._run_move(self._acquire_and_replace(failures))
+
+    def _run_move(self, move: Coroutine[None, None, None]) -> None:
+        self._move_task = asyncio.create_task(move)
+        self._move_task.add_done_callback(self._handle_move_end)
 
     async def run(self) -> RelayResult:
         """Run the handlers of the steps until the response is done."""
@@ -237,7 +195,12 @@
     def _make_stream(self) -> StreamContext:
         limits = compute_watchdog_limits(self._relay.settings, self._request.work_class)
         watchdog = StreamWatchdog(
-            limits, self._deadline_s, self._sequence, self._caller, self._task.cancel
+            limits,
+            self._deadline_s,
+            self._sequence,
+            self._caller,
+            self._task.cancel,
+            self._start_replacement,
         )
         timer = self._relay.metrics.start_response(self._request.work_class["name"])
         return StreamContext(self._sequence, self._caller, watchdog, timer)
@@ -255,8 +218,9 @@
         return interruption
 
     async def _start_attempt(self, step: Step) -> Step:
+        self._cancel_move()
         self._stream.watchdog.phase = Phase.PLACING
-        acquired = await self._acquire_attempt_permit()
+        acquired = await self._acquire_attempt_permit(self._server_failures)
         if acquired.is_error():
             self._failure = acquired.error
             return Step.UNPLACED
@@ -268,6 +232,7 @@
         self._attempt_count += 1
         self._attempt_offset = self._sequence.next_offset
         self._sequence.start_stream()
+        self._stream.watchdog.start_attempt()
         server = self._permit.backend_server
         await self._relay.cancellations.wait_for_request(
             server, self._request.request_id
@@ -275,19 +240,24 @@
         body = self._make_body()
         return await run_attempt(self._relay.session, server, body, self._stream)
 
-    async def _acquire_attempt_permit(self) -> Result[Permit, Failure]:
+    async def _acquire_attempt_permit(
+        self, server_failures: Counter[str]
+    ) -> Result[Permit, Failure]:
         """Acquire a permit for an engine that has not failed this response.
 
         If there is none, settle for an engine that has failed fewer than
         ``MAX_FAILURES_PER_SERVER`` times.
+
+        Args:
+            server_failures: How often each server has failed.
         """
-        avoid = frozenset(self._server_failures)
+        avoid = frozenset(server_failures)
         acquired = await self._acquire_permit(avoid)
         if acquired.is_ok():
             return acquired
         excluded = [
             name
-            for name, failures in self._server_failures.items()
+            for name, failures in server_failures.items()
             if failures >= MAX_FAILURES_PER_SERVER
         ]
         return (
@@ -327,13 +297,8 @@
 
     def _record_attempt_failure(self, step: Step) -> None:
         name = self._permit.backend_server["name"]
-        offset = self._sequence.next_offset
-        if offset > self._attempt_offset:
-            self._attempts_without_event = 0
-            self._server_failures[name] = 1
-        else:
-            self._attempts_without_event += 1
-            self._server_failures[name] += _FAILURE_WEIGHTS.get(step, 1)
+        self._attempts_without_event = self._count_attempts_without_event()
+        self._server_failures = self._count_server_failures(step)
         self._relay.metrics.counts[f"attempt_{step.value}"] += 1
         self._relay.notify_attempt_failure(name, step)
         log_message(
@@ -342,9 +307,24 @@
             backend_server=name,
             step=step.value,
             fault=self._sequence.fault and self._sequence.fault.value,
-            offset=offset,
+            offset=self._sequence.next_offset,
         )
 
+    def _has_new_event(self) -> bool:
+        """Return whether the present attempt has received an event."""
+        return self._sequence.next_offset > self._attempt_offset
+
+    def _count_attempts_without_event(self) -> int:
+        """Return how many attempts, with the present one, had no new event."""
+        return 0 if self._has_new_event() else self._attempts_without_event + 1
+
+    def _count_server_failures(self, step: Step) -> Counter[str]:
+        """Return the failures of each server if the present attempt ends by a step."""
+        name = self._permit.backend_server["name"]
+        weight = _FAILURE_WEIGHTS.get(step, 1)
+        failures = 1 if self._has_new_event() else self._server_failures[name] + weight
+        return Counter({**self._server_failures, name: failures})
+
     def _end_attempt(self, step: Step) -> None:
         """Return the permit, after cancelling what the engine may still run."""
         if step in _NOT_ACCEPTED_STEPS:
@@ -376,6 +356,15 @@
         if not self._stream.watchdog.interrupt_for_move():
             self._abandon_next_permit()
 
+    async def _acquire_and_replace(self, server_failures: Counter[str]) -> None:
+        """Acquire a permit for another attempt, then end the present, silent one."""
+        acquired = await self._acquire_attempt_permit(server_failures)
+        if acquired.is_error():
+            return
+        self._next_permit = acquired.ok
+        if not self._stream.watchdog.interrupt_for_silence():
+            self._abandon_next_permit()
+
     def _handle_move_end(self, task: asyncio.Task[None]) -> None:
         self._move_task = None
         if not task.cancelled() and task.exception() is not None:
@@ -395,8 +384,18 @@
     async def _resume_at_next_engine(self, step: Step) -> Step:
         """Resume at the engine that the response was moved to."""
         self._cancel_generation()
-        permit, self._next_permit = self._next_permit, None
         self._relay.metrics.counts["answer_moved"] += 1
+        return await self._run_next_attempt()
+
+    async def _replace_silent_engine(self, step: Step) -> Step:
+        """Resume with the permit that was acquired while the engine was silent."""
+        next_step = await self._handle_attempt_failure(step)
+        if next_step is not Step.ATTEMPT:
+            return next_step
+        return await self._run_next_attempt()
+
+    async def _run_next_attempt(self) -> Step:
+        permit, self._next_permit = self._next_permit, None
         self._stream.watchdog.phase = Phase.PLACING
         return await self._run_attempt(permit)
 
@@ -479,7 +478,7 @@
     Step.ENDED: _ResponseRelay._handle_stream_end,
     Step.UNREACHED: _ResponseRelay._handle_attempt_failure,
     Step.REFUSED: _ResponseRelay._handle_attempt_failure,
-    Step.SILENT: _ResponseRelay._handle_attempt_failure,
+    Step.SILENT: _ResponseRelay._replace_silent_engine,
     Step.CUT: _ResponseRelay._handle_attempt_failure,
     Step.MOVED: _ResponseRelay._resume_at_next_engine,
     Step.DISORDERED: _ResponseRelay._handle_attempt_failure,
--- a/oleanderpier/relay/tests/harness.py
+++ b/oleanderpier/relay/tests/harness.py
@@ -68,16 +68,22 @@
 
     Args:
         servers: Backend servers, the preferred one first.
+
+    Attributes:
+        gate: What each permit waits for; None for nothing.
     """
 
     def __init__(self, servers: list[dict]) -> None:
         self.servers = servers
         self.permits: list[FakePermit] = []
+        self.gate: asyncio.Event | None = None
 
     async def acquire_permit(
         self, avoid: frozenset[str]
     ) -> Result[FakePermit, Failure]:
         """Return a permit, or a failure if all servers are to be avoided."""
+        if self.gate is not None:
+            await self.gate.wait()
         for server in self.servers:
             if server["name"] not in avoid:
                 self.permits.append(FakePermit(server))
--- a/oleanderpier/relay/tests/test_responses.py
+++ b/oleanderpier/relay/tests/test_responses.py
@@ -5,11 +5,13 @@
 import itertools
 import json
 import socket
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
 from testtools import TestCase
 
+from oleanderpier.relay.events import format_end
 from oleanderpier.relay.tests.harness import (
     CHAT,
     FAST_SETTINGS,
@@ -17,6 +19,7 @@
     REQUEST,
     TOKENS,
     WORK_CLASS,
+    FakePlacement,
     find_closed_port,
     make_server,
     read_response,
@@ -26,6 +29,7 @@
 )
 from oleanderpier.relay.tests.passthrough import pass_through
 from oleanderpier.relay.tests.response_checks import check_response, parse_events
+from standins.generation import compose_response
 
 FAULTS = {
     "none": {},
@@ -42,6 +46,11 @@
     "refused": {"refuse": True},
     "all": {"crossed": 2, "duplicate": 3, "reorder": 2, "skip": 5, "times": 1},
 }
+# Longer than an engine may be silent before another one is asked for.
+PAUSE_S = 3 * FAST_SETTINGS.max_engine_silence_s
+EVENTS_BEFORE_PAUSE = 3
+# Time for the relay to read what an engine has sent.
+READ_DELAY_S = 0.08
 LONG_STREAM_EVENT_COUNT = 20_000
 EVENT_BYTES = 4000
 # aiohttp waits for the transport only after more than 64 KiB of writes.
@@ -163,6 +172,81 @@
         self.assertEqual(1, result.attempt_count)
 
 
+class SilentEngineTest(TestCase):
+    """An engine that is silent for a while is left only for one that is granted."""
+
+    async def relay_paused_response(
+        self,
+        events_before: int,
+        on_start: Callable[[FakePlacement], None],
+        on_resume: Callable[[FakePlacement], None] = lambda placement: None,
+    ) -> tuple[str, int, int]:
+        """Relay a response whose engine pauses.
+
+        Args:
+            events_before: Events before the pause; 0 for a pause before the head.
+            on_start: Called with the harness's placement when the engine is asked.
+            on_resume: Called when the engine has gone on.
+
+        Returns:
+            The verdict, the number of attempts, and that of permits.
+        """
+        texts = compose_response(MESSAGES, TOKENS)
+
+        async def generate(request: web.Request) -> web.StreamResponse:
+            on_start(harness.placement)
+            body = await request.json()
+            response = web.StreamResponse()
+            for offset in range(TOKENS):
+                if offset == events_before:
+                    await asyncio.sleep(PAUSE_S)
+                if offset == 0:
+                    await response.prepare(request)
+                data = json.dumps({"text": texts[offset]})
+                event = f"id: {body['request']}:{offset}\ndata: {data}\n\n"
+                await response.write(event.encode())
+            await asyncio.sleep(READ_DELAY_S)
+            on_resume(harness.placement)
+            await asyncio.sleep(READ_DELAY_S)
+            await response.write(format_end(body["request"], TOKENS, 0))
+            return response
+
+        app = web.Application()
+        app.router.add_post("/v1/generate", generate)
+        async with (
+            serve_app(app) as port,
+            serve_relay([make_server("paused", port)]) as harness,
+        ):
+            _, data, hung = await read_response(harness.url)
+        released = [permit.release_count for permit in harness.placement.permits]
+        self.assertEqual({1}, set(released))
+        verdict = check_response(data, TOKENS, hung)
+        return verdict, harness.results[0].attempt_count, len(released)
+
+    def test_silent_engine_is_kept_if_no_other_permit_is_granted(self):
+        """Guards against giving up an engine before another one is granted."""
+        for events_before in (0, EVENTS_BEFORE_PAUSE):
+            result = asyncio.run(
+                self.relay_paused_response(
+                    events_before, lambda placement: placement.servers.clear()
+                )
+            )
+            self.assertEqual(("whole", 1, 1), result, events_before)
+
+    def test_engine_that_goes_on_before_a_permit_is_granted_is_kept(self):
+        """The permit that comes too late is returned."""
+
+        def wait(placement: FakePlacement) -> None:
+            placement.gate = asyncio.Event()
+
+        result = asyncio.run(
+            self.relay_paused_response(
+                EVENTS_BEFORE_PAUSE, wait, lambda placement: placement.gate.set()
+            )
+        )
+        self.assertEqual(("whole", 1, 2), result)
+
+
 class FailureReportTest(TestCase):
     """Failures reported to callers that get no whole response."""
 
--- a/oleanderpier/relay/watchdog.py
+++ b/oleanderpier/relay/watchdog.py
@@ -97,6 +97,8 @@
         caller: The caller's connection.
         on_interrupt: Called once for each interruption; it has to cancel what
             the response is waiting for.
+        on_silence: Called each time that the engine was silent for its limit before the
+            deadline; the response goes on.
 
     Attributes:
         phase: What the response is waiting for.
@@ -112,6 +114,7 @@
         sequence: EventSequence,
         caller: CallerConnection,
         on_interrupt: Callable[[], None],
+        on_silence: Callable[[], None],
     ) -> None:
         self.phase = Phase.PLACING
         self.read_count = 0
@@ -121,6 +124,9 @@
         self._sequence = sequence
         self._caller = caller
         self._on_interrupt = on_interrupt
+        self._on_silence = on_silence
+        # The progress at which the engine was found to be silent.
+        self._silent_progress: tuple[Phase, int] | None = None
         self._progress: tuple[Phase, int] = (Phase.PLACING, 0)
         self._stalled_ticks = 0
         self._read_count_at_progress = 0
@@ -147,6 +153,9 @@
             self._interrupt(Step.STOPPED)
             return
         past_deadline = now_s >= self._deadline_s
+        if past_deadline and self.is_engine_silent():
+            self._interrupt(Step.SILENT)
+            return
         self._check_caller_heartbeat()
         if self.phase is Phase.PLACING:
             if past_deadline:
@@ -167,6 +176,26 @@
         self._interrupt(Step.MOVED)
         return True
 
+    def start_attempt(self) -> None:
+        """Forget the silence of the engine before."""
+        self._silent_progress = None
+
+    def is_engine_silent(self) -> bool:
+        """Return whether the engine was found to be silent, and still is."""
+        return self._silent_progress == (self.phase, self.read_count)
+
+    def interrupt_for_silence(self) -> bool:
+        """Interrupt the response so that it can continue at another engine.
+
+        Returns:
+            Whether the response was interrupted. It is not if its engine has sent
+            something since it was found to be silent.
+        """
+        if self.interruption is not None or not self.is_engine_silent():
+            return False
+        self._interrupt(Step.SILENT)
+        return True
+
     def end(self, now_s: float) -> None:
         """Interrupt the response because this host stops.
 
@@ -199,8 +228,16 @@
                 self.phase is Phase.READING
                 and self.read_count != self._read_count_at_progress
             )
+            if step is Step.SILENT and not past_deadline:
+                self._report_silence()
+                return
             self._interrupt(Step.TOO_LATE if engine_is_alive else step)
 
+    def _report_silence(self) -> None:
+        self._stalled_ticks = 0
+        self._silent_progress = (self.phase, self.read_count)
+        self._on_silence()
+
     def _check_caller_heartbeat(self) -> None:
         """Send a heartbeat if no event was forwarded within the limit."""
         if self._forwarded_offset != self._sequence.next_offset:
