Do not count a lost position of a watch as an unreachable store

Callers saw nothing; the store got calls of hosts that need not watch.

Cause: when the store no longer has the position of a watch (410), the host told the others that it does not reach the store. The store had answered; only the position was gone.

--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -118,20 +118,16 @@
                 )
         except PlatformError as error:
             record_call(replica.space, False, timers.now() - started_s)
-            # The platform responds; only the position of the watch is gone.
-            repeat_at_once = error.needs_full_read and not needs_snapshot
+            if error.needs_full_read and not needs_snapshot:
+                # The platform responds; only the position of the watch is gone.
+                _log_failure(replica, error, 0.0)
+                needs_snapshot = True
+                continue
             needs_snapshot = needs_snapshot or error.needs_full_read
             retry_s = min(timing.max_retry_s, max(timing.min_retry_s, retry_s * 2))
-            log_message(
-                "replication:platform_failed",
-                space=replica.space,
-                as_of=get_revision(replica.as_of),
-                reason=str(error),
-                retry_s=retry_s,
-            )
+            _log_failure(replica, error, retry_s)
             notify_reachability(replica.space, False)
-            if not repeat_at_once:
-                await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
+            await asyncio.sleep(retry_s * rng.uniform(0.5, 1.0))
             continue
         record_call(replica.space, True, timers.now() - started_s)
         if retry_s:
@@ -157,3 +153,13 @@
         needs_snapshot = False
         if update.items:
             await asyncio.sleep(timing.batch_s * rng.uniform(0.5, 1.0))
+
+
+def _log_failure(replica: Replica, error: PlatformError, retry_s: float) -> None:
+    log_message(
+        "replication:platform_failed",
+        space=replica.space,
+        as_of=get_revision(replica.as_of),
+        reason=str(error),
+        retry_s=retry_s,
+    )
--- a/standins/store.py
+++ b/standins/store.py
@@ -19,6 +19,7 @@
         refuses_calls: Whether every call is answered with status 503.
         call_count: Number of calls received so far.
         snapshot_count: Number of range reads received so far.
+        snapshot_delay_s: How long each range read takes.
         era: How often the store has returned from a copy, sent as ``Store-Era`` in all
             responses; None to send no such header.
     """
@@ -27,6 +28,7 @@
         self.refuses_calls = False
         self.call_count = 0
         self.snapshot_count = 0
+        self.snapshot_delay_s = 0.0
         self.era: int | None = 1
         self._copy: tuple[int, dict[str, dict[str, Any]], int] = (0, {}, 0)
         self._revision = 0
@@ -86,6 +88,7 @@
     async def _handle_range(self, request: web.Request) -> web.Response:
         self.call_count += 1
         self.snapshot_count += 1
+        await asyncio.sleep(self.snapshot_delay_s)
         if self.refuses_calls:
             return web.Response(status=503, headers=self._make_headers())
         prefix = request.query["Prefix"]
