Take a response that ends after a standstill with its connection for cut

Cause: the end of a connection was taken for that of the response unless the server's port refused connections at that moment. Read late, this says nothing. A check without a reply counted as listening.

A response that ends with its connection now counts as cut if nothing came from its server, on any connection of the host, for as long as a restart takes and until less than that before the end, or if the server can't be reached after it. It is resumed or sent again where the route allows it, else broken off. Buffered responses take the same way. The record of the servers' activity has a module of its own.

--- a/oleanderpier/connections/listening.py
+++ b/oleanderpier/connections/listening.py
@@ -1,18 +1,31 @@
 """Checks whether a server listens."""
 
 import asyncio
+from enum import Enum
 
 from oleanderpier.utils import Timers, limit_time
 
-__all__ = ["refuses_connections"]
+__all__ = ["Listening", "check_listening", "refuses_connections"]
 
 CHECK_TIMEOUT_S = 0.3
 
 
-async def refuses_connections(address: str, timers: Timers) -> bool:
-    """Return whether nothing listens at an address.
+class Listening(Enum):
+    """Whether a server listens.
+
+    Attributes:
+        YES: A connection was established, or reset.
+        NO: The connection was refused.
+        UNKNOWN: There was no reply, or there is no way to the server.
+    """
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
 
-    A server that is silent or out of reach does not count.
+async def check_listening(address: str, timers: Timers) -> Listening:
+    """Return whether a server listens at an address.
 
     Args:
         address: ``IP:PORT``, with an IPv6 address in brackets.
@@ -26,8 +39,18 @@
                 asyncio.Protocol, host, int(port)
             )
     except ConnectionRefusedError:
-        return True
+        return Listening.NO
+    except ConnectionResetError:
+        return Listening.YES
     except (OSError, ValueError):
-        return False
+        return Listening.UNKNOWN
     transport.close()
-    return False
+    return Listening.YES
+
+
+async def refuses_connections(address: str, timers: Timers) -> bool:
+    """Return whether nothing listens at an address.
+
+    A server that is silent or out of reach does not count; see ``check_listening``.
+    """
+    return await check_listening(address, timers) is Listening.NO
--- a/oleanderpier/forwarding/__init__.py
+++ b/oleanderpier/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding: sends requests to backend servers and returns complete responses."""
 
+from oleanderpier.forwarding.activity import *  # noqa: F403
 from oleanderpier.forwarding.attempts import *  # noqa: F403
 from oleanderpier.forwarding.callers import *  # noqa: F403
 from oleanderpier.forwarding.crash_guard import *  # noqa: F403
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -7,8 +7,9 @@
 from expression import Error, Ok, Result
 from yarl import URL
 
-from oleanderpier.connections import Framing, find_framing, refuses_connections
+from oleanderpier.connections import Framing, Listening, check_listening, find_framing
 from oleanderpier.exception import MessageError
+from oleanderpier.forwarding.activity import MIN_RESTART_S, ServerActivity
 from oleanderpier.forwarding.buffers import ResponseBuffers
 from oleanderpier.forwarding.callers import TrackedCaller
 from oleanderpier.forwarding.events import MAX_EVENT_BYTES, EventSplitter
@@ -17,7 +18,7 @@
 from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
 from oleanderpier.utils import Timers
 
-__all__ = ["Attempt", "BufferedResponse", "ServerActivity"]
+__all__ = ["Attempt", "BufferedResponse"]
 
 MAX_RESPONSE_BYTES = 16 << 20
 EVENT_STREAM = "text/event-stream"
@@ -30,6 +31,12 @@
 # The same for an idempotent request: RESPONSE_TIMEOUT_FACTOR times its latency target.
 RESPONSE_TIMEOUT_FACTOR = 2.0
 MIN_RESPONSE_TIMEOUT_S = 0.25
+# Why a response that ended with its connection may be cut, empty if it is not.
+_LISTENING_REASONS = {
+    Listening.YES: "",
+    Listening.NO: "the server has ended with the connection",
+    Listening.UNKNOWN: "the server is out of reach after the end of the connection",
+}
 
 
 class BufferedResponse(NamedTuple):
@@ -44,36 +51,6 @@
     body: bytes
 
 
-class ServerActivity:
-    """When each backend server last sent something, on any connection of this host.
-
-    Args:
-        timers: The timer service.
-    """
-
-    def __init__(self, timers: Timers) -> None:
-        self._timers = timers
-        self._last_activity_s: dict[str, float] = {}
-
-    def record_activity(self, identity: str) -> None:
-        """Record that a server has just sent something."""
-        self._last_activity_s[identity] = self._timers.now()
-
-    def remove_server(self, identity: str) -> None:
-        """Remove the record of a server that is gone or has restarted."""
-        self._last_activity_s.pop(identity, None)
-
-    def get_silence_s(self, identity: str, since_s: float) -> float:
-        """Return how long a server has been silent, in seconds.
-
-        Args:
-            identity: The id of the server.
-            since_s: When the wait for it began; earlier silence does not count.
-        """
-        last_activity_s = max(since_s, self._last_activity_s.get(identity, since_s))
-        return self._timers.now() - last_activity_s
-
-
 class Attempt:
     """One attempt to send a request to a server.
 
@@ -136,6 +113,8 @@
         self._timeout_s = self._get_first_timeout_s()
         # When the wait for the server's next bytes began, None while there is none.
         self._waiting_since_s: float | None = None
+        # When the last silence ended in which the server may have restarted.
+        self._silence_ended_s = float("-inf")
         # Events without progress that were not passed on yet.
         self._held_events = b""
         self._body_parts: list[bytes] = []
@@ -226,9 +205,8 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.reason = repr(error)
             return Error(AttemptOutcome.LOST)
-        self._waiting_since_s = None
+        self._record_activity()
         self.framing = find_framing(self._http_response.headers)
-        self._activity.record_activity(server.identity)
         return self._check_head()
 
     def _check_head(self) -> Result[ResponseHead, AttemptOutcome]:
@@ -365,21 +343,34 @@
     async def _ended_with_server(self) -> bool:
         """Return whether a response with neither a length nor chunks may be cut.
 
-        Its end is that of its connection, which also ends when the server crashes.
+        Its end is that of its connection, which also ends when the server crashes. That
+        the server listens proves nothing if the end was read late, since it may have
+        started again meanwhile.
         """
         if self.framing is not Framing.CONNECTION:
             return False
-        if not await refuses_connections(self.server.address, self._timers):
-            return False
-        self.reason = "the server has ended with the connection"
-        return True
+        if self._timers.now() - self._silence_ended_s < MIN_RESTART_S:
+            self.reason = "the server or this host stood still before the end"
+            return True
+        listening = await check_listening(self.server.address, self._timers)
+        self.reason = _LISTENING_REASONS[listening]
+        return bool(self.reason)
+
+    def _record_activity(self) -> None:
+        """Record that the server has sent something, or closed the connection."""
+        identity, waiting_since_s = self.server.identity, self._waiting_since_s
+        self._waiting_since_s = None
+        self._activity.record_activity(identity)
+        if self._activity.get_longest_silence_s(identity, waiting_since_s) >= (
+            MIN_RESTART_S
+        ):
+            self._silence_ended_s = self._timers.now()
 
     async def _read_data(self, content: aiohttp.StreamReader) -> bytes:
         """Return the next bytes of a stream, empty at its end."""
         self._waiting_since_s = self._timers.now()
         data = await content.readany()
-        self._waiting_since_s = None
-        self._activity.record_activity(self.server.identity)
+        self._record_activity()
         self.received_bytes += len(data)
         return data
 
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from oleanderpier.connections import Framing
-from oleanderpier.forwarding.attempts import ServerActivity
+from oleanderpier.forwarding.activity import ServerActivity
 from oleanderpier.forwarding.buffers import ResponseBuffers
 from oleanderpier.forwarding.crash_guard import CrashGuard
 from oleanderpier.forwarding.records import (
--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -25,6 +25,8 @@
 
 EVENTS = format_events(1, 3)
 FOURTH_EVENT = format_events(4, 4)
+# Longer than a server needs to start again.
+LONG_PAUSE_S = 1.3
 
 
 def break_off(body: bytes):
@@ -257,3 +259,83 @@
         """Its body may be cut."""
         fixture = self.forward([], kind=RequestKind.ONCE)
         self.assertEqual(Code.ANSWER_LOST, fixture.outcome.code)
+
+
+class LateEndTest(TestCase):
+    """The end of a connection that is read late does not end a response.
+
+    The server may have crashed and listen again.
+    """
+
+    def forward(self, *sent: tuple[float, bytes], others=(), **changes) -> tuple:
+        """Forward a request whose response has neither a length nor chunks.
+
+        Args:
+            sent: What the server sends before it closes the connection, each after a
+                pause in seconds.
+            others: Behaviours for requests that are forwarded at the same time.
+            changes: Changes of the route.
+
+        Returns:
+            The result code, and whether the caller got a complete response.
+        """
+
+        async def behave(request: ReceivedRequest) -> None:
+            for pause_s, data in sent:
+                await asyncio.sleep(pause_s)
+                await request.send(data)
+
+        async def wait_and_respond(request: ReceivedRequest) -> None:
+            pause_s, body = head
+            await asyncio.sleep(pause_s)
+            await stream_without_length(body, behave)(request)
+            await close_connection(request)
+
+        head, *sent = sent
+        fixture = ForwarderFixture([wait_and_respond, *others])
+        fixture.at_once = True
+        route = make_route(max_attempts=1, target_s=0.3, **changes)
+        callers = [RecordingCaller() for _ in range(1 + len(others))]
+        outcome, *_ = run_coroutine(fixture.forward_all(route, 9.0, callers))
+        return outcome.code, callers[0].complete
+
+    def test_response_after_standstill_does_not_look_complete(self):
+        """Whatever was held up arrives at once, and then the end."""
+        held_up = (LONG_PAUSE_S, FOURTH_EVENT)
+        for resumable in (False, True):
+            self.assertEqual(
+                (Code.STREAM_CUT, False),
+                self.forward((0.0, EVENTS), held_up, resumable=resumable),
+            )
+        self.assertEqual(
+            (Code.ANSWER_LOST, False),
+            self.forward((0.0, b"part"), held_up, kind=RequestKind.ONCE),
+        )
+
+    def test_end_after_standstill_does_not_look_complete(self):
+        """Neither does the end alone, or a response with its head."""
+        for sent in (
+            [(0.0, EVENTS), (LONG_PAUSE_S, b"")],
+            [(LONG_PAUSE_S, EVENTS)],
+        ):
+            code, complete = self.forward(*sent, resumable=False)
+            self.assertEqual((Code.STREAM_CUT, False), (code, complete), sent)
+
+    def test_response_that_goes_on_after_standstill_is_complete(self):
+        """The server sends for longer than a restart takes."""
+        events = [format_events(number, number) for number in range(4, 9)]
+        sent = [(LONG_PAUSE_S / 4, event) for event in events]
+        self.assertEqual(
+            (Code.DONE, True),
+            self.forward((0.0, EVENTS), (LONG_PAUSE_S, b": x\n\n"), *sent),
+        )
+
+    def test_response_beside_others_of_the_server_is_complete(self):
+        """That others arrive meanwhile shows that nothing stands still."""
+        others = [respond(delay_s=tenths / 5) for tenths in range(9)]
+        self.assertEqual(
+            (Code.DONE, True),
+            self.forward(
+                (LONG_PAUSE_S, b"whole"), others=others, kind=RequestKind.ONCE
+            ),
+        )
