Suspect each part of a prompt that a request's headers hold

Cause: only the first sixteen parts had keys, so that a later one was never suspected.

All parts that 16 KiB of headers hold have keys now. What the bound had kept small is bounded by itself: keys in a crash and in all, keys in a message, the group of a quarantine.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -1,7 +1,7 @@
 """Gossip between hosts on servers that crashed, and on the requests behind it."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 from eliot import log_message
 
@@ -25,6 +25,8 @@
 # may be lost.
 REPEAT_INTERVAL_S = 1.0
 REMOVAL_INTERVAL_S = 5.0
+# Upper bound of the keys of suspects in a message; a key has up to 64 bytes.
+MAX_MESSAGE_KEYS = 8192
 
 
 class CrashGossip:
@@ -64,9 +66,9 @@
         crash = Crash(
             server.identity, server.born_ms, at_s, frozenset(suspects), frozenset()
         )
-        self._outbox.send_to_all(
-            self._list_receivers(), CrashNews([self._report_crash(crash)], [], [])
-        )
+        receivers = self._list_receivers()
+        for crashes in _split_crashes([self._report_crash(crash)]):
+            self._outbox.send_to_all(receivers, CrashNews(crashes, [], []))
 
     def announce_sound(self, parts: list[str]) -> None:
         """Send the other hosts that a request with suspected parts was answered."""
@@ -116,7 +118,15 @@
         if not (crashes or quarantines) or newcomer not in self._list_receivers():
             return
         sound = [(part, now_s - at_s) for part, at_s in self._poison.list_sound()]
-        self._outbox.send(newcomer, CrashNews(crashes, sound, quarantines))
+        # What was answered goes first, so that no crash before that counts.
+        news = [
+            CrashNews([], sound[first : first + MAX_MESSAGE_KEYS], [])
+            for first in range(0, len(sound), MAX_MESSAGE_KEYS)
+        ]
+        news.append(CrashNews([], [], quarantines))
+        news += [CrashNews(part, [], []) for part in _split_crashes(crashes)]
+        for each in news:
+            self._outbox.send(newcomer, each)
         log_message("poison:sent", host=newcomer, crashes=len(crashes))
 
     def _send_sound(self) -> None:
@@ -149,3 +159,21 @@
             )
             for each in self._poison.list_quarantines()
         ]
+
+
+def _split_crashes(crashes: Iterable[ReportedCrash]) -> Iterator[list[ReportedCrash]]:
+    """Yield crashes in lists that fit in a message; parts of a crash are merged."""
+    batch: list[ReportedCrash] = []
+    count = 0
+    for crash in crashes:
+        part = crash._replace(suspects=[])
+        batch.append(part)
+        for suspect in crash.suspects:
+            if count and count + len(suspect) > MAX_MESSAGE_KEYS:
+                yield batch
+                part = crash._replace(suspects=[])
+                batch, count = [part], 0
+            part.suspects.append(suspect)
+            count += len(suspect)
+    if batch:
+        yield batch
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -13,6 +13,7 @@
 from oleanderpier.routing import CrashCauses
 from oleanderpier.routing.tests.fakes import make_server
 from oleanderpier.utils import ManualTimers, decode_message, encode_message
+from oleanderpier.utils.codec import MAX_MESSAGE_BYTES
 
 __all__ = ["CrashFleet"]
 
@@ -70,15 +71,18 @@
         self._sender = sender
 
     def send(self, host: str, message: CrashNews) -> bool:
-        self._fleet.sent.append(self._sender)
-        if host not in self._fleet.cut_off:
-            self._fleet.gossips[host].receive(self._sender, message)
+        self.send_to_all([host], message)
         return True
 
     def send_to_all(self, hosts: list[str], message: CrashNews) -> None:
-        decoded = decode_message(encode_message(message))
+        data = encode_message(message)
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise ValueError(f"{len(data)} bytes, allowed {MAX_MESSAGE_BYTES}")
+        decoded = decode_message(data)
         for host in hosts:
-            self.send(host, decoded)
+            self._fleet.sent.append(self._sender)
+            if host not in self._fleet.cut_off:
+                self._fleet.gossips[host].receive(self._sender, decoded)
 
 
 def crash_servers(fleet: CrashFleet, hosts: list[str]) -> None:
@@ -134,6 +138,24 @@
         fleet.crash("h2", "t2", ("all", "worse"))
         self.assertEqual(["bad", "worse"], sorted(fleet.list_parts("h2")))
 
+    def test_newcomer_gets_crashes_on_long_prompts(self):
+        """All of them are more than a message holds."""
+        fleet = CrashFleet(1)
+        for number in range(12):
+            prompts = [
+                (*[f"long{number}-{each}-{part:08d}" for part in range(400)], "bad")
+                for each in range(40)
+            ]
+            fleet.crash("h0", f"s{number}", *prompts)
+            fleet.timers.advance(1.0)
+        fleet.add_host("h1")
+        fleet.gossips["h0"].send_all("h1")
+        self.assertEqual(["bad"], fleet.list_parts("h1"))
+        self.assertEqual(
+            fleet.poison["h0"].list_crashes()[-1].suspects,
+            fleet.poison["h1"].list_crashes()[-1].suspects,
+        )
+
     def test_host_that_missed_the_messages_gets_the_quarantine_later(self):
         """The others repeat it."""
         fleet = CrashFleet(3)
--- a/oleanderpier/entry/tests/test_crash_patterns.py
+++ b/oleanderpier/entry/tests/test_crash_patterns.py
@@ -31,6 +31,7 @@
         hosts: The number of hosts.
         random_crashes_per_s: How often a server crashes whatever it works on.
         servers: The number of servers.
+        shared_parts: The number of further parts that all prompts begin with.
 
     Attributes:
         crashes: Servers that crashed, by cause.
@@ -45,6 +46,7 @@
         hosts: int,
         random_crashes_per_s: float = 0.0,
         servers: int = SERVER_COUNT,
+        shared_parts: int = 0,
     ) -> None:
         self.fleet = CrashFleet(hosts)
         self.crashes: Counter[str] = Counter()
@@ -56,6 +58,7 @@
         self._rng = random.Random(hosts)
         self._random_crashes_per_s = random_crashes_per_s
         self._servers = servers
+        self._shared = tuple(f"shared{number}" for number in range(shared_parts))
         self._runs = [1] * servers
         self._down_until_s = [0.0] * servers
         self._in_flight: list[dict[int, tuple[str, SuspectKeys, float]]] = [
@@ -99,6 +102,7 @@
 
     def _send(self, kind: str, prompt: SuspectKeys, host: str = "") -> None:
         host = host or self._rng.choice(self._hosts)
+        prompt = (*self._shared, *prompt)
         now_s = self.fleet.timers.now()
         poison = self.fleet.poison[host]
         if poison.check(prompt, now_s, lambda part: host == "h0").key:
@@ -158,6 +162,14 @@
             self.assertGreater(replay.refused[BAD], 20, hosts)
             self.assertEqual(0, replay.refused["sound"], hosts)
 
+    def test_part_behind_many_others_crashes_few_servers(self):
+        """It stands behind 400 parts that sound requests have as well."""
+        replay = CrashReplay(20, shared_parts=400)
+        replay.run(9.0, bad_from_s=2.0, bad_per_s=4.0)
+        self.assertLessEqual(replay.count_late(), TOLERATED_ARRIVALS)
+        self.assertGreater(replay.refused[BAD], 15)
+        self.assertEqual(0, replay.refused["sound"])
+
     def test_part_is_found_among_other_crashes(self):
         """A server crashes for another reason twice a second."""
         replay = CrashReplay(78, random_crashes_per_s=2.0)
--- a/oleanderpier/forwarding/request_keys.py
+++ b/oleanderpier/forwarding/request_keys.py
@@ -9,8 +9,8 @@
 
 __all__ = ["RequestKeys", "list_prompt_keys"]
 
-# Further parts of a prompt are not examined.
-MAX_PARTS = 16
+# The most parts, ``ID:TOKENS`` with a comma, that 16 KiB of headers hold.
+MAX_PARTS = 4096
 MAX_KEY_LENGTH = 64
 DIGEST_BYTES = 12
 LENGTH_BYTES = 8
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -6,7 +6,8 @@
 show that it can read them. All times are arguments, in seconds on the monotonic clock.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
+from itertools import accumulate
 from typing import NamedTuple
 
 from oleanderpier.utils import hash_text
@@ -31,6 +32,9 @@
 CRASH_KEPT_S = 600.0
 MAX_CRASHES = 256
 MAX_SUSPECTS = 64
+# Upper bounds of the keys of the suspects, in one crash and in all.
+MAX_CRASH_KEYS = 16_384
+MAX_KEYS = 16 * MAX_CRASH_KEYS
 # Crashes within this time of each other have one cause, such as a failed machine.
 SIMULTANEOUS_S = 0.1
 # Reports of one crash are no further apart. A server may crash again before the hosts
@@ -104,63 +108,123 @@
             ),
             Crash(identity, born_ms, at_s, frozenset(), frozenset()),
         )
-        merged = known.suspects | set(suspects)
-        if len(merged) > MAX_SUSPECTS:
-            # Others for each crash, but the same ones at all hosts.
-            order = sorted(merged, key=lambda each: hash_text(f"{identity} {each}"))
-            merged = set(order[:MAX_SUSPECTS])
+        kept = _limit_suspects(identity, known.suspects | set(suspects))
         crash = known._replace(
-            suspects=frozenset(merged),
-            keys=frozenset(key for suspect in merged for key in suspect),
+            suspects=kept, keys=frozenset(key for suspect in kept for key in suspect)
         )
         others = [each for each in self._crashes if each is not known]
-        self._crashes = [
+        crashes = [
             each
             for each in [*others, crash][-MAX_CRASHES:]
             if each.at_s > at_s - CRASH_KEPT_S
         ]
+        # The number of keys up to each crash, from the last one back.
+        counts = accumulate(_count_keys(each.suspects) for each in reversed(crashes))
+        kept_count = sum(count <= MAX_KEYS for count in counts)
+        self._crashes = crashes[len(crashes) - kept_count :]
         return crash
 
+    def list_repeated_keys(self, keys: Iterable[str], count: int) -> list[str]:
+        """Return those of several keys that were in at least so many crashes."""
+        crashes = self._crashes
+        return [
+            key for key in keys if sum(key in crash.keys for crash in crashes) >= count
+        ]
+
     def count_crashes(self, key: str, since_s: float, causes: Collection[str]) -> int:
         """Return how often servers have crashed on requests with a key.
 
+        Args:
+            key: The key.
+            since_s: Earlier crashes do not count.
+            causes: See ``count_each``.
+        """
+        return self.count_each({key: since_s}, causes)[key]
+
+    def count_each(
+        self, since_s: Mapping[str, float], causes: Collection[str]
+    ) -> dict[str, int]:
+        """Return how often servers have crashed on requests with each of some keys.
+
         Simultaneous crashes count once, but not those on a request that was sent again
         after the earlier one.
 
         Args:
-            key: The key.
-            since_s: Earlier crashes do not count.
+            since_s: For each key the time before which crashes do not count.
             causes: Keys that are known to crash servers. A crash with such a suspect
                 says nothing about others.
         """
-        crashes = sorted(
-            (crash.at_s, make_resend_mark(key) in crash.keys)
-            for crash in self._crashes
-            if crash.at_s > since_s
-            and key in crash.keys
-            and (key in causes or not _is_explained(crash, key, causes))
-        )
-        count, last_s = 0, float("-inf")
-        for at_s, is_resent in crashes:
-            if is_resent or at_s - last_s >= SIMULTANEOUS_S:
-                count, last_s = count + 1, at_s
-        return count
+        found: dict[str, list[tuple[float, bool]]] = {key: [] for key in since_s}
+        for crash in self._crashes:
+            explanations = _list_explanations(crash, causes)
+            for key, earliest_s in since_s.items():
+                if (
+                    crash.at_s > earliest_s
+                    and key in crash.keys
+                    and (key in causes or not _is_explained(explanations, key))
+                ):
+                    is_resent = make_resend_mark(key) in crash.keys
+                    found[key].append((crash.at_s, is_resent))
+        return {key: _count_apart(sorted(crashes)) for key, crashes in found.items()}
 
     def list_crashes(self) -> list[Crash]:
         """Return the known crashes, in the order of their last report."""
         return list(self._crashes)
 
 
-def _is_explained(crash: Crash, key: str, causes: Collection[str]) -> bool:
+def _count_keys(suspects: Iterable[SuspectKeys]) -> int:
+    return sum(map(len, suspects))
+
+
+def _limit_suspects(
+    identity: str, suspects: Collection[SuspectKeys]
+) -> frozenset[SuspectKeys]:
+    """Return as many suspects of a server's crash as are kept.
+
+    Others for each server, but the same ones at all hosts, in whatever order their
+    reports arrive.
+    """
+    if len(suspects) <= MAX_SUSPECTS and _count_keys(suspects) <= MAX_CRASH_KEYS:
+        return frozenset(suspects)
+    order = sorted(suspects, key=lambda each: hash_text(f"{identity} {each}"))
+    counts = accumulate(map(len, order))
+    kept_count = sum(count <= MAX_CRASH_KEYS for count in counts)
+    return frozenset(order[: max(1, min(MAX_SUSPECTS, kept_count))])
+
+
+def _count_apart(crashes: list[tuple[float, bool]]) -> int:
+    """Return how many crashes there are, with simultaneous ones as one.
+
+    Args:
+        crashes: The time of each crash, and whether it was on a request that was sent
+            again; in the order of time.
+    """
+    count, last_s = 0, float("-inf")
+    for at_s, is_resent in crashes:
+        if is_resent or at_s - last_s >= SIMULTANEOUS_S:
+            count, last_s = count + 1, at_s
+    return count
+
+
+def _list_explanations(
+    crash: Crash, causes: Collection[str]
+) -> list[tuple[SuspectKeys, bool]]:
+    """Return the suspects that have known causes, and whether these are requests."""
+    if crash.keys.isdisjoint(causes):
+        return []
+    return [
+        (suspect, all(map(is_request_key, found)))
+        for suspect in crash.suspects
+        if (found := [each for each in suspect if each in causes])
+    ]
+
+
+def _is_explained(explanations: list[tuple[SuspectKeys, bool]], key: str) -> bool:
     """Return whether a crash has a known cause that is not a request with this key.
 
     A request that crashed servers explains a crash only for the others: its prompt part
     may be the cause, which shows when another request with the part crashes a server.
     """
-    if crash.keys.isdisjoint(causes):
-        return False
     return any(
-        not (key in suspect and all(map(is_request_key, found)))
-        for suspect in crash.suspects
-        if (found := [each for each in suspect if each in causes])
+        not (are_requests and key in suspect) for suspect, are_requests in explanations
     )
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -16,6 +16,7 @@
 """
 
 from collections.abc import Callable, Collection, Iterable
+from itertools import islice
 from typing import NamedTuple
 
 from oleanderpier.routing.crashes import (
@@ -51,6 +52,8 @@
 # A quarantine that ended this long ago without a trial is removed.
 UNUSED_KEPT_S = 600.0
 MAX_QUARANTINES = 256
+# Hosts send each other the quarantines, each with its group, every second.
+MAX_GROUP = 16
 MAX_SOUND_KEYS = 65_536
 
 
@@ -61,7 +64,7 @@
         key: The key.
         since_s: When it began, or when a server last crashed on the key.
         term_s: For how long after that no request with the key is tried.
-        group: The keys that were in the same crashes, including this one.
+        group: Keys that were in the same crashes, including this one; not all of many.
         trial_until_s: Until when a trial may be in flight.
     """
 
@@ -155,7 +158,7 @@
                 continue
             earlier_s = self._sound_s.pop(key, at_s)
             if len(self._sound_s) >= MAX_SOUND_KEYS:
-                del self._sound_s[next(iter(self._sound_s))]
+                self._drop_oldest_sound()
             self._sound_s[key] = max(earlier_s, at_s)
             if key in self._suspected and not self._log.count_crashes(key, at_s, ()):
                 self._suspected.discard(key)
@@ -164,6 +167,11 @@
                 del self._quarantines[key]
         return suspected
 
+    def _drop_oldest_sound(self) -> None:
+        # Several at once: a dictionary is searched for its first key.
+        kept = islice(self._sound_s.items(), MAX_SOUND_KEYS // 8, None)
+        self._sound_s = dict(kept)
+
     def record_answer(self, keys: SuspectKeys, at_s: float) -> list[str]:
         """Record that this host had a request answered; see ``record_sound``."""
         if self._missing_answers and not all(map(is_request_key, keys)):
@@ -287,23 +295,26 @@
             keys: The keys that may be the cause.
             ignored: Quarantined keys that may not be.
         """
+        repeated = self._log.list_repeated_keys(keys, QUARANTINE_CRASHES)
         counts = {
-            key: self._count_crashes(key, ignored)
-            for key in list_causes(keys)
-            if self._reaches_limit(key, QUARANTINE_CRASHES, ignored)
+            key: count
+            for key, count in self._count_each(list_causes(repeated), ignored).items()
+            if count >= self._get_factor(key) * QUARANTINE_CRASHES
         }
         likely = (counts.keys() - self._shared) or counts.keys()
         likely = {key for key in likely if not self._was_answered(key)} or likely
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
-        return frozenset(key for key in group if not self._is_part_of_any(key, group))
+        requests = self._list_common_requests(group)
+        return frozenset(key for key in group if requests[key].isdisjoint(group))
 
     def _begin_quarantines(
         self, group: Collection[str], at_s: float
     ) -> list[Quarantine]:
         """Quarantine the keys that were in the same crashes."""
+        first = sorted(group)[:MAX_GROUP]
         quarantines = [
-            Quarantine(key, at_s, self._get_first_term_s(key), frozenset(group))
+            Quarantine(key, at_s, self._get_first_term_s(key), frozenset([key, *first]))
             for key in sorted(group)
         ]
         for quarantine in quarantines:
@@ -360,12 +371,14 @@
         others = quarantine.group.intersection(self._quarantines) - {quarantine.key}
         return APART_TERM_S if others and is_alone else quarantine.term_s
 
-    def _reaches_limit(
-        self, key: str, limit: int, ignored: Collection[str] = ()
-    ) -> bool:
+    def _reaches_limit(self, key: str, limit: int) -> bool:
         """Return whether a key was in so many crashes, or more for an answered part."""
-        factor = ANSWERED_FACTOR if self._was_answered(key) else 1
-        return self._count_crashes(key, ignored) >= factor * limit
+        count = self._count_each([key])[key]
+        return count >= self._get_factor(key) * limit
+
+    def _get_factor(self, key: str) -> int:
+        """Return by how much the limits of a key's crashes are multiplied."""
+        return ANSWERED_FACTOR if self._was_answered(key) else 1
 
     def _was_answered(self, key: str) -> bool:
         """Return whether a prompt part was answered, so that chance may blame it.
@@ -396,27 +409,35 @@
             return REQUEST_TERM_S
         return ANSWERED_TERM_S if self._missing_answers else FIRST_TERM_S
 
-    def _is_part_of_any(self, part: str, keys: Collection[str]) -> bool:
-        """Return whether only requests with one of several keys have a prompt part."""
-        return not self._list_common_requests(part).isdisjoint(keys)
-
     def _is_of_one_request(self, part: str) -> bool:
         """Return whether all crashes on a prompt part were on one request with it."""
-        return bool(self._list_common_requests(part))
+        return bool(self._list_common_requests([part])[part])
 
-    def _list_common_requests(self, part: str) -> frozenset[str]:
-        """Return the keys of the request that all suspects with a prompt part have."""
-        requests = [
-            frozenset(filter(is_request_key, suspect))
-            for crash in self._log.list_crashes()
-            if part in crash.keys and not is_request_key(part)
-            for suspect in crash.suspects
-            if part in suspect
-        ]
-        return frozenset.intersection(*requests) if requests else frozenset()
+    def _list_common_requests(self, keys: Collection[str]) -> dict[str, frozenset[str]]:
+        """Return the keys of the request that all suspects with a prompt part have.
+
+        Args:
+            keys: The parts; other keys have none.
+        """
+        common: dict[str, frozenset[str] | None] = dict.fromkeys(keys)
+        for crash in self._log.list_crashes():
+            if crash.keys.isdisjoint(common):
+                continue
+            for suspect in crash.suspects:
+                parts = [each for each in suspect if each in common]
+                requests = frozenset(filter(is_request_key, suspect)) if parts else None
+                for part in parts:
+                    known = common[part]
+                    common[part] = requests if known is None else known & requests
+        return {
+            key: frozenset() if is_request_key(key) or found is None else found
+            for key, found in common.items()
+        }
 
-    def _count_crashes(self, key: str, ignored: Collection[str] = ()) -> int:
-        """Return in how many crashes a key was since it was last in a response."""
-        since_s = self._sound_s.get(key, float("-inf"))
+    def _count_each(
+        self, keys: Iterable[str], ignored: Collection[str] = ()
+    ) -> dict[str, int]:
+        """Return in how many crashes keys were since they were last in a response."""
+        since_s = {key: self._sound_s.get(key, float("-inf")) for key in keys}
         causes = self._quarantines.keys() - self._shared - set(ignored)
-        return self._log.count_crashes(key, since_s, causes)
+        return self._log.count_each(since_s, causes)
--- a/oleanderpier/routing/tests/test_poison.py
+++ b/oleanderpier/routing/tests/test_poison.py
@@ -5,7 +5,13 @@
 from testtools import TestCase
 
 from oleanderpier.routing import CrashCauses, Quarantine
-from oleanderpier.routing.crashes import MAX_CRASHES, MAX_SUSPECTS, CrashLog
+from oleanderpier.routing.crashes import (
+    MAX_CRASH_KEYS,
+    MAX_CRASHES,
+    MAX_KEYS,
+    MAX_SUSPECTS,
+    CrashLog,
+)
 from oleanderpier.routing.poison import (
     ANSWERED_FACTOR,
     ANSWERED_TERM_S,
@@ -298,6 +304,27 @@
         self.assertEqual(MAX_SUSPECTS, len(crash.suspects))
         self.assertEqual(MAX_CRASHES, len(log.list_crashes()))
 
+    def test_keys_are_bounded(self):
+        """Long prompts leave fewer suspects, the same ones in any order of reports."""
+        prompts = [
+            tuple(f"p{number}-{part}" for part in range(400)) for number in range(60)
+        ]
+        log, reversed_log = CrashLog(), CrashLog()
+        for number in range(20):
+            for first in range(0, 60, 12):
+                report = prompts[first : first + 12]
+                log.record_crash(f"s{number}", 1, 3.0 * number, report)
+            for first in reversed(range(0, 60, 15)):
+                report = prompts[first : first + 15]
+                reversed_log.record_crash(f"s{number}", 1, 3.0 * number, report)
+        crashes = log.list_crashes()
+        sizes = [len(crash.keys) for crash in crashes]
+        self.assertLessEqual(max(sizes), MAX_CRASH_KEYS)
+        self.assertGreater(min(sizes), MAX_CRASH_KEYS - 400)
+        self.assertLessEqual(sum(sizes), MAX_KEYS)
+        self.assertGreaterEqual(len(crashes), 2 * QUARANTINE_CRASHES)
+        self.assertEqual(crashes, reversed_log.list_crashes())
+
     def test_each_suspect_is_kept_in_some_crashes(self):
         """A cause among too many suspects is found all the same."""
         poison = CrashCauses()
