Tell a host that refuses a part that it was answered before

What callers saw: 503 for up to a minute at all hosts for sound requests with a prompt part that many use, after servers had crashed on other requests with it.

Cause: a part that was answered at a host before needs six crashes there and is refused for 2 s, one that never was three, and 60 s. At one host the part p0, in one of six prompts, had not been answered yet when it was in three crashes. The host refused it for 60 s; hosts that started meanwhile took that over; and since nobody sent such requests any more, no answer ended it. That other hosts had answered the part before was not told: answers are sent only while a key is under suspicion.

A host now sends a quarantine to four others when it begins. Who knows of an answer before the crashes, and gets the term of a part that was never answered, replies with it; the quarantine ends, or is shortened if there were six crashes.

Both new tests of test_crash_gossip.py fail before.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -25,6 +25,8 @@
 # may be lost.
 REPEAT_INTERVAL_S = 1.0
 REMOVAL_INTERVAL_S = 5.0
+# How many hosts are sent a quarantine when it begins.
+ASKED_HOSTS = 4
 # Upper bound of the keys of suspects in a message; a key has up to 64 bytes.
 MAX_MESSAGE_KEYS = 8192
 
@@ -54,6 +56,8 @@
         self._rng = rng
         self._outbox = outbox
         self._unsent_sound_s: dict[str, float] = {}
+        # The keys whose quarantines were sent when they began.
+        self._sent_parts: set[str] = set()
         timers.subscribe(REPEAT_INTERVAL_S, self._repeat_quarantines)
         timers.subscribe(
             REMOVAL_INTERVAL_S, lambda: poison.remove_expired(timers.now())
@@ -69,6 +73,7 @@
         receivers = self._list_receivers()
         for crashes in _split_crashes([self._report_crash(crash)]):
             self._outbox.send_to_all(receivers, CrashNews(crashes, [], []))
+        self._send_new_quarantines()
 
     def announce_sound(self, parts: list[str]) -> None:
         """Send the other hosts that a request with suspected parts was answered."""
@@ -83,7 +88,7 @@
         for part, age_s in message.sound:
             self._unsent_sound_s.pop(part, None)
             self._poison.record_sound((part,), now_s - age_s)
-        outdated: list[tuple[str, float]] = []
+        answered: list[tuple[str, float]] = []
         for reported in message.quarantines:
             quarantine = Quarantine(
                 reported.part,
@@ -92,13 +97,16 @@
                 frozenset(reported.group),
             )
             answered_s = self._poison.find_answer(quarantine)
+            is_outdated = answered_s is not None
+            if not is_outdated:
+                answered_s = self._poison.find_unknown_answer(quarantine)
             if answered_s is not None:
-                outdated.append((reported.part, now_s - answered_s))
-            elif self._poison.receive_quarantine(quarantine):
+                answered.append((reported.part, now_s - answered_s))
+            if not is_outdated and self._poison.receive_quarantine(quarantine):
                 log_quarantines([quarantine], sender)
-        if outdated:
-            # It has missed the message on the answer, and would go on refusing.
-            self._outbox.send(sender, CrashNews([], outdated, []))
+        if answered:
+            # It does not know of the answers, and would go on refusing.
+            self._outbox.send(sender, CrashNews([], answered, []))
         for crash in message.crashes:
             log_quarantines(
                 self._poison.record_crash(
@@ -109,6 +117,7 @@
                 ),
                 sender,
             )
+        self._send_new_quarantines()
 
     def send_all(self, newcomer: str) -> None:
         """Send everything to a host that has just started."""
@@ -143,6 +152,21 @@
             host = self._rng.choice(receivers)
             self._outbox.send(host, CrashNews([], [], quarantines))
 
+    def _send_new_quarantines(self) -> None:
+        """Send the quarantines that have begun to a few hosts.
+
+        They may know that a part was answered before, which this host has not seen: a
+        part that many use may not have come here yet.
+        """
+        reported = {each.part: each for each in self._report_quarantines()}
+        begun = [
+            each for part, each in reported.items() if part not in self._sent_parts
+        ]
+        self._sent_parts = set(reported)
+        receivers = self._list_receivers() if begun else []
+        for host in self._rng.sample(receivers, min(ASKED_HOSTS, len(receivers))):
+            self._outbox.send(host, CrashNews([], [], begun))
+
     def _report_crash(self, crash: Crash) -> ReportedCrash:
         return ReportedCrash(
             crash.identity,
--- a/oleanderpier/entry/tests/test_crash_gossip.py
+++ b/oleanderpier/entry/tests/test_crash_gossip.py
@@ -11,6 +11,11 @@
 )
 from oleanderpier.fleet import CrashNews
 from oleanderpier.routing import CrashCauses
+from oleanderpier.routing.poison import (
+    ANSWERED_FACTOR,
+    ANSWERED_TERM_S,
+    QUARANTINE_CRASHES,
+)
 from oleanderpier.routing.tests.fakes import make_server
 from oleanderpier.utils import ManualTimers, decode_message, encode_message
 from oleanderpier.utils.codec import MAX_MESSAGE_BYTES
@@ -123,6 +128,34 @@
         fleet.timers.advance(MAX_DELAY_S)
         self.assertLessEqual(len(set(fleet.sent)), 5)
 
+    def test_part_that_others_had_answered_is_not_refused(self):
+        """Guards against 60 s of refusals of a part that many use, but not yet here.
+
+        The requests that crash servers share it with sound ones.
+        """
+        for knowing in (["h1", "h2", "h3", "h4", "h5"], ["h4"]):
+            fleet = CrashFleet(6)
+            for host in knowing:
+                fleet.answer(host, "all")
+            fleet.timers.advance(1.0)
+            for number in range(3):
+                fleet.crash("h0", f"s{number}", ("all", f"own{number}"))
+                fleet.timers.advance(0.5)
+            fleet.timers.advance(6 * REPEAT_INTERVAL_S)
+            refusing = [host for host in fleet.gossips if fleet.list_parts(host)]
+            self.assertEqual([], refusing, knowing)
+
+    def test_part_that_others_had_answered_is_refused_for_a_short_term(self):
+        """If it was in as many crashes as it takes then."""
+        fleet = CrashFleet(3)
+        fleet.answer("h1", "all")
+        fleet.timers.advance(1.0)
+        for number in range(ANSWERED_FACTOR * QUARANTINE_CRASHES):
+            fleet.crash("h0", f"s{number}", ("all", f"own{number}"))
+            fleet.timers.advance(0.5)
+        quarantines = fleet.poison["h0"].list_quarantines()
+        self.assertEqual([ANSWERED_TERM_S], [each.term_s for each in quarantines])
+
     def test_newcomer_gets_all(self):
         """It refuses the part, and counts the crashes before its start."""
         fleet = CrashFleet(2)
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -167,6 +167,10 @@
                     found[key].append((crash.at_s, is_resent))
         return {key: _count_apart(sorted(crashes)) for key, crashes in found.items()}
 
+    def has_crash_before(self, key: str, at_s: float) -> bool:
+        """Return whether a server crashed on a request with a key before some time."""
+        return any(crash.at_s < at_s and key in crash.keys for crash in self._crashes)
+
     def list_crashes(self) -> list[Crash]:
         """Return the known crashes, in the order of their last report."""
         return list(self._crashes)
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -156,6 +156,7 @@
             if is_request_key(key) and key not in suspected:
                 # Most requests are not repeated; they would displace the prompt parts.
                 continue
+            is_news = key not in self._sound_s
             earlier_s = self._sound_s.pop(key, at_s)
             if len(self._sound_s) >= MAX_SOUND_KEYS:
                 self._drop_oldest_sound()
@@ -163,10 +164,22 @@
             if key in self._suspected and not self._log.count_crashes(key, at_s, ()):
                 self._suspected.discard(key)
             quarantine = self._quarantines.get(key)
-            if quarantine is not None and quarantine.since_s < at_s:
+            if quarantine is None:
+                continue
+            if quarantine.since_s < at_s:
                 del self._quarantines[key]
+            elif is_news and not self._log.has_crash_before(key, at_s):
+                self._review_quarantine(quarantine)
         return suspected
 
+    def _review_quarantine(self, quarantine: Quarantine) -> None:
+        """Shorten or end the quarantine of a part answered before its crashes."""
+        key = quarantine.key
+        if not self._reaches_limit(key, QUARANTINE_CRASHES):
+            del self._quarantines[key]
+        elif quarantine.term_s == FIRST_TERM_S:
+            self._quarantines[key] = quarantine._replace(term_s=ANSWERED_TERM_S)
+
     def _drop_oldest_sound(self) -> None:
         # Several at once: a dictionary is searched for its first key.
         kept = islice(self._sound_s.items(), MAX_SOUND_KEYS // 8, None)
@@ -205,6 +218,16 @@
         answered_s = self._sound_s.get(quarantine.key, float("-inf"))
         return answered_s if answered_s >= quarantine.since_s else None
 
+    def find_unknown_answer(self, quarantine: Quarantine) -> float | None:
+        """Return when a prompt part was answered before another host refused it.
+
+        None if the other host seems to know: the term is not that of a part that was
+        never answered.
+        """
+        if quarantine.term_s != FIRST_TERM_S or not self._was_answered(quarantine.key):
+            return None
+        return self._sound_s[quarantine.key]
+
     def check(
         self, keys: SuspectKeys, now_s: float, is_tester: Callable[[str], bool]
     ) -> Verdict:
