Count simultaneous crashes on one key if their failure domain goes on

Cause: crashes within 0.1 s count as one, as those of a failure domain, so that three rounds were needed for the three that a quarantine asks for.

Such crashes now count each for a key that was never answered and that a suspect of each of them has, if another server of the failure domain sends data within 1 s after them, or, if none does, those on several requests that were sent again after a crash. Hosts look at the latest crashes again every 0.2 s. The end of a connection counts as no data. Questions to the log of crashes move to its module.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -25,6 +25,8 @@
 # may be lost.
 REPEAT_INTERVAL_S = 1.0
 REMOVAL_INTERVAL_S = 5.0
+# Interval at which the latest crashes are looked at again.
+REVIEW_INTERVAL_S = 0.2
 # How many hosts are sent a quarantine when it begins.
 ASKED_HOSTS = 4
 # Upper bound of the keys of suspects in a message; a key has up to 64 bytes.
@@ -59,6 +61,7 @@
         # The keys whose quarantines were sent when they began.
         self._sent_parts: set[str] = set()
         timers.subscribe(REPEAT_INTERVAL_S, self._repeat_quarantines)
+        timers.subscribe(REVIEW_INTERVAL_S, self._review_crashes)
         timers.subscribe(
             REMOVAL_INTERVAL_S, lambda: poison.remove_expired(timers.now())
         )
@@ -145,6 +148,12 @@
         if sound:
             self._outbox.send_to_all(self._list_receivers(), CrashNews([], sound, []))
 
+    def _review_crashes(self) -> None:
+        begun = self._poison.review_crashes(self._timers.now())
+        if begun:
+            log_quarantines(begun)
+            self._send_new_quarantines()
+
     def _repeat_quarantines(self) -> None:
         quarantines = self._report_quarantines()
         receivers = self._list_receivers() if quarantines else []
--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -1,7 +1,7 @@
 """What a host knows of backend servers from responses, and shares with other hosts."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from oleanderpier.entry.crash_gossip import CrashGossip
 from oleanderpier.entry.leaving import LeavingGossip
@@ -40,6 +40,8 @@
         timers: The timer service.
         rng: The source of randomness.
         mesh: The streams to the other hosts.
+        has_survivor: Returns whether the failure domain of a crashed server goes on;
+            see ``Survivors``.
 
     Attributes:
         statements: What the servers have said.
@@ -57,6 +59,7 @@
         timers: Timers,
         rng: random.Random,
         mesh: Mesh,
+        has_survivor: Callable[[str, Collection[str], float], bool],
     ) -> None:
         self._mesh = mesh
         self._view = view
@@ -84,7 +87,7 @@
             rng,
             mesh,
         )
-        self.poison = CrashCauses(MIN_ANSWERS)
+        self.poison = CrashCauses(MIN_ANSWERS, has_survivor)
         self.crash_gossip = CrashGossip(
             self.poison,
             lambda: view.list_with_feature(CRASHES_FEATURE),
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -43,6 +43,7 @@
     Forwarder,
     ServerActivity,
     StatementRecorder,
+    Survivors,
 )
 from oleanderpier.membership import HostEndpoint, Members, MemberState
 from oleanderpier.peers import Mesh, split_address
@@ -197,10 +198,15 @@
         )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
+        self.server_activity = ServerActivity(timers)
         self.exchange = ServerExchange(
-            self.view, self._list_ready, timers, self._rng, self.mesh
+            self.view,
+            self._list_ready,
+            timers,
+            self._rng,
+            self.mesh,
+            Survivors(self.roster, self.server_activity).has_survivor,
         )
-        self.server_activity = ServerActivity(timers)
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
             self.roster,
--- a/oleanderpier/forwarding/activity.py
+++ b/oleanderpier/forwarding/activity.py
@@ -48,22 +48,36 @@
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
         self._last_activity_s: dict[str, float] = {}
+        self._last_data_s: dict[str, float] = {}
         # The last silence of each server that lasted ``MIN_RESTART_S`` or longer.
         self._silences: dict[str, _Silence] = {}
 
-    def record_activity(self, identity: str) -> None:
-        """Record that a server has just sent something."""
+    def record_activity(self, identity: str, is_data: bool = True) -> None:
+        """Record that a server has just sent something.
+
+        Args:
+            identity: The id of the server.
+            is_data: Whether it was more than the end of a connection, which servers
+                send as they end.
+        """
         now_s = self._timers.now()
         since_s = self._last_activity_s.get(identity, float("-inf"))
         if now_s - since_s >= MIN_RESTART_S:
             self._silences[identity] = _Silence(since_s, now_s)
         self._last_activity_s[identity] = now_s
+        if is_data:
+            self._last_data_s[identity] = now_s
 
     def remove_server(self, identity: str) -> None:
         """Remove the record of a server that is gone or has restarted."""
         self._last_activity_s.pop(identity, None)
+        self._last_data_s.pop(identity, None)
         self._silences.pop(identity, None)
 
+    def has_sent_data_since(self, identity: str, at_s: float) -> bool:
+        """Return whether a server has sent data after some time."""
+        return self._last_data_s.get(identity, float("-inf")) > at_s
+
     def get_silence_s(self, identity: str, since_s: float) -> float:
         """Return how long a server has been silent, in seconds.
 
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -205,7 +205,7 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.reason = repr(error)
             return Error(AttemptOutcome.LOST)
-        self._record_activity()
+        self._record_activity(is_data=True)
         self.framing = find_framing(self._http_response.headers)
         return self._check_head()
 
@@ -356,11 +356,11 @@
         self.reason = _LISTENING_REASONS[listening]
         return bool(self.reason)
 
-    def _record_activity(self) -> None:
+    def _record_activity(self, is_data: bool) -> None:
         """Record that the server has sent something, or closed the connection."""
         identity, waiting_since_s = self.server.identity, self._waiting_since_s
         self._waiting_since_s = None
-        self._activity.record_activity(identity)
+        self._activity.record_activity(identity, is_data)
         if self._activity.get_longest_silence_s(identity, waiting_since_s) >= (
             MIN_RESTART_S
         ):
@@ -370,7 +370,7 @@
         """Return the next bytes of a stream, empty at its end."""
         self._waiting_since_s = self._timers.now()
         data = await content.readany()
-        self._record_activity()
+        self._record_activity(is_data=bool(data))
         self.received_bytes += len(data)
         return data
 
--- a/oleanderpier/forwarding/tests/test_request_keys.py
+++ b/oleanderpier/forwarding/tests/test_request_keys.py
@@ -4,7 +4,6 @@
 
 from oleanderpier.forwarding import RequestKeys, list_prompt_keys
 from oleanderpier.forwarding.tests.fakes import make_call
-from oleanderpier.platform.dialect import read_prompt
 from oleanderpier.routing import PromptPart, WorkspaceEntry
 from oleanderpier.routing.tests.fakes import make_route
 
@@ -67,7 +66,7 @@
 
     def test_each_part_that_a_header_holds_has_a_key(self):
         """Guards against parts behind the sixteenth that crash servers without end."""
-        parts = read_prompt(",".join(f"{number:x}:1" for number in range(2600)))
+        parts = tuple(PromptPart(f"{number:x}", 1) for number in range(2600))
         call = make_call(make_route(), 1.0)._replace(prompt_parts=parts)
         keys = list_prompt_keys(call)
         self.assertEqual([f"{number:x}" for number in range(2599)], list(keys))
--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Collection, Iterable, Mapping
-from itertools import accumulate
+from itertools import accumulate, chain
 from typing import NamedTuple
 
 from oleanderpier.utils import hash_text
@@ -92,6 +92,8 @@
 
     def __init__(self) -> None:
         self._crashes: list[Crash] = []
+        # The id and time of each crash that was not that of a failure domain.
+        self._independent: set[tuple[str, float]] = set()
 
     def record_crash(
         self, identity: str, born_ms: int, at_s: float, suspects: Iterable[SuspectKeys]
@@ -122,8 +124,25 @@
         counts = accumulate(_count_keys(each.suspects) for each in reversed(crashes))
         kept_count = sum(count <= MAX_KEYS for count in counts)
         self._crashes = crashes[len(crashes) - kept_count :]
+        self._independent &= {(each.identity, each.at_s) for each in self._crashes}
         return crash
 
+    def list_simultaneous(self, crash: Crash) -> list[Crash]:
+        """Return the crashes at about the time of one, including it."""
+        return [
+            each
+            for each in self._crashes
+            if abs(each.at_s - crash.at_s) < SIMULTANEOUS_S
+        ]
+
+    def mark_independent(self, crash: Crash) -> None:
+        """Record that a crash was not that of a whole failure domain."""
+        self._independent.add((crash.identity, crash.at_s))
+
+    def is_independent(self, crash: Crash) -> bool:
+        """Return whether ``mark_independent`` was called with a crash."""
+        return (crash.identity, crash.at_s) in self._independent
+
     def list_repeated_keys(self, keys: Iterable[str], count: int) -> list[str]:
         """Return those of several keys that were in at least so many crashes."""
         crashes = self._crashes
@@ -146,8 +165,11 @@
     ) -> dict[str, int]:
         """Return how often servers have crashed on requests with each of some keys.
 
-        Simultaneous crashes count once, but not those on a request that was sent again
-        after the earlier one.
+        Simultaneous crashes count once, as those of a failure domain, but not
+
+        - those on a request that was sent again after the earlier one,
+        - those that the key explains, if no request with it was ever answered; see
+          ``_list_explaining_keys``.
 
         Args:
             since_s: For each key the time before which crashes do not count.
@@ -157,16 +179,81 @@
         found: dict[str, list[tuple[float, bool]]] = {key: [] for key in since_s}
         for crash in self._crashes:
             explanations = _list_explanations(crash, causes)
+            explaining: frozenset[str] | None = None
             for key, earliest_s in since_s.items():
                 if (
                     crash.at_s > earliest_s
                     and key in crash.keys
                     and (key in causes or not _is_explained(explanations, key))
                 ):
-                    is_resent = make_resend_mark(key) in crash.keys
-                    found[key].append((crash.at_s, is_resent))
+                    if explaining is None:
+                        explaining = self._list_explaining_keys(crash)
+                    is_answered = earliest_s > float("-inf")
+                    counts_apart = make_resend_mark(key) in crash.keys or (
+                        key in explaining and not is_answered
+                    )
+                    found[key].append((crash.at_s, counts_apart))
         return {key: _count_apart(sorted(crashes)) for key, crashes in found.items()}
 
+    def _list_explaining_keys(self, crash: Crash) -> frozenset[str]:
+        """Return the keys that may have caused each simultaneous crash by itself.
+
+        Each of these crashes has a suspect with such a key, and they are not the end of
+        a failure domain: it goes on, or several requests with the key had crashed
+        servers before and were sent again.
+        """
+        simultaneous = self.list_simultaneous(crash)
+        common = frozenset.intersection(*(each.keys for each in simultaneous))
+        if self.is_independent(crash) or not common:
+            return common
+        requests: dict[str, set[str]] = {key: set() for key in common}
+        for suspect in chain.from_iterable(each.suspects for each in simultaneous):
+            request_keys = list(filter(is_request_key, suspect))
+            for key in common.intersection(suspect):
+                requests[key].update(request_keys)
+        return frozenset(
+            key
+            for suspect in crash.suspects
+            if len(list_causes(suspect)) < len(suspect)
+            for key in common.intersection(suspect)
+            if len(requests[key]) > 1
+        )
+
+    def list_common_requests(self, keys: Collection[str]) -> dict[str, frozenset[str]]:
+        """Return the keys of the request that all suspects with a prompt part have.
+
+        Args:
+            keys: The parts; other keys have none.
+        """
+        common: dict[str, frozenset[str] | None] = dict.fromkeys(keys)
+        for crash in self._crashes:
+            if crash.keys.isdisjoint(common):
+                continue
+            for suspect in crash.suspects:
+                parts = [each for each in suspect if each in common]
+                requests = frozenset(filter(is_request_key, suspect)) if parts else None
+                for part in parts:
+                    known = common[part]
+                    common[part] = requests if known is None else known & requests
+        return {
+            key: frozenset() if is_request_key(key) or found is None else found
+            for key, found in common.items()
+        }
+
+    def has_several_prompts(self, key: str) -> bool:
+        """Return whether requests with a key differ in their prompts."""
+        if not is_request_key(key):
+            return False
+        prompts = {
+            tuple(each for each in list_causes(suspect) if not is_request_key(each))
+            for crash in self._crashes
+            if key in crash.keys
+            for suspect in crash.suspects
+            if key in suspect
+        }
+        # The parts of a prompt that the server has read are left out of a suspect.
+        return len(prompts - {()}) > 1
+
     def has_crash_before(self, key: str, at_s: float) -> bool:
         """Return whether a server crashed on a request with a key before some time."""
         return any(crash.at_s < at_s and key in crash.keys for crash in self._crashes)
@@ -200,12 +287,12 @@
     """Return how many crashes there are, with simultaneous ones as one.
 
     Args:
-        crashes: The time of each crash, and whether it was on a request that was sent
-            again; in the order of time.
+        crashes: The time of each crash, and whether it counts though others are
+            simultaneous; in the order of time.
     """
     count, last_s = 0, float("-inf")
-    for at_s, is_resent in crashes:
-        if is_resent or at_s - last_s >= SIMULTANEOUS_S:
+    for at_s, counts_apart in crashes:
+        if counts_apart or at_s - last_s >= SIMULTANEOUS_S:
             count, last_s = count + 1, at_s
     return count
 
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -20,6 +20,7 @@
 from typing import NamedTuple
 
 from oleanderpier.routing.crashes import (
+    SIMULTANEOUS_S,
     Crash,
     CrashLog,
     SuspectKeys,
@@ -47,6 +48,8 @@
 MAX_TERM_S = 960.0
 # One of several keys that were in the same crashes is tried apart after this time.
 APART_TERM_S = 1.0
+# Crashes are looked at again for this long: no server starts again sooner.
+REVIEW_S = 1.0
 # Time in which no other request with the key is tried.
 TRIAL_S = 5.0
 # A quarantine that ended this long ago without a trial is removed.
@@ -95,6 +98,9 @@
     Args:
         min_answers: Answers to requests with prompts from which on a part that was in
             none of them is refused for the whole first term.
+        has_survivor: Returns whether another server of a server's failure domain than
+            those of some ids has responded after some time, in which it has not started
+            again.
 
     Examples:
         >>> poison = CrashCauses()
@@ -108,8 +114,15 @@
         'x'
     """
 
-    def __init__(self, min_answers: int = 0) -> None:
+    def __init__(
+        self,
+        min_answers: int = 0,
+        has_survivor: Callable[
+            [str, Collection[str], float], bool
+        ] = lambda identity, crashed, at_s: False,
+    ) -> None:
         self._missing_answers = min_answers
+        self._has_survivor = has_survivor
         self._log = CrashLog()
         self._quarantines: dict[str, Quarantine] = {}
         # When a request with a key was last answered.
@@ -134,7 +147,7 @@
         crash = self._log.record_crash(identity, born_ms, at_s, suspects)
         self._suspected.update(list_causes(crash.keys))
         reported = {key for suspect in suspects for key in suspect}
-        self._shared.update(filter(self._has_several_prompts, reported))
+        self._shared.update(filter(self._log.has_several_prompts, reported))
         causes = sorted(crash.keys & self._quarantines.keys())
         found: frozenset[str] = frozenset()
         if all(self._is_uncertain(key, crash) for key in causes):
@@ -146,6 +159,35 @@
             del self._quarantines[key]
         return self._begin_quarantines(found, at_s)
 
+    def review_crashes(self, now_s: float) -> list[Quarantine]:
+        """Look at the latest crashes again, and return the quarantines that begin.
+
+        Whether the failure domain of servers that crashed at once goes on shows only
+        afterwards.
+        """
+        recent = [
+            crash
+            for crash in self._log.list_crashes()
+            if crash.at_s > now_s - REVIEW_S and not self._log.is_independent(crash)
+        ]
+        independent = [crash for crash in recent if self._is_independent(crash)]
+        for crash in independent:
+            self._log.mark_independent(crash)
+        begun: list[Quarantine] = []
+        for crash in independent:
+            if crash.keys.isdisjoint(self._quarantines):
+                begun += self._begin_quarantines(
+                    self._find_causes(crash.keys, ()), crash.at_s
+                )
+        return begun
+
+    def _is_independent(self, crash: Crash) -> bool:
+        """Return whether a crash has others at its time, and was not their domain's."""
+        simultaneous = {each.identity for each in self._log.list_simultaneous(crash)}
+        return len(simultaneous) > 1 and self._has_survivor(
+            crash.identity, simultaneous, crash.at_s + SIMULTANEOUS_S
+        )
+
     def record_sound(self, keys: SuspectKeys, at_s: float) -> list[str]:
         """Record that a request was answered, and return the keys it cleared.
 
@@ -328,7 +370,7 @@
         likely = {key for key in likely if not self._was_answered(key)} or likely
         most = max((counts[key] for key in likely), default=0)
         group = frozenset(key for key in likely if counts[key] == most)
-        requests = self._list_common_requests(group)
+        requests = self._log.list_common_requests(group)
         return frozenset(key for key in group if requests[key].isdisjoint(group))
 
     def _begin_quarantines(
@@ -410,20 +452,6 @@
         """
         return key in self._sound_s and not is_request_key(key)
 
-    def _has_several_prompts(self, key: str) -> bool:
-        """Return whether requests with a key differ in their prompts."""
-        if not is_request_key(key):
-            return False
-        prompts = {
-            tuple(each for each in list_causes(suspect) if not is_request_key(each))
-            for crash in self._log.list_crashes()
-            if key in crash.keys
-            for suspect in crash.suspects
-            if key in suspect
-        }
-        # The parts of a prompt that the server has read are left out of a suspect.
-        return len(prompts - {()}) > 1
-
     def _get_first_term_s(self, key: str) -> float:
         """Return the first term of a key's quarantine."""
         if key in self._sound_s or key in self._shared:
@@ -434,28 +462,7 @@
 
     def _is_of_one_request(self, part: str) -> bool:
         """Return whether all crashes on a prompt part were on one request with it."""
-        return bool(self._list_common_requests([part])[part])
-
-    def _list_common_requests(self, keys: Collection[str]) -> dict[str, frozenset[str]]:
-        """Return the keys of the request that all suspects with a prompt part have.
-
-        Args:
-            keys: The parts; other keys have none.
-        """
-        common: dict[str, frozenset[str] | None] = dict.fromkeys(keys)
-        for crash in self._log.list_crashes():
-            if crash.keys.isdisjoint(common):
-                continue
-            for suspect in crash.suspects:
-                parts = [each for each in suspect if each in common]
-                requests = frozenset(filter(is_request_key, suspect)) if parts else None
-                for part in parts:
-                    known = common[part]
-                    common[part] = requests if known is None else known & requests
-        return {
-            key: frozenset() if is_request_key(key) or found is None else found
-            for key, found in common.items()
-        }
+        return bool(self._log.list_common_requests([part])[part])
 
     def _count_each(
         self, keys: Iterable[str], ignored: Collection[str] = ()
--- a/oleanderpier/routing/roster.py
+++ b/oleanderpier/routing/roster.py
@@ -106,6 +106,10 @@
         """Return a server's registration, even if it is leaving; None if unknown."""
         return self._entries.get(identity)
 
+    def list_entries(self) -> list[ServerEntry]:
+        """Return the registrations of all servers, including those that are leaving."""
+        return list(self._entries.values())
+
     def get_last_change(self, identity: str) -> tuple[RegistrationChange, float]:
         """Return the last change of a known server's registration, and its time.
 
