Learn of an outage of the store from calls in vain, not from silence

Cause: a host that was told of no response of the store for 2 s took that for an outage, in which entries lapse, and kept removed servers for 2.5 s.

A host now learns of an outage from its own calls that failed meanwhile, or from the report of a host that had asked in vain and then got a response. The report goes out before the changes. Others take it over if they had no response until then, either.

Tests of a real outage (test_platform, test_store_return) pass.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -194,7 +194,11 @@
             self.replicas,
         )
         self.outages = OutageDetector(
-            self.replicas[SERVERS], timers, self.roster.record_outage_end
+            self.replicas[SERVERS],
+            timers,
+            self.roster.record_outage_end,
+            # Before the changes that this host sends on.
+            self.view.report_now,
         )
         self.health = ServerHealth(timers)
         self.caches = CacheMap(timers)
@@ -296,7 +300,7 @@
                     self.timers,
                     self._rng,
                     self.watch_duty.should_watch,
-                    self.watch_duty.handle_reachability,
+                    self._handle_reachability,
                     self.metrics.record_platform_call,
                 )
             )
@@ -413,6 +417,11 @@
     def _handle_member_change(self, host: str, state: MemberState) -> None:
         self._add_address(host)
 
+    def _handle_reachability(self, space: str, reachable: bool) -> None:
+        if not reachable:
+            self.outages.record_failure()
+        self.watch_duty.handle_reachability(space, reachable)
+
     def _make_report(self) -> HostReport:
         responses, failures = self.forwarder.pop_response_counts()
         in_flight = self.chooser.in_flight
@@ -428,7 +437,7 @@
             self.settings.caller_address,
             self.state == "ready",
             self.watch_duty.platform_reachable,
-            {**self.sync.summarize(), **FEATURES},
+            {**self.sync.summarize(), **self.outages.summarize(), **FEATURES},
             servers,
             self.caches.pop_updates(),
         )
@@ -437,6 +446,7 @@
         self.loads.receive_report(
             host, {name: use.in_flight for name, use in report.servers.items()}
         )
+        self.outages.receive_summaries(report.replica_summaries)
         self.sync.receive_summaries(host, report.replica_summaries)
         self.caches.apply_updates(report.placements)
         for identity, use in report.servers.items():
--- a/oleanderpier/replication/replica.py
+++ b/oleanderpier/replication/replica.py
@@ -21,6 +21,8 @@
 MAX_TOMBSTONE_COUNT = 512
 # A replica that no peer could confirm for this long gets a snapshot from one.
 MAX_UNCONFIRMED_AGE_S = 1.0
+# Source of what the summary of another host shows.
+PEER = "peer"
 # Limit on the keys that the log names at a change of era.
 MAX_LOGGED_KEYS = 20
 
@@ -68,6 +70,7 @@
             clock; minus infinity at the start.
         confirmed_s: When this was last known to be the newest state, in seconds
             on the timer service's clock; minus infinity at the start.
+        confirmed_by: What showed that: ``PLATFORM``, or ``PEER`` for a host's summary.
 
     Examples:
         >>> from oleanderpier.utils import ManualTimers
@@ -90,6 +93,7 @@
         self.as_of = 0
         self.last_change = 0
         self.confirmed_s = float("-inf")
+        self.confirmed_by = ""
         self.era_changed_s = float("-inf")
         self._outlasts = outlasts
         self._timers = timers
@@ -129,12 +133,17 @@
         """Return the seconds since this was last known to be the newest state."""
         return self._timers.now() - self.confirmed_s
 
-    def confirm_current(self, age_s: float = 0.0) -> None:
-        """Record that this was the newest state ``age_s`` seconds ago."""
+    def confirm_current(self, age_s: float = 0.0, source: str = PLATFORM) -> None:
+        """Record that this was the newest state ``age_s`` seconds ago.
+
+        Args:
+            age_s: The age, in seconds.
+            source: What showed it: ``PLATFORM`` or ``PEER``.
+        """
         previous_s, confirmed_s = self.confirmed_s, self._timers.now() - age_s
         if confirmed_s <= previous_s:
             return
-        self.confirmed_s = confirmed_s
+        self.confirmed_s, self.confirmed_by = confirmed_s, source
         for callback in list(self._confirmed_callbacks):
             callback(previous_s, confirmed_s)
 
@@ -339,7 +348,7 @@
             return self.get_age_s() < MAX_UNCONFIRMED_AGE_S
         if as_of and as_of >= self.as_of:
             self.as_of = as_of
-            self.confirm_current(age_s)
+            self.confirm_current(age_s, PEER)
         return True
 
     def list_tombstones(self) -> ItemsUpdate:
