Log a refused value of the store once

The client remembers the reason of up to 1,024 keys and logs a key again only if its reason changes, or if its value was valid in between.

--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -40,6 +40,8 @@
 MAX_ERA = 1 << 16
 # Limit on the log lines about values of the header that are no era.
 MAX_LOGGED_ERAS = 8
+# Limit on the keys whose refused values are remembered, so that each is logged once.
+MAX_LOGGED_REFUSALS = 1024
 # How often a snapshot is begun again because the era changed between its pages.
 MAX_SNAPSHOT_STARTS = 3
 
@@ -96,6 +98,7 @@
         self._url = f"http://{address}"
         self._session = session
         self._era = 0
+        self._refusals = _RefusalLog()
         self._logged_eras: set[str | None] = set()
 
     async def read_snapshot(self, space: str) -> ItemsUpdate:
@@ -126,7 +129,7 @@
             # Pages are read at different revisions. The snapshot has the lowest
             # of these, so that a watch from there returns changes in between.
             as_of = page["AsOf"] if as_of is None else min(as_of, page["AsOf"])
-            items += [_convert_item(space, era, item) for item in page["Items"]]
+            items += [self._convert_item(space, era, item) for item in page["Items"]]
             if not page["HasMore"] or not page["Items"]:
                 return ItemsUpdate(space, 0, make_position(era, as_of), True, items)
             query["After"] = page["Items"][-1]["Key"]
@@ -150,7 +153,7 @@
             "/kv-watch", query, _WatchResponse, wait_s + WATCH_SLACK_S
         )
         era, body = response
-        items = [_convert_item(space, era, item) for item in body["events"]]
+        items = [self._convert_item(space, era, item) for item in body["events"]]
         as_of = make_position(era, body["AsOf"])
         return ItemsUpdate(space, after, as_of, False, items)
 
@@ -176,6 +179,31 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise PlatformError(f"{path}: {error}") from error
 
+    def _convert_item(self, space: str, era: int, item: _StoreItem) -> Item:
+        """Convert an item of the store, decoding its value.
+
+        A value that cannot be decoded becomes empty, and is logged once.
+        """
+        key = item["Key"].removeprefix(KEY_PREFIXES[space])
+        if space == CONFIGURATION:
+            key = key or CONFIGURATION_KEY
+        revision = make_position(era, item["Revision"])
+        if item.get("Deleted") or "Value" not in item:
+            self._refusals.record(item["Key"], None)
+            return Item(key, revision, None)
+        try:
+            data = base64.b64decode(item["Value"], validate=True)
+            if space == CONFIGURATION:
+                value = encode_table(decode_configuration(data))
+            else:
+                value = encode_server(decode_server(key, data))
+        except (SettingsError, ValueError, OverflowError) as error:
+            # A number or text that can't be encoded for the other hosts, among others.
+            self._refusals.record(item["Key"], str(error))
+            return Item(key, revision, b"")
+        self._refusals.record(item["Key"], None)
+        return Item(key, revision, value)
+
     def _read_era(self, text: str | None) -> int:
         """Return the era that a response states; else the last one, with a log line."""
         if text is not None and text.isascii() and text.isdigit():
@@ -194,25 +222,26 @@
         return self._era
 
 
-def _convert_item(space: str, era: int, item: _StoreItem) -> Item:
-    """Convert an item of the store, decoding its value.
+class _RefusalLog:
+    """Logs each value that cannot be decoded once, not each time that it is read."""
 
-    A value that cannot be decoded becomes empty, and is logged.
-    """
-    key = item["Key"].removeprefix(KEY_PREFIXES[space])
-    if space == CONFIGURATION:
-        key = key or CONFIGURATION_KEY
-    revision = make_position(era, item["Revision"])
-    if item.get("Deleted") or "Value" not in item:
-        return Item(key, revision, None)
-    try:
-        data = base64.b64decode(item["Value"], validate=True)
-        if space == CONFIGURATION:
-            value = encode_table(decode_configuration(data))
-        else:
-            value = encode_server(decode_server(key, data))
-    except (SettingsError, ValueError, OverflowError) as error:
-        # A number or text that can't be encoded for the other hosts, among others.
-        log_message("store:value_refused", key=item["Key"], reason=str(error))
-        return Item(key, revision, b"")
-    return Item(key, revision, value)
+    def __init__(self) -> None:
+        self._reasons: dict[str, str] = {}
+
+    def record(self, key: str, reason: str | None) -> None:
+        """Log why the value of a key is refused, unless that is known.
+
+        Args:
+            key: The key.
+            reason: The reason; None if the value is valid.
+        """
+        if reason == self._reasons.pop(key, None):
+            if reason is not None:
+                self._reasons[key] = reason
+            return
+        if reason is None:
+            return
+        if len(self._reasons) >= MAX_LOGGED_REFUSALS:
+            del self._reasons[next(iter(self._reasons))]
+        self._reasons[key] = reason
+        log_message("store:value_refused", key=key, reason=reason)
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -5,6 +5,7 @@
 import json
 
 from aiohttp import web
+from eliot import add_destinations, remove_destination
 from testtools import TestCase
 
 from oleanderpier.entry import CONFIGURATION, SERVERS
@@ -260,3 +261,27 @@
                 )
             )
             self.assertEqual([b""], [item.value for item in update.items], value[:20])
+
+    def test_refused_value_is_logged_once_until_it_changes(self):
+        """It is read again with each snapshot; the line names the field."""
+        incomplete = {name: ENTRY[name] for name in ("Service", "Zone", "State")}
+        lines: list[dict] = []
+
+        async def read(client: StoreClient) -> None:
+            for entry in (incomplete, incomplete, ENTRY, ENTRY, incomplete):
+                store.put("servers/i-1", entry)
+                await client.read_snapshot(SERVERS)
+
+        store = StandInStore()
+        add_destinations(lines.append)
+        # The first destination gets the messages of before as well.
+        lines.clear()
+        try:
+            run_coroutine(call_store(store, read))
+        finally:
+            remove_destination(lines.append)
+        refusals = [
+            line for line in lines if line["message_type"] == "store:value_refused"
+        ]
+        self.assertEqual(["servers/i-1"] * 2, [line["key"] for line in refusals])
+        self.assertIn("Address", refusals[0]["reason"])
