--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -195,7 +195,10 @@
 
 
 def _split_crashes(crashes: Iterable[ReportedCrash]) -> Iterator[list[ReportedCrash]]:
-    """Yield crashes in lists that fit in a message; parts of a crash are merged."""
+    """Yield crashes in lists that fit in a message.
+
+    The suspects of a crash may be in several; receivers merge them.
+    """
     batch: list[ReportedCrash] = []
     count = 0
     for crash in crashes:
--- a/oleanderpier/forwarding/activity.py
+++ b/oleanderpier/forwarding/activity.py
@@ -41,7 +41,7 @@
         >>> activity.record_activity("i-1")
         >>> timers.advance(3.0)
         >>> activity.record_activity("i-1")
-        >>> activity.get_longest_silence_s("i-1", since_s=0.5)
+        >>> activity.get_last_silence_s("i-1", since_s=0.5)
         2.5
     """
 
@@ -88,8 +88,10 @@
         last_activity_s = max(since_s, self._last_activity_s.get(identity, since_s))
         return self._timers.now() - last_activity_s
 
-    def get_longest_silence_s(self, identity: str, since_s: float) -> float:
-        """Return how long the last long silence of a server was, in seconds.
+    def get_last_silence_s(self, identity: str, since_s: float) -> float:
+        """Return how long the last silence of a server was, in seconds.
+
+        0 if none was as long as ``MIN_RESTART_S``.
 
         Args:
             identity: The id of the server.
--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -361,9 +361,8 @@
         identity, waiting_since_s = self.server.identity, self._waiting_since_s
         self._waiting_since_s = None
         self._activity.record_activity(identity, is_data)
-        if self._activity.get_longest_silence_s(identity, waiting_since_s) >= (
-            MIN_RESTART_S
-        ):
+        silence_s = self._activity.get_last_silence_s(identity, waiting_since_s)
+        if silence_s >= MIN_RESTART_S:
             self._silence_ended_s = self._timers.now()
 
     async def _read_data(self, content: aiohttp.StreamReader) -> bytes:
