--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -98,9 +98,9 @@
     Args:
         min_answers: Answers to requests with prompts from which on a part that was in
             none of them is refused for the whole first term.
-        has_survivor: Returns whether another server of a server's failure domain than
-            those of some ids has responded after some time, in which it has not started
-            again.
+        has_survivor: Returns whether the failure domain of a crashed server goes on;
+            called with its id, the ids of all servers that crashed at that time, and
+            the time from which data of another server count.
 
     Examples:
         >>> poison = CrashCauses()
