--- a/oleanderpier/entry/tests/test_draining.py
+++ b/oleanderpier/entry/tests/test_draining.py
@@ -43,3 +43,34 @@
         self.assertFalse(self.drain.may_stop_listening(1))
         self.timers.advance(GRACE_S)
         self.assertTrue(self.drain.may_stop_listening(1))
+
+    def test_stop_of_a_host_that_stood_still_ends_before_it_is_killed(self):
+        """The signal may have come at the beginning of the standstill."""
+        for delay_s in (0.0, 0.3):
+            drain = Drain(self.timers, GRACE_S)
+            self.timers.advance(5.0)
+            stopped_s = self.timers.now()
+            self.timers._now_s += 3.0
+            self.timers.advance(delay_s)
+            drain.begin()
+            self.assertLess(drain.get_last_response_deadline_s(), stopped_s + GRACE_S)
+            self.assertFalse(drain.may_stop_listening(0), "callers have old lists")
+            self.timers.advance(GRACE_S - 3.0)
+            self.assertTrue(drain.may_stop_listening(1))
+
+    def test_stop_after_a_long_standstill_has_half_of_the_grace_period(self):
+        """The signal came later than its beginning, since the host was not killed."""
+        self.timers._now_s += 60.0
+        self.drain.begin()
+        self.assertFalse(self.drain.may_stop_listening(1))
+        left_s = self.drain.get_last_response_deadline_s() - self.timers.now()
+        self.assertGreater(left_s, 0.4 * GRACE_S)
+
+    def test_standstill_long_before_the_stop_does_not_count(self):
+        """The whole grace period is left."""
+        self.timers._now_s += 3.0
+        self.timers.advance(2.0)
+        self.drain.begin()
+        self.assertGreater(
+            self.drain.get_last_response_deadline_s(), self.timers.now() + 0.9 * GRACE_S
+        )
