Let large responses that state their length wait for room

Cause: the bound on the bytes of all responses ended the largest response of the server with the most bytes, although each of them was sound and could have waited.

A response that states a length of 1 MB or more now waits until there is room for it before its body is read, in the order in which they come, for at most half of the time that is left. Then it is read as far as there is room, as before, so that servers that send slowly hold others up for no longer. Responses without a length are bounded as before; test_endless_responses passes unchanged.

Evidence: traced in the log of the host: five requests for 15 MB within 0.3 s, two ended with 'all responses together are more than this host may hold'. test_large_responses_at_once_are_delivered fails before.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -16,11 +16,13 @@
 from oleanderpier.forwarding.progress import StreamProgress
 from oleanderpier.forwarding.records import Call, Dialect, ResponseHead
 from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
-from oleanderpier.utils import Timers
+from oleanderpier.utils import Timers, limit_time
 
 __all__ = ["Attempt", "BufferedResponse"]
 
 MAX_RESPONSE_BYTES = 16 << 20
+# A body of this length waits until there is room for it.
+LARGE_RESPONSE_BYTES = 1 << 20
 EVENT_STREAM = "text/event-stream"
 # Silence of a server, on all connections of this host, after which a stream without
 # an event is delayed; the route's latency target if that is longer.
@@ -262,16 +264,33 @@
             raise MessageError(
                 f"a body of {length} bytes, allowed {MAX_RESPONSE_BYTES}"
             )
+        reserved = await self._reserve_room(length or 0)
         while data := await self._read_data(self._http_response.content):
             if self.received_bytes > MAX_RESPONSE_BYTES:
                 raise MessageError(f"a body of more than {MAX_RESPONSE_BYTES} bytes")
             self._body_parts.append(data)
-            self._buffer.resize(self.received_bytes)
+            self._buffer.resize(max(reserved, self.received_bytes))
         self._buffer.complete()
         body = b"".join(self._body_parts)
         self._body_parts.clear()
         return body
 
+    async def _reserve_room(self, length: int) -> int:
+        """Wait until a large body has room, and return the number of reserved bytes.
+
+        0 if it is small, or still has no room after half of the time that is left: then
+        it is read as far as there is room.
+        """
+        if length < LARGE_RESPONSE_BYTES:
+            return 0
+        wait_s = (self._call.deadline_s - self._timers.now()) / 2
+        try:
+            async with limit_time(self._timers, max(0.0, wait_s)):
+                await self._buffer.reserve(length)
+        except TimeoutError:
+            return 0
+        return length
+
     async def _relay_stream(
         self, head: ResponseHead, caller: TrackedCaller
     ) -> AttemptOutcome:
--- a/oleanderpier/forwarding/buffers.py
+++ b/oleanderpier/forwarding/buffers.py
@@ -3,16 +3,35 @@
 It answers this load pattern: a faulty server sends bytes without end to many requests
 at a time. The largest response of the server with the most bytes is ended then, so that
 the responses of other servers are not.
+
+Large responses of sound servers may come at a time, too. One that states its length
+waits until there is room for it, before its body is read.
 """
 
-from collections import Counter
+import asyncio
+from collections import Counter, deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 __all__ = ["MAX_BUFFERED_BYTES", "ResponseBuffer", "ResponseBuffers"]
 
 MAX_BUFFERED_BYTES = 32 << 20
 
 
+class _Waiter(NamedTuple):
+    """A response that waits for room.
+
+    Attributes:
+        buffer: Its buffer.
+        size: The number of bytes that it needs.
+        granted: Done when they have been reserved.
+    """
+
+    buffer: "ResponseBuffer"
+    size: int
+    granted: asyncio.Future[None]
+
+
 class ResponseBuffer:
     """The buffered bytes of one response.
 
@@ -41,6 +60,10 @@
         """Set the number of bytes, and end responses while there are too many."""
         self._buffers.add(self, size - self.size)
 
+    async def reserve(self, size: int) -> None:
+        """Wait until there is room for a number of bytes, and count them."""
+        await self._buffers.reserve(self, size)
+
     @property
     def may_end(self) -> bool:
         """Whether the response may be ended: it is not whole."""
@@ -86,11 +109,30 @@
         self.total_bytes = 0
         self._max_bytes = max_bytes
         self._used: set[ResponseBuffer] = set()
+        self._waiters: deque[_Waiter] = deque()
 
     def open(self, server: str, on_overflow: Callable[[], None]) -> ResponseBuffer:
         """Return an empty buffer; see ``ResponseBuffer``."""
         return ResponseBuffer(self, server, on_overflow)
 
+    async def reserve(self, buffer: ResponseBuffer, size: int) -> None:
+        """Wait for room in the order of the calls; see ``ResponseBuffer.reserve``."""
+        granted = asyncio.get_running_loop().create_future()
+        self._waiters.append(_Waiter(buffer, size, granted))
+        self._grant_room()
+        await granted
+
+    def _grant_room(self) -> None:
+        """Reserve the bytes of those that wait, while there is room for the first."""
+        while self._waiters:
+            buffer, size, granted = self._waiters[0]
+            if not granted.done():
+                if self.total_bytes + size > self._max_bytes:
+                    return
+                granted.set_result(None)
+                self.add(buffer, size - buffer.size)
+            self._waiters.popleft()
+
     def add(self, buffer: ResponseBuffer, change: int) -> None:
         """Change the size of a buffer, and end responses while the sum is too large."""
         buffer.size += change
@@ -104,6 +146,8 @@
             if largest is None:
                 return
             largest.overflow()
+        if change < 0:
+            self._grant_room()
 
     def _find_largest(self) -> ResponseBuffer | None:
         """Return the largest buffer of the server with the most bytes.
--- a/oleanderpier/forwarding/tests/test_buffers.py
+++ b/oleanderpier/forwarding/tests/test_buffers.py
@@ -1,8 +1,19 @@
 """Tests of the bound on the bytes of all responses."""
 
+import asyncio
+
 from testtools import TestCase
 
 from oleanderpier.forwarding.buffers import ResponseBuffer, ResponseBuffers
+from oleanderpier.forwarding.tests.fakes import (
+    ForwarderFixture,
+    RecordingCaller,
+    respond,
+)
+from oleanderpier.results import Code
+from oleanderpier.routing import RequestKind
+from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.utils import run_coroutine
 
 
 class ResponseBuffersTest(TestCase):
@@ -50,3 +61,45 @@
         whole.complete()
         self.open("s2", "next").resize(20)
         self.assertEqual((["next"], 90), (self.ended, self.buffers.total_bytes))
+
+    def test_responses_that_state_their_length_wait_for_room(self):
+        """In the order in which they came; one that is given up is left out."""
+
+        async def run() -> list[str]:
+            reserved: list[str] = []
+
+            async def reserve(name: str, size: int) -> ResponseBuffer:
+                buffer = self.open("s1", name)
+                await buffer.reserve(size)
+                reserved.append(name)
+                return buffer
+
+            first = await reserve("first", 60)
+            tasks = [
+                asyncio.create_task(reserve(name, size))
+                for name, size in (("second", 50), ("left", 30), ("third", 50))
+            ]
+            await asyncio.sleep(0)
+            self.assertEqual(["first"], reserved)
+            tasks[1].cancel()
+            await asyncio.sleep(0)
+            first.close()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            return reserved
+
+        self.assertEqual(["first", "second", "third"], run_coroutine(run()))
+        self.assertEqual(([], 100), (self.ended, self.buffers.total_bytes))
+
+
+class LargeResponsesTest(TestCase):
+    """Large responses of sound servers arrive whole, however many come at once."""
+
+    def test_large_responses_at_once_are_delivered(self):
+        """Guards against ending a sound response for others that could wait."""
+        body = b"x" * (15 << 20)
+        fixture = ForwarderFixture([respond(body=body, delay_s=0.1)])
+        fixture.at_once = True
+        callers = [RecordingCaller() for _ in range(6)]
+        route = make_route(kind=RequestKind.ONCE, sticky=False)
+        outcomes = run_coroutine(fixture.forward_all(route, 20.0, callers))
+        self.assertEqual([Code.DONE] * 6, [each.code for each in outcomes])
