Await the send in the test of a caller that left, not a time

Cause: the test looked at the running sends 10 ms after the start, and the send took 20 ms; a process that stands still for 10 ms in between finds none. With 15 ms of a stall put there the test fails in the same way. It now waits until the send has begun, and the send until the test has looked; what is asked of the calls is the same.

--- a/oleanderpier/claims/tests/test_calls.py
+++ b/oleanderpier/claims/tests/test_calls.py
@@ -93,17 +93,20 @@
 
     def test_send_continues_after_caller_left(self):
         """A send continues when its caller leaves, and is not repeated."""
+        started, responded = asyncio.Event(), asyncio.Event()
 
         async def send(left_s):
             self.send_count += 1
-            await asyncio.sleep(0.02)
+            started.set()
+            await responded.wait()
             return Ok(BackendResponse(b"paid"))
 
         async def run():
             call = asyncio.ensure_future(run_call(self.claims, self.key, send, 1.0))
-            await asyncio.sleep(0.01)
+            await started.wait()
             call.cancel()
             self.assertEqual(1, await finish_calls(0.0))
+            responded.set()
             self.assertEqual(0, await finish_calls(1.0))
             return await run_call(self.claims, self.key, send, 1.0)
 
