Admit requests of callers with old lists after a standstill

What callers saw, by reading: a host that stood still until it was asked to stop refused new requests at once, while callers could not know yet that it leaves.

Cause: the time assumed to be over also counted against the time for which address lists are in use. That counts from when the host left the directory.

Evidence: test_stop_of_a_host_that_stood_still_ends_before_it_is_killed asks for the admission and failed on (HOST_LEAVING).

--- a/oleanderpier/entry/draining.py
+++ b/oleanderpier/entry/draining.py
@@ -1,7 +1,8 @@
 """Decides how long a draining host admits requests and waits for them.
 
 It answers this load pattern: a planned stop under load, with callers that use an old
-address list until it expires, and open connections until they are closed.
+address list until it expires, and open connections until they are closed. The host may
+have been stopped or suspended when the signal came.
 """
 
 from oleanderpier.entry.admission import DrainLimits, check_draining_admission
@@ -107,7 +108,8 @@
             route: The request's route.
             time_limit_s: The request's time limit, in seconds.
         """
-        if self._started_s is None:
+        draining_s = self.get_elapsed_s()
+        if draining_s is None or draining_s <= self._limits.max_ttl_s:
             return None
         elapsed_s = self._timers.now() - self._signalled_s
         return check_draining_admission(route, time_limit_s, elapsed_s, self._limits)
--- a/oleanderpier/entry/tests/test_draining.py
+++ b/oleanderpier/entry/tests/test_draining.py
@@ -55,6 +55,7 @@
             drain.begin()
             self.assertLess(drain.get_last_response_deadline_s(), stopped_s + GRACE_S)
             self.assertFalse(drain.may_stop_listening(0), "callers have old lists")
+            self.assertIsNone(drain.check_admission(self.route, 3600.0))
             self.timers.advance(GRACE_S - 3.0)
             self.assertTrue(drain.may_stop_listening(1))
 
