Refuse for a short time what only simultaneous crashes blame

What callers saw, by reading: a request that many send, in progress at three servers that crash at once, was refused for 240 s if nobody else had it in progress, and a part that is new for 60 s.

Cause: counts such crashes each, and the first term was that of three crashes apart.

The first term is 2 s if a key was in fewer than three crashes at different times; then one request is tried.

--- a/oleanderpier/routing/crashes.py
+++ b/oleanderpier/routing/crashes.py
@@ -254,6 +254,20 @@
         # The parts of a prompt that the server has read are left out of a suspect.
         return len(prompts - {()}) > 1
 
+    def count_moments(self, key: str) -> int:
+        """Return how often servers crashed on requests with a key, at once or not.
+
+        Simultaneous crashes count once but for those on a request that was sent again.
+        """
+        mark = make_resend_mark(key)
+        return _count_apart(
+            sorted(
+                (crash.at_s, mark in crash.keys)
+                for crash in self._crashes
+                if key in crash.keys
+            )
+        )
+
     def has_crash_before(self, key: str, at_s: float) -> bool:
         """Return whether a server crashed on a request with a key before some time."""
         return any(crash.at_s < at_s and key in crash.keys for crash in self._crashes)
--- a/oleanderpier/routing/poison.py
+++ b/oleanderpier/routing/poison.py
@@ -456,6 +456,9 @@
         """Return the first term of a key's quarantine."""
         if key in self._sound_s or key in self._shared:
             return ANSWERED_TERM_S
+        if self._log.count_moments(key) < QUARANTINE_CRASHES:
+            # Simultaneous crashes may blame what many send by chance.
+            return ANSWERED_TERM_S
         if is_request_key(key):
             return REQUEST_TERM_S
         return ANSWERED_TERM_S if self._missing_answers else FIRST_TERM_S
--- a/oleanderpier/routing/tests/test_simultaneous_crashes.py
+++ b/oleanderpier/routing/tests/test_simultaneous_crashes.py
@@ -6,7 +6,7 @@
 
 from oleanderpier.routing import CrashCauses, SuspectKeys
 from oleanderpier.routing.crashes import SIMULTANEOUS_S
-from oleanderpier.routing.poison import REVIEW_S
+from oleanderpier.routing.poison import ANSWERED_TERM_S, REVIEW_S
 
 CRASHING = ("own", "bad")
 REVIEW_INTERVAL_S = 0.2
@@ -66,6 +66,15 @@
         crashes += [[(*make_crashing(number), f"resend:{number}")] for number in (0, 1)]
         self.assertIn("bad", find_blamed(crashes, goes_on=False))
 
+    def test_refusal_for_simultaneous_crashes_alone_is_short(self):
+        """Many may send a sound request, also one that was not answered yet."""
+        for suspect in (("request:hot",), ("own", "part", "request:own")):
+            poison = CrashCauses(0, lambda identity, crashed, at_s: True)
+            for number in range(4):
+                poison.record_crash(f"s{number}", 1, 1.0, [suspect])
+            (quarantine,) = poison.review_crashes(1.2)
+            self.assertEqual(ANSWERED_TERM_S, quarantine.term_s)
+
     def test_failure_domain_that_ends_blames_nothing(self):
         """Whatever its servers were working on."""
         for count in range(1, 13):
