Take an end that is read late behind a slow caller for cut

While a caller takes no events, the host reads nothing; a server can crash and listen again meanwhile, and the end counted as that of the response.

A response that ends with its connection 1 s or more after a write began to wait counts as cut, unless a read had nothing to read in between. A head is a sign of its server only once its id has been compared.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -33,6 +33,9 @@
 # The same for an idempotent request: RESPONSE_TIMEOUT_FACTOR times its latency target.
 RESPONSE_TIMEOUT_FACTOR = 2.0
 MIN_RESPONSE_TIMEOUT_S = 0.25
+# A write that takes longer waits for the caller; a read that does had nothing to read.
+MIN_BLOCKED_S = 0.005
+MIN_CAUGHT_UP_S = 0.02
 # Why a response that ended with its connection may be cut, empty if it is not.
 _LISTENING_REASONS = {
     Listening.YES: "",
@@ -117,6 +120,8 @@
         self._waiting_since_s: float | None = None
         # When the last silence ended in which the server may have restarted.
         self._silence_ended_s = float("-inf")
+        # Since when bytes may have been waiting to be read, None if none are.
+        self._behind_since_s: float | None = None
         # Events without progress that were not passed on yet.
         self._held_events = b""
         self._body_parts: list[bytes] = []
@@ -207,7 +212,8 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.reason = repr(error)
             return Error(AttemptOutcome.LOST)
-        self._record_activity(is_data=True)
+        # What another instance at this address sends is no sign of the server.
+        self._record_activity(is_data=False)
         self.framing = find_framing(self._http_response.headers)
         return self._check_head()
 
@@ -224,6 +230,7 @@
         if not head.valid or (200 <= head.status < 300 and not head.signed):
             self.reason = f"not an answer to this request, status {head.status}"
             return Error(AttemptOutcome.LOST)
+        self._activity.record_activity(self.server.identity)
         return Ok(head)
 
     def _is_stream(self, head: ResponseHead) -> bool:
@@ -335,7 +342,15 @@
             self._held_events = b""
             if not caller.response_started:
                 await caller.begin_stream(head)
-            await caller.write(events)
+            await self._write(events, caller)
+
+    async def _write(self, events: bytes, caller: TrackedCaller) -> None:
+        """Write events; while the caller takes none, nothing is read."""
+        began_s = self._timers.now()
+        await caller.write(events)
+        is_blocked = self._timers.now() - began_s >= MIN_BLOCKED_S
+        if is_blocked and self._behind_since_s is None:
+            self._behind_since_s = began_s
 
     def _hold_events(self, events: bytes) -> None:
         """Keep events that another attempt at the request does not let through.
@@ -368,9 +383,14 @@
         """
         if self.framing is not Framing.CONNECTION:
             return False
-        if self._timers.now() - self._silence_ended_s < MIN_RESTART_S:
+        now_s = self._timers.now()
+        if now_s - self._silence_ended_s < MIN_RESTART_S:
             self.reason = "the server or this host stood still before the end"
             return True
+        behind_since_s = now_s if self._behind_since_s is None else self._behind_since_s
+        if now_s - behind_since_s >= MIN_RESTART_S:
+            self.reason = "the caller was slow, and the end was read late"
+            return True
         listening = await check_listening(self.server.address, self._timers)
         self.reason = _LISTENING_REASONS[listening]
         return bool(self.reason)
@@ -386,8 +406,10 @@
 
     async def _read_data(self, content: aiohttp.StreamReader) -> bytes:
         """Return the next bytes of a stream, empty at its end."""
-        self._waiting_since_s = self._timers.now()
+        began_s = self._waiting_since_s = self._timers.now()
         data = await content.readany()
+        if self._timers.now() - began_s >= MIN_CAUGHT_UP_S:
+            self._behind_since_s = None
         self._record_activity(is_data=bool(data))
         self.received_bytes += len(data)
         return data
--- a/oleanderpier/forwarding/tests/test_broken_streams.py
+++ b/oleanderpier/forwarding/tests/test_broken_streams.py
@@ -27,6 +27,7 @@
 FOURTH_EVENT = format_events(4, 4)
 # Longer than a server needs to start again.
 LONG_PAUSE_S = 1.3
+BULK = b"x" * 1000
 
 
 def break_off(body: bytes):
@@ -339,3 +340,19 @@
                 (LONG_PAUSE_S, b"whole"), others=others, kind=RequestKind.ONCE
             ),
         )
+
+    def test_end_behind_a_slow_caller_does_not_look_complete(self):
+        """The rest and the end were there long before the caller took them."""
+        fixture = ForwarderFixture([break_off(EVENTS + b"data: " + BULK + b"\n\n")])
+        caller = _SlowCaller()
+        route = make_route(max_attempts=1, target_s=0.3, resumable=False)
+        (outcome,) = run_coroutine(fixture.forward_all(route, 9.0, [caller]))
+        self.assertEqual((Code.STREAM_CUT, False), (outcome.code, caller.complete))
+
+
+class _SlowCaller(RecordingCaller):
+    """A caller that takes each write only after some time."""
+
+    async def write(self, data: bytes) -> None:
+        await asyncio.sleep(LONG_PAUSE_S)
+        await super().write(data)
