--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -8,6 +8,7 @@
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
 from oleanderpier.routing.crashes import *  # noqa: F403
+from oleanderpier.routing.eligibility import *  # noqa: F403
 from oleanderpier.routing.health import *  # noqa: F403
 from oleanderpier.routing.load_model import *  # noqa: F403
 from oleanderpier.routing.poison import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -31,6 +31,7 @@
 import xxhash
 
 from oleanderpier.routing.caches import CacheMap
+from oleanderpier.routing.eligibility import Eligibility, Restrictions
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.load_model import (
     DEFAULT_LOAD_LIMIT_FACTOR,
@@ -158,6 +159,9 @@
         self._statements = statements or ServerStatements()
         self._model = LoadModel(roster, health, remote_loads, timers, load_limit_factor)
         self.in_flight = self._model.in_flight
+        self._eligibility = Eligibility(
+            roster, health, self._statements, timers, self.count_in_flight
+        )
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
         """Record that a request is sent to a server."""
@@ -195,7 +199,7 @@
             excluded: Ids of the servers that refused the request; they are never
                 chosen.
         """
-        choice = self._choose_server(query, set(avoid), set(excluded))
+        choice = self._choose_server(query, set(avoid), frozenset(excluded))
         if choice is None:
             return None
         identity = choice.server.identity
@@ -211,15 +215,10 @@
 
     def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
         """Return whether a healthy server is left besides those that were tried."""
-        usable = self._statements.list_willing(
-            self._roster.list_usable(query.service), self._timers.now()
-        )
-        tried = set(tried)
-        return any(
-            entry.identity not in tried
-            and not self._health.is_backing_off(entry.identity)
-            for entry in usable
+        untried = self._eligibility.list_eligible(
+            query.service, Restrictions(frozenset(tried))
         )
+        return bool(self._eligibility.list_healthy(untried))
 
     def get_shortest_wait_s(self, service: str) -> float | None:
         """Return after how long the first server of a service wants requests.
@@ -231,26 +230,19 @@
         )
 
     def _choose_server(
-        self, query: ServerQuery, avoided: set[str], excluded: set[str]
+        self, query: ServerQuery, avoided: set[str], excluded: frozenset[str]
     ) -> Choice | None:
         """Return the best server, without the ages of the data behind the choice."""
         if query.cache_key and not avoided:
             choice = self._choose_holder_by_stats(query)
             if choice is not None:
                 return choice
-        usable = self._statements.list_willing(
-            self._roster.list_usable(query.service), self._timers.now()
+        excludes_full = not avoided and self._names_limit(query.service)
+        usable = self._eligibility.list_eligible(
+            query.service, Restrictions(excluded, excludes_full)
         )
-        if not avoided and self._names_limit(query.service):
-            usable = [entry for entry in usable if not self._is_full(entry)]
-        if excluded:
-            usable = [entry for entry in usable if entry.identity not in excluded]
         untried = [entry for entry in usable if entry.identity not in avoided]
-        healthy = [
-            entry
-            for entry in untried
-            if not self._health.is_backing_off(entry.identity)
-        ]
+        healthy = self._eligibility.list_healthy(untried)
         servers = healthy or untried or usable
         if not servers:
             return None
@@ -274,12 +266,6 @@
         registered = self._roster.list_registered(service)
         return len(self._statements.list_unlimited(registered)) < len(registered)
 
-    def _is_full(self, server: ServerEntry) -> bool:
-        """Return whether a server holds as many requests as it runs at a time."""
-        return self.count_in_flight(server.identity) >= self._statements.get_slots(
-            server
-        )
-
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
         return self._model.count_in_flight(identity)
@@ -329,16 +315,13 @@
             return None
         if self._stats_choices_left[query.service] <= 0:
             return None
-        now_s = self._timers.now()
+        restrictions = Restrictions(excludes_full=stats.has_limits)
         holders = [
             entry
             for identity in self._caches.list_holders(query.cache_key)
             if (entry := self._roster.get_entry(identity)) is not None
             and entry.service == query.service
-            and not entry.leaving
-            and self._statements.is_willing(entry, now_s)
-            and not (stats.has_limits and self._is_full(entry))
-            and not self._health.is_backing_off(identity)
+            and self._eligibility.find_reason(entry, restrictions) is None
         ]
         weights = self._compute_weights(holders, stats)
         below_limit = self._list_below_limit(holders, weights, stats)
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -85,11 +85,9 @@
         >>> statements = ServerStatements()
         >>> statements.record_wait(server, until_s=12.0)
         True
-        >>> statements.list_willing([server], 11.0)
-        []
-        >>> statements.list_willing([server._replace(born_ms=6)], 11.0) == [
-        ...     server._replace(born_ms=6)
-        ... ]
+        >>> statements.is_willing(server, 11.0)
+        False
+        >>> statements.is_willing(server._replace(born_ms=6), 11.0)
         True
     """
 
@@ -187,14 +185,6 @@
         """Return whether a server has said nothing against a request now."""
         return not self.is_leaving(server) and not self.get_wait_s(server, now_s)
 
-    def list_willing(
-        self, servers: list[ServerEntry], now_s: float
-    ) -> list[ServerEntry]:
-        """Return the servers that have said nothing against a request now."""
-        if not self._leaving and not self._waits:
-            return servers
-        return [server for server in servers if self.is_willing(server, now_s)]
-
     def get_slots(self, server: ServerEntry) -> float:
         """Return how many requests a server runs at a time, infinite if unknown."""
         return self._slots.get(server.identity, math.inf)
@@ -235,6 +225,10 @@
         """Return how many servers are known to have said that they leave."""
         return len(self._leaving)
 
+    def has_waits(self) -> bool:
+        """Return whether a server wants no requests, or wanted none a moment ago."""
+        return bool(self._waits)
+
     def count_waits(self, now_s: float) -> int:
         """Return how many servers want no requests now."""
         return sum(known.until_s > now_s for known in self._waits.values())
