Add the state of evacuations, cold servers and data residency

Nothing knew which failure domains are evacuated or which servers are cold. Records that use none of these fields keep the bytes of earlier builds (test_defaults_are_omitted).

--- a/oleanderpier/entry/encoding.py
+++ b/oleanderpier/entry/encoding.py
@@ -2,6 +2,7 @@
 
 import zlib
 from functools import lru_cache
+from typing import Any
 
 import msgspec
 
@@ -23,7 +24,21 @@
     The encoding is compressed, since a watcher sends a table of hundreds of
     routes to two dozen hosts at once over a link of 5 Mbit/s.
     """
-    return zlib.compress(msgspec.msgpack.encode(table))
+    credentials = table.credentials
+    return zlib.compress(
+        msgspec.msgpack.encode(
+            _omit_defaults(
+                table._replace(
+                    routes=[_omit_defaults(route) for route in table.routes],
+                    credentials=None
+                    if credentials is None
+                    else {
+                        key: _omit_defaults(entry) for key, entry in credentials.items()
+                    },
+                )
+            )
+        )
+    )
 
 
 @lru_cache(maxsize=4)
@@ -37,7 +52,22 @@
 
 def encode_server(entry: ServerEntry) -> bytes:
     """Encode a server entry."""
-    return msgspec.msgpack.encode(entry)
+    return msgspec.msgpack.encode(_omit_defaults(entry))
+
+
+def _omit_defaults(record: Any) -> tuple:
+    """Return a record without the trailing fields that have their default value.
+
+    Earlier builds cannot decode a record that has more fields than theirs.
+    """
+    length = len(record)
+    for field in reversed(record._fields):
+        if field not in record._field_defaults:
+            break
+        if getattr(record, field) != record._field_defaults[field]:
+            break
+        length -= 1
+    return tuple(record)[:length]
 
 
 def decode_server(value: bytes) -> ServerEntry:
--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -13,6 +13,7 @@
     Route,
     RoutingTable,
     ServerEntry,
+    ServiceEntry,
     ServiceShare,
     WorkspaceEntry,
 )
@@ -28,6 +29,7 @@
 MAX_INTEGER = (1 << 63) - 1
 
 _Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+_NonNegative = Annotated[float, Meta(ge=0)]
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE,
@@ -60,6 +62,8 @@
     # Whether requests carry prompt parts, so that servers' caches matter.
     Sticky: NotRequired[bool | None]
     Resumable: NotRequired[bool | None]
+    # The regions whose servers may get its requests; all if there are none.
+    AllowedRegions: NotRequired[list[str] | None]
 
 
 class _Limits(TypedDict):
@@ -70,6 +74,14 @@
     Name: str
     ApiKeys: list[str]
     Priority: NotRequired[int | None]
+    AllowedRegions: NotRequired[list[str] | None]
+
+
+class _Service(TypedDict):
+    Name: str
+    ColdStartS: NotRequired[_NonNegative | None]
+    # Requests per second that a cold server tolerates from all hosts together.
+    ColdPerS: NotRequired[_NonNegative | None]
 
 
 class _Configuration(TypedDict):
@@ -77,6 +89,7 @@
     Routes: list[_Route]
     Limits: _Limits
     Tenants: NotRequired[list[_Tenant] | None]
+    Services: NotRequired[list[_Service] | None]
 
 
 class _Server(TypedDict):
@@ -113,6 +126,13 @@
         routes=tuple(_make_route(route) for route in value["Routes"]),
         credentials=None if tenants is None else _index_credentials(tenants),
         limits=CallerLimits(value["Limits"]["MaxBodyBytes"]),
+        services=tuple(
+            ServiceEntry(
+                service["Name"], service.get("ColdStartS") or 0.0, service["ColdPerS"]
+            )
+            for service in value.get("Services") or ()
+            if service.get("ColdPerS")
+        ),
     )
 
 
@@ -142,6 +162,7 @@
         failure_domain=value["Zone"],
         leaving=_LEAVING_BY_STATE[value["State"]],
         born_ms=value.get("born") or 0,
+        cold_remaining_s=value["ColdRemainingMs"] / MILLISECONDS_PER_S,
     )
 
 
@@ -194,12 +215,17 @@
         max_attempts=route.get("MaxAttempts") or 1,
         public=bool(route.get("Public")),
         sticky=bool(route.get("Sticky")),
+        allowed_regions=tuple(route.get("AllowedRegions") or ()),
     )
 
 
 def _index_credentials(tenants: list[_Tenant]) -> dict[str, WorkspaceEntry]:
     return {
-        key: WorkspaceEntry(tenant["Name"], tenant.get("Priority"))
+        key: WorkspaceEntry(
+            tenant["Name"],
+            tenant.get("Priority"),
+            tuple(tenant.get("AllowedRegions") or ()),
+        )
         for tenant in tenants
         for key in tenant["ApiKeys"]
     }
--- /dev/null
+++ b/oleanderpier/routing/evacuations.py
@@ -0,0 +1,104 @@
+"""Failure domains that are evacuated: their servers get nothing more.
+
+The module addresses these load patterns:
+
+- An operator evacuates a failure domain. Its servers must get no further request of any
+  kind, and the servers of the other domains take the load.
+- The domain is taken back: all its servers are cold at once, so that they must not get
+  their usual share immediately (see ``cold_starts``).
+- The store returns from an older copy that lacks the evacuation. The operator writes it
+  again within about 2 s, and until then no request may be sent there.
+"""
+
+from eliot import log_message
+
+from oleanderpier.utils import Subscription, Timers
+
+__all__ = ["RETAINED_S", "Evacuations"]
+
+# How long an evacuation stays in force that the store has lost with its last seconds:
+# the operator writes the key again within 2 s, and 0.5 s is for propagation.
+RETAINED_S = 2.5
+
+
+class Evacuations:
+    """The evacuated failure domains.
+
+    Args:
+        timers: The timer service.
+
+    Examples:
+        >>> from oleanderpier.utils import ManualTimers
+        >>> evacuations = Evacuations(ManualTimers())
+        >>> evacuations.update("duluth", True)
+        >>> evacuations.is_evacuated("duluth")
+        True
+        >>> evacuations.update("duluth", False)
+        >>> evacuations.list_domains()
+        []
+    """
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._begun_s: dict[str, float] = {}
+        self._ended_s: dict[str, float] = {}
+        self._endings: dict[str, Subscription] = {}
+
+    def __bool__(self) -> bool:
+        """Return whether any failure domain is evacuated."""
+        return bool(self._begun_s)
+
+    def update(self, domain: str, active: bool) -> None:
+        """Record that the evacuation of a failure domain has begun, or has ended.
+
+        Args:
+            domain: The failure domain.
+            active: Whether it is evacuated.
+        """
+        ending = self._endings.pop(domain, None)
+        if ending is not None:
+            ending.cancel()
+        if active == (domain in self._begun_s):
+            return
+        now_s = self._timers.now()
+        if active:
+            self._begun_s[domain] = now_s
+        else:
+            del self._begun_s[domain]
+            self._ended_s[domain] = now_s
+        log_message("node:evacuation", domain=domain, active=active)
+
+    def retain(self, domain: str) -> None:
+        """Record that an older copy of the store lacks the evacuation of a domain.
+
+        It ends after ``RETAINED_S`` unless the operator writes it again.
+        """
+        if domain not in self._begun_s or domain in self._endings:
+            return
+        log_message("node:evacuation_retained", domain=domain, for_s=RETAINED_S)
+        self._endings[domain] = self._timers.call_later(
+            RETAINED_S, lambda: self.update(domain, False)
+        )
+
+    def is_evacuated(self, domain: str) -> bool:
+        """Return whether a failure domain is evacuated."""
+        return domain in self._begun_s
+
+    def list_domains(self) -> list[str]:
+        """Return the evacuated failure domains."""
+        return list(self._begun_s)
+
+    def get_begun_s(self, domain: str) -> float | None:
+        """Return when this host learned of the evacuation that is in force.
+
+        The time is on the timer service's clock; None without an evacuation.
+        """
+        return self._begun_s.get(domain)
+
+    def get_ended_s(self, domain: str) -> float | None:
+        """Return when the last evacuation of a failure domain ended.
+
+        The time is on the timer service's clock; None if none has ended since this
+        host started.
+        """
+        return self._ended_s.get(domain)
--- a/oleanderpier/routing/records.py
+++ b/oleanderpier/routing/records.py
@@ -11,6 +11,7 @@
     "Route",
     "RoutingTable",
     "ServerEntry",
+    "ServiceEntry",
     "ServiceShare",
     "WorkspaceEntry",
 ]
@@ -57,6 +58,8 @@
         max_attempts: How many backend servers one request may be sent to.
         public: Whether its requests need no credential.
         sticky: Whether its requests name the parts of a prompt, which are cached.
+        allowed_regions: The only regions whose servers its requests may reach; empty
+            if all.
     """
 
     name: str
@@ -72,6 +75,7 @@
     max_attempts: int
     public: bool
     sticky: bool
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -87,10 +91,13 @@
     Attributes:
         name: The workspace's name.
         priority: Overrides the route's priority; None keeps the route's.
+        allowed_regions: The only regions whose servers its requests may reach; empty
+            if all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(NamedTuple):
@@ -103,6 +110,21 @@
     max_body_bytes: int
 
 
+class ServiceEntry(NamedTuple):
+    """A service whose servers tolerate few requests while they are cold.
+
+    Attributes:
+        name: The service's name.
+        cold_start_s: How long a server is cold after it has started, in seconds.
+        cold_per_s: The requests per second that a cold server tolerates, of all hosts
+            together.
+    """
+
+    name: str
+    cold_start_s: float
+    cold_per_s: float
+
+
 class RoutingTable(NamedTuple):
     """One published version of the routing configuration.
 
@@ -112,12 +134,14 @@
         credentials: The workspace of each credential; None if the configuration
             has no workspaces, and no request needs a credential.
         limits: Limits on callers' requests.
+        services: The services whose cold servers tolerate few requests.
     """
 
     version: int
     routes: tuple[Route, ...]
     credentials: dict[str, WorkspaceEntry] | None
     limits: CallerLimits
+    services: tuple[ServiceEntry, ...] = ()
 
 
 class ServerEntry(NamedTuple):
@@ -130,6 +154,8 @@
         failure_domain: The failure domain that it runs in.
         leaving: Whether it accepts no new requests.
         born_ms: Start time in Unix milliseconds, 0 if unknown.
+        cold_remaining_s: How long it was still cold when it wrote its registration, in
+            seconds.
     """
 
     identity: str
@@ -138,6 +164,7 @@
     failure_domain: str
     leaving: bool
     born_ms: int
+    cold_remaining_s: float = 0.0
 
 
 class PromptPrefix(NamedTuple):
