Obey evacuations and data residency in the choice of servers

The configuration's key space now has the keys op/evacuate/DOMAIN if the settings have EvacuateMs, read by the same watch and replicated like the routes. The chooser leaves out the servers of evacuated domains and of other regions for every attempt, and as sources of copies. A request that only an evacuation leaves without a server is refused with Retry-After of 0.5 to 1.5 s.

A host becomes ready only when it knows both key spaces completely: before, a single change from another host was enough.

--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -31,6 +31,16 @@
             "Servers that name a limit of requests per second.",
             lambda: len(node.exchange.statements.list_limits()),
         ),
+        (
+            "servers_cold",
+            "Servers that tolerate few requests, since they are cold.",
+            lambda: node.cold_servers.count_cold(node.roster.list_entries()),
+        ),
+        (
+            "domains_evacuated",
+            "Failure domains whose servers get nothing more.",
+            lambda: len(node.evacuations.list_domains()),
+        ),
         (
             "prompt_parts_quarantined",
             "Prompt parts, and requests as a whole, that are refused.",
--- a/oleanderpier/entry/metrics.py
+++ b/oleanderpier/entry/metrics.py
@@ -59,6 +59,12 @@
             ["framing", "ending"],
             registry=self.registry,
         )
+        self._held_back = Counter(
+            "oleanderpier_requests_held_back",
+            "Requests that did not reach a server that is evacuated or cold.",
+            ["reason", "decision"],
+            registry=self.registry,
+        )
         self._platform_s = Histogram(
             "oleanderpier_platform_call_seconds",
             "Calls to the platform, by key space and whether it answered.",
@@ -114,6 +120,15 @@
             self._responses.labels(framing.value, outcome.value).inc()
         self._attempt_s.labels(outcome.value).observe(took_s)
 
+    def record_held_back(self, reason: str, decision: str) -> None:
+        """Record that a request did not reach a server.
+
+        Args:
+            reason: ``evacuated`` or ``cold``.
+            decision: ``moved``, ``refused`` or ``held_back``.
+        """
+        self._held_back.labels(reason, decision).inc()
+
     def record_platform_call(self, space: str, answered: bool, took_s: float) -> None:
         """Record a call to the platform and its duration in seconds."""
         self._platform_s.labels(space, str(answered).lower()).observe(took_s)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -7,20 +7,16 @@
 from eliot import log_message
 from expression import Error, Result
 
-from oleanderpier.connections import make_session
+from oleanderpier.connections import Framing, make_session
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
-from oleanderpier.entry.encoding import (
-    decode_server,
-    decode_table,
-    outlasts_server,
-    outlasts_table,
-)
+from oleanderpier.entry.encoding import outlasts_server, outlasts_table
 from oleanderpier.entry.exchange import ServerExchange
 from oleanderpier.entry.gauges import list_gauges
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.staleness import convert_if_stale
+from oleanderpier.entry.values import CONFIGURATION, SERVERS, PublishedValues
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
 from oleanderpier.fleet import (
@@ -49,7 +45,6 @@
 from oleanderpier.peers import Mesh, split_address
 from oleanderpier.replication import (
     MAX_REPORTED_AGE_S,
-    Change,
     ItemSource,
     ItemsQuery,
     ItemsUpdate,
@@ -57,14 +52,15 @@
     Replica,
     ReplicaSummary,
     ReplicaSync,
-    get_era,
-    get_revision,
     maintain_replica,
 )
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
+    AttemptOutcome,
     CacheMap,
     Chooser,
+    ColdServers,
+    Evacuations,
     RetryBudget,
     Roster,
     Route,
@@ -73,16 +69,7 @@
 )
 from oleanderpier.utils import LoopTimers
 
-__all__ = [
-    "CONFIGURATION",
-    "CONFIGURATION_KEY",
-    "SERVERS",
-    "EntryNode",
-]
-
-CONFIGURATION = "configuration"
-SERVERS = "servers"
-CONFIGURATION_KEY = "routes"
+__all__ = ["EntryNode"]
 
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
 # What this host announces in its reports.
@@ -115,7 +102,6 @@
     Attributes:
         state: ``starting``, ``ready`` or ``draining``.
         in_progress: The number of callers' requests in progress.
-        route_index: The routes in force, None before the first configuration.
         metrics: The metrics of this host.
     """
 
@@ -125,7 +111,6 @@
         self.settings = settings
         self.state = "starting"
         self.in_progress = 0
-        self.route_index: RouteIndex | None = None
         self.metrics = EntryMetrics()
         self.timers = LoopTimers()
         self.draining = Drain(self.timers, settings.grace_s)
@@ -188,6 +173,8 @@
     def _build_routing(self) -> None:
         timers = self.timers
         self.roster = Roster(timers)
+        self.evacuations = Evacuations(timers)
+        self.cold_servers = ColdServers(self.evacuations, timers)
         self.watch_duty = WatchDuty(
             self.settings.peer_address,
             self.view,
@@ -222,6 +209,8 @@
             timers,
             self.settings.load_limit_factor,
             self.exchange.statements,
+            self.evacuations,
+            dict(self.settings.regions),
         )
 
     def _subscribe_components(self) -> None:
@@ -246,8 +235,14 @@
         for message_class in (ItemsUpdate, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sync)
         self.members.subscribe(self._handle_member_change)
-        self.replicas[CONFIGURATION].subscribe(self._apply_configuration)
-        self.replicas[SERVERS].subscribe(self._apply_servers)
+        self.values = PublishedValues(
+            self.replicas,
+            self.roster,
+            self.cold_servers,
+            self.evacuations,
+            self.outages,
+            lambda: self.view.report_now(),
+        )
         for replica in self.replicas.values():
             replica.subscribe(lambda change: self._check_ready())
         # Servers that the copy lacks register again, as after an outage.
@@ -258,6 +253,11 @@
         self.roster.subscribe_removed(self.server_activity.remove_server)
         self.roster.subscribe_removed(self.caches.remove_server)
 
+    @property
+    def route_index(self) -> RouteIndex | None:
+        """The routes in force, None before the first configuration."""
+        return self.values.route_index
+
     async def start(self) -> None:
         """Join the fleet and start to replicate the platform's values."""
         exchange = self.exchange
@@ -285,8 +285,10 @@
                 exchange.crash_gossip.announce_sound,
             ),
             self._rng,
-            self.metrics.record_attempt,
+            self._record_attempt,
             exchange.send_limits.request_send,
+            self.metrics.record_held_back,
+            self.cold_servers,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
@@ -387,7 +389,9 @@
         """Become ready once routes and servers are known."""
         if self.state != "starting" or self.route_index is None:
             return
-        if not self.replicas[SERVERS].as_of:
+        # Changes that another host sends may be known before the whole key space,
+        # which also has the evacuations.
+        if not all(replica.as_of for replica in self.replicas.values()):
             return
         self.state = "ready"
         log_message("node:ready", version=self.route_index.table.version)
@@ -422,6 +426,12 @@
             self.outages.record_failure()
         self.watch_duty.handle_reachability(space, reachable)
 
+    def _record_attempt(
+        self, outcome: AttemptOutcome, framing: Framing | None, took_s: float
+    ) -> None:
+        self.cold_servers.begin_traffic()
+        self.metrics.record_attempt(outcome, framing, took_s)
+
     def _make_report(self) -> HostReport:
         responses, failures = self.forwarder.pop_response_counts()
         in_flight = self.chooser.in_flight
@@ -460,28 +470,6 @@
         own = [self.settings.peer_address] if self.state == "ready" else []
         return [*self.view.list_ready(), *own]
 
-    def _apply_configuration(self, change: Change) -> None:
-        for item in change.items:
-            if item.key != CONFIGURATION_KEY or not item.value:
-                continue
-            table = decode_table(item.value)
-            self.route_index = RouteIndex(table)
-            log_message(
-                "node:configuration",
-                version=table.version,
-                era=get_era(item.revision),
-                revision=get_revision(item.revision),
-                routes=len(table.routes),
-                source=change.source,
-            )
-        self.view.report_now()
-
-    def _apply_servers(self, change: Change) -> None:
-        self.outages.check_age()
-        for item in change.items:
-            entry = decode_server(item.value) if item.value else None
-            self.roster.update_entry(item.key, entry)
-
 
 def _make_endpoint(host: str, failure_domain: str) -> HostEndpoint:
     return HostEndpoint(host, failure_domain, *split_address(host))
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -27,6 +27,11 @@
             address list, in seconds.
         load_limit_factor: Limit on the requests in flight at a backend server, as a
             multiple of the mean of its service.
+        evacuate_s: Time within which evacuations take effect, in seconds; None if they
+            are not read.
+        contact_s: Time within which hosts that are gone are known to be, in seconds,
+            None without a bound.
+        regions: The region of each failure domain, as pairs.
     """
 
     host: str
@@ -42,3 +47,6 @@
     budget: BudgetLimits
     longest_keep_s: float
     load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR
+    evacuate_s: float | None = None
+    contact_s: float | None = None
+    regions: tuple[tuple[str, str], ...] = ()
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from oleanderpier.routing import (
     AttemptOutcome,
     Chooser,
+    ColdServers,
     RetryBudget,
     ServerEntry,
     ServerHealth,
@@ -64,6 +65,9 @@
             called for an attempt that was cancelled.
         request_send: Asks whether a request may be sent to a server that may name a
             limit; called with the server and a callback for the decision.
+        on_held_back: Called for each request that does not reach a server because the
+            server is evacuated or cold, with the reason and the decision.
+        cold_servers: The servers that are cold; None if none is.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -89,7 +93,11 @@
         request_send: Callable[
             [ServerEntry, Callable[[bool], None]], None
         ] = lambda server, notify: notify(True),
+        on_held_back: Callable[[str, str], None] = lambda reason, decision: None,
+        cold_servers: ColdServers | None = None,
     ) -> None:
+        self.on_held_back = on_held_back
+        self.cold_servers = cold_servers
         self.on_attempt_end = on_attempt_end
         self._request_send = request_send
         self.record_statements = record_statements
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -8,6 +8,7 @@
 
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse
 from oleanderpier.forwarding.callers import TrackedCaller
+from oleanderpier.forwarding.decisions import log_cold, log_evacuated
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.hedging import Loss, RunningAttempts
 from oleanderpier.forwarding.records import Call, Caller, RequestOutcome
@@ -20,6 +21,7 @@
     AttemptState,
     Choice,
     ServerQuery,
+    combine_regions,
     decide_retry,
     may_hedge,
     pick_service,
@@ -38,6 +40,9 @@
 # Delay that a refusal asks the caller to wait: long enough for a server in backoff
 # to be tried again, short against the latency targets.
 RETRY_AFTER_S = 0.25
+# The range of that delay if only an evacuation leaves no server: the operator ends it
+# or adds servers at any moment, and callers must not return together.
+EVACUATED_RETRY_AFTER_S = (0.5, 1.5)
 # Interval at which a request checks whether its servers have become silent.
 SILENCE_CHECK_INTERVAL_S = 0.2
 # Upper bound of the parts of a prompt in a line of the log.
@@ -69,7 +74,9 @@
         self._service = pick_service(
             call.route.shares, prefixes[-1].key if prefixes else call.identity
         )
-        self._query = ServerQuery(self._service, prefixes)
+        self._query = ServerQuery(
+            self._service, prefixes, combine_regions(call.route, call.workspace)
+        )
         self._tried: set[str] = set()
         self._refused_by: set[str] = set()
         self._retry_after_s = RETRY_AFTER_S
@@ -130,7 +137,7 @@
         while self._servers_tried < MAX_SERVERS_TRIED:
             choice = await self._choose_server(self._refused_by)
             if choice is None:
-                self._explain_no_server()
+                self._explain_no_server(self._refused_by)
                 break
             time_left_s = call.deadline_s - forwarder.timers.now()
             if time_left_s < MIN_TIME_LEFT_S:
@@ -215,13 +222,50 @@
         """
         for _ in range(MAX_LIMITED_CHOICES):
             choice = self._forwarder.chooser.choose(self._query, self._tried, excluded)
-            if choice is None or await self._forwarder.may_send(choice.server):
+            if choice is None:
+                return None
+            if await self._forwarder.may_send(choice.server):
+                if choice.evacuated is not None:
+                    self._forwarder.on_held_back("evacuated", "moved")
+                    log_evacuated(self._call.identity, choice.evacuated, "moved", 0.0)
                 return choice
+            self._record_cold(choice)
         return None
 
-    def _explain_no_server(self) -> None:
-        """Set the reason and the time to come back if no server can be chosen."""
-        wait_s = self._forwarder.chooser.get_shortest_wait_s(self._service)
+    def _record_cold(self, choice: Choice) -> None:
+        """Record that a server got no request, if it is cold."""
+        cold, server = self._forwarder.cold_servers, choice.server
+        rate = cold and cold.get_rate(server)
+        if not rate:
+            return
+        self._forwarder.on_held_back("cold", "held_back")
+        log_cold(
+            self._call.identity,
+            server,
+            cold.get_remaining_s(server),
+            rate.per_s,
+            choice.load,
+            choice.server_state_age_s,
+        )
+
+    def _explain_no_server(self, excluded: set[str]) -> None:
+        """Set the reason and the time to come back if no server can be chosen.
+
+        Args:
+            excluded: Ids of the servers that refused the request.
+        """
+        chooser = self._forwarder.chooser
+        evacuated = chooser.find_evacuated(self._query, excluded)
+        if evacuated is not None:
+            self._retry_after_s = self._forwarder.rng.uniform(*EVACUATED_RETRY_AFTER_S)
+            domain = evacuated.server.failure_domain
+            self._reason = f"failure domain {domain} is evacuated; {self._reason}"
+            self._forwarder.on_held_back("evacuated", "refused")
+            log_evacuated(
+                self._call.identity, evacuated, "refused", self._retry_after_s
+            )
+            return
+        wait_s = chooser.get_shortest_wait_s(self._query)
         if wait_s:
             self._retry_after_s = spread_return_s(
                 max(RETRY_AFTER_S, wait_s), self._forwarder.rng
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -67,7 +67,11 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     store_session = make_store_session()
-    store = StoreClient(settings.platform_address, store_session)
+    store = StoreClient(
+        settings.platform_address,
+        store_session,
+        reads_evacuations=settings.evacuate_s is not None,
+    )
     node = EntryNode(settings, store, ServerDialect())
     node.metrics.register_gauge(
         "log_lines_dropped", "Since the start.", lambda: writer.dropped
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -16,6 +16,7 @@
 
 # The environment variable with the path of the settings file.
 SETTINGS_VARIABLE = "OLEANDERPIER_BOOT"
+MILLISECONDS_PER_S = 1000.0
 
 SocketAddress = Annotated[
     str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
@@ -44,6 +45,10 @@
     ttl_max_s: PositiveFloat
     # Limit on a server's load, as a multiple of the mean of its service.
     CapX: Annotated[float, msgspec.Meta(ge=1)]
+    # Time within which evacuations take effect; absent or 0 if there are none.
+    EvacuateMs: NonNegativeFloat | None
+    # Time after which a host that is gone is out of contact.
+    ContactMs: NonNegativeFloat | None
 
 
 class _PlatformFields(TypedDict):
@@ -53,6 +58,9 @@
     Seeds: list[SocketAddress]
     Bounds: _Bounds
     Platform: _Platform
+    # The region of this host, and of each failure domain.
+    Region: NotRequired[str | None]
+    Zones: NotRequired[dict[str, str] | None]
 
 
 class _SettingsDocument(TypedDict):
@@ -115,4 +123,18 @@
         ),
         longest_keep_s=bounds["ttl_max_s"],
         load_limit_factor=bounds["CapX"],
+        evacuate_s=_convert_ms(bounds.get("EvacuateMs")),
+        contact_s=_convert_ms(bounds.get("ContactMs")),
+        regions=tuple(_list_regions(fields).items()),
     )
+
+
+def _convert_ms(value: float | None) -> float | None:
+    """Return a bound in seconds, None if it is absent or 0."""
+    return value / MILLISECONDS_PER_S if value else None
+
+
+def _list_regions(fields: _PlatformFields) -> dict[str, str]:
+    """Return the region of each failure domain that the settings name."""
+    own = {fields["Zone"]: region} if (region := fields.get("Region")) else {}
+    return {**own, **(fields.get("Zones") or {})}
--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -1,5 +1,6 @@
 """A read-only client of the platform's store."""
 
+import asyncio
 import base64
 from typing import Any, NamedTuple, NotRequired, TypedDict
 
@@ -11,6 +12,7 @@
 from oleanderpier.entry import (
     CONFIGURATION,
     CONFIGURATION_KEY,
+    EVACUATION_KEY_PREFIX,
     SERVERS,
     encode_server,
     encode_table,
@@ -26,7 +28,14 @@
 
 __all__ = ["StoreClient", "make_store_session"]
 
-KEY_PREFIXES = {CONFIGURATION: "op/config", SERVERS: "servers/"}
+CONFIGURATION_STORE_KEY = "op/config"
+KEY_PREFIXES = {CONFIGURATION: CONFIGURATION_STORE_KEY, SERVERS: "servers/"}
+# Evacuations are read by the watch of the configuration, since calls have a price.
+OPERATOR_PREFIX = "op/"
+EVACUATION_STORE_PREFIX = "op/evacuate/"
+# Pause after a watch call that returned only keys that are ignored, since the next call
+# may return at once as well.
+IGNORED_CHANGES_PAUSE_S = 0.3
 # The store usually responds in milliseconds, but may be a hundred times slower.
 RESPONSE_TIMEOUT_S = 1.5
 # How much longer than the requested wait a watch call may take.
@@ -92,10 +101,22 @@
     Args:
         address: The address of the store, ``IP:PORT``.
         session: The HTTP client session.
+        reads_evacuations: Whether the key space of the configuration includes the
+            evacuations.
     """
 
-    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        reads_evacuations: bool = False,
+    ) -> None:
         self._url = f"http://{address}"
+        self._prefixes = dict(KEY_PREFIXES)
+        if reads_evacuations:
+            self._prefixes[CONFIGURATION] = OPERATOR_PREFIX
+        # The services whose servers tolerate few requests while they are cold.
+        self._cold_services: frozenset[str] = frozenset()
         self._session = session
         self._era = 0
         self._refusals = _RefusalLog()
@@ -115,7 +136,7 @@
 
     async def _read_pages(self, space: str) -> ItemsUpdate | None:
         """Return a snapshot, or None if the era changed between two pages."""
-        query = {"Prefix": KEY_PREFIXES[space]}
+        query = {"Prefix": self._prefixes[space]}
         items: list[Item] = []
         as_of = era = None
         for _ in range(MAX_PAGE_COUNT):
@@ -129,7 +150,7 @@
             # Pages are read at different revisions. The snapshot has the lowest
             # of these, so that a watch from there returns changes in between.
             as_of = page["AsOf"] if as_of is None else min(as_of, page["AsOf"])
-            items += [self._convert_item(space, era, item) for item in page["Items"]]
+            items += self._convert_items(space, era, page["Items"])
             if not page["HasMore"] or not page["Items"]:
                 return ItemsUpdate(space, 0, make_position(era, as_of), True, items)
             query["After"] = page["Items"][-1]["Key"]
@@ -145,7 +166,7 @@
             PlatformError: The store did not respond, or refused the call.
         """
         query = {
-            "Prefix": KEY_PREFIXES[space],
+            "Prefix": self._prefixes[space],
             "After": str(get_revision(after)),
             "WaitMs": str(round(wait_s * 1000)),
         }
@@ -153,7 +174,9 @@
             "/kv-watch", query, _WatchResponse, wait_s + WATCH_SLACK_S
         )
         era, body = response
-        items = [self._convert_item(space, era, item) for item in body["events"]]
+        items = self._convert_items(space, era, body["events"])
+        if body["events"] and not items:
+            await asyncio.sleep(IGNORED_CHANGES_PAUSE_S)
         as_of = make_position(era, body["AsOf"])
         return ItemsUpdate(space, after, as_of, False, items)
 
@@ -179,24 +202,51 @@
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise PlatformError(f"{path}: {error}") from error
 
-    def _convert_item(self, space: str, era: int, item: _StoreItem) -> Item:
+    def _convert_items(
+        self, space: str, era: int, items: list[_StoreItem]
+    ) -> list[Item]:
+        """Convert the items of a key space; keys that nobody reads are left out."""
+        return [
+            self._convert_item(space, key, era, item)
+            for item in items
+            if (key := self._convert_key(space, item["Key"])) is not None
+        ]
+
+    def _convert_key(self, space: str, key: str) -> str | None:
+        """Return a key of the store as the replicas have it, None to ignore it."""
+        prefix = self._prefixes[space]
+        if prefix != OPERATOR_PREFIX:
+            key = key.removeprefix(prefix)
+            return key or CONFIGURATION_KEY if space == CONFIGURATION else key
+        if key == CONFIGURATION_STORE_KEY:
+            return CONFIGURATION_KEY
+        domain = key.removeprefix(EVACUATION_STORE_PREFIX)
+        return None if domain in (key, "") else EVACUATION_KEY_PREFIX + domain
+
+    def _convert_item(self, space: str, key: str, era: int, item: _StoreItem) -> Item:
         """Convert an item of the store, decoding its value.
 
         A value that cannot be decoded becomes empty, and is logged once.
+
+        Args:
+            space: The key space.
+            key: The key of the replica.
+            era: The store's era.
+            item: The item.
         """
-        key = item["Key"].removeprefix(KEY_PREFIXES[space])
-        if space == CONFIGURATION:
-            key = key or CONFIGURATION_KEY
         revision = make_position(era, item["Revision"])
         if item.get("Deleted") or "Value" not in item:
             self._refusals.record(item["Key"], None)
             return Item(key, revision, None)
+        if key.startswith(EVACUATION_KEY_PREFIX) and space == CONFIGURATION:
+            # The key alone says that the failure domain is evacuated.
+            return Item(key, revision, b"")
         try:
             data = base64.b64decode(item["Value"], validate=True)
             if space == CONFIGURATION:
-                value = encode_table(decode_configuration(data))
+                value = self._convert_configuration(data)
             else:
-                value = encode_server(decode_server(key, data))
+                value = self._convert_server(key, data)
         except (SettingsError, ValueError, OverflowError) as error:
             # A number or text that can't be encoded for the other hosts, among others.
             self._refusals.record(item["Key"], str(error))
@@ -204,6 +254,22 @@
         self._refusals.record(item["Key"], None)
         return Item(key, revision, value)
 
+    def _convert_configuration(self, data: bytes) -> bytes:
+        table = decode_configuration(data)
+        self._cold_services = frozenset(service.name for service in table.services)
+        return encode_table(table)
+
+    def _convert_server(self, identity: str, data: bytes) -> bytes:
+        """Return an encoded server entry.
+
+        It states how long the server is cold only if its service has a limit for cold
+        servers: the entry would else change with each heartbeat to no purpose.
+        """
+        entry = decode_server(identity, data)
+        if entry.service not in self._cold_services:
+            entry = entry._replace(cold_remaining_s=0.0)
+        return encode_server(entry)
+
     def _read_era(self, text: str | None) -> int:
         """Return the era that a response states; else the last one, with a log line."""
         if text is not None and text.isascii() and text.isdigit():
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -18,6 +18,7 @@
 from oleanderpier.routing.records import *  # noqa: F403
 from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.regions import *  # noqa: F403
+from oleanderpier.routing.requirements import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
 from oleanderpier.routing.shares import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -25,13 +25,17 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
 
 import xxhash
 
 from oleanderpier.routing.caches import CacheMap
-from oleanderpier.routing.eligibility import Eligibility, Restrictions
+from oleanderpier.routing.eligibility import (
+    Eligibility,
+    EvacuatedServer,
+    Restrictions,
+)
+from oleanderpier.routing.evacuations import Evacuations
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.load_model import (
     DEFAULT_LOAD_LIMIT_FACTOR,
@@ -39,12 +43,13 @@
     RemoteLoads,
     ServiceStats,
 )
-from oleanderpier.routing.records import PromptPrefix, ServerEntry
-from oleanderpier.routing.roster import RegistrationChange, Roster
-from oleanderpier.routing.statements import LimitStatement, ServerStatements
+from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.requirements import Choice, ServerQuery
+from oleanderpier.routing.roster import Roster
+from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
 
-__all__ = ["Choice", "Chooser", "ServerQuery"]
+__all__ = ["Chooser"]
 
 # Weight added to a server of another failure domain, in requests in flight,
 # because traffic between failure domains is expensive.
@@ -63,60 +68,6 @@
 STATS_CHOICES_RATIO = 0.25
 
 
-class ServerQuery(NamedTuple):
-    """What a request requires of a server.
-
-    Attributes:
-        service: The name of the service.
-        prefixes: The prefixes of its prompt that other requests share, from the
-            shortest to the longest; empty if there are none.
-    """
-
-    service: str
-    prefixes: tuple[PromptPrefix, ...] = ()
-
-    @property
-    def cache_key(self) -> str:
-        """The key of the longest shared prefix, empty if there is none."""
-        return self.prefixes[-1].key if self.prefixes else ""
-
-
-class Choice(NamedTuple):
-    """The server that was chosen, and the reason for the log.
-
-    Attributes:
-        server: The server.
-        reason: ``cached`` (it has the longest shared prefix cached), ``hashed`` (no
-            server has), ``spilled`` (the servers that have it are over the load
-            limit or get no requests), ``least_loaded`` (there is no shared prefix, or
-            all servers are over the limit) or ``last_resort`` (no healthy server is
-            left to try).
-        load: Requests in flight at it, over all hosts, as known to this host.
-        stats: The statistics of the service that the choice used.
-        copy_source: A server that has a longer prefix cached, from which the chosen
-            server can copy it; None if there is none.
-        own_load: The requests of this host in ``load``.
-        load_age_s: Mean age of the other hosts' requests in ``load``, in seconds.
-        cache_age_s: Seconds since the chosen server was last sent the longest
-            shared prefix, None if never.
-        server_state: The last change of the server's registration.
-        server_state_age_s: Seconds since then.
-        limit: The limit that the server names, None without one.
-    """
-
-    server: ServerEntry
-    reason: str
-    load: int
-    stats: ServiceStats
-    copy_source: ServerEntry | None = None
-    own_load: int = 0
-    load_age_s: float = 0.0
-    cache_age_s: float | None = None
-    server_state: RegistrationChange = RegistrationChange.JOINED
-    server_state_age_s: float = 0.0
-    limit: LimitStatement | None = None
-
-
 class Chooser:
     """Chooses servers and counts this host's requests in flight.
 
@@ -131,6 +82,8 @@
         load_limit_factor: The users' limit on a server's requests in flight, as a
             multiple of the mean of its service.
         statements: What the servers have said of whether they want requests.
+        evacuations: The evacuated failure domains.
+        regions: The region of each failure domain.
 
     Attributes:
         in_flight: This host's requests in flight, by server id.
@@ -147,6 +100,8 @@
         timers: Timers,
         load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR,
         statements: ServerStatements | None = None,
+        evacuations: Evacuations | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self._timers = timers
         self._service_stats: dict[str, ServiceStats] = {}
@@ -159,8 +114,15 @@
         self._statements = statements or ServerStatements()
         self._model = LoadModel(roster, health, remote_loads, timers, load_limit_factor)
         self.in_flight = self._model.in_flight
+        self._evacuations = Evacuations(timers) if evacuations is None else evacuations
         self._eligibility = Eligibility(
-            roster, health, self._statements, timers, self.count_in_flight
+            roster,
+            health,
+            self._statements,
+            timers,
+            self.count_in_flight,
+            self._evacuations,
+            regions or {},
         )
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
@@ -211,35 +173,71 @@
             server_state=state,
             server_state_age_s=self._timers.now() - state_since_s,
             limit=self._statements.get_limit(choice.server),
+            evacuated=self._find_evacuated_holder(query),
         )
 
     def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
         """Return whether a healthy server is left besides those that were tried."""
         untried = self._eligibility.list_eligible(
-            query.service, Restrictions(frozenset(tried))
+            query.service, Restrictions(frozenset(tried), regions=query.regions)
         )
         return bool(self._eligibility.list_healthy(untried))
 
-    def get_shortest_wait_s(self, service: str) -> float | None:
+    def get_shortest_wait_s(self, query: ServerQuery) -> float | None:
         """Return after how long the first server of a service wants requests.
 
-        None if it has no servers, or if all of them leave.
+        None if it has no servers that the request may reach, or if all of them leave.
+        """
+        restrictions = Restrictions(regions=query.regions)
+        servers = [
+            entry
+            for entry in self._roster.list_usable(query.service)
+            if self._eligibility.may_be_reached(entry, restrictions)
+        ]
+        return self._statements.get_shortest_wait_s(servers, self._timers.now())
+
+    def find_evacuated(
+        self, query: ServerQuery, excluded: Iterable[str] = ()
+    ) -> EvacuatedServer | None:
+        """Return a server that would get a request if there were no evacuation.
+
+        Args:
+            query: What the request requires.
+            excluded: Ids of the servers that refused the request.
         """
-        return self._statements.get_shortest_wait_s(
-            self._roster.list_usable(service), self._timers.now()
+        return self._eligibility.find_evacuated(
+            self._roster.list_usable(query.service),
+            Restrictions(frozenset(excluded), regions=query.regions),
         )
 
+    def _find_evacuated_holder(self, query: ServerQuery) -> EvacuatedServer | None:
+        """Return an evacuated server that has the longest shared prefix cached."""
+        if not self._evacuations or not query.cache_key:
+            return None
+        return self._eligibility.find_evacuated(
+            self._list_holders(query), Restrictions(regions=query.regions)
+        )
+
+    def _list_holders(self, query: ServerQuery) -> list[ServerEntry]:
+        """Return the servers of a service that have the longest prefix cached."""
+        return [
+            entry
+            for identity in self._caches.list_holders(query.cache_key)
+            if (entry := self._roster.get_entry(identity)) is not None
+            and entry.service == query.service
+        ]
+
     def _choose_server(
         self, query: ServerQuery, avoided: set[str], excluded: frozenset[str]
     ) -> Choice | None:
         """Return the best server, without the ages of the data behind the choice."""
         if query.cache_key and not avoided:
-            choice = self._choose_holder_by_stats(query)
+            choice = self._choose_holder_by_stats(query, excluded)
             if choice is not None:
                 return choice
         excludes_full = not avoided and self._names_limit(query.service)
         usable = self._eligibility.list_eligible(
-            query.service, Restrictions(excluded, excludes_full)
+            query.service, Restrictions(excluded, excludes_full, query.regions)
         )
         untried = [entry for entry in usable if entry.identity not in avoided]
         healthy = self._eligibility.list_healthy(untried)
@@ -304,7 +302,9 @@
             <= stats.load_limit
         ]
 
-    def _choose_holder_by_stats(self, query: ServerQuery) -> Choice | None:
+    def _choose_holder_by_stats(
+        self, query: ServerQuery, excluded: frozenset[str]
+    ) -> Choice | None:
         """Return a server that has the prefix cached, by the stored statistics.
 
         This avoids a pass over all servers. None if the statistics have expired, or
@@ -315,13 +315,11 @@
             return None
         if self._stats_choices_left[query.service] <= 0:
             return None
-        restrictions = Restrictions(excludes_full=stats.has_limits)
+        restrictions = Restrictions(excluded, stats.has_limits, query.regions)
         holders = [
             entry
-            for identity in self._caches.list_holders(query.cache_key)
-            if (entry := self._roster.get_entry(identity)) is not None
-            and entry.service == query.service
-            and self._eligibility.find_reason(entry, restrictions) is None
+            for entry in self._list_holders(query)
+            if self._eligibility.find_reason(entry, restrictions) is None
         ]
         weights = self._compute_weights(holders, stats)
         below_limit = self._list_below_limit(holders, weights, stats)
@@ -379,20 +377,31 @@
         for prefix in reversed(query.prefixes):
             if prefix.tokens - held_tokens < MIN_COPIED_TOKENS:
                 return None
-            copy_source = self._pick_nearest_healthy(holders[prefix], server)
+            copy_source = self._pick_nearest_healthy(
+                holders[prefix], server, query.regions
+            )
             if copy_source is not None:
                 return copy_source
         return None
 
     def _pick_nearest_healthy(
-        self, holders: Iterable[str], server: ServerEntry
+        self,
+        holders: Iterable[str],
+        server: ServerEntry,
+        regions: frozenset[str] | None,
     ) -> ServerEntry | None:
-        """Return a healthy holder, preferably of the server's failure domain."""
+        """Return a healthy holder, preferably of the server's failure domain.
+
+        Servers that are evacuated or in another region are no sources, while those that
+        leave or are full are.
+        """
+        restrictions = Restrictions(regions=regions)
         healthy = [
             entry
             for identity in sorted(holders)
             if (entry := self._roster.get_entry(identity)) is not None
             and not self._health.is_recovering(identity)
+            and self._eligibility.may_be_reached(entry, restrictions)
         ]
         return min(
             healthy,
--- a/oleanderpier/routing/cold_starts.py
+++ b/oleanderpier/routing/cold_starts.py
@@ -9,6 +9,7 @@
 - A running server becomes cold again, and its entry says so.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from oleanderpier.routing.evacuations import Evacuations
@@ -129,6 +130,10 @@
             return None
         return ColdRate(self._services[server.service].cold_per_s)
 
+    def count_cold(self, servers: Iterable[ServerEntry]) -> int:
+        """Return how many of several servers are cold."""
+        return sum(self.get_remaining_s(server) > 0 for server in servers)
+
     def _end_run(self, identity: str, run: _Run | None) -> None:
         """Remember a run whose registration has ended, since it may be renewed."""
         if run is None:
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -4,23 +4,26 @@
 
 - A release: servers leave one after another and must get nothing more.
 - Overload: servers ask for time or have used up the limit that they name.
+- An evacuation, during which the servers of a failure domain must get nothing more.
+- Data residency: requests must not reach the servers of some regions.
 - Failures: unreachable servers are in backoff, and a server that has refused a request
   must not get it again.
 
 The chooser compares the costs of the servers that remain.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from enum import Enum
 from typing import NamedTuple
 
+from oleanderpier.routing.evacuations import Evacuations
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.roster import Roster
 from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
 
-__all__ = ["Eligibility", "Ineligibility", "Restrictions"]
+__all__ = ["Eligibility", "EvacuatedServer", "Ineligibility", "Restrictions"]
 
 
 class Ineligibility(Enum):
@@ -31,6 +34,8 @@
         WAITING: It has asked callers to wait, or the limit that it names is used up.
         FULL: It holds as many requests as it runs at a time.
         EXCLUDED: It has refused this request.
+        REGION: It is in a region that the request must not reach.
+        EVACUATED: Its failure domain is evacuated, and no other reason applies.
         BACKOFF: It was unreachable and is in backoff.
     """
 
@@ -38,6 +43,8 @@
     WAITING = "waiting"
     FULL = "full"
     EXCLUDED = "excluded"
+    REGION = "region"
+    EVACUATED = "evacuated"
     BACKOFF = "backoff"
 
 
@@ -48,15 +55,31 @@
         excluded: Ids of the servers that are never chosen.
         excludes_full: Whether servers that run as many requests as they can are left
             out.
+        regions: The only regions that the request may reach, None if all.
     """
 
     excluded: frozenset[str] = frozenset()
     excludes_full: bool = False
+    regions: frozenset[str] | None = None
 
 
 NO_RESTRICTIONS = Restrictions()
 
 
+class EvacuatedServer(NamedTuple):
+    """A server that a request does not get because of an evacuation.
+
+    Attributes:
+        server: The server.
+        in_flight: Requests in flight at it, over all hosts, as known to this host.
+        age_s: Seconds since this host learned of the evacuation.
+    """
+
+    server: ServerEntry
+    in_flight: int
+    age_s: float
+
+
 class _Rule(NamedTuple):
     """A row of the table of reasons.
 
@@ -78,6 +101,8 @@
         statements: What the servers have said of whether they want requests.
         timers: The timer service.
         count_in_flight: Returns the requests in flight at a server, of all hosts.
+        evacuations: The evacuated failure domains.
+        regions: The region of each failure domain. A domain without one is in none.
     """
 
     def __init__(
@@ -87,6 +112,8 @@
         statements: ServerStatements,
         timers: Timers,
         count_in_flight: Callable[[str], int],
+        evacuations: Evacuations,
+        regions: Mapping[str, str],
     ) -> None:
         self._roster = roster
         self._rules = {
@@ -109,8 +136,23 @@
                 lambda request: bool(request.excluded),
                 lambda server, request: server.identity in request.excluded,
             ),
+            Ineligibility.REGION: _Rule(
+                lambda request: request.regions is not None,
+                lambda server, request: (
+                    request.regions is not None
+                    and regions.get(server.failure_domain) not in request.regions
+                ),
+            ),
+            # The last one, so that it is found only if it is the only reason.
+            Ineligibility.EVACUATED: _Rule(
+                lambda _: bool(evacuations),
+                lambda server, _: evacuations.is_evacuated(server.failure_domain),
+            ),
         }
         self._health = health
+        self._evacuations = evacuations
+        self._timers = timers
+        self._count_in_flight = count_in_flight
 
     def list_eligible(
         self, service: str, restrictions: Restrictions = NO_RESTRICTIONS
@@ -134,6 +176,16 @@
         is_backing_off = self._health.is_backing_off
         return [server for server in servers if not is_backing_off(server.identity)]
 
+    def may_be_reached(self, server: ServerEntry, restrictions: Restrictions) -> bool:
+        """Return whether anything may be sent to a server, or fetched from it.
+
+        Servers that leave or have no room may still be the source of a copy.
+        """
+        return not any(
+            self._rules[reason].applies(server, restrictions)
+            for reason in (Ineligibility.REGION, Ineligibility.EVACUATED)
+        )
+
     def find_reason(
         self, server: ServerEntry, restrictions: Restrictions = NO_RESTRICTIONS
     ) -> Ineligibility | None:
@@ -144,3 +196,20 @@
         if self._health.is_backing_off(server.identity):
             return Ineligibility.BACKOFF
         return None
+
+    def find_evacuated(
+        self, servers: Iterable[ServerEntry], restrictions: Restrictions
+    ) -> EvacuatedServer | None:
+        """Return the first server that may get no request only due to an evacuation."""
+        if not self._evacuations:
+            return None
+        for server in servers:
+            reason = self.find_reason(server, restrictions)
+            if reason is Ineligibility.EVACUATED:
+                begun_s = self._evacuations.get_begun_s(server.failure_domain)
+                return EvacuatedServer(
+                    server,
+                    self._count_in_flight(server.identity),
+                    self._timers.now() - begun_s,
+                )
+        return None
--- a/oleanderpier/routing/tests/test_statements.py
+++ b/oleanderpier/routing/tests/test_statements.py
@@ -208,7 +208,7 @@
         for number in range(3):
             server = fixture.roster.get_entry(f"s{number}")
             fixture.statements.record_wait(server, fixture.timers.now() + 1.0 + number)
-        self.assertEqual(1.0, fixture.chooser.get_shortest_wait_s(ENGINE))
+        self.assertEqual(1.0, fixture.chooser.get_shortest_wait_s(ServerQuery(ENGINE)))
         self.assertEqual({"none": 99}, self.count_choices(fixture, 0.99))
         fixture.timers.advance(0.05)
         self.assertEqual(["s0"], list(self.count_choices(fixture, 0.5)))
