Test evacuations and regions, and treat a frozen host's view as stale

A host that was frozen while a failure domain was evacuated went on with requests by its old view. For up to 2 s after a standstill of half of EvacuateMs it now chooses no server until its replica is confirmed again.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -1,6 +1,7 @@
 """The entry host: creates its components and connects them."""
 
 import asyncio
+import math
 import random
 from collections.abc import Iterable
 
@@ -16,6 +17,7 @@
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.staleness import convert_if_stale
+from oleanderpier.entry.standstill import StandstillGuard
 from oleanderpier.entry.values import CONFIGURATION, SERVERS, PublishedValues
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
@@ -87,6 +89,12 @@
 # With this many ready hosts in its failure domain, a host lists only these to
 # callers: hosts of other domains report less often, so their state is older.
 MIN_DOMAIN_HOST_COUNT = 8
+# A standstill that is shorter than this part of the time within which evacuations take
+# effect leaves enough time to learn of one afterwards.
+STANDSTILL_RATIO = 0.5
+# The users' bound on how long the address list may name a host that is gone is the time
+# until it is out of contact and 3 s; 0.5 s are for the way to the caller.
+LISTED_AFTER_CONTACT_S = 2.5
 POLL_INTERVAL_S = 0.05
 CONNECT_TIMEOUT_S = 0.3
 
@@ -173,7 +181,7 @@
     def _build_routing(self) -> None:
         timers = self.timers
         self.roster = Roster(timers)
-        self.evacuations = Evacuations(timers)
+        self.evacuations = self._make_evacuations()
         self.cold_servers = ColdServers(self.evacuations, timers)
         self.watch_duty = WatchDuty(
             self.settings.peer_address,
@@ -213,6 +221,15 @@
             dict(self.settings.regions),
         )
 
+    def _make_evacuations(self) -> Evacuations:
+        evacuate_s = self.settings.evacuate_s
+        if evacuate_s is None:
+            return Evacuations(self.timers)
+        guard = StandstillGuard(
+            self.replicas[CONFIGURATION], self.timers, STANDSTILL_RATIO * evacuate_s
+        )
+        return Evacuations(self.timers, guard.is_unconfirmed)
+
     def _subscribe_components(self) -> None:
         self.mesh.subscribe_range(MEMBERSHIP_MESSAGE_NUMBERS, self._handle_membership)
         self.mesh.subscribe(HostReport, self.view.receive_report)
@@ -367,9 +384,13 @@
 
     def list_addresses(self) -> list[str]:
         """Return the addresses of ready hosts for callers, in random order."""
-        hosts = self.view.list_ready_in_domain()
+        contact_s = self.settings.contact_s
+        max_age_s = (
+            math.inf if contact_s is None else contact_s + LISTED_AFTER_CONTACT_S
+        )
+        hosts = self.view.list_ready_in_domain(max_age_s)
         if len(hosts) < MIN_DOMAIN_HOST_COUNT:
-            hosts = self.view.list_ready()
+            hosts = self.view.list_ready(max_age_s)
         addresses = [self.view.get_caller_address(host) for host in hosts]
         if self.state == "ready":
             addresses.append(self.settings.caller_address)
--- a/oleanderpier/fleet/tests/test_view.py
+++ b/oleanderpier/fleet/tests/test_view.py
@@ -11,6 +11,8 @@
 
 # Time limit within which a silent host has to leave the list of ready hosts.
 REMOVAL_TIMEOUT_S = 1.2
+# Time limit within which it has to leave the address list, however large the fleet is.
+MAX_LISTED_AGE_S = 6.5
 
 
 class FakeFleet:
@@ -119,6 +121,22 @@
         self.assertNotIn("h2", view.list_ready_in_domain())
         self.assertIn("h4", view.list_ready_in_domain())
 
+    def test_large_fleet_lists_only_recent_reports(self):
+        """A lost host leaves the address list in time, though its report is valid.
+
+        In a fleet of this size a host of another failure domain reports every 3 s, and
+        its last report is valid for 10 s.
+        """
+        fleet = FakeFleet(131)
+        fleet.run(12.0)
+        view = fleet.views["h0"]
+        self.assertIn("h3", view.list_ready(MAX_LISTED_AGE_S))
+        fleet.silent.add("h3")
+        fleet.run(MAX_LISTED_AGE_S)
+        self.assertIn("h3", view.list_ready())
+        self.assertNotIn("h3", view.list_ready(MAX_LISTED_AGE_S))
+        self.assertIn("h5", view.list_ready(MAX_LISTED_AGE_S))
+
     def test_silent_host_is_announced_once(self):
         """Subscribers are told once of a host that becomes silent."""
         fleet = FakeFleet(3)
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -1,5 +1,6 @@
 """Exchanges reports with the other hosts and aggregates those received."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -143,17 +144,26 @@
         hosts = self.list_present_in_domain()
         return [host for host in hosts if self._reports[host].report.platform_reachable]
 
-    def list_ready(self) -> list[str]:
-        """Return the other hosts that are present and accept requests."""
+    def list_ready(self, max_age_s: float = math.inf) -> list[str]:
+        """Return the other hosts that are present and accept requests.
+
+        Args:
+            max_age_s: How long ago they must have reported at most. Reports of hosts in
+                other failure domains are valid for longer the more hosts there are.
+        """
+        oldest_s = self._timers.now() - max_age_s
         return [
             host
             for host, received in self._reports.items()
-            if received.report.ready and self._is_valid(received)
+            if received.report.ready
+            and self._is_valid(received)
+            and received.received_s >= oldest_s
         ]
 
-    def list_ready_in_domain(self) -> list[str]:
+    def list_ready_in_domain(self, max_age_s: float = math.inf) -> list[str]:
         """Return the hosts of ``list_ready`` in this host's failure domain."""
-        return [host for host in self.list_ready() if self._is_in_own_domain(host)]
+        hosts = self.list_ready(max_age_s)
+        return [host for host in hosts if self._is_in_own_domain(host)]
 
     def list_with_feature(self, feature: str) -> list[str]:
         """Return the other present hosts whose reports announce a feature."""
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -25,6 +25,7 @@
     CacheMap,
     Chooser,
     CrashCauses,
+    Evacuations,
     PromptPart,
     Quarantine,
     Refusal,
@@ -334,6 +335,8 @@
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
         at_once: Whether the requests are forwarded at the same time.
+        evacuated: Ids of the servers whose failure domain is evacuated from the start.
+        moved: The reason and the decision for each request that did not reach one.
     """
 
     def __init__(
@@ -351,6 +354,8 @@
         self.differ_in_prompt = False
         self.at_once = False
         self._used_up = used_up
+        self.evacuated: tuple[str, ...] = ()
+        self.moved: list[tuple[str, str]] = []
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
         """Forward one request, then close all servers."""
@@ -366,7 +371,11 @@
         order = {f"s{number}": number for number in range(len(self.servers))}
         for identity, server in zip(order, self.servers, strict=True):
             address = await server.listen()
-            roster.update_entry(identity, make_server(identity, address=address))
+            domain = "alpena" if identity in self.evacuated else "duluth"
+            roster.update_entry(
+                identity,
+                make_server(identity, address=address, failure_domain=domain),
+            )
             if order[identity] in self.unreachable:
                 server._listener.close()
         budget = RetryBudget(
@@ -377,6 +386,9 @@
         remote_loads = FakeRemoteLoads()
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
+        evacuations = Evacuations(timers)
+        if self.evacuated:
+            evacuations.update("alpena", True)
         chooser = Chooser(
             roster,
             health,
@@ -386,6 +398,7 @@
             rng,
             timers,
             statements=statements,
+            evacuations=evacuations,
         )
 
         def request_send(server: ServerEntry, notify: Callable[[bool], None]) -> None:
@@ -408,6 +421,7 @@
                 rng,
                 self._make_attempt_recorder(causes, route, timers),
                 request_send,
+                lambda *decision: self.moved.append(decision),
             )
             try:
                 requests = [
--- /dev/null
+++ b/oleanderpier/forwarding/tests/test_evacuated.py
@@ -0,0 +1,51 @@
+"""Tests of forwarding while a failure domain is evacuated."""
+
+from testtools import TestCase
+
+from oleanderpier.forwarding.tests.fakes import (
+    ForwarderFixture,
+    forward_request,
+    never_respond,
+    reset_connection,
+    respond,
+)
+from oleanderpier.results import Code
+from oleanderpier.routing import RequestKind
+
+IDEMPOTENT = {"kind": RequestKind.IDEMPOTENT, "resumable": False, "target_s": 0.2}
+
+
+class EvacuatedTest(TestCase):
+    """No attempt of any kind reaches a server of an evacuated failure domain."""
+
+    def test_retry(self):
+        """After a lost response the request goes to the server behind."""
+        fixture = ForwarderFixture([reset_connection], [respond()], [respond()])
+        fixture.evacuated = ("s1",)
+        outcome = forward_request(fixture, max_attempts=2, **IDEMPOTENT)
+        self.assertEqual(Code.DONE, outcome.code)
+        self.assertEqual([1, 0, 1], fixture.count_requests())
+
+    def test_hedge(self):
+        """While the server is silent, the request goes to the server behind."""
+        fixture = ForwarderFixture([never_respond], [respond()], [respond()])
+        fixture.evacuated = ("s1",)
+        outcome = forward_request(
+            fixture, timeout_s=4.0, max_attempts=2, **{**IDEMPOTENT, "target_s": 0.1}
+        )
+        self.assertEqual(Code.DONE, outcome.code)
+        self.assertEqual([1, 0, 1], fixture.count_requests())
+
+    def test_refusal(self):
+        """Without another server the request is refused at once, with a time."""
+        waits_s = []
+        for _ in range(3):
+            fixture = ForwarderFixture([respond()], [respond()])
+            fixture.evacuated = ("s0", "s1")
+            outcome = forward_request(fixture, **IDEMPOTENT)
+            self.assertEqual(Code.NO_BACKEND_SERVER, outcome.code)
+            self.assertIn("alpena is evacuated", outcome.reason)
+            self.assertEqual([0, 0], fixture.count_requests())
+            self.assertEqual([("evacuated", "refused")], fixture.moved)
+            waits_s.append(fixture.caller.failure.retry_after_s)
+        self.assertTrue(all(0.5 <= wait_s <= 1.5 for wait_s in waits_s), waits_s)
--- a/oleanderpier/platform/tests/test_documents.py
+++ b/oleanderpier/platform/tests/test_documents.py
@@ -5,7 +5,12 @@
 
 from oleanderpier.exception import SettingsError
 from oleanderpier.platform.documents import decode_configuration, decode_server
-from oleanderpier.routing import RequestKind, ServiceShare, WorkspaceEntry
+from oleanderpier.routing import (
+    RequestKind,
+    ServiceEntry,
+    ServiceShare,
+    WorkspaceEntry,
+)
 
 ROUTE = {
     "Name": "r-1",
@@ -61,6 +66,30 @@
 class ConfigurationTest(TestCase):
     """A configuration is decoded into a routing table."""
 
+    def test_services_with_cold_rate_are_listed(self):
+        """Those without one need no limit while their servers are cold."""
+        self.assertEqual((), decode_configuration(encode(CONFIGURATION)).services)
+        services = [
+            {"Name": "one", "ColdStartS": 20, "ColdPerS": 11},
+            {"Name": "two", "ColdStartS": 20, "ColdPerS": 0},
+            {"Name": "three", "ColdPerS": None},
+        ]
+        table = decode_configuration(encode(CONFIGURATION, Services=services))
+        self.assertEqual((ServiceEntry("one", 20.0, 11.0),), table.services)
+
+    def test_allowed_regions(self):
+        """Routes and workspaces may restrict the regions; most do not."""
+        table = decode_configuration(encode(CONFIGURATION))
+        self.assertEqual((), table.routes[0].allowed_regions)
+        self.assertEqual((), table.credentials["k1"].allowed_regions)
+        tenant = {"Name": "w", "ApiKeys": ["k1"], "AllowedRegions": ["eu", "us"]}
+        route = {**ROUTE, "AllowedRegions": ["eu"]}
+        table = decode_configuration(
+            encode(CONFIGURATION, Routes=[route], Tenants=[tenant])
+        )
+        self.assertEqual(("eu",), table.routes[0].allowed_regions)
+        self.assertEqual(("eu", "us"), table.credentials["k1"].allowed_regions)
+
     def test_fields_are_translated(self):
         """Each field of the document sets a field of the table."""
         table = decode_configuration(encode(CONFIGURATION))
--- a/oleanderpier/platform/tests/test_settings.py
+++ b/oleanderpier/platform/tests/test_settings.py
@@ -55,6 +55,23 @@
         self.assertEqual(BudgetLimits(0.2, 54.0, 10.0), settings.budget)
         self.assertEqual(3.0, settings.load_limit_factor)
 
+    def test_evacuations_are_off_by_default(self):
+        """A bound of 0 or none at all switches them off, as before."""
+        for bounds, expected in (
+            ({}, (None, None)),
+            ({"EvacuateMs": 0, "ContactMs": None}, (None, None)),
+            ({"EvacuateMs": 5000, "ContactMs": 4000}, (5.0, 4.0)),
+        ):
+            settings = read(render({**FIELDS, "Bounds": bounds})).ok
+            self.assertEqual(expected, (settings.evacuate_s, settings.contact_s))
+
+    def test_regions_of_failure_domains(self):
+        """The region of this host holds for its failure domain."""
+        fields = {**FIELDS, "Region": "us", "Zones": {"alpena": "us", "ghent": "eu"}}
+        expected = {"duluth": "us", "alpena": "us", "ghent": "eu"}
+        self.assertEqual(expected, dict(read(render(fields)).ok.regions))
+        self.assertEqual((), read(render(FIELDS)).ok.regions)
+
     def test_failure_names_invalid_field(self):
         """The failure names the path of the field and what is allowed."""
         cases = {
@@ -65,6 +82,8 @@
                 "Listen": {**FIELDS["Listen"], "Front": "x"},
             },
             "$.Seeds": {**FIELDS, "Seeds": ["no address"]},
+            "$.Bounds.EvacuateMs": {**FIELDS, "Bounds": {"EvacuateMs": -1}},
+            "$.Zones": {**FIELDS, "Zones": ["duluth"]},
             "$.Bounds.GraceS": {**FIELDS, "Bounds": {"GraceS": -1}},
         }
         for path, value in cases.items():
--- a/oleanderpier/platform/tests/test_store.py
+++ b/oleanderpier/platform/tests/test_store.py
@@ -3,12 +3,13 @@
 import asyncio
 import base64
 import json
+import time
 
 from aiohttp import web
 from eliot import add_destinations, remove_destination
 from testtools import TestCase
 
-from oleanderpier.entry import CONFIGURATION, SERVERS
+from oleanderpier.entry import CONFIGURATION, SERVERS, decode_server
 from oleanderpier.exception import PlatformError, RevisionCompactedError
 from oleanderpier.platform import store as store_module
 from oleanderpier.platform.store import StoreClient, make_store_session
@@ -56,7 +57,7 @@
         )
 
 
-async def call_store(store, call):
+async def call_store(store, call, **options):
     """Serve a store, and return the result of a call with a client of it."""
     runner = web.AppRunner(store.make_app())
     await runner.setup()
@@ -65,7 +66,7 @@
     port = site._server.sockets[0].getsockname()[1]
     try:
         async with make_store_session() as session:
-            return await call(StoreClient(f"127.0.0.1:{port}", session))
+            return await call(StoreClient(f"127.0.0.1:{port}", session, **options))
     finally:
         await runner.cleanup()
 
@@ -285,3 +286,78 @@
         ]
         self.assertEqual(["servers/i-1"] * 2, [line["key"] for line in refusals])
         self.assertIn("Address", refusals[0]["reason"])
+
+
+SERVICE = {"Name": "office", "ColdStartS": 20, "ColdPerS": 11}
+CONFIGURATION_DOCUMENT = {"Version": 1, "Routes": [], "Limits": {"MaxBodyBytes": 1}}
+
+
+class EvacuationTest(TestCase):
+    """Evacuations are read with the configuration, if the settings ask for it."""
+
+    def read(self, **options) -> tuple[list, list]:
+        """Return the keys and values of a snapshot, and of the changes after it."""
+        store = StandInStore()
+        store.put("op/config", CONFIGURATION_DOCUMENT)
+        store.put("op/evacuate/alpena", {})
+        store.put("op/release", {"odd": True})
+
+        async def call(client: StoreClient):
+            snapshot = await client.read_snapshot(CONFIGURATION)
+            store.put("op/evacuate/alpena", None)
+            store.put_bytes("op/evacuate/ghent", b"not JSON")
+            store.put("op/other", {})
+            changes = await client.wait_for_changes(CONFIGURATION, snapshot.as_of, 0.1)
+            return snapshot.items, changes.items
+
+        items = run_coroutine(call_store(store, call, **options))
+        self.assertEqual(2, store.call_count)
+        return tuple([(item.key, item.value) for item in each] for each in items)
+
+    def test_evacuations_are_items_beside_the_routes(self):
+        """The key alone counts; other keys of the operator are ignored."""
+        snapshot, changes = self.read(reads_evacuations=True)
+        self.assertEqual(["routes", "evacuate/alpena"], [key for key, _ in snapshot])
+        # Empty, as hosts of earlier builds retain other values over a deletion.
+        self.assertEqual(b"", snapshot[1][1])
+        self.assertEqual([("evacuate/alpena", None), ("evacuate/ghent", b"")], changes)
+
+    def test_without_the_setting_only_the_configuration_is_read(self):
+        """Hosts without the bound call the store as before."""
+        snapshot, changes = self.read()
+        self.assertEqual(["routes"], [key for key, _ in snapshot])
+        self.assertEqual([], changes)
+
+    def test_ignored_keys_cause_no_further_calls(self):
+        """A key that is written all the time does not multiply the calls."""
+
+        async def call(client: StoreClient) -> None:
+            after = make_position(1, 0)
+            for _ in range(3):
+                store.put("op/release", {})
+                changes = await client.wait_for_changes(CONFIGURATION, after, 1.0)
+                self.assertEqual([], changes.items)
+                after = changes.as_of
+
+        store = StandInStore()
+        self.patch(store_module, "IGNORED_CHANGES_PAUSE_S", 0.1)
+        started_s = time.monotonic()
+        run_coroutine(call_store(store, call, reads_evacuations=True))
+        self.assertGreaterEqual(time.monotonic() - started_s, 0.3)
+
+    def test_cold_time_is_kept_for_services_with_a_cold_rate(self):
+        """Other entries keep the bytes of earlier builds, and change no more often."""
+
+        async def call(client: StoreClient) -> list[float]:
+            times = []
+            for services in ([], [SERVICE]):
+                store.put("op/config", {**CONFIGURATION_DOCUMENT, "Services": services})
+                await client.read_snapshot(CONFIGURATION)
+                snapshot = await client.read_snapshot(SERVERS)
+                entry = decode_server(snapshot.items[0].value)
+                times.append(entry.cold_remaining_s)
+            return times
+
+        store = StandInStore()
+        store.put("servers/i-1", {**ENTRY, "ColdRemainingMs": 2500})
+        self.assertEqual([0.0, 2.5], run_coroutine(call_store(store, call)))
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -35,6 +35,8 @@
         FULL: It holds as many requests as it runs at a time.
         EXCLUDED: It has refused this request.
         REGION: It is in a region that the request must not reach.
+        UNCONFIRMED: This host stood still, and does not know yet whether the server's
+            failure domain has been evacuated meanwhile.
         EVACUATED: Its failure domain is evacuated, and no other reason applies.
         BACKOFF: It was unreachable and is in backoff.
     """
@@ -44,6 +46,7 @@
     FULL = "full"
     EXCLUDED = "excluded"
     REGION = "region"
+    UNCONFIRMED = "unconfirmed"
     EVACUATED = "evacuated"
     BACKOFF = "backoff"
 
@@ -143,6 +146,10 @@
                     and regions.get(server.failure_domain) not in request.regions
                 ),
             ),
+            Ineligibility.UNCONFIRMED: _Rule(
+                lambda _: evacuations.are_unconfirmed(),
+                lambda server, _: evacuations.are_unconfirmed(),
+            ),
             # The last one, so that it is found only if it is the only reason.
             Ineligibility.EVACUATED: _Rule(
                 lambda _: bool(evacuations),
--- a/oleanderpier/routing/evacuations.py
+++ b/oleanderpier/routing/evacuations.py
@@ -10,6 +10,8 @@
   again within about 2 s, and until then no request may be sent there.
 """
 
+from collections.abc import Callable
+
 from eliot import log_message
 
 from oleanderpier.utils import Subscription, Timers
@@ -26,6 +28,8 @@
 
     Args:
         timers: The timer service.
+        are_unconfirmed: Returns whether this host may not know of an evacuation that
+            has been in force for long, since it stood still.
 
     Examples:
         >>> from oleanderpier.utils import ManualTimers
@@ -38,7 +42,10 @@
         []
     """
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(
+        self, timers: Timers, are_unconfirmed: Callable[[], bool] = lambda: False
+    ) -> None:
+        self.are_unconfirmed = are_unconfirmed
         self._timers = timers
         self._begun_s: dict[str, float] = {}
         self._ended_s: dict[str, float] = {}
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -5,6 +5,7 @@
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
+    Evacuations,
     RequestKind,
     Roster,
     Route,
@@ -81,17 +82,27 @@
     Args:
         servers: The number of servers, with the ids ``s0``, ``s1`` and so on.
         load_age_s: The age that load reports have, in seconds.
+        regions: The region of each failure domain.
 
     Attributes:
+        evacuations: The evacuated failure domains.
+        are_unconfirmed: Whether they are not known, after a standstill.
         remote_loads: Requests in flight of other hosts.
     """
 
-    def __init__(self, servers: int = 9, load_age_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        servers: int = 9,
+        load_age_s: float = 0.0,
+        regions: dict[str, str] | None = None,
+    ) -> None:
         self.timers = ManualTimers()
         self.roster = Roster(self.timers)
         self.health = ServerHealth(self.timers)
         self.caches = CacheMap(self.timers)
         self.statements = ServerStatements()
+        self.are_unconfirmed = False
+        self.evacuations = Evacuations(self.timers, lambda: self.are_unconfirmed)
         self.remote_loads = FakeRemoteLoads(load_age_s)
         self.chooser = Chooser(
             self.roster,
@@ -102,6 +113,8 @@
             random.Random(1),
             self.timers,
             statements=self.statements,
+            evacuations=self.evacuations,
+            regions=regions,
         )
         self.roster.subscribe_removed(self.caches.remove_server)
         for number in range(servers):
