Test an evacuation with real processes while the store goes away

Three hosts evacuate a failure domain, one of them starts while the store is unavailable, the store returns from a copy that lacks the key, the operator writes it again and takes the domain back.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -101,10 +101,27 @@
         await self._session.close()
         self._folder.cleanup()
 
+    def evacuate(self, domain: str) -> None:
+        """Write the key with which an operator evacuates a failure domain."""
+        self.store.put(f"op/evacuate/{domain}", {})
+
+    def end_evacuation(self, domain: str) -> None:
+        """Delete the key with which an operator has evacuated a failure domain."""
+        self.store.put(f"op/evacuate/{domain}", None)
+
     def publish_configuration(
-        self, version: int, api_keys: tuple[str, ...] = (API_KEY,)
+        self,
+        version: int,
+        api_keys: tuple[str, ...] = (API_KEY,),
+        **service_fields: Any,
     ) -> None:
-        """Publish a configuration with a chat, a payout and a lookup route."""
+        """Publish a configuration with a chat, a payout and a lookup route.
+
+        Args:
+            version: Its version.
+            api_keys: The keys of the only workspace.
+            service_fields: Further fields of the only service.
+        """
         routes = [
             _make_route(
                 "chat", "streaming", Resumable=True, Sticky=True, MaxAttempts=2
@@ -117,19 +134,23 @@
             {
                 "Version": version,
                 "Routes": routes,
-                "Services": [{"Name": "office", "MaxConnections": 100}],
+                "Services": [
+                    {"Name": "office", "MaxConnections": 100, **service_fields}
+                ],
                 "Limits": {"MaxBodyBytes": 1 << 20, "IdleTimeoutMs": 15000},
                 "Tenants": [{"Name": "w1", "ApiKeys": list(api_keys)}],
             },
         )
 
-    async def add_server(self, event_count: int = 20) -> StandInServer:
-        """Start a backend server and register it in the store."""
+    async def add_server(self, event_count: int = 20, **fields: Any) -> StandInServer:
+        """Start a backend server, and register it in the store with further fields."""
         server = StandInServer(f"i-{len(self.servers)}", event_count)
         await server.start(find_free_port())
-        server.on_restart = lambda: self.register_server(server, born=server.run)
+        server.on_restart = lambda: self.register_server(
+            server, **{**fields, "born": server.run}
+        )
         self.servers.append(server)
-        self.register_server(server)
+        self.register_server(server, **fields)
         return server
 
     def register_server(
