Explain evacuations and cold servers, and tell starting hosts of lost ones

trace and summary say in words what moved, held back or refused a request. A host that starts just after the store returned from a copy without an evacuation now learns of it from the reports of the others; before, it sent requests there until the operator had written the key again.

--- a/oleanderpier/cli/tests/test_trace.py
+++ b/oleanderpier/cli/tests/test_trace.py
@@ -91,6 +91,72 @@
         trace = json.loads(run_command("trace", "r", "--json", text=text).output)
         self.assertEqual([1.0, 50.0], [step["time"] for step in trace["steps"]])
 
+    def test_decisions_are_explained(self):
+        """What moved, delayed or refused a request is said in words, in order."""
+        inputs = {"request": "r", "server": "i-1", "in_flight": 7, "age_s": 0.25}
+        text = "\n".join(
+            make_line(time, "h1", event, wait_s=wait_s, **inputs, **fields)
+            for time, event, wait_s, fields in (
+                (4.0, "permits:refused", 0.6, {"decision": "WAIT_TOO_LONG"}),
+                (2.0, "permits:decision", 0.1, {"decision": "FULL"}),
+                (2.5, "permits:decision", 0.0, {"decision": "GRANTED"}),
+                (2.6, "permits:decision", 0.3, {"decision": "GRANTED"}),
+                (1.0, "routing:evacuated", 0.0, {"decision": "moved", "domain": "d"}),
+                (3.0, "routing:cold", 4.0, {"decision": "held_back"}),
+                (5.0, "routing:evacuated", 0.9, {"decision": "refused", "domain": "d"}),
+            )
+        )
+        trace = json.loads(run_command("trace", "r", "--json", text=text).output)
+        self.assertEqual(
+            [
+                "moved from i-1, since its failure domain d is evacuated",
+                "got no permit for i-1: as many requests run there as it can run; "
+                "room is expected in 0.1 s",
+                "got a permit for i-1 at once",
+                "got a permit for i-1 after 0.3 s",
+                "held back from i-1, which is cold for 4.0 s more",
+                "refused, since no server has room for it; room in 0.6 s",
+                "refused, since only the evacuation of d leaves it no server; "
+                "to come back in 0.9 s",
+            ],
+            [
+                decision.removesuffix(" (7 in flight there, as known 0.25 s before)")
+                for decision in trace["decisions"]
+            ],
+        )
+        output = run_command("trace", "r", text=text).output
+        self.assertIn("decision: moved from i-1", output)
+
+    def test_summary_counts_decisions(self):
+        """A request counts once for each kind of decision on its host."""
+        end = {"code": 0, "name": "DONE", "status": 200}
+        lines = []
+        for host, request in (("h1", "r1"), ("h2", "r1"), ("h1", "r2")):
+            for decision, wait_s in (("FULL", 0.1), ("FULL", 0.1), ("GRANTED", 0.0)):
+                lines.append(
+                    make_line(
+                        1.0,
+                        host,
+                        "permits:decision",
+                        request=request,
+                        decision=decision,
+                        wait_s=wait_s,
+                    )
+                )
+            lines.append(make_line(2.0, host, "request:end", request=request, **end))
+        text = "\n".join(
+            [
+                *lines,
+                make_line(
+                    3.0, "h1", "routing:cold", request="r3", decision="held_back"
+                ),
+            ]
+        )
+        (row,) = json.loads(run_command("summary", "--json", text=text).output)
+        self.assertEqual({"permits:decision full": 3}, row["decisions"])
+        output = run_command("summary", text=text).output
+        self.assertIn("permits:decision full 3", output)
+
     def test_unknown_request_exits_with_status_1(self):
         """An id that no line names gives exit status 1."""
         self.assertEqual(1, run_command("trace", "r9").exit_code)
--- a/oleanderpier/cli/trace.py
+++ b/oleanderpier/cli/trace.py
@@ -6,6 +6,7 @@
 
 import click
 
+from oleanderpier.cli.decisions import describe_decision
 from oleanderpier.cli.logs import LogLine, add_files_argument, read_log_lines
 from oleanderpier.cli.tables import print_json, print_table
 
@@ -29,10 +30,12 @@
             request's servers shortly before it, ordered by time.
         cause: Code, status and reason of the request's end, or that its end was not
             logged; empty if nothing is known.
+        decisions: What moved, delayed or refused the request, in order.
     """
 
     steps: list[LogLine]
     cause: str
+    decisions: list[str]
 
 
 def collect_trace(lines: Iterable[LogLine], identity: str) -> RequestTrace:
@@ -50,14 +53,16 @@
         elif "request" not in line:
             context.append(line)
     if not request_lines:
-        return RequestTrace([], "")
+        return RequestTrace([], "", [])
     request_lines.sort(key=lambda line: line["time"])
     steps = [
         *request_lines,
         *(line for line in context if _is_relevant(line, request_lines)),
     ]
     steps.sort(key=lambda line: line["time"])
-    return RequestTrace(steps, _describe_cause(request_lines))
+    descriptions = (describe_decision(line) for line in request_lines)
+    decisions = [text for text in descriptions if text is not None]
+    return RequestTrace(steps, _describe_cause(request_lines), decisions)
 
 
 def _is_relevant(line: LogLine, request_lines: list[LogLine]) -> bool:
@@ -109,7 +114,8 @@
     """Show what happened to the request IDENTITY, from the logs in FILES.
 
     The lines of the request are shown together with the state changes of its
-    host that concern the request's servers. Without FILES the logs are read
+    host that concern the request's servers, and what moved, delayed or refused
+    it. Without FILES the logs are read
     from standard input. Exit status 1 means that no line names the request.
     """
     request_trace = collect_trace(read_log_lines(files), identity)
@@ -120,6 +126,8 @@
             ["TIME", "HOST", "EVENT", "DETAILS"],
             [_make_row(line) for line in request_trace.steps],
         )
+        for decision in request_trace.decisions:
+            click.echo(f"decision: {decision}")
         click.echo(f"cause: {request_trace.cause}")
     else:
         click.echo(f"no log line names the request {identity}", err=True)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -1,7 +1,6 @@
 """The entry host: creates its components and connects them."""
 
 import asyncio
-import math
 import random
 from collections.abc import Iterable
 
@@ -9,6 +8,7 @@
 from expression import Error, Result
 
 from oleanderpier.connections import Framing, make_session
+from oleanderpier.entry.addresses import list_caller_addresses
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import outlasts_server, outlasts_table
 from oleanderpier.entry.exchange import ServerExchange
@@ -17,7 +17,7 @@
 from oleanderpier.entry.newcomers import NewcomerUpdates
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.staleness import convert_if_stale
-from oleanderpier.entry.standstill import StandstillGuard
+from oleanderpier.entry.standstill import make_evacuations
 from oleanderpier.entry.values import CONFIGURATION, SERVERS, PublishedValues
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
@@ -86,15 +86,6 @@
     ReplicaSummary(0, 0, 0.0),
 )
 MILLISECONDS_PER_S = 1000
-# With this many ready hosts in its failure domain, a host lists only these to
-# callers: hosts of other domains report less often, so their state is older.
-MIN_DOMAIN_HOST_COUNT = 8
-# A standstill that is shorter than this part of the time within which evacuations take
-# effect leaves enough time to learn of one afterwards.
-STANDSTILL_RATIO = 0.5
-# The users' bound on how long the address list may name a host that is gone is the time
-# until it is out of contact and 3 s; 0.5 s are for the way to the caller.
-LISTED_AFTER_CONTACT_S = 2.5
 POLL_INTERVAL_S = 0.05
 CONNECT_TIMEOUT_S = 0.3
 
@@ -181,7 +172,9 @@
     def _build_routing(self) -> None:
         timers = self.timers
         self.roster = Roster(timers)
-        self.evacuations = self._make_evacuations()
+        self.evacuations = make_evacuations(
+            self.settings.evacuate_s, self.replicas[CONFIGURATION], timers
+        )
         self.cold_servers = ColdServers(self.evacuations, timers)
         self.watch_duty = WatchDuty(
             self.settings.peer_address,
@@ -221,15 +214,6 @@
             dict(self.settings.regions),
         )
 
-    def _make_evacuations(self) -> Evacuations:
-        evacuate_s = self.settings.evacuate_s
-        if evacuate_s is None:
-            return Evacuations(self.timers)
-        guard = StandstillGuard(
-            self.replicas[CONFIGURATION], self.timers, STANDSTILL_RATIO * evacuate_s
-        )
-        return Evacuations(self.timers, guard.is_unconfirmed)
-
     def _subscribe_components(self) -> None:
         self.mesh.subscribe_range(MEMBERSHIP_MESSAGE_NUMBERS, self._handle_membership)
         self.mesh.subscribe(HostReport, self.view.receive_report)
@@ -384,18 +368,8 @@
 
     def list_addresses(self) -> list[str]:
         """Return the addresses of ready hosts for callers, in random order."""
-        contact_s = self.settings.contact_s
-        max_age_s = (
-            math.inf if contact_s is None else contact_s + LISTED_AFTER_CONTACT_S
-        )
-        hosts = self.view.list_ready_in_domain(max_age_s)
-        if len(hosts) < MIN_DOMAIN_HOST_COUNT:
-            hosts = self.view.list_ready(max_age_s)
-        addresses = [self.view.get_caller_address(host) for host in hosts]
-        if self.state == "ready":
-            addresses.append(self.settings.caller_address)
-        self._rng.shuffle(addresses)
-        return addresses
+        own = [self.settings.caller_address] if self.state == "ready" else []
+        return list_caller_addresses(self.view, own, self.settings.contact_s, self._rng)
 
     def _start_task(self, coroutine) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
@@ -468,17 +442,27 @@
             self.settings.caller_address,
             self.state == "ready",
             self.watch_duty.platform_reachable,
-            {**self.sync.summarize(), **self.outages.summarize(), **FEATURES},
+            self._summarize(),
             servers,
             self.caches.pop_updates(),
         )
 
+    def _summarize(self) -> dict[str, ReplicaSummary]:
+        """Return the summaries for this host's reports, by name."""
+        return {
+            **self.sync.summarize(),
+            **self.outages.summarize(),
+            **self.values.summarize(),
+            **FEATURES,
+        }
+
     def _handle_report(self, host: str, report: HostReport) -> None:
         self.loads.receive_report(
             host, {name: use.in_flight for name, use in report.servers.items()}
         )
         self.outages.receive_summaries(report.replica_summaries)
         self.sync.receive_summaries(host, report.replica_summaries)
+        self.values.receive_summaries(host, report.replica_summaries)
         self.caches.apply_updates(report.placements)
         for identity, use in report.servers.items():
             for response_index in range(use.responses):
--- a/oleanderpier/entry/standstill.py
+++ b/oleanderpier/entry/standstill.py
@@ -8,11 +8,15 @@
 from eliot import log_message
 
 from oleanderpier.replication import Replica
+from oleanderpier.routing import Evacuations
 from oleanderpier.utils import Timers
 
-__all__ = ["StandstillGuard"]
+__all__ = ["StandstillGuard", "make_evacuations"]
 
 TICK_INTERVAL_S = 0.25
+# A standstill that is shorter than this part of the time within which evacuations take
+# effect leaves enough time to learn of one afterwards.
+STANDSTILL_RATIO = 0.5
 # What arrived while the host stood still is read in this time after it, and shows an
 # earlier state of the store although it looks new.
 BUFFERED_S = 0.3
@@ -50,3 +54,20 @@
             now_s < self._resumed_s + MAX_UNCONFIRMED_S
             and self._replica.confirmed_s < self._resumed_s + BUFFERED_S
         )
+
+
+def make_evacuations(
+    evacuate_s: float | None, replica: Replica, timers: Timers
+) -> Evacuations:
+    """Return the evacuations of a host, which does not trust them after a standstill.
+
+    Args:
+        evacuate_s: Time within which evacuations take effect, in seconds; None if they
+            are not read.
+        replica: The replica that has them.
+        timers: The timer service.
+    """
+    if evacuate_s is None:
+        return Evacuations(timers)
+    guard = StandstillGuard(replica, timers, STANDSTILL_RATIO * evacuate_s)
+    return Evacuations(timers, guard.is_unconfirmed)
--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -1,5 +1,7 @@
 """Tests of the entry host, without other processes."""
 
+import math
+
 from testtools import TestCase
 
 from oleanderpier.entry import (
@@ -11,7 +13,7 @@
     encode_server,
     encode_table,
 )
-from oleanderpier.replication import PLATFORM, Item, ItemsUpdate
+from oleanderpier.replication import PLATFORM, Item, ItemsUpdate, make_position
 from oleanderpier.results import Code
 from oleanderpier.routing import BudgetLimits, CallerLimits, RoutingTable
 from oleanderpier.routing.tests.fakes import make_route, make_server
@@ -103,3 +105,87 @@
             return refused.code, node.state
 
         self.assertEqual((Code.HOST_NOT_READY, "starting"), run_coroutine(check()))
+
+
+class EvacuationTest(TestCase):
+    """Evacuations are part of the configuration's key space."""
+
+    def make_node(self) -> EntryNode:
+        """Return a host that knows routes, no servers and an evacuation."""
+        node = EntryNode(SETTINGS._replace(evacuate_s=5.0), None, None)
+        node.view.report_now = lambda: None
+        self.apply(node, 7, [("routes", encode_table(TABLE)), ("evacuate/alpena", b"")])
+        return node
+
+    def apply(
+        self, node: EntryNode, as_of: int, values: list, is_snapshot: bool = True
+    ) -> None:
+        """Apply an update of the configuration."""
+        items = [Item(key, as_of, value) for key, value in values]
+        after = 0 if is_snapshot else as_of - 1
+        update = ItemsUpdate(CONFIGURATION, after, as_of, is_snapshot, items)
+        node.replicas[CONFIGURATION].apply(update, PLATFORM)
+
+    def test_key_is_deleted(self):
+        """The evacuation ends at once, by a deletion or by a snapshot without it."""
+
+        async def check() -> list[list[str]]:
+            node = self.make_node()
+            found = [node.evacuations.list_domains()]
+            self.apply(node, 8, [("evacuate/alpena", None)], is_snapshot=False)
+            found.append(node.evacuations.list_domains())
+            self.apply(node, 9, [("evacuate/ghent", b"")], is_snapshot=False)
+            found.append(node.evacuations.list_domains())
+            self.apply(node, 10, [("routes", encode_table(TABLE))])
+            return [*found, node.evacuations.list_domains()]
+
+        self.assertEqual([["alpena"], [], ["ghent"], []], run_coroutine(check()))
+
+    def test_store_returns_from_copy_without_the_key(self):
+        """The evacuation stays in force, and other hosts are told so."""
+
+        async def check() -> None:
+            node, newcomer = self.make_node(), self.make_node()
+            copy = [("routes", encode_table(TABLE))]
+            self.apply(node, make_position(1, 2), copy)
+            self.assertEqual(["alpena"], node.evacuations.list_domains())
+            self.assertIn("alpena", node.evacuations.list_retained())
+            newcomer.evacuations.update("alpena", False)
+            newcomer.values.receive_summaries("h2", node.values.summarize())
+            self.assertEqual(["alpena"], newcomer.evacuations.list_domains())
+            self.apply(node, make_position(1, 3), [("evacuate/alpena", b"")], False)
+            self.assertEqual({}, node.values.summarize())
+
+        run_coroutine(check())
+
+    def test_single_change_makes_no_host_ready(self):
+        """A host that knows routes but not the key space may lack an evacuation."""
+
+        async def check() -> list[str]:
+            node = EntryNode(SETTINGS, None, None)
+            node.view.report_now = lambda: None
+            node.replicas[SERVERS].apply(ItemsUpdate(SERVERS, 0, 7, True, []), PLATFORM)
+            self.apply(node, 8, [("routes", encode_table(TABLE))], is_snapshot=False)
+            states = [node.state]
+            self.apply(node, 9, [("routes", encode_table(TABLE))])
+            node._check_ready()
+            return [*states, node.state]
+
+        self.assertEqual(["starting", "ready"], run_coroutine(check()))
+
+
+class AddressListTest(TestCase):
+    """The address list names no host that is long out of contact."""
+
+    def test_reports_may_not_be_older_than_the_bound(self):
+        """With the bound of the users, the age of reports is limited by it."""
+
+        async def check(contact_s: float | None) -> list[float]:
+            node = EntryNode(SETTINGS._replace(contact_s=contact_s), None, None)
+            ages_s: list[float] = []
+            node.view.list_ready = lambda max_age_s: ages_s.append(max_age_s) or []
+            node.list_addresses()
+            return ages_s
+
+        self.assertEqual([6.5, 6.5], run_coroutine(check(4.0)))
+        self.assertEqual([math.inf] * 2, run_coroutine(check(None)))
--- a/oleanderpier/entry/values.py
+++ b/oleanderpier/entry/values.py
@@ -9,6 +9,7 @@
     Change,
     OutageDetector,
     Replica,
+    ReplicaSummary,
     get_era,
     get_revision,
 )
@@ -28,6 +29,9 @@
 # Followed by the name of a failure domain. Such a key has an empty value: hosts of
 # earlier builds retain other values of this key space over a deletion.
 EVACUATION_KEY_PREFIX = "evacuate/"
+# In reports, the name of an evacuation that the store has lost and a host retains. Its
+# summary has the remaining time in place of an age.
+RETAINED_PREFIX = "evacuated:"
 
 
 class PublishedValues:
@@ -64,6 +68,25 @@
         replicas[CONFIGURATION].subscribe(self._apply_configuration)
         replicas[SERVERS].subscribe(self._apply_servers)
 
+    def summarize(self) -> dict[str, ReplicaSummary]:
+        """Return the evacuations that this host retains, by names of their own.
+
+        Hosts of an earlier version skip the names.
+        """
+        return {
+            RETAINED_PREFIX + domain: ReplicaSummary(0, 0, remaining_s)
+            for domain, remaining_s in self._evacuations.list_retained().items()
+        }
+
+    def receive_summaries(
+        self, host: str, summaries: dict[str, ReplicaSummary]
+    ) -> None:
+        """Take over the evacuations that another host retains."""
+        for name, summary in summaries.items():
+            if name.startswith(RETAINED_PREFIX):
+                domain = name.removeprefix(RETAINED_PREFIX)
+                self._evacuations.adopt_retained(domain, summary.age_s, host)
+
     def _apply_configuration(self, change: Change) -> None:
         as_of = self._replicas[CONFIGURATION].as_of
         is_return = change.after > 0 and get_era(change.after) < get_era(as_of)
--- a/oleanderpier/routing/evacuations.py
+++ b/oleanderpier/routing/evacuations.py
@@ -49,6 +49,8 @@
         self._timers = timers
         self._begun_s: dict[str, float] = {}
         self._ended_s: dict[str, float] = {}
+        # When the evacuations end that an older copy of the store lacks.
+        self._retained_until_s: dict[str, float] = {}
         self._endings: dict[str, Subscription] = {}
 
     def __bool__(self) -> bool:
@@ -62,6 +64,7 @@
             domain: The failure domain.
             active: Whether it is evacuated.
         """
+        self._retained_until_s.pop(domain, None)
         ending = self._endings.pop(domain, None)
         if ending is not None:
             ending.cancel()
@@ -80,11 +83,42 @@
 
         It ends after ``RETAINED_S`` unless the operator writes it again.
         """
-        if domain not in self._begun_s or domain in self._endings:
+        if domain in self._begun_s and domain not in self._retained_until_s:
+            self._schedule_end(domain, RETAINED_S, "")
+
+    def adopt_retained(self, domain: str, for_s: float, source: str) -> None:
+        """Record an evacuation that another host retains.
+
+        Hosts that start after the return of the store learn of it only so.
+
+        Args:
+            domain: The failure domain.
+            for_s: How long the other host still retains it, in seconds.
+            source: The other host.
+        """
+        if domain in self._begun_s or not 0.0 < for_s <= RETAINED_S:
             return
-        log_message("node:evacuation_retained", domain=domain, for_s=RETAINED_S)
+        self.update(domain, True)
+        self._schedule_end(domain, for_s, source)
+
+    def list_retained(self) -> dict[str, float]:
+        """Return the seconds for which each retained evacuation stays in force."""
+        now_s = self._timers.now()
+        return {
+            domain: until_s - now_s
+            for domain, until_s in self._retained_until_s.items()
+        }
+
+    def _schedule_end(self, domain: str, delay_s: float, source: str) -> None:
+        log_message(
+            "node:evacuation_retained",
+            domain=domain,
+            for_s=round(delay_s, 3),
+            source=source,
+        )
+        self._retained_until_s[domain] = self._timers.now() + delay_s
         self._endings[domain] = self._timers.call_later(
-            RETAINED_S, lambda: self.update(domain, False)
+            delay_s, lambda: self.update(domain, False)
         )
 
     def is_evacuated(self, domain: str) -> bool:
--- a/oleanderpier/routing/tests/test_evacuations.py
+++ b/oleanderpier/routing/tests/test_evacuations.py
@@ -49,3 +49,19 @@
         self.evacuations.retain("duluth")
         self.timers.advance(10.0)
         self.assertIsNone(self.evacuations.get_ended_s("duluth"))
+
+    def test_host_that_started_meanwhile_adopts_it(self):
+        """It would otherwise send there until the operator writes the key again."""
+        newcomer = Evacuations(self.timers)
+        self.assertEqual({}, self.evacuations.list_retained())
+        self.evacuations.retain("alpena")
+        self.timers.advance(1.0)
+        ((domain, for_s),) = self.evacuations.list_retained().items()
+        newcomer.adopt_retained(domain, for_s, "h1")
+        self.assertTrue(newcomer.is_evacuated("alpena"))
+        self.assertEqual({"alpena": for_s}, newcomer.list_retained())
+        self.timers.advance(for_s)
+        self.assertFalse(newcomer.is_evacuated("alpena"))
+        for invalid_s in (0.0, -1.0, RETAINED_S + 1.0, float("nan")):
+            newcomer.adopt_retained("alpena", invalid_s, "h1")
+            self.assertFalse(newcomer.is_evacuated("alpena"))
