--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -62,7 +62,6 @@
     CacheMap,
     Chooser,
     ColdServers,
-    Evacuations,
     RetryBudget,
     Roster,
     Route,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -20,7 +20,10 @@
 # How long an operator takes to write what a copy of the store lacks.
 REWRITE_S = 1.5
 REQUEST_INTERVAL_S = 0.02
-PROMPT_HEADER = {"Prompt-Prefix": "system:4000,subject:2000,own:100"}
+# So many prompts that some are cached in each failure domain.
+PROMPT_COUNT = 12
+# Each so many-th request is a chat.
+CHAT_INTERVAL = 4
 COPY_HEADER = "Kv-Fetch"
 
 
@@ -48,7 +51,7 @@
             if self._ends:
                 break
             host = self.hosts[number % len(self.hosts)]
-            path = "/chat/x" if number % 10 == 0 else "/lookup/x"
+            path = "/chat/x" if number % CHAT_INTERVAL == 0 else "/lookup/x"
             self._requests.add(asyncio.create_task(self._send(host, path, number)))
             await asyncio.sleep(REQUEST_INTERVAL_S)
         await asyncio.gather(*self._requests)
@@ -58,7 +61,11 @@
         self._ends = True
 
     async def _send(self, host: int, path: str, number: int) -> None:
-        status, _ = await self._fleet.fetch(host, path, f"r{number}", **PROMPT_HEADER)
+        prompt = (
+            f"system:4000,subject-{number // CHAT_INTERVAL % PROMPT_COUNT}:2000,own:100"
+        )
+        headers = {"Prompt-Prefix": prompt}
+        status, _ = await self._fleet.fetch(host, path, f"r{number}", **headers)
         self.statuses.append(status)
 
 
