--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -271,6 +271,8 @@
                 max(RETRY_AFTER_S, wait_s), self._forwarder.rng
             )
             self._reason = f"no server wants it for {wait_s:.3f} s; {self._reason}"
+        elif chooser.has_stood_still():
+            self._reason = f"this host just stood still; {self._reason}"
         else:
             self._reason = f"no server of {self._service} has room; {self._reason}"
 
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -183,6 +183,10 @@
         )
         return bool(self._eligibility.list_healthy(untried))
 
+    def has_stood_still(self) -> bool:
+        """Return whether this host chooses no server, since it just stood still."""
+        return self._evacuations.are_unconfirmed()
+
     def get_shortest_wait_s(self, query: ServerQuery) -> float | None:
         """Return after how long the first server of a service wants requests.
 
