--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import signal
 import tempfile
 from pathlib import Path
 
@@ -179,6 +180,37 @@
                     wait_s = float(response.headers["Retry-After"])
                 self.assertTrue(0.5 <= wait_s <= 1.5, wait_s)
 
+    def test_host_that_was_frozen_meanwhile(self):
+        """It sends nothing there, though it has requests to send as soon as it goes on.
+
+        The host gets these requests while it is frozen.
+        """
+        run_coroutine(self._check_freeze())
+
+    async def _check_freeze(self):
+        async with PlatformFleet(2) as fleet:
+            _, evacuated = await self.start_fleet(fleet)
+            await asyncio.sleep(1.0)
+            frozen = fleet.processes[1]
+            frozen.send_signal(signal.SIGSTOP)
+            try:
+                fleet.evacuate(EVACUATED)
+                await asyncio.sleep(EVACUATE_MS / 1000)
+                applied_s = asyncio.get_running_loop().time()
+                requests = [
+                    asyncio.create_task(fleet.fetch(1, "/lookup/x", f"r{number}"))
+                    for number in range(24)
+                ]
+                await asyncio.sleep(0.5)
+            finally:
+                frozen.send_signal(signal.SIGCONT)
+            statuses = {status for status, _ in await asyncio.gather(*requests)}
+            self.assertLessEqual(statuses, {200, 503})
+            await asyncio.sleep(APPLY_S)
+            status, _ = await fleet.fetch(1, "/lookup/x", "r")
+            self.assertEqual(200, status)
+            self.assertEqual(0, count_arrivals(evacuated, applied_s))
+
     def test_without_the_setting_the_keys_are_not_read(self):
         """Deployments without the bound are served as before."""
         run_coroutine(self._check_without_setting())
