--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -83,16 +83,8 @@
     age_s: float
 
 
-class _Rule(NamedTuple):
-    """A row of the table of reasons.
-
-    Attributes:
-        is_active: Returns whether the reason can apply to any usable server.
-        applies: Returns whether the reason applies to a server.
-    """
-
-    is_active: Callable[[Restrictions], bool]
-    applies: Callable[[ServerEntry, Restrictions], bool]
+# Returns those of several servers to which a reason does not apply.
+_Rule = Callable[[list[ServerEntry], Restrictions], list[ServerEntry]]
 
 
 class Eligibility:
@@ -119,47 +111,22 @@
         regions: Mapping[str, str],
     ) -> None:
         self._roster = roster
-        self._rules = {
-            Ineligibility.LEAVING: _Rule(
-                lambda _: statements.count_leaving() > 0,
-                lambda server, _: server.leaving or statements.is_leaving(server),
-            ),
-            Ineligibility.WAITING: _Rule(
-                lambda _: statements.has_waits(),
-                lambda server, _: statements.get_wait_s(server, timers.now()) > 0,
-            ),
-            Ineligibility.FULL: _Rule(
-                lambda request: request.excludes_full,
-                lambda server, request: (
-                    request.excludes_full
-                    and count_in_flight(server.identity) >= statements.get_slots(server)
-                ),
-            ),
-            Ineligibility.EXCLUDED: _Rule(
-                lambda request: bool(request.excluded),
-                lambda server, request: server.identity in request.excluded,
-            ),
-            Ineligibility.REGION: _Rule(
-                lambda request: request.regions is not None,
-                lambda server, request: (
-                    request.regions is not None
-                    and regions.get(server.failure_domain) not in request.regions
-                ),
-            ),
-            Ineligibility.UNCONFIRMED: _Rule(
-                lambda _: evacuations.are_unconfirmed(),
-                lambda server, _: evacuations.are_unconfirmed(),
-            ),
-            # The last one, so that it is found only if it is the only reason.
-            Ineligibility.EVACUATED: _Rule(
-                lambda _: bool(evacuations),
-                lambda server, _: evacuations.is_evacuated(server.failure_domain),
-            ),
-        }
         self._health = health
-        self._evacuations = evacuations
+        self._statements = statements
         self._timers = timers
         self._count_in_flight = count_in_flight
+        self._evacuations = evacuations
+        self._regions = regions
+        self._rules: dict[Ineligibility, _Rule] = {
+            Ineligibility.LEAVING: self._omit_leaving,
+            Ineligibility.WAITING: self._omit_waiting,
+            Ineligibility.FULL: self._omit_full,
+            Ineligibility.EXCLUDED: self._omit_excluded,
+            Ineligibility.REGION: self._omit_other_regions,
+            Ineligibility.UNCONFIRMED: self._omit_unconfirmed,
+            # The last one, so that it is found only if it is the only reason.
+            Ineligibility.EVACUATED: self._omit_evacuated,
+        }
 
     def list_eligible(
         self, service: str, restrictions: Restrictions = NO_RESTRICTIONS
@@ -169,13 +136,8 @@
         Servers in backoff are among them, since they are tried if no other is left.
         """
         servers = self._roster.list_usable(service)
-        for rule in self._rules.values():
-            if rule.is_active(restrictions):
-                servers = [
-                    server
-                    for server in servers
-                    if not rule.applies(server, restrictions)
-                ]
+        for omit in self._rules.values():
+            servers = omit(servers, restrictions)
         return servers
 
     def list_healthy(self, servers: Iterable[ServerEntry]) -> list[ServerEntry]:
@@ -188,17 +150,16 @@
 
         Servers that leave or have no room may still be the source of a copy.
         """
-        return not any(
-            self._rules[reason].applies(server, restrictions)
-            for reason in (Ineligibility.REGION, Ineligibility.EVACUATED)
-        )
+        reachable = self._omit_other_regions([server], restrictions)
+        return bool(self._omit_evacuated(reachable, restrictions))
 
     def find_reason(
         self, server: ServerEntry, restrictions: Restrictions = NO_RESTRICTIONS
     ) -> Ineligibility | None:
         """Return why a server may get no request now, None if it may get one."""
-        for reason, rule in self._rules.items():
-            if rule.applies(server, restrictions):
+        servers = [server]
+        for reason, omit in self._rules.items():
+            if not omit(servers, restrictions):
                 return reason
         if self._health.is_backing_off(server.identity):
             return Ineligibility.BACKOFF
@@ -220,3 +181,60 @@
                     self._timers.now() - begun_s,
                 )
         return None
+
+    def _omit_leaving(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
+        is_leaving = self._statements.is_leaving
+        if not self._statements.count_leaving():
+            return [server for server in servers if not server.leaving]
+        return [
+            server
+            for server in servers
+            if not server.leaving and not is_leaving(server)
+        ]
+
+    def _omit_waiting(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
+        if not self._statements.has_waits():
+            return servers
+        now_s, get_wait_s = self._timers.now(), self._statements.get_wait_s
+        return [server for server in servers if not get_wait_s(server, now_s)]
+
+    def _omit_full(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        if not restrictions.excludes_full:
+            return servers
+        get_slots = self._statements.get_slots
+        return [
+            server
+            for server in servers
+            if self._count_in_flight(server.identity) < get_slots(server)
+        ]
+
+    def _omit_excluded(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        excluded = restrictions.excluded
+        if not excluded:
+            return servers
+        return [server for server in servers if server.identity not in excluded]
+
+    def _omit_other_regions(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        allowed, regions = restrictions.regions, self._regions
+        if allowed is None:
+            return servers
+        return [
+            server
+            for server in servers
+            if regions.get(server.failure_domain) in allowed
+        ]
+
+    def _omit_unconfirmed(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
+        return [] if self._evacuations.are_unconfirmed() else servers
+
+    def _omit_evacuated(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
+        if not self._evacuations:
+            return servers
+        domains = frozenset(self._evacuations.list_domains())
+        return [server for server in servers if server.failure_domain not in domains]
