--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -24,6 +24,7 @@
     BudgetLimits,
     CacheMap,
     Chooser,
+    ColdServers,
     CrashCauses,
     Evacuations,
     PromptPart,
@@ -35,8 +36,14 @@
     ServerEntry,
     ServerHealth,
     ServerStatements,
+    ServiceEntry,
+)
+from oleanderpier.routing.tests.fakes import (
+    ENGINE,
+    FakeRemoteLoads,
+    make_route,
+    make_server,
 )
-from oleanderpier.routing.tests.fakes import FakeRemoteLoads, make_route, make_server
 from oleanderpier.utils import LoopTimers, run_coroutine
 
 __all__ = [
@@ -336,6 +343,7 @@
         differ_in_prompt: Whether each request has another prompt.
         at_once: Whether the requests are forwarded at the same time.
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
+        cold: Ids of the servers that are cold.
         moved: The reason and the decision for each request that did not reach one.
     """
 
@@ -355,6 +363,7 @@
         self.at_once = False
         self._used_up = used_up
         self.evacuated: tuple[str, ...] = ()
+        self.cold: tuple[str, ...] = ()
         self.moved: list[tuple[str, str]] = []
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
@@ -387,6 +396,11 @@
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
         evacuations = Evacuations(timers)
+        cold_servers = ColdServers(evacuations, timers)
+        cold_servers.update_services((ServiceEntry(ENGINE, 20.0, 11.0),))
+        for identity in self.cold:
+            entry = roster.get_entry(identity)
+            cold_servers.update_entry(identity, entry._replace(cold_remaining_s=9.0))
         if self.evacuated:
             evacuations.update("alpena", True)
         chooser = Chooser(
@@ -422,6 +436,7 @@
                 self._make_attempt_recorder(causes, route, timers),
                 request_send,
                 lambda *decision: self.moved.append(decision),
+                cold_servers,
             )
             try:
                 requests = [
--- a/oleanderpier/forwarding/tests/test_evacuated.py
+++ b/oleanderpier/forwarding/tests/test_evacuated.py
@@ -1,4 +1,4 @@
-"""Tests of forwarding while a failure domain is evacuated."""
+"""Tests of forwarding while servers are evacuated or cold."""
 
 from testtools import TestCase
 
@@ -49,3 +49,16 @@
             self.assertEqual([("evacuated", "refused")], fixture.moved)
             waits_s.append(fixture.caller.failure.retry_after_s)
         self.assertTrue(all(0.5 <= wait_s <= 1.5 for wait_s in waits_s), waits_s)
+
+
+class ColdTest(TestCase):
+    """A request that a limit holds back from a cold server says so in the log."""
+
+    def test_held_back(self):
+        """Only if the server is cold; the request goes to another one."""
+        for cold, expected in (("s0", [("cold", "held_back")]), ("s1", [])):
+            fixture = ForwarderFixture([respond()], [respond()], used_up=("s0",))
+            fixture.cold = (cold,)
+            outcome = forward_request(fixture, **IDEMPOTENT)
+            self.assertEqual((Code.DONE, "s1"), (outcome.code, outcome.server))
+            self.assertEqual(expected, fixture.moved)
