--- a/oleanderpier/routing/rate_limits.py
+++ b/oleanderpier/routing/rate_limits.py
@@ -14,9 +14,17 @@
 
 from typing import NamedTuple
 
+from oleanderpier.routing.permit_records import PermitRate, ServerKey
 from oleanderpier.routing.records import ServerEntry
 
-__all__ = ["LimitBuckets", "compute_owner_per_s", "compute_share_per_s"]
+__all__ = [
+    "LimitBuckets",
+    "compute_burst",
+    "compute_cold_rate",
+    "compute_cold_share_per_s",
+    "compute_owner_per_s",
+    "compute_share_per_s",
+]
 
 # A bucket holds what a server takes in this time, so that requests that arrive at
 # uneven intervals use the whole limit.
@@ -29,6 +37,12 @@
 # shows that its limit has ended.
 MIN_RATE_PER_S = 0.2
 BUCKET_KEPT_S = 60.0
+# A cold server crashes well above its rate. Two hosts that both believe that they own
+# it, and all hosts that can't ask, together stay under the users' bound: at 11 requests
+# per second, 2 x (0.7 x 11 + 2) + 0.15 x 11 = 21.05 in any second, of 21.5 allowed.
+COLD_OWNER_RATIO = 0.7
+COLD_BURST = 2.0
+COLD_SHARES_RATIO = 0.15
 
 
 class _Bucket(NamedTuple):
@@ -60,10 +74,11 @@
 
     def acquire(
         self,
-        server: ServerEntry,
+        server: ServerEntry | ServerKey,
         per_s: float,
         now_s: float,
         first_tokens: float = 0.0,
+        burst: float | None = None,
     ) -> float:
         """Take a token for a request to a server.
 
@@ -73,18 +88,42 @@
             now_s: The time.
             first_tokens: What a new bucket holds. None as a rule, since another host
                 may have granted requests until now.
+            burst: The tokens that the bucket holds at most; see ``compute_burst`` for
+                the default.
 
         Returns:
             0 if the request may be sent, else the seconds until the next token.
         """
-        key = (server.identity, server.born_ms)
-        bucket = self._buckets.get(key, _Bucket(first_tokens, now_s))
-        added = per_s * max(0.0, now_s - bucket.updated_s)
-        tokens = min(bucket.tokens + added, max(MIN_CAPACITY, BURST_S * per_s))
+        tokens = self._count(server, per_s, now_s, first_tokens, burst)
         granted = tokens >= 1.0
+        key = (server.identity, server.born_ms)
         self._buckets[key] = _Bucket(tokens - granted, now_s)
         return 0.0 if granted else (1.0 - tokens) / per_s
 
+    def compute_wait_s(
+        self,
+        server: ServerEntry | ServerKey,
+        per_s: float,
+        now_s: float,
+        ahead: int = 0,
+        burst: float | None = None,
+    ) -> float:
+        """Return the seconds until there is a token for a request, and take none.
+
+        Args:
+            server: The server.
+            per_s: The tokens that are added per second.
+            now_s: The time.
+            ahead: How many other requests take a token before.
+            burst: The tokens that the bucket holds at most; see ``compute_burst`` for
+                the default.
+        """
+        tokens = self._count(server, per_s, now_s, 0.0, burst)
+        # The tokens of a new bucket count from now.
+        key = (server.identity, server.born_ms)
+        self._buckets[key] = _Bucket(tokens, now_s)
+        return max(0.0, (1.0 + ahead - tokens) / per_s)
+
     def remove(self, server: ServerEntry) -> None:
         """Remove the bucket of a server, if it has one."""
         self._buckets.pop((server.identity, server.born_ms), None)
@@ -97,6 +136,50 @@
             if now_s < bucket.updated_s + BUCKET_KEPT_S
         }
 
+    def _count(
+        self,
+        server: ServerEntry | ServerKey,
+        per_s: float,
+        now_s: float,
+        first_tokens: float,
+        burst: float | None,
+    ) -> float:
+        """Return the tokens in the bucket of a server."""
+        capacity = compute_burst(per_s) if burst is None else burst
+        bucket = self._buckets.get((server.identity, server.born_ms))
+        if bucket is None:
+            return min(first_tokens, capacity)
+        added = per_s * max(0.0, now_s - bucket.updated_s)
+        return min(bucket.tokens + added, capacity)
+
+
+def compute_burst(per_s: float) -> float:
+    """Return the tokens that the bucket of a limit that a server names may hold.
+
+    Args:
+        per_s: The tokens that are added per second.
+    """
+    return max(MIN_CAPACITY, BURST_S * per_s)
+
+
+def compute_cold_rate(per_s: float) -> PermitRate:
+    """Return the rate that the owner of a cold server grants.
+
+    Args:
+        per_s: The requests per second that the server takes from all hosts.
+    """
+    return PermitRate(COLD_OWNER_RATIO * per_s, COLD_BURST)
+
+
+def compute_cold_share_per_s(per_s: float, hosts: int) -> float:
+    """Return the requests per second that a host sends to a cold server unasked.
+
+    Args:
+        per_s: The requests per second that the server takes from all hosts.
+        hosts: The number of hosts.
+    """
+    return COLD_SHARES_RATIO * per_s / max(1, hosts)
+
 
 def compute_owner_per_s(per_s: float) -> float:
     """Return the requests per second that the owner of a limit grants.
