Take a response with a status that HTTP does not have for lost

A failing server may send 000, 099, 600 or 999. Such a response reached the caller as an answer on all three kinds of route, 600 and 999 after the retries only; one with a header that says so also counted as not run. It now counts as lost: a request that may be repeated is retried, another one gets 502.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -14,7 +14,7 @@
 from oleanderpier.forwarding.callers import TrackedCaller
 from oleanderpier.forwarding.events import MAX_EVENT_BYTES, EventSplitter
 from oleanderpier.forwarding.progress import StreamProgress
-from oleanderpier.forwarding.records import Call, Dialect, ResponseHead
+from oleanderpier.forwarding.records import FINAL_STATUSES, Call, Dialect, ResponseHead
 from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
 from oleanderpier.utils import Timers, limit_time
 
@@ -224,6 +224,12 @@
             self._call, http_response.status, http_response.raw_headers
         )
         self._on_head(self.server, head)
+        if head.status not in FINAL_STATUSES:
+            self.reason = (
+                f"status {head.status}, allowed {FINAL_STATUSES.start} to "
+                f"{FINAL_STATUSES.stop - 1}"
+            )
+            return Error(AttemptOutcome.LOST)
         if head.not_run:
             self.reason = f"not run, status {head.status}"
             return Error(AttemptOutcome.NOT_RUN)
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -15,9 +15,19 @@
     WorkspaceEntry,
 )
 
-__all__ = ["Call", "Caller", "Dialect", "RequestOutcome", "ResponseHead"]
+__all__ = [
+    "FINAL_STATUSES",
+    "Call",
+    "Caller",
+    "Dialect",
+    "RequestOutcome",
+    "ResponseHead",
+]
 
 Headers = list[tuple[str, str]]
+# The statuses that end a request (RFC 9110, section 15). A failing server may send
+# others, such as 000 or 999.
+FINAL_STATUSES = range(200, 600)
 
 
 class Call(NamedTuple):
--- a/oleanderpier/forwarding/tests/test_forwarder.py
+++ b/oleanderpier/forwarding/tests/test_forwarder.py
@@ -36,6 +36,7 @@
     "unsigned": respond(signed=False),
     "encoded": respond(headers=["Content-Encoding: gzip"]),
     "short": respond(body=b"part", size=10),
+    **{f"status {status}": respond(status) for status in ("000", "099", "600", "999")},
 }
 
 
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -13,7 +13,7 @@
     parse_rate_limit,
     parse_retry_after,
 )
-from oleanderpier.forwarding import Call, ResponseHead
+from oleanderpier.forwarding import FINAL_STATUSES, Call, ResponseHead
 from oleanderpier.routing import PromptPart, Refusal, ServerEntry
 
 __all__ = [
@@ -209,16 +209,19 @@
         identity = values_by_name.get(REQUEST_ID_HEADER.lower())
         # Servers echo the id; a response to a request without one has none.
         is_own = (identity or "") == call.identity
-        not_run = is_own and (NOT_RUN_HEADER in values_by_name or misdirected)
+        is_final = status in FINAL_STATUSES
+        says_not_run = NOT_RUN_HEADER in values_by_name or misdirected
+        not_run = is_own and is_final and says_not_run
         # What a response to another request says may be of another server.
         states_own = is_own or identity is None
         is_meant = is_own and not misdirected
         is_unencoded = values_by_name.get("content-encoding", "identity") == "identity"
+        is_result = is_final and status not in NOT_PROCESSED_STATUSES
         return ResponseHead(
             status=status,
             headers=filter_headers(pairs, DROPPED_RESPONSE_HEADERS),
             not_run=not_run,
-            valid=is_own and is_unencoded and status not in NOT_PROCESSED_STATUSES,
+            valid=is_own and is_unencoded and is_result,
             signed=SIGNATURE_HEADER in values_by_name,
             refusal=_REFUSALS.get(status, Refusal.OTHER) if not_run else None,
             says_leaving=states_own and _read_leaving(values_by_name),
--- a/oleanderpier/platform/tests/test_dialect.py
+++ b/oleanderpier/platform/tests/test_dialect.py
@@ -200,3 +200,12 @@
         """A response with another request's id or an encoding is not accepted."""
         self.assertFalse(self.read(200, Request_Id="r-2").valid)
         self.assertFalse(self.read(200, Content_Encoding="gzip").valid)
+
+    def test_status_that_http_does_not_have(self):
+        """The response is no result, and proves nothing either."""
+        for status in (0, 99, 101, 199, 600, 999):
+            head = self.read(status, Not_Executed="1")
+            found = (head.valid, head.not_run, head.refusal)
+            self.assertEqual((False, False, None), found, status)
+        for status in (200, 404, 599):
+            self.assertTrue(self.read(status).valid, status)
