Take an end before the whole request for a broken response

A server that responds early with a 200 without a length, ends its side and resets the connection while the upload is still being written: the caller got the part as a complete response. The end of the connection now counts as an error while bytes of the request are not acknowledged by the server's system.

--- a/oleanderpier/connections/sessions.py
+++ b/oleanderpier/connections/sessions.py
@@ -1,9 +1,12 @@
 """HTTP client sessions that never retry and detect incomplete responses."""
 
 import asyncio
+import fcntl
 import functools
 import os
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -31,6 +34,8 @@
 # Bound of the bytes of a response that are not its body: also chunk sizes and trailers.
 # Chunks may add as many bytes again as the body has.
 MAX_OVERHEAD_BYTES = 1 << 16
+# The value that the system call for unacknowledged bytes returns.
+_COUNT = struct.Struct("i")
 # Headers that aiohttp would add to those of the caller.
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -82,11 +87,15 @@
 
 
 class _ResetDetectingHandler(ResponseHandler):
-    """Response handler that reports a reset connection as an error.
+    """Response handler that reports a broken connection as an error.
 
     A response without a length ends with its connection, and aiohttp takes a
     reset for that end. A reset that arrives right after the last bytes is read
     as an end of file; only the socket's pending error (SO_ERROR) shows it.
+
+    An end of file before the server has taken the whole request is no end of a
+    response either: a server that fails may end its side and reset the
+    connection afterwards, while the request is still being written.
     """
 
     _pending_error: OSError | None = None
@@ -102,6 +111,16 @@
         error_number = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error_number:
             self._pending_error = OSError(error_number, os.strerror(error_number))
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            unsent = self.transport.get_write_buffer_size() + _count_unacked(opened)
+            if unsent:
+                payload.set_exception(
+                    aiohttp.ClientPayloadError(
+                        f"the connection ended with {unsent} bytes of the request "
+                        "not yet received by the server"
+                    )
+                )
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -165,6 +184,11 @@
             self.transport.abort()
 
 
+def _count_unacked(opened: socket.socket) -> int:
+    """Return the sent bytes that the other side's system has not acknowledged."""
+    return _COUNT.unpack(fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+
+
 def make_session(
     max_connections: int = MAX_CONNECTIONS,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
--- a/oleanderpier/connections/tests/test_sessions.py
+++ b/oleanderpier/connections/tests/test_sessions.py
@@ -83,12 +83,19 @@
 
 
 class _Socket:
-    """A fake socket with a given pending error."""
+    """A fake socket with a given pending error, over a real one without data."""
 
     family = socket.AF_UNIX
 
     def __init__(self, number: int) -> None:
         self._number = number
+        self._opened = socket.socket(socket.AF_UNIX)
+
+    def fileno(self) -> int:
+        return self._opened.fileno()
+
+    def close(self) -> None:
+        self._opened.close()
 
     def getsockopt(self, level: int, option: int) -> int:
         return self._number
@@ -98,10 +105,14 @@
 
 
 class _Transport(asyncio.Transport):
-    """A fake transport over ``_Socket``."""
+    """A fake transport over ``_Socket`` that has not sent some bytes."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, unsent: int) -> None:
         super().__init__({"socket": _Socket(number)})
+        self._unsent = unsent
+
+    def get_write_buffer_size(self) -> int:
+        return self._unsent
 
     def is_closing(self) -> bool:
         return False
@@ -110,11 +121,17 @@
         """Do nothing; the test ends the connection itself."""
 
 
-async def read_with_socket_error(number: int):
-    """Return the body of a response without a length, or the error."""
+async def read_with_socket_error(number: int, unsent: int = 0):
+    """Return the body of a response without a length, or the error.
+
+    Args:
+        number: The pending error of the socket, 0 for none.
+        unsent: The bytes of the request that have not been sent.
+    """
+    transport = _Transport(number, unsent)
     async with make_session() as session:
         handler = session.connector._factory()
-        handler.connection_made(_Transport(number))
+        handler.connection_made(transport)
         handler.set_response_params(read_until_eof=True)
         handler.data_received(WITHOUT_LENGTH + b"part")
         _, payload = await handler.read()
@@ -124,6 +141,8 @@
             return await payload.read()
         except aiohttp.ClientError as error:
             return error
+        finally:
+            transport.get_extra_info("socket").close()
 
 
 class SessionTest(TestCase):
@@ -158,6 +177,11 @@
             else:
                 self.assertEqual(expected, body)
 
+    def test_end_of_file_before_the_whole_request_is_an_error(self):
+        """A server that fails ends its side, and resets the connection later."""
+        body = run_coroutine(read_with_socket_error(0, unsent=1))
+        self.assertIsInstance(body, aiohttp.ClientError)
+
     def test_no_method_is_retried(self):
         """No method is retried, not even over reused connections."""
         for method in ("GET", "PUT", "DELETE", "POST"):
