Report what decisions on permits are based on

Logs and gauges need the inputs of a decision and their age: get_status has the room, the queue, the speed with its age, the mean time and the tokens in prefill.

Evidence: test_status_has_the_inputs_of_decisions.

--- a/oleanderpier/routing/permit_records.py
+++ b/oleanderpier/routing/permit_records.py
@@ -10,6 +10,7 @@
     "PermitHolder",
     "PermitOutcome",
     "PermitRate",
+    "PermitStatus",
     "ServerKey",
     "StatedLoad",
 ]
@@ -134,5 +135,29 @@
     slow_factor: float | None
 
 
+class PermitStatus(NamedTuple):
+    """What the decisions on the permits of a server are based on, for logs and gauges.
+
+    Attributes:
+        in_flight: The requests that count as in flight.
+        queued: The requests that wait for a permit.
+        room: How many permits may be held, infinite if the slots are unknown.
+        slots: How many requests the server runs at a time, 0 if unknown.
+        slow_factor: How long work takes there, 1 if that is unknown or too old.
+        slow_factor_age_s: How old the last slow factor is, infinite without one.
+        slot_s: The mean time for which a request uses a slot.
+        prefill_tokens: The tokens of the prompts in prefill.
+    """
+
+    in_flight: int
+    queued: int
+    room: float
+    slots: int
+    slow_factor: float
+    slow_factor_age_s: float
+    slot_s: float
+    prefill_tokens: int
+
+
 # Queued requests that were decided, in the order of the decisions.
 DecidedPermits = list[tuple[PermitHolder, PermitDecision]]
--- a/oleanderpier/routing/permit_states.py
+++ b/oleanderpier/routing/permit_states.py
@@ -14,6 +14,7 @@
     PermitDemand,
     PermitHolder,
     PermitRate,
+    PermitStatus,
     ServerKey,
     StatedLoad,
 )
@@ -140,7 +141,7 @@
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._mean_s = FIRST_MEAN_S
         self._slow_factor = 1.0
-        self._slow_until_s = -math.inf
+        self._slow_heard_s = -math.inf
         self._arrivals = _ArrivalRates()
         self._rate: PermitRate | None = None
         self._rate_until_s = -math.inf
@@ -175,7 +176,7 @@
         if load.slow_factor is not None and load.slow_factor > 0:
             # A server that is faster than usual has no more slots than it states.
             self._slow_factor = max(1.0, load.slow_factor)
-            self._slow_until_s = now_s + SLOW_FACTOR_LIFETIME_S
+            self._slow_heard_s = now_s
 
     def get_rate(self, now_s: float) -> PermitRate | None:
         """Return the rate that queries have named lately, None if none has."""
@@ -279,8 +280,26 @@
         per_s = prefill.total_tokens / max(0.001, now_s - prefill.started_s)
         self._tokens_per_s += SAMPLE_WEIGHT * (per_s - self._tokens_per_s)
 
+    def get_status(self, now_s: float) -> PermitStatus:
+        """Return what the decisions are based on."""
+        return PermitStatus(
+            in_flight=self.count_in_flight(now_s),
+            queued=len(self.queued),
+            room=self.compute_room(now_s),
+            slots=self.slots,
+            slow_factor=self._get_slow_factor(now_s),
+            slow_factor_age_s=now_s - self._slow_heard_s,
+            slot_s=self._mean_s,
+            prefill_tokens=self.prefill_tokens,
+        )
+
     def _compute_usable_slots(self, now_s: float) -> float:
         """Return how many requests the server runs at its present speed."""
-        if now_s > self._slow_until_s + 1e-9:
-            return float(self.slots)
-        return max(1.0, self.slots / self._slow_factor)
+        return max(1.0, self.slots / self._get_slow_factor(now_s))
+
+    def _get_slow_factor(self, now_s: float) -> float:
+        """Return how long work takes there, 1 if that is unknown or too old."""
+        # 1e-9 for rounding, as above.
+        if now_s - self._slow_heard_s > SLOW_FACTOR_LIFETIME_S + 1e-9:
+            return 1.0
+        return self._slow_factor
--- a/oleanderpier/routing/server_permits.py
+++ b/oleanderpier/routing/server_permits.py
@@ -25,6 +25,7 @@
     PermitDemand,
     PermitHolder,
     PermitOutcome,
+    PermitStatus,
     ServerKey,
     StatedLoad,
 )
@@ -215,6 +216,11 @@
         state = self._states.get(server_key)
         return 0 if state is None else state.count_in_flight(now_s)
 
+    def get_status(self, server_key: ServerKey, now_s: float) -> PermitStatus | None:
+        """Return what decisions on a server are based on, None if it is unknown."""
+        state = self._states.get(server_key)
+        return None if state is None else state.get_status(now_s)
+
     def count_queued(self) -> int:
         """Return the requests that wait for a permit of any server."""
         return sum(len(state.queued) for state in self._waiting.values())
--- a/oleanderpier/routing/tests/test_server_permits.py
+++ b/oleanderpier/routing/tests/test_server_permits.py
@@ -104,6 +104,18 @@
         self.assertEqual(PermitOutcome.FULL, self.ask(late_s, slots=16).outcome)
         self.fill(12, late_s + 0.01, slots=16)
 
+    def test_status_has_the_inputs_of_decisions(self):
+        """Logs explain a refusal by them and their age."""
+        self.assertIsNone(self.permits.get_status(SERVER, 0.0))
+        holders = self.fill(9, slots=16, uncached_tokens=1500, max_wait_s=1.0)
+        self.permits.release(holders[0], 1.0, StatedLoad(8, 0, 16, 2.5))
+        self.enqueue(1.1, slots=16)
+        status = self.permits.get_status(SERVER, 1.2)
+        self.assertEqual((8, 1, 8, 16, 2.5), status[:5])
+        self.assertAlmostEqual(0.2, status.slow_factor_age_s)
+        self.assertEqual(8 * 1500, status.prefill_tokens)
+        self.assertEqual(1.0, self.permits.get_status(SERVER, 2.0).slow_factor)
+
     def test_fast_server_has_no_more_room_than_its_slots(self):
         """And a very slow one has room for one request and one on the way."""
         holder = self.fill(1, slots=16)[0]
