--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -13,6 +13,7 @@
 from oleanderpier.routing.evacuations import *  # noqa: F403
 from oleanderpier.routing.health import *  # noqa: F403
 from oleanderpier.routing.load_model import *  # noqa: F403
+from oleanderpier.routing.permit_records import *  # noqa: F403
 from oleanderpier.routing.poison import *  # noqa: F403
 from oleanderpier.routing.rate_limits import *  # noqa: F403
 from oleanderpier.routing.records import *  # noqa: F403
@@ -21,6 +22,7 @@
 from oleanderpier.routing.requirements import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
+from oleanderpier.routing.server_permits import *  # noqa: F403
 from oleanderpier.routing.shares import *  # noqa: F403
 from oleanderpier.routing.statements import *  # noqa: F403
 from oleanderpier.routing.table import *  # noqa: F403
