Read the fourth figure of Server-Load, and keep each server's last load

A header with four figures was taken for malformed and logged for every response. It now gives ResponseHead.load, and ServerLoads keeps the last statement of each server with its time.

--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -7,6 +7,7 @@
 
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
+    LoadStatement,
     PromptPart,
     PromptPrefix,
     Refusal,
@@ -81,7 +82,7 @@
         wait_s: For how long the server wants no requests, None if it does not say.
         limit_per_s: The requests per second that the server takes from all hosts
             together, infinite without a limit; None if the response does not tell.
-        slots: How many requests the server runs at a time, None if it does not say.
+        load: What the server states about its load, None if it states nothing.
     """
 
     status: int
@@ -93,7 +94,12 @@
     says_leaving: bool = False
     wait_s: float | None = None
     limit_per_s: float | None = None
-    slots: int | None = None
+    load: LoadStatement | None = None
+
+    @property
+    def slots(self) -> int | None:
+        """How many requests the server runs at a time, None if it does not say."""
+        return (self.load.slots or None) if self.load else None
 
 
 class Dialect(Protocol):
--- a/oleanderpier/forwarding/statements.py
+++ b/oleanderpier/forwarding/statements.py
@@ -52,6 +52,8 @@
         self._record_wait(server, head)
         if head.slots is not None:
             self._statements.record_slots(server, head.slots)
+        if head.load is not None:
+            self._statements.loads.record(server, head.load, self._timers.now())
 
     def _record_leaving(self, server: ServerEntry, head: ResponseHead) -> None:
         now_s = self._timers.now()
--- a/oleanderpier/platform/dialect.py
+++ b/oleanderpier/platform/dialect.py
@@ -14,7 +14,7 @@
     parse_retry_after,
 )
 from oleanderpier.forwarding import Call, ResponseHead
-from oleanderpier.routing import PromptPart, Refusal, ServerEntry
+from oleanderpier.routing import LoadStatement, PromptPart, Refusal, ServerEntry
 
 __all__ = [
     "CREDENTIAL_HEADER",
@@ -57,9 +57,11 @@
 # Requests per second that a server takes from all hosts together, in each response for
 # as long as the limit holds.
 LIMIT_HEADER = "server-limit"
-# Running requests, waiting requests and slots, separated by commas.
+# Running requests, waiting requests, slots and optionally the time that work takes now,
+# in percent of the usual time, separated by commas.
 LOAD_HEADER = "server-load"
-LOAD_COUNTS = 3
+LOAD_COUNTS = (3, 4)
+USUAL_SPEED = 100
 # Returned by a server that is not the expected one; it has not run the request.
 MISDIRECTED_STATUS = 421
 _REFUSALS = {
@@ -224,7 +226,7 @@
             says_leaving=states_own and _read_leaving(values_by_name),
             wait_s=self._read_wait_s(status, pairs) if states_own else None,
             limit_per_s=_read_limit(pairs, values_by_name) if is_meant else None,
-            slots=_read_slots(values_by_name) if is_meant else None,
+            load=_read_load(values_by_name) if is_meant else None,
         )
 
     def _read_wait_s(self, status: int, pairs: list[tuple[str, str]]) -> float | None:
@@ -289,15 +291,18 @@
     return per_s
 
 
-def _read_slots(values_by_name: dict[str, str]) -> int | None:
-    """Return how many requests a server runs at a time, None if it does not say."""
+def _read_load(values_by_name: dict[str, str]) -> LoadStatement | None:
+    """Return the load that a server states, None if it does not say."""
     value = values_by_name.get(LOAD_HEADER, "")
     if not value:
         return None
     counts = [text.strip() for text in value.split(",")]
-    if len(counts) == LOAD_COUNTS and all(_is_count(count) for count in counts):
-        return int(counts[-1]) or None
+    if len(counts) in LOAD_COUNTS and all(_is_count(count) for count in counts):
+        running, waiting, slots, *speeds = map(int, counts)
+        # Work takes some time on any machine, so that 0 is no speed.
+        slow_factor = speeds[0] / USUAL_SPEED if any(speeds) else None
+        return LoadStatement(running, waiting, slots, slow_factor)
     log_message(
-        "server:load_unusual", found=value[:40], allowed="RUNNING,WAITING,SLOTS"
+        "server:load_unusual", found=value[:40], allowed="RUNNING,WAITING,SLOTS[,SPEED]"
     )
     return None
--- /dev/null
+++ b/oleanderpier/routing/server_loads.py
@@ -0,0 +1,113 @@
+"""What backend servers have stated about their load and their speed.
+
+The module addresses these load patterns:
+
+- Machines of uneven speed: work takes longer on some servers at some times, and the
+  speed of each changes many times a second.
+- Loads that hosts report to each other are 1 to 2 s old, while the responses of a
+  server state its load at the time of the response.
+
+All times are arguments, in seconds on the monotonic clock.
+"""
+
+from typing import NamedTuple
+
+from oleanderpier.routing.records import ServerEntry
+
+__all__ = ["SPEED_LIFETIME_S", "HeardLoad", "LoadStatement", "ServerLoads"]
+
+# The speeds of the machines change about every 0.6 s. A statement tells nothing of the
+# speed afterwards.
+SPEED_LIFETIME_S = 0.6
+
+
+class LoadStatement(NamedTuple):
+    """What the head of a response states about the server's load.
+
+    Attributes:
+        running: The requests that it runs.
+        waiting: The requests that wait for a slot.
+        slots: How many requests it runs at a time, 0 if it does not say.
+        slow_factor: How long work takes on it now, as a multiple of the usual time;
+            None if it does not say.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slow_factor: float | None = None
+
+
+class HeardLoad(NamedTuple):
+    """A load statement, with the run of the server and the time.
+
+    Attributes:
+        born_ms: The start of the server's run, as in ``ServerEntry``.
+        heard_s: When this host received it.
+        load: The statement.
+    """
+
+    born_ms: int
+    heard_s: float
+    load: LoadStatement
+
+
+class ServerLoads:
+    """The last load statement of each server, and which services are under permits.
+
+    Examples:
+        >>> server = ServerEntry("s1", "engine", "10.0.0.7:80", "duluth", False, 5)
+        >>> loads = ServerLoads()
+        >>> loads.record(server, LoadStatement(3, 0, 16, slow_factor=2.0), now_s=0.0)
+        >>> loads.get_slow_factor(server, 0.3)
+        1.5
+        >>> loads.is_under_permits("engine")
+        True
+    """
+
+    def __init__(self) -> None:
+        self._heard: dict[str, HeardLoad] = {}
+        self._with_speeds: set[str] = set()
+        self._all_under_permits = False
+
+    def record(self, server: ServerEntry, load: LoadStatement, now_s: float) -> None:
+        """Record the load that a server has stated."""
+        self._heard[server.identity] = HeardLoad(server.born_ms, now_s, load)
+        if load.slow_factor is not None:
+            self._with_speeds.add(server.service)
+
+    def remove_server(self, identity: str) -> None:
+        """Remove the statement of a server that is gone or has restarted."""
+        self._heard.pop(identity, None)
+
+    def set_all_under_permits(self, active: bool) -> None:
+        """Set whether the configuration puts all of its services under permits.
+
+        It does if one of its services limits the requests to cold servers.
+        """
+        self._all_under_permits = active
+
+    def states_speed(self, service: str) -> bool:
+        """Return whether a server of a service has ever stated its speed."""
+        return service in self._with_speeds
+
+    def is_under_permits(self, service: str) -> bool:
+        """Return whether requests to a service need a permit of the server's owner."""
+        return self._all_under_permits or service in self._with_speeds
+
+    def get(self, server: ServerEntry) -> HeardLoad | None:
+        """Return the last statement of this run of a server, None without one."""
+        heard = self._heard.get(server.identity)
+        return heard if heard and heard.born_ms == server.born_ms else None
+
+    def get_slow_factor(self, server: ServerEntry, now_s: float) -> float:
+        """Return how long work takes on a server, as a multiple of the usual time.
+
+        The speed of a machine changes once in ``SPEED_LIFETIME_S``. The older a
+        statement is, the less likely it still holds, and the closer the result is to 1.
+        """
+        heard = self.get(server)
+        if heard is None or heard.load.slow_factor is None:
+            return 1.0
+        validity = max(0.0, 1.0 - (now_s - heard.heard_s) / SPEED_LIFETIME_S)
+        return 1.0 + (heard.load.slow_factor - 1.0) * validity
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.server_loads import ServerLoads
 
 __all__ = ["LeavingStatement", "LimitStatement", "ServerStatements", "WaitStatement"]
 
@@ -80,6 +81,9 @@
 class ServerStatements:
     """The statements of all servers that are known to this host.
 
+    Attributes:
+        loads: What the servers have stated about their load.
+
     Examples:
         >>> server = ServerEntry("s1", "engine", "10.0.0.7:80", "duluth", False, 5)
         >>> statements = ServerStatements()
@@ -94,6 +98,7 @@
     """
 
     def __init__(self) -> None:
+        self.loads = ServerLoads()
         self._leaving: dict[str, LeavingStatement] = {}
         self._waits: dict[str, WaitStatement] = {}
         self._limits: dict[str, LimitStatement] = {}
@@ -159,6 +164,7 @@
         is that of a new run.
         """
         self._slots.pop(identity, None)
+        self.loads.remove_server(identity)
         for statements in (self._leaving, self._waits, self._limits):
             known = statements.get(identity)
             if known is not None and not known.born_ms:
