Choose servers under permits by what the choice costs in milliseconds

Servers that hold a prompt got its requests up to the load limit of the fleet, also if they had no free slot and another server would have read the prompt again before a slot was free. For services under permits the choice now compares the wait for a slot, the prefill of uncached tokens and the slow factor, of a bounded number of servers.

--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -7,6 +7,8 @@
 from oleanderpier.routing.budget import *  # noqa: F403
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
+from oleanderpier.routing.choice_records import *  # noqa: F403
+from oleanderpier.routing.costs import *  # noqa: F403
 from oleanderpier.routing.crashes import *  # noqa: F403
 from oleanderpier.routing.eligibility import *  # noqa: F403
 from oleanderpier.routing.health import *  # noqa: F403
--- a/oleanderpier/routing/caches.py
+++ b/oleanderpier/routing/caches.py
@@ -82,6 +82,11 @@
         used_s = self._last_used_s.get(key, {})
         return [identity for identity, at_s in used_s.items() if at_s >= oldest_s]
 
+    def holds(self, key: str, identity: str) -> bool:
+        """Return whether a server has a prefix cached."""
+        used_s = self._last_used_s.get(key, {}).get(identity)
+        return used_s is not None and used_s >= self._timers.now() - RETENTION_S
+
     def get_entry_age_s(self, key: str, identity: str) -> float | None:
         """Return the seconds since a server was last sent a prefix.
 
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -26,12 +26,12 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
-from typing import NamedTuple
-
-import xxhash
 
 from oleanderpier.routing.caches import CacheMap
+from oleanderpier.routing.choice_records import Choice, ServerQuery
+from oleanderpier.routing.cost_choice import CostChooser
 from oleanderpier.routing.eligibility import Eligibility, Restrictions
+from oleanderpier.routing.hash_order import score_server
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.load_model import (
     DEFAULT_LOAD_LIMIT_FACTOR,
@@ -39,12 +39,12 @@
     RemoteLoads,
     ServiceStats,
 )
-from oleanderpier.routing.records import PromptPrefix, ServerEntry
-from oleanderpier.routing.roster import RegistrationChange, Roster
-from oleanderpier.routing.statements import LimitStatement, ServerStatements
+from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.roster import Roster
+from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
 
-__all__ = ["Choice", "Chooser", "ServerQuery"]
+__all__ = ["Chooser"]
 
 # Weight added to a server of another failure domain, in requests in flight,
 # because traffic between failure domains is expensive.
@@ -63,60 +63,6 @@
 STATS_CHOICES_RATIO = 0.25
 
 
-class ServerQuery(NamedTuple):
-    """What a request requires of a server.
-
-    Attributes:
-        service: The name of the service.
-        prefixes: The prefixes of its prompt that other requests share, from the
-            shortest to the longest; empty if there are none.
-    """
-
-    service: str
-    prefixes: tuple[PromptPrefix, ...] = ()
-
-    @property
-    def cache_key(self) -> str:
-        """The key of the longest shared prefix, empty if there is none."""
-        return self.prefixes[-1].key if self.prefixes else ""
-
-
-class Choice(NamedTuple):
-    """The server that was chosen, and the reason for the log.
-
-    Attributes:
-        server: The server.
-        reason: ``cached`` (it has the longest shared prefix cached), ``hashed`` (no
-            server has), ``spilled`` (the servers that have it are over the load
-            limit or get no requests), ``least_loaded`` (there is no shared prefix, or
-            all servers are over the limit) or ``last_resort`` (no healthy server is
-            left to try).
-        load: Requests in flight at it, over all hosts, as known to this host.
-        stats: The statistics of the service that the choice used.
-        copy_source: A server that has a longer prefix cached, from which the chosen
-            server can copy it; None if there is none.
-        own_load: The requests of this host in ``load``.
-        load_age_s: Mean age of the other hosts' requests in ``load``, in seconds.
-        cache_age_s: Seconds since the chosen server was last sent the longest
-            shared prefix, None if never.
-        server_state: The last change of the server's registration.
-        server_state_age_s: Seconds since then.
-        limit: The limit that the server names, None without one.
-    """
-
-    server: ServerEntry
-    reason: str
-    load: int
-    stats: ServiceStats
-    copy_source: ServerEntry | None = None
-    own_load: int = 0
-    load_age_s: float = 0.0
-    cache_age_s: float | None = None
-    server_state: RegistrationChange = RegistrationChange.JOINED
-    server_state_age_s: float = 0.0
-    limit: LimitStatement | None = None
-
-
 class Chooser:
     """Chooses servers and counts this host's requests in flight.
 
@@ -134,6 +80,7 @@
 
     Attributes:
         in_flight: This host's requests in flight, by server id.
+        costs: Chooses the servers of services under permits.
     """
 
     def __init__(
@@ -162,6 +109,17 @@
         self._eligibility = Eligibility(
             roster, health, self._statements, timers, self.count_in_flight
         )
+        self.costs = CostChooser(
+            roster,
+            caches,
+            self._eligibility,
+            self._model,
+            self._statements,
+            failure_domain,
+            self._pick_nearest_healthy,
+            rng,
+            timers,
+        )
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
         """Record that a request is sent to a server."""
@@ -233,7 +191,11 @@
         self, query: ServerQuery, avoided: set[str], excluded: frozenset[str]
     ) -> Choice | None:
         """Return the best server, without the ages of the data behind the choice."""
-        if query.cache_key and not avoided:
+        if self._statements.loads.is_under_permits(query.service):
+            choice = self._choose_by_cost(query, avoided, excluded)
+            if choice is not None:
+                return choice
+        elif query.cache_key and not avoided:
             choice = self._choose_holder_by_stats(query)
             if choice is not None:
                 return choice
@@ -261,6 +223,13 @@
         reason = "least_loaded" if healthy else "last_resort"
         return self._make_choice(server, reason, stats)
 
+    def _choose_by_cost(
+        self, query: ServerQuery, avoided: set[str], excluded: frozenset[str]
+    ) -> Choice | None:
+        """Return the untried server that costs least, None if none is healthy."""
+        excludes_full = not avoided and self._names_limit(query.service)
+        return self.costs.choose(query, avoided, Restrictions(excluded, excludes_full))
+
     def _names_limit(self, service: str) -> bool:
         """Return whether a server of a service names a limit."""
         registered = self._roster.list_registered(service)
@@ -448,8 +417,4 @@
 
 def _pick_by_hash(key: str, servers: list[ServerEntry]) -> ServerEntry:
     """Return the first server in the rendezvous-hash order of a key."""
-    return min(servers, key=lambda entry: _score_server(key, entry.identity))
-
-
-def _score_server(key: str, identity: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}|{identity}".encode())
+    return min(servers, key=lambda entry: score_server(key, entry.identity))
--- /dev/null
+++ b/oleanderpier/routing/choice_records.py
@@ -0,0 +1,82 @@
+"""What a request requires of a server, and the server that was chosen."""
+
+from typing import NamedTuple
+
+from oleanderpier.routing.costs import ServerCost
+from oleanderpier.routing.load_model import ServiceStats
+from oleanderpier.routing.records import PromptPrefix, ServerEntry
+from oleanderpier.routing.roster import RegistrationChange
+from oleanderpier.routing.statements import LimitStatement
+
+__all__ = ["Choice", "ServerQuery"]
+
+
+class ServerQuery(NamedTuple):
+    """What a request requires of a server.
+
+    Attributes:
+        service: The name of the service.
+        prefixes: The prefixes of its prompt that other requests share, from the
+            shortest to the longest; empty if there are none.
+        prompt_tokens: The tokens of its whole prompt, 0 if unknown.
+    """
+
+    service: str
+    prefixes: tuple[PromptPrefix, ...] = ()
+    prompt_tokens: int = 0
+
+    @property
+    def cache_key(self) -> str:
+        """The key of the longest shared prefix, empty if there is none."""
+        return self.prefixes[-1].key if self.prefixes else ""
+
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the longest shared prefix."""
+        return self.prefixes[-1].tokens if self.prefixes else 0
+
+    @property
+    def total_tokens(self) -> int:
+        """The tokens of the whole prompt, at least the shared ones."""
+        return max(self.prompt_tokens, self.shared_tokens)
+
+
+class Choice(NamedTuple):
+    """The server that was chosen, and the reason for the log.
+
+    Attributes:
+        server: The server.
+        reason: ``cached`` (it has the longest shared prefix cached), ``hashed`` (no
+            server has), ``spilled`` (the servers that have it are over the load
+            limit or get no requests), ``least_loaded`` (there is no shared prefix, or
+            all servers are over the limit) or ``last_resort`` (no healthy server is
+            left to try).
+        load: Requests in flight at it, over all hosts, as known to this host.
+        stats: The statistics of the service that the choice used.
+        copy_source: A server that has a longer prefix cached, from which the chosen
+            server can copy it; None if there is none.
+        own_load: The requests of this host in ``load``.
+        load_age_s: Mean age of the other hosts' requests in ``load``, in seconds.
+        cache_age_s: Seconds since the chosen server was last sent the longest
+            shared prefix, None if never.
+        server_state: The last change of the server's registration.
+        server_state_age_s: Seconds since then.
+        limit: The limit that the server names, None without one.
+        uncached_tokens: The tokens of the prompt that the server has neither cached nor
+            copies; 0 if the service is not under permits.
+        cost: What the request costs at the server; None likewise.
+    """
+
+    server: ServerEntry
+    reason: str
+    load: int
+    stats: ServiceStats
+    copy_source: ServerEntry | None = None
+    own_load: int = 0
+    load_age_s: float = 0.0
+    cache_age_s: float | None = None
+    server_state: RegistrationChange = RegistrationChange.JOINED
+    server_state_age_s: float = 0.0
+    limit: LimitStatement | None = None
+    uncached_tokens: int = 0
+    cost: ServerCost | None = None
--- a/oleanderpier/routing/residence.py
+++ b/oleanderpier/routing/residence.py
@@ -49,6 +49,11 @@
             + SMOOTHING * (took_s * took_s - moments.mean_square_s2),
         )
 
+    def get_mean_s(self, service: str) -> float | None:
+        """Return the mean duration at a service, in seconds; None before the first."""
+        moments = self._moments.get(service)
+        return None if moments is None else moments.mean_s
+
     def estimate_survival(self, service: str, age_s: float) -> float:
         """Return the probability that a request in flight is still so later.
 
