Count the holders of a hot prompt as loaded as their mean, and cost fewer servers

All hosts sent a hot prompt to the one holder whose old load showed room, so that it filled before another server got the prompt. A holder now counts with at least the mean load of the prompt's holders; those that refused the request count as full.

--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -16,7 +16,6 @@
 
 import random
 from collections.abc import Callable, Collection, Iterable
-from itertools import islice
 from typing import NamedTuple
 
 from oleanderpier.routing.caches import CacheMap
@@ -47,17 +46,16 @@
 
 __all__ = ["CostChooser"]
 
-# The mean load of a service changes little in this time, and the loads behind it are
-# reported less often.
-STATS_LIFETIME_S = 0.2
+# Interval of the statistics over all servers of a service. The loads behind them are
+# 1 to 2 s old.
+STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
-MAX_HOLDERS = 10
-RANDOM_CANDIDATES = 8
-# Servers that a prompt spreads to while those that have it cached have no room: few, so
-# that it is read again seldom, and several, since all hosts spread it at once.
-SPILL_WIDTH = 4
-# The first servers in the hash order that are looked at for one of them.
-HASH_CANDIDATES = 6
+MAX_HOLDERS = 5
+RANDOM_CANDIDATES = 4
+# The first servers in the hash order that are compared. A prompt spreads to them while
+# those that have it cached have no room: they are few, so that it is read again seldom,
+# and several, since all hosts spread it at once.
+HASH_CANDIDATES = 3
 # Prompts whose hash order is kept.
 MAX_HASH_ORDERS = 4096
 # Shorter prefixes are not copied if the costs of copies are not known.
@@ -88,10 +86,14 @@
         query: What the request requires.
         avoided: Ids of the servers that were tried before.
         restrictions: What the request excludes.
+        cache_key: The key of the longest shared prefix, empty if there is none.
         is_held: Whether a server has the longest shared prefix cached.
+        shared_tokens: The tokens of the longest shared prefix.
+        shared_load: The mean load of the servers that have the prompt cached.
         stats: The statistics of the service.
         estimate: How long the service takes to read a prompt.
-        base_ms: The time until the first event, without the prompt.
+        copy_costs: What copying takes, None if unknown.
+        work_ms: The time until the first event, without the shared tokens.
         held_s: Mean time that a request is at a server, in seconds.
         now_s: The time.
     """
@@ -99,10 +101,14 @@
     query: ServerQuery
     avoided: Collection[str]
     restrictions: Restrictions
+    cache_key: str
     is_held: bool
+    shared_tokens: int
+    shared_load: float
     stats: ServiceStats
     estimate: PrefillEstimate
-    base_ms: float
+    copy_costs: CopyCosts | None
+    work_ms: float
     held_s: float
     now_s: float
 
@@ -168,20 +174,11 @@
         usable = self._roster.list_usable(query.service)
         if not usable:
             return None
-        inputs = self._collect_inputs(query, avoided, restrictions, usable)
-        hashed = self._list_hashed(query, usable)
         holders = self._list_holders(query)
-        seen = {entry.identity: entry for entry in (*hashed, *holders)}
-        costs = self._compute_costs(list(seen.values()), inputs)
-        if not any(cost.is_free and cost.holds_prompt for cost in costs):
-            sampled = self._sample(usable, seen)
-            costs += self._compute_costs(sampled, inputs)
-            if not any(cost.is_free for cost in costs):
-                seen.update((entry.identity, entry) for entry in sampled)
-                costs += self._compute_costs(self._sample(usable, seen), inputs)
-        if not costs:
-            # Few of the servers may get the request.
-            costs = self._compute_costs(usable, inputs)
+        inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
+        costs = self._compute_costs(holders, inputs)
+        if not any(map(_is_calm_holder, costs)):
+            costs = self._compare_others(holders, costs, inputs, usable)
         if not costs:
             return None
         reason, cheapest = _narrow(list_cheapest(costs), inputs)
@@ -199,26 +196,51 @@
             cost=cost,
         )
 
-    def record_first_event(
-        self, server: ServerEntry, uncached_tokens: int, load: int, took_s: float
-    ) -> None:
+    def _compare_others(
+        self,
+        holders: list[ServerEntry],
+        costs: list[ServerCost],
+        inputs: _Inputs,
+        usable: list[ServerEntry],
+    ) -> list[ServerCost]:
+        """Return the costs of holders and of others, the first in hash order first.
+
+        Args:
+            holders: Servers that have the prompt cached.
+            costs: Their costs.
+            inputs: What the costs have in common.
+            usable: All servers of the service.
+        """
+        seen = {entry.identity for entry in holders}
+        for servers in (
+            self._list_hashed(inputs.query, usable),
+            self._sample(usable),
+            self._sample(usable),
+        ):
+            others = [entry for entry in servers if entry.identity not in seen]
+            costs = costs + self._compute_costs(others, inputs)
+            if any(cost.is_free and not cost.holds_prompt for cost in costs):
+                return costs
+            seen.update(entry.identity for entry in others)
+        # Few of the servers may get the request.
+        return costs or self._compute_costs(usable, inputs)
+
+    def record_first_event(self, choice: Choice, took_s: float) -> None:
         """Record the time until the first event of a request.
 
-        Requests that may have waited for a slot tell nothing of the speed.
+        A request that may have waited for a slot tells nothing of the speed. It is one
+        if the server had requests waiting when it responded.
 
         Args:
-            server: The server.
-            uncached_tokens: The tokens that it had to read.
-            load: Requests in flight at it when it was chosen.
-            took_s: The time, in seconds.
+            choice: The choice of the server.
+            took_s: The time since the request was sent, in seconds.
         """
-        heard = self._statements.loads.get(server)
-        slots = self._statements.get_slots(server)
-        if heard is None or 2 * load > slots:
+        heard = self._statements.loads.get(choice.server)
+        if choice.cost is None or heard is None or heard.load.waiting:
             return
         self.prefill_times.record(
-            server.service,
-            uncached_tokens,
+            choice.server.service,
+            choice.uncached_tokens,
             MILLISECONDS_PER_S * took_s / (heard.load.slow_factor or 1.0),
         )
 
@@ -228,11 +250,13 @@
         avoided: Collection[str],
         restrictions: Restrictions,
         usable: list[ServerEntry],
+        holders: list[ServerEntry],
     ) -> _Inputs:
         """Return what the costs of all servers have in common."""
-        now_s = self._timers.now()
         stats = self._stats.get(query.service)
-        if stats is None or now_s >= stats.computed_s + STATS_LIFETIME_S:
+        if stats is None:
+            if not self._stats:
+                self._timers.subscribe(STATS_INTERVAL_S, self._update_stats)
             stats = self._model.compute_stats(query.service, usable, self._statements)
             self._stats[query.service] = stats
         held_s = self._model.residence_times.get_mean_s(query.service)
@@ -241,21 +265,35 @@
         if not query.prompt_tokens:
             # The response begins when the work is done.
             base_ms = (held_s or 0.0) * MILLISECONDS_PER_S
-        if held_s is None:
-            held_s = DEFAULT_HELD_S
-        is_held = bool(self._caches.list_holders(query.cache_key))
+        shared_tokens = query.shared_tokens
+        own_tokens = query.total_tokens - shared_tokens
+        shared_load = self._estimate_shared_load(holders, stats, restrictions.excluded)
+        key = query.cache_key
         return _Inputs(
             query,
             avoided,
             restrictions,
-            is_held,
+            key,
+            any(self._caches.holds(key, entry.identity) for entry in holders),
+            shared_tokens,
+            shared_load,
             stats,
             estimate,
-            base_ms,
-            held_s,
-            now_s,
+            self.copy_costs.get(query.service),
+            base_ms + estimate.compute_ms(own_tokens),
+            DEFAULT_HELD_S if held_s is None else held_s,
+            self._timers.now(),
         )
 
+    def _update_stats(self) -> None:
+        """Compute the statistics of the services that were chosen from."""
+        for service in list(self._stats):
+            usable = self._roster.list_usable(service)
+            if usable:
+                self._stats[service] = self._model.compute_stats(
+                    service, usable, self._statements
+                )
+
     def _list_holders(self, query: ServerQuery) -> list[ServerEntry]:
         """Return servers that have the longest prefix cached that any server has."""
         for prefix in reversed(query.prefixes):
@@ -293,17 +331,31 @@
         entries = (self._roster.get_entry(identity) for identity in known[1])
         return [entry for entry in entries if entry is not None]
 
-    def _sample(
-        self, usable: list[ServerEntry], seen: dict[str, ServerEntry]
-    ) -> list[ServerEntry]:
-        """Return some servers at random, without those that were seen."""
-        count = min(RANDOM_CANDIDATES + len(seen), len(usable))
-        sampled = (
-            entry
-            for entry in self._rng.sample(usable, count)
-            if entry.identity not in seen
+    def _sample(self, usable: list[ServerEntry]) -> list[ServerEntry]:
+        """Return some servers at random."""
+        return self._rng.sample(usable, min(RANDOM_CANDIDATES, len(usable)))
+
+    def _estimate_shared_load(
+        self,
+        holders: list[ServerEntry],
+        stats: ServiceStats,
+        excluded: Collection[str],
+    ) -> float:
+        """Return the mean load of the servers that have a prompt cached.
+
+        They share its requests: until the loads show it, all hosts send these to the
+        one that seems to have most room. Holders that have refused the request count
+        as full.
+        """
+        if not holders:
+            return 0.0
+        loads = (
+            self._statements.get_slots(entry)
+            if entry.identity in excluded
+            else self._model.compute_weight(entry.identity, stats)
+            for entry in holders
         )
-        return list(islice(sampled, RANDOM_CANDIDATES))
+        return min(stats.load_limit, sum(loads) / len(holders))
 
     def _compute_costs(
         self, servers: Iterable[ServerEntry], inputs: _Inputs
@@ -317,37 +369,36 @@
         ]
 
     def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
-        identity = server.identity
-        query, stats, estimate = inputs.query, inputs.stats, inputs.estimate
+        identity, stats = server.identity, inputs.stats
         slow_factor = self._statements.loads.get_slow_factor(server, inputs.now_s)
         slots = compute_usable_slots(self._statements.get_slots(server), slow_factor)
-        load = self._model.compute_weight(identity, stats)
-        highest_load = load + self._model.compute_margin(identity, stats)
-        is_over_limit = highest_load + 1.0 > stats.load_limit
-        work_ms = inputs.base_ms + estimate.compute_ms(
-            query.total_tokens - query.shared_tokens
-        )
-        holds_prompt = bool(query.cache_key) and self._caches.holds(
-            query.cache_key, identity
-        )
-        missing_ms = 0.0
-        if query.prefixes and not holds_prompt:
-            missing_tokens = query.shared_tokens - self._count_held(server, query)
-            missing_ms = slow_factor * estimate.compute_ms(missing_tokens)
-            copy_costs = self.copy_costs.get(query.service)
-            if inputs.is_held and copy_costs is not None:
-                missing_ms = min(missing_ms, copy_costs.compute_ms(missing_tokens))
-        is_remote = server.failure_domain != self._failure_domain
+        load = expected_load = self._model.compute_weight(identity, stats)
+        margin = self._model.compute_margin(identity, stats)
+        is_over_limit = load + margin + 1.0 > stats.load_limit
+        holds_prompt, missing_ms = False, 0.0
+        if inputs.cache_key:
+            held_tokens = self._count_held(server, inputs.query)
+            holds_prompt = held_tokens == inputs.shared_tokens
+            if holds_prompt:
+                expected_load = max(load, inputs.shared_load)
+            else:
+                missing_tokens = inputs.shared_tokens - held_tokens
+                missing_ms = slow_factor * inputs.estimate.compute_ms(missing_tokens)
+                if inputs.is_held and inputs.copy_costs is not None:
+                    copy_ms = inputs.copy_costs.compute_ms(missing_tokens)
+                    missing_ms = min(missing_ms, copy_ms)
+        if server.failure_domain != self._failure_domain:
+            load += DOMAIN_PENALTY
         return ServerCost(
             server,
-            load + DOMAIN_PENALTY * is_remote,
+            load,
             min(slots, stats.load_limit),
-            load + 1.0 <= slots and not is_over_limit,
+            expected_load + 1.0 <= slots and not is_over_limit,
             is_over_limit,
             holds_prompt,
             slow_factor,
-            compute_slot_wait_ms(highest_load, slots, inputs.held_s),
-            slow_factor * work_ms,
+            compute_slot_wait_ms(expected_load + margin, slots, inputs.held_s),
+            slow_factor * inputs.work_ms,
             missing_ms,
         )
 
@@ -377,6 +428,16 @@
         return _Copy()
 
 
+def _is_calm_holder(cost: ServerCost) -> bool:
+    """Return whether no other server can be better than one with the prompt cached."""
+    return (
+        cost.holds_prompt
+        and cost.is_free
+        and not cost.wait_ms
+        and cost.slow_factor <= 1.0
+    )
+
+
 def _narrow(
     cheapest: list[ServerCost], inputs: _Inputs
 ) -> tuple[str, list[ServerCost]]:
@@ -387,7 +448,7 @@
             of the prompt come first.
         inputs: What the costs have in common.
     """
-    if not inputs.query.cache_key:
+    if not inputs.cache_key:
         return "least_loaded", cheapest
     holders = [cost for cost in cheapest if cost.holds_prompt]
     if holders:
@@ -395,6 +456,6 @@
     if not any(cost.is_free for cost in cheapest):
         return "least_loaded", cheapest
     if inputs.is_held:
-        return "spilled", cheapest[:SPILL_WIDTH]
+        return "spilled", cheapest[:HASH_CANDIDATES]
     # As long as no server has the prompt, all hosts send it to the same one.
     return "hashed", cheapest[:1]
--- a/oleanderpier/routing/costs.py
+++ b/oleanderpier/routing/costs.py
@@ -31,10 +31,10 @@
 # this host believed.
 MIN_TOKENS_PER_MS = 20.0
 MAX_TOKENS_PER_MS = 1000.0
-# Weight that each earlier measurement keeps at a new one: the last 100 count.
-MEASUREMENT_DECAY = 0.99
+# Weight that each earlier measurement keeps at a new one: the last 500 count.
+MEASUREMENT_DECAY = 0.998
 # Weighted number of measurements from which on they count: the first 30.
-MIN_MEASUREMENTS = 26.0
+MIN_MEASUREMENTS = 29.0
 # Standard deviation of the uncached tokens from which on the speed can be told from
 # the time that every request takes.
 MIN_TOKENS_DEVIATION = 1000.0
