--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -16,10 +16,10 @@
 
 import random
 from collections.abc import Callable, Collection, Iterable
+from itertools import islice
 from typing import NamedTuple
 
 from oleanderpier.routing.caches import CacheMap
-from oleanderpier.routing.choice_records import Choice, ServerQuery
 from oleanderpier.routing.costs import (
     DEFAULT_HELD_S,
     MILLISECONDS_PER_S,
@@ -35,11 +35,13 @@
 from oleanderpier.routing.eligibility import (
     NO_RESTRICTIONS,
     Eligibility,
+    Ineligibility,
     Restrictions,
 )
 from oleanderpier.routing.hash_order import score_server
 from oleanderpier.routing.load_model import LoadModel, ServiceStats
 from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.requirements import Choice, ServerQuery
 from oleanderpier.routing.roster import Roster
 from oleanderpier.routing.statements import ServerStatements
 from oleanderpier.utils import Timers
@@ -51,7 +53,11 @@
 STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
 MAX_HOLDERS = 5
+# How many of them are looked at for those that may get the request.
+HOLDERS_SAMPLE_RATIO = 3
 RANDOM_CANDIDATES = 4
+# Servers that are compared if only few may get the request.
+MAX_OTHERS = 20
 # The first servers in the hash order that are compared. A prompt spreads to them while
 # those that have it cached have no room: they are few, so that it is read again seldom,
 # and several, since all hosts spread it at once.
@@ -63,8 +69,15 @@
 # Room that a server of another failure domain has to have more, in requests.
 DOMAIN_PENALTY = 0.5
 
-# Picks the server to copy from, of the ids of several, for a server.
-PickCopySource = Callable[[Iterable[str], ServerEntry], ServerEntry | None]
+# Why a server that has a prompt cached takes a part in its requests, or None: a refusal
+# tells that it is full.
+_SHARING = (None, Ineligibility.EXCLUDED)
+
+# Picks the server to copy from, of the ids of several, for a server and a request that
+# may reach some regions only.
+PickCopySource = Callable[
+    [Iterable[str], ServerEntry, frozenset[str] | None], ServerEntry | None
+]
 
 
 class _Copy(NamedTuple):
@@ -174,7 +187,7 @@
         usable = self._roster.list_usable(query.service)
         if not usable:
             return None
-        holders = self._list_holders(query)
+        holders = self._list_holders(query, restrictions)
         inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
         costs = self._compute_costs(holders, inputs)
         if not any(map(_is_calm_holder, costs)):
@@ -222,8 +235,14 @@
             if any(cost.is_free and not cost.holds_prompt for cost in costs):
                 return costs
             seen.update(entry.identity for entry in others)
-        # Few of the servers may get the request.
-        return costs or self._compute_costs(usable, inputs)
+        if len(costs) < RANDOM_CANDIDATES:
+            # Few of the servers may get the request, so that the samples missed them.
+            eligible = self._eligibility.list_eligible(
+                inputs.query.service, inputs.restrictions
+            )
+            others = [entry for entry in eligible if entry.identity not in seen]
+            costs = costs + self._compute_costs(others[:MAX_OTHERS], inputs)
+        return costs
 
     def record_first_event(self, choice: Choice, took_s: float) -> None:
         """Record the time until the first event of a request.
@@ -294,20 +313,28 @@
                     service, usable, self._statements
                 )
 
-    def _list_holders(self, query: ServerQuery) -> list[ServerEntry]:
-        """Return servers that have the longest prefix cached that any server has."""
+    def _list_holders(
+        self, query: ServerQuery, restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        """Return servers that have the longest prefix cached that any server has.
+
+        They may get the request, or have refused it.
+        """
         for prefix in reversed(query.prefixes):
             identities = self._caches.list_holders(prefix.key)
             if len(identities) > MAX_HOLDERS:
-                identities = self._rng.sample(identities, MAX_HOLDERS)
-            holders = [
+                count = min(len(identities), HOLDERS_SAMPLE_RATIO * MAX_HOLDERS)
+                identities = self._rng.sample(identities, count)
+            holders = (
                 entry
                 for identity in identities
                 if (entry := self._roster.get_entry(identity)) is not None
                 and entry.service == query.service
-            ]
-            if holders:
-                return holders
+                and self._eligibility.find_reason(entry, restrictions) in _SHARING
+            )
+            found = list(islice(holders, MAX_HOLDERS))
+            if found:
+                return found
         return []
 
     def _list_hashed(
@@ -422,7 +449,7 @@
             if not is_useful:
                 break
             holders = self._caches.list_holders(prefix.key)
-            source = self._pick_copy_source(holders, cost.server)
+            source = self._pick_copy_source(holders, cost.server, inputs.query.regions)
             if source is not None:
                 return _Copy(source, tokens)
         return _Copy()
--- a/oleanderpier/routing/tests/replay.py
+++ b/oleanderpier/routing/tests/replay.py
@@ -161,7 +161,7 @@
         query = ServerQuery(
             ENGINE,
             (PromptPrefix(key, kind.shared_tokens),),
-            kind.shared_tokens + kind.own_tokens,
+            prompt_tokens=kind.shared_tokens + kind.own_tokens,
         )
         choice = self._choose(query, now_s)
         number = int(choice.server.identity[1:])
