Measure prefill, and read what copies need where permits can be on

The forwarder records the time to the first event against uncached tokens. Engine.KvTokenBytes and Engine.LinkMbps are read only of services with ColdPerS, as trailing fields of their entries, so that the encoded tables of other deployments stay as they are. A copy is planned only if it takes less time than the prefill. The line forward:send has the uncached tokens.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -259,6 +259,7 @@
             self.evacuations,
             self.outages,
             lambda: self.view.report_now(),
+            self.chooser.costs.update_services,
         )
         for replica in self.replicas.values():
             replica.subscribe(lambda change: self._check_ready())
--- a/oleanderpier/entry/values.py
+++ b/oleanderpier/entry/values.py
@@ -12,7 +12,13 @@
     get_era,
     get_revision,
 )
-from oleanderpier.routing import ColdServers, Evacuations, Roster, RouteIndex
+from oleanderpier.routing import (
+    ColdServers,
+    Evacuations,
+    Roster,
+    RouteIndex,
+    ServiceEntry,
+)
 
 __all__ = [
     "CONFIGURATION",
@@ -40,6 +46,7 @@
         evacuations: The evacuated failure domains.
         outages: Outages of the platform, as calls to it show them.
         notify_configuration: Called after each change of the configuration.
+        update_services: Called with the services whose cold servers have limits.
 
     Attributes:
         route_index: The routes in force, None before the first configuration.
@@ -53,6 +60,7 @@
         evacuations: Evacuations,
         outages: OutageDetector,
         notify_configuration: Callable[[], None],
+        update_services: Callable[[tuple[ServiceEntry, ...]], None],
     ) -> None:
         self.route_index: RouteIndex | None = None
         self._replicas = replicas
@@ -61,6 +69,7 @@
         self._evacuations = evacuations
         self._outages = outages
         self._notify_configuration = notify_configuration
+        self._update_services = update_services
         replicas[CONFIGURATION].subscribe(self._apply_configuration)
         replicas[SERVERS].subscribe(self._apply_servers)
 
@@ -77,6 +86,7 @@
             table = decode_table(item.value)
             self.route_index = RouteIndex(table)
             self._cold_servers.update_services(table.services)
+            self._update_services(table.services)
             log_message(
                 "node:configuration",
                 version=table.version,
--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -50,6 +50,13 @@
     last_event_id: str | None
     deadline_s: float
 
+    @property
+    def prompt_tokens(self) -> int:
+        """The tokens of the whole prompt, 0 if the route is not sticky."""
+        if not self.route.sticky:
+            return 0
+        return sum(part.tokens for part in self.prompt_parts)
+
     @property
     def shared_prefixes(self) -> tuple[PromptPrefix, ...]:
         """The prefixes that other requests share, from the shortest to the longest.
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -75,7 +75,10 @@
             call.route.shares, prefixes[-1].key if prefixes else call.identity
         )
         self._query = ServerQuery(
-            self._service, prefixes, combine_regions(call.route, call.workspace)
+            self._service,
+            prefixes,
+            combine_regions(call.route, call.workspace),
+            call.prompt_tokens,
         )
         self._tried: set[str] = set()
         self._refused_by: set[str] = set()
@@ -329,6 +332,9 @@
             raise
         took_s = self._end_in_flight(attempt)
         forwarder.on_attempt_end(outcome, attempt.framing, took_s)
+        if attempt.first_event_at_s is not None:
+            first_event_s = attempt.first_event_at_s - forwarder.timers.now() + took_s
+            forwarder.chooser.costs.record_first_event(choice, first_event_s)
         self._reason = attempt.reason
         self._log_attempt(choice, attempt, outcome.value, took_s)
         self._attempts += outcome is not AttemptOutcome.UNREACHED
@@ -392,6 +398,7 @@
             cache_age_s=None
             if choice.cache_age_s is None
             else round(choice.cache_age_s, 3),
+            uncached_tokens=choice.uncached_tokens,
             source=choice.copy_source.identity if choice.copy_source else "",
             framing=attempt.framing.value if attempt.framing else "",
             received_bytes=attempt.received_bytes,
--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -77,11 +77,19 @@
     AllowedRegions: NotRequired[list[str] | None]
 
 
+class _Engine(TypedDict):
+    # What a copy of cached prompt tokens from server to server needs.
+    KvTokenBytes: NotRequired[_NonNegative | None]
+    LinkMbps: NotRequired[_NonNegative | None]
+
+
 class _Service(TypedDict):
     Name: str
     ColdStartS: NotRequired[_NonNegative | None]
     # Requests per second that a cold server tolerates from all hosts together.
     ColdPerS: NotRequired[_NonNegative | None]
+    # An ``_Engine``. It is read only of services with limits for cold servers.
+    Engine: NotRequired[Any]
 
 
 class _Configuration(TypedDict):
@@ -127,9 +135,7 @@
         credentials=None if tenants is None else _index_credentials(tenants),
         limits=CallerLimits(value["Limits"]["MaxBodyBytes"]),
         services=tuple(
-            ServiceEntry(
-                service["Name"], service.get("ColdStartS") or 0.0, service["ColdPerS"]
-            )
+            _make_service(service)
             for service in value.get("Services") or ()
             if service.get("ColdPerS")
         ),
@@ -188,6 +194,17 @@
         raise SettingsError("$", str(error), "JSON") from error
 
 
+def _make_service(service: _Service) -> ServiceEntry:
+    engine = convert_mapping(_Engine, service.get("Engine") or {})
+    return ServiceEntry(
+        service["Name"],
+        service.get("ColdStartS") or 0.0,
+        service["ColdPerS"],
+        engine.get("KvTokenBytes") or 0.0,
+        engine.get("LinkMbps") or 0.0,
+    )
+
+
 def _make_route(route: _Route) -> Route:
     if route["RouteKind"] not in _REQUEST_KINDS:
         raise SettingsError(
--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -15,10 +15,11 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from itertools import islice
 from typing import NamedTuple
 
+from oleanderpier.routing.cache_copies import CacheCopies, PickCopySource
 from oleanderpier.routing.caches import CacheMap
 from oleanderpier.routing.costs import (
     DEFAULT_HELD_S,
@@ -40,7 +41,7 @@
 )
 from oleanderpier.routing.hash_order import score_server
 from oleanderpier.routing.load_model import LoadModel, ServiceStats
-from oleanderpier.routing.records import ServerEntry
+from oleanderpier.routing.records import ServerEntry, ServiceEntry
 from oleanderpier.routing.requirements import Choice, ServerQuery
 from oleanderpier.routing.roster import Roster
 from oleanderpier.routing.statements import ServerStatements
@@ -52,9 +53,9 @@
 # 1 to 2 s old.
 STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
-MAX_HOLDERS = 5
+MAX_HOLDERS = 4
 # How many of them are looked at for those that may get the request.
-HOLDERS_SAMPLE_RATIO = 3
+HOLDERS_SAMPLE_RATIO = 2
 RANDOM_CANDIDATES = 4
 # Servers that are compared if only few may get the request.
 MAX_OTHERS = 20
@@ -64,8 +65,6 @@
 HASH_CANDIDATES = 3
 # Prompts whose hash order is kept.
 MAX_HASH_ORDERS = 4096
-# Shorter prefixes are not copied if the costs of copies are not known.
-MIN_COPIED_TOKENS = 100
 # Room that a server of another failure domain has to have more, in requests.
 DOMAIN_PENALTY = 0.5
 
@@ -73,24 +72,6 @@
 # tells that it is full.
 _SHARING = (None, Ineligibility.EXCLUDED)
 
-# Picks the server to copy from, of the ids of several, for a server and a request that
-# may reach some regions only.
-PickCopySource = Callable[
-    [Iterable[str], ServerEntry, frozenset[str] | None], ServerEntry | None
-]
-
-
-class _Copy(NamedTuple):
-    """A copy of cached tokens to a server, or that there is none.
-
-    Attributes:
-        source: The server to copy from, None without a copy.
-        tokens: The tokens that are copied.
-    """
-
-    source: ServerEntry | None = None
-    tokens: int = 0
-
 
 class _Inputs(NamedTuple):
     """What the costs of all servers in one choice have in common.
@@ -142,7 +123,6 @@
 
     Attributes:
         prefill_times: How long services take until the first event.
-        copy_costs: What copying takes, by service; a service may be missing.
     """
 
     def __init__(
@@ -158,19 +138,27 @@
         timers: Timers,
     ) -> None:
         self.prefill_times = PrefillTimes()
-        self.copy_costs: dict[str, CopyCosts] = {}
         self._roster = roster
         self._caches = caches
         self._eligibility = eligibility
         self._model = model
         self._statements = statements
         self._failure_domain = failure_domain
-        self._pick_copy_source = pick_copy_source
+        self._copies = CacheCopies(caches, pick_copy_source)
         self._rng = rng
         self._timers = timers
         self._stats: dict[str, ServiceStats] = {}
         self._hash_orders: dict[str, tuple[list[ServerEntry], list[str]]] = {}
 
+    def update_services(self, services: Iterable[ServiceEntry]) -> None:
+        """Apply the services of the configuration whose cold servers have limits.
+
+        If there is one, all services of the configuration are under permits.
+        """
+        services = tuple(services)
+        self._statements.loads.set_all_under_permits(bool(services))
+        self._copies.update_services(services)
+
     def choose(
         self,
         query: ServerQuery,
@@ -189,7 +177,12 @@
             return None
         holders = self._list_holders(query, restrictions)
         inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
-        costs = self._compute_costs(holders, inputs)
+        left_out = restrictions.excluded.union(avoided)
+        costs = [
+            self._compute_cost(entry, inputs)
+            for entry in holders
+            if entry.identity not in left_out
+        ]
         if not any(map(_is_calm_holder, costs)):
             costs = self._compare_others(holders, costs, inputs, usable)
         if not costs:
@@ -197,7 +190,7 @@
         reason, cheapest = _narrow(list_cheapest(costs), inputs)
         cost = pick_by_room(cheapest, self._rng)
         held_tokens = self._count_held(cost.server, query)
-        copy = self._plan_copy(cost, held_tokens, inputs)
+        copy = self._copies.plan(query, cost, held_tokens, inputs.estimate)
         uncached_tokens = query.total_tokens - held_tokens - copy.tokens
         return Choice(
             cost.server,
@@ -298,7 +291,7 @@
             shared_load,
             stats,
             estimate,
-            self.copy_costs.get(query.service),
+            self._copies.get_costs(query.service),
             base_ms + estimate.compute_ms(own_tokens),
             DEFAULT_HELD_S if held_s is None else held_s,
             self._timers.now(),
@@ -436,24 +429,6 @@
                 return prefix.tokens
         return 0
 
-    def _plan_copy(self, cost: ServerCost, held_tokens: int, inputs: _Inputs) -> _Copy:
-        """Return the copy that makes the first event arrive earlier, if any does."""
-        copy_costs = self.copy_costs.get(inputs.query.service)
-        for prefix in reversed(inputs.query.prefixes):
-            tokens = prefix.tokens - held_tokens
-            if copy_costs is None:
-                is_useful = tokens >= MIN_COPIED_TOKENS
-            else:
-                prefill_ms = cost.slow_factor * inputs.estimate.compute_ms(tokens)
-                is_useful = prefill_ms > copy_costs.compute_ms(tokens)
-            if not is_useful:
-                break
-            holders = self._caches.list_holders(prefix.key)
-            source = self._pick_copy_source(holders, cost.server, inputs.query.regions)
-            if source is not None:
-                return _Copy(source, tokens)
-        return _Copy()
-
 
 def _is_calm_holder(cost: ServerCost) -> bool:
     """Return whether no other server can be better than one with the prompt cached."""
--- a/oleanderpier/routing/records.py
+++ b/oleanderpier/routing/records.py
@@ -118,11 +118,15 @@
         cold_start_s: How long a server is cold after it has started, in seconds.
         cold_per_s: The requests per second that a cold server tolerates, of all hosts
             together.
+        kv_token_bytes: Bytes of a cached prompt token, 0 if unknown.
+        link_mbps: Rate of the link between its servers in Mbit/s, 0 if unknown.
     """
 
     name: str
     cold_start_s: float
     cold_per_s: float
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class RoutingTable(NamedTuple):
