--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -36,7 +36,6 @@
 from oleanderpier.routing.eligibility import (
     NO_RESTRICTIONS,
     Eligibility,
-    Ineligibility,
     Restrictions,
 )
 from oleanderpier.routing.hash_order import score_server
@@ -68,10 +67,6 @@
 # Room that a server of another failure domain has to have more, in requests.
 DOMAIN_PENALTY = 0.5
 
-# Why a server that has a prompt cached takes a part in its requests, or None: a refusal
-# tells that it is full.
-_SHARING = (None, Ineligibility.EXCLUDED)
-
 
 class _Inputs(NamedTuple):
     """What the costs of all servers in one choice have in common.
@@ -177,11 +172,10 @@
             return None
         holders = self._list_holders(query, restrictions)
         inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
-        left_out = restrictions.excluded.union(avoided)
         costs = [
             self._compute_cost(entry, inputs)
             for entry in holders
-            if entry.identity not in left_out
+            if entry.identity not in avoided
         ]
         if not any(map(_is_calm_holder, costs)):
             costs = self._compare_others(holders, costs, inputs, usable)
@@ -279,14 +273,16 @@
             base_ms = (held_s or 0.0) * MILLISECONDS_PER_S
         shared_tokens = query.shared_tokens
         own_tokens = query.total_tokens - shared_tokens
-        shared_load = self._estimate_shared_load(holders, stats, restrictions.excluded)
+        shared_load = self._estimate_shared_load(
+            holders, stats, query.cache_key, restrictions.excluded
+        )
         key = query.cache_key
         return _Inputs(
             query,
             avoided,
             restrictions,
             key,
-            any(self._caches.holds(key, entry.identity) for entry in holders),
+            bool(self._caches.list_holders(key)),
             shared_tokens,
             shared_load,
             stats,
@@ -311,7 +307,7 @@
     ) -> list[ServerEntry]:
         """Return servers that have the longest prefix cached that any server has.
 
-        They may get the request, or have refused it.
+        They may get the request.
         """
         for prefix in reversed(query.prefixes):
             identities = self._caches.list_holders(prefix.key)
@@ -323,7 +319,7 @@
                 for identity in identities
                 if (entry := self._roster.get_entry(identity)) is not None
                 and entry.service == query.service
-                and self._eligibility.find_reason(entry, restrictions) in _SHARING
+                and self._eligibility.find_reason(entry, restrictions) is None
             )
             found = list(islice(holders, MAX_HOLDERS))
             if found:
@@ -359,23 +355,28 @@
         self,
         holders: list[ServerEntry],
         stats: ServiceStats,
+        key: str,
         excluded: Collection[str],
     ) -> float:
         """Return the mean load of the servers that have a prompt cached.
 
         They share its requests: until the loads show it, all hosts send these to the
-        one that seems to have most room. Holders that have refused the request count
-        as full.
+        one that seems to have most room. Those that refused the request count as full.
+
+        Args:
+            holders: Servers that have the prompt cached.
+            stats: The statistics of the service.
+            key: The key of the prompt.
+            excluded: Ids of the servers that refused the request.
         """
-        if not holders:
-            return 0.0
-        loads = (
+        loads = [self._model.compute_weight(entry.identity, stats) for entry in holders]
+        loads += [
             self._statements.get_slots(entry)
-            if entry.identity in excluded
-            else self._model.compute_weight(entry.identity, stats)
-            for entry in holders
-        )
-        return min(stats.load_limit, sum(loads) / len(holders))
+            for identity in excluded
+            if self._caches.holds(key, identity)
+            and (entry := self._roster.get_entry(identity)) is not None
+        ]
+        return min(stats.load_limit, sum(loads) / len(loads)) if loads else 0.0
 
     def _compute_costs(
         self, servers: Iterable[ServerEntry], inputs: _Inputs
