--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -36,6 +36,16 @@
             "Servers that tolerate few requests, since they are cold.",
             lambda: node.cold_servers.count_cold(node.roster.list_entries()),
         ),
+        (
+            "services_stating_speed",
+            "Services with a server that has stated its speed.",
+            node.exchange.statements.loads.count_with_speeds,
+        ),
+        (
+            "prefill_tokens_per_ms",
+            "Lowest speed of prefill of a service, as the choice of servers uses it.",
+            node.chooser.costs.prefill_times.get_lowest_tokens_per_ms,
+        ),
         (
             "domains_evacuated",
             "Failure domains whose servers get nothing more.",
--- a/oleanderpier/routing/cache_copies.py
+++ b/oleanderpier/routing/cache_copies.py
@@ -16,7 +16,7 @@
 __all__ = ["CacheCopies", "CacheCopy", "PickCopySource"]
 
 # Servers that are looked at for the source of a copy.
-MAX_COPY_SOURCES = 8
+MAX_COPY_SOURCES = 4
 # Shorter prefixes are not copied if the costs of copies are not known: by the users'
 # figures, an engine reads 57 tokens in 1 ms and sets a copy up in 5.3 ms.
 MIN_COPIED_TOKENS = 300
--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -15,7 +15,7 @@
 """
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from itertools import islice
 from typing import NamedTuple
 
@@ -38,7 +38,7 @@
     Eligibility,
     Restrictions,
 )
-from oleanderpier.routing.hash_order import score_server
+from oleanderpier.routing.hash_order import list_first
 from oleanderpier.routing.load_model import LoadModel, ServiceStats
 from oleanderpier.routing.records import ServerEntry, ServiceEntry
 from oleanderpier.routing.requirements import Choice, ServerQuery
@@ -53,8 +53,8 @@
 STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
 MAX_HOLDERS = 4
-# How many of them are looked at for those that may get the request.
-HOLDERS_SAMPLE_RATIO = 2
+# How many times as many are looked at for those that may get the request.
+HOLDERS_SEARCH_RATIO = 3
 RANDOM_CANDIDATES = 4
 # Servers that are compared if only few may get the request.
 MAX_OTHERS = 20
@@ -75,6 +75,7 @@
         query: What the request requires.
         avoided: Ids of the servers that were tried before.
         restrictions: What the request excludes.
+        may_get: Returns whether a server may get the request.
         cache_key: The key of the longest shared prefix, empty if there is none.
         is_held: Whether a server has the longest shared prefix cached.
         shared_tokens: The tokens of the longest shared prefix.
@@ -90,6 +91,7 @@
     query: ServerQuery
     avoided: Collection[str]
     restrictions: Restrictions
+    may_get: Callable[[ServerEntry], bool]
     cache_key: str
     is_held: bool
     shared_tokens: int
@@ -170,8 +172,11 @@
         usable = self._roster.list_usable(query.service)
         if not usable:
             return None
-        holders = self._list_holders(query, restrictions)
-        inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
+        may_get = self._eligibility.make_check(restrictions)
+        holders = self._list_holders(query, may_get)
+        inputs = self._collect_inputs(
+            query, avoided, restrictions, usable, holders, may_get
+        )
         costs = [
             self._compute_cost(entry, inputs)
             for entry in holders
@@ -215,7 +220,6 @@
         for servers in (
             self._list_hashed(inputs.query, usable),
             self._sample(usable),
-            self._sample(usable),
         ):
             others = [entry for entry in servers if entry.identity not in seen]
             costs = costs + self._compute_costs(others, inputs)
@@ -257,6 +261,7 @@
         restrictions: Restrictions,
         usable: list[ServerEntry],
         holders: list[ServerEntry],
+        may_get: Callable[[ServerEntry], bool],
     ) -> _Inputs:
         """Return what the costs of all servers have in common."""
         stats = self._stats.get(query.service)
@@ -281,8 +286,9 @@
             query,
             avoided,
             restrictions,
+            may_get,
             key,
-            bool(self._caches.list_holders(key)),
+            self._is_held(key, holders),
             shared_tokens,
             shared_load,
             stats,
@@ -303,7 +309,7 @@
                 )
 
     def _list_holders(
-        self, query: ServerQuery, restrictions: Restrictions
+        self, query: ServerQuery, may_get: Callable[[ServerEntry], bool]
     ) -> list[ServerEntry]:
         """Return servers that have the longest prefix cached that any server has.
 
@@ -312,20 +318,26 @@
         for prefix in reversed(query.prefixes):
             identities = self._caches.list_holders(prefix.key)
             if len(identities) > MAX_HOLDERS:
-                count = min(len(identities), HOLDERS_SAMPLE_RATIO * MAX_HOLDERS)
-                identities = self._rng.sample(identities, count)
+                first = self._rng.randrange(len(identities))
+                identities = identities[first:] + identities[:first]
             holders = (
                 entry
-                for identity in identities
+                for identity in identities[: HOLDERS_SEARCH_RATIO * MAX_HOLDERS]
                 if (entry := self._roster.get_entry(identity)) is not None
                 and entry.service == query.service
-                and self._eligibility.find_reason(entry, restrictions) is None
+                and may_get(entry)
             )
             found = list(islice(holders, MAX_HOLDERS))
             if found:
                 return found
         return []
 
+    def _is_held(self, key: str, holders: list[ServerEntry]) -> bool:
+        """Return whether a server has a prompt cached, if it may get it or not."""
+        if holders and self._caches.holds(key, holders[0].identity):
+            return True
+        return bool(self._caches.list_holders(key))
+
     def _list_hashed(
         self, query: ServerQuery, usable: list[ServerEntry]
     ) -> list[ServerEntry]:
@@ -336,13 +348,9 @@
         known = self._hash_orders.get(key)
         # The list is another one after each change of a registration.
         if known is None or known[0] is not usable:
-            order = sorted(
-                usable,
-                key=lambda entry: score_server(key, entry.identity),
-            )
             if len(self._hash_orders) >= MAX_HASH_ORDERS:
                 self._hash_orders.clear()
-            known = (usable, [entry.identity for entry in order[:HASH_CANDIDATES]])
+            known = (usable, list_first(key, usable, HASH_CANDIDATES))
             self._hash_orders[key] = known
         entries = (self._roster.get_entry(identity) for identity in known[1])
         return [entry for entry in entries if entry is not None]
@@ -385,16 +393,15 @@
         return [
             self._compute_cost(server, inputs)
             for server in servers
-            if server.identity not in inputs.avoided
-            and self._eligibility.find_reason(server, inputs.restrictions) is None
+            if server.identity not in inputs.avoided and inputs.may_get(server)
         ]
 
     def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
         identity, stats = server.identity, inputs.stats
         slow_factor = self._statements.loads.get_slow_factor(server, inputs.now_s)
         slots = compute_usable_slots(self._statements.get_slots(server), slow_factor)
-        load = expected_load = self._model.compute_weight(identity, stats)
-        margin = self._model.compute_margin(identity, stats)
+        load, margin = self._model.compute_load(identity, stats)
+        expected_load = load
         is_over_limit = load + margin + 1.0 > stats.load_limit
         holds_prompt, missing_ms = False, 0.0
         if inputs.cache_key:
--- a/oleanderpier/routing/costs.py
+++ b/oleanderpier/routing/costs.py
@@ -140,6 +140,11 @@
             )
         )
 
+    def get_lowest_tokens_per_ms(self) -> float:
+        """Return the lowest speed of the services, 0 before a measurement."""
+        speeds = [self.estimate(service).tokens_per_ms for service in self._sums]
+        return min(speeds, default=0.0)
+
     def estimate(self, service: str) -> PrefillEstimate:
         """Return the estimate of a service, a default until enough was measured."""
         sums = self._sums.get(service)
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -204,6 +204,28 @@
             return Ineligibility.BACKOFF
         return None
 
+    def make_check(self, restrictions: Restrictions) -> Callable[[ServerEntry], bool]:
+        """Return a function that tells whether ``find_reason`` finds none.
+
+        It checks only the reasons that can apply now, for the choice among many
+        servers. It is to be used at once.
+        """
+        checks = [
+            rule.applies
+            for rule in self._rules.values()
+            if rule.is_active(restrictions)
+        ]
+        is_backing_off = self._health.is_backing_off
+
+        def may_get(server: ServerEntry) -> bool:
+            if server.leaving or is_backing_off(server.identity):
+                return False
+            return not checks or not any(
+                applies(server, restrictions) for applies in checks
+            )
+
+        return may_get
+
     def find_evacuated(
         self, servers: Iterable[ServerEntry], restrictions: Restrictions
     ) -> EvacuatedServer | None:
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -164,24 +164,27 @@
     def compute_weight(self, identity: str, stats: ServiceStats) -> float:
         """Return a server's expected load, and a penalty for failing requests."""
         remote = self._estimate_remote_load(identity, stats.survival)
-        failure_rate = self._health.get_failure_rate(identity)
-        penalty = FAILURE_PENALTY * (failure_rate - stats.min_failure_rate)
-        return self.in_flight[identity] + remote + penalty
+        return self._add_own_load(identity, remote, stats)
 
     def compute_margin(self, identity: str, stats: ServiceStats) -> float:
-        """Return by how much a server's load may exceed its expected value.
-
-        A server that was reported with less than the mean may have got as many
-        requests as the others since.
-        """
+        """Return by how much a server's load may exceed its expected value."""
         if stats.survival == 1.0:
             return 0.0
-        load = max(
-            self._estimate_remote_load(identity, stats.survival),
-            stats.mean_remote_load,
+        return _compute_margin(
+            self._estimate_remote_load(identity, stats.survival), stats
         )
-        variance = (1 - stats.survival**2) * load
-        return LIMIT_MARGIN_SIGMAS * math.sqrt(variance)
+
+    def compute_load(self, identity: str, stats: ServiceStats) -> tuple[float, float]:
+        """Return what ``compute_weight`` and ``compute_margin`` do, in less time."""
+        remote = self._estimate_remote_load(identity, stats.survival)
+        margin = 0.0 if stats.survival == 1.0 else _compute_margin(remote, stats)
+        return self._add_own_load(identity, remote, stats), margin
+
+    def _add_own_load(self, identity: str, remote: float, stats: ServiceStats) -> float:
+        """Return the load with this host's requests, and the penalty for failures."""
+        failure_rate = self._health.get_failure_rate(identity)
+        penalty = FAILURE_PENALTY * (failure_rate - stats.min_failure_rate)
+        return self.in_flight[identity] + remote + penalty
 
     def _estimate_remote_load(self, identity: str, survival: float) -> float:
         """Return the expected number of requests of the other hosts at a server."""
@@ -190,3 +193,18 @@
             return counted
         mean = self._remote_loads.get_mean_in_flight(identity)
         return survival * counted + (1 - survival) * mean
+
+
+def _compute_margin(remote: float, stats: ServiceStats) -> float:
+    """Return by how much a server's load may exceed its expected value.
+
+    A server that was reported with less than the mean may have got as many requests as
+    the others since.
+
+    Args:
+        remote: The expected requests of the other hosts at the server.
+        stats: The statistics of its service.
+    """
+    load = max(remote, stats.mean_remote_load)
+    variance = (1 - stats.survival**2) * load
+    return LIMIT_MARGIN_SIGMAS * math.sqrt(variance)
--- a/oleanderpier/routing/server_loads.py
+++ b/oleanderpier/routing/server_loads.py
@@ -87,6 +87,10 @@
         """
         self._all_under_permits = active
 
+    def count_with_speeds(self) -> int:
+        """Return how many services have a server that has ever stated its speed."""
+        return len(self._with_speeds)
+
     def states_speed(self, service: str) -> bool:
         """Return whether a server of a service has ever stated its speed."""
         return service in self._with_speeds
--- a/oleanderpier/routing/tests/test_cost_choice.py
+++ b/oleanderpier/routing/tests/test_cost_choice.py
@@ -1,7 +1,7 @@
 """Tests of the choice of servers of services under permits."""
 
 import statistics
-import time
+import timeit
 
 from testtools import TestCase
 
@@ -11,6 +11,7 @@
     ServerQuery,
     ServiceEntry,
 )
+from oleanderpier.routing.hash_order import list_first, score_server
 from oleanderpier.routing.server_loads import SPEED_LIFETIME_S
 from oleanderpier.routing.tests.fakes import ENGINE, RoutingFixture, make_server
 from oleanderpier.routing.tests.replay import SLOTS, PromptKind, Replay
@@ -277,11 +278,20 @@
         fixture = make_fixture(150, 0.8)
         for number in range(20):
             send(fixture, LONG_QUERY, f"s{number}")
-        times_s = []
-        for _ in range(40):
-            started_s = time.process_time()
-            for _ in range(50):
-                fixture.chooser.choose(LONG_QUERY)
-            times_s.append((time.process_time() - started_s) / 50)
         # Other processes on the machine only add to the time.
-        self.assertLess(1e6 * min(times_s), 50.0)
+        shortest_s = min(
+            timeit.repeat(
+                lambda: fixture.chooser.choose(LONG_QUERY), number=5, repeat=1000
+            )
+        )
+        self.assertLess(1e6 * shortest_s / 5, 50.0)
+
+    def test_hash_order(self):
+        """The first server in it is the one that other builds choose."""
+        servers = [make_server(f"s{number}") for number in range(20)]
+        for key in ("a", "b", "c"):
+            expected = sorted(
+                (entry.identity for entry in servers),
+                key=lambda identity, key=key: score_server(key, identity),
+            )
+            self.assertEqual(expected[:3], list_first(key, servers, 3))
