--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
     AttemptOutcome,
+    Choice,
     Chooser,
     ColdServers,
     RetryBudget,
@@ -150,6 +151,20 @@
         responses[identity] = responses.get(identity, 0) + 1
         failures[identity] = failures.get(identity, 0) + failed
 
+    def record_first_event(
+        self, choice: Choice, first_at_s: float | None, took_s: float
+    ) -> None:
+        """Record when the first event of an attempt that ends now was received.
+
+        Args:
+            choice: The choice of its server.
+            first_at_s: The time, None if there was no event.
+            took_s: How long the attempt took, in seconds.
+        """
+        if first_at_s is not None:
+            started_s = self.timers.now() - took_s
+            self.chooser.costs.record_first_event(choice, first_at_s - started_s)
+
     def pop_response_counts(self) -> ResponseCounts:
         """Return the responses counted since the last call, and reset the counts."""
         counts, self.response_counts = self.response_counts, ResponseCounts({}, {})
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -334,9 +334,7 @@
             raise
         took_s = self._end_in_flight(attempt)
         forwarder.on_attempt_end(outcome, attempt.framing, took_s)
-        if attempt.first_event_at_s is not None:
-            first_event_s = attempt.first_event_at_s - forwarder.timers.now() + took_s
-            forwarder.chooser.costs.record_first_event(choice, first_event_s)
+        forwarder.record_first_event(choice, attempt.first_event_at_s, took_s)
         self._reason = attempt.reason
         self._log_attempt(choice, attempt, outcome.value, took_s)
         self._attempts += outcome is not AttemptOutcome.UNREACHED
--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -15,8 +15,7 @@
 """
 
 import random
-from collections.abc import Callable, Collection, Iterable
-from itertools import islice
+from collections.abc import Collection
 from typing import NamedTuple
 
 from oleanderpier.routing.cache_copies import CacheCopies, PickCopySource
@@ -75,7 +74,6 @@
         query: What the request requires.
         avoided: Ids of the servers that were tried before.
         restrictions: What the request excludes.
-        may_get: Returns whether a server may get the request.
         cache_key: The key of the longest shared prefix, empty if there is none.
         is_held: Whether a server has the longest shared prefix cached.
         shared_tokens: The tokens of the longest shared prefix.
@@ -91,7 +89,6 @@
     query: ServerQuery
     avoided: Collection[str]
     restrictions: Restrictions
-    may_get: Callable[[ServerEntry], bool]
     cache_key: str
     is_held: bool
     shared_tokens: int
@@ -147,12 +144,11 @@
         self._stats: dict[str, ServiceStats] = {}
         self._hash_orders: dict[str, tuple[list[ServerEntry], list[str]]] = {}
 
-    def update_services(self, services: Iterable[ServiceEntry]) -> None:
+    def update_services(self, services: tuple[ServiceEntry, ...]) -> None:
         """Apply the services of the configuration whose cold servers have limits.
 
         If there is one, all services of the configuration are under permits.
         """
-        services = tuple(services)
         self._statements.loads.set_all_under_permits(bool(services))
         self._copies.update_services(services)
 
@@ -172,11 +168,8 @@
         usable = self._roster.list_usable(query.service)
         if not usable:
             return None
-        may_get = self._eligibility.make_check(restrictions)
-        holders = self._list_holders(query, may_get)
-        inputs = self._collect_inputs(
-            query, avoided, restrictions, usable, holders, may_get
-        )
+        holders = self._list_holders(query, restrictions)
+        inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
         costs = [
             self._compute_cost(entry, inputs)
             for entry in holders
@@ -261,7 +254,6 @@
         restrictions: Restrictions,
         usable: list[ServerEntry],
         holders: list[ServerEntry],
-        may_get: Callable[[ServerEntry], bool],
     ) -> _Inputs:
         """Return what the costs of all servers have in common."""
         stats = self._stats.get(query.service)
@@ -286,7 +278,6 @@
             query,
             avoided,
             restrictions,
-            may_get,
             key,
             self._is_held(key, holders),
             shared_tokens,
@@ -309,7 +300,7 @@
                 )
 
     def _list_holders(
-        self, query: ServerQuery, may_get: Callable[[ServerEntry], bool]
+        self, query: ServerQuery, restrictions: Restrictions
     ) -> list[ServerEntry]:
         """Return servers that have the longest prefix cached that any server has.
 
@@ -320,16 +311,15 @@
             if len(identities) > MAX_HOLDERS:
                 first = self._rng.randrange(len(identities))
                 identities = identities[first:] + identities[:first]
-            holders = (
+            holders = [
                 entry
                 for identity in identities[: HOLDERS_SEARCH_RATIO * MAX_HOLDERS]
                 if (entry := self._roster.get_entry(identity)) is not None
                 and entry.service == query.service
-                and may_get(entry)
-            )
-            found = list(islice(holders, MAX_HOLDERS))
-            if found:
-                return found
+            ]
+            allowed = self._eligibility.list_allowed(holders, restrictions)
+            if allowed:
+                return allowed[:MAX_HOLDERS]
         return []
 
     def _is_held(self, key: str, holders: list[ServerEntry]) -> bool:
@@ -387,13 +377,13 @@
         return min(stats.load_limit, sum(loads) / len(loads)) if loads else 0.0
 
     def _compute_costs(
-        self, servers: Iterable[ServerEntry], inputs: _Inputs
+        self, servers: list[ServerEntry], inputs: _Inputs
     ) -> list[ServerCost]:
         """Return the costs of those of several servers that may get the request."""
         return [
             self._compute_cost(server, inputs)
-            for server in servers
-            if server.identity not in inputs.avoided and inputs.may_get(server)
+            for server in self._eligibility.list_allowed(servers, inputs.restrictions)
+            if server.identity not in inputs.avoided
         ]
 
     def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -135,10 +135,13 @@
 
         Servers in backoff are among them, since they are tried if no other is left.
         """
-        servers = self._roster.list_usable(service)
-        for omit in self._rules.values():
-            servers = omit(servers, restrictions)
-        return servers
+        return self._omit_ineligible(self._roster.list_usable(service), restrictions)
+
+    def list_allowed(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        """Return those of several servers for which ``find_reason`` finds none."""
+        return self.list_healthy(self._omit_ineligible(servers, restrictions))
 
     def list_healthy(self, servers: Iterable[ServerEntry]) -> list[ServerEntry]:
         """Return those of several servers that are not in backoff."""
@@ -165,28 +168,6 @@
             return Ineligibility.BACKOFF
         return None
 
-    def make_check(self, restrictions: Restrictions) -> Callable[[ServerEntry], bool]:
-        """Return a function that tells whether ``find_reason`` finds none.
-
-        It checks only the reasons that can apply now, for the choice among many
-        servers. It is to be used at once.
-        """
-        checks = [
-            rule.applies
-            for rule in self._rules.values()
-            if rule.is_active(restrictions)
-        ]
-        is_backing_off = self._health.is_backing_off
-
-        def may_get(server: ServerEntry) -> bool:
-            if server.leaving or is_backing_off(server.identity):
-                return False
-            return not checks or not any(
-                applies(server, restrictions) for applies in checks
-            )
-
-        return may_get
-
     def find_evacuated(
         self, servers: Iterable[ServerEntry], restrictions: Restrictions
     ) -> EvacuatedServer | None:
@@ -204,6 +185,13 @@
                 )
         return None
 
+    def _omit_ineligible(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        for omit in self._rules.values():
+            servers = omit(servers, restrictions)
+        return servers
+
     def _omit_leaving(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
         is_leaving = self._statements.is_leaving
         if not self._statements.count_leaving():
