Leave copies out of the measured prefill, and compare one holder less

A request that waited for a copy was taken for one without missing tokens. A load statement of an earlier run replaced that of a later one. Hash orders of former server lists stayed in memory.

--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -51,7 +51,7 @@
 # 1 to 2 s old.
 STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
-MAX_HOLDERS = 4
+MAX_HOLDERS = 3
 # How many times as many are looked at for those that may get the request.
 HOLDERS_SEARCH_RATIO = 3
 RANDOM_CANDIDATES = 4
@@ -231,15 +231,16 @@
     def record_first_event(self, choice: Choice, took_s: float) -> None:
         """Record the time until the first event of a request.
 
-        A request that may have waited for a slot tells nothing of the speed. It is one
-        if the server had requests waiting when it responded.
+        A request that may have waited for a slot tells nothing of the speed: the server
+        had requests waiting when it responded. Neither does one that waited for a copy.
 
         Args:
             choice: The choice of the server.
             took_s: The time since the request was sent, in seconds.
         """
         heard = self._statements.loads.get(choice.server)
-        if choice.cost is None or heard is None or heard.load.waiting:
+        is_alike = heard is not None and not heard.load.waiting
+        if choice.cost is None or choice.copy_source is not None or not is_alike:
             return
         self.prefill_times.record(
             choice.server.service,
@@ -338,7 +339,7 @@
         known = self._hash_orders.get(key)
         # The list is another one after each change of a registration.
         if known is None or known[0] is not usable:
-            if len(self._hash_orders) >= MAX_HASH_ORDERS:
+            if known is not None or len(self._hash_orders) >= MAX_HASH_ORDERS:
                 self._hash_orders.clear()
             known = (usable, list_first(key, usable, HASH_CANDIDATES))
             self._hash_orders[key] = known
--- a/oleanderpier/routing/server_loads.py
+++ b/oleanderpier/routing/server_loads.py
@@ -71,7 +71,10 @@
         self._all_under_permits = False
 
     def record(self, server: ServerEntry, load: LoadStatement, now_s: float) -> None:
-        """Record the load that a server has stated."""
+        """Record the load that a server has stated, unless a later run has."""
+        known = self._heard.get(server.identity)
+        if known is not None and known.born_ms > server.born_ms:
+            return
         self._heard[server.identity] = HeardLoad(server.born_ms, now_s, load)
         if load.slow_factor is not None:
             self._with_speeds.add(server.service)
--- a/oleanderpier/routing/tests/test_server_loads.py
+++ b/oleanderpier/routing/tests/test_server_loads.py
@@ -43,8 +43,11 @@
         restarted = SERVER._replace(born_ms=6)
         self.assertEqual(1.0, self.loads.get_slow_factor(restarted, 10.0))
         self.assertIsNone(self.loads.get(restarted))
+        self.loads.record(restarted, WITHOUT_SPEED, 11.0)
+        self.loads.record(SERVER, SLOW, 11.1)
+        self.assertEqual(WITHOUT_SPEED, self.loads.get(restarted).load)
         self.loads.remove_server("s1")
-        self.assertIsNone(self.loads.get(SERVER))
+        self.assertIsNone(self.loads.get(restarted))
 
     def test_services_under_permits(self):
         """A stated speed counts for its service, the configuration for all."""
