--- a/oleanderpier/forwarding/records.py
+++ b/oleanderpier/forwarding/records.py
@@ -7,6 +7,7 @@
 
 from oleanderpier.results import Code, Failure
 from oleanderpier.routing import (
+    LoadStatement,
     PromptPart,
     PromptPrefix,
     Refusal,
@@ -59,6 +60,13 @@
     last_event_id: str | None
     deadline_s: float
 
+    @property
+    def prompt_tokens(self) -> int:
+        """The tokens of the whole prompt, 0 if the route is not sticky."""
+        if not self.route.sticky:
+            return 0
+        return sum(part.tokens for part in self.prompt_parts)
+
     @property
     def shared_prefixes(self) -> tuple[PromptPrefix, ...]:
         """The prefixes that other requests share, from the shortest to the longest.
@@ -91,7 +99,7 @@
         wait_s: For how long the server wants no requests, None if it does not say.
         limit_per_s: The requests per second that the server takes from all hosts
             together, infinite without a limit; None if the response does not tell.
-        slots: How many requests the server runs at a time, None if it does not say.
+        load: What the server states about its load, None if it states nothing.
     """
 
     status: int
@@ -103,7 +111,12 @@
     says_leaving: bool = False
     wait_s: float | None = None
     limit_per_s: float | None = None
-    slots: int | None = None
+    load: LoadStatement | None = None
+
+    @property
+    def slots(self) -> int | None:
+        """How many requests the server runs at a time, None if it does not say."""
+        return (self.load.slots or None) if self.load else None
 
 
 class Dialect(Protocol):
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -8,6 +8,7 @@
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
 from oleanderpier.routing.cold_starts import *  # noqa: F403
+from oleanderpier.routing.costs import *  # noqa: F403
 from oleanderpier.routing.crashes import *  # noqa: F403
 from oleanderpier.routing.eligibility import *  # noqa: F403
 from oleanderpier.routing.evacuations import *  # noqa: F403
@@ -22,6 +23,7 @@
 from oleanderpier.routing.requirements import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
+from oleanderpier.routing.server_loads import *  # noqa: F403
 from oleanderpier.routing.server_permits import *  # noqa: F403
 from oleanderpier.routing.shares import *  # noqa: F403
 from oleanderpier.routing.statements import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -27,15 +27,15 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-import xxhash
-
 from oleanderpier.routing.caches import CacheMap
+from oleanderpier.routing.cost_choice import CostChooser
 from oleanderpier.routing.eligibility import (
     Eligibility,
     EvacuatedServer,
     Restrictions,
 )
 from oleanderpier.routing.evacuations import Evacuations
+from oleanderpier.routing.hash_order import score_server
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.load_model import (
     DEFAULT_LOAD_LIMIT_FACTOR,
@@ -87,6 +87,7 @@
 
     Attributes:
         in_flight: This host's requests in flight, by server id.
+        costs: Chooses the servers of services under permits.
     """
 
     def __init__(
@@ -124,6 +125,17 @@
             self._evacuations,
             regions or {},
         )
+        self.costs = CostChooser(
+            roster,
+            caches,
+            self._eligibility,
+            self._model,
+            self._statements,
+            failure_domain,
+            self._pick_nearest_healthy,
+            rng,
+            timers,
+        )
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
         """Record that a request is sent to a server."""
@@ -235,14 +247,18 @@
         self, query: ServerQuery, avoided: set[str], excluded: frozenset[str]
     ) -> Choice | None:
         """Return the best server, without the ages of the data behind the choice."""
-        if query.cache_key and not avoided:
+        under_permits = self._statements.loads.is_under_permits(query.service)
+        if query.cache_key and not (avoided or under_permits):
             choice = self._choose_holder_by_stats(query, excluded)
             if choice is not None:
                 return choice
         excludes_full = not avoided and self._names_limit(query.service)
-        usable = self._eligibility.list_eligible(
-            query.service, Restrictions(excluded, excludes_full, query.regions)
-        )
+        restrictions = Restrictions(excluded, excludes_full, query.regions)
+        if under_permits:
+            choice = self.costs.choose(query, avoided, restrictions)
+            if choice is not None:
+                return choice
+        usable = self._eligibility.list_eligible(query.service, restrictions)
         untried = [entry for entry in usable if entry.identity not in avoided]
         healthy = self._eligibility.list_healthy(untried)
         servers = healthy or untried or usable
@@ -461,8 +477,4 @@
 
 def _pick_by_hash(key: str, servers: list[ServerEntry]) -> ServerEntry:
     """Return the first server in the rendezvous-hash order of a key."""
-    return min(servers, key=lambda entry: _score_server(key, entry.identity))
-
-
-def _score_server(key: str, identity: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}|{identity}".encode())
+    return min(servers, key=lambda entry: score_server(key, entry.identity))
--- /dev/null
+++ b/oleanderpier/routing/cost_choice.py
@@ -0,0 +1,462 @@
+"""Chooses servers of services under permits by what the choice costs the caller.
+
+The module addresses these load patterns:
+
+- Bursts: the servers that have a hot prompt cached are full, while others have free
+  slots.
+- Machines of uneven speed.
+- Many hosts choose by loads that are 1 to 2 s old: equally good servers are chosen at
+  random, and the wait at a server is that at the highest load that is likely.
+- Calm traffic: requests stay with the servers that have their prompt cached.
+
+A choice looks at a bounded number of servers, since a comparison of all 150 would take
+too long: those that have the prompt cached, the first ones in the hash order of the
+prompt, and some at random.
+"""
+
+import random
+from collections.abc import Collection
+from typing import NamedTuple
+
+from oleanderpier.routing.cache_copies import CacheCopies, PickCopySource
+from oleanderpier.routing.caches import CacheMap
+from oleanderpier.routing.costs import (
+    DEFAULT_HELD_S,
+    MILLISECONDS_PER_S,
+    CopyCosts,
+    PrefillEstimate,
+    PrefillTimes,
+    ServerCost,
+    compute_slot_wait_ms,
+    compute_usable_slots,
+    list_cheapest,
+    pick_by_room,
+)
+from oleanderpier.routing.eligibility import (
+    NO_RESTRICTIONS,
+    Eligibility,
+    Restrictions,
+)
+from oleanderpier.routing.hash_order import list_first
+from oleanderpier.routing.load_model import LoadModel, ServiceStats
+from oleanderpier.routing.records import ServerEntry, ServiceEntry
+from oleanderpier.routing.requirements import Choice, ServerQuery
+from oleanderpier.routing.roster import Roster
+from oleanderpier.routing.statements import ServerStatements
+from oleanderpier.utils import Timers
+
+__all__ = ["CostChooser"]
+
+# Interval of the statistics over all servers of a service. The loads behind them are
+# 1 to 2 s old.
+STATS_INTERVAL_S = 0.25
+# Servers that have the prompt cached, or are chosen at random, that are compared.
+MAX_HOLDERS = 3
+# How many times as many are looked at for those that may get the request.
+HOLDERS_SEARCH_RATIO = 3
+RANDOM_CANDIDATES = 4
+# Servers that are compared if only few may get the request.
+MAX_OTHERS = 20
+# The first servers in the hash order that are compared. A prompt spreads to them while
+# those that have it cached have no room: they are few, so that it is read again seldom,
+# and several, since all hosts spread it at once.
+HASH_CANDIDATES = 3
+# Prompts whose hash order is kept.
+MAX_HASH_ORDERS = 4096
+# Room that a server of another failure domain has to have more, in requests.
+DOMAIN_PENALTY = 0.5
+
+
+class _Inputs(NamedTuple):
+    """What the costs of all servers in one choice have in common.
+
+    Attributes:
+        query: What the request requires.
+        avoided: Ids of the servers that were tried before.
+        restrictions: What the request excludes.
+        cache_key: The key of the longest shared prefix, empty if there is none.
+        is_held: Whether a server has the longest shared prefix cached.
+        shared_tokens: The tokens of the longest shared prefix.
+        shared_load: The mean load of the servers that have the prompt cached.
+        stats: The statistics of the service.
+        estimate: How long the service takes to read a prompt.
+        copy_costs: What copying takes, None if unknown.
+        work_ms: The time until the first event, without the shared tokens.
+        held_s: Mean time that a request is at a server, in seconds.
+        now_s: The time.
+    """
+
+    query: ServerQuery
+    avoided: Collection[str]
+    restrictions: Restrictions
+    cache_key: str
+    is_held: bool
+    shared_tokens: int
+    shared_load: float
+    stats: ServiceStats
+    estimate: PrefillEstimate
+    copy_costs: CopyCosts | None
+    work_ms: float
+    held_s: float
+    now_s: float
+
+
+class CostChooser:
+    """Chooses servers by their costs.
+
+    Args:
+        roster: The backend servers by service.
+        caches: Which servers have which prefixes cached.
+        eligibility: Which servers may get a request.
+        model: The loads of the servers.
+        statements: What the servers have stated.
+        failure_domain: The failure domain of this host.
+        pick_copy_source: Picks the server to copy from.
+        rng: The random number generator that chooses among equal servers.
+        timers: The timer service.
+
+    Attributes:
+        prefill_times: How long services take until the first event.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        caches: CacheMap,
+        eligibility: Eligibility,
+        model: LoadModel,
+        statements: ServerStatements,
+        failure_domain: str,
+        pick_copy_source: PickCopySource,
+        rng: random.Random,
+        timers: Timers,
+    ) -> None:
+        self.prefill_times = PrefillTimes()
+        self._roster = roster
+        self._caches = caches
+        self._eligibility = eligibility
+        self._model = model
+        self._statements = statements
+        self._failure_domain = failure_domain
+        self._copies = CacheCopies(caches, pick_copy_source)
+        self._rng = rng
+        self._timers = timers
+        self._stats: dict[str, ServiceStats] = {}
+        self._hash_orders: dict[str, tuple[list[ServerEntry], list[str]]] = {}
+
+    def update_services(self, services: tuple[ServiceEntry, ...]) -> None:
+        """Apply the services of the configuration whose cold servers have limits.
+
+        If there is one, all services of the configuration are under permits.
+        """
+        self._statements.loads.set_all_under_permits(bool(services))
+        self._copies.update_services(services)
+
+    def choose(
+        self,
+        query: ServerQuery,
+        avoided: Collection[str] = (),
+        restrictions: Restrictions = NO_RESTRICTIONS,
+    ) -> Choice | None:
+        """Return the server that costs least, None if no untried one is healthy.
+
+        Args:
+            query: What the request requires.
+            avoided: Ids of the servers that were tried before.
+            restrictions: What the request excludes.
+        """
+        usable = self._roster.list_usable(query.service)
+        if not usable:
+            return None
+        holders = self._list_holders(query, restrictions)
+        inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
+        costs = [
+            self._compute_cost(entry, inputs)
+            for entry in holders
+            if entry.identity not in avoided
+        ]
+        if not any(map(_is_calm_holder, costs)):
+            costs = self._compare_others(holders, costs, inputs, usable)
+        if not costs:
+            return None
+        reason, cheapest = _narrow(list_cheapest(costs), inputs)
+        cost = pick_by_room(cheapest, self._rng)
+        held_tokens = self._count_held(cost.server, query)
+        copy = self._copies.plan(query, cost, held_tokens, inputs.estimate)
+        uncached_tokens = query.total_tokens - held_tokens - copy.tokens
+        return Choice(
+            cost.server,
+            reason,
+            self._model.count_in_flight(cost.server.identity),
+            inputs.stats,
+            copy.source,
+            uncached_tokens=uncached_tokens,
+            cost=cost,
+        )
+
+    def _compare_others(
+        self,
+        holders: list[ServerEntry],
+        costs: list[ServerCost],
+        inputs: _Inputs,
+        usable: list[ServerEntry],
+    ) -> list[ServerCost]:
+        """Return the costs of holders and of others, the first in hash order first.
+
+        Args:
+            holders: Servers that have the prompt cached.
+            costs: Their costs.
+            inputs: What the costs have in common.
+            usable: All servers of the service.
+        """
+        seen = {entry.identity for entry in holders}
+        for servers in (
+            self._list_hashed(inputs.query, usable),
+            self._sample(usable),
+        ):
+            others = [entry for entry in servers if entry.identity not in seen]
+            costs = costs + self._compute_costs(others, inputs)
+            if any(cost.is_free and not cost.holds_prompt for cost in costs):
+                return costs
+            seen.update(entry.identity for entry in others)
+        if len(costs) < RANDOM_CANDIDATES:
+            # Few of the servers may get the request, so that the samples missed them.
+            eligible = self._eligibility.list_eligible(
+                inputs.query.service, inputs.restrictions
+            )
+            others = [entry for entry in eligible if entry.identity not in seen]
+            costs = costs + self._compute_costs(others[:MAX_OTHERS], inputs)
+        return costs
+
+    def record_first_event(self, choice: Choice, took_s: float) -> None:
+        """Record the time until the first event of a request.
+
+        A request that may have waited for a slot tells nothing of the speed: the server
+        had requests waiting when it responded. Neither does one that waited for a copy.
+
+        Args:
+            choice: The choice of the server.
+            took_s: The time since the request was sent, in seconds.
+        """
+        heard = self._statements.loads.get(choice.server)
+        is_alike = heard is not None and not heard.load.waiting
+        if choice.cost is None or choice.copy_source is not None or not is_alike:
+            return
+        self.prefill_times.record(
+            choice.server.service,
+            choice.uncached_tokens,
+            MILLISECONDS_PER_S * took_s / (heard.load.slow_factor or 1.0),
+        )
+
+    def _collect_inputs(
+        self,
+        query: ServerQuery,
+        avoided: Collection[str],
+        restrictions: Restrictions,
+        usable: list[ServerEntry],
+        holders: list[ServerEntry],
+    ) -> _Inputs:
+        """Return what the costs of all servers have in common."""
+        stats = self._stats.get(query.service)
+        if stats is None:
+            if not self._stats:
+                self._timers.subscribe(STATS_INTERVAL_S, self._update_stats)
+            stats = self._model.compute_stats(query.service, usable, self._statements)
+            self._stats[query.service] = stats
+        held_s = self._model.residence_times.get_mean_s(query.service)
+        estimate = self.prefill_times.estimate(query.service)
+        base_ms = estimate.base_ms
+        if not query.prompt_tokens:
+            # The response begins when the work is done.
+            base_ms = (held_s or 0.0) * MILLISECONDS_PER_S
+        shared_tokens = query.shared_tokens
+        own_tokens = query.total_tokens - shared_tokens
+        shared_load = self._estimate_shared_load(
+            holders, stats, query.cache_key, restrictions.excluded
+        )
+        key = query.cache_key
+        return _Inputs(
+            query,
+            avoided,
+            restrictions,
+            key,
+            self._is_held(key, holders),
+            shared_tokens,
+            shared_load,
+            stats,
+            estimate,
+            self._copies.get_costs(query.service),
+            base_ms + estimate.compute_ms(own_tokens),
+            DEFAULT_HELD_S if held_s is None else held_s,
+            self._timers.now(),
+        )
+
+    def _update_stats(self) -> None:
+        """Compute the statistics of the services that were chosen from."""
+        for service in list(self._stats):
+            usable = self._roster.list_usable(service)
+            if usable:
+                self._stats[service] = self._model.compute_stats(
+                    service, usable, self._statements
+                )
+
+    def _list_holders(
+        self, query: ServerQuery, restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        """Return servers that have the longest prefix cached that any server has.
+
+        They may get the request.
+        """
+        for prefix in reversed(query.prefixes):
+            identities = self._caches.list_holders(prefix.key)
+            if len(identities) > MAX_HOLDERS:
+                first = self._rng.randrange(len(identities))
+                identities = identities[first:] + identities[:first]
+            holders = [
+                entry
+                for identity in identities[: HOLDERS_SEARCH_RATIO * MAX_HOLDERS]
+                if (entry := self._roster.get_entry(identity)) is not None
+                and entry.service == query.service
+            ]
+            allowed = self._eligibility.list_allowed(holders, restrictions)
+            if allowed:
+                return allowed[:MAX_HOLDERS]
+        return []
+
+    def _is_held(self, key: str, holders: list[ServerEntry]) -> bool:
+        """Return whether a server has a prompt cached, if it may get it or not."""
+        if holders and self._caches.holds(key, holders[0].identity):
+            return True
+        return bool(self._caches.list_holders(key))
+
+    def _list_hashed(
+        self, query: ServerQuery, usable: list[ServerEntry]
+    ) -> list[ServerEntry]:
+        """Return the first servers in the hash order of the longest shared prefix."""
+        key = query.cache_key
+        if not key:
+            return []
+        known = self._hash_orders.get(key)
+        # The list is another one after each change of a registration.
+        if known is None or known[0] is not usable:
+            if known is not None or len(self._hash_orders) >= MAX_HASH_ORDERS:
+                self._hash_orders.clear()
+            known = (usable, list_first(key, usable, HASH_CANDIDATES))
+            self._hash_orders[key] = known
+        entries = (self._roster.get_entry(identity) for identity in known[1])
+        return [entry for entry in entries if entry is not None]
+
+    def _sample(self, usable: list[ServerEntry]) -> list[ServerEntry]:
+        """Return some servers at random."""
+        return self._rng.sample(usable, min(RANDOM_CANDIDATES, len(usable)))
+
+    def _estimate_shared_load(
+        self,
+        holders: list[ServerEntry],
+        stats: ServiceStats,
+        key: str,
+        excluded: Collection[str],
+    ) -> float:
+        """Return the mean load of the servers that have a prompt cached.
+
+        They share its requests: until the loads show it, all hosts send these to the
+        one that seems to have most room. Those that refused the request count as full.
+
+        Args:
+            holders: Servers that have the prompt cached.
+            stats: The statistics of the service.
+            key: The key of the prompt.
+            excluded: Ids of the servers that refused the request.
+        """
+        loads = [self._model.compute_weight(entry.identity, stats) for entry in holders]
+        loads += [
+            self._statements.get_slots(entry)
+            for identity in excluded
+            if self._caches.holds(key, identity)
+            and (entry := self._roster.get_entry(identity)) is not None
+        ]
+        return min(stats.load_limit, sum(loads) / len(loads)) if loads else 0.0
+
+    def _compute_costs(
+        self, servers: list[ServerEntry], inputs: _Inputs
+    ) -> list[ServerCost]:
+        """Return the costs of those of several servers that may get the request."""
+        return [
+            self._compute_cost(server, inputs)
+            for server in self._eligibility.list_allowed(servers, inputs.restrictions)
+            if server.identity not in inputs.avoided
+        ]
+
+    def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
+        identity, stats = server.identity, inputs.stats
+        slow_factor = self._statements.loads.get_slow_factor(server, inputs.now_s)
+        slots = compute_usable_slots(self._statements.get_slots(server), slow_factor)
+        load, margin = self._model.compute_load(identity, stats)
+        expected_load = load
+        is_over_limit = load + margin + 1.0 > stats.load_limit
+        holds_prompt, missing_ms = False, 0.0
+        if inputs.cache_key:
+            held_tokens = self._count_held(server, inputs.query)
+            holds_prompt = held_tokens == inputs.shared_tokens
+            if holds_prompt:
+                expected_load = max(load, inputs.shared_load)
+            else:
+                missing_tokens = inputs.shared_tokens - held_tokens
+                missing_ms = slow_factor * inputs.estimate.compute_ms(missing_tokens)
+                if inputs.is_held and inputs.copy_costs is not None:
+                    copy_ms = inputs.copy_costs.compute_ms(missing_tokens)
+                    missing_ms = min(missing_ms, copy_ms)
+        if server.failure_domain != self._failure_domain:
+            load += DOMAIN_PENALTY
+        return ServerCost(
+            server,
+            load,
+            min(slots, stats.load_limit),
+            expected_load + 1.0 <= slots and not is_over_limit,
+            is_over_limit,
+            holds_prompt,
+            slow_factor,
+            compute_slot_wait_ms(expected_load + margin, slots, inputs.held_s),
+            slow_factor * inputs.work_ms,
+            missing_ms,
+        )
+
+    def _count_held(self, server: ServerEntry, query: ServerQuery) -> int:
+        """Return the tokens of the longest prefix that a server has cached."""
+        for prefix in reversed(query.prefixes):
+            if self._caches.holds(prefix.key, server.identity):
+                return prefix.tokens
+        return 0
+
+
+def _is_calm_holder(cost: ServerCost) -> bool:
+    """Return whether no other server can be better than one with the prompt cached."""
+    return (
+        cost.holds_prompt
+        and cost.is_free
+        and not cost.wait_ms
+        and cost.slow_factor <= 1.0
+    )
+
+
+def _narrow(
+    cheapest: list[ServerCost], inputs: _Inputs
+) -> tuple[str, list[ServerCost]]:
+    """Return the reason of a choice, and the servers that are left to choose from.
+
+    Args:
+        cheapest: The servers that cost nearly the least; those first in the hash order
+            of the prompt come first.
+        inputs: What the costs have in common.
+    """
+    if not inputs.cache_key:
+        return "least_loaded", cheapest
+    holders = [cost for cost in cheapest if cost.holds_prompt]
+    if holders:
+        return "cached", holders
+    if not any(cost.is_free for cost in cheapest):
+        return "least_loaded", cheapest
+    if inputs.is_held:
+        return "spilled", cheapest[:HASH_CANDIDATES]
+    # As long as no server has the prompt, all hosts send it to the same one.
+    return "hashed", cheapest[:1]
--- a/oleanderpier/routing/requirements.py
+++ b/oleanderpier/routing/requirements.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from oleanderpier.routing.costs import ServerCost
 from oleanderpier.routing.eligibility import EvacuatedServer
 from oleanderpier.routing.load_model import ServiceStats
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
@@ -19,17 +20,29 @@
         prefixes: The prefixes of its prompt that other requests share, from the
             shortest to the longest; empty if there are none.
         regions: The only regions that it may reach, None if all.
+        prompt_tokens: The tokens of its whole prompt, 0 if unknown.
     """
 
     service: str
     prefixes: tuple[PromptPrefix, ...] = ()
     regions: frozenset[str] | None = None
+    prompt_tokens: int = 0
 
     @property
     def cache_key(self) -> str:
         """The key of the longest shared prefix, empty if there is none."""
         return self.prefixes[-1].key if self.prefixes else ""
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the longest shared prefix."""
+        return self.prefixes[-1].tokens if self.prefixes else 0
+
+    @property
+    def total_tokens(self) -> int:
+        """The tokens of the whole prompt, at least the shared ones."""
+        return max(self.prompt_tokens, self.shared_tokens)
+
 
 class Choice(NamedTuple):
     """The server that was chosen, and the reason for the log.
@@ -54,6 +67,9 @@
         limit: The limit that the server names, None without one.
         evacuated: A server that has the longest shared prefix cached, and is left out
             because its failure domain is evacuated; None if there is none.
+        uncached_tokens: The tokens of the prompt that the server has neither cached nor
+            copies; 0 if the service is not under permits.
+        cost: What the request costs at the server; None likewise.
     """
 
     server: ServerEntry
@@ -68,3 +84,5 @@
     server_state_age_s: float = 0.0
     limit: LimitStatement | None = None
     evacuated: EvacuatedServer | None = None
+    uncached_tokens: int = 0
+    cost: ServerCost | None = None
