Pause before a watch of the store, not after it

A response that had only ignored keys was held back for 0.3 s and then confirmed the replica as newest.

--- a/oleanderpier/platform/store.py
+++ b/oleanderpier/platform/store.py
@@ -33,8 +33,8 @@
 # Evacuations are read by the watch of the configuration, since calls have a price.
 OPERATOR_PREFIX = "op/"
 EVACUATION_STORE_PREFIX = "op/evacuate/"
-# Pause after a watch call that returned only keys that are ignored, since the next call
-# may return at once as well.
+# Pause before a watch call if the last one returned only keys that are ignored, since
+# this one may return at once as well.
 IGNORED_CHANGES_PAUSE_S = 0.3
 # The store usually responds in milliseconds, but may be a hundred times slower.
 RESPONSE_TIMEOUT_S = 1.5
@@ -115,6 +115,8 @@
         self._prefixes = dict(KEY_PREFIXES)
         if reads_evacuations:
             self._prefixes[CONFIGURATION] = OPERATOR_PREFIX
+        # Whether the last watch call returned only keys that are ignored.
+        self._has_only_ignored = False
         # The services whose servers tolerate few requests while they are cold.
         self._cold_services: frozenset[str] = frozenset()
         self._session = session
@@ -165,6 +167,9 @@
             RevisionCompactedError: The store no longer has the changes since then.
             PlatformError: The store did not respond, or refused the call.
         """
+        # Not before the return, which confirms that the replica is the newest.
+        if space == CONFIGURATION and self._has_only_ignored:
+            await asyncio.sleep(IGNORED_CHANGES_PAUSE_S)
         query = {
             "Prefix": self._prefixes[space],
             "After": str(get_revision(after)),
@@ -175,8 +180,8 @@
         )
         era, body = response
         items = self._convert_items(space, era, body["events"])
-        if body["events"] and not items:
-            await asyncio.sleep(IGNORED_CHANGES_PAUSE_S)
+        if space == CONFIGURATION:
+            self._has_only_ignored = bool(body["events"]) and not items
         as_of = make_position(era, body["AsOf"])
         return ItemsUpdate(space, after, as_of, False, items)
 
