Remove the circular import of the forwarder and its requests

Forwarder and RequestForwarding referred to each other. What requests share is now in resources.py, which both import.

--- a/oleanderpier/forwarding/__init__.py
+++ b/oleanderpier/forwarding/__init__.py
@@ -10,5 +10,6 @@
 from oleanderpier.forwarding.records import *  # noqa: F403
 from oleanderpier.forwarding.request_forwarding import *  # noqa: F403
 from oleanderpier.forwarding.request_keys import *  # noqa: F403
+from oleanderpier.forwarding.resources import *  # noqa: F403
 from oleanderpier.forwarding.statements import *  # noqa: F403
 from oleanderpier.forwarding.survivors import *  # noqa: F403
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -1,9 +1,5 @@
 """Forwards one request to backend servers, with retries and hedges."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from eliot import log_message
 
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse
@@ -12,6 +8,7 @@
 from oleanderpier.forwarding.hedging import Loss, RunningAttempts
 from oleanderpier.forwarding.records import Call, Caller, RequestOutcome
 from oleanderpier.forwarding.request_keys import RequestKeys
+from oleanderpier.forwarding.resources import ForwardingResources
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     MIN_TIME_LEFT_S,
@@ -26,9 +23,6 @@
     spread_return_s,
 )
 
-if TYPE_CHECKING:
-    from oleanderpier.forwarding.forwarder import Forwarder
-
 __all__ = ["RequestForwarding"]
 
 # Servers tried for one request, including unreachable ones.
@@ -59,7 +53,9 @@
         caller: Receives the response, or the refusal.
     """
 
-    def __init__(self, forwarder: Forwarder, call: Call, caller: Caller) -> None:
+    def __init__(
+        self, forwarder: ForwardingResources, call: Call, caller: Caller
+    ) -> None:
         self._forwarder = forwarder
         self._call = call
         self._keys = RequestKeys(call)
@@ -419,23 +415,23 @@
         )
 
 
-def _record_response(forwarder: Forwarder, identity: str) -> None:
+def _record_response(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.record_response(identity, failed=False)
 
 
-def _record_failure(forwarder: Forwarder, identity: str) -> None:
+def _record_failure(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.record_response(identity, failed=True)
 
 
-def _record_broken(forwarder: Forwarder, identity: str) -> None:
+def _record_broken(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.health.record_broken_response(identity)
 
 
-def _record_unreachable(forwarder: Forwarder, identity: str) -> None:
+def _record_unreachable(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.health.record_unreachable(identity)
 
 
-def _record_nothing(forwarder: Forwarder, identity: str) -> None:
+def _record_nothing(forwarder: ForwardingResources, identity: str) -> None:
     """Record nothing: a server that is full or was replaced has not failed."""
 
 
