Add the messages of permits and the refusal of requests that would wait too long

Nothing carried a query for a permit between hosts, and no code said that a request was refused since its servers are full. The choice of a server's owner is now in server_owners.py, since limits and permits both need it.

--- a/oleanderpier/entry/send_limits.py
+++ b/oleanderpier/entry/send_limits.py
@@ -13,6 +13,7 @@
 
 from eliot import log_message
 
+from oleanderpier.entry.server_owners import ServerOwners
 from oleanderpier.fleet import LimitQuery, LimitReply, ReportedLimit
 from oleanderpier.forwarding import log_limit
 from oleanderpier.routing import (
@@ -23,7 +24,7 @@
     compute_owner_per_s,
     compute_share_per_s,
 )
-from oleanderpier.utils import Outbox, Subscription, Timers, rank_candidates
+from oleanderpier.utils import Outbox, Subscription, Timers
 
 __all__ = ["LimitDecision", "SendLimits", "report_limit"]
 
@@ -35,8 +36,6 @@
 # Upper bound of the time for which a server whose limit is used up is left out: the
 # limit may rise or end meanwhile.
 MAX_USED_UP_S = 1.0
-# How long the list of ready hosts is kept.
-HOSTS_LIFETIME_S = 0.05
 REMOVAL_INTERVAL_S = 5.0
 
 
@@ -95,7 +94,7 @@
     ) -> None:
         self._host = host
         self._statements = statements
-        self._list_hosts = list_hosts
+        self._owners = ServerOwners(host, list_hosts, timers)
         self._timers = timers
         self._rng = rng
         self._outbox = outbox
@@ -105,9 +104,6 @@
         self._owned = LimitBuckets()
         self._shares = LimitBuckets()
         self._silent_until_s: dict[str, float] = {}
-        self._hosts: list[str] = []
-        self._hosts_until_s = 0.0
-        self._owners: dict[str, str] = {}
         timers.subscribe(REMOVAL_INTERVAL_S, self._remove_expired)
 
     def request_send(self, server: ServerEntry, notify: Callable[[bool], None]) -> None:
@@ -122,7 +118,7 @@
             notify(True)
             return
         now_s = self._timers.now()
-        owner = self._find_owner(server.identity)
+        owner = self._owners.find(server.identity)
         if owner == self._host:
             per_s = compute_owner_per_s(limit.per_s)
             self._finish(server, self._owned.acquire(server, per_s, now_s), notify)
@@ -143,7 +139,7 @@
         wait_s = 0.0
         if limit is None:
             decision = LimitDecision.GRANTED
-        elif self._find_owner(identity) != self._host:
+        elif self._owners.find(identity) != self._host:
             decision = LimitDecision.NOT_OWNER
         else:
             per_s = compute_owner_per_s(limit.per_s)
@@ -199,7 +195,7 @@
         if limit is None:
             notify(True)
             return
-        per_s = compute_share_per_s(limit.per_s, len(self._hosts))
+        per_s = compute_share_per_s(limit.per_s, len(self._owners.hosts))
         wait_s = self._shares.acquire(
             server, per_s, self._timers.now(), self._rng.random()
         )
@@ -213,20 +209,6 @@
             self._statements.record_wait(server, until_s)
         notify(not wait_s)
 
-    def _find_owner(self, identity: str) -> str:
-        """Return the owner of a server's limit; this host if none is ready."""
-        now_s = self._timers.now()
-        if now_s >= self._hosts_until_s:
-            hosts = sorted(self._list_hosts())
-            if hosts != self._hosts:
-                self._hosts = hosts
-                self._owners.clear()
-            self._hosts_until_s = now_s + HOSTS_LIFETIME_S
-        if identity not in self._owners:
-            ranked = rank_candidates(identity, self._hosts)
-            self._owners[identity] = ranked[0] if ranked else self._host
-        return self._owners[identity]
-
     def _remove_expired(self) -> None:
         now_s = self._timers.now()
         self._owned.remove_expired(now_s)
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -10,6 +10,7 @@
     "DOMAIN_LOADS_FEATURE",
     "LEAVING_FEATURE",
     "LIMITS_FEATURE",
+    "PERMITS_FEATURE",
     "REQUEST_KEYS_FEATURE",
     "CachePlacements",
     "CrashNews",
@@ -19,9 +20,13 @@
     "LimitQuery",
     "LimitReply",
     "LimitedServers",
+    "PrefillEnd",
     "ReportedCrash",
     "ReportedLimit",
     "ReportedQuarantine",
+    "ServerPermitQuery",
+    "ServerPermitRelease",
+    "ServerPermitReply",
     "ServerUse",
     "merge_reports",
 ]
@@ -54,6 +59,8 @@
 REQUEST_KEYS_FEATURE = "feature:request_keys"
 # The same for ``LimitedServers`` and ``LimitQuery``.
 LIMITS_FEATURE = "feature:server_limits"
+# The same for ``ServerPermitQuery``, ``ServerPermitRelease`` and ``PrefillEnd``.
+PERMITS_FEATURE = "feature:server_permits"
 
 
 @register_message(135)
@@ -225,6 +232,89 @@
     wait_s: float
 
 
+@register_message(143)
+class ServerPermitQuery(NamedTuple):
+    """Asks the owner of a server whether a request may be sent to it.
+
+    Attributes:
+        number: The number of the query, unique on the sending host.
+        identity: The server's id.
+        born_ms: The start of the server's run, in Unix milliseconds, 0 if unknown.
+        slots: How many requests the server runs at a time, 0 if unknown.
+        rate_per_s: The requests per second that the owner grants, 0 without a limit.
+        rate_burst: The requests that it grants at once at most, 0 without a limit.
+        urgency: 0 to 9; 0 is the most urgent.
+        workspace: The name of the workspace, empty without one.
+        is_repeat: Whether it is a retry, a hedged request or a resumed stream.
+        uncached_tokens: Prompt tokens that are not cached at the server, as far as the
+            sending host knows.
+        max_wait_s: How long the request may wait at the owner; 0 to decide now.
+        expires_after_s: The seconds after which a permit expires without a release.
+    """
+
+    number: int
+    identity: str
+    born_ms: int
+    slots: int
+    rate_per_s: float
+    rate_burst: float
+    urgency: int
+    workspace: str
+    is_repeat: bool
+    uncached_tokens: int
+    max_wait_s: float
+    expires_after_s: float
+
+
+@register_message(144)
+class ServerPermitReply(NamedTuple):
+    """Answers a ``ServerPermitQuery``, once its request is decided.
+
+    Attributes:
+        number: The number of the query.
+        decision: A ``PermitOutcome`` other than ``QUEUED``.
+        wait_s: The expected seconds until there is room, 0 if it is granted.
+        in_flight: The permits of the server that are held.
+    """
+
+    number: int
+    decision: int
+    wait_s: float
+    in_flight: int
+
+
+@register_message(145)
+class ServerPermitRelease(NamedTuple):
+    """Returns a permit, or withdraws a query that is not decided.
+
+    The load is what the server stated last; -1 stands for unknown.
+
+    Attributes:
+        number: The number of the query.
+        running: The requests that the server ran.
+        waiting: The requests that waited at it.
+        slots: How many it runs at a time.
+        slow_factor: How long work took there, as a multiple of the usual time.
+    """
+
+    number: int
+    running: int
+    waiting: int
+    slots: int
+    slow_factor: float
+
+
+@register_message(146)
+class PrefillEnd(NamedTuple):
+    """Says that the server has read the prompt of a request with a permit.
+
+    Attributes:
+        number: The number of the query.
+    """
+
+    number: int
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
