Ask the owner of a server for a permit before a request is sent (in progress)

Requests of services under permits ask the owner, try other servers that have room, wait at the owner for at most their target, and are refused with 119 if there will be none.

--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -6,11 +6,16 @@
 from oleanderpier.entry.crash_gossip import CrashGossip
 from oleanderpier.entry.leaving import LeavingGossip
 from oleanderpier.entry.limit_gossip import LimitGossip
+from oleanderpier.entry.metrics import EntryMetrics
+from oleanderpier.entry.permit_owner import PermitOwner
 from oleanderpier.entry.send_limits import SendLimits
+from oleanderpier.entry.server_owners import ServerOwners
+from oleanderpier.entry.server_permits import PermitRequests
 from oleanderpier.fleet import (
     CRASHES_FEATURE,
     LEAVING_FEATURE,
     LIMITS_FEATURE,
+    PERMITS_FEATURE,
     REQUEST_KEYS_FEATURE,
     CrashNews,
     FleetView,
@@ -18,11 +23,17 @@
     LimitedServers,
     LimitQuery,
     LimitReply,
+    PrefillEnd,
+    ServerPermitQuery,
+    ServerPermitRelease,
+    ServerPermitReply,
 )
 from oleanderpier.peers import Mesh
 from oleanderpier.routing import (
     MIN_ANSWERS,
+    ColdRate,
     CrashCauses,
+    ServerEntry,
     ServerStatements,
     is_request_key,
 )
@@ -42,12 +53,18 @@
         mesh: The streams to the other hosts.
         has_survivor: Returns whether the failure domain of a crashed server goes on;
             see ``Survivors``.
+        count_in_flight: Returns the requests in flight at a server that hosts report.
+        get_cold_rate: Returns the requests per second that a server takes while it is
+            cold, None if it is not.
+        metrics: The metrics of this host.
 
     Attributes:
         statements: What the servers have said.
         leaving: Exchanges which servers leave.
         limits: Exchanges the limits that servers name.
         send_limits: Holds these limits over all hosts together.
+        permits: Asks the owners of servers for permits.
+        permit_owner: Grants the permits of the servers that this host owns.
         poison: The parts of prompts that crash servers.
         crash_gossip: Exchanges crashes and what is known of their causes.
     """
@@ -60,6 +77,9 @@
         rng: random.Random,
         mesh: Mesh,
         has_survivor: Callable[[str, Collection[str], float], bool],
+        count_in_flight: Callable[[str], int],
+        get_cold_rate: Callable[[ServerEntry], ColdRate | None],
+        metrics: EntryMetrics,
     ) -> None:
         self._mesh = mesh
         self._view = view
@@ -87,6 +107,25 @@
             rng,
             mesh,
         )
+        owners = ServerOwners(
+            mesh.host,
+            lambda: _keep_supporting(PERMITS_FEATURE, list_ready(), mesh.host, view),
+            timers,
+        )
+        self.permit_owner = PermitOwner(
+            mesh.host, owners, count_in_flight, timers, mesh
+        )
+        self.permits = PermitRequests(
+            mesh.host,
+            owners,
+            self.permit_owner,
+            self.statements,
+            get_cold_rate,
+            timers,
+            rng,
+            mesh,
+            metrics,
+        )
         self.poison = CrashCauses(MIN_ANSWERS, has_survivor)
         self.crash_gossip = CrashGossip(
             self.poison,
@@ -102,6 +141,12 @@
         self._mesh.subscribe(LimitedServers, self.limits.receive)
         self._mesh.subscribe(LimitQuery, self.send_limits.receive_query)
         self._mesh.subscribe(LimitReply, self.send_limits.receive_reply)
+        self._mesh.subscribe(ServerPermitQuery, self.permit_owner.receive_query)
+        self._mesh.subscribe(ServerPermitReply, self.permits.receive_reply)
+        self._mesh.subscribe(ServerPermitRelease, self.permit_owner.receive_release)
+        self._mesh.subscribe(PrefillEnd, self.permit_owner.receive_prefill_end)
+        self._view.subscribe_silent(self.permit_owner.remove_host)
+        self._view.subscribe_silent(self.permits.remove_host)
         self._mesh.subscribe(CrashNews, self.crash_gossip.receive)
 
     def is_tester(self, key: str) -> bool:
--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -31,6 +31,12 @@
             "Servers that name a limit of requests per second.",
             lambda: len(node.exchange.statements.list_limits()),
         ),
+        ("permits_held", "Permits of requests.", node.exchange.permits.count_held),
+        (
+            "permit_queries_queued",
+            "Queries of all hosts that wait here for permits.",
+            node.exchange.permit_owner.count_queued,
+        ),
         (
             "prompt_parts_quarantined",
             "Prompt parts, and requests as a whole, that are refused.",
--- a/oleanderpier/entry/metrics.py
+++ b/oleanderpier/entry/metrics.py
@@ -6,7 +6,7 @@
 
 from oleanderpier.connections import Framing
 from oleanderpier.results import Code
-from oleanderpier.routing import AttemptOutcome, RequestKind
+from oleanderpier.routing import AttemptOutcome, PermitOutcome, RequestKind
 
 __all__ = ["EntryMetrics"]
 
@@ -16,6 +16,9 @@
 # Upper bounds of buckets, finer around 1 s: the platform holds a watch call without
 # changes for that long.
 PLATFORM_CALL_BUCKETS_S = (0.01, 0.05, 0.2, 0.5, 1.0, 1.2, 1.6, 2.5)
+# Upper bounds of buckets, from a round trip to the owner, over its timeout, to the
+# longest waits.
+PERMIT_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
 class EntryMetrics:
@@ -67,6 +70,24 @@
             registry=self.registry,
         )
 
+        self._permit_decisions = Counter(
+            "oleanderpier_permit_decisions",
+            "Answers to queries for permits, by decision.",
+            ["decision"],
+            registry=self.registry,
+        )
+        self._permit_s = Histogram(
+            "oleanderpier_permit_seconds",
+            "From a query for a permit to its answer.",
+            buckets=PERMIT_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._permit_timeouts = Counter(
+            "oleanderpier_permit_timeouts",
+            "Queries for permits that no owner answered in time.",
+            registry=self.registry,
+        )
+
     def register_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is read when the metrics are scraped.
 
@@ -118,6 +139,20 @@
         """Record a call to the platform and its duration in seconds."""
         self._platform_s.labels(space, str(answered).lower()).observe(took_s)
 
+    def record_permit_decision(self, outcome: PermitOutcome, waited_s: float) -> None:
+        """Record the answer to a query for a permit, and the seconds until then.
+
+        Args:
+            outcome: The decision; ``NOT_OWNER`` for a request without a permit.
+            waited_s: The seconds from the query to the answer.
+        """
+        self._permit_decisions.labels(outcome.name).inc()
+        self._permit_s.observe(waited_s)
+
+    def record_permit_timeout(self) -> None:
+        """Record a query for a permit that no owner answered in time."""
+        self._permit_timeouts.inc()
+
     def _make_histogram(self, name: str, text: str, label: str) -> Histogram:
         return Histogram(
             f"oleanderpier_{name}",
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -28,6 +28,7 @@
     DOMAIN_LOADS_FEATURE,
     LEAVING_FEATURE,
     LIMITS_FEATURE,
+    PERMITS_FEATURE,
     REQUEST_KEYS_FEATURE,
     CachePlacements,
     DomainLoads,
@@ -92,6 +93,7 @@
         LEAVING_FEATURE,
         CRASHES_FEATURE,
         LIMITS_FEATURE,
+        PERMITS_FEATURE,
         REQUEST_KEYS_FEATURE,
     ),
     ReplicaSummary(0, 0, 0.0),
@@ -210,6 +212,9 @@
             self._rng,
             self.mesh,
             Survivors(self.roster, self.server_activity).has_survivor,
+            lambda identity: self.chooser.count_in_flight(identity),
+            lambda server: None,
+            self.metrics,
         )
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
@@ -287,6 +292,7 @@
             self._rng,
             self.metrics.record_attempt,
             exchange.send_limits.request_send,
+            exchange.permits,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -2,6 +2,7 @@
 
 from eliot import log_message
 
+from oleanderpier.forwarding.admission import RequestAdmission
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse
 from oleanderpier.forwarding.callers import TrackedCaller
 from oleanderpier.forwarding.events import EventSplitter
@@ -66,6 +67,7 @@
             call.route.shares, prefixes[-1].key if prefixes else call.identity
         )
         self._query = ServerQuery(self._service, prefixes)
+        self._admission = RequestAdmission(forwarder, call, self._service)
         self._tried: set[str] = set()
         self._refused_by: set[str] = set()
         self._retry_after_s = RETRY_AFTER_S
@@ -112,6 +114,7 @@
         try:
             return await self._try_in_turn()
         finally:
+            self._admission.drop()
             await self._running.cancel()
             # A task that was cancelled before its first step has not run at all.
             for attempt in list(self._in_flight):
@@ -123,11 +126,11 @@
     async def _try_in_turn(self) -> RequestOutcome:
         """Make an attempt after each one that has failed, and hedges meanwhile."""
         forwarder, call = self._forwarder, self._call
+        uses_budget = False
         while self._servers_tried < MAX_SERVERS_TRIED:
             choice = await self._choose_server(self._refused_by)
             if choice is None:
-                self._explain_no_server()
-                break
+                return await self._finish_without_server(uses_budget)
             time_left_s = call.deadline_s - forwarder.timers.now()
             if time_left_s < MIN_TIME_LEFT_S:
                 self._reason = f"{time_left_s:.4f} s left; {self._reason}"
@@ -145,7 +148,8 @@
             if self._may_have_run and not forwarder.guard.may_retry(self._keys):
                 self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
-            if decision.uses_budget and not forwarder.budget.try_acquire(self._service):
+            uses_budget = decision.uses_budget
+            if uses_budget and not forwarder.budget.try_acquire(self._service):
                 self._reason = f"retry budget is used up; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
@@ -183,10 +187,12 @@
     async def _start_hedge(self) -> None:
         """Start an attempt at a server that was not tried; the others go on."""
         forwarder = self._forwarder
-        choice = await self._choose_server(self._tried)
+        choice = await self._choose_server(self._tried, may_wait=False)
         if choice is None or not self._running.are_delayed():
+            self._admission.drop()
             return
         if not forwarder.budget.try_acquire(self._service):
+            self._admission.drop()
             return
         delayed = self._running.list_running()
         for attempt in delayed:
@@ -201,20 +207,54 @@
         )
         self._start_attempt(choice)
 
-    async def _choose_server(self, excluded: set[str]) -> Choice | None:
+    async def _choose_server(
+        self, excluded: set[str], may_wait: bool = True
+    ) -> Choice | None:
         """Return the best server whose limit has room, None if there is none.
 
         A server without room is left out of the next choice.
 
         Args:
             excluded: Ids of the servers that are never chosen.
+            may_wait: Whether the request may wait for the permit of a server.
         """
+        if self._admission.is_needed:
+            return await self._admission.choose(
+                self._choose_unasked,
+                excluded,
+                bool(self._servers_tried or self._call.last_event_id),
+                may_wait,
+            )
         for _ in range(MAX_LIMITED_CHOICES):
             choice = self._forwarder.chooser.choose(self._query, self._tried, excluded)
             if choice is None or await self._forwarder.may_send(choice.server):
                 return choice
         return None
 
+    def _choose_unasked(self, excluded: set[str]) -> Choice | None:
+        """Return the best server that is not excluded, before its owner is asked."""
+        # The choice by statistics passes over servers only if they are to be avoided.
+        avoid = self._tried | excluded
+        return self._forwarder.chooser.choose(self._query, avoid, excluded)
+
+    async def _finish_without_server(self, uses_budget: bool) -> RequestOutcome:
+        """End a request for which there is no server, or none has room in time.
+
+        Args:
+            uses_budget: Whether a retry was counted that was not sent.
+        """
+        refusal, code = self._admission.refusal, Code.NO_BACKEND_SERVER
+        if refusal is None:
+            self._explain_no_server()
+        else:
+            code = Code.SERVERS_FULL
+            self._retry_after_s = refusal.retry_after_s
+            self._reason = f"{refusal.describe()}; {self._reason}"
+            if uses_budget:
+                self._forwarder.budget.refund(self._service)
+        code = Code.ANSWER_LOST if self._may_have_run else code
+        return await self._finish_unsuccessful(code)
+
     def _explain_no_server(self) -> None:
         """Set the reason and the time to come back if no server can be chosen."""
         wait_s = self._forwarder.chooser.get_shortest_wait_s(self._service)
@@ -252,10 +292,12 @@
         forwarder.guard.begin_attempt(self._keys)
         forwarder.chooser.begin_request(self._query, self._server)
         self._in_flight[attempt] = forwarder.timers.now()
+        self._admission.begin(attempt)
         self._running.start(attempt, self._run_attempt(choice, attempt))
 
     def _end_in_flight(self, attempt: Attempt) -> float:
         """Count an attempt as in flight no more, and return how long it was."""
+        self._admission.end(attempt)
         took_s = self._forwarder.timers.now() - self._in_flight.pop(attempt)
         self._forwarder.chooser.end_request(attempt.server.identity, took_s)
         return took_s
@@ -264,6 +306,8 @@
         """Return whether an attempt may pass on what it has received."""
         if not self._running.claim(attempt, is_progress):
             return False
+        if is_progress:
+            self._admission.end_prefill(attempt)
         self._splitter = attempt.splitter
         self._server = attempt.server.identity
         return True
--- a/oleanderpier/forwarding/resources.py
+++ b/oleanderpier/forwarding/resources.py
@@ -11,6 +11,7 @@
 from oleanderpier.forwarding.activity import ServerActivity
 from oleanderpier.forwarding.buffers import ResponseBuffers
 from oleanderpier.forwarding.crash_guard import CrashGuard
+from oleanderpier.forwarding.permits import NoPermits, PermitSource
 from oleanderpier.forwarding.records import Dialect, ResponseHead
 from oleanderpier.forwarding.request_keys import RequestKeys
 from oleanderpier.results import Code, Failure
@@ -57,6 +58,8 @@
             called for an attempt that was cancelled.
         request_send: Asks whether a request may be sent to a server that may name a
             limit; called with the server and a callback for the decision.
+        permits: Asks the owners of servers for permits; None if no service is under
+            permits.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -82,7 +85,9 @@
         request_send: Callable[
             [ServerEntry, Callable[[bool], None]], None
         ] = lambda server, notify: notify(True),
+        permits: PermitSource | None = None,
     ) -> None:
+        self.permits = permits or NoPermits()
         self.on_attempt_end = on_attempt_end
         self._request_send = request_send
         self.record_statements = record_statements
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -18,8 +18,8 @@
 from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
-from oleanderpier.routing.server_permits import *  # noqa: F403
 from oleanderpier.routing.server_loads import *  # noqa: F403
+from oleanderpier.routing.server_permits import *  # noqa: F403
 from oleanderpier.routing.shares import *  # noqa: F403
 from oleanderpier.routing.statements import *  # noqa: F403
 from oleanderpier.routing.table import *  # noqa: F403
--- a/oleanderpier/routing/budget.py
+++ b/oleanderpier/routing/budget.py
@@ -73,6 +73,11 @@
         self._retries[service].append(self._timers.now())
         return True
 
+    def refund(self, service: str) -> None:
+        """Take back the last retry of a service: it was not sent to any server."""
+        if self._retries[service]:
+            self._retries[service].pop()
+
     def has_room(self, service: str) -> bool:
         """Return whether a service may get one more retry now."""
         used = self._count_recent(self._retries[service])
