--- a/oleanderpier/entry/server_permits.py
+++ b/oleanderpier/entry/server_permits.py
@@ -13,7 +13,6 @@
 import random
 from collections.abc import Callable
 from itertools import count
-from typing import NamedTuple
 
 from eliot import log_message
 
@@ -29,6 +28,7 @@
 from oleanderpier.forwarding import PermitAnswer, PermitQuery
 from oleanderpier.routing import (
     SPEED_LIFETIME_S,
+    ColdRate,
     LimitBuckets,
     PermitDecision,
     PermitDemand,
@@ -64,12 +64,6 @@
 MAX_FIRST_NUMBER = 1 << 30
 
 
-class _ColdRate(NamedTuple):
-    """The requests per second that a cold server takes; as of Part 1's ``ColdRate``."""
-
-    per_s: float
-
-
 class PermitRequests:
     """Asks for permits for the requests of this host.
 
@@ -93,7 +87,7 @@
         owners: ServerOwners,
         owner: PermitOwner,
         statements: ServerStatements,
-        get_cold_rate: Callable[[ServerEntry], _ColdRate | None],
+        get_cold_rate: Callable[[ServerEntry], ColdRate | None],
         timers: Timers,
         rng: random.Random,
         outbox: Outbox,
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -235,7 +235,12 @@
         """Return the best server that is not excluded, before its owner is asked."""
         # The choice by statistics passes over servers only if they are to be avoided.
         avoid = self._tried | excluded
-        return self._forwarder.chooser.choose(self._query, avoid, excluded)
+        choice = self._forwarder.chooser.choose(self._query, avoid, excluded)
+        has_full = bool(excluded - self._tried - self._refused_by)
+        if choice is not None and has_full and choice.server.identity in self._tried:
+            # The wait for a server without room is better than one that has failed.
+            return None
+        return choice
 
     async def _finish_without_server(self, uses_budget: bool) -> RequestOutcome:
         """End a request for which there is no server, or none has room in time.
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -13,6 +13,7 @@
     Call,
     CrashGuard,
     Forwarder,
+    PermitSource,
     RequestKeys,
     RequestOutcome,
     ResponseHead,
@@ -334,6 +335,8 @@
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
         at_once: Whether the requests are forwarded at the same time.
+        permits: Where the requests ask for permits, None for no permits.
+        forwarder: The forwarder of the requests, once they have begun.
     """
 
     def __init__(
@@ -350,6 +353,8 @@
         self.differ_in_path = False
         self.differ_in_prompt = False
         self.at_once = False
+        self.permits: PermitSource | None = None
+        self.forwarder: Forwarder | None = None
         self._used_up = used_up
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
@@ -408,7 +413,9 @@
                 rng,
                 self._make_attempt_recorder(causes, route, timers),
                 request_send,
+                self.permits,
             )
+            self.forwarder = forwarder
             try:
                 requests = [
                     lambda caller=caller, number=number: forwarder.forward(
