--- a/oleanderpier/entry/tests/test_server_permits.py
+++ b/oleanderpier/entry/tests/test_server_permits.py
@@ -275,10 +275,10 @@
             self.check_bound(fleet, kind)
 
     def test_hosts_disagree_on_the_owner(self):
-        """Two owners, and hosts that can ask neither."""
+        """Two owners that both grant, and hosts that can ask neither."""
         fleet = self.make_fleet()
         fleet.timers.advance(5.0)
-        fleet.set_ready(fleet.others, fleet.others[::2])
+        fleet.set_ready(fleet.others, [rank_second(fleet), *fleet.others[::2]])
         fleet.timers.advance(5.0)
         fleet.lost = {(fleet.owner, name) for name in fleet.others[1::4]}
         fleet.timers.advance(5.0)
--- a/oleanderpier/forwarding/tests/test_admission.py
+++ b/oleanderpier/forwarding/tests/test_admission.py
@@ -309,6 +309,19 @@
         )
         self.check_released(permits)
 
+    def test_hedge_without_room(self):
+        """It does not wait: the first attempt may end meanwhile."""
+        permits = ScriptedPermits({"s1": (FULL, 0.1)})
+        fixture = make_fixture(permits, [respond(delay_s=0.6)], [respond()])
+        outcome, lines = forward_with_log(
+            fixture, max_attempts=2, **{**IDEMPOTENT, "target_s": 0.1}
+        )
+        self.assertEqual((Code.DONE, [1, 0]), (outcome.code, fixture.count_requests()))
+        self.assertIn(("s1", False, True), permits.list_asked())
+        self.assertNotIn(("s1", True, True), permits.list_asked())
+        kinds = {line["message_type"] for line in lines}
+        self.assertEqual({"permits:decision"}, kinds)
+
     def test_deadline_passes_during_the_wait(self):
         """The query is withdrawn, and the request was not run."""
         permits = ScriptedPermits({"s0": (FULL, 0.1)}, {"s0": None})
