--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -76,8 +76,8 @@
         # The query that waits for an answer, or the permit that no attempt uses yet.
         self._current: SentQuery | None = None
         self._held: dict[Attempt, SentQuery] = {}
-        # The attempts whose first event has not arrived.
-        self._prefilling: set[Attempt] = set()
+        # The choice and the start of the attempts whose first event has not arrived.
+        self._prefilling: dict[Attempt, tuple[Choice, float]] = {}
 
     @property
     def is_needed(self) -> bool:
@@ -108,10 +108,11 @@
             if choice is None:
                 break
             answer = await self._ask(choice, is_repeat, 0.0)
-            if answer.may_send:
-                return choice
-            answers.append((choice, answer))
             excluded.add(choice.server.identity)
+            if not answer.may_send:
+                answers.append((choice, answer))
+            elif self._is_still_eligible(choice):
+                return choice
         if not answers or not may_wait:
             return None
         choice = self._pick_to_wait(choose, excluded, answers)
@@ -119,27 +120,31 @@
             max_wait_s = self._compute_max_wait_s(is_repeat)
             answer = await self._ask(choice, is_repeat, max_wait_s)
             if answer.may_send:
-                return choice
+                if self._is_still_eligible(choice):
+                    return choice
+                return await self.choose(choose, excluded, is_repeat, may_wait)
             answers = [(choice, answer)]
         self._refuse(*min(answers, key=lambda asked: asked[1].wait_s))
         return None
 
-    def begin(self, attempt: Attempt) -> None:
+    def begin(self, attempt: Attempt, choice: Choice) -> None:
         """Let an attempt hold the permit of the last choice."""
         if self._current is not None:
             self._held[attempt] = self._current
-            self._prefilling.add(attempt)
+            self._prefilling[attempt] = (choice, self._resources.timers.now())
             self._current = None
 
     def end_prefill(self, attempt: Attempt) -> None:
         """Record that the first event of an attempt's response has arrived."""
         if attempt in self._prefilling:
-            self._prefilling.discard(attempt)
+            choice, begun_s = self._prefilling.pop(attempt)
             self._held[attempt].end_prefill()
+            took_s = self._resources.timers.now() - begun_s
+            self._resources.chooser.costs.record_first_event(choice, took_s)
 
     def end(self, attempt: Attempt) -> None:
         """Return the permit of an attempt that has ended."""
-        self._prefilling.discard(attempt)
+        self._prefilling.pop(attempt, None)
         sent = self._held.pop(attempt, None)
         if sent is not None:
             sent.release()
@@ -150,6 +155,16 @@
             self._current.release()
             self._current = None
 
+    def _is_still_eligible(self, choice: Choice) -> bool:
+        """Return whether a server may get requests after the wait for its permit.
+
+        It may have said that it leaves, or its failure domain may be evacuated.
+        """
+        if not self._resources.chooser.has_left(choice.server):
+            return True
+        self.drop()
+        return False
+
     def _pick_to_wait(
         self,
         choose: Callable[[set[str]], Choice | None],
@@ -188,7 +203,7 @@
             _get_urgency(call),
             call.workspace.name if call.workspace else "",
             is_repeat,
-            _count_uncached_tokens(choice, call),
+            choice.uncached_tokens,
             max_wait_s,
             max(0.0, time_left_s) + EXPIRY_MARGIN_S,
         )
@@ -268,8 +283,3 @@
     has_own = workspace is not None and workspace.priority is not None
     priority = workspace.priority if has_own else call.route.priority
     return min(MAX_URGENCY, max(0, priority))
-
-
-def _count_uncached_tokens(choice: Choice, call: Call) -> int:
-    """Return the tokens of the prompt that the server has to read."""
-    return getattr(choice, "uncached_tokens", 0)
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -2,7 +2,6 @@
 
 from eliot import log_message
 
-from oleanderpier.forwarding.admission import RequestAdmission
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse
 from oleanderpier.forwarding.callers import TrackedCaller
 from oleanderpier.forwarding.events import EventSplitter
@@ -10,6 +9,7 @@
 from oleanderpier.forwarding.records import Call, Caller, RequestOutcome
 from oleanderpier.forwarding.request_keys import RequestKeys
 from oleanderpier.forwarding.resources import ForwardingResources
+from oleanderpier.forwarding.selection import RETRY_AFTER_S, ServerSelection
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     MIN_TIME_LEFT_S,
@@ -17,22 +17,14 @@
     AttemptOutcome,
     AttemptState,
     Choice,
-    ServerQuery,
     decide_retry,
     may_hedge,
-    pick_service,
-    spread_return_s,
 )
 
 __all__ = ["RequestForwarding"]
 
 # Servers tried for one request, including unreachable ones.
 MAX_SERVERS_TRIED = 5
-# Choices for one request among servers whose limits may have no room for it.
-MAX_LIMITED_CHOICES = 24
-# Delay that a refusal asks the caller to wait: long enough for a server in backoff
-# to be tried again, short against the latency targets.
-RETRY_AFTER_S = 0.25
 # Interval at which a request checks whether its servers have become silent.
 SILENCE_CHECK_INTERVAL_S = 0.2
 # Upper bound of the parts of a prompt in a line of the log.
@@ -62,14 +54,7 @@
         self._keys = RequestKeys(call)
         self._caller = TrackedCaller(caller, forwarder.timers)
         self._splitter = EventSplitter()
-        prefixes = call.shared_prefixes
-        self._service = pick_service(
-            call.route.shares, prefixes[-1].key if prefixes else call.identity
-        )
-        self._query = ServerQuery(self._service, prefixes)
-        self._admission = RequestAdmission(forwarder, call, self._service)
-        self._tried: set[str] = set()
-        self._refused_by: set[str] = set()
+        self._selection = ServerSelection(forwarder, call)
         self._retry_after_s = RETRY_AFTER_S
         self._running = RunningAttempts()
         self._servers_tried = 0
@@ -87,7 +72,7 @@
     async def run(self) -> RequestOutcome:
         """Try servers until the request has an outcome or its deadline passes."""
         forwarder = self._forwarder
-        forwarder.budget.record_request(self._service)
+        forwarder.budget.record_request(self._selection.service)
         refusal = forwarder.find_refusal(self._keys)
         if refusal is not None:
             return await self._refuse_with(refusal)
@@ -114,7 +99,7 @@
         try:
             return await self._try_in_turn()
         finally:
-            self._admission.drop()
+            self._selection.admission.drop()
             await self._running.cancel()
             # A task that was cancelled before its first step has not run at all.
             for attempt in list(self._in_flight):
@@ -128,7 +113,7 @@
         forwarder, call = self._forwarder, self._call
         uses_budget = False
         while self._servers_tried < MAX_SERVERS_TRIED:
-            choice = await self._choose_server(self._refused_by)
+            choice = await self._selection.choose(self._selection.refused_by)
             if choice is None:
                 return await self._finish_without_server(uses_budget)
             time_left_s = call.deadline_s - forwarder.timers.now()
@@ -149,7 +134,9 @@
                 self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
             uses_budget = decision.uses_budget
-            if uses_budget and not forwarder.budget.try_acquire(self._service):
+            if uses_budget and not forwarder.budget.try_acquire(
+                self._selection.service
+            ):
                 self._reason = f"retry budget is used up; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
@@ -179,20 +166,21 @@
         return (
             self._servers_tried < MAX_SERVERS_TRIED
             and may_hedge(self._get_state(), len(self._running), time_left_s)
-            and forwarder.chooser.has_other(self._query, self._tried)
-            and forwarder.budget.has_room(self._service)
+            and self._selection.has_other()
+            and forwarder.budget.has_room(self._selection.service)
             and forwarder.guard.may_retry(self._keys)
         )
 
     async def _start_hedge(self) -> None:
         """Start an attempt at a server that was not tried; the others go on."""
         forwarder = self._forwarder
-        choice = await self._choose_server(self._tried, may_wait=False)
+        selection = self._selection
+        choice = await selection.choose(selection.tried, may_wait=False)
         if choice is None or not self._running.are_delayed():
-            self._admission.drop()
+            self._selection.admission.drop()
             return
-        if not forwarder.budget.try_acquire(self._service):
-            self._admission.drop()
+        if not forwarder.budget.try_acquire(self._selection.service):
+            self._selection.admission.drop()
             return
         delayed = self._running.list_running()
         for attempt in delayed:
@@ -207,70 +195,20 @@
         )
         self._start_attempt(choice)
 
-    async def _choose_server(
-        self, excluded: set[str], may_wait: bool = True
-    ) -> Choice | None:
-        """Return the best server whose limit has room, None if there is none.
-
-        A server without room is left out of the next choice.
-
-        Args:
-            excluded: Ids of the servers that are never chosen.
-            may_wait: Whether the request may wait for the permit of a server.
-        """
-        if self._admission.is_needed:
-            return await self._admission.choose(
-                self._choose_unasked,
-                excluded,
-                bool(self._servers_tried or self._call.last_event_id),
-                may_wait,
-            )
-        for _ in range(MAX_LIMITED_CHOICES):
-            choice = self._forwarder.chooser.choose(self._query, self._tried, excluded)
-            if choice is None or await self._forwarder.may_send(choice.server):
-                return choice
-        return None
-
-    def _choose_unasked(self, excluded: set[str]) -> Choice | None:
-        """Return the best server that is not excluded, before its owner is asked."""
-        # The choice by statistics passes over servers only if they are to be avoided.
-        avoid = self._tried | excluded
-        choice = self._forwarder.chooser.choose(self._query, avoid, excluded)
-        has_full = bool(excluded - self._tried - self._refused_by)
-        if choice is not None and has_full and choice.server.identity in self._tried:
-            # The wait for a server without room is better than one that has failed.
-            return None
-        return choice
-
     async def _finish_without_server(self, uses_budget: bool) -> RequestOutcome:
         """End a request for which there is no server, or none has room in time.
 
         Args:
             uses_budget: Whether a retry was counted that was not sent.
         """
-        refusal, code = self._admission.refusal, Code.NO_BACKEND_SERVER
-        if refusal is None:
-            self._explain_no_server()
-        else:
-            code = Code.SERVERS_FULL
-            self._retry_after_s = refusal.retry_after_s
-            self._reason = f"{refusal.describe()}; {self._reason}"
-            if uses_budget:
-                self._forwarder.budget.refund(self._service)
-        code = Code.ANSWER_LOST if self._may_have_run else code
+        no_server = self._selection.explain()
+        self._retry_after_s = no_server.retry_after_s
+        self._reason = f"{no_server.reason}; {self._reason}"
+        if uses_budget and no_server.code is Code.SERVERS_FULL:
+            self._forwarder.budget.refund(self._selection.service)
+        code = Code.ANSWER_LOST if self._may_have_run else no_server.code
         return await self._finish_unsuccessful(code)
 
-    def _explain_no_server(self) -> None:
-        """Set the reason and the time to come back if no server can be chosen."""
-        wait_s = self._forwarder.chooser.get_shortest_wait_s(self._service)
-        if wait_s:
-            self._retry_after_s = spread_return_s(
-                max(RETRY_AFTER_S, wait_s), self._forwarder.rng
-            )
-            self._reason = f"no server wants it for {wait_s:.3f} s; {self._reason}"
-        else:
-            self._reason = f"no server of {self._service} has room; {self._reason}"
-
     def _start_attempt(self, choice: Choice) -> None:
         """Start to send the request to a server once."""
         forwarder = self._forwarder
@@ -293,16 +231,16 @@
         self._server = choice.server.identity
         self._reason = "waited for the server"
         self._servers_tried += 1
-        self._tried.add(self._server)
+        self._selection.tried.add(self._server)
         forwarder.guard.begin_attempt(self._keys)
-        forwarder.chooser.begin_request(self._query, self._server)
+        forwarder.chooser.begin_request(self._selection.query, self._server)
         self._in_flight[attempt] = forwarder.timers.now()
-        self._admission.begin(attempt)
+        self._selection.admission.begin(attempt, choice)
         self._running.start(attempt, self._run_attempt(choice, attempt))
 
     def _end_in_flight(self, attempt: Attempt) -> float:
         """Count an attempt as in flight no more, and return how long it was."""
-        self._admission.end(attempt)
+        self._selection.admission.end(attempt)
         took_s = self._forwarder.timers.now() - self._in_flight.pop(attempt)
         self._forwarder.chooser.end_request(attempt.server.identity, took_s)
         return took_s
@@ -312,7 +250,7 @@
         if not self._running.claim(attempt, is_progress):
             return False
         if is_progress:
-            self._admission.end_prefill(attempt)
+            self._selection.admission.end_prefill(attempt)
         self._splitter = attempt.splitter
         self._server = attempt.server.identity
         return True
@@ -335,7 +273,7 @@
         self._attempts += outcome is not AttemptOutcome.UNREACHED
         self._was_sent = self._was_sent or outcome not in NOT_EXECUTED
         if outcome is AttemptOutcome.NOT_RUN:
-            self._refused_by.add(identity)
+            self._selection.refused_by.add(identity)
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
             self._response = attempt.response
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -26,6 +26,7 @@
     CacheMap,
     Chooser,
     CrashCauses,
+    Evacuations,
     PromptPart,
     Quarantine,
     Refusal,
@@ -337,6 +338,8 @@
         at_once: Whether the requests are forwarded at the same time.
         permits: Where the requests ask for permits, None for no permits.
         forwarder: The forwarder of the requests, once they have begun.
+        evacuated: Ids of the servers whose failure domain is evacuated from the start.
+        moved: The reason and the decision for each request that did not reach one.
     """
 
     def __init__(
@@ -356,6 +359,8 @@
         self.permits: PermitSource | None = None
         self.forwarder: Forwarder | None = None
         self._used_up = used_up
+        self.evacuated: tuple[str, ...] = ()
+        self.moved: list[tuple[str, str]] = []
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
         """Forward one request, then close all servers."""
@@ -371,7 +376,11 @@
         order = {f"s{number}": number for number in range(len(self.servers))}
         for identity, server in zip(order, self.servers, strict=True):
             address = await server.listen()
-            roster.update_entry(identity, make_server(identity, address=address))
+            domain = "alpena" if identity in self.evacuated else "duluth"
+            roster.update_entry(
+                identity,
+                make_server(identity, address=address, failure_domain=domain),
+            )
             if order[identity] in self.unreachable:
                 server._listener.close()
         budget = RetryBudget(
@@ -382,6 +391,9 @@
         remote_loads = FakeRemoteLoads()
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
+        evacuations = Evacuations(timers)
+        if self.evacuated:
+            evacuations.update("alpena", True)
         chooser = Chooser(
             roster,
             health,
@@ -391,6 +403,7 @@
             rng,
             timers,
             statements=statements,
+            evacuations=evacuations,
         )
 
         def request_send(server: ServerEntry, notify: Callable[[bool], None]) -> None:
@@ -413,6 +426,8 @@
                 rng,
                 self._make_attempt_recorder(causes, route, timers),
                 request_send,
+                lambda *decision: self.moved.append(decision),
+                None,
                 self.permits,
             )
             self.forwarder = forwarder
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -7,7 +7,6 @@
 from oleanderpier.routing.budget import *  # noqa: F403
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
-from oleanderpier.routing.choice_records import *  # noqa: F403
 from oleanderpier.routing.cold_starts import *  # noqa: F403
 from oleanderpier.routing.costs import *  # noqa: F403
 from oleanderpier.routing.crashes import *  # noqa: F403
@@ -21,6 +20,7 @@
 from oleanderpier.routing.records import *  # noqa: F403
 from oleanderpier.routing.refusals import *  # noqa: F403
 from oleanderpier.routing.regions import *  # noqa: F403
+from oleanderpier.routing.requirements import *  # noqa: F403
 from oleanderpier.routing.retries import *  # noqa: F403
 from oleanderpier.routing.roster import *  # noqa: F403
 from oleanderpier.routing.server_loads import *  # noqa: F403
--- a/oleanderpier/routing/choice_records.py
+++ b/oleanderpier/routing/requirements.py
@@ -1,8 +1,9 @@
-"""What a request requires of a server, and the server that was chosen."""
+"""What a request requires of a server, and the server that was chosen for it."""
 
 from typing import NamedTuple
 
 from oleanderpier.routing.costs import ServerCost
+from oleanderpier.routing.eligibility import EvacuatedServer
 from oleanderpier.routing.load_model import ServiceStats
 from oleanderpier.routing.records import PromptPrefix, ServerEntry
 from oleanderpier.routing.roster import RegistrationChange
@@ -18,11 +19,13 @@
         service: The name of the service.
         prefixes: The prefixes of its prompt that other requests share, from the
             shortest to the longest; empty if there are none.
+        regions: The only regions that it may reach, None if all.
         prompt_tokens: The tokens of its whole prompt, 0 if unknown.
     """
 
     service: str
     prefixes: tuple[PromptPrefix, ...] = ()
+    regions: frozenset[str] | None = None
     prompt_tokens: int = 0
 
     @property
@@ -62,6 +65,8 @@
         server_state: The last change of the server's registration.
         server_state_age_s: Seconds since then.
         limit: The limit that the server names, None without one.
+        evacuated: A server that has the longest shared prefix cached, and is left out
+            because its failure domain is evacuated; None if there is none.
         uncached_tokens: The tokens of the prompt that the server has neither cached nor
             copies; 0 if the service is not under permits.
         cost: What the request costs at the server; None likewise.
@@ -78,5 +83,6 @@
     server_state: RegistrationChange = RegistrationChange.JOINED
     server_state_age_s: float = 0.0
     limit: LimitStatement | None = None
+    evacuated: EvacuatedServer | None = None
     uncached_tokens: int = 0
     cost: ServerCost | None = None
