--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -245,9 +245,9 @@
             self.roster,
             self.cold_servers,
             self.evacuations,
-            self.exchange.statements.loads,
             self.outages,
             lambda: self.view.report_now(),
+            self.chooser.costs.update_services,
         )
         for replica in self.replicas.values():
             replica.subscribe(lambda change: self._check_ready())
--- a/oleanderpier/entry/values.py
+++ b/oleanderpier/entry/values.py
@@ -17,7 +17,7 @@
     Evacuations,
     Roster,
     RouteIndex,
-    ServerLoads,
+    ServiceEntry,
 )
 
 __all__ = [
@@ -44,9 +44,9 @@
         roster: The backend servers by service.
         cold_servers: The servers that are cold.
         evacuations: The evacuated failure domains.
-        server_loads: The loads of the servers, and which services are under permits.
         outages: Outages of the platform, as calls to it show them.
         notify_configuration: Called after each change of the configuration.
+        update_services: Called with the services whose cold servers have limits.
 
     Attributes:
         route_index: The routes in force, None before the first configuration.
@@ -58,18 +58,18 @@
         roster: Roster,
         cold_servers: ColdServers,
         evacuations: Evacuations,
-        server_loads: ServerLoads,
         outages: OutageDetector,
         notify_configuration: Callable[[], None],
+        update_services: Callable[[tuple[ServiceEntry, ...]], None],
     ) -> None:
         self.route_index: RouteIndex | None = None
         self._replicas = replicas
         self._roster = roster
         self._cold_servers = cold_servers
         self._evacuations = evacuations
-        self._server_loads = server_loads
         self._outages = outages
         self._notify_configuration = notify_configuration
+        self._update_services = update_services
         replicas[CONFIGURATION].subscribe(self._apply_configuration)
         replicas[SERVERS].subscribe(self._apply_servers)
 
@@ -86,7 +86,7 @@
             table = decode_table(item.value)
             self.route_index = RouteIndex(table)
             self._cold_servers.update_services(table.services)
-            self._server_loads.set_all_under_permits(bool(table.services))
+            self._update_services(table.services)
             log_message(
                 "node:configuration",
                 version=table.version,
--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -76,8 +76,8 @@
         # The query that waits for an answer, or the permit that no attempt uses yet.
         self._current: SentQuery | None = None
         self._held: dict[Attempt, SentQuery] = {}
-        # The choice and the start of the attempts whose first event has not arrived.
-        self._prefilling: dict[Attempt, tuple[Choice, float]] = {}
+        # The attempts whose first event has not arrived.
+        self._prefilling: set[Attempt] = set()
 
     @property
     def is_needed(self) -> bool:
@@ -127,24 +127,22 @@
         self._refuse(*min(answers, key=lambda asked: asked[1].wait_s))
         return None
 
-    def begin(self, attempt: Attempt, choice: Choice) -> None:
+    def begin(self, attempt: Attempt) -> None:
         """Let an attempt hold the permit of the last choice."""
         if self._current is not None:
             self._held[attempt] = self._current
-            self._prefilling[attempt] = (choice, self._resources.timers.now())
+            self._prefilling.add(attempt)
             self._current = None
 
     def end_prefill(self, attempt: Attempt) -> None:
         """Record that the first event of an attempt's response has arrived."""
         if attempt in self._prefilling:
-            choice, begun_s = self._prefilling.pop(attempt)
+            self._prefilling.discard(attempt)
             self._held[attempt].end_prefill()
-            took_s = self._resources.timers.now() - begun_s
-            self._resources.chooser.costs.record_first_event(choice, took_s)
 
     def end(self, attempt: Attempt) -> None:
         """Return the permit of an attempt that has ended."""
-        self._prefilling.pop(attempt, None)
+        self._prefilling.discard(attempt)
         sent = self._held.pop(attempt, None)
         if sent is not None:
             sent.release()
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -235,7 +235,7 @@
         forwarder.guard.begin_attempt(self._keys)
         forwarder.chooser.begin_request(self._selection.query, self._server)
         self._in_flight[attempt] = forwarder.timers.now()
-        self._selection.admission.begin(attempt, choice)
+        self._selection.admission.begin(attempt)
         self._running.start(attempt, self._run_attempt(choice, attempt))
 
     def _end_in_flight(self, attempt: Attempt) -> float:
@@ -268,6 +268,9 @@
             raise
         took_s = self._end_in_flight(attempt)
         forwarder.on_attempt_end(outcome, attempt.framing, took_s)
+        if attempt.first_event_at_s is not None:
+            first_event_s = attempt.first_event_at_s - forwarder.timers.now() + took_s
+            forwarder.chooser.costs.record_first_event(choice, first_event_s)
         self._reason = attempt.reason
         self._log_attempt(choice, attempt, outcome.value, took_s)
         self._attempts += outcome is not AttemptOutcome.UNREACHED
@@ -331,6 +334,7 @@
             cache_age_s=None
             if choice.cache_age_s is None
             else round(choice.cache_age_s, 3),
+            uncached_tokens=choice.uncached_tokens,
             source=choice.copy_source.identity if choice.copy_source else "",
             framing=attempt.framing.value if attempt.framing else "",
             received_bytes=attempt.received_bytes,
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -64,7 +64,7 @@
             self.service,
             prefixes,
             combine_regions(call.route, call.workspace),
-            sum(part.tokens for part in call.prompt_parts) if prefixes else 0,
+            call.prompt_tokens,
         )
         self.tried: set[str] = set()
         self.refused_by: set[str] = set()
