--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -13,10 +13,11 @@
 from eliot import log_message
 
 from oleanderpier.forwarding.attempts import Attempt
+from oleanderpier.forwarding.decisions import record_cold
 from oleanderpier.forwarding.permits import PermitAnswer, PermitQuery, SentQuery
 from oleanderpier.forwarding.records import Call
 from oleanderpier.forwarding.resources import ForwardingResources
-from oleanderpier.routing import MIN_TIME_LEFT_S, Choice, PermitOutcome
+from oleanderpier.routing import MIN_TIME_LEFT_S, Choice, PermitOutcome, ServerQuery
 
 __all__ = ["AdmissionRefusal", "RequestAdmission", "compute_return_s"]
 
@@ -59,7 +60,7 @@
     Args:
         resources: What all requests of this host share.
         call: The request.
-        service: The service that it is sent to.
+        query: What it requires of a server.
 
     Attributes:
         refusal: Why the last choice found no server, None if it found one, or if there
@@ -67,12 +68,12 @@
     """
 
     def __init__(
-        self, resources: ForwardingResources, call: Call, service: str
+        self, resources: ForwardingResources, call: Call, query: ServerQuery
     ) -> None:
         self.refusal: AdmissionRefusal | None = None
         self._resources = resources
         self._call = call
-        self._service = service
+        self._query = query
         # The query that waits for an answer, or the permit that no attempt uses yet.
         self._current: SentQuery | None = None
         self._held: dict[Attempt, SentQuery] = {}
@@ -82,7 +83,7 @@
     @property
     def is_needed(self) -> bool:
         """Whether the request needs a permit."""
-        return self._resources.permits.covers(self._service)
+        return self._resources.permits.covers(self._query.service)
 
     async def choose(
         self,
@@ -217,6 +218,8 @@
             answer = answer._replace(outcome=PermitOutcome.USED_UP)
         if not answer.may_send:
             self.drop()
+        if answer.outcome is PermitOutcome.USED_UP:
+            record_cold(resources, call.identity, choice)
         if not answer.may_send or (max_wait_s and answer.age_s > MIN_HELD_BACK_S):
             self._log("permits:decision", choice.server.identity, answer)
         return answer
@@ -229,6 +232,10 @@
 
     def _refuse(self, choice: Choice, answer: PermitAnswer) -> None:
         server = choice.server.identity
+        if answer.outcome is PermitOutcome.USED_UP:
+            # The wait that is known for a limit that the server names.
+            wait_s = self._resources.chooser.get_shortest_wait_s(self._query) or 0.0
+            answer = answer._replace(wait_s=max(wait_s, answer.wait_s))
         retry_after_s = compute_return_s(
             answer.wait_s, _get_urgency(self._call), self._resources.rng.random()
         )
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from oleanderpier.forwarding.admission import RequestAdmission
-from oleanderpier.forwarding.decisions import log_cold, log_evacuated
+from oleanderpier.forwarding.decisions import log_evacuated, record_cold
 from oleanderpier.forwarding.records import Call
 from oleanderpier.forwarding.resources import ForwardingResources
 from oleanderpier.results import Code
@@ -68,7 +68,7 @@
         )
         self.tried: set[str] = set()
         self.refused_by: set[str] = set()
-        self.admission = RequestAdmission(resources, call, self.service)
+        self.admission = RequestAdmission(resources, call, self.query)
         self._resources = resources
         self._call = call
 
@@ -127,7 +127,7 @@
             choice = self._resources.chooser.choose(self.query, self.tried, excluded)
             if choice is None or await self._resources.may_send(choice.server):
                 return choice
-            self._record_cold(choice)
+            record_cold(self._resources, self._call.identity, choice)
         return None
 
     def _choose_unasked(self, excluded: set[str]) -> Choice | None:
@@ -140,19 +140,3 @@
             # The wait for a server without room is better than one that has failed.
             return None
         return choice
-
-    def _record_cold(self, choice: Choice) -> None:
-        """Record that a server got no request, if it is cold."""
-        cold, server = self._resources.cold_servers, choice.server
-        rate = cold and cold.get_rate(server)
-        if not rate:
-            return
-        self._resources.on_held_back("cold", "held_back")
-        log_cold(
-            self._call.identity,
-            server,
-            cold.get_remaining_s(server),
-            rate.per_s,
-            choice.load,
-            choice.server_state_age_s,
-        )
