Begin a share of a cold server's rate anew if it was not used for 3 s

Hosts that had all saved a token sent together more than 21.5 requests in a second after a quiet time (test_crowd_after_a_quiet_time fails without it).

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -49,6 +49,7 @@
     ItemsUpdate,
     OutageDetector,
     Replica,
+    ReplicaSummary,
     ReplicaSync,
     maintain_replica,
 )
--- a/oleanderpier/entry/server_permits.py
+++ b/oleanderpier/entry/server_permits.py
@@ -57,6 +57,10 @@
 # With fewer uncached tokens a prompt delays the requests beside it for less time than
 # the message would save.
 MIN_PREFILL_TOKENS = 1000
+# A share that was not used for longer begins anew: hosts that all have saved a token
+# would send together more than a cold server takes.
+SHARE_KEPT_S = 3.0
+SHARE_BURST = 1.0
 REMOVAL_INTERVAL_S = 5.0
 UNKNOWN = -1
 # Numbers of queries begin at random, so that the permits of a host that restarts are
@@ -107,6 +111,8 @@
         self._held: dict[int, _SentQuery] = {}
         # This host's shares of the rates whose owner can't be asked.
         self._shares = LimitBuckets()
+        # When each of them was used last, by the server's id.
+        self._shares_used_s: dict[str, float] = {}
         self._silent_until_s: dict[str, float] = {}
         owner.subscribe_decided(self._apply)
         timers.subscribe(REMOVAL_INTERVAL_S, self._remove_expired)
@@ -259,17 +265,24 @@
         cold_rate = self._get_cold_rate(server)
         wait_s = 0.0
         if cold_rate is not None:
-            per_s = compute_cold_share_per_s(
-                cold_rate.per_s, self._owners.count_hosts()
-            )
-            wait_s = self._shares.acquire(
-                server, per_s, self._timers.now(), self._rng.random()
-            )
+            wait_s = self._use_share(server, cold_rate)
         outcome = PermitOutcome.USED_UP if wait_s else PermitOutcome.NOT_OWNER
         if wait_s:
             self._record_used_up(server, wait_s)
         self._finish(sent, PermitDecision(outcome, wait_s, 0))
 
+    def _use_share(self, server: ServerEntry, cold_rate: ColdRate) -> float:
+        """Take a token of this host's share; return the seconds until the next one."""
+        now_s = self._timers.now()
+        used_s = self._shares_used_s.get(server.identity, -math.inf)
+        if now_s > used_s + SHARE_KEPT_S:
+            self._shares.remove(server)
+        self._shares_used_s[server.identity] = now_s
+        per_s = compute_cold_share_per_s(cold_rate.per_s, self._owners.count_hosts())
+        return self._shares.acquire(
+            server, per_s, now_s, self._rng.random(), burst=SHARE_BURST
+        )
+
     def _record_used_up(self, server: ServerEntry, wait_s: float) -> None:
         until_s = self._timers.now() + min(wait_s, MAX_USED_UP_S)
         self._statements.record_wait(server, until_s)
@@ -290,6 +303,11 @@
     def _remove_expired(self) -> None:
         now_s = self._timers.now()
         self._shares.remove_expired(now_s)
+        self._shares_used_s = {
+            identity: used_s
+            for identity, used_s in self._shares_used_s.items()
+            if now_s < used_s + SHARE_KEPT_S
+        }
         self._owners.clear()
         self._silent_until_s = {
             host: until_s
--- a/oleanderpier/entry/tests/test_server_permits.py
+++ b/oleanderpier/entry/tests/test_server_permits.py
@@ -284,6 +284,21 @@
         fleet.timers.advance(5.0)
         self.check_bound(fleet, "two owners")
 
+    def test_crowd_after_a_quiet_time(self):
+        """Hosts that can't ask the owner do not save their shares up."""
+        fleet = PermitFleet(83, 0, cold_per_s=COLD_PER_S)
+        for name in fleet.others:
+            fleet.lost |= {(fleet.owner, name)}
+            fleet.ask(name)
+        fleet.timers.advance(50.0)
+        for _ in range(3):
+            for name in fleet.others:
+                fleet.timers.advance(0.001)
+                fleet._handle_request(name, WORK_S, 0.0)
+        fleet.start_callers(fleet.names, 150.0, WORK_S)
+        fleet.timers.advance(5.0)
+        self.check_bound(fleet, "crowd")
+
     def test_fleet_is_divided(self):
         """Parts without most of the hosts grant no more than the shares."""
         fleet = self.make_fleet()
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -338,6 +338,7 @@
         at_once: Whether the requests are forwarded at the same time.
         permits: Where the requests ask for permits, None for no permits.
         forwarder: The forwarder of the requests, once they have begun.
+        evacuations: The evacuated failure domains likewise.
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
         moved: The reason and the decision for each request that did not reach one.
     """
@@ -358,6 +359,7 @@
         self.at_once = False
         self.permits: PermitSource | None = None
         self.forwarder: Forwarder | None = None
+        self.evacuations: Evacuations | None = None
         self._used_up = used_up
         self.evacuated: tuple[str, ...] = ()
         self.moved: list[tuple[str, str]] = []
@@ -391,7 +393,7 @@
         remote_loads = FakeRemoteLoads()
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
-        evacuations = Evacuations(timers)
+        evacuations = self.evacuations = Evacuations(timers)
         if self.evacuated:
             evacuations.update("alpena", True)
         chooser = Chooser(
--- a/oleanderpier/forwarding/tests/test_admission.py
+++ b/oleanderpier/forwarding/tests/test_admission.py
@@ -309,6 +309,24 @@
         )
         self.check_released(permits)
 
+    def test_server_is_evacuated_during_the_wait(self):
+        """It gets nothing although its owner grants the permit."""
+        permits = ScriptedPermits({"s0": (FULL, 0.1)})
+        fixture = make_fixture(permits, [respond()])
+        answer = permits.request
+
+        def evacuate_in_wait(query, notify):
+            if query.max_wait_s:
+                fixture.evacuations.update("duluth", True)
+            return answer(query, notify)
+
+        permits.request = evacuate_in_wait
+        outcome = forward_request(fixture, **IDEMPOTENT)
+        self.assertEqual(
+            (Code.NO_BACKEND_SERVER, [0]), (outcome.code, fixture.count_requests())
+        )
+        self.check_released(permits)
+
     def test_hedge_without_room(self):
         """It does not wait: the first attempt may end meanwhile."""
         permits = ScriptedPermits({"s1": (FULL, 0.1)})
