--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -119,6 +119,8 @@
             retry_after_s = spread_return_s(max(RETRY_AFTER_S, wait_s), resources.rng)
             return NoServer(Code.NO_BACKEND_SERVER, text, retry_after_s)
         text = f"no server of {self.service} has room"
+        if resources.chooser.has_stood_still():
+            text = "this host just stood still"
         return NoServer(Code.NO_BACKEND_SERVER, text, RETRY_AFTER_S)
 
     async def _choose_unlimited(self, excluded: set[str]) -> Choice | None:
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -6,8 +6,6 @@
 import struct
 from collections.abc import Awaitable, Callable, Iterable
 
-from multidict import CIMultiDict
-
 from oleanderpier.connections import make_session
 from oleanderpier.forwarding import (
     Call,
@@ -16,28 +14,34 @@
     PermitSource,
     RequestKeys,
     RequestOutcome,
-    ResponseHead,
     ServerActivity,
     StatementRecorder,
 )
+from oleanderpier.forwarding.tests.dialect import MinimalDialect
 from oleanderpier.forwarding.tests.recording import RecordingCaller
 from oleanderpier.routing import (
     BudgetLimits,
     CacheMap,
     Chooser,
+    ColdServers,
     CrashCauses,
     Evacuations,
     PromptPart,
     Quarantine,
-    Refusal,
     RetryBudget,
     Roster,
     Route,
     ServerEntry,
     ServerHealth,
     ServerStatements,
+    ServiceEntry,
+)
+from oleanderpier.routing.tests.fakes import (
+    ENGINE,
+    FakeRemoteLoads,
+    make_route,
+    make_server,
 )
-from oleanderpier.routing.tests.fakes import FakeRemoteLoads, make_route, make_server
 from oleanderpier.utils import LoopTimers, run_coroutine
 
 __all__ = [
@@ -290,38 +294,6 @@
         request.closed.set()
 
 
-class MinimalDialect:
-    """A wire format with the headers that the forwarder acts on.
-
-    ``Id``, ``Left`` and ``After`` of requests; ``Not-Run``, ``Signed``, ``Leaving`` and
-    ``Wait`` of responses. ``Not-Run`` may name the reason.
-    """
-
-    def format_request(self, call, server, time_left_s, last_event_id, copy_source):
-        """Return the headers for a server."""
-        headers = CIMultiDict({"Id": call.identity, "Left": f"{time_left_s:.3f}"})
-        if last_event_id is not None:
-            headers["After"] = last_event_id
-        return headers
-
-    def read_response_head(self, call, status, headers) -> ResponseHead:
-        """Return the decoded head of a response."""
-        found = {key.decode().lower(): value.decode() for key, value in headers}
-        valid = found.get("id") == call.identity and "content-encoding" not in found
-        reason = found.get("not-run")
-        refusals = {refusal.value: refusal for refusal in Refusal}
-        return ResponseHead(
-            status,
-            [],
-            reason is not None,
-            valid,
-            found.get("signed") == "yes",
-            None if reason is None else refusals.get(reason, Refusal.BUSY),
-            "leaving" in found,
-            float(found["wait"]) if "wait" in found else None,
-        )
-
-
 class ForwarderFixture:
     """A forwarder with scripted servers.
 
@@ -340,6 +312,7 @@
         forwarder: The forwarder of the requests, once they have begun.
         evacuations: The evacuated failure domains likewise.
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
+        cold: Ids of the servers that are cold.
         moved: The reason and the decision for each request that did not reach one.
     """
 
@@ -362,6 +335,7 @@
         self.evacuations: Evacuations | None = None
         self._used_up = used_up
         self.evacuated: tuple[str, ...] = ()
+        self.cold: tuple[str, ...] = ()
         self.moved: list[tuple[str, str]] = []
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
@@ -394,6 +368,11 @@
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
         evacuations = self.evacuations = Evacuations(timers)
+        cold_servers = ColdServers(evacuations, timers)
+        cold_servers.update_services((ServiceEntry(ENGINE, 20.0, 11.0),))
+        for identity in self.cold:
+            entry = roster.get_entry(identity)
+            cold_servers.update_entry(identity, entry._replace(cold_remaining_s=9.0))
         if self.evacuated:
             evacuations.update("alpena", True)
         chooser = Chooser(
@@ -429,7 +408,7 @@
                 self._make_attempt_recorder(causes, route, timers),
                 request_send,
                 lambda *decision: self.moved.append(decision),
-                None,
+                cold_servers,
                 self.permits,
             )
             self.forwarder = forwarder
