--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -15,8 +15,7 @@
 """
 
 import random
-from collections.abc import Collection, Iterable
-from itertools import islice
+from collections.abc import Collection
 from typing import NamedTuple
 
 from oleanderpier.routing.cache_copies import CacheCopies, PickCopySource
@@ -38,7 +37,7 @@
     Eligibility,
     Restrictions,
 )
-from oleanderpier.routing.hash_order import score_server
+from oleanderpier.routing.hash_order import list_first
 from oleanderpier.routing.load_model import LoadModel, ServiceStats
 from oleanderpier.routing.records import ServerEntry, ServiceEntry
 from oleanderpier.routing.requirements import Choice, ServerQuery
@@ -52,9 +51,9 @@
 # 1 to 2 s old.
 STATS_INTERVAL_S = 0.25
 # Servers that have the prompt cached, or are chosen at random, that are compared.
-MAX_HOLDERS = 4
-# How many of them are looked at for those that may get the request.
-HOLDERS_SAMPLE_RATIO = 2
+MAX_HOLDERS = 3
+# How many times as many are looked at for those that may get the request.
+HOLDERS_SEARCH_RATIO = 3
 RANDOM_CANDIDATES = 4
 # Servers that are compared if only few may get the request.
 MAX_OTHERS = 20
@@ -145,12 +144,11 @@
         self._stats: dict[str, ServiceStats] = {}
         self._hash_orders: dict[str, tuple[list[ServerEntry], list[str]]] = {}
 
-    def update_services(self, services: Iterable[ServiceEntry]) -> None:
+    def update_services(self, services: tuple[ServiceEntry, ...]) -> None:
         """Apply the services of the configuration whose cold servers have limits.
 
         If there is one, all services of the configuration are under permits.
         """
-        services = tuple(services)
         self._statements.loads.set_all_under_permits(bool(services))
         self._copies.update_services(services)
 
@@ -215,7 +213,6 @@
         for servers in (
             self._list_hashed(inputs.query, usable),
             self._sample(usable),
-            self._sample(usable),
         ):
             others = [entry for entry in servers if entry.identity not in seen]
             costs = costs + self._compute_costs(others, inputs)
@@ -234,15 +231,16 @@
     def record_first_event(self, choice: Choice, took_s: float) -> None:
         """Record the time until the first event of a request.
 
-        A request that may have waited for a slot tells nothing of the speed. It is one
-        if the server had requests waiting when it responded.
+        A request that may have waited for a slot tells nothing of the speed: the server
+        had requests waiting when it responded. Neither does one that waited for a copy.
 
         Args:
             choice: The choice of the server.
             took_s: The time since the request was sent, in seconds.
         """
         heard = self._statements.loads.get(choice.server)
-        if choice.cost is None or heard is None or heard.load.waiting:
+        is_alike = heard is not None and not heard.load.waiting
+        if choice.cost is None or choice.copy_source is not None or not is_alike:
             return
         self.prefill_times.record(
             choice.server.service,
@@ -282,7 +280,7 @@
             avoided,
             restrictions,
             key,
-            bool(self._caches.list_holders(key)),
+            self._is_held(key, holders),
             shared_tokens,
             shared_load,
             stats,
@@ -312,20 +310,25 @@
         for prefix in reversed(query.prefixes):
             identities = self._caches.list_holders(prefix.key)
             if len(identities) > MAX_HOLDERS:
-                count = min(len(identities), HOLDERS_SAMPLE_RATIO * MAX_HOLDERS)
-                identities = self._rng.sample(identities, count)
-            holders = (
+                first = self._rng.randrange(len(identities))
+                identities = identities[first:] + identities[:first]
+            holders = [
                 entry
-                for identity in identities
+                for identity in identities[: HOLDERS_SEARCH_RATIO * MAX_HOLDERS]
                 if (entry := self._roster.get_entry(identity)) is not None
                 and entry.service == query.service
-                and self._eligibility.find_reason(entry, restrictions) is None
-            )
-            found = list(islice(holders, MAX_HOLDERS))
-            if found:
-                return found
+            ]
+            allowed = self._eligibility.list_allowed(holders, restrictions)
+            if allowed:
+                return allowed[:MAX_HOLDERS]
         return []
 
+    def _is_held(self, key: str, holders: list[ServerEntry]) -> bool:
+        """Return whether a server has a prompt cached, if it may get it or not."""
+        if holders and self._caches.holds(key, holders[0].identity):
+            return True
+        return bool(self._caches.list_holders(key))
+
     def _list_hashed(
         self, query: ServerQuery, usable: list[ServerEntry]
     ) -> list[ServerEntry]:
@@ -336,13 +339,9 @@
         known = self._hash_orders.get(key)
         # The list is another one after each change of a registration.
         if known is None or known[0] is not usable:
-            order = sorted(
-                usable,
-                key=lambda entry: score_server(key, entry.identity),
-            )
-            if len(self._hash_orders) >= MAX_HASH_ORDERS:
+            if known is not None or len(self._hash_orders) >= MAX_HASH_ORDERS:
                 self._hash_orders.clear()
-            known = (usable, [entry.identity for entry in order[:HASH_CANDIDATES]])
+            known = (usable, list_first(key, usable, HASH_CANDIDATES))
             self._hash_orders[key] = known
         entries = (self._roster.get_entry(identity) for identity in known[1])
         return [entry for entry in entries if entry is not None]
@@ -379,22 +378,21 @@
         return min(stats.load_limit, sum(loads) / len(loads)) if loads else 0.0
 
     def _compute_costs(
-        self, servers: Iterable[ServerEntry], inputs: _Inputs
+        self, servers: list[ServerEntry], inputs: _Inputs
     ) -> list[ServerCost]:
         """Return the costs of those of several servers that may get the request."""
         return [
             self._compute_cost(server, inputs)
-            for server in servers
+            for server in self._eligibility.list_allowed(servers, inputs.restrictions)
             if server.identity not in inputs.avoided
-            and self._eligibility.find_reason(server, inputs.restrictions) is None
         ]
 
     def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
         identity, stats = server.identity, inputs.stats
         slow_factor = self._statements.loads.get_slow_factor(server, inputs.now_s)
         slots = compute_usable_slots(self._statements.get_slots(server), slow_factor)
-        load = expected_load = self._model.compute_weight(identity, stats)
-        margin = self._model.compute_margin(identity, stats)
+        load, margin = self._model.compute_load(identity, stats)
+        expected_load = load
         is_over_limit = load + margin + 1.0 > stats.load_limit
         holds_prompt, missing_ms = False, 0.0
         if inputs.cache_key:
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -135,10 +135,13 @@
 
         Servers in backoff are among them, since they are tried if no other is left.
         """
-        servers = self._roster.list_usable(service)
-        for omit in self._rules.values():
-            servers = omit(servers, restrictions)
-        return servers
+        return self._omit_ineligible(self._roster.list_usable(service), restrictions)
+
+    def list_allowed(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        """Return those of several servers for which ``find_reason`` finds none."""
+        return self.list_healthy(self._omit_ineligible(servers, restrictions))
 
     def list_healthy(self, servers: Iterable[ServerEntry]) -> list[ServerEntry]:
         """Return those of several servers that are not in backoff."""
@@ -155,13 +158,13 @@
 
     def has_left(self, server: ServerEntry) -> bool:
         """Return whether a server that was chosen may get nothing more meanwhile."""
-        return any(
-            self._rules[reason].applies(server, NO_RESTRICTIONS)
-            for reason in (
-                Ineligibility.LEAVING,
-                Ineligibility.UNCONFIRMED,
-                Ineligibility.EVACUATED,
-            )
+        reasons = (
+            Ineligibility.LEAVING,
+            Ineligibility.UNCONFIRMED,
+            Ineligibility.EVACUATED,
+        )
+        return not all(
+            self._rules[reason]([server], NO_RESTRICTIONS) for reason in reasons
         )
 
     def find_reason(
@@ -193,6 +196,13 @@
                 )
         return None
 
+    def _omit_ineligible(
+        self, servers: list[ServerEntry], restrictions: Restrictions
+    ) -> list[ServerEntry]:
+        for omit in self._rules.values():
+            servers = omit(servers, restrictions)
+        return servers
+
     def _omit_leaving(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
         is_leaving = self._statements.is_leaving
         if not self._statements.count_leaving():
