--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -12,6 +12,7 @@
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import outlasts_server, outlasts_table
 from oleanderpier.entry.exchange import ServerExchange
+from oleanderpier.entry.features import FEATURES
 from oleanderpier.entry.gauges import list_gauges
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
@@ -22,11 +23,7 @@
 from oleanderpier.entry.watch import WatchDuty
 from oleanderpier.events import Clock
 from oleanderpier.fleet import (
-    CRASHES_FEATURE,
     DOMAIN_LOADS_FEATURE,
-    LEAVING_FEATURE,
-    LIMITS_FEATURE,
-    REQUEST_KEYS_FEATURE,
     CachePlacements,
     DomainLoads,
     FleetLoads,
@@ -73,17 +70,6 @@
 __all__ = ["EntryNode"]
 
 MEMBERSHIP_MESSAGE_NUMBERS = range(20, 27)
-# What this host announces in its reports.
-FEATURES = dict.fromkeys(
-    (
-        DOMAIN_LOADS_FEATURE,
-        LEAVING_FEATURE,
-        CRASHES_FEATURE,
-        LIMITS_FEATURE,
-        REQUEST_KEYS_FEATURE,
-    ),
-    ReplicaSummary(0, 0, 0.0),
-)
 MILLISECONDS_PER_S = 1000
 POLL_INTERVAL_S = 0.05
 CONNECT_TIMEOUT_S = 0.3
@@ -197,6 +183,9 @@
             self._rng,
             self.mesh,
             Survivors(self.roster, self.server_activity).has_survivor,
+            lambda identity: self.chooser.count_in_flight(identity),
+            self.cold_servers.get_rate,
+            self.metrics,
         )
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
@@ -290,6 +279,7 @@
             exchange.send_limits.request_send,
             self.metrics.record_held_back,
             self.cold_servers,
+            exchange.permits,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
--- a/oleanderpier/forwarding/decisions.py
+++ b/oleanderpier/forwarding/decisions.py
@@ -2,9 +2,10 @@
 
 from eliot import log_message
 
-from oleanderpier.routing import EvacuatedServer, ServerEntry
+from oleanderpier.forwarding.resources import ForwardingResources
+from oleanderpier.routing import Choice, EvacuatedServer, ServerEntry
 
-__all__ = ["log_cold", "log_evacuated"]
+__all__ = ["log_cold", "log_evacuated", "record_cold"]
 
 
 def log_evacuated(
@@ -58,3 +59,26 @@
         in_flight=in_flight,
         age_s=round(age_s, 3),
     )
+
+
+def record_cold(resources: ForwardingResources, request: str, choice: Choice) -> None:
+    """Record that a request does not reach a server now, if the server is cold.
+
+    Args:
+        resources: What all requests of this host share.
+        request: The request's id.
+        choice: The choice of the server.
+    """
+    cold, server = resources.cold_servers, choice.server
+    rate = cold and cold.get_rate(server)
+    if not rate:
+        return
+    resources.on_held_back("cold", "held_back")
+    log_cold(
+        request,
+        server,
+        cold.get_remaining_s(server),
+        rate.per_s,
+        choice.load,
+        choice.server_state_age_s,
+    )
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -1,18 +1,15 @@
 """Forwards one request to backend servers, with retries and hedges."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from eliot import log_message
 
 from oleanderpier.forwarding.attempts import Attempt, BufferedResponse
 from oleanderpier.forwarding.callers import TrackedCaller
-from oleanderpier.forwarding.decisions import log_cold, log_evacuated
 from oleanderpier.forwarding.events import EventSplitter
 from oleanderpier.forwarding.hedging import Loss, RunningAttempts
 from oleanderpier.forwarding.records import Call, Caller, RequestOutcome
 from oleanderpier.forwarding.request_keys import RequestKeys
+from oleanderpier.forwarding.resources import ForwardingResources
+from oleanderpier.forwarding.selection import RETRY_AFTER_S, ServerSelection
 from oleanderpier.results import Code, Failure, Fate, describe_code
 from oleanderpier.routing import (
     MIN_TIME_LEFT_S,
@@ -20,29 +17,14 @@
     AttemptOutcome,
     AttemptState,
     Choice,
-    ServerQuery,
-    combine_regions,
     decide_retry,
     may_hedge,
-    pick_service,
-    spread_return_s,
 )
 
-if TYPE_CHECKING:
-    from oleanderpier.forwarding.forwarder import Forwarder
-
 __all__ = ["RequestForwarding"]
 
 # Servers tried for one request, including unreachable ones.
 MAX_SERVERS_TRIED = 5
-# Choices for one request among servers whose limits may have no room for it.
-MAX_LIMITED_CHOICES = 24
-# Delay that a refusal asks the caller to wait: long enough for a server in backoff
-# to be tried again, short against the latency targets.
-RETRY_AFTER_S = 0.25
-# The range of that delay if only an evacuation leaves no server: the operator ends it
-# or adds servers at any moment, and callers must not return together.
-EVACUATED_RETRY_AFTER_S = (0.5, 1.5)
 # Interval at which a request checks whether its servers have become silent.
 SILENCE_CHECK_INTERVAL_S = 0.2
 # Upper bound of the parts of a prompt in a line of the log.
@@ -64,24 +46,15 @@
         caller: Receives the response, or the refusal.
     """
 
-    def __init__(self, forwarder: Forwarder, call: Call, caller: Caller) -> None:
+    def __init__(
+        self, forwarder: ForwardingResources, call: Call, caller: Caller
+    ) -> None:
         self._forwarder = forwarder
         self._call = call
         self._keys = RequestKeys(call)
         self._caller = TrackedCaller(caller, forwarder.timers)
         self._splitter = EventSplitter()
-        prefixes = call.shared_prefixes
-        self._service = pick_service(
-            call.route.shares, prefixes[-1].key if prefixes else call.identity
-        )
-        self._query = ServerQuery(
-            self._service,
-            prefixes,
-            combine_regions(call.route, call.workspace),
-            call.prompt_tokens,
-        )
-        self._tried: set[str] = set()
-        self._refused_by: set[str] = set()
+        self._selection = ServerSelection(forwarder, call)
         self._retry_after_s = RETRY_AFTER_S
         self._running = RunningAttempts()
         self._servers_tried = 0
@@ -99,7 +72,7 @@
     async def run(self) -> RequestOutcome:
         """Try servers until the request has an outcome or its deadline passes."""
         forwarder = self._forwarder
-        forwarder.budget.record_request(self._service)
+        forwarder.budget.record_request(self._selection.service)
         refusal = forwarder.find_refusal(self._keys)
         if refusal is not None:
             return await self._refuse_with(refusal)
@@ -126,6 +99,7 @@
         try:
             return await self._try_in_turn()
         finally:
+            self._selection.admission.drop()
             await self._running.cancel()
             # A task that was cancelled before its first step has not run at all.
             for attempt in list(self._in_flight):
@@ -137,11 +111,11 @@
     async def _try_in_turn(self) -> RequestOutcome:
         """Make an attempt after each one that has failed, and hedges meanwhile."""
         forwarder, call = self._forwarder, self._call
+        uses_budget = False
         while self._servers_tried < MAX_SERVERS_TRIED:
-            choice = await self._choose_server(self._refused_by)
+            choice = await self._selection.choose(self._selection.refused_by)
             if choice is None:
-                self._explain_no_server(self._refused_by)
-                break
+                return await self._finish_without_server(uses_budget)
             time_left_s = call.deadline_s - forwarder.timers.now()
             if time_left_s < MIN_TIME_LEFT_S:
                 self._reason = f"{time_left_s:.4f} s left; {self._reason}"
@@ -159,7 +133,10 @@
             if self._may_have_run and not forwarder.guard.may_retry(self._keys):
                 self._reason = f"servers crashed on the request; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
-            if decision.uses_budget and not forwarder.budget.try_acquire(self._service):
+            uses_budget = decision.uses_budget
+            if uses_budget and not forwarder.budget.try_acquire(
+                self._selection.service
+            ):
                 self._reason = f"retry budget is used up; {self._reason}"
                 return await self._finish_unsuccessful(decision.code)
         code = Code.ANSWER_LOST if self._may_have_run else Code.NO_BACKEND_SERVER
@@ -189,18 +166,21 @@
         return (
             self._servers_tried < MAX_SERVERS_TRIED
             and may_hedge(self._get_state(), len(self._running), time_left_s)
-            and forwarder.chooser.has_other(self._query, self._tried)
-            and forwarder.budget.has_room(self._service)
+            and self._selection.has_other()
+            and forwarder.budget.has_room(self._selection.service)
             and forwarder.guard.may_retry(self._keys)
         )
 
     async def _start_hedge(self) -> None:
         """Start an attempt at a server that was not tried; the others go on."""
         forwarder = self._forwarder
-        choice = await self._choose_server(self._tried)
+        selection = self._selection
+        choice = await selection.choose(selection.tried, may_wait=False)
         if choice is None or not self._running.are_delayed():
+            self._selection.admission.drop()
             return
-        if not forwarder.budget.try_acquire(self._service):
+        if not forwarder.budget.try_acquire(self._selection.service):
+            self._selection.admission.drop()
             return
         delayed = self._running.list_running()
         for attempt in delayed:
@@ -215,69 +195,19 @@
         )
         self._start_attempt(choice)
 
-    async def _choose_server(self, excluded: set[str]) -> Choice | None:
-        """Return the best server whose limit has room, None if there is none.
-
-        A server without room is left out of the next choice.
+    async def _finish_without_server(self, uses_budget: bool) -> RequestOutcome:
+        """End a request for which there is no server, or none has room in time.
 
         Args:
-            excluded: Ids of the servers that are never chosen.
+            uses_budget: Whether a retry was counted that was not sent.
         """
-        for _ in range(MAX_LIMITED_CHOICES):
-            choice = self._forwarder.chooser.choose(self._query, self._tried, excluded)
-            if choice is None:
-                return None
-            if await self._forwarder.may_send(choice.server):
-                if choice.evacuated is not None:
-                    self._forwarder.on_held_back("evacuated", "moved")
-                    log_evacuated(self._call.identity, choice.evacuated, "moved", 0.0)
-                return choice
-            self._record_cold(choice)
-        return None
-
-    def _record_cold(self, choice: Choice) -> None:
-        """Record that a server got no request, if it is cold."""
-        cold, server = self._forwarder.cold_servers, choice.server
-        rate = cold and cold.get_rate(server)
-        if not rate:
-            return
-        self._forwarder.on_held_back("cold", "held_back")
-        log_cold(
-            self._call.identity,
-            server,
-            cold.get_remaining_s(server),
-            rate.per_s,
-            choice.load,
-            choice.server_state_age_s,
-        )
-
-    def _explain_no_server(self, excluded: set[str]) -> None:
-        """Set the reason and the time to come back if no server can be chosen.
-
-        Args:
-            excluded: Ids of the servers that refused the request.
-        """
-        chooser = self._forwarder.chooser
-        evacuated = chooser.find_evacuated(self._query, excluded)
-        if evacuated is not None:
-            self._retry_after_s = self._forwarder.rng.uniform(*EVACUATED_RETRY_AFTER_S)
-            domain = evacuated.server.failure_domain
-            self._reason = f"failure domain {domain} is evacuated; {self._reason}"
-            self._forwarder.on_held_back("evacuated", "refused")
-            log_evacuated(
-                self._call.identity, evacuated, "refused", self._retry_after_s
-            )
-            return
-        wait_s = chooser.get_shortest_wait_s(self._query)
-        if wait_s:
-            self._retry_after_s = spread_return_s(
-                max(RETRY_AFTER_S, wait_s), self._forwarder.rng
-            )
-            self._reason = f"no server wants it for {wait_s:.3f} s; {self._reason}"
-        elif chooser.has_stood_still():
-            self._reason = f"this host just stood still; {self._reason}"
-        else:
-            self._reason = f"no server of {self._service} has room; {self._reason}"
+        no_server = self._selection.explain()
+        self._retry_after_s = no_server.retry_after_s
+        self._reason = f"{no_server.reason}; {self._reason}"
+        if uses_budget and no_server.code is Code.SERVERS_FULL:
+            self._forwarder.budget.refund(self._selection.service)
+        code = Code.ANSWER_LOST if self._may_have_run else no_server.code
+        return await self._finish_unsuccessful(code)
 
     def _start_attempt(self, choice: Choice) -> None:
         """Start to send the request to a server once."""
@@ -301,14 +231,16 @@
         self._server = choice.server.identity
         self._reason = "waited for the server"
         self._servers_tried += 1
-        self._tried.add(self._server)
+        self._selection.tried.add(self._server)
         forwarder.guard.begin_attempt(self._keys)
-        forwarder.chooser.begin_request(self._query, self._server)
+        forwarder.chooser.begin_request(self._selection.query, self._server)
         self._in_flight[attempt] = forwarder.timers.now()
+        self._selection.admission.begin(attempt)
         self._running.start(attempt, self._run_attempt(choice, attempt))
 
     def _end_in_flight(self, attempt: Attempt) -> float:
         """Count an attempt as in flight no more, and return how long it was."""
+        self._selection.admission.end(attempt)
         took_s = self._forwarder.timers.now() - self._in_flight.pop(attempt)
         self._forwarder.chooser.end_request(attempt.server.identity, took_s)
         return took_s
@@ -317,6 +249,8 @@
         """Return whether an attempt may pass on what it has received."""
         if not self._running.claim(attempt, is_progress):
             return False
+        if is_progress:
+            self._selection.admission.end_prefill(attempt)
         self._splitter = attempt.splitter
         self._server = attempt.server.identity
         return True
@@ -340,7 +274,7 @@
         self._attempts += outcome is not AttemptOutcome.UNREACHED
         self._was_sent = self._was_sent or outcome not in NOT_EXECUTED
         if outcome is AttemptOutcome.NOT_RUN:
-            self._refused_by.add(identity)
+            self._selection.refused_by.add(identity)
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
             self._response = attempt.response
@@ -470,23 +404,23 @@
         )
 
 
-def _record_response(forwarder: Forwarder, identity: str) -> None:
+def _record_response(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.record_response(identity, failed=False)
 
 
-def _record_failure(forwarder: Forwarder, identity: str) -> None:
+def _record_failure(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.record_response(identity, failed=True)
 
 
-def _record_broken(forwarder: Forwarder, identity: str) -> None:
+def _record_broken(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.health.record_broken_response(identity)
 
 
-def _record_unreachable(forwarder: Forwarder, identity: str) -> None:
+def _record_unreachable(forwarder: ForwardingResources, identity: str) -> None:
     forwarder.health.record_unreachable(identity)
 
 
-def _record_nothing(forwarder: Forwarder, identity: str) -> None:
+def _record_nothing(forwarder: ForwardingResources, identity: str) -> None:
     """Record nothing: a server that is full or was replaced has not failed."""
 
 
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -11,6 +11,7 @@
     Call,
     CrashGuard,
     Forwarder,
+    PermitSource,
     RequestKeys,
     RequestOutcome,
     ServerActivity,
@@ -307,6 +308,9 @@
         differ_in_path: Whether each request has another path.
         differ_in_prompt: Whether each request has another prompt.
         at_once: Whether the requests are forwarded at the same time.
+        permits: Where the requests ask for permits, None for no permits.
+        forwarder: The forwarder of the requests, once they have begun.
+        evacuations: The evacuated failure domains likewise.
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
         cold: Ids of the servers that are cold.
         moved: The reason and the decision for each request that did not reach one.
@@ -326,6 +330,9 @@
         self.differ_in_path = False
         self.differ_in_prompt = False
         self.at_once = False
+        self.permits: PermitSource | None = None
+        self.forwarder: Forwarder | None = None
+        self.evacuations: Evacuations | None = None
         self._used_up = used_up
         self.evacuated: tuple[str, ...] = ()
         self.cold: tuple[str, ...] = ()
@@ -360,7 +367,7 @@
         remote_loads = FakeRemoteLoads()
         remote_loads.in_flight.update(order)
         statements, rng = ServerStatements(), random.Random(1)
-        evacuations = Evacuations(timers)
+        evacuations = self.evacuations = Evacuations(timers)
         cold_servers = ColdServers(evacuations, timers)
         cold_servers.update_services((ServiceEntry(ENGINE, 20.0, 11.0),))
         for identity in self.cold:
@@ -402,7 +409,9 @@
                 request_send,
                 lambda *decision: self.moved.append(decision),
                 cold_servers,
+                self.permits,
             )
+            self.forwarder = forwarder
             try:
                 requests = [
                     lambda caller=caller, number=number: forwarder.forward(
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -188,6 +188,10 @@
             evacuated=self._find_evacuated_holder(query),
         )
 
+    def has_left(self, server: ServerEntry) -> bool:
+        """Return whether a server leaves or is evacuated since it was chosen."""
+        return self._eligibility.has_left(server)
+
     def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
         """Return whether a healthy server is left besides those that were tried."""
         untried = self._eligibility.list_eligible(
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -156,6 +156,17 @@
         reachable = self._omit_other_regions([server], restrictions)
         return bool(self._omit_evacuated(reachable, restrictions))
 
+    def has_left(self, server: ServerEntry) -> bool:
+        """Return whether a server that was chosen may get nothing more meanwhile."""
+        reasons = (
+            Ineligibility.LEAVING,
+            Ineligibility.UNCONFIRMED,
+            Ineligibility.EVACUATED,
+        )
+        return not all(
+            self._rules[reason]([server], NO_RESTRICTIONS) for reason in reasons
+        )
+
     def find_reason(
         self, server: ServerEntry, restrictions: Restrictions = NO_RESTRICTIONS
     ) -> Ineligibility | None:
