Compare a wait where a prompt is cached with reading it again

A request that found the server with its prompt in the prefill of another one went to any server with a free slot, and read 10,000 shared tokens again there (some 100 ms) to save a wait of about 50 ms. It now waits if that is faster. Found by reading; the new tests are of the comparison itself.

--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -19,13 +19,19 @@
 from oleanderpier.forwarding.resources import ForwardingResources
 from oleanderpier.routing import MIN_TIME_LEFT_S, Choice, PermitOutcome, ServerQuery
 
-__all__ = ["AdmissionRefusal", "RequestAdmission", "compute_return_s"]
+__all__ = [
+    "AdmissionRefusal",
+    "RequestAdmission",
+    "compute_return_s",
+    "costs_more_than_wait",
+]
 
 # Further servers that are asked after one that has no room.
 MAX_FURTHER_CHOICES = 3
 # The longest wait of a repeat, as a part of that of a first attempt.
 REPEAT_WAIT_RATIO = 0.5
 MAX_URGENCY = 9
+MILLISECONDS_PER_S = 1000.0
 # Bounds of the delay that a refusal asks the caller to wait.
 MIN_RETURN_S = 0.25
 RETURN_SPREAD_RATIO = 0.25
@@ -106,7 +112,7 @@
         answers: list[tuple[Choice, PermitAnswer]] = []
         for _ in range(1 + MAX_FURTHER_CHOICES):
             choice = choose(excluded)
-            if choice is None:
+            if choice is None or (may_wait and costs_more_than_wait(choice, answers)):
                 break
             answer = await self._ask(choice, is_repeat, 0.0)
             excluded.add(choice.server.identity)
@@ -258,6 +264,29 @@
         )
 
 
+def costs_more_than_wait(
+    choice: Choice, answers: list[tuple[Choice, PermitAnswer]]
+) -> bool:
+    """Return whether a wait at a server that has no room is faster than a choice.
+
+    A server that has to read a long prompt again is slower than the short wait until
+    the one that has it cached has room, and delays the requests beside it.
+
+    Args:
+        choice: A server that has not been asked.
+        answers: The servers that have no room, with what their owners answered.
+    """
+    if choice.cost is None:
+        return False
+    cost_ms = choice.cost.total_ms
+    return any(
+        asked.cost.work_ms + asked.cost.missing_ms + MILLISECONDS_PER_S * answer.wait_s
+        < cost_ms
+        for asked, answer in answers
+        if asked.cost is not None and answer.outcome is not PermitOutcome.USED_UP
+    )
+
+
 def compute_return_s(wait_s: float, urgency: int, random_part: float) -> float:
     """Return after how long the caller of a refused request should return.
 
--- a/oleanderpier/forwarding/tests/test_admission.py
+++ b/oleanderpier/forwarding/tests/test_admission.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 
 from oleanderpier.forwarding import PermitAnswer, PermitQuery, RequestOutcome
-from oleanderpier.forwarding.admission import compute_return_s
+from oleanderpier.forwarding.admission import compute_return_s, costs_more_than_wait
 from oleanderpier.forwarding.tests.fakes import (
     ForwarderFixture,
     RecordingCaller,
@@ -19,8 +19,14 @@
     stream_events,
 )
 from oleanderpier.results import Code, Fate, describe_code
-from oleanderpier.routing import PermitOutcome, RequestKind, ServerEntry
-from oleanderpier.routing.tests.fakes import make_route
+from oleanderpier.routing import (
+    Choice,
+    PermitOutcome,
+    RequestKind,
+    ServerCost,
+    ServerEntry,
+)
+from oleanderpier.routing.tests.fakes import make_route, make_server
 from oleanderpier.utils import run_coroutine
 
 IDEMPOTENT = {"kind": RequestKind.IDEMPOTENT, "resumable": False, "target_s": 0.4}
@@ -386,6 +392,40 @@
         self.check_released(permits)
 
 
+def make_choice(missing_ms: float) -> Choice:
+    """Return the choice of a server without load that lacks a part of the prompt."""
+    server = make_server("s1")
+    cost = ServerCost(
+        server, 0.0, 16.0, True, False, not missing_ms, 1.0, 0.0, 20.0, missing_ms
+    )
+    return Choice(server, "cached", 0, None, cost=cost)
+
+
+class WaitTest(TestCase):
+    """A short wait where the prompt is cached is better than to read it again."""
+
+    def check(self, missing_ms: float, outcome: PermitOutcome, wait_s: float) -> bool:
+        """Compare a server that lacks the prompt with the wait at one that has it."""
+        asked = [(make_choice(0.0), PermitAnswer(outcome, wait_s, 3, 0.0))]
+        return costs_more_than_wait(make_choice(missing_ms), asked)
+
+    def test_long_prompt_waits_for_the_prefill_of_another(self):
+        """It would be read again elsewhere, beside the requests there."""
+        self.assertTrue(self.check(94.0, PermitOutcome.PREFILLING, 0.05))
+
+    def test_short_prompt_goes_elsewhere(self):
+        """It would wait for the prefill of a long one."""
+        self.assertFalse(self.check(8.0, PermitOutcome.PREFILLING, 0.05))
+
+    def test_long_wait_is_not_taken(self):
+        """A hot prompt whose servers are full spreads to others."""
+        self.assertFalse(self.check(94.0, FULL, 0.3))
+
+    def test_rate_that_is_used_up_is_no_wait(self):
+        """Requests do not wait for a cold server while others are not cold."""
+        self.assertFalse(self.check(94.0, USED_UP, 0.05))
+
+
 class ReturnTest(TestCase):
     """When callers of refused requests should come back."""
 
