Bound what callers' connections and bodies take of a process

Bodies had no common limit, 256 KB were read ahead of each connection that nobody reads, and header sections were limited by field only. Bodies now reserve room before they are read, connections are closed or refused above a share of the descriptors, and header sections, unread data and requests ahead are bounded.

--- a/oleanderpier/connections/listeners.py
+++ b/oleanderpier/connections/listeners.py
@@ -19,6 +19,7 @@
     "ConnectionCounts",
     "HttpListener",
     "has_queued_request",
+    "is_idle",
 ]
 
 LISTEN_BACKLOG = 512
@@ -80,7 +81,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             connections = self._runner.server.connections
             for connection in connections:
-                if _is_idle(connection):
+                if is_idle(connection):
                     connection.transport.close()
             if not connections or self._timers.now() >= deadline_s:
                 return not connections
@@ -101,7 +102,7 @@
     def count_connections(self) -> ConnectionCounts:
         """Return how many connections are open, by what they are used for."""
         connections = self._runner.server.connections
-        idle = sum(_is_idle(connection) for connection in connections)
+        idle = sum(is_idle(connection) for connection in connections)
         unsent_bytes = sum(
             connection.transport.get_write_buffer_size()
             for connection in connections
@@ -122,7 +123,7 @@
     return bool(connection._messages)
 
 
-def _is_idle(connection: web.RequestHandler) -> bool:
+def is_idle(connection: web.RequestHandler) -> bool:
     """Return whether every request that was read whole has its response.
 
     aiohttp has no public way to tell: a connection's task waits for this future, which
--- a/oleanderpier/entry/gauges.py
+++ b/oleanderpier/entry/gauges.py
@@ -36,6 +36,31 @@
             "Prompt parts, and requests as a whole, that are refused.",
             lambda: len(node.exchange.poison.list_quarantines()),
         ),
+        (
+            "body_bytes",
+            "Room that bodies of callers take.",
+            lambda: node.body_room.total_bytes,
+        ),
+        (
+            "bodies_refused",
+            "Bodies without room since the start.",
+            lambda: node.body_room.refused,
+        ),
+        (
+            "bodies_given_up",
+            "Unfinished bodies whose room others got.",
+            lambda: node.body_room.evicted,
+        ),
+        (
+            "response_bytes",
+            "Large responses that are being sent to callers.",
+            lambda: node.response_room.total_bytes,
+        ),
+        (
+            "responses_aborted",
+            "Large responses whose room others got.",
+            lambda: node.response_room.aborted,
+        ),
         (
             "configuration_version",
             "Version in force.",
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 from expression import Error, Result
 
-from oleanderpier.connections import make_session
+from oleanderpier.connections import BodyRoom, ResponseRoom, make_session
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import (
     decode_server,
@@ -117,6 +117,8 @@
         in_progress: The number of callers' requests in progress.
         route_index: The routes in force, None before the first configuration.
         metrics: The metrics of this host.
+        body_room: The room for the bodies of callers' requests.
+        response_room: The room for large responses to callers.
     """
 
     def __init__(
@@ -129,6 +131,8 @@
         self.metrics = EntryMetrics()
         self.timers = LoopTimers()
         self.draining = Drain(self.timers, settings.grace_s)
+        self.body_room = BodyRoom(settings.caller_bounds.body_bytes)
+        self.response_room = ResponseRoom(settings.caller_bounds.response_bytes)
         self._source = source
         self._dialect = dialect
         self._tasks: list[asyncio.Task] = []
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from oleanderpier.connections import CallerBounds, derive_bounds
 from oleanderpier.routing import DEFAULT_LOAD_LIMIT_FACTOR, BudgetLimits
 
 __all__ = ["EntrySettings"]
@@ -27,6 +28,7 @@
             address list, in seconds.
         load_limit_factor: Limit on the requests in flight at a backend server, as a
             multiple of the mean of its service.
+        caller_bounds: The limits on what callers may take of this process.
     """
 
     host: str
@@ -42,3 +44,4 @@
     budget: BudgetLimits
     longest_keep_s: float
     load_limit_factor: float = DEFAULT_LOAD_LIMIT_FACTOR
+    caller_bounds: CallerBounds = derive_bounds(None, None)
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -81,6 +81,8 @@
         # When the attempts began that count as requests in flight.
         self._in_flight: dict[Attempt, float] = {}
         self._response: BufferedResponse | None = None
+        # Whether a whole response waits to be sent to the caller.
+        self._is_delivering = False
         # The attempts whose buffers hold a response.
         self._responding: list[Attempt] = []
         self._server = ""
@@ -101,7 +103,8 @@
             if forwarder.limits.ended:
                 self._reason = f"this host stops; {self._reason}"
                 return await self._finish_unsuccessful(self._get_end_code())
-            if self._server:
+            # A caller's slow connection says nothing about the server.
+            if self._server and not self._is_delivering:
                 forwarder.health.record_broken_response(self._server)
             self._reason = f"out of time; {self._reason}"
             return await self._finish_unsuccessful(self._get_timeout_code())
@@ -384,6 +387,7 @@
         """Send the last complete response, unless it was streamed already."""
         if self._caller.response_started:
             return self._make_outcome(Code.DONE, 200)
+        self._is_delivering = True
         await self._caller.deliver(*self._response)
         return self._make_outcome(Code.DONE, self._response.head.status)
 
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -11,11 +11,12 @@
 from aiohttp.web_request import BaseRequest
 from eliot import log_message
 
-from oleanderpier.connections import LINGER_RESET, has_queued_request
+from oleanderpier.connections import LINGER_RESET, ResponseRoom, has_queued_request
 from oleanderpier.entry import ADDRESS_TTL_S, EntryNode
 from oleanderpier.events import make_metrics_response
 from oleanderpier.exception import CallerDisconnectedError
 from oleanderpier.forwarding import Call, RequestOutcome, ResponseHead
+from oleanderpier.platform.bodies import BodyReader
 from oleanderpier.platform.dialect import (
     CREDENTIAL_HEADER,
     DEADLINE_MS_HEADER,
@@ -28,6 +29,7 @@
 )
 from oleanderpier.results import Code, Failure, describe_code, make_refusal_body
 from oleanderpier.routing import Route
+from oleanderpier.utils import Timers
 
 __all__ = [
     "make_directory_handler",
@@ -36,10 +38,11 @@
     "make_request_handler",
 ]
 
-# Upper bound of a request's body if the configuration sets none.
-DEFAULT_MAX_BODY_BYTES = 4 << 20
-# A request whose body is not complete by then is refused.
-BODY_TIMEOUT_S = 10.0
+# Larger responses wait until there is room for them among those that are being sent.
+LARGE_RESPONSE_BYTES = 64 << 10
+# The longest time that they wait before others are aborted, and how often they ask.
+MAX_ROOM_WAIT_S = 1.5
+ROOM_CHECK_INTERVAL_S = 0.05
 # The default value of SO_LINGER.
 LINGER_OFF = struct.pack("ii", 0, 0)
 # Upper bound of the length of an address list.
@@ -53,14 +56,26 @@
         request: The HTTP request.
         closes: Returns whether to close the connection after a response that begins
             now.
+        room: The room for large responses.
+        timers: The timer service.
 
     Attributes:
         response: The response that the HTTP handler returns; None before one
             was started.
     """
 
-    def __init__(self, request: BaseRequest, closes: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        request: BaseRequest,
+        closes: Callable[[], bool],
+        room: ResponseRoom,
+        timers: Timers,
+    ) -> None:
         self.response: web.StreamResponse | None = None
+        self._room = room
+        self._timers = timers
+        # The number of the response in the room.
+        self._reserved = 0
         self._request = request
         self._closes = closes
 
@@ -87,10 +102,52 @@
 
     async def deliver(self, head: ResponseHead, body: bytes) -> None:
         """Send a response with its whole body."""
+        if len(body) > LARGE_RESPONSE_BYTES and not self._reserved:
+            await self._reserve_room(len(body))
         self._set_response(
             web.Response(status=head.status, headers=head.headers, body=body)
         )
 
+    async def _reserve_room(self, size: int) -> None:
+        """Wait until there is room for a response."""
+        started_s = self._timers.now()
+        while not self._reserved:
+            waited_s = self._timers.now() - started_s
+            self._reserved = self._room.reserve(
+                size,
+                self._abort_slow,
+                started_s + waited_s,
+                forced=waited_s >= MAX_ROOM_WAIT_S or self._closes(),
+            )
+            if not self._reserved:
+                await asyncio.sleep(ROOM_CHECK_INTERVAL_S)
+
+    def _abort_slow(self) -> None:
+        """Abort a response that is read too slowly."""
+        log_message(
+            "response:aborted",
+            request=self._request.headers.get(REQUEST_ID_HEADER, ""),
+            reason="others need its room",
+            room_bytes=self._room.total_bytes,
+        )
+        self.abort()
+
+    async def finish_large(self) -> None:
+        """Send a large response to its end, and free its room."""
+        if not self._reserved:
+            return
+        try:
+            # A caller that has disconnected is noticed by the server, too.
+            with contextlib.suppress(ConnectionError):
+                await self.response.prepare(self._request)
+                await self.response.write_eof()
+        finally:
+            self._room.release(self._reserved)
+
+    def release_room(self) -> None:
+        """Free the room of a response that is not sent."""
+        self._room.release(self._reserved)
+
     async def refuse(self, failure: Failure) -> None:
         """Send a failure as the response."""
         headers = {"Content-Type": "application/json"}
@@ -145,12 +202,18 @@
         def closes() -> bool:
             return node.state == "draining" and not has_queued_request(request.protocol)
 
-        caller = HttpCaller(request, closes)
+        caller = HttpCaller(request, closes, node.response_room, node.timers)
+        reader = BodyReader(node, request)
         node.in_progress += 1
         try:
-            await _serve_request(node, request, caller)
+            await _serve_request(node, request, reader, caller)
+        except BaseException:
+            caller.release_room()
+            raise
         finally:
+            reader.close()
             node.in_progress -= 1
+        await caller.finish_large()
         return caller.response or web.Response(status=500)
 
     return handle
@@ -189,13 +252,13 @@
 
 
 async def _serve_request(
-    node: EntryNode, request: BaseRequest, caller: HttpCaller
+    node: EntryNode, request: BaseRequest, reader: BodyReader, caller: HttpCaller
 ) -> None:
     """Validate and forward a request; log and count its end exactly once."""
     started_s = node.timers.now()
     call: Call | Failure | None = None
     try:
-        call = await _read_call(node, request, started_s)
+        call = await _read_call(node, request, reader, started_s)
         if isinstance(call, Failure):
             await caller.refuse(call)
             outcome = RequestOutcome(
@@ -266,7 +329,7 @@
 
 
 async def _read_call(
-    node: EntryNode, request: BaseRequest, started_s: float
+    node: EntryNode, request: BaseRequest, reader: BodyReader, started_s: float
 ) -> Call | Failure:
     """Return the validated request, or the failure to refuse it with."""
     path = request.raw_path
@@ -282,7 +345,7 @@
     refusal = node.draining.check_admission(route, time_limit_s)
     if refusal is not None:
         return refusal
-    body = await _read_body(node, request)
+    body = await reader.read()
     if isinstance(body, Failure):
         return body
     # The body may have come much later than the head.
@@ -314,24 +377,3 @@
     except ValueError:
         return route.timeout_s
     return max(0.0, min(timeout_s, route.timeout_s))
-
-
-async def _read_body(node: EntryNode, request: BaseRequest) -> bytes | Failure:
-    """Return the whole body, or a failure if it is too large or incomplete."""
-    limit = node.route_index.table.limits.max_body_bytes or DEFAULT_MAX_BODY_BYTES
-    if not request.can_read_body:
-        return b""
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        request.writer.output_size = 0
-    parts, size = [], 0
-    try:
-        async with node.forwarder.limits.limit(BODY_TIMEOUT_S):
-            while data := await request.content.readany():
-                size += len(data)
-                if size > limit:
-                    return Failure(Code.BODY_TOO_LARGE, f"over {limit} bytes")
-                parts.append(data)
-    except TimeoutError:
-        return Failure(Code.REQUEST_INCOMPLETE, f"{size} bytes came")
-    return b"".join(parts)
--- a/oleanderpier/platform/program.py
+++ b/oleanderpier/platform/program.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from eliot import add_destinations, log_message
 
-from oleanderpier.connections import HttpListener
+from oleanderpier.connections import CallerServer, HttpListener
 from oleanderpier.entry import EntryNode, EntrySettings
 from oleanderpier.events import LogWriter
 from oleanderpier.peers import split_address
@@ -31,16 +31,10 @@
 __all__ = ["run"]
 
 INVALID_SETTINGS_EXIT_CODE = 2
-# Above any idle time-out that a configuration allows.
-CALLER_IDLE_TIMEOUT_S = 120.0
-MAX_HEADER_BYTES = 64 << 10
 # The settings file is polled, since it may change without a SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 2.0
 SHUTDOWN_TIMEOUT_S = 0.05
 LOG_FLUSH_TIMEOUT_S = 0.1
-# After a refusal the rest of the request's body is read for this long, since closing
-# with unread bytes would reset the refusal away.
-LINGERING_TIME_S = 2.0
 
 
 def run() -> None:
@@ -79,7 +73,7 @@
     node.timers.subscribe(SETTINGS_CHECK_INTERVAL_S, reloader.reload_if_modified)
     await node.start()
     listeners = [
-        await _listen(name, handler, address, node.timers)
+        await _listen(name, handler, address, node)
         for name, handler, address in (
             ("callers", make_request_handler(node), settings.caller_address),
             ("ready", make_ready_handler(node), settings.ready_address),
@@ -111,19 +105,19 @@
     await asyncio.gather(*(listener.close() for listener in others))
 
 
-async def _listen(name: str, handler, address: str, timers: LoopTimers) -> HttpListener:
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        keepalive_timeout=CALLER_IDLE_TIMEOUT_S,
-        lingering_time=LINGERING_TIME_S,
-        access_log=None,
-        auto_decompress=False,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
+async def _listen(name: str, handler, address: str, node: EntryNode) -> HttpListener:
+    max_connections = node.settings.caller_bounds.connections[name]
+    server = CallerServer(name, handler, node.timers, max_connections)
+    node.metrics.register_gauge(
+        f"{name}_connections", "Open connections.", server.count_open
+    )
+    node.metrics.register_gauge(
+        f"{name}_connections_closed",
+        "Closed since the start to stay within a limit.",
+        lambda: server.closed,
     )
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
-    listener = HttpListener(name, runner, timers)
+    listener = HttpListener(name, runner, node.timers)
     await listener.start(*split_address(address))
     return listener
 
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from oleanderpier.connections import derive_bounds
 from oleanderpier.entry import EntrySettings
 from oleanderpier.exception import SettingsError
 from oleanderpier.results import Code, Failure
@@ -46,6 +47,11 @@
     CapX: Annotated[float, msgspec.Meta(ge=1)]
 
 
+class _MachineLimits(TypedDict, total=False):
+    MemoryMb: PositiveFloat
+    MaxFds: PositiveFloat
+
+
 class _PlatformFields(TypedDict):
     NodeName: str
     Zone: str
@@ -53,6 +59,8 @@
     Seeds: list[SocketAddress]
     Bounds: _Bounds
     Platform: _Platform
+    # What the machine has for this process.
+    Limits: NotRequired[_MachineLimits | None]
 
 
 class _SettingsDocument(TypedDict):
@@ -99,6 +107,7 @@
     fields = file["platform_fields"]
     bounds = {**DEFAULT_BOUNDS, **fields["Bounds"]}
     listen = fields["Listen"]
+    limits = fields.get("Limits") or {}
     return EntrySettings(
         host=fields["NodeName"],
         failure_domain=fields["Zone"],
@@ -115,4 +124,5 @@
         ),
         longest_keep_s=bounds["ttl_max_s"],
         load_limit_factor=bounds["CapX"],
+        caller_bounds=derive_bounds(limits.get("MemoryMb"), limits.get("MaxFds")),
     )
--- a/oleanderpier/platform/tests/test_callers.py
+++ b/oleanderpier/platform/tests/test_callers.py
@@ -5,12 +5,13 @@
 from aiohttp import web
 from testtools import TestCase
 
+from oleanderpier.connections import ResponseRoom
 from oleanderpier.forwarding import ResponseHead
 from oleanderpier.forwarding.tests.fakes import make_call
 from oleanderpier.platform.callers import HttpCaller
 from oleanderpier.platform.dialect import ServerDialect
 from oleanderpier.routing.tests.fakes import make_route
-from oleanderpier.utils import run_coroutine
+from oleanderpier.utils import ManualTimers, run_coroutine
 
 HEAD = ResponseHead(200, [], not_run=False, valid=True, signed=True)
 EVENT = b"id: 1\ndata: a\n\n"
@@ -27,6 +28,11 @@
     caller.abort()
 
 
+def make_caller(request) -> HttpCaller:
+    """Return the caller of a request to a host that does not stop."""
+    return HttpCaller(request, lambda: False, ResponseRoom(1 << 20), ManualTimers())
+
+
 async def fail(caller: HttpCaller) -> None:
     """Let the handler of the request fail."""
     raise ValueError("the handler failed")
@@ -46,7 +52,7 @@
     """
 
     async def handle(request) -> web.StreamResponse:
-        caller = HttpCaller(request, lambda: False)
+        caller = make_caller(request)
         await caller.begin_stream(HEAD)
         await caller.write(EVENT)
         # The event is to be read before the end.
@@ -121,7 +127,7 @@
             call = make_call(make_route(), 0.0)
             raw = ((b"Request-Id", call.identity.encode()), (b"X-Note", b"a\x01b\tc"))
             head = ServerDialect().read_response_head(call, 200, raw)
-            caller = HttpCaller(request, lambda: False)
+            caller = make_caller(request)
             await caller.deliver(head, b"whole")
             return caller.response
 
--- a/oleanderpier/results/codes.py
+++ b/oleanderpier/results/codes.py
@@ -46,6 +46,7 @@
     VIEW_STALE = 116
     PROMPT_QUARANTINED = 117
     REQUEST_QUARANTINED = 118
+    HOST_FULL = 119
 
     CLAIM_HELD = 201
     CLAIM_NO_MAJORITY = 202
@@ -123,6 +124,7 @@
     ),
     Code.PROMPT_QUARANTINED: (503, "A part of the prompt has crashed backend servers."),
     Code.REQUEST_QUARANTINED: (503, "This request has crashed backend servers."),
+    Code.HOST_FULL: (503, "This host has no room for the body now; ask again."),
     Code.CLAIM_HELD: (409, "Another request with this key has the right to run."),
     Code.CLAIM_NO_MAJORITY: (
         503,
