Free a large response once it is sent

aiohttp keeps the last response of a connection until its next request, so that 128 clients that had asked for 2 MB held 256 MB. The body is dropped when it is out, and a large response takes room until then.

--- a/oleanderpier/connections/caller_connections.py
+++ b/oleanderpier/connections/caller_connections.py
@@ -119,7 +119,7 @@
 
     def get_state(self, now_s: float) -> ConnectionState:
         """Return what the connection is used for."""
-        if is_idle(self):
+        if is_idle(self) and not self.writing_paused:
             if self._header_bytes:
                 use, since_s = ConnectionUse.HEAD, self._header_since_s
             elif self._request_count:
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -141,7 +141,13 @@
             with contextlib.suppress(ConnectionError):
                 await self.response.prepare(self._request)
                 await self.response.write_eof()
+                # The event loop writes at the end of its step, and only then asks to
+                # wait.
+                await asyncio.sleep(0)
+                await self._request.writer.drain()
         finally:
+            # aiohttp keeps the response until the next request on the connection.
+            self.response.body = None
             self._room.release(self._reserved)
 
     def release_room(self) -> None:
