--- a/oleanderpier/connections/caller_limits.py
+++ b/oleanderpier/connections/caller_limits.py
@@ -27,6 +27,8 @@
 # Without limits in the settings: those of the smallest known machine.
 DEFAULT_MEMORY_MB = 152
 DEFAULT_MAX_FDS = 1535
+# As much as a host buffers of responses that it receives.
+DEFAULT_RESPONSE_BYTES = 32 * MIB
 # Descriptors of a machine that are not this process's own.
 RESERVED_FDS = 200
 # Memory of a process without callers, 50 to 60 MB, with room for what its requests
@@ -93,7 +95,8 @@
         name: max(MIN_CONNECTIONS, min(by_memory, int(share * usable_fds)))
         for name, share in LISTENER_SHARES.items()
     }
-    return CallerBounds(room_bytes, room_bytes, connections)
+    response_bytes = room_bytes if memory_mb else DEFAULT_RESPONSE_BYTES
+    return CallerBounds(room_bytes, response_bytes, connections)
 
 
 class ConnectionUse(IntEnum):
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -117,7 +117,7 @@
                 size,
                 self._abort_slow,
                 started_s + waited_s,
-                forced=waited_s >= MAX_ROOM_WAIT_S or self._closes(),
+                forced=waited_s >= MAX_ROOM_WAIT_S,
             )
             if not self._reserved:
                 await asyncio.sleep(ROOM_CHECK_INTERVAL_S)
