--- a/oleanderpier/connections/caller_connections.py
+++ b/oleanderpier/connections/caller_connections.py
@@ -38,8 +38,8 @@
 # 1.4 ms.
 READ_BUFFER_BYTES = 16 << 10
 RECEIVE_BUFFER_BYTES = 32 << 10
-# Requests that are read ahead of the one in progress; the client waits with others.
-MAX_QUEUED_REQUESTS = 2
+# Requests that are read behind the one in progress; the client waits with others.
+MAX_QUEUED_REQUESTS = 1
 # After a refusal the rest of the request's body is read for this long, since closing
 # with unread bytes would reset the refusal away.
 LINGERING_TIME_S = 2.0
--- a/oleanderpier/connections/caller_limits.py
+++ b/oleanderpier/connections/caller_limits.py
@@ -27,8 +27,10 @@
 # Without limits in the settings: those of the smallest known machine.
 DEFAULT_MEMORY_MB = 152
 DEFAULT_MAX_FDS = 1535
-# As much as a host buffers of responses that it receives.
-DEFAULT_RESPONSE_BYTES = 32 * MIB
+# The most that is buffered of responses that are received, and the default. The least
+# is the largest response, 16 MB.
+MAX_RESPONSE_BYTES = 32 * MIB
+MIN_RESPONSE_BYTES = 16 * MIB
 # Descriptors of a machine that are not this process's own.
 RESERVED_FDS = 200
 # Memory of a process without callers, 50 to 60 MB, with room for what its requests
@@ -65,11 +67,13 @@
 
     Attributes:
         body_bytes: Sum of the bodies of all requests in progress.
+        received_bytes: Sum of what is buffered of servers' responses.
         response_bytes: Sum of the large responses that are being sent.
         connections: Number of open connections by the name of the listener.
     """
 
     body_bytes: int
+    received_bytes: int
     response_bytes: int
     connections: dict[str, int]
 
@@ -95,8 +99,10 @@
         name: max(MIN_CONNECTIONS, min(by_memory, int(share * usable_fds)))
         for name, share in LISTENER_SHARES.items()
     }
-    response_bytes = room_bytes if memory_mb else DEFAULT_RESPONSE_BYTES
-    return CallerBounds(room_bytes, response_bytes, connections)
+    response_bytes = MAX_RESPONSE_BYTES
+    if memory_mb:
+        response_bytes = min(response_bytes, max(MIN_RESPONSE_BYTES, room_bytes))
+    return CallerBounds(room_bytes, response_bytes, response_bytes, connections)
 
 
 class ConnectionUse(IntEnum):
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -291,6 +291,7 @@
             self._rng,
             self.metrics.record_attempt,
             exchange.send_limits.request_send,
+            self.settings.caller_bounds.received_bytes,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
--- a/oleanderpier/forwarding/forwarder.py
+++ b/oleanderpier/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 
 from oleanderpier.connections import Framing
 from oleanderpier.forwarding.activity import ServerActivity
-from oleanderpier.forwarding.buffers import ResponseBuffers
+from oleanderpier.forwarding.buffers import MAX_BUFFERED_BYTES, ResponseBuffers
 from oleanderpier.forwarding.crash_guard import CrashGuard
 from oleanderpier.forwarding.records import (
     Call,
@@ -64,6 +64,7 @@
             called for an attempt that was cancelled.
         request_send: Asks whether a request may be sent to a server that may name a
             limit; called with the server and a callback for the decision.
+        max_buffered_bytes: Upper bound of the sum of buffered bytes of responses.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -89,6 +90,7 @@
         request_send: Callable[
             [ServerEntry, Callable[[bool], None]], None
         ] = lambda server, notify: notify(True),
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self.on_attempt_end = on_attempt_end
         self._request_send = request_send
@@ -104,7 +106,7 @@
         self.timers = timers
         self.response_counts = ResponseCounts({}, {})
         self.limits = EndableLimits()
-        self.buffers = ResponseBuffers()
+        self.buffers = ResponseBuffers(max_buffered_bytes)
 
     async def forward(self, call: Call, caller: Caller) -> RequestOutcome:
         """Forward a request until the caller has a response or a refusal.
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -40,6 +40,7 @@
 
 # Larger responses wait until there is room for them among those that are being sent.
 LARGE_RESPONSE_BYTES = 64 << 10
+RESPONSE_PART_BYTES = 256 << 10
 # The longest time that they wait before others are aborted, and how often they ask.
 MAX_ROOM_WAIT_S = 1.5
 ROOM_CHECK_INTERVAL_S = 0.05
@@ -76,6 +77,7 @@
         self._timers = timers
         # The number of the response in the room.
         self._reserved = 0
+        self._body = b""
         self._request = request
         self._closes = closes
 
@@ -102,11 +104,16 @@
 
     async def deliver(self, head: ResponseHead, body: bytes) -> None:
         """Send a response with its whole body."""
-        if len(body) > LARGE_RESPONSE_BYTES and not self._reserved:
-            await self._reserve_room(len(body))
-        self._set_response(
-            web.Response(status=head.status, headers=head.headers, body=body)
-        )
+        if len(body) <= LARGE_RESPONSE_BYTES or self._request.method == "HEAD":
+            self._set_response(
+                web.Response(status=head.status, headers=head.headers, body=body)
+            )
+            return
+        await self._reserve_room(len(body))
+        response = web.StreamResponse(status=head.status, headers=head.headers)
+        response.content_length = len(body)
+        self._body = body
+        self._set_response(response)
 
     async def _reserve_room(self, size: int) -> None:
         """Wait until there is room for a response."""
@@ -133,21 +140,27 @@
         self.abort()
 
     async def finish_large(self) -> None:
-        """Send a large response to its end, and free its room."""
-        if not self._reserved:
+        """Send a large response to its end, and free its room.
+
+        It is sent in parts, since aiohttp would copy it and keep it until the next
+        request on the connection.
+        """
+        if not self._body:
             return
+        view = memoryview(self._body)
+        self._body = b""
         try:
             # A caller that has disconnected is noticed by the server, too.
             with contextlib.suppress(ConnectionError):
                 await self.response.prepare(self._request)
+                for start in range(0, len(view), RESPONSE_PART_BYTES):
+                    await self.response.write(view[start : start + RESPONSE_PART_BYTES])
+                    # The event loop writes at the end of its step, and only then asks
+                    # to wait.
+                    await asyncio.sleep(0)
+                    await self._request.writer.drain()
                 await self.response.write_eof()
-                # The event loop writes at the end of its step, and only then asks to
-                # wait.
-                await asyncio.sleep(0)
-                await self._request.writer.drain()
         finally:
-            # aiohttp keeps the response until the next request on the connection.
-            self.response.body = None
             self._room.release(self._reserved)
 
     def release_room(self) -> None:
