Write what aiohttp logs to the log of the process

A traceback of each malformed request went to standard error: a host whose standard error nobody read hung after some hundred of them (test_malformed_requests got no answer within 60 s).

--- a/oleanderpier/connections/caller_connections.py
+++ b/oleanderpier/connections/caller_connections.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import logging
 import socket
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser
+from aiohttp.http import HttpProcessingError, HttpRequestParser
 from aiohttp.web_protocol import RequestPayloadError
 from eliot import log_message
 
@@ -48,6 +49,33 @@
 CLOSED_SHARE = 0.05
 
 
+# Upper bound of the characters of a client's request in a line of the log.
+MAX_LOGGED_CHARS = 200
+
+
+class _LogForwarder(logging.Handler):
+    """Writes what aiohttp logs to the log of the process.
+
+    Standard error would get a traceback of each malformed request, and a process whose
+    standard error nobody reads would hang.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line."""
+        error = record.exc_info[1] if record.exc_info else None
+        text = record.getMessage() if error is None else repr(error)
+        if error is not None and not isinstance(error, HttpProcessingError):
+            text += "\n" + logging.Formatter().formatException(record.exc_info)
+        else:
+            text = text[:MAX_LOGGED_CHARS]
+        log_message("listener:request_failed", reason=text)
+
+
+_logger = logging.getLogger(__name__)
+_logger.propagate = False
+_logger.addHandler(_LogForwarder())
+
+
 class _CallerConnection(web.RequestHandler):
     """A connection that counts what it receives without progress of a request.
 
@@ -171,6 +199,7 @@
             keepalive_timeout=IDLE_TIMEOUT_S,
             lingering_time=LINGERING_TIME_S,
             access_log=None,
+            logger=_logger,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_BYTES,
--- a/tests/test_abusive_clients.py
+++ b/tests/test_abusive_clients.py
@@ -43,6 +43,7 @@
 ATTACK_S = 4.0
 SAMPLE_INTERVAL_S = 0.05
 SERVER_WORK_S = 8.0
+ANSWER_TIMEOUT_S = 20.0
 CALLER_PATH = "/payout/1"
 UNROUTED_PATH = "/none/1"
 
@@ -105,6 +106,12 @@
         """Responses of 2 MB wait for clients that never read."""
         self._check(READING_CLIENT_COUNT, _make_large_request())
 
+    def test_malformed_requests(self):
+        """A traceback of each was written to standard error, which may hold it up."""
+        self._check(
+            UNROUTED_CLIENT_COUNT, b"POST / malformed\r\n\r\n", reads_errors=False
+        )
+
     def test_connections_that_send_no_request(self):
         """Each open connection takes a descriptor."""
         self._check(IDLE_CLIENT_COUNT, b"")
@@ -118,7 +125,12 @@
         self._check(IDLE_CLIENT_COUNT, b"", "Ready")
 
     def _check(
-        self, count: int, data: bytes, listener: str = "Front", work_s: float = 0.0
+        self,
+        count: int,
+        data: bytes,
+        listener: str = "Front",
+        work_s: float = 0.0,
+        reads_errors: bool = True,
     ) -> None:
         """Run an attack and check its effect on the host.
 
@@ -128,8 +140,9 @@
             listener: The listener that it is sent to.
             work_s: How long a backend server takes for a request of the attack, in
                 seconds.
+            reads_errors: Whether the host's standard error is read.
         """
-        usage = run_coroutine(_attack(count, data, listener, work_s))
+        usage = run_coroutine(_attack(count, data, listener, work_s, reads_errors))
         self.assertIsNone(usage["exit_status"])
         self.assertEqual(200, usage["status"])
         self.assertLess(usage["memory_mb"], MEMORY_MB)
@@ -137,7 +150,7 @@
 
 
 async def _attack(
-    count: int, data: bytes, listener: str, work_s: float
+    count: int, data: bytes, listener: str, work_s: float, reads_errors: bool
 ) -> dict[str, float | None]:
     """Run an attack; return what the host used, and its answer to a request."""
     _raise_descriptor_limit()
@@ -149,14 +162,15 @@
         process = fleet.processes[0]
         readers = [
             asyncio.create_task(_discard(stream))
-            for stream in (process.stdout, process.stderr)
+            for stream in (process.stdout, process.stderr)[: 1 + reads_errors]
         ]
         server.work_s = work_s
         clients = list(_connect(count, fleet.settings[0]["Listen"][listener]))
         senders = [asyncio.create_task(_send(client, data)) for client in clients]
         descriptors = await _count_descriptors_during(process.pid)
         server.work_s = 0.0
-        status, _ = await fleet.fetch(0, "/lookup/1", "ordinary")
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            status, _ = await fleet.fetch(0, "/lookup/1", "ordinary")
         usage = {
             "exit_status": process.returncode,
             "status": status,
