--- a/oleanderpier/platform/tests/test_settings.py
+++ b/oleanderpier/platform/tests/test_settings.py
@@ -6,6 +6,7 @@
 
 from testtools import TestCase
 
+from oleanderpier.connections import derive_bounds
 from oleanderpier.platform.settings import read_entry_settings
 from oleanderpier.results import Code
 from oleanderpier.routing import BudgetLimits
@@ -55,6 +56,27 @@
         self.assertEqual(BudgetLimits(0.2, 54.0, 10.0), settings.budget)
         self.assertEqual(3.0, settings.load_limit_factor)
 
+    def test_limits_of_the_machine_bound_callers(self):
+        """A larger machine has room for more; without limits the smallest counts."""
+        small, large, none = (
+            read(render({**FIELDS, **fields})).ok.caller_bounds
+            for fields in (
+                {"Limits": {"MemoryMb": 152, "MaxFds": 1535, "Cores": 0.36}},
+                {"Limits": {"MemoryMb": 552, "MaxFds": 4096}},
+                {},
+            )
+        )
+        self.assertEqual(derive_bounds(152, 1535), small)
+        self.assertLess(small.body_bytes, large.body_bytes)
+        self.assertLess(small.connections["callers"], large.connections["callers"])
+        self.assertEqual(derive_bounds(None, None), none)
+
+    def test_failure_names_invalid_limit(self):
+        """A machine without memory can't run the process."""
+        result = read(render({**FIELDS, "Limits": {"MemoryMb": 0}}))
+        self.assertEqual(Code.SETTINGS_INVALID, result.error.code)
+        self.assertIn("Limits.MemoryMb", result.error.text)
+
     def test_failure_names_invalid_field(self):
         """The failure names the path of the field and what is allowed."""
         cases = {
