--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -7,7 +7,7 @@
 from eliot import log_message
 from expression import Error, Result
 
-from oleanderpier.connections import Framing, make_session
+from oleanderpier.connections import BodyRoom, Framing, ResponseRoom, make_session
 from oleanderpier.entry.addresses import list_caller_addresses
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import outlasts_server, outlasts_table
@@ -87,6 +87,8 @@
         state: ``starting``, ``ready`` or ``draining``.
         in_progress: The number of callers' requests in progress.
         metrics: The metrics of this host.
+        body_room: The room for the bodies of callers' requests.
+        response_room: The room for large responses to callers.
     """
 
     def __init__(
@@ -98,6 +100,8 @@
         self.metrics = EntryMetrics()
         self.timers = LoopTimers()
         self.draining = Drain(self.timers, settings.grace_s)
+        self.body_room = BodyRoom(settings.caller_bounds.body_bytes)
+        self.response_room = ResponseRoom(settings.caller_bounds.response_bytes)
         self._source = source
         self._dialect = dialect
         self._tasks: list[asyncio.Task] = []
@@ -280,6 +284,7 @@
             self.metrics.record_held_back,
             self.cold_servers,
             exchange.permits,
+            self.settings.caller_bounds.received_bytes,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from oleanderpier.connections import CallerBounds, derive_bounds
 from oleanderpier.routing import DEFAULT_LOAD_LIMIT_FACTOR, BudgetLimits
 
 __all__ = ["EntrySettings"]
@@ -32,6 +33,7 @@
         contact_s: Time within which hosts that are gone are known to be, in seconds,
             None without a bound.
         regions: The region of each failure domain, as pairs.
+        caller_bounds: The limits on what callers may take of this process.
     """
 
     host: str
@@ -50,3 +52,4 @@
     evacuate_s: float | None = None
     contact_s: float | None = None
     regions: tuple[tuple[str, str], ...] = ()
+    caller_bounds: CallerBounds = derive_bounds(None, None)
--- a/oleanderpier/forwarding/resources.py
+++ b/oleanderpier/forwarding/resources.py
@@ -9,7 +9,7 @@
 
 from oleanderpier.connections import Framing
 from oleanderpier.forwarding.activity import ServerActivity
-from oleanderpier.forwarding.buffers import ResponseBuffers
+from oleanderpier.forwarding.buffers import MAX_BUFFERED_BYTES, ResponseBuffers
 from oleanderpier.forwarding.crash_guard import CrashGuard
 from oleanderpier.forwarding.permits import NoPermits, PermitSource
 from oleanderpier.forwarding.records import Dialect, ResponseHead
@@ -65,6 +65,7 @@
         cold_servers: The servers that are cold; None if none is.
         permits: Asks the owners of servers for permits; None if no service is under
             permits.
+        max_buffered_bytes: Upper bound of the sum of buffered bytes of responses.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -93,6 +94,7 @@
         on_held_back: Callable[[str, str], None] = lambda reason, decision: None,
         cold_servers: ColdServers | None = None,
         permits: PermitSource | None = None,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self.on_held_back = on_held_back
         self.cold_servers = cold_servers
@@ -111,7 +113,7 @@
         self.timers = timers
         self.response_counts = ResponseCounts({}, {})
         self.limits = EndableLimits()
-        self.buffers = ResponseBuffers()
+        self.buffers = ResponseBuffers(max_buffered_bytes)
 
     def find_refusal(self, keys: RequestKeys) -> Failure | None:
         """Return the failure to refuse a request with at once, None to forward it."""
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from oleanderpier.connections import derive_bounds
 from oleanderpier.entry import EntrySettings
 from oleanderpier.exception import SettingsError
 from oleanderpier.results import Code, Failure
@@ -51,6 +52,11 @@
     ContactMs: NonNegativeFloat | None
 
 
+class _MachineLimits(TypedDict, total=False):
+    MemoryMb: PositiveFloat
+    MaxFds: PositiveFloat
+
+
 class _PlatformFields(TypedDict):
     NodeName: str
     Zone: str
@@ -61,6 +67,8 @@
     # The region of this host, and of each failure domain.
     Region: NotRequired[str | None]
     Zones: NotRequired[dict[str, str] | None]
+    # What the machine has for this process.
+    Limits: NotRequired[_MachineLimits | None]
 
 
 class _SettingsDocument(TypedDict):
@@ -107,6 +115,7 @@
     fields = file["platform_fields"]
     bounds = {**DEFAULT_BOUNDS, **fields["Bounds"]}
     listen = fields["Listen"]
+    limits = fields.get("Limits") or {}
     return EntrySettings(
         host=fields["NodeName"],
         failure_domain=fields["Zone"],
@@ -126,6 +135,7 @@
         evacuate_s=_convert_ms(bounds.get("EvacuateMs")),
         contact_s=_convert_ms(bounds.get("ContactMs")),
         regions=tuple(_list_regions(fields).items()),
+        caller_bounds=derive_bounds(limits.get("MemoryMb"), limits.get("MaxFds")),
     )
 
 
