--- a/oleanderpier/forwarding/tests/test_evacuated.py
+++ b/oleanderpier/forwarding/tests/test_evacuated.py
@@ -18,8 +18,8 @@
 class EvacuatedTest(TestCase):
     """No attempt of any kind reaches a server of an evacuated failure domain.
 
-    Requests of tests in other processes may reach a port that these have just closed, so
-    that the attempts of this host are counted, not what arrives.
+    Requests of tests in other processes may reach a port that these have just closed,
+    so that the attempts of this host are counted, not what arrives.
     """
 
     def test_retry(self):
