--- a/oleanderpier/connections/caller_limits.py
+++ b/oleanderpier/connections/caller_limits.py
@@ -27,6 +27,9 @@
 # Without limits in the settings: those of the smallest known machine.
 DEFAULT_MEMORY_MB = 152
 DEFAULT_MAX_FDS = 1535
+# Large responses that are being sent if the memory of the machine is unknown: 17 of
+# 15 MB, as sound callers of some deployments read that late.
+DEFAULT_RESPONSE_BYTES = 256 * MIB
 # The most that is buffered of responses that are received, and the default. The least
 # is the largest response, 16 MB.
 MAX_RESPONSE_BYTES = 32 * MIB
@@ -59,7 +62,8 @@
 # there are too many. 4 MB take 0.4 s at a latency of 1.4 ms.
 SLOW_S = 2.0
 # A response that has been sent for this long may be aborted if others need its room.
-SLOW_RESPONSE_S = 1.0
+# Sound callers read up to 3 s late.
+SLOW_RESPONSE_S = 4.0
 
 
 class CallerBounds(NamedTuple):
@@ -99,10 +103,11 @@
         name: max(MIN_CONNECTIONS, min(by_memory, int(share * usable_fds)))
         for name, share in LISTENER_SHARES.items()
     }
-    response_bytes = MAX_RESPONSE_BYTES
+    received_bytes, sent_bytes = MAX_RESPONSE_BYTES, DEFAULT_RESPONSE_BYTES
     if memory_mb:
-        response_bytes = min(response_bytes, max(MIN_RESPONSE_BYTES, room_bytes))
-    return CallerBounds(room_bytes, response_bytes, response_bytes, connections)
+        received_bytes = min(received_bytes, max(MIN_RESPONSE_BYTES, room_bytes))
+        sent_bytes = received_bytes
+    return CallerBounds(room_bytes, received_bytes, sent_bytes, connections)
 
 
 class ConnectionUse(IntEnum):
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -42,7 +42,7 @@
 LARGE_RESPONSE_BYTES = 64 << 10
 RESPONSE_PART_BYTES = 256 << 10
 # The longest time that they wait before others are aborted, and how often they ask.
-MAX_ROOM_WAIT_S = 1.5
+MAX_ROOM_WAIT_S = 4.5
 ROOM_CHECK_INTERVAL_S = 0.05
 # The default value of SO_LINGER.
 LINGER_OFF = struct.pack("ii", 0, 0)
