Ask an owner that does not reply ever more seldom

The time without queries doubles up to 8 s now, and one request at a time tries. The new test failed before (more than 4 waits in 10 s).

--- a/oleanderpier/entry/server_permits.py
+++ b/oleanderpier/entry/server_permits.py
@@ -49,8 +49,10 @@
 # Several times the time that a message takes to a busy host and back, and short against
 # the latency targets.
 REPLY_TIMEOUT_S = 0.1
-# How long an owner that did not reply is not asked.
+# How long an owner that did not reply is not asked. The time doubles while it is
+# silent: with many hosts out of reach, each request would otherwise wait in vain.
 SILENT_OWNER_WAIT_S = 1.0
+MAX_SILENT_OWNER_WAIT_S = 8.0
 # Upper bound of the time for which a server whose rate is used up is left out: it may
 # stop being cold meanwhile.
 MAX_USED_UP_S = 1.0
@@ -114,6 +116,10 @@
         # When each of them was used last, by the server's id.
         self._shares_used_s: dict[str, float] = {}
         self._silent_until_s: dict[str, float] = {}
+        # The last of these times of each owner that has not replied since.
+        self._silent_waits_s: dict[str, float] = {}
+        # When this host found each of them silent.
+        self._silence_known_s: dict[str, float] = {}
         owner.subscribe_decided(self._apply)
         timers.subscribe(REMOVAL_INTERVAL_S, self._remove_expired)
 
@@ -138,8 +144,11 @@
         owner = self._owners.find(query.server.identity)
         if owner != self._host and now_s < self._silent_until_s.get(owner, 0.0):
             self._go_without(sent)
-        else:
-            self._ask(sent, owner)
+            return sent
+        if owner in self._silent_waits_s:
+            # One request at a time tries whether the owner replies again.
+            self._silent_until_s[owner] = now_s + query.max_wait_s + REPLY_TIMEOUT_S
+        self._ask(sent, owner)
         return sent
 
     def receive_reply(self, sender: str, message: ServerPermitReply) -> None:
@@ -148,6 +157,7 @@
         A late one is ignored: the query was withdrawn when its time was over.
         """
         self._silent_until_s.pop(sender, None)
+        self._silent_waits_s.pop(sender, None)
         self._apply(
             message.number,
             PermitDecision(
@@ -244,15 +254,25 @@
         owner, now_s = sent.owner, self._timers.now()
         self._metrics.record_permit_timeout()
         if owner != self._host:
-            if now_s >= self._silent_until_s.get(owner, 0.0):
-                log_message(
-                    "permits:owner_silent", host=owner, waits_s=SILENT_OWNER_WAIT_S
-                )
-            self._silent_until_s[owner] = now_s + SILENT_OWNER_WAIT_S
+            self._record_silence(owner, sent.sent_s, now_s)
         # If the owner or its reply is only late, it must not keep the permit.
         self.release(sent)
         self._go_without(sent)
 
+    def _record_silence(self, owner: str, sent_s: float, now_s: float) -> None:
+        """Record that an owner has not replied to a query in time.
+
+        Queries that were sent before the last silence was known do not prolong it.
+        """
+        last_wait_s = self._silent_waits_s.get(owner, 0.0)
+        if last_wait_s and sent_s < self._silence_known_s.get(owner, 0.0):
+            return
+        wait_s = min(MAX_SILENT_OWNER_WAIT_S, max(SILENT_OWNER_WAIT_S, 2 * last_wait_s))
+        log_message("permits:owner_silent", host=owner, waits_s=wait_s)
+        self._silent_waits_s[owner] = wait_s
+        self._silent_until_s[owner] = now_s + wait_s
+        self._silence_known_s[owner] = now_s
+
     def _go_without(self, sent: "_SentQuery") -> None:
         """Decide without the owner: by this host's share of a rate, if there is one.
 
@@ -309,11 +329,11 @@
             if now_s < used_s + SHARE_KEPT_S
         }
         self._owners.clear()
-        self._silent_until_s = {
-            host: until_s
-            for host, until_s in self._silent_until_s.items()
-            if now_s < until_s
-        }
+        for host, until_s in list(self._silent_until_s.items()):
+            if now_s >= until_s + MAX_SILENT_OWNER_WAIT_S:
+                del self._silent_until_s[host]
+                self._silent_waits_s.pop(host, None)
+                self._silence_known_s.pop(host, None)
 
 
 class _SentQuery:
--- a/oleanderpier/entry/tests/test_server_permits.py
+++ b/oleanderpier/entry/tests/test_server_permits.py
@@ -140,6 +140,18 @@
         fleet.remove_host(fleet.owner)
         self.assertEqual(NO_OWNER, waiting.answer.outcome)
 
+    def test_silent_owner_is_asked_ever_more_seldom(self):
+        """Otherwise requests wait in vain while many hosts are out of reach."""
+        fleet = PermitFleet(5)
+        fleet.killed.add(fleet.owner)
+        waited = 0
+        for _ in range(40):
+            asked_s = fleet.timers.now()
+            request = fleet.ask_now(fleet.others[0])
+            waited += request.answered_s > asked_s
+            fleet.timers.advance(0.25)
+        self.assertLessEqual(waited, 4)
+
     def test_new_owner_counts_reported_requests(self):
         """It does not know the permits of the previous owner for 3 s."""
         fleet = PermitFleet(5)
