--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -17,7 +17,7 @@
 from oleanderpier.forwarding.permits import PermitAnswer, PermitQuery, SentQuery
 from oleanderpier.forwarding.records import Call
 from oleanderpier.forwarding.resources import ForwardingResources
-from oleanderpier.routing import MIN_TIME_LEFT_S, Choice, PermitOutcome, ServerQuery
+from oleanderpier.routing import Choice, PermitOutcome, ServerQuery
 
 __all__ = [
     "AdmissionRefusal",
@@ -28,7 +28,10 @@
 
 # Further servers that are asked after one that has no room.
 MAX_FURTHER_CHOICES = 3
-# The longest wait of a repeat, as a part of that of a first attempt.
+# The longest wait for a permit, as a part of the time that is left. The rest is for the
+# work and for the way back; a late answer is better for the caller than a refusal.
+WAIT_RATIO = 0.5
+# The same of a repeat, as a part of that of a first attempt.
 REPEAT_WAIT_RATIO = 0.5
 MAX_URGENCY = 9
 MILLISECONDS_PER_S = 1000.0
@@ -233,8 +236,8 @@
     def _compute_max_wait_s(self, is_repeat: bool) -> float:
         """Return the longest wait that the request allows, in seconds."""
         time_left_s = self._call.deadline_s - self._resources.timers.now()
-        longest_s = self._call.route.target_s * (REPEAT_WAIT_RATIO if is_repeat else 1)
-        return max(0.0, min(time_left_s - MIN_TIME_LEFT_S, longest_s))
+        ratio = WAIT_RATIO * (REPEAT_WAIT_RATIO if is_repeat else 1.0)
+        return max(0.0, ratio * time_left_s)
 
     def _refuse(self, choice: Choice, answer: PermitAnswer) -> None:
         server = choice.server.identity
