--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -223,7 +223,9 @@
         )
         self.view.subscribe_appeared(newcomers.send)
         self.exchange.subscribe()
-        self.roster.subscribe_removed(self.exchange.statements.record_end)
+        statements = self.exchange.statements
+        statements.loads.allow_permits(self.settings.capacity_permits)
+        self.roster.subscribe_removed(statements.record_end)
         self.mesh.subscribe(CachePlacements, newcomers.receive)
         for message_class in (ItemsUpdate, ItemsQuery):
             self.mesh.subscribe(message_class, self._handle_sync)
--- a/oleanderpier/entry/server_permits.py
+++ b/oleanderpier/entry/server_permits.py
@@ -198,7 +198,9 @@
     def _ask(self, sent: "_SentQuery", owner: str) -> None:
         query, number = sent.query, sent.number
         server = query.server
-        slots = self._statements.get_slots(server)
+        # Without permits for the service only the rate of a cold server counts.
+        is_covered = self.covers(server.service)
+        slots = self._statements.get_slots(server) if is_covered else math.inf
         demand = PermitDemand(
             PermitHolder(self._host, number),
             0 if math.isinf(slots) else int(slots),
@@ -206,7 +208,7 @@
             query.urgency,
             query.workspace,
             query.is_repeat,
-            query.uncached_tokens,
+            query.uncached_tokens if is_covered else 0,
             query.max_wait_s,
             query.expires_after_s,
         )
@@ -315,6 +317,8 @@
     def _get_load(self, server: ServerEntry) -> StatedLoad | None:
         """Return what a server has stated last, None if that is too old."""
         heard = self._statements.loads.get(server)
+        if not self.covers(server.service):
+            return None
         if heard is None or self._timers.now() - heard.heard_s > SPEED_LIFETIME_S:
             return None
         running, waiting, slots, slow_factor = heard.load
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -33,6 +33,8 @@
         contact_s: Time within which hosts that are gone are known to be, in seconds,
             None without a bound.
         regions: The region of each failure domain, as pairs.
+        capacity_permits: Whether services that ask for it are under permits. Rates of
+            cold servers hold in any case.
         caller_bounds: The limits on what callers may take of this process.
     """
 
@@ -52,4 +54,5 @@
     evacuate_s: float | None = None
     contact_s: float | None = None
     regions: tuple[tuple[str, str], ...] = ()
+    capacity_permits: bool = False
     caller_bounds: CallerBounds = derive_bounds(None, None)
--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -137,6 +137,17 @@
         self._refuse(*min(answers, key=lambda asked: asked[1].wait_s))
         return None
 
+    async def acquire_rate(self, choice: Choice) -> bool:
+        """Return whether a cold server may get a request by the rate that it takes.
+
+        For services that are not under permits: how many requests the server holds does
+        not count, so that the permit is returned at once.
+        """
+        self.drop()
+        answer = await self._ask(choice, False, 0.0)
+        self.drop()
+        return answer.may_send and self._is_still_eligible(choice)
+
     def begin(self, attempt: Attempt) -> None:
         """Let an attempt hold the permit of the last choice."""
         if self._current is not None:
--- a/oleanderpier/forwarding/permits.py
+++ b/oleanderpier/forwarding/permits.py
@@ -89,3 +89,7 @@
     def covers(self, service: str) -> bool:
         """Return False."""
         return False
+
+    def has_rate(self, server: ServerEntry) -> bool:
+        """Return False."""
+        return False
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -127,9 +127,15 @@
         """Return the best server of a service that is not under permits."""
         for _ in range(MAX_LIMITED_CHOICES):
             choice = self._resources.chooser.choose(self.query, self.tried, excluded)
-            if choice is None or await self._resources.may_send(choice.server):
+            if choice is None:
+                return None
+            if self._resources.permits.has_rate(choice.server):
+                if await self.admission.acquire_rate(choice):
+                    return choice
+            elif await self._resources.may_send(choice.server):
                 return choice
-            record_cold(self._resources, self._call.identity, choice)
+            else:
+                record_cold(self._resources, self._call.identity, choice)
         return None
 
     def _choose_unasked(self, excluded: set[str]) -> Choice | None:
--- a/oleanderpier/forwarding/tests/test_admission.py
+++ b/oleanderpier/forwarding/tests/test_admission.py
@@ -147,6 +147,16 @@
         outcome, lines = forward_with_log(fixture, **IDEMPOTENT)
         self.assertEqual((Code.DONE, [], []), (outcome.code, permits.sent, lines))
 
+    def test_rate_of_cold_server_of_a_service_without_permits(self):
+        """Its owner is asked nevertheless: a cold server crashes above its rate."""
+        permits = ScriptedPermits({"s0": (USED_UP, 0.3)})
+        permits.covered = False
+        permits.cold.add("s0")
+        fixture = make_fixture(permits, [respond()], [respond()])
+        outcome = forward_request(fixture, **IDEMPOTENT)
+        self.assertEqual(Code.DONE, outcome.code)
+        self.assertEqual([0, 1], fixture.count_requests())
+
     def test_permit_of_first_server(self):
         """One query, no line in the log, and the permit is returned at the end."""
         permits = ScriptedPermits()
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -74,6 +74,8 @@
 class _SettingsDocument(TypedDict):
     # Serves metrics; the platform's own fields have no such address.
     metrics_address: NotRequired[SocketAddress]
+    # Whether requests wait for permits of the servers' owners, off by default.
+    capacity_permits: NotRequired[bool]
     platform_fields: _PlatformFields
 
 
@@ -135,6 +137,7 @@
         evacuate_s=_convert_ms(bounds.get("EvacuateMs")),
         contact_s=_convert_ms(bounds.get("ContactMs")),
         regions=tuple(_list_regions(fields).items()),
+        capacity_permits=file.get("capacity_permits", False),
         caller_bounds=derive_bounds(limits.get("MemoryMb"), limits.get("MaxFds")),
     )
 
--- a/oleanderpier/routing/server_loads.py
+++ b/oleanderpier/routing/server_loads.py
@@ -69,6 +69,7 @@
         self._heard: dict[str, HeardLoad] = {}
         self._with_speeds: set[str] = set()
         self._all_under_permits = False
+        self._permits_allowed = True
 
     def record(self, server: ServerEntry, load: LoadStatement, now_s: float) -> None:
         """Record the load that a server has stated, unless a later run has."""
@@ -90,6 +91,10 @@
         """
         self._all_under_permits = active
 
+    def allow_permits(self, allowed: bool) -> None:
+        """Set whether any service may be under permits, by the host's settings."""
+        self._permits_allowed = allowed
+
     def count_with_speeds(self) -> int:
         """Return how many services have a server that has ever stated its speed."""
         return len(self._with_speeds)
@@ -100,7 +105,9 @@
 
     def is_under_permits(self, service: str) -> bool:
         """Return whether requests to a service need a permit of the server's owner."""
-        return self._all_under_permits or service in self._with_speeds
+        return self._permits_allowed and (
+            self._all_under_permits or service in self._with_speeds
+        )
 
     def get(self, server: ServerEntry) -> HeardLoad | None:
         """Return the last statement of this run of a server, None without one."""
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -44,6 +44,7 @@
         servers: Every server added so far.
         processes: Every process started so far, in the order of starting.
         settings: The ``platform_fields`` of each host's settings.
+        capacity_permits: Whether the hosts use permits for servers with room.
         metrics_addresses: ``IP:PORT`` of each host's metrics.
         store_address: ``IP:PORT`` of the store.
     """
@@ -62,6 +63,7 @@
         self.processes: list[Process] = []
         self._latest_processes: dict[int, Process] = {}
         self.settings: list[dict[str, Any]] = []
+        self.capacity_permits = False
         self.metrics_addresses: list[str] = []
         self._host_count = hosts
 
@@ -203,6 +205,7 @@
         path = Path(self._folder.name) / f"host-{number}"
         file = {
             "metrics_address": self.metrics_addresses[number],
+            "capacity_permits": self.capacity_permits,
             "platform_fields": self.settings[number],
         }
         path.write_text(json.dumps(file))
--- a/tests/test_server_permits.py
+++ b/tests/test_server_permits.py
@@ -37,6 +37,7 @@
 
     async def _check_room(self) -> None:
         async with PlatformFleet(HOST_COUNT) as fleet:
+            fleet.capacity_permits = True
             servers = [await fleet.add_server() for _ in range(SERVER_COUNT)]
             for server in servers:
                 server.work_s = WORK_S
