--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -132,6 +132,7 @@
             if self._resources.permits.has_rate(choice.server):
                 if await self.admission.acquire_rate(choice):
                     return choice
+                excluded = excluded | {choice.server.identity}
             elif await self._resources.may_send(choice.server):
                 return choice
             else:
