--- a/oleanderpier/routing/server_loads.py
+++ b/oleanderpier/routing/server_loads.py
@@ -103,11 +103,17 @@
         """Return whether a server of a service has ever stated its speed."""
         return service in self._with_speeds
 
+    def is_uneven(self, service: str) -> bool:
+        """Return whether the servers of a service may differ in speed.
+
+        They do if one of them has stated its speed, or if the configuration limits the
+        requests to cold servers.
+        """
+        return self._all_under_permits or service in self._with_speeds
+
     def is_under_permits(self, service: str) -> bool:
         """Return whether requests to a service need a permit of the server's owner."""
-        return self._permits_allowed and (
-            self._all_under_permits or service in self._with_speeds
-        )
+        return self._permits_allowed and self.is_uneven(service)
 
     def get(self, server: ServerEntry) -> HeardLoad | None:
         """Return the last statement of this run of a server, None without one."""
--- a/oleanderpier/routing/tests/test_server_loads.py
+++ b/oleanderpier/routing/tests/test_server_loads.py
@@ -49,6 +49,16 @@
         self.loads.remove_server("s1")
         self.assertIsNone(self.loads.get(restarted))
 
+    def test_uneven_service_without_permits(self):
+        """Settings that allow no permits do not change what servers have stated."""
+        self.loads.allow_permits(False)
+        self.loads.record(SERVER, SLOW, 10.0)
+        self.assertTrue(self.loads.is_uneven(ENGINE))
+        self.assertFalse(self.loads.is_uneven("other"))
+        self.loads.set_all_under_permits(True)
+        self.assertTrue(self.loads.is_uneven("other"))
+        self.assertFalse(self.loads.is_under_permits(ENGINE))
+
     def test_services_under_permits(self):
         """A stated speed counts for its service, the configuration for all."""
         self.loads.record(SERVER, SLOW, 10.0)
