Send a misdirected request to another server on routes with one attempt

After a crash, callers of routes with MaxAttempts 1 got 503 while other servers were free: the server that started at the address of the crashed one answers 421, and that counted as the only attempt. The server that was meant has not got such a request, as if no connection could be made. Unlike then the retry budget is used, since the request arrives at a second server. Both new tests cover this; the first failed before.

--- a/oleanderpier/forwarding/attempts.py
+++ b/oleanderpier/forwarding/attempts.py
@@ -15,7 +15,7 @@
 from oleanderpier.forwarding.events import MAX_EVENT_BYTES, EventSplitter
 from oleanderpier.forwarding.progress import StreamProgress
 from oleanderpier.forwarding.records import FINAL_STATUSES, Call, Dialect, ResponseHead
-from oleanderpier.routing import AttemptOutcome, RequestKind, ServerEntry
+from oleanderpier.routing import AttemptOutcome, Refusal, RequestKind, ServerEntry
 from oleanderpier.utils import Timers, limit_time
 
 __all__ = ["Attempt", "BufferedResponse"]
@@ -232,6 +232,8 @@
             return Error(AttemptOutcome.LOST)
         if head.not_run:
             self.reason = f"not run, status {head.status}"
+            if head.refusal is Refusal.MISDIRECTED:
+                return Error(AttemptOutcome.MISDIRECTED)
             return Error(AttemptOutcome.NOT_RUN)
         if not head.valid or (200 <= head.status < 300 and not head.signed):
             self.reason = f"not an answer to this request, status {head.status}"
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -14,6 +14,7 @@
 from oleanderpier.routing import (
     MIN_TIME_LEFT_S,
     NOT_EXECUTED,
+    NOT_REACHED,
     AttemptOutcome,
     AttemptState,
     Choice,
@@ -31,6 +32,8 @@
 MAX_LOGGED_PARTS = 16
 # Outcome in the log of an attempt that was cancelled with its request.
 INTERRUPTED = "interrupted"
+# Outcomes after which the request never goes to the same server again.
+_REFUSED = frozenset({AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED})
 # Outcomes after which the log has the key of the request as a whole.
 _BROKEN_ENDINGS = frozenset(
     {AttemptOutcome.LOST.value, AttemptOutcome.CUT.value, INTERRUPTED}
@@ -274,9 +277,9 @@
         forwarder.record_first_event(choice, attempt.first_event_at_s, took_s)
         self._reason = attempt.reason
         self._log_attempt(choice, attempt, outcome.value, took_s)
-        self._attempts += outcome is not AttemptOutcome.UNREACHED
+        self._attempts += outcome not in NOT_REACHED
         self._was_sent = self._was_sent or outcome not in NOT_EXECUTED
-        if outcome is AttemptOutcome.NOT_RUN:
+        if outcome in _REFUSED:
             self._selection.refused_by.add(identity)
         _HEALTH_RECORDERS[outcome](forwarder, identity)
         if attempt.response is not None:
@@ -433,6 +436,7 @@
     AttemptOutcome.FAILED: _record_failure,
     AttemptOutcome.UNREACHED: _record_unreachable,
     AttemptOutcome.NOT_RUN: _record_nothing,
+    AttemptOutcome.MISDIRECTED: _record_nothing,
     AttemptOutcome.LOST: _record_broken,
     AttemptOutcome.CUT: _record_broken,
 }
--- a/oleanderpier/forwarding/tests/test_statements.py
+++ b/oleanderpier/forwarding/tests/test_statements.py
@@ -58,6 +58,26 @@
         forward_requests(fixture, 3, max_attempts=2)
         self.assertEqual([1, 3], fixture.count_requests())
 
+    def test_misdirected_request_keeps_its_attempts(self):
+        """After a crash, those of routes with one attempt were refused."""
+        for kind in (RequestKind.STREAM, RequestKind.ONCE):
+            behave = stream_events(3) if kind is RequestKind.STREAM else respond()
+            misdirected = respond(421, b"", headers=["Not-Run: misdirected"])
+            fixture = ForwarderFixture([misdirected], [behave])
+            callers = forward_requests(
+                fixture, 3, kind=kind, resumable=False, max_attempts=1
+            )
+            self.assertEqual([None] * 3, [caller.failure for caller in callers])
+            self.assertEqual([1, 3], fixture.count_requests())
+
+    def test_misdirected_request_uses_the_retry_budget(self):
+        """It arrives at a second server, whichever service the first one is of."""
+        misdirected = respond(421, b"", headers=["Not-Run: misdirected"])
+        fixture = ForwarderFixture([misdirected], [stream_events(3)], slack=0.0)
+        (caller,) = forward_requests(fixture, 1, max_attempts=1)
+        self.assertEqual(Code.NO_BACKEND_SERVER, caller.failure.code)
+        self.assertEqual([1, 0], fixture.count_requests())
+
 
 class RefusalTest(TestCase):
     """A refused request is not sent to the same server again."""
--- a/oleanderpier/routing/retries.py
+++ b/oleanderpier/routing/retries.py
@@ -12,6 +12,7 @@
 __all__ = [
     "MIN_TIME_LEFT_S",
     "NOT_EXECUTED",
+    "NOT_REACHED",
     "AttemptOutcome",
     "AttemptState",
     "RetryDecision",
@@ -28,6 +29,7 @@
         FAILED: The whole response was received and reports a failure of the server.
         UNREACHED: No connection could be made.
         NOT_RUN: The server said that it has not run the request.
+        MISDIRECTED: Another server is at the address now; it has not run the request.
         LOST: The connection failed, or the response was invalid.
         SILENT: The server sent nothing for too long, and another one was first.
         CUT: The stream ended before its final event.
@@ -37,6 +39,7 @@
     FAILED = "failed"
     UNREACHED = "unreached"
     NOT_RUN = "not_run"
+    MISDIRECTED = "misdirected"
     LOST = "lost"
     SILENT = "silent"
     CUT = "cut"
@@ -47,7 +50,8 @@
 
     Attributes:
         repeatable: Whether the request may safely run more than once.
-        attempts: How many servers it was sent to so far.
+        attempts: How many servers it was sent to so far, without those that were not
+            reached.
         max_attempts: How many servers it may be sent to.
         may_have_run: Whether a server may have begun to work on it.
         response_started: Whether the caller has received part of a response.
@@ -77,12 +81,19 @@
 # With less time left a request is not sent, since no response could arrive in time.
 MIN_TIME_LEFT_S = 0.005
 # Outcomes after which the server has certainly not run the request.
-NOT_EXECUTED = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN})
+NOT_EXECUTED = frozenset(
+    {AttemptOutcome.UNREACHED, AttemptOutcome.NOT_RUN, AttemptOutcome.MISDIRECTED}
+)
+# Outcomes after which the server that was chosen has not got the request. They do not
+# count as attempts: after a crash, a route with a single attempt would otherwise be
+# refused until the registration of the server expires.
+NOT_REACHED = frozenset({AttemptOutcome.UNREACHED, AttemptOutcome.MISDIRECTED})
 _OUTCOME_CODES = {
     AttemptOutcome.DELIVERED: Code.DONE,
     AttemptOutcome.FAILED: Code.DONE,
     AttemptOutcome.UNREACHED: Code.NO_BACKEND_SERVER,
     AttemptOutcome.NOT_RUN: Code.NO_BACKEND_SERVER,
+    AttemptOutcome.MISDIRECTED: Code.NO_BACKEND_SERVER,
     AttemptOutcome.LOST: Code.ANSWER_LOST,
     AttemptOutcome.SILENT: Code.ANSWER_LOST,
     AttemptOutcome.CUT: Code.STREAM_CUT,
