Send quarantines to a starting host from every host that sees it

A host that starts gets the quarantines from one ready host, selected by rendezvous hashing. That host may begin to drain before it has read the first report of the starting host. It then selects another one, while the others still take it for ready: nobody sends. The starting host serves requests until a periodic repeat, once a second to a random host, reaches it.

Now each host that is not selected sends its latest quarantines, at most 16, in any state. Without quarantines the messages are as before.

--- a/oleanderpier/entry/crash_gossip.py
+++ b/oleanderpier/entry/crash_gossip.py
@@ -29,6 +29,9 @@
 REVIEW_INTERVAL_S = 0.2
 # How many hosts are sent a quarantine when it begins.
 ASKED_HOSTS = 4
+# Upper bound of the quarantines that each host sends one that has just started; there
+# are rarely more than one or two.
+URGENT_QUARANTINES = 16
 # Upper bound of the keys of suspects in a message; a key has up to 64 bytes.
 MAX_MESSAGE_KEYS = 8192
 
@@ -141,6 +144,14 @@
             self._outbox.send(newcomer, each)
         log_message("poison:sent", host=newcomer, crashes=len(crashes))
 
+    def send_quarantines(self, newcomer: str) -> None:
+        """Send the latest quarantines to a host that has just started."""
+        quarantines = sorted(self._report_quarantines(), key=lambda each: each.age_s)
+        if quarantines and newcomer in self._list_receivers():
+            news = CrashNews([], [], quarantines[:URGENT_QUARANTINES])
+            self._outbox.send(newcomer, news)
+            log_message("poison:sent_quarantines", host=newcomer)
+
     def _send_sound(self) -> None:
         now_s = self._timers.now()
         sound = [(part, now_s - at_s) for part, at_s in self._unsent_sound_s.items()]
--- a/oleanderpier/entry/newcomers.py
+++ b/oleanderpier/entry/newcomers.py
@@ -28,6 +28,8 @@
         timers: The timer service.
         outbox: Sends messages to other hosts.
         senders: Each sends a host one kind of further knowledge.
+        urgent_senders: Each sends what a host must know before it serves requests. The
+            hosts that are not selected call them, in any state.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         timers: Timers,
         outbox: Outbox,
         senders: Iterable[Callable[[str], None]],
+        urgent_senders: Iterable[Callable[[str], None]] = (),
     ) -> None:
         self._host = host
         self._list_ready = list_ready
@@ -47,14 +50,19 @@
         self._timers = timers
         self._outbox = outbox
         self._senders = list(senders)
+        self._urgent_senders = list(urgent_senders)
 
     def send(self, newcomer: str) -> None:
         """Send the updates to a host, if this is the one that has to.
 
-        Only one of the ready hosts, selected by rendezvous hashing, sends them.
+        Only one of the ready hosts, selected by rendezvous hashing, sends all of them.
+        It may begin to drain, or hear of the host late, while the others still select
+        it; so each host sends what is urgent.
         """
         senders = [host for host in self._list_ready() if host != newcomer]
         if rank_candidates(newcomer, senders)[:1] != [self._host]:
+            for send in self._urgent_senders:
+                send(newcomer)
             return
         placements = self._caches.list_entries()
         if placements:
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -220,6 +220,7 @@
             self.timers,
             self.mesh,
             (self.exchange.send_all,),
+            (self.exchange.crash_gossip.send_quarantines,),
         )
         self.view.subscribe_appeared(newcomers.send)
         self.exchange.subscribe()
