Hold requests of a starting host until a ready host has reported

Callers got 502 in place of 503 from a host that had just restarted, for a request that had crashed three servers before, and the request reached servers again.

A host has routes and servers from the store, or from any other host, and its listeners open before the quarantines have arrived.

Readiness and messages are as before.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -13,6 +13,7 @@
 from oleanderpier.entry.encoding import outlasts_server, outlasts_table
 from oleanderpier.entry.exchange import ServerExchange
 from oleanderpier.entry.features import FEATURES
+from oleanderpier.entry.first_contact import FirstContact
 from oleanderpier.entry.gauges import list_gauges
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
@@ -33,9 +34,12 @@
     ServerUse,
 )
 from oleanderpier.forwarding import (
+    Call,
+    Caller,
     CrashGuard,
     Dialect,
     Forwarder,
+    RequestOutcome,
     ServerActivity,
     StatementRecorder,
     Survivors,
@@ -87,6 +91,7 @@
         state: ``starting``, ``ready`` or ``draining``.
         in_progress: The number of callers' requests in progress.
         metrics: The metrics of this host.
+        first_contact: Holds requests back just after the start.
         body_room: The room for the bodies of callers' requests.
         response_room: The room for large responses to callers.
     """
@@ -134,6 +139,7 @@
             self._make_report,
             self._handle_report,
         )
+        self.first_contact = FirstContact(self._list_alive_others, timers)
         self.loads = FleetLoads(
             FleetSite(
                 host,
@@ -290,6 +296,7 @@
             self.settings.caller_bounds.received_bytes,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
+        self.first_contact.begin()
         self.members.start()
         self.view.start()
         self.loads.start()
@@ -314,6 +321,11 @@
             self._add_address(seed)
         self.members.add_seeds(_make_endpoint(seed, "") for seed in others)
 
+    async def forward(self, call: Call, caller: Caller) -> RequestOutcome:
+        """Forward a request; just after the start it waits for the other hosts."""
+        await self.first_contact.wait()
+        return await self.forwarder.forward(call, caller)
+
     async def drain(self) -> None:
         """Leave the directory, then wait until no more connections need be accepted."""
         self.draining.begin()
@@ -454,7 +466,12 @@
             **FEATURES,
         }
 
+    def _list_alive_others(self) -> list[str]:
+        own = self.settings.peer_address
+        return [host for host in self.members.list_alive() if host != own]
+
     def _handle_report(self, host: str, report: HostReport) -> None:
+        self.first_contact.receive_report(host, report.ready)
         self.loads.receive_report(
             host, {name: use.in_flight for name, use in report.servers.items()}
         )
--- a/oleanderpier/platform/callers.py
+++ b/oleanderpier/platform/callers.py
@@ -284,7 +284,7 @@
                 call.code, _get_http_status(call), 0, "", call.text
             )
         else:
-            outcome = await node.forwarder.forward(call, caller)
+            outcome = await node.forward(call, caller)
     except CallerDisconnectedError as error:
         outcome = RequestOutcome(Code.CALLER_LEFT, 0, 0, "", str(error))
     except asyncio.CancelledError:
