Derive the pause between calls to the store from DrainMs

Cause: entries of servers are renewed all the time, so that a watch of them ends at once, and a watcher makes a call after each pause of 0.2 to 0.4 s. The pause was chosen for deployments that allow 2 s until a server that leaves gets no more requests. Those of 60 hosts and more allow 3 s.

The pause after an update of the servers is now a fifth of Bounds.DrainMs where that is 3 s or more, and 0.6 s at most: a watcher that hears from the store less often could take its silence for an outage. Elsewhere, and for the configuration, nothing changes.

--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -51,6 +51,8 @@
     Replica,
     ReplicaSummary,
     ReplicaSync,
+    WatchTiming,
+    derive_watch_timing,
     maintain_replica,
 )
 from oleanderpier.results import Code, Failure
@@ -292,7 +294,12 @@
         self.members.start()
         self.view.start()
         self.loads.start()
-        for replica in self.replicas.values():
+        # The configuration has a bound of its own and changes rarely.
+        timings = {
+            CONFIGURATION: WatchTiming(),
+            SERVERS: derive_watch_timing(self.settings.server_leave_s),
+        }
+        for space, replica in self.replicas.items():
             self._start_task(
                 maintain_replica(
                     replica,
@@ -302,6 +309,7 @@
                     self.watch_duty.should_watch,
                     self._handle_reachability,
                     self.metrics.record_platform_call,
+                    timings[space],
                 )
             )
         self._start_task(self._become_ready())
--- a/oleanderpier/entry/settings.py
+++ b/oleanderpier/entry/settings.py
@@ -36,6 +36,8 @@
         capacity_permits: Whether services that ask for it are under permits. Rates of
             cold servers hold in any case.
         caller_bounds: The limits on what callers may take of this process.
+        server_leave_s: Time within which servers that leave get no requests, in
+            seconds, None if unknown.
     """
 
     host: str
@@ -56,3 +58,4 @@
     regions: tuple[tuple[str, str], ...] = ()
     capacity_permits: bool = False
     caller_bounds: CallerBounds = derive_bounds(None, None)
+    server_leave_s: float | None = None
--- a/oleanderpier/platform/settings.py
+++ b/oleanderpier/platform/settings.py
@@ -50,6 +50,8 @@
     EvacuateMs: NonNegativeFloat | None
     # Time after which a host that is gone is out of contact.
     ContactMs: NonNegativeFloat | None
+    # Time after which a server that leaves gets no requests.
+    DrainMs: NonNegativeFloat | None
 
 
 class _MachineLimits(TypedDict, total=False):
@@ -136,6 +138,7 @@
         load_limit_factor=bounds["CapX"],
         evacuate_s=_convert_ms(bounds.get("EvacuateMs")),
         contact_s=_convert_ms(bounds.get("ContactMs")),
+        server_leave_s=_convert_ms(bounds.get("DrainMs")),
         regions=tuple(_list_regions(fields).items()),
         capacity_permits=file.get("capacity_permits", False),
         caller_bounds=derive_bounds(limits.get("MemoryMb"), limits.get("MaxFds")),
--- a/oleanderpier/platform/tests/test_settings.py
+++ b/oleanderpier/platform/tests/test_settings.py
@@ -66,6 +66,14 @@
             settings = read(render({**FIELDS, "Bounds": bounds})).ok
             self.assertEqual(expected, (settings.evacuate_s, settings.contact_s))
 
+    def test_bound_of_servers_that_leave(self):
+        """It is optional, and 0 stands for none."""
+        for bounds, expected in (({}, None), ({"DrainMs": 0}, None)):
+            settings = read(render({**FIELDS, "Bounds": bounds})).ok
+            self.assertEqual(expected, settings.server_leave_s)
+        settings = read(render({**FIELDS, "Bounds": {"DrainMs": 3000}})).ok
+        self.assertEqual(3.0, settings.server_leave_s)
+
     def test_regions_of_failure_domains(self):
         """The region of this host holds for its failure domain."""
         fields = {**FIELDS, "Region": "us", "Zones": {"alpena": "us", "ghent": "eu"}}
@@ -105,6 +113,7 @@
             },
             "$.Seeds": {**FIELDS, "Seeds": ["no address"]},
             "$.Bounds.EvacuateMs": {**FIELDS, "Bounds": {"EvacuateMs": -1}},
+            "$.Bounds.DrainMs": {**FIELDS, "Bounds": {"DrainMs": "soon"}},
             "$.Zones": {**FIELDS, "Zones": ["duluth"]},
             "$.Bounds.GraceS": {**FIELDS, "Bounds": {"GraceS": -1}},
         }
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -13,7 +13,15 @@
 from oleanderpier.replication.replica import Replica
 from oleanderpier.utils import Timers
 
-__all__ = ["ItemSource", "WatchTiming", "maintain_replica"]
+__all__ = ["ItemSource", "WatchTiming", "derive_watch_timing", "maintain_replica"]
+
+# A pause of 0.4 s was chosen for a bound of 2 s, the shortest of any deployment.
+BATCH_SHARE = 0.2
+# The pause is not changed below this bound.
+MIN_LONGER_BOUND_S = 3.0
+# The pause for a bound of 3 s, the longest of any deployment. A watcher that hears from
+# the platform less often could take its silence for an outage, see ``MIN_OUTAGE_S``.
+MAX_BATCH_S = 0.6
 
 
 class ItemSource(Protocol):
@@ -65,6 +73,28 @@
     poll_s: float = 0.25
 
 
+def derive_watch_timing(apply_s: float | None) -> WatchTiming:
+    """Return the timing of a watch whose changes have to take effect within a bound.
+
+    Each call to the platform has a price. With many entries there is a change at the
+    end of each pause, so a watcher makes one call for each pause.
+
+    Args:
+        apply_s: The seconds after which a change has to be in effect on every host,
+            None if unknown.
+
+    Examples:
+        >>> derive_watch_timing(2.0) == derive_watch_timing(None) == WatchTiming()
+        True
+        >>> round(derive_watch_timing(3.0).batch_s, 3)
+        0.6
+    """
+    timing = WatchTiming()
+    if apply_s is None or apply_s < MIN_LONGER_BOUND_S:
+        return timing
+    return timing._replace(batch_s=min(MAX_BATCH_S, apply_s * BATCH_SHARE))
+
+
 async def maintain_replica(
     replica: Replica,
     source: ItemSource,
