Count queued permit queries without ranking each of them

The test of the time of a permit decision failed on this machine: with 64 queued requests of 64 workspaces, a query took 54 microseconds (bound 50).

The profile showed that half of it was spent on the place of the new query and on the last query of the queue. Both ranked all queries of a group, or looked up the permits of every workspace, although only queries of the same level as the one in question can decide. Both now start at the youngest query and stop at the first one whose age puts it on another level.

The order, the counts and the ends of the queue were the same as those of the previous code after 74,700 random changes; test_ends_and_counts_agree_with_the_order guards it.

--- a/oleanderpier/routing/permit_queue.py
+++ b/oleanderpier/routing/permit_queue.py
@@ -14,9 +14,9 @@
 4. the order of arrival.
 """
 
+import math
 import sys
 from collections.abc import Mapping
-from itertools import takewhile
 from typing import NamedTuple
 
 from oleanderpier.routing.permit_records import PermitDemand, PermitHolder
@@ -177,7 +177,7 @@
                 group.urgency > query.urgency and (lowest, group.is_repeat) <= key
             ):
                 rank = (*key, count)
-                ahead += self._count_in_group(group, rank, other == key, now_s)
+                ahead += self._count_in_group(group, rank, now_s)
         return ahead
 
     def list_in_order(self, now_s: float) -> list[QueuedDemand]:
@@ -231,13 +231,16 @@
         """
         get_held = self._held.get
         found, most = None, -1
+        # Older queries have a lower level, so that the others need no look.
+        steps = self._count_steps(group, highest - 1, now_s)
+        workspaces = group.workspaces
         # The first one of each workspace in this order is its youngest.
         for queued in reversed(group.queued.values()):
+            if (now_s - queued.arrived_s) / AGEING_S >= steps:
+                break
             workspace = queued.query.workspace
-            held = get_held(workspace, 0) + len(group.workspaces[workspace]) - 1
+            held = get_held(workspace, 0) + len(workspaces[workspace]) - 1
             if held > most:
-                if self._compute_level(group, queued.arrived_s, now_s) < highest:
-                    break
                 found, most = queued, held
         return most, found.sequence, found
 
@@ -269,6 +272,21 @@
                 return max(level, firsts.compute_level(arrived_s, now_s))
         return level
 
+    def _count_steps(self, group: _Group, level: int, now_s: float) -> float:
+        """Return the steps of ageing from which on queries have at most a level.
+
+        Infinite if none of the group can have it. It tells what ``_compute_level``
+        does, in less time for many queries.
+        """
+        if group.is_repeat:
+            firsts = self._groups.get((group.urgency, False))
+            if firsts is not None:
+                arrived_s = firsts.get_last_arrival_s()
+                if level < firsts.compute_level(arrived_s, now_s):
+                    return math.inf
+        steps = group.urgency - level
+        return steps if steps > 0 else -math.inf
+
     def _count_new(self, query: PermitDemand) -> int:
         """Return the permits and earlier queries of a new query's workspace."""
         held = self._held.get(query.workspace, 0)
@@ -291,32 +309,42 @@
         return ahead
 
     def _count_in_group(
-        self, group: _Group, rank: tuple[int, bool, int], is_within: bool, now_s: float
+        self, group: _Group, rank: tuple[int, bool, int], now_s: float
     ) -> int:
         """Return how many queries of a group come before a new one.
 
+        At equal ranks, the one that arrived earlier comes first.
+
         Args:
-            group: The group.
+            group: The group, at least as urgent as the new query only by its age.
             rank: That of the new query.
-            is_within: Whether all queries of the group are as urgent as the new one.
             now_s: The time.
         """
+        level, is_repeat, count = rank
+        steps = self._count_steps(group, level, now_s)
+        steps_before = self._count_steps(group, level - 1, now_s)
+        # The younger ones of each workspace that do not come before by their level
+        # alone, and those of them that are less urgent than the new query.
+        not_before: dict[str, int] = {}
+        behind: dict[str, int] = {}
+        ahead = len(group.queued)
+        for queued in reversed(group.queued.values()):
+            age = (now_s - queued.arrived_s) / AGEING_S
+            if age >= steps_before:
+                break
+            ahead -= 1
+            workspace = queued.query.workspace
+            not_before[workspace] = not_before.get(workspace, 0) + 1
+            if age < steps:
+                behind[workspace] = behind.get(workspace, 0) + 1
+        if group.is_repeat > is_repeat:
+            return ahead
         get_held = self._held.get
-        ahead = 0
-        for workspace, entries in group.workspaces.items():
-            # At equal ranks, the one that arrived earlier comes first.
-            if is_within:
-                places = rank[2] + 1 - get_held(workspace, 0)
-                if places >= len(entries):
-                    ahead += len(entries)
-                    continue
-                oldest = next(iter(entries.values()))
-                if now_s - oldest.arrived_s < AGEING_S:
-                    ahead += max(0, places)
-                    continue
-            ranks = (
-                self._rank(group, queued, index, now_s)[:3]
-                for index, queued in enumerate(entries.values())
-            )
-            ahead += sum(1 for _ in takewhile(rank.__ge__, ranks))
+        for workspace, younger in not_before.items():
+            equal = younger - behind.get(workspace, 0)
+            if group.is_repeat == is_repeat:
+                earlier = len(group.workspaces[workspace]) - younger
+                places = count + 1 - get_held(workspace, 0) - earlier
+                equal = max(0, min(equal, places))
+            ahead += equal
         return ahead
