Compute the expected wait for room only as far as it is needed

A query for a permit of a server with a full queue estimates two waits. Each computed the usable slots twice, and the arrival rates of more urgent requests also where they can't change the result: if nothing has to be waited for, or if a first attempt has become as urgent as possible.

--- a/oleanderpier/routing/permit_states.py
+++ b/oleanderpier/routing/permit_states.py
@@ -101,7 +101,7 @@
 
     def compute_per_s_before(self, rank: tuple[int, bool], now_s: float) -> float:
         """Return the arrivals per second that come before those of a rank."""
-        weights = sum(value for key, value in self._weights.items() if key < rank)
+        weights = sum([value for key, value in self._weights.items() if key < rank])
         if not weights:
             return 0.0
         decayed = math.exp(max(-700.0, (self._since_s - now_s) / RATE_DECAY_S))
@@ -194,9 +194,7 @@
         """Return how many permits may be held, infinite if the slots are unknown."""
         if not self.slots:
             return math.inf
-        usable = self._compute_usable_slots(now_s)
-        # 1e-9 for rounding: 1.2 times 5 is 6.
-        return math.ceil(usable * (1.0 + EXTRA_RATIO) - 1e-9)
+        return _add_extra(self._compute_usable_slots(now_s))
 
     def record_arrival(self, query: PermitDemand, now_s: float) -> None:
         """Record a query that was granted or queued."""
@@ -219,15 +217,18 @@
         """
         if not self.slots:
             return 0.0
-        step_s = self._mean_s / self._compute_usable_slots(now_s)
-        missing = 1 + ahead + self.count_in_flight(now_s) - self.compute_room(now_s)
-        wait_s = max(0.0, missing * step_s)
-        rank = (query.urgency, query.is_repeat)
-        before_per_s = self._arrivals.compute_per_s_before(rank, now_s)
+        usable = self._compute_usable_slots(now_s)
+        step_s = self._mean_s / usable
+        missing = 1 + ahead + self.count_in_flight(now_s) - _add_extra(usable)
+        if missing <= 0:
+            return 0.0
+        wait_s = missing * step_s
+        is_repeat, urgency = query.is_repeat, query.urgency
+        ageing_s = math.inf if is_repeat else AGEING_S * urgency - waited_s
+        if ageing_s <= 0.0:
+            return wait_s
+        before_per_s = self._arrivals.compute_per_s_before((urgency, is_repeat), now_s)
         longer_s = wait_s / max(MIN_REMAINING, 1.0 - before_per_s * step_s)
-        if query.is_repeat:
-            return longer_s
-        ageing_s = max(0.0, AGEING_S * query.urgency - waited_s)
         return min(longer_s, wait_s + ageing_s)
 
     def compute_prefill_wait_s(self, now_s: float) -> float:
@@ -308,3 +309,9 @@
         if now_s - self._slow_heard_s > SLOW_FACTOR_LIFETIME_S + 1e-9:
             return 1.0
         return self._slow_factor
+
+
+def _add_extra(usable: float) -> int:
+    """Return how many permits are held for some slots, with those beyond them."""
+    # 1e-9 for rounding: 1.2 times 5 is 6.
+    return math.ceil(usable * (1.0 + EXTRA_RATIO) - 1e-9)
