Compute what a choice by costs needs only once

The test of the time of a choice at 150 servers failed on this machine: 64.7 microseconds (bound 50), in which a host serves none of its other requests.

The profile showed no single cause, but the same work done several times: the load of each server that holds the prompt was computed for the shared load and again for its cost, its cached tokens were looked up three times, and nine holders were checked for eligibility where three are compared. Rules that only a restriction can make apply ran without one, and the choice was built twice by _replace. Each of these is done once now, and the costs of several servers are computed in one pass.

--- a/oleanderpier/routing/cache_copies.py
+++ b/oleanderpier/routing/cache_copies.py
@@ -13,7 +13,7 @@
 from oleanderpier.routing.records import ServerEntry, ServiceEntry
 from oleanderpier.routing.requirements import ServerQuery
 
-__all__ = ["CacheCopies", "CacheCopy", "PickCopySource"]
+__all__ = ["NO_COPY", "CacheCopies", "CacheCopy", "PickCopySource"]
 
 # Servers that are looked at for the source of a copy.
 MAX_COPY_SOURCES = 4
@@ -40,6 +40,9 @@
     tokens: int = 0
 
 
+NO_COPY = CacheCopy()
+
+
 class CacheCopies:
     """Decides whether and from where a server copies a part of a prompt.
 
@@ -94,4 +97,4 @@
             source = self._pick_copy_source(holders, cost.server, query.regions)
             if source is not None:
                 return CacheCopy(source, tokens)
-        return CacheCopy()
+        return NO_COPY
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -178,14 +178,22 @@
             return None
         identity = choice.server.identity
         state, state_since_s = self._roster.get_last_change(identity)
-        return choice._replace(
-            own_load=self.in_flight[identity],
+        # Not by ``_replace``, which takes twice as long.
+        return Choice(
+            choice.server,
+            choice.reason,
+            choice.load,
+            choice.stats,
+            choice.copy_source,
+            own_load=self.in_flight.get(identity, 0),
             load_age_s=self._model.get_age_s(),
             cache_age_s=self._caches.get_entry_age_s(query.cache_key, identity),
             server_state=state,
             server_state_age_s=self._timers.now() - state_since_s,
             limit=self._statements.get_limit(choice.server),
             evacuated=self._find_evacuated_holder(query),
+            uncached_tokens=choice.uncached_tokens,
+            cost=choice.cost,
         )
 
     def has_left(self, server: ServerEntry) -> bool:
@@ -285,6 +293,8 @@
 
     def _names_limit(self, service: str) -> bool:
         """Return whether a server of a service names a limit."""
+        if not self._statements.has_limits():
+            return False
         registered = self._roster.list_registered(service)
         return len(self._statements.list_unlimited(registered)) < len(registered)
 
--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -18,7 +18,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from oleanderpier.routing.cache_copies import CacheCopies, PickCopySource
+from oleanderpier.routing.cache_copies import NO_COPY, CacheCopies, PickCopySource
 from oleanderpier.routing.caches import CacheMap
 from oleanderpier.routing.costs import (
     DEFAULT_HELD_S,
@@ -29,6 +29,7 @@
     ServerCost,
     compute_slot_wait_ms,
     compute_usable_slots,
+    is_calm_holder,
     list_cheapest,
     pick_by_room,
 )
@@ -37,7 +38,7 @@
     Eligibility,
     Restrictions,
 )
-from oleanderpier.routing.hash_order import list_first
+from oleanderpier.routing.hash_order import HashOrders
 from oleanderpier.routing.load_model import LoadModel, ServiceStats
 from oleanderpier.routing.records import ServerEntry, ServiceEntry
 from oleanderpier.routing.requirements import Choice, ServerQuery
@@ -61,8 +62,6 @@
 # those that have it cached have no room: they are few, so that it is read again seldom,
 # and several, since all hosts spread it at once.
 HASH_CANDIDATES = 3
-# Prompts whose hash order is kept.
-MAX_HASH_ORDERS = 4096
 # Room that a server of another failure domain has to have more, in requests.
 DOMAIN_PENALTY = 0.5
 
@@ -76,7 +75,12 @@
         restrictions: What the request excludes.
         cache_key: The key of the longest shared prefix, empty if there is none.
         is_held: Whether a server has the longest shared prefix cached.
+        holder_loads: The load and the margin of the servers that have the longest
+            prefix cached that any server has, by id.
+        holder_tokens: The tokens of that prefix if it is the longest shared one, which
+            those servers then have cached; else 0.
         shared_tokens: The tokens of the longest shared prefix.
+        total_tokens: The tokens of the whole prompt.
         shared_load: The mean load of the servers that have the prompt cached.
         stats: The statistics of the service.
         estimate: How long the service takes to read a prompt.
@@ -91,7 +95,10 @@
     restrictions: Restrictions
     cache_key: str
     is_held: bool
+    holder_loads: dict[str, tuple[float, float]]
+    holder_tokens: int
     shared_tokens: int
+    total_tokens: int
     shared_load: float
     stats: ServiceStats
     estimate: PrefillEstimate
@@ -142,7 +149,7 @@
         self._rng = rng
         self._timers = timers
         self._stats: dict[str, ServiceStats] = {}
-        self._hash_orders: dict[str, tuple[list[ServerEntry], list[str]]] = {}
+        self._hash_orders = HashOrders()
 
     def update_services(self, services: tuple[ServiceEntry, ...]) -> None:
         """Apply the services of the configuration whose cold servers have limits.
@@ -168,22 +175,25 @@
         usable = self._roster.list_usable(query.service)
         if not usable:
             return None
-        holders = self._list_holders(query, restrictions)
-        inputs = self._collect_inputs(query, avoided, restrictions, usable, holders)
-        costs = [
-            self._compute_cost(entry, inputs)
-            for entry in holders
-            if entry.identity not in avoided
-        ]
-        if not any(map(_is_calm_holder, costs)):
+        holders, holder_tokens = self._find_holders(query, restrictions)
+        inputs = self._collect_inputs(
+            query, avoided, restrictions, usable, holders, holder_tokens
+        )
+        costs = self._compute_costs(holders, inputs)
+        for cost in costs:
+            if is_calm_holder(cost):
+                break
+        else:
             costs = self._compare_others(holders, costs, inputs, usable)
         if not costs:
             return None
         reason, cheapest = _narrow(list_cheapest(costs), inputs)
         cost = pick_by_room(cheapest, self._rng)
-        held_tokens = self._count_held(cost.server, query)
-        copy = self._copies.plan(query, cost, held_tokens, inputs.estimate)
-        uncached_tokens = query.total_tokens - held_tokens - copy.tokens
+        held_tokens, copy = inputs.shared_tokens, NO_COPY
+        if not cost.holds_prompt:
+            held_tokens = self._count_held(cost.server, query)
+            copy = self._copies.plan(query, cost, held_tokens, inputs.estimate)
+        uncached_tokens = inputs.total_tokens - held_tokens - copy.tokens
         return Choice(
             cost.server,
             reason,
@@ -215,7 +225,7 @@
             self._sample(usable),
         ):
             others = [entry for entry in servers if entry.identity not in seen]
-            costs = costs + self._compute_costs(others, inputs)
+            costs = costs + self._compute_allowed_costs(others, inputs)
             if any(cost.is_free and not cost.holds_prompt for cost in costs):
                 return costs
             seen.update(entry.identity for entry in others)
@@ -225,7 +235,7 @@
                 inputs.query.service, inputs.restrictions
             )
             others = [entry for entry in eligible if entry.identity not in seen]
-            costs = costs + self._compute_costs(others[:MAX_OTHERS], inputs)
+            costs = costs + self._compute_allowed_costs(others[:MAX_OTHERS], inputs)
         return costs
 
     def record_first_event(self, choice: Choice, took_s: float) -> None:
@@ -255,6 +265,7 @@
         restrictions: Restrictions,
         usable: list[ServerEntry],
         holders: list[ServerEntry],
+        holder_tokens: int,
     ) -> _Inputs:
         """Return what the costs of all servers have in common."""
         stats = self._stats.get(query.service)
@@ -270,23 +281,29 @@
             # The response begins when the work is done.
             base_ms = (held_s or 0.0) * MILLISECONDS_PER_S
         shared_tokens = query.shared_tokens
-        own_tokens = query.total_tokens - shared_tokens
+        total_tokens = query.total_tokens
+        key = query.cache_key
+        holder_loads = self._model.compute_loads(
+            [entry.identity for entry in holders], stats
+        )
         shared_load = self._estimate_shared_load(
-            holders, stats, query.cache_key, restrictions.excluded
+            holder_loads, stats.load_limit, key, restrictions.excluded
         )
-        key = query.cache_key
         return _Inputs(
             query,
             avoided,
             restrictions,
             key,
-            self._is_held(key, holders),
+            bool(holder_tokens or self._caches.list_holders(key)),
+            holder_loads,
+            holder_tokens,
             shared_tokens,
+            total_tokens,
             shared_load,
             stats,
             estimate,
             self._copies.get_costs(query.service),
-            base_ms + estimate.compute_ms(own_tokens),
+            base_ms + estimate.compute_ms(total_tokens - shared_tokens),
             DEFAULT_HELD_S if held_s is None else held_s,
             self._timers.now(),
         )
@@ -300,34 +317,35 @@
                     service, usable, self._statements
                 )
 
-    def _list_holders(
+    def _find_holders(
         self, query: ServerQuery, restrictions: Restrictions
-    ) -> list[ServerEntry]:
+    ) -> tuple[list[ServerEntry], int]:
         """Return servers that have the longest prefix cached that any server has.
 
-        They may get the request.
+        They may get the request. The second figure is the tokens of that prefix if it
+        is the longest shared one, else 0.
         """
+        get_entry, service = self._roster.get_entry, query.service
         for prefix in reversed(query.prefixes):
             identities = self._caches.list_holders(prefix.key)
             if len(identities) > MAX_HOLDERS:
                 first = self._rng.randrange(len(identities))
                 identities = identities[first:] + identities[:first]
-            holders = [
-                entry
-                for identity in identities[: HOLDERS_SEARCH_RATIO * MAX_HOLDERS]
-                if (entry := self._roster.get_entry(identity)) is not None
-                and entry.service == query.service
-            ]
-            allowed = self._eligibility.list_allowed(holders, restrictions)
+            # The first ones suffice unless some of them may not get the request.
+            for count in (MAX_HOLDERS, HOLDERS_SEARCH_RATIO * MAX_HOLDERS):
+                holders = [
+                    entry
+                    for identity in identities[:count]
+                    if (entry := get_entry(identity)) is not None
+                    and entry.service == service
+                ]
+                allowed = self._eligibility.list_allowed(holders, restrictions)
+                if len(allowed) >= MAX_HOLDERS or count >= len(identities):
+                    break
             if allowed:
-                return allowed[:MAX_HOLDERS]
-        return []
-
-    def _is_held(self, key: str, holders: list[ServerEntry]) -> bool:
-        """Return whether a server has a prompt cached, if it may get it or not."""
-        if holders and self._caches.holds(key, holders[0].identity):
-            return True
-        return bool(self._caches.list_holders(key))
+                is_longest = prefix is query.prefixes[-1]
+                return allowed[:MAX_HOLDERS], prefix.tokens if is_longest else 0
+        return [], 0
 
     def _list_hashed(
         self, query: ServerQuery, usable: list[ServerEntry]
@@ -336,14 +354,8 @@
         key = query.cache_key
         if not key:
             return []
-        known = self._hash_orders.get(key)
-        # The list is another one after each change of a registration.
-        if known is None or known[0] is not usable:
-            if known is not None or len(self._hash_orders) >= MAX_HASH_ORDERS:
-                self._hash_orders.clear()
-            known = (usable, list_first(key, usable, HASH_CANDIDATES))
-            self._hash_orders[key] = known
-        entries = (self._roster.get_entry(identity) for identity in known[1])
+        first = self._hash_orders.list_first(key, usable, HASH_CANDIDATES)
+        entries = (self._roster.get_entry(identity) for identity in first)
         return [entry for entry in entries if entry is not None]
 
     def _sample(self, usable: list[ServerEntry]) -> list[ServerEntry]:
@@ -352,8 +364,8 @@
 
     def _estimate_shared_load(
         self,
-        holders: list[ServerEntry],
-        stats: ServiceStats,
+        holder_loads: dict[str, tuple[float, float]],
+        load_limit: float,
         key: str,
         excluded: Collection[str],
     ) -> float:
@@ -363,63 +375,98 @@
         one that seems to have most room. Those that refused the request count as full.
 
         Args:
-            holders: Servers that have the prompt cached.
-            stats: The statistics of the service.
+            holder_loads: The loads of servers that have the prompt cached.
+            load_limit: The load limit of the service.
             key: The key of the prompt.
             excluded: Ids of the servers that refused the request.
         """
-        loads = [self._model.compute_weight(entry.identity, stats) for entry in holders]
-        loads += [
-            self._statements.get_slots(entry)
-            for identity in excluded
-            if self._caches.holds(key, identity)
-            and (entry := self._roster.get_entry(identity)) is not None
-        ]
-        return min(stats.load_limit, sum(loads) / len(loads)) if loads else 0.0
+        loads = [load for load, _ in holder_loads.values()]
+        if excluded:
+            loads += [
+                self._statements.get_slots(entry)
+                for identity in excluded
+                if self._caches.holds(key, identity)
+                and (entry := self._roster.get_entry(identity)) is not None
+            ]
+        if not loads:
+            return 0.0
+        mean = sum(loads) / len(loads)
+        return mean if mean < load_limit else load_limit
 
-    def _compute_costs(
+    def _compute_allowed_costs(
         self, servers: list[ServerEntry], inputs: _Inputs
     ) -> list[ServerCost]:
         """Return the costs of those of several servers that may get the request."""
-        return [
-            self._compute_cost(server, inputs)
-            for server in self._eligibility.list_allowed(servers, inputs.restrictions)
-            if server.identity not in inputs.avoided
-        ]
-
-    def _compute_cost(self, server: ServerEntry, inputs: _Inputs) -> ServerCost:
-        identity, stats = server.identity, inputs.stats
-        slow_factor = self._statements.loads.get_slow_factor(server, inputs.now_s)
-        slots = compute_usable_slots(self._statements.get_slots(server), slow_factor)
-        load, margin = self._model.compute_load(identity, stats)
-        expected_load = load
-        is_over_limit = load + margin + 1.0 > stats.load_limit
-        holds_prompt, missing_ms = False, 0.0
-        if inputs.cache_key:
-            held_tokens = self._count_held(server, inputs.query)
-            holds_prompt = held_tokens == inputs.shared_tokens
+        allowed = self._eligibility.list_allowed(servers, inputs.restrictions)
+        return self._compute_costs(allowed, inputs)
+
+    def _compute_costs(
+        self, servers: list[ServerEntry], inputs: _Inputs
+    ) -> list[ServerCost]:
+        """Return the costs of those of several servers that were not tried before."""
+        stats, avoided, shared_load = inputs.stats, inputs.avoided, inputs.shared_load
+        load_limit, held_s, work_ms = stats.load_limit, inputs.held_s, inputs.work_ms
+        holder_loads, holder_tokens = inputs.holder_loads, inputs.holder_tokens
+        own_domain, now_s = self._failure_domain, inputs.now_s
+        get_slow_factor = self._statements.loads.get_slow_factor
+        get_slots = self._statements.get_slots
+        costs = []
+        for server in servers:
+            identity = server.identity
+            if identity in avoided:
+                continue
+            slow_factor = get_slow_factor(server, now_s)
+            slots = compute_usable_slots(get_slots(server), slow_factor)
+            known_load = holder_loads.get(identity)
+            load, margin = known_load or self._model.compute_load(identity, stats)
+            is_over_limit = load + margin + 1.0 > load_limit
+            holds_prompt, missing_ms = False, 0.0
+            if known_load is not None and holder_tokens:
+                holds_prompt = True
+            elif inputs.cache_key:
+                missing_ms = self._compute_missing_ms(server, inputs, slow_factor)
+                holds_prompt = missing_ms is None
+            expected_load = load
             if holds_prompt:
-                expected_load = max(load, inputs.shared_load)
-            else:
-                missing_tokens = inputs.shared_tokens - held_tokens
-                missing_ms = slow_factor * inputs.estimate.compute_ms(missing_tokens)
-                if inputs.is_held and inputs.copy_costs is not None:
-                    copy_ms = inputs.copy_costs.compute_ms(missing_tokens)
-                    missing_ms = min(missing_ms, copy_ms)
-        if server.failure_domain != self._failure_domain:
-            load += DOMAIN_PENALTY
-        return ServerCost(
-            server,
-            load,
-            min(slots, stats.load_limit),
-            expected_load + 1.0 <= slots and not is_over_limit,
-            is_over_limit,
-            holds_prompt,
-            slow_factor,
-            compute_slot_wait_ms(expected_load + margin, slots, inputs.held_s),
-            slow_factor * inputs.work_ms,
-            missing_ms,
-        )
+                missing_ms = 0.0
+                if shared_load > load:
+                    expected_load = shared_load
+            wait_ms, highest_load = 0.0, expected_load + margin
+            if highest_load + 1.0 > slots:
+                wait_ms = compute_slot_wait_ms(highest_load, slots, held_s)
+            if server.failure_domain != own_domain:
+                load += DOMAIN_PENALTY
+            costs.append(
+                ServerCost(
+                    server,
+                    load,
+                    slots if slots < load_limit else load_limit,
+                    expected_load + 1.0 <= slots and not is_over_limit,
+                    is_over_limit,
+                    holds_prompt,
+                    slow_factor,
+                    wait_ms,
+                    slow_factor * work_ms,
+                    missing_ms,
+                )
+            )
+        return costs
+
+    def _compute_missing_ms(
+        self, server: ServerEntry, inputs: _Inputs, slow_factor: float
+    ) -> float | None:
+        """Return the time to read or copy the shared tokens that a server lacks.
+
+        None if it has the longest shared prefix cached.
+        """
+        missing_tokens = inputs.shared_tokens - self._count_held(server, inputs.query)
+        if not missing_tokens:
+            return None
+        missing_ms = slow_factor * inputs.estimate.compute_ms(missing_tokens)
+        if inputs.is_held and inputs.copy_costs is not None:
+            copy_ms = inputs.copy_costs.compute_ms(missing_tokens)
+            missing_ms = min(missing_ms, copy_ms)
+        return missing_ms
 
     def _count_held(self, server: ServerEntry, query: ServerQuery) -> int:
         """Return the tokens of the longest prefix that a server has cached."""
@@ -429,16 +476,6 @@
         return 0
 
 
-def _is_calm_holder(cost: ServerCost) -> bool:
-    """Return whether no other server can be better than one with the prompt cached."""
-    return (
-        cost.holds_prompt
-        and cost.is_free
-        and not cost.wait_ms
-        and cost.slow_factor <= 1.0
-    )
-
-
 def _narrow(
     cheapest: list[ServerCost], inputs: _Inputs
 ) -> tuple[str, list[ServerCost]]:
--- a/oleanderpier/routing/costs.py
+++ b/oleanderpier/routing/costs.py
@@ -11,6 +11,8 @@
 """
 
 import random
+from bisect import bisect
+from itertools import accumulate
 from typing import NamedTuple
 
 from oleanderpier.routing.records import ServerEntry
@@ -45,6 +47,9 @@
 EQUAL_COST_MS = 4.0
 # The same if all servers are full, as a ratio: the waits are then estimates.
 EQUAL_WAIT_RATIO = 0.25
+# A server without room keeps a small share of the requests, so that one is found in
+# any case.
+MIN_PICKED_ROOM = 0.1
 # How often the time to read shared tokens again counts while a server that has them
 # cached has room: a prompt that is prefilled delays the caller, and about one of the
 # 3 to 6 requests beside it still waits for its own first event.
@@ -202,7 +207,8 @@
     A server that takes 2.5 times as long gets as many fewer; a fast one has no more
     slots than it states.
     """
-    return max(1.0, slots / max(1.0, slow_factor))
+    slots /= slow_factor if slow_factor > 1.0 else 1.0
+    return slots if slots > 1.0 else 1.0
 
 
 def compute_slot_wait_ms(load: float, slots: float, held_s: float) -> float:
@@ -219,6 +225,16 @@
     return ahead / slots * held_s * MILLISECONDS_PER_S
 
 
+def is_calm_holder(cost: ServerCost) -> bool:
+    """Return whether no other server can be better than one with the prompt cached."""
+    return (
+        cost.holds_prompt
+        and cost.is_free
+        and not cost.wait_ms
+        and cost.slow_factor <= 1.0
+    )
+
+
 def list_cheapest(costs: list[ServerCost]) -> list[ServerCost]:
     """Return the servers that cost nearly the least, in the same order.
 
@@ -234,17 +250,27 @@
     tolerance = EQUAL_WAIT_RATIO
     if free:
         tolerance = 0.0
-        compared = [
-            cost
-            for cost in costs
-            if cost.is_free or (cost.holds_prompt and not cost.is_over_limit)
-        ]
-    is_calm = any(cost.holds_prompt and not cost.wait_ms for cost in free)
-    reread_weight = REREAD_WEIGHT if is_calm else 1.0
+        if len(free) < len(costs):
+            compared = [
+                cost
+                for cost in costs
+                if cost.is_free or (cost.holds_prompt and not cost.is_over_limit)
+            ]
+    reread_weight = 1.0
+    for cost in free:
+        if cost.holds_prompt and not cost.wait_ms:
+            reread_weight = REREAD_WEIGHT
+            break
     totals = [
-        cost.total_ms + (reread_weight - 1.0) * cost.missing_ms for cost in compared
+        cost.wait_ms
+        + cost.work_ms
+        + cost.missing_ms
+        + (reread_weight - 1.0) * cost.missing_ms
+        for cost in compared
     ]
     highest = min(totals) * (1.0 + tolerance) + EQUAL_COST_MS
+    if max(totals) <= highest:
+        return compared
     return [
         cost for cost, total in zip(compared, totals, strict=True) if total <= highest
     ]
@@ -258,6 +284,10 @@
     """
     if len(costs) == 1:
         return costs[0]
-    # A server without room keeps a small share, so that one is found in any case.
-    shares = [max(0.1, cost.room - cost.load) for cost in costs]
-    return rng.choices(costs, shares)[0]
+    shares = [
+        room if (room := cost.room - cost.load) > MIN_PICKED_ROOM else MIN_PICKED_ROOM
+        for cost in costs
+    ]
+    # As ``rng.choices(costs, shares)`` does, in half of the time.
+    bounds = list(accumulate(shares))
+    return costs[bisect(bounds, rng.random() * bounds[-1], 0, len(costs) - 1)]
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -67,6 +67,12 @@
 
 
 NO_RESTRICTIONS = Restrictions()
+# The reasons that apply only if a restriction has another value than its default.
+_RESTRICTION_REASONS = (
+    Ineligibility.FULL,
+    Ineligibility.EXCLUDED,
+    Ineligibility.REGION,
+)
 
 
 class EvacuatedServer(NamedTuple):
@@ -127,6 +133,12 @@
             # The last one, so that it is found only if it is the only reason.
             Ineligibility.EVACUATED: self._omit_evacuated,
         }
+        # Those that apply without restrictions.
+        self._general_rules = [
+            omit
+            for reason, omit in self._rules.items()
+            if reason not in _RESTRICTION_REASONS
+        ]
 
     def list_eligible(
         self, service: str, restrictions: Restrictions = NO_RESTRICTIONS
@@ -199,14 +211,18 @@
     def _omit_ineligible(
         self, servers: list[ServerEntry], restrictions: Restrictions
     ) -> list[ServerEntry]:
-        for omit in self._rules.values():
+        if restrictions == NO_RESTRICTIONS:
+            rules = self._general_rules
+        else:
+            rules = self._rules.values()
+        for omit in rules:
             servers = omit(servers, restrictions)
         return servers
 
     def _omit_leaving(self, servers: list[ServerEntry], _) -> list[ServerEntry]:
-        is_leaving = self._statements.is_leaving
         if not self._statements.count_leaving():
             return [server for server in servers if not server.leaving]
+        is_leaving = self._statements.is_leaving
         return [
             server
             for server in servers
--- a/oleanderpier/routing/hash_order.py
+++ b/oleanderpier/routing/hash_order.py
@@ -6,7 +6,32 @@
 
 from oleanderpier.routing.records import ServerEntry
 
-__all__ = ["list_first", "score_server"]
+__all__ = ["HashOrders", "list_first", "score_server"]
+
+# Keys whose hash order is kept.
+MAX_HASH_ORDERS = 4096
+
+
+class HashOrders:
+    """Keeps the first servers in the order of each key, until the servers change."""
+
+    def __init__(self) -> None:
+        self._first: dict[str, tuple[list[ServerEntry], list[str]]] = {}
+
+    def list_first(self, key: str, servers: list[ServerEntry], count: int) -> list[str]:
+        """Return the ids of the first servers in the order of a key.
+
+        Args:
+            key: The key.
+            servers: The servers; another list after each change.
+            count: How many to return, always the same.
+        """
+        known = self._first.get(key)
+        if known is None or known[0] is not servers:
+            if known is not None or len(self._first) >= MAX_HASH_ORDERS:
+                self._first.clear()
+            known = self._first[key] = (servers, list_first(key, servers, count))
+        return known[1]
 
 
 def score_server(key: str, identity: str) -> int:
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -114,7 +114,8 @@
 
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
-        return self.in_flight[identity] + self._remote_loads.count_in_flight(identity)
+        remote = self._remote_loads.count_in_flight(identity)
+        return self.in_flight.get(identity, 0) + remote
 
     def get_age_s(self) -> float:
         """Return the mean age of the other hosts' requests, in seconds."""
@@ -180,11 +181,29 @@
         margin = 0.0 if stats.survival == 1.0 else _compute_margin(remote, stats)
         return self._add_own_load(identity, remote, stats), margin
 
+    def compute_loads(
+        self, identities: list[str], stats: ServiceStats
+    ) -> dict[str, tuple[float, float]]:
+        """Return ``compute_load`` of several servers, by id, in less time."""
+        survival = stats.survival
+        is_exact = survival == 1.0
+        count_remote = self._remote_loads.count_in_flight
+        get_mean_remote = self._remote_loads.get_mean_in_flight
+        loads = {}
+        for identity in identities:
+            remote, margin = count_remote(identity), 0.0
+            if not is_exact:
+                mean = get_mean_remote(identity)
+                remote = survival * remote + (1 - survival) * mean
+                margin = _compute_margin(remote, stats)
+            loads[identity] = self._add_own_load(identity, remote, stats), margin
+        return loads
+
     def _add_own_load(self, identity: str, remote: float, stats: ServiceStats) -> float:
         """Return the load with this host's requests, and the penalty for failures."""
         failure_rate = self._health.get_failure_rate(identity)
         penalty = FAILURE_PENALTY * (failure_rate - stats.min_failure_rate)
-        return self.in_flight[identity] + remote + penalty
+        return self.in_flight.get(identity, 0) + remote + penalty
 
     def _estimate_remote_load(self, identity: str, survival: float) -> float:
         """Return the expected number of requests of the other hosts at a server."""
@@ -205,6 +224,7 @@
         remote: The expected requests of the other hosts at the server.
         stats: The statistics of its service.
     """
-    load = max(remote, stats.mean_remote_load)
+    mean = stats.mean_remote_load
+    load = remote if remote > mean else mean
     variance = (1 - stats.survival**2) * load
     return LIMIT_MARGIN_SIGMAS * math.sqrt(variance)
--- a/oleanderpier/routing/requirements.py
+++ b/oleanderpier/routing/requirements.py
@@ -41,7 +41,10 @@
     @property
     def total_tokens(self) -> int:
         """The tokens of the whole prompt, at least the shared ones."""
-        return max(self.prompt_tokens, self.shared_tokens)
+        shared_tokens = self.shared_tokens
+        if self.prompt_tokens > shared_tokens:
+            return self.prompt_tokens
+        return shared_tokens
 
 
 class Choice(NamedTuple):
--- a/oleanderpier/routing/server_loads.py
+++ b/oleanderpier/routing/server_loads.py
@@ -126,8 +126,11 @@
         The speed of a machine changes once in ``SPEED_LIFETIME_S``. The older a
         statement is, the less likely it still holds, and the closer the result is to 1.
         """
-        heard = self.get(server)
-        if heard is None or heard.load.slow_factor is None:
+        heard = self._heard.get(server.identity)
+        if heard is None or heard.born_ms != server.born_ms:
+            return 1.0
+        slow_factor = heard.load.slow_factor
+        validity = 1.0 - (now_s - heard.heard_s) / SPEED_LIFETIME_S
+        if slow_factor is None or validity <= 0.0:
             return 1.0
-        validity = max(0.0, 1.0 - (now_s - heard.heard_s) / SPEED_LIFETIME_S)
-        return 1.0 + (heard.load.slow_factor - 1.0) * validity
+        return 1.0 + (slow_factor - 1.0) * validity
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -201,6 +201,10 @@
             return servers
         return [server for server in servers if self.get_limit(server) is None]
 
+    def has_limits(self) -> bool:
+        """Return whether a server names a limit, or named one a moment ago."""
+        return bool(self._limits)
+
     def get_shortest_wait_s(
         self, servers: Iterable[ServerEntry], now_s: float
     ) -> float | None:
