Compare a server's failures with what is usual in its service

While all engines failed 45% of their requests for 4 s, prompts left the servers that had them cached, and operators paid for copies and for tokens that were read again. `FAILURE_PENALTY` compared each server with the one with the lowest failure rate. The moving averages differ by chance, and the difference to the luckiest server alone put holders over the load limit.

In uneven services the comparison is with the lower median of the failure rates plus two standard deviations of a moving average at that rate. The deviation is derived from the median, since one failing server among few would widen a measured one enough to hide itself.

A server that fails half of its requests while the others fail none is avoided as before.

--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -15,6 +15,7 @@
 from statistics import NormalDist
 from typing import NamedTuple, Protocol
 
+from oleanderpier.routing.failure_rates import compute_usual_failure_rate
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.residence import ResidenceTimes
@@ -66,8 +67,11 @@
         survival: Probability that a reported request of another host is still in
             flight: 1 if loads are known exactly, near 0 if they are older than
             requests take.
-        min_failure_rate: The lowest failure rate of a server, 0 to 1.
+        tolerated_failure_rate: The failure rate up to which a server has no penalty,
+            0 to 1: in services of uneven speed what is usual among the servers,
+            elsewhere the lowest rate of a server.
         has_limits: Whether a server of the service names a limit.
+        is_uneven: Whether the servers may differ in speed.
         computed_s: When they were computed, on the monotonic clock.
     """
 
@@ -75,8 +79,9 @@
     mean_remote_load: float
     load_limit: float
     survival: float
-    min_failure_rate: float
+    tolerated_failure_rate: float
     has_limits: bool
+    is_uneven: bool
     computed_s: float
 
 
@@ -148,16 +153,23 @@
             remote += self._estimate_remote_load(entry.identity, survival)
             own += self.in_flight[entry.identity]
         mean = (remote + own) / len(counted)
-        failure_rates = (
+        failure_rates = [
             self._health.get_failure_rate(entry.identity) for entry in servers
+        ]
+        is_uneven = statements.loads.is_uneven(service)
+        tolerated = (
+            compute_usual_failure_rate(failure_rates)
+            if is_uneven
+            else min(failure_rates)
         )
         return ServiceStats(
             mean,
             remote / len(counted),
             self._load_limit_factor * mean + LOAD_LIMIT_OFFSET,
             survival,
-            min(failure_rates),
+            tolerated,
             has_limits,
+            is_uneven,
             self._timers.now(),
         )
 
@@ -183,7 +195,11 @@
     def _add_own_load(self, identity: str, remote: float, stats: ServiceStats) -> float:
         """Return the load with this host's requests, and the penalty for failures."""
         failure_rate = self._health.get_failure_rate(identity)
-        penalty = FAILURE_PENALTY * (failure_rate - stats.min_failure_rate)
+        excess = failure_rate - stats.tolerated_failure_rate
+        if stats.is_uneven and excess < 0.0:
+            # Half of the servers are below what is usual, which is no merit.
+            excess = 0.0
+        penalty = FAILURE_PENALTY * excess
         return self.in_flight[identity] + remote + penalty
 
     def _estimate_remote_load(self, identity: str, survival: float) -> float:
