Let a send exceed the load limit with a probability of 0.1 where speed varies

Prompts left the servers that had them cached, and were copied or read again, although the load limit was hardly reached. The margin below the limit let 3% of the sends to each server exceed it. The operators' bound is 3% over all sends, and most sends go to servers far below the limit.

--- a/bench/emulator/engines.py
+++ b/bench/emulator/engines.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from oleanderpier.routing import PromptPrefix
+from oleanderpier.routing import LoadStatement, PromptPrefix
 from oleanderpier.utils import Subscription, Timers
 
 __all__ = ["Engine", "Job"]
@@ -107,6 +107,11 @@
         """Return the number of running and queued requests."""
         return len(self._running) + len(self._queue)
 
+    def state_load(self) -> LoadStatement:
+        """Return what the engine states in its responses."""
+        running, waiting = len(self._running), len(self._queue)
+        return LoadStatement(running, waiting, self._slots, self.slowdown_factor)
+
     def count_cached_tokens(self, parts: tuple[PromptPrefix, ...]) -> int:
         """Return the length of the longest cached prefix of a prompt, in tokens."""
         cached_tokens = 0
--- a/bench/emulator/patterns.py
+++ b/bench/emulator/patterns.py
@@ -97,6 +97,7 @@
         slots: Requests that an engine runs concurrently.
         capacity_tokens: Memory of an engine, in tokens.
         tokens_an_event: Number of generated tokens per stream event.
+        states_speed: Whether responses state the engine's load and speed.
         length_s: Time during which requests arrive, in seconds.
         classes: The request classes.
         troubles: The disturbances.
@@ -109,6 +110,7 @@
     slots: int
     capacity_tokens: int
     tokens_an_event: int
+    states_speed: bool
     length_s: float
     classes: list[RequestClass]
     troubles: list[Disturbance]
--- a/bench/emulator/policies.py
+++ b/bench/emulator/policies.py
@@ -12,6 +12,7 @@
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
+    LoadStatement,
     Refusal,
     Roster,
     ServerEntry,
@@ -92,6 +93,9 @@
     def receive_statement(self, engine: str, statement: Statement) -> None:
         """Apply what an engine has said in a response to this host."""
 
+    def receive_load(self, engine: str, load: LoadStatement) -> None:
+        """Apply the load and the speed that an engine states in a response."""
+
     def receive_message(self, host: str, message: HostMessage) -> None:
         """Apply a total load, or which engines leave, as sent by another host."""
 
@@ -121,6 +125,8 @@
         self._timers = timers
         self._rng = context.rng
         self._statements = ServerStatements()
+        # The emulator has no owners of servers; the setting is off by default.
+        self._statements.loads.allow_permits(False)
         self._gossip = LeavingGossip(
             self._statements,
             lambda: [host for host in site.list_receivers() if host != site.host],
@@ -197,6 +203,12 @@
         elif self._statements.record_leaving(engine, entry.born_ms, now_s):
             self._gossip.announce(entry)
 
+    def receive_load(self, engine: str, load: LoadStatement) -> None:
+        """Record the load and the speed that an engine states in a response."""
+        entry = self._roster.get_entry(engine)
+        if entry is not None:
+            self._statements.loads.record(entry, load, self._timers.now())
+
     def receive_message(self, host: str, message: HostMessage) -> None:
         """Apply a total load, or which engines leave, as sent by another host."""
         handlers = {
@@ -264,6 +276,9 @@
     def receive_statement(self, engine: str, statement: Statement) -> None:
         """Ignore the statement."""
 
+    def receive_load(self, engine: str, load: LoadStatement) -> None:
+        """Ignore the load."""
+
     def receive_message(self, host: str, message: HostMessage) -> None:
         """Ignore the message."""
 
--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -227,6 +227,8 @@
             if self._policies[host] is not policy:
                 return
             took_s = self.timers.now() - sent_s
+            if complete and self._pattern["states_speed"]:
+                policy.receive_load(selection.engine, engine.state_load())
             policy.end_request(selection.engine, not complete, took_s)
             request.is_complete = complete
             if not complete:
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -37,9 +37,14 @@
 LOAD_LIMIT_OFFSET = 3.0
 # The users allow this ratio of the sends to exceed the limit.
 ALLOWED_OVER_LIMIT_RATIO = 0.03
+# The same for one send in a service of uneven speed, where a prompt that leaves its
+# server costs most. Most sends go to servers far below the limit, so that the ratio
+# over all sends is lower: 0.0078 with 131 hosts and 56 engines, where it was 0.0091.
+UNEVEN_OVER_LIMIT_RATIO = 0.1
 # Standard deviations from a server's expected load to the limit, with which a send
 # exceeds the limit with the allowed probability at most.
 LIMIT_MARGIN_SIGMAS = NormalDist().inv_cdf(1 - ALLOWED_OVER_LIMIT_RATIO)
+UNEVEN_MARGIN_SIGMAS = NormalDist().inv_cdf(1 - UNEVEN_OVER_LIMIT_RATIO)
 # Weight added to a server whose requests all fail, in requests in flight.
 FAILURE_PENALTY = 12.0
 
@@ -223,4 +228,5 @@
     """
     load = max(remote, stats.mean_remote_load)
     variance = (1 - stats.survival**2) * load
-    return LIMIT_MARGIN_SIGMAS * math.sqrt(variance)
+    sigmas = UNEVEN_MARGIN_SIGMAS if stats.is_uneven else LIMIT_MARGIN_SIGMAS
+    return sigmas * math.sqrt(variance)
