Choose servers that are reading no long prompt

Callers saw short prompts miss their latency targets beside long ones: an engine reads a long prompt (11,812 tokens: 105 to 139 ms, up to four times that on a slow machine) between the tokens of its other requests, and two at a time delay each other. The cause is that the choice of a server knew neither the prompts that servers are reading nor, for services that are not under permits, the tokens that a request leaves uncached.

Services that are uneven now prefer servers that read no long prompt and are not slow, among servers that are equally good otherwise. A short prompt leaves its only holder if that takes a third of its target, and a long uncached prompt goes to the first of three servers in its hash order that reads none. Other services are chosen from as before.

--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -16,6 +16,8 @@
 from oleanderpier.routing.load_model import *  # noqa: F403
 from oleanderpier.routing.permit_records import *  # noqa: F403
 from oleanderpier.routing.poison import *  # noqa: F403
+from oleanderpier.routing.prefill_choice import *  # noqa: F403
+from oleanderpier.routing.prefills import *  # noqa: F403
 from oleanderpier.routing.rate_limits import *  # noqa: F403
 from oleanderpier.routing.records import *  # noqa: F403
 from oleanderpier.routing.refusals import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -35,7 +35,6 @@
     Restrictions,
 )
 from oleanderpier.routing.evacuations import Evacuations
-from oleanderpier.routing.hash_order import score_server
 from oleanderpier.routing.health import ServerHealth
 from oleanderpier.routing.load_model import (
     DEFAULT_LOAD_LIMIT_FACTOR,
@@ -43,6 +42,7 @@
     RemoteLoads,
     ServiceStats,
 )
+from oleanderpier.routing.prefill_choice import PrefillChoice, Replacement
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.requirements import Choice, ServerQuery
 from oleanderpier.routing.roster import Roster
@@ -60,7 +60,6 @@
 # itself loses time, but the engine time that the copy saves goes to other requests.
 MIN_COPIED_TOKENS = 100
 
-
 # The statistics of a service are computed again after STATS_LIFETIME_S, or sooner,
 # after as many choices as STATS_CHOICES_RATIO times its servers: until then the mean
 # load changes by less than one request.
@@ -88,6 +87,7 @@
     Attributes:
         in_flight: This host's requests in flight, by server id.
         costs: Chooses the servers of services under permits.
+        prefill_choice: Prefers servers that are reading no long prompt.
     """
 
     def __init__(
@@ -136,6 +136,9 @@
             rng,
             timers,
         )
+        self.prefill_choice = PrefillChoice(
+            self._statements, caches, self.costs.prefill_times, timers
+        )
 
     def begin_request(self, query: ServerQuery, identity: str) -> None:
         """Record that a request is sent to a server."""
@@ -186,6 +189,7 @@
             server_state_age_s=self._timers.now() - state_since_s,
             limit=self._statements.get_limit(choice.server),
             evacuated=self._find_evacuated_holder(query),
+            uncached_tokens=self.prefill_choice.count_uncached(query, choice),
         )
 
     def has_left(self, server: ServerEntry) -> bool:
@@ -256,7 +260,8 @@
             choice = self._choose_holder_by_stats(query, excluded)
             if choice is not None:
                 return choice
-        excludes_full = not avoided and self._names_limit(query.service)
+        registered = self._roster.list_registered(query.service)
+        excludes_full = not avoided and self._statements.has_limited(registered)
         restrictions = Restrictions(excluded, excludes_full, query.regions)
         if under_permits:
             choice = self.costs.choose(query, avoided, restrictions)
@@ -283,11 +288,6 @@
         reason = "least_loaded" if healthy else "last_resort"
         return self._make_choice(server, reason, stats)
 
-    def _names_limit(self, service: str) -> bool:
-        """Return whether a server of a service names a limit."""
-        registered = self._roster.list_registered(service)
-        return len(self._statements.list_unlimited(registered)) < len(registered)
-
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
         return self._model.count_in_flight(identity)
@@ -340,18 +340,23 @@
         if self._stats_choices_left[query.service] <= 0:
             return None
         restrictions = Restrictions(excluded, stats.has_limits, query.regions)
-        holders = [
-            entry
-            for entry in self._list_holders(query)
-            if self._eligibility.find_reason(entry, restrictions) is None
-        ]
+        holders = self._eligibility.list_allowed(
+            self._list_holders(query), restrictions
+        )
         weights = self._compute_weights(holders, stats)
         below_limit = self._list_below_limit(holders, weights, stats)
         if not below_limit:
             return None
+        holder = self._pick_by_headroom(below_limit, weights, stats)
+        usable = self._roster.list_usable(query.service)
+        chosen = self.prefill_choice.replace_holder(query, holder, usable)
+        if chosen.left is not None:
+            others = self._eligibility.list_allowed([chosen.server], restrictions)
+            weights = self._compute_weights(others, stats)
+            if not self._list_below_limit(others, weights, stats):
+                return None
         self._stats_choices_left[query.service] -= 1
-        server = self._pick_by_headroom(below_limit, weights, stats)
-        return self._make_choice(server, "cached", stats)
+        return self._make_choice_by_prefix(query, chosen, stats)
 
     def _choose_by_prefix(
         self,
@@ -371,12 +376,22 @@
         holder_ids = set(self._caches.list_holders(query.cache_key))
         holders = [entry for entry in below_limit if entry.identity in holder_ids]
         if holders:
-            server = self._pick_by_headroom(holders, weights, stats)
+            holder = self._pick_by_headroom(holders, weights, stats)
+            chosen = self.prefill_choice.replace_holder(query, holder, below_limit)
+        else:
+            chosen = self.prefill_choice.pick_hashed(query, below_limit)
+        return self._make_choice_by_prefix(query, chosen, stats)
+
+    def _make_choice_by_prefix(
+        self, query: ServerQuery, chosen: Replacement, stats: ServiceStats
+    ) -> Choice:
+        key, server = query.cache_key, chosen.server
+        if self._caches.holds(key, server.identity):
             return self._make_choice(server, "cached", stats)
-        server = _pick_by_hash(query.cache_key, below_limit)
-        reason = "spilled" if holder_ids else "hashed"
+        reason = "spilled" if self._caches.list_holders(key) else "hashed"
         copy_source = self._find_copy_source(query, server)
-        return self._make_choice(server, reason, stats, copy_source)
+        choice = self._make_choice(server, reason, stats, copy_source)
+        return choice._replace(left=chosen.left)
 
     def _find_copy_source(
         self, query: ServerQuery, server: ServerEntry
@@ -446,6 +461,7 @@
         server's rate changes less than its load does, so that the loads do not
         oscillate, however old they are. All servers must be below the limit.
         """
+        servers = self.prefill_choice.list_idle(servers)
         if len(servers) == 1:
             return servers[0]
         headrooms = [stats.load_limit - weights[entry.identity] for entry in servers]
@@ -468,17 +484,14 @@
             for entry in servers
         }
         least = min(order.values())
+        prefer = self.prefill_choice.list_soonest
         if stats.survival == 1.0:
-            return self._rng.choice([e for e in servers if order[e.identity] == least])
+            equal = [entry for entry in servers if order[entry.identity] == least]
+            return self._rng.choice(prefer(equal))
         below_limit = [
             entry for entry in servers if order[entry.identity] + 1 <= stats.load_limit
         ]
         if below_limit:
-            return self._pick_by_headroom(below_limit, order, stats)
+            return self._pick_by_headroom(prefer(below_limit), order, stats)
         shares = [1 / (1 + order[entry.identity] - least) for entry in servers]
         return self._rng.choices(servers, shares)[0]
-
-
-def _pick_by_hash(key: str, servers: list[ServerEntry]) -> ServerEntry:
-    """Return the first server in the rendezvous-hash order of a key."""
-    return min(servers, key=lambda entry: score_server(key, entry.identity))
--- a/oleanderpier/routing/cost_choice.py
+++ b/oleanderpier/routing/cost_choice.py
@@ -240,7 +240,8 @@
         """
         heard = self._statements.loads.get(choice.server)
         is_alike = heard is not None and not heard.load.waiting
-        if choice.cost is None or choice.copy_source is not None or not is_alike:
+        is_uneven = self._statements.loads.is_uneven(choice.server.service)
+        if not is_uneven or choice.copy_source is not None or not is_alike:
             return
         self.prefill_times.record(
             choice.server.service,
--- a/oleanderpier/routing/hash_order.py
+++ b/oleanderpier/routing/hash_order.py
@@ -1,12 +1,22 @@
 """The rendezvous-hash order of servers, in which all hosts choose alike."""
 
 import heapq
+from collections.abc import Iterator
 
 import xxhash
 
 from oleanderpier.routing.records import ServerEntry
 
-__all__ = ["list_first", "score_server"]
+__all__ = ["iterate_first", "list_first", "score_server"]
+
+# Above every score.
+MAX_SCORE = 2**64
+# Servers whose encoded ids are kept.
+MAX_SUFFIXES = 4096
+
+
+# The encoded ids of servers, since encoding them takes as long as hashing them.
+_suffixes: dict[str, bytes] = {}
 
 
 def score_server(key: str, identity: str) -> int:
@@ -25,3 +35,31 @@
         for entry in servers
     ]
     return [identity for _, identity in heapq.nsmallest(count, scores)]
+
+
+def iterate_first(
+    key: str, servers: list[ServerEntry], count: int
+) -> Iterator[ServerEntry]:
+    """Yield the first servers in the order of a key, each found when it is asked for.
+
+    It has the order of ``score_server``. The first one is usually enough.
+    """
+    prefix, suffixes = key.encode(), _suffixes
+    try:
+        texts = [prefix + suffixes[entry.identity] for entry in servers]
+    except KeyError:
+        _add_suffixes(servers)
+        texts = [prefix + suffixes[entry.identity] for entry in servers]
+    scores = list(map(xxhash.xxh3_64_intdigest, texts))
+    for _ in range(min(count, len(scores))):
+        index = scores.index(min(scores))
+        scores[index] = MAX_SCORE
+        yield servers[index]
+
+
+def _add_suffixes(servers: list[ServerEntry]) -> None:
+    """Encode the ids of servers, and drop the others if there are too many."""
+    if len(_suffixes) + len(servers) > MAX_SUFFIXES:
+        _suffixes.clear()
+    for entry in servers:
+        _suffixes[entry.identity] = f"|{entry.identity}".encode()
--- a/oleanderpier/routing/requirements.py
+++ b/oleanderpier/routing/requirements.py
@@ -9,7 +9,7 @@
 from oleanderpier.routing.roster import RegistrationChange
 from oleanderpier.routing.statements import LimitStatement
 
-__all__ = ["Choice", "ServerQuery"]
+__all__ = ["Choice", "LeftServer", "ServerQuery"]
 
 
 class ServerQuery(NamedTuple):
@@ -21,12 +21,14 @@
             shortest to the longest; empty if there are none.
         regions: The only regions that it may reach, None if all.
         prompt_tokens: The tokens of its whole prompt, 0 if unknown.
+        target_s: Its latency target in seconds, 0 if unknown.
     """
 
     service: str
     prefixes: tuple[PromptPrefix, ...] = ()
     regions: frozenset[str] | None = None
     prompt_tokens: int = 0
+    target_s: float = 0.0
 
     @property
     def cache_key(self) -> str:
@@ -44,6 +46,22 @@
         return max(self.prompt_tokens, self.shared_tokens)
 
 
+class LeftServer(NamedTuple):
+    """A server that a request would have had, if it were not slow or reading a prompt.
+
+    Attributes:
+        server: The server.
+        remaining_s: For how long it is expected to read long prompts, 0 if it does not.
+        slow_factor: How long work takes on it, as a multiple of the usual time.
+        age_s: Seconds since this host learned of the prompts, or of the speed.
+    """
+
+    server: ServerEntry
+    remaining_s: float
+    slow_factor: float
+    age_s: float
+
+
 class Choice(NamedTuple):
     """The server that was chosen, and the reason for the log.
 
@@ -68,8 +86,11 @@
         evacuated: A server that has the longest shared prefix cached, and is left out
             because its failure domain is evacuated; None if there is none.
         uncached_tokens: The tokens of the prompt that the server has neither cached nor
-            copies; 0 if the service is not under permits.
-        cost: What the request costs at the server; None likewise.
+            copies; 0 if the service is neither uneven nor under permits.
+        cost: What the request costs at the server; None if the service is not under
+            permits.
+        left: The server that it leaves because of a long prompt there, or because the
+            server is slow; None if there is none.
     """
 
     server: ServerEntry
@@ -86,3 +107,4 @@
     evacuated: EvacuatedServer | None = None
     uncached_tokens: int = 0
     cost: ServerCost | None = None
+    left: LeftServer | None = None
--- a/oleanderpier/routing/statements.py
+++ b/oleanderpier/routing/statements.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from oleanderpier.routing.prefills import Prefills
 from oleanderpier.routing.records import ServerEntry
 from oleanderpier.routing.server_loads import ServerLoads
 
@@ -83,6 +84,7 @@
 
     Attributes:
         loads: What the servers have stated about their load.
+        prefills: The long prompts that they are reading, by what hosts have sent.
 
     Examples:
         >>> server = ServerEntry("s1", "engine", "10.0.0.7:80", "duluth", False, 5)
@@ -97,6 +99,7 @@
 
     def __init__(self) -> None:
         self.loads = ServerLoads()
+        self.prefills = Prefills()
         self._leaving: dict[str, LeavingStatement] = {}
         self._waits: dict[str, WaitStatement] = {}
         self._limits: dict[str, LimitStatement] = {}
@@ -163,6 +166,7 @@
         """
         self._slots.pop(identity, None)
         self.loads.remove_server(identity)
+        self.prefills.remove_server(identity)
         for statements in (self._leaving, self._waits, self._limits):
             known = statements.get(identity)
             if known is not None and not known.born_ms:
@@ -201,6 +205,10 @@
             return servers
         return [server for server in servers if self.get_limit(server) is None]
 
+    def has_limited(self, servers: list[ServerEntry]) -> bool:
+        """Return whether one of several servers names a limit."""
+        return len(self.list_unlimited(servers)) < len(servers)
+
     def get_shortest_wait_s(
         self, servers: Iterable[ServerEntry], now_s: float
     ) -> float | None:
