Tell all hosts of long prompts and of slow servers

Callers saw short prompts wait behind long ones that another host had just sent, and prompts read on servers that other hosts knew to be slow. The cause is that a host knew neither the prompts that others send nor the speeds that are stated to others: loads are reported up to 50 ms later and count requests, and a speed holds for 0.6 s.

A host that sends 4,000 or more uncached tokens now tells the other ready hosts at once (message 147), and one that reads a speed of 150 or more, or less than 125 after that, does so unless they know it (148). Both are bounded to 10 a second, and go only to hosts that announce feature:prefill_notices, which a host does while it knows an uneven service. A request that leaves a server logs routing:prefill, which oleanderpier trace explains.

--- a/oleanderpier/cli/decisions.py
+++ b/oleanderpier/cli/decisions.py
@@ -68,6 +68,15 @@
     return f"held back from {server}, which is cold for {line.get('wait_s')} s more"
 
 
+def _describe_prefill(line: LogLine) -> str:
+    server, other = _get_text(line, "server"), line.get("to") or "another server"
+    if line.get("reason") == "slow":
+        reason = f"work takes {line.get('slow_factor')} times as long as usual there"
+    else:
+        reason = f"long prompts are read there for {line.get('remaining_s')} s more"
+    return f"moved from {server} to {other}, since {reason}"
+
+
 def _describe_inputs(line: LogLine) -> str:
     """Return the load that was known, and the age of what was known."""
     in_flight, age_s = line.get("in_flight"), line.get("age_s")
@@ -97,4 +106,5 @@
     "permits:refused": _describe_permit_refusal,
     "routing:evacuated": _describe_evacuation,
     "routing:cold": _describe_cold,
+    "routing:prefill": _describe_prefill,
 }
--- a/oleanderpier/cli/tests/test_trace.py
+++ b/oleanderpier/cli/tests/test_trace.py
@@ -127,6 +127,35 @@
         output = run_command("trace", "r", text=text).output
         self.assertIn("decision: moved from i-1", output)
 
+    def test_long_prompts_are_explained(self):
+        """A request is moved because of them, or because a server is slow."""
+        text = "\n".join(
+            make_line(
+                time,
+                "h1",
+                "routing:prefill",
+                request="r",
+                server="i-1",
+                to="i-2",
+                decision="moved",
+                reason=reason,
+                remaining_s=0.2,
+                slow_factor=2.5,
+                age_s=0.01,
+            )
+            for time, reason in ((1.0, "prefill"), (2.0, "slow"))
+        )
+        trace = json.loads(run_command("trace", "r", "--json", text=text).output)
+        self.assertEqual(
+            [
+                "moved from i-1 to i-2, since long prompts are read there for 0.2 s "
+                "more (as known 0.01 s before)",
+                "moved from i-1 to i-2, since work takes 2.5 times as long as usual "
+                "there (as known 0.01 s before)",
+            ],
+            trace["decisions"],
+        )
+
     def test_summary_counts_decisions(self):
         """A request counts once for each kind of decision on its host."""
         end = {"code": 0, "name": "DONE", "status": 200}
--- a/oleanderpier/entry/exchange.py
+++ b/oleanderpier/entry/exchange.py
@@ -8,13 +8,16 @@
 from oleanderpier.entry.limit_gossip import LimitGossip
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.permit_owner import PermitOwner
+from oleanderpier.entry.prefill_notices import PrefillNotices
 from oleanderpier.entry.send_limits import SendLimits
 from oleanderpier.entry.server_owners import ServerOwners
 from oleanderpier.entry.server_permits import PermitRequests
+from oleanderpier.entry.speed_notices import SpeedNotices
 from oleanderpier.fleet import (
     CRASHES_FEATURE,
     LEAVING_FEATURE,
     LIMITS_FEATURE,
+    NOTICES_FEATURE,
     PERMITS_FEATURE,
     REQUEST_KEYS_FEATURE,
     CrashNews,
@@ -24,9 +27,11 @@
     LimitQuery,
     LimitReply,
     PrefillEnd,
+    PrefillNotice,
     ServerPermitQuery,
     ServerPermitRelease,
     ServerPermitReply,
+    SpeedNotice,
 )
 from oleanderpier.peers import Mesh
 from oleanderpier.routing import (
@@ -57,6 +62,8 @@
         get_cold_rate: Returns the requests per second that a server takes while it is
             cold, None if it is not.
         metrics: The metrics of this host.
+        estimate_prefill_s: Returns how long a server takes to read some tokens.
+        find_server: Returns the registration of a server, None if it is unknown.
 
     Attributes:
         statements: What the servers have said.
@@ -67,6 +74,8 @@
         permit_owner: Grants the permits of the servers that this host owns.
         poison: The parts of prompts that crash servers.
         crash_gossip: Exchanges crashes and what is known of their causes.
+        prefills: Exchanges the long prompts that servers are reading.
+        speeds: Exchanges the speeds of servers.
     """
 
     def __init__(
@@ -80,6 +89,8 @@
         count_in_flight: Callable[[str], int],
         get_cold_rate: Callable[[ServerEntry], ColdRate | None],
         metrics: EntryMetrics,
+        estimate_prefill_s: Callable[[ServerEntry, int], float],
+        find_server: Callable[[str], ServerEntry | None],
     ) -> None:
         self._mesh = mesh
         self._view = view
@@ -135,6 +146,24 @@
             mesh,
         )
 
+        self.prefills = PrefillNotices(
+            self.statements.prefills,
+            estimate_prefill_s,
+            find_server,
+            self._list_notice_receivers,
+            timers,
+            mesh,
+            metrics,
+        )
+        self.speeds = SpeedNotices(
+            self.statements.loads,
+            find_server,
+            self._list_notice_receivers,
+            timers,
+            mesh,
+            metrics,
+        )
+
     def subscribe(self) -> None:
         """Take the messages of the other hosts."""
         self._mesh.subscribe(LeavingServers, self.leaving.receive)
@@ -148,6 +177,8 @@
         self._view.subscribe_silent(self.permit_owner.remove_host)
         self._view.subscribe_silent(self.permits.remove_host)
         self._mesh.subscribe(CrashNews, self.crash_gossip.receive)
+        self._mesh.subscribe(PrefillNotice, self.prefills.receive)
+        self._mesh.subscribe(SpeedNotice, self.speeds.receive)
 
     def is_tester(self, key: str) -> bool:
         """Return whether this is the host that tries a quarantined key."""
@@ -161,6 +192,12 @@
         for part in (self.leaving, self.limits, self.crash_gossip):
             part.send_all(newcomer)
 
+    def _list_notice_receivers(self) -> list[str]:
+        """Return the other ready hosts that take notices of prompts and speeds."""
+        own = self._mesh.host
+        hosts = _keep_supporting(NOTICES_FEATURE, self._list_ready(), own, self._view)
+        return [host for host in hosts if host != own]
+
 
 def _keep_supporting(
     feature: str, hosts: list[str], own: str, view: FleetView
--- a/oleanderpier/entry/metrics.py
+++ b/oleanderpier/entry/metrics.py
@@ -1,6 +1,7 @@
 """The metrics of an entry host."""
 
 from collections.abc import Callable
+from enum import Enum
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
@@ -8,7 +9,7 @@
 from oleanderpier.results import Code
 from oleanderpier.routing import AttemptOutcome, PermitOutcome, RequestKind
 
-__all__ = ["EntryMetrics"]
+__all__ = ["EntryMetrics", "NoticeEvent", "NoticeKind"]
 
 # Upper bounds of buckets, finer around the latency targets, 0.125 to 1.5 s, and up
 # to the longest deadline, 16 s.
@@ -21,6 +22,32 @@
 PERMIT_BUCKETS_S = (0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6)
 
 
+class NoticeKind(Enum):
+    """What a notice to all hosts is about.
+
+    Attributes:
+        PREFILL: A long prompt that a server is sent.
+        SPEED: The speed of a server.
+    """
+
+    PREFILL = "prefill"
+    SPEED = "speed"
+
+
+class NoticeEvent(Enum):
+    """What became of a notice.
+
+    Attributes:
+        SENT: This host has sent it.
+        RECEIVED: This host has received it.
+        OMITTED: This host has not sent it, since it has just sent many others.
+    """
+
+    SENT = "sent"
+    RECEIVED = "received"
+    OMITTED = "omitted"
+
+
 class EntryMetrics:
     """The counters, histograms and gauges of an entry host.
 
@@ -64,10 +91,16 @@
         )
         self._held_back = Counter(
             "oleanderpier_requests_held_back",
-            "Requests that did not reach a server that is evacuated or cold.",
+            "Requests kept from a server that is evacuated, cold or reading prompts.",
             ["reason", "decision"],
             registry=self.registry,
         )
+        self._notices = Counter(
+            "oleanderpier_notices",
+            "Notices of long prompts and of servers' speeds, by what became of them.",
+            ["kind", "event"],
+            registry=self.registry,
+        )
         self._platform_s = Histogram(
             "oleanderpier_platform_call_seconds",
             "Calls to the platform, by key space and whether it answered.",
@@ -145,11 +178,15 @@
         """Record that a request did not reach a server.
 
         Args:
-            reason: ``evacuated`` or ``cold``.
+            reason: ``evacuated``, ``cold``, ``prefill`` or ``slow``.
             decision: ``moved``, ``refused`` or ``held_back``.
         """
         self._held_back.labels(reason, decision).inc()
 
+    def record_notice(self, kind: NoticeKind, event: NoticeEvent) -> None:
+        """Record a notice to all hosts, or one of another host."""
+        self._notices.labels(kind.value, event.value).inc()
+
     def record_platform_call(self, space: str, answered: bool, took_s: float) -> None:
         """Record a call to the platform and its duration in seconds."""
         self._platform_s.labels(space, str(answered).lower()).observe(took_s)
--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -12,7 +12,7 @@
 from oleanderpier.entry.draining import ADDRESS_TTL_S, Drain
 from oleanderpier.entry.encoding import outlasts_server, outlasts_table
 from oleanderpier.entry.exchange import ServerExchange
-from oleanderpier.entry.features import FEATURES
+from oleanderpier.entry.features import list_features
 from oleanderpier.entry.gauges import list_gauges
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
@@ -190,6 +190,8 @@
             lambda identity: self.chooser.count_in_flight(identity),
             self.cold_servers.get_rate,
             self.metrics,
+            lambda *read: self.chooser.prefill_choice.estimate_s(*read),
+            self.roster.get_entry,
         )
         self.budget = RetryBudget(self.settings.budget, timers, self.view.count_hosts)
         self.chooser = Chooser(
@@ -271,6 +273,7 @@
                 self._rng,
                 exchange.leaving.announce,
                 exchange.limits.announce,
+                exchange.speeds.announce,
             ).record,
             CrashGuard(
                 exchange.poison,
@@ -287,6 +290,7 @@
             self.cold_servers,
             exchange.permits,
             self.settings.caller_bounds.received_bytes,
+            exchange.prefills.announce,
         )
         await self.mesh.listen(*split_address(self.settings.peer_address))
         self.members.start()
@@ -450,7 +454,7 @@
             **self.sync.summarize(),
             **self.outages.summarize(),
             **self.values.summarize(),
-            **FEATURES,
+            **list_features(self.exchange.statements.loads.has_uneven()),
         }
 
     def _handle_report(self, host: str, report: HostReport) -> None:
--- a/oleanderpier/fleet/messages.py
+++ b/oleanderpier/fleet/messages.py
@@ -10,6 +10,7 @@
     "DOMAIN_LOADS_FEATURE",
     "LEAVING_FEATURE",
     "LIMITS_FEATURE",
+    "NOTICES_FEATURE",
     "PERMITS_FEATURE",
     "REQUEST_KEYS_FEATURE",
     "CachePlacements",
@@ -21,6 +22,7 @@
     "LimitReply",
     "LimitedServers",
     "PrefillEnd",
+    "PrefillNotice",
     "ReportedCrash",
     "ReportedLimit",
     "ReportedQuarantine",
@@ -28,6 +30,7 @@
     "ServerPermitRelease",
     "ServerPermitReply",
     "ServerUse",
+    "SpeedNotice",
     "merge_reports",
 ]
 
@@ -61,6 +64,9 @@
 LIMITS_FEATURE = "feature:server_limits"
 # The same for ``ServerPermitQuery``, ``ServerPermitRelease`` and ``PrefillEnd``.
 PERMITS_FEATURE = "feature:server_permits"
+# The same for ``PrefillNotice`` and ``SpeedNotice``. It is announced only while a
+# service is known to be uneven.
+NOTICES_FEATURE = "feature:prefill_notices"
 
 
 @register_message(135)
@@ -315,6 +321,40 @@
     number: int
 
 
+@register_message(147)
+class PrefillNotice(NamedTuple):
+    """Says that a host sends a long prompt to a server now, which reads it.
+
+    Attributes:
+        identity: The server's id.
+        born_ms: The start of the server's run, in Unix milliseconds, 0 if unknown.
+        tokens: The tokens of the prompt that the server has not cached.
+        expected_s: How long it is expected to read them, if it reads no other prompt.
+    """
+
+    identity: str
+    born_ms: int
+    tokens: int
+    expected_s: float
+
+
+@register_message(148)
+class SpeedNotice(NamedTuple):
+    """Says how long work takes on a server.
+
+    Attributes:
+        identity: The server's id.
+        born_ms: The start of the server's run, in Unix milliseconds, 0 if unknown.
+        slow_factor: How long it takes, as a multiple of the usual time.
+        age_s: The seconds since the server said so.
+    """
+
+    identity: str
+    born_ms: int
+    slow_factor: float
+    age_s: float
+
+
 _NO_USE = ServerUse(0, 0, 0)
 
 
--- a/oleanderpier/forwarding/decisions.py
+++ b/oleanderpier/forwarding/decisions.py
@@ -5,7 +5,7 @@
 from oleanderpier.forwarding.resources import ForwardingResources
 from oleanderpier.routing import Choice, EvacuatedServer, ServerEntry
 
-__all__ = ["log_cold", "log_evacuated", "record_cold"]
+__all__ = ["log_cold", "log_evacuated", "record_cold", "record_left"]
 
 
 def log_evacuated(
@@ -82,3 +82,28 @@
         choice.load,
         choice.server_state_age_s,
     )
+
+
+def record_left(resources: ForwardingResources, request: str, choice: Choice) -> None:
+    """Record that a request leaves a server that is slow or reading a long prompt.
+
+    Args:
+        resources: What all requests of this host share.
+        request: The request's id.
+        choice: The choice of another server.
+    """
+    left = choice.left
+    reason = "prefill" if left.remaining_s else "slow"
+    resources.on_held_back(reason, "moved")
+    log_message(
+        "routing:prefill",
+        request=request,
+        server=left.server.identity,
+        decision="moved",
+        reason=reason,
+        to=choice.server.identity,
+        remaining_s=round(left.remaining_s, 3),
+        slow_factor=round(left.slow_factor, 2),
+        uncached_tokens=choice.uncached_tokens,
+        age_s=round(left.age_s, 3),
+    )
--- a/oleanderpier/forwarding/request_forwarding.py
+++ b/oleanderpier/forwarding/request_forwarding.py
@@ -236,6 +236,7 @@
         self._servers_tried += 1
         self._selection.tried.add(self._server)
         forwarder.guard.begin_attempt(self._keys)
+        forwarder.on_send(choice)
         forwarder.chooser.begin_request(self._selection.query, self._server)
         self._in_flight[attempt] = forwarder.timers.now()
         self._selection.admission.begin(attempt)
--- a/oleanderpier/forwarding/resources.py
+++ b/oleanderpier/forwarding/resources.py
@@ -61,11 +61,13 @@
         request_send: Asks whether a request may be sent to a server that may name a
             limit; called with the server and a callback for the decision.
         on_held_back: Called for each request that does not reach a server because the
-            server is evacuated or cold, with the reason and the decision.
+            server is evacuated, cold, slow or reading a long prompt, with the reason
+            and the decision.
         cold_servers: The servers that are cold; None if none is.
         permits: Asks the owners of servers for permits; None if no service is under
             permits.
         max_buffered_bytes: Upper bound of the sum of buffered bytes of responses.
+        on_send: Called with the choice of the server of each attempt.
 
     Attributes:
         response_counts: Responses since the counts were last reset.
@@ -95,8 +97,10 @@
         cold_servers: ColdServers | None = None,
         permits: PermitSource | None = None,
         max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+        on_send: Callable[[Choice], None] = lambda choice: None,
     ) -> None:
         self.on_held_back = on_held_back
+        self.on_send = on_send
         self.cold_servers = cold_servers
         self.permits = permits or NoPermits()
         self.on_attempt_end = on_attempt_end
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from oleanderpier.forwarding.admission import RequestAdmission
-from oleanderpier.forwarding.decisions import log_evacuated, record_cold
+from oleanderpier.forwarding.decisions import log_evacuated, record_cold, record_left
 from oleanderpier.forwarding.records import Call
 from oleanderpier.forwarding.resources import ForwardingResources
 from oleanderpier.results import Code
@@ -65,6 +65,7 @@
             prefixes,
             combine_regions(call.route, call.workspace),
             call.prompt_tokens,
+            call.route.target_s,
         )
         self.tried: set[str] = set()
         self.refused_by: set[str] = set()
@@ -91,6 +92,8 @@
         if choice is not None and choice.evacuated is not None:
             self._resources.on_held_back("evacuated", "moved")
             log_evacuated(self._call.identity, choice.evacuated, "moved", 0.0)
+        if choice is not None and choice.left is not None:
+            record_left(self._resources, self._call.identity, choice)
         return choice
 
     def has_other(self) -> bool:
--- a/oleanderpier/forwarding/statements.py
+++ b/oleanderpier/forwarding/statements.py
@@ -27,6 +27,8 @@
         rng: The source of randomness.
         on_leaving: Called with each server that says that it leaves.
         on_limit: Called with each server whose limit has changed, and the limit.
+        on_speed: Called with each server that states its speed, and how long work takes
+            there, as a multiple of the usual time.
     """
 
     def __init__(
@@ -38,12 +40,16 @@
         on_limit: Callable[[ServerEntry, LimitStatement], None] = (
             lambda server, limit: None
         ),
+        on_speed: Callable[[ServerEntry, float], None] = (
+            lambda server, slow_factor: None
+        ),
     ) -> None:
         self._statements = statements
         self._timers = timers
         self._rng = rng
         self._on_leaving = on_leaving
         self._on_limit = on_limit
+        self._on_speed = on_speed
 
     def record(self, server: ServerEntry, head: ResponseHead) -> None:
         """Record what the head of a response says."""
@@ -54,6 +60,8 @@
             self._statements.record_slots(server, head.slots)
         if head.load is not None:
             self._statements.loads.record(server, head.load, self._timers.now())
+            if head.load.slow_factor is not None:
+                self._on_speed(server, head.load.slow_factor)
 
     def _record_leaving(self, server: ServerEntry, head: ResponseHead) -> None:
         now_s = self._timers.now()
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -22,6 +22,7 @@
 from oleanderpier.routing import (
     BudgetLimits,
     CacheMap,
+    Choice,
     Chooser,
     ColdServers,
     CrashCauses,
@@ -314,6 +315,8 @@
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
         cold: Ids of the servers that are cold.
         moved: The reason and the decision for each request that did not reach one.
+        reading: Ids of servers that are reading a long prompt, of an uneven service.
+        sent: The choice of the server of each attempt.
     """
 
     def __init__(
@@ -337,6 +340,8 @@
         self.evacuated: tuple[str, ...] = ()
         self.cold: tuple[str, ...] = ()
         self.moved: list[tuple[str, str]] = []
+        self.reading: tuple[str, ...] = ()
+        self.sent: list[Choice] = []
 
     async def forward(self, route: Route, timeout_s: float) -> RequestOutcome:
         """Forward one request, then close all servers."""
@@ -373,6 +378,11 @@
         for identity in self.cold:
             entry = roster.get_entry(identity)
             cold_servers.update_entry(identity, entry._replace(cold_remaining_s=9.0))
+        statements.loads.allow_permits(not self.reading)
+        for identity in self.reading:
+            server = roster.get_entry(identity)
+            statements.loads.record_speed(server, 1.0, timers.now())
+            statements.prefills.record(server, 12_000, 2.0, timers.now())
         if self.evacuated:
             evacuations.update("alpena", True)
         self.chooser = chooser = Chooser(
@@ -410,6 +420,7 @@
                 lambda *decision: self.moved.append(decision),
                 cold_servers,
                 self.permits,
+                on_send=self.sent.append,
             )
             self.forwarder = forwarder
             try:
