--- a/oleanderpier/routing/hash_order.py
+++ b/oleanderpier/routing/hash_order.py
@@ -1,15 +1,23 @@
 """The rendezvous-hash order of servers, in which all hosts choose alike."""
 
 import heapq
+from collections.abc import Iterator
 
 import xxhash
 
 from oleanderpier.routing.records import ServerEntry
 
-__all__ = ["HashOrders", "list_first", "score_server"]
+__all__ = ["HashOrders", "iterate_first", "list_first", "score_server"]
 
 # Keys whose hash order is kept.
 MAX_HASH_ORDERS = 4096
+# Above every score.
+MAX_SCORE = 2**64
+# Servers whose encoded ids are kept.
+MAX_SUFFIXES = 4096
+
+# The encoded ids of servers, since encoding them takes as long as hashing them.
+_suffixes: dict[str, bytes] = {}
 
 
 class HashOrders:
@@ -50,3 +58,30 @@
         for entry in servers
     ]
     return [identity for _, identity in heapq.nsmallest(count, scores)]
+
+
+def iterate_first(
+    key: str, servers: list[ServerEntry], count: int
+) -> Iterator[ServerEntry]:
+    """Yield the first servers in the order of a key, each found when it is asked for.
+
+    It has the order of ``score_server``. The first one is usually enough.
+    """
+    prefix, compute, suffixes = key.encode(), xxhash.xxh3_64_intdigest, _suffixes
+    try:
+        scores = [compute(prefix + suffixes[entry.identity]) for entry in servers]
+    except KeyError:
+        _add_suffixes(servers)
+        scores = [compute(prefix + suffixes[entry.identity]) for entry in servers]
+    for _ in range(min(count, len(scores))):
+        index = scores.index(min(scores))
+        scores[index] = MAX_SCORE
+        yield servers[index]
+
+
+def _add_suffixes(servers: list[ServerEntry]) -> None:
+    """Encode the ids of servers, and drop the others if there are too many."""
+    if len(_suffixes) + len(servers) > MAX_SUFFIXES:
+        _suffixes.clear()
+    for entry in servers:
+        _suffixes[entry.identity] = f"|{entry.identity}".encode()
