Forget that an owner was silent when it replies

Operators saw nothing of it; the memory was lost for as long as the process ran.

The reply now removes all three. The entry has no use after it: it is read only while the wait of the silence is known. The new test fails before the change.

--- a/oleanderpier/entry/server_permits.py
+++ b/oleanderpier/entry/server_permits.py
@@ -158,6 +158,7 @@
         """
         self._silent_until_s.pop(sender, None)
         self._silent_waits_s.pop(sender, None)
+        self._silence_known_s.pop(sender, None)
         self._apply(
             message.number,
             PermitDecision(
--- a/oleanderpier/entry/tests/test_server_permits.py
+++ b/oleanderpier/entry/tests/test_server_permits.py
@@ -27,6 +27,7 @@
 MAX_COLD_SENDS = 21.5
 WORK_S = 0.07
 REPLY_TIMEOUT_S = 0.1
+SILENT_OWNER_WAIT_S = 1.0
 
 
 class RoomTest(TestCase):
@@ -152,6 +153,18 @@
             fleet.timers.advance(0.25)
         self.assertLessEqual(waited, 4)
 
+    def test_owner_that_replies_again_is_not_remembered_as_silent(self):
+        """An entry was kept for each host that was ever silent."""
+        fleet = PermitFleet(5)
+        fleet.frozen.add(fleet.owner)
+        fleet.ask_now(fleet.others[0])
+        requests = fleet.requests[fleet.others[0]]
+        self.assertEqual({fleet.owner}, set(requests._silence_known_s))
+        fleet.go_on()
+        fleet.timers.advance(SILENT_OWNER_WAIT_S)
+        self.assertEqual(GRANTED, fleet.ask_now(fleet.others[0]).answer.outcome)
+        self.assertEqual({}, requests._silence_known_s)
+
     def test_new_owner_counts_reported_requests(self):
         """It does not know the permits of the previous owner for 3 s."""
         fleet = PermitFleet(5)
