Check for evacuations after the wait for a server's limit

A request to a server that names a limit waits up to 0.1 s for the owner of the limit. If the evacuation of the server's failure domain, or that the server leaves, became known meanwhile, the request was sent nevertheless, while requests that asked for a permit or for a cold server's rate were checked again.

The choice now goes on to another server, which the new test shows; before, the request was sent to the evacuated one.

--- a/oleanderpier/forwarding/admission.py
+++ b/oleanderpier/forwarding/admission.py
@@ -121,7 +121,7 @@
             excluded.add(choice.server.identity)
             if not answer.may_send:
                 answers.append((choice, answer))
-            elif self._is_still_eligible(choice):
+            elif self.is_still_eligible(choice):
                 return choice
         if not answers or not may_wait:
             return None
@@ -130,7 +130,7 @@
             max_wait_s = self._compute_max_wait_s(is_repeat)
             answer = await self._ask(choice, is_repeat, max_wait_s)
             if answer.may_send:
-                if self._is_still_eligible(choice):
+                if self.is_still_eligible(choice):
                     return choice
                 return await self.choose(choose, excluded, is_repeat, may_wait)
             answers = [(choice, answer)]
@@ -146,7 +146,7 @@
         self.drop()
         answer = await self._ask(choice, False, 0.0)
         self.drop()
-        return answer.may_send and self._is_still_eligible(choice)
+        return answer.may_send and self.is_still_eligible(choice)
 
     def begin(self, attempt: Attempt) -> None:
         """Let an attempt hold the permit of the last choice."""
@@ -174,7 +174,7 @@
             self._current.release()
             self._current = None
 
-    def _is_still_eligible(self, choice: Choice) -> bool:
+    def is_still_eligible(self, choice: Choice) -> bool:
         """Return whether a server may get requests after the wait for its permit.
 
         It may have said that it leaves, or its failure domain may be evacuated.
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -134,7 +134,10 @@
                     return choice
                 excluded = excluded | {choice.server.identity}
             elif await self._resources.may_send(choice.server):
-                return choice
+                # The wait for the owner of its limit may have taken 0.1 s.
+                if self.admission.is_still_eligible(choice):
+                    return choice
+                excluded = excluded | {choice.server.identity}
             else:
                 record_cold(self._resources, self._call.identity, choice)
         return None
--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -312,6 +312,7 @@
         forwarder: The forwarder of the requests, once they have begun.
         evacuations: The evacuated failure domains likewise.
         evacuated: Ids of the servers whose failure domain is evacuated from the start.
+        evacuated_in_wait: The same, but from when the limit of one is asked for.
         cold: Ids of the servers that are cold.
         moved: The reason and the decision for each request that did not reach one.
     """
@@ -335,6 +336,7 @@
         self.evacuations: Evacuations | None = None
         self._used_up = used_up
         self.evacuated: tuple[str, ...] = ()
+        self.evacuated_in_wait: tuple[str, ...] = ()
         self.cold: tuple[str, ...] = ()
         self.moved: list[tuple[str, str]] = []
 
@@ -352,7 +354,8 @@
         order = {f"s{number}": number for number in range(len(self.servers))}
         for identity, server in zip(order, self.servers, strict=True):
             address = await server.listen()
-            domain = "alpena" if identity in self.evacuated else "duluth"
+            is_evacuated = identity in self.evacuated + self.evacuated_in_wait
+            domain = "alpena" if is_evacuated else "duluth"
             roster.update_entry(
                 identity,
                 make_server(identity, address=address, failure_domain=domain),
@@ -390,6 +393,8 @@
         def request_send(server: ServerEntry, notify: Callable[[bool], None]) -> None:
             if server.identity in self._used_up:
                 statements.record_wait(server, timers.now() + USED_UP_S)
+            if server.identity in self.evacuated_in_wait:
+                evacuations.update("alpena", True)
             notify(server.identity not in self._used_up)
 
         causes = CrashCauses()
--- a/oleanderpier/forwarding/tests/test_evacuated.py
+++ b/oleanderpier/forwarding/tests/test_evacuated.py
@@ -40,6 +40,14 @@
         self.assertEqual(Code.DONE, outcome.code)
         self.assertEqual((2, "s2"), (outcome.attempts, outcome.server))
 
+    def test_wait_for_the_limit_of_a_server(self):
+        """The evacuation became known during it, and the request was sent anyway."""
+        fixture = ForwarderFixture([respond()], [respond()])
+        fixture.evacuated_in_wait = ("s0",)
+        outcome = forward_request(fixture, **IDEMPOTENT)
+        self.assertEqual(Code.DONE, outcome.code)
+        self.assertEqual((1, "s1"), (outcome.attempts, outcome.server))
+
     def test_refusal(self):
         """Without another server the request is refused at once, with a time."""
         waits_s = []
