--- a/oleanderpier/platform/documents.py
+++ b/oleanderpier/platform/documents.py
@@ -19,7 +19,14 @@
 )
 from oleanderpier.utils import convert_mapping
 
-__all__ = ["decode_configuration", "decode_server"]
+__all__ = [
+    "REQUEST_KINDS",
+    "ConfigurationDocument",
+    "EngineDocument",
+    "decode_configuration",
+    "decode_json",
+    "decode_server",
+]
 
 MILLISECONDS_PER_S = 1000.0
 MAX_PORT = 65535
@@ -30,7 +37,8 @@
 
 _Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 _NonNegative = Annotated[float, Meta(ge=0)]
-_REQUEST_KINDS = {
+# The kinds of routes, by their names in a configuration.
+REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.ONCE,
     "streaming": RequestKind.STREAM,
@@ -77,7 +85,9 @@
     AllowedRegions: NotRequired[list[str] | None]
 
 
-class _Engine(TypedDict):
+class EngineDocument(TypedDict):
+    """The engine of a service in a configuration."""
+
     # What a copy of cached prompt tokens from server to server needs.
     KvTokenBytes: NotRequired[_NonNegative | None]
     LinkMbps: NotRequired[_NonNegative | None]
@@ -88,11 +98,13 @@
     ColdStartS: NotRequired[_NonNegative | None]
     # Requests per second that a cold server tolerates from all hosts together.
     ColdPerS: NotRequired[_NonNegative | None]
-    # An ``_Engine``. It is read only of services with limits for cold servers.
+    # An ``EngineDocument``. It is read only of services with limits for cold servers.
     Engine: NotRequired[Any]
 
 
-class _Configuration(TypedDict):
+class ConfigurationDocument(TypedDict):
+    """The configuration that operators publish."""
+
     Version: int
     Routes: list[_Route]
     Limits: _Limits
@@ -127,7 +139,7 @@
     Raises:
         SettingsError: The document is malformed.
     """
-    value = convert_mapping(_Configuration, _decode_json(data))
+    value = convert_mapping(ConfigurationDocument, decode_json(data))
     tenants = value.get("Tenants")
     return RoutingTable(
         version=value["Version"],
@@ -153,7 +165,7 @@
     Raises:
         SettingsError: The document is malformed or no server entry.
     """
-    value = convert_mapping(_Server, _decode_json(data))
+    value = convert_mapping(_Server, decode_json(data))
     if value["State"] not in _LEAVING_BY_STATE:
         raise SettingsError("$.State", value["State"], " or ".join(_LEAVING_BY_STATE))
     if not _is_address(value["Address"]):
@@ -187,7 +199,12 @@
     return is_number and 1 <= int(port) <= MAX_PORT
 
 
-def _decode_json(data: bytes) -> Any:
+def decode_json(data: bytes) -> Any:
+    """Decode a JSON document.
+
+    Raises:
+        SettingsError: It is malformed.
+    """
     try:
         return msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -195,7 +212,7 @@
 
 
 def _make_service(service: _Service) -> ServiceEntry:
-    engine = convert_mapping(_Engine, service.get("Engine") or {})
+    engine = convert_mapping(EngineDocument, service.get("Engine") or {})
     return ServiceEntry(
         service["Name"],
         service.get("ColdStartS") or 0.0,
@@ -206,9 +223,9 @@
 
 
 def _make_route(route: _Route) -> Route:
-    if route["RouteKind"] not in _REQUEST_KINDS:
+    if route["RouteKind"] not in REQUEST_KINDS:
         raise SettingsError(
-            "$.Routes.RouteKind", route["RouteKind"], str(list(_REQUEST_KINDS))
+            "$.Routes.RouteKind", route["RouteKind"], str(list(REQUEST_KINDS))
         )
     shares = route.get("TrafficSplit") or []
     single = route.get("Service")
@@ -220,7 +237,7 @@
         name=route["Name"],
         host_name=route["Host"].lower(),
         prefix=route["Prefix"],
-        kind=_REQUEST_KINDS[route["RouteKind"]],
+        kind=REQUEST_KINDS[route["RouteKind"]],
         resumable=bool(route.get("Resumable")),
         timeout_s=timeout_s,
         target_s=target_s,
