Find the next permit query in one pass over the groups of the queue

With ten urgencies, a release at a server with a full queue spent most of its time on the effective urgency of each group, and a query on groups of which even the oldest request is less urgent than it.

--- a/oleanderpier/routing/permit_queue.py
+++ b/oleanderpier/routing/permit_queue.py
@@ -113,19 +113,17 @@
 
     def find_first(self, now_s: float) -> QueuedDemand:
         """Return the query that is next; the queue must not be empty."""
-        bounds = [
-            (
-                self._compute_level(group, group.get_first_arrival_s(), now_s),
-                group.is_repeat,
-                group,
-            )
-            for group in self._groups.values()
-        ]
-        lowest = min(bound[:2] for bound in bounds)
+        lowest = (sys.maxsize, True)
+        groups: list[_Group] = []
+        for group in self._groups.values():
+            level = self._compute_level(group, group.get_first_arrival_s(), now_s)
+            rank = (level, group.is_repeat)
+            if rank < lowest:
+                lowest, groups = rank, [group]
+            elif rank == lowest:
+                groups.append(group)
         ranked = [
-            self._find_first_in_group(group, level, now_s)
-            for level, is_repeat, group in bounds
-            if (level, is_repeat) == lowest
+            self._find_first_in_group(group, lowest[0], now_s) for group in groups
         ]
         return min(ranked)[2]
 
@@ -169,6 +167,9 @@
                 ahead += len(group.queued)
                 continue
             arrived_s = group.get_first_arrival_s()
+            if (now_s - arrived_s) / AGEING_S < other[0] - key[0]:
+                # Even the oldest one is less urgent.
+                continue
             lowest = self._compute_level(group, arrived_s, now_s)
             if other == key and lowest == query.urgency:
                 ahead += self._count_of_same_level(group, count)
@@ -264,7 +265,7 @@
 
         A repeat is at most as urgent as the youngest first attempt of the same urgency.
         """
-        level = group.compute_level(arrived_s, now_s)
+        level = group.urgency - int((now_s - arrived_s) / AGEING_S)
         if group.is_repeat:
             firsts = self._groups.get((group.urgency, False))
             if firsts is not None:
