Copy caches from evacuated servers for half of EvacuateMs

When an operator evacuated a failure domain, all prompts that its servers had cached were prefilled again at the others. A host stopped copying from these servers (`Kv-Fetch`) in the moment in which it learned of the evacuation, although the operators' bound is `EvacuateMs` after the store acknowledged it.

Requests stop at once, as before. In uneven services copies go on for half of `EvacuateMs` after this host learned of the evacuation; the other half covers the time until it learns. There are no copies - without `EvacuateMs`; - if the configuration replica was older than 1 s at any moment of the last second, as after a start, a standstill or a cut. The age at the time of the change does not show it: a watch call confirms the replica before it applies its changes, so the gap before each confirmation counts; - after a standstill that is not confirmed; - if the store has returned from a copy that has the key, or another host retains the evacuation. The source is checked again after the wait for a permit or a rate.

`may_be_reached` also decides where a request may wait, so that copies have the check `may_be_source` of their own.

--- a/oleanderpier/entry/standstill.py
+++ b/oleanderpier/entry/standstill.py
@@ -7,8 +7,9 @@
 
 from eliot import log_message
 
+from oleanderpier.entry.freshness import ReplicaFreshness
 from oleanderpier.replication import Replica
-from oleanderpier.routing import Evacuations
+from oleanderpier.routing import CopyWindows, Evacuations
 from oleanderpier.utils import Timers
 
 __all__ = ["StandstillGuard", "make_evacuations"]
@@ -70,4 +71,8 @@
     if evacuate_s is None:
         return Evacuations(timers)
     guard = StandstillGuard(replica, timers, STANDSTILL_RATIO * evacuate_s)
-    return Evacuations(timers, guard.is_unconfirmed)
+    freshness = ReplicaFreshness(replica, timers)
+    windows = CopyWindows(
+        evacuate_s, lambda: freshness.is_fresh() and not guard.is_unconfirmed()
+    )
+    return Evacuations(timers, guard.is_unconfirmed, windows)
--- a/oleanderpier/entry/tests/test_node.py
+++ b/oleanderpier/entry/tests/test_node.py
@@ -158,6 +158,22 @@
 
         run_coroutine(check())
 
+    def test_no_copies_by_an_evacuation_of_a_returned_store(self):
+        """The copy may have been made long after the evacuation began."""
+
+        async def check() -> list[bool]:
+            allowed = []
+            for position in (9, make_position(1, 2)):
+                node = self.make_node()
+                windows = node.evacuations._copy_windows
+                windows._learns_promptly = lambda: True
+                self.apply(node, position, [("evacuate/ghent", b"")])
+                self.assertTrue(node.evacuations.is_evacuated("ghent"))
+                allowed.append(node.evacuations.allows_copies("ghent"))
+            return allowed
+
+        self.assertEqual([True, False], run_coroutine(check()))
+
     def test_single_change_makes_no_host_ready(self):
         """A host that knows routes but not the key space may lack an evacuation."""
 
--- a/oleanderpier/entry/values.py
+++ b/oleanderpier/entry/values.py
@@ -131,7 +131,8 @@
         if is_return and not active:
             self._evacuations.retain(domain)
         else:
-            self._evacuations.update(domain, active)
+            # An evacuation that the copy has is older than it seems.
+            self._evacuations.update(domain, active, is_new=not is_return)
 
     def _apply_servers(self, change: Change) -> None:
         self._outages.check_age()
--- a/oleanderpier/forwarding/selection.py
+++ b/oleanderpier/forwarding/selection.py
@@ -88,6 +88,9 @@
             )
         else:
             choice = await self._choose_unlimited(excluded)
+        if choice is not None:
+            # The wait for a permit may have outlasted the time for copies.
+            choice = self._resources.chooser.confirm_source(choice)
         if choice is not None and choice.evacuated is not None:
             self._resources.on_held_back("evacuated", "moved")
             log_evacuated(self._call.identity, choice.evacuated, "moved", 0.0)
--- a/oleanderpier/routing/__init__.py
+++ b/oleanderpier/routing/__init__.py
@@ -8,6 +8,7 @@
 from oleanderpier.routing.caches import *  # noqa: F403
 from oleanderpier.routing.choice import *  # noqa: F403
 from oleanderpier.routing.cold_starts import *  # noqa: F403
+from oleanderpier.routing.copy_windows import *  # noqa: F403
 from oleanderpier.routing.costs import *  # noqa: F403
 from oleanderpier.routing.crashes import *  # noqa: F403
 from oleanderpier.routing.eligibility import *  # noqa: F403
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -192,6 +192,13 @@
         """Return whether a server leaves or is evacuated since it was chosen."""
         return self._eligibility.has_left(server)
 
+    def confirm_source(self, choice: Choice) -> Choice:
+        """Return a choice without its copy source if that is evacuated by now."""
+        source = choice.copy_source
+        if source is None or self._eligibility.may_be_source(source):
+            return choice
+        return choice._replace(copy_source=None)
+
     def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
         """Return whether a healthy server is left besides those that were tried."""
         untried = self._eligibility.list_eligible(
@@ -416,8 +423,8 @@
     ) -> ServerEntry | None:
         """Return a healthy holder, preferably of the server's failure domain.
 
-        Servers that are evacuated or in another region are no sources, while those that
-        leave or are full are.
+        Servers in another region are no sources, nor are evacuated ones after a while.
+        Those that leave or are full are.
         """
         restrictions = Restrictions(regions=regions)
         healthy = [
@@ -425,7 +432,7 @@
             for identity in sorted(holders)
             if (entry := self._roster.get_entry(identity)) is not None
             and not self._health.is_recovering(identity)
-            and self._eligibility.may_be_reached(entry, restrictions)
+            and self._eligibility.may_be_source(entry, restrictions)
         ]
         return min(
             healthy,
--- a/oleanderpier/routing/eligibility.py
+++ b/oleanderpier/routing/eligibility.py
@@ -149,13 +149,26 @@
         return [server for server in servers if not is_backing_off(server.identity)]
 
     def may_be_reached(self, server: ServerEntry, restrictions: Restrictions) -> bool:
-        """Return whether anything may be sent to a server, or fetched from it.
-
-        Servers that leave or have no room may still be the source of a copy.
-        """
+        """Return whether requests may be sent to a server, now or after a wait."""
         reachable = self._omit_other_regions([server], restrictions)
         return bool(self._omit_evacuated(reachable, restrictions))
 
+    def may_be_source(
+        self, server: ServerEntry, restrictions: Restrictions = NO_RESTRICTIONS
+    ) -> bool:
+        """Return whether caches of a server may be copied to others.
+
+        Servers that leave or have no room may, and in services of uneven speed those of
+        evacuated failure domains for a while.
+        """
+        if self.may_be_reached(server, restrictions):
+            return True
+        return (
+            self._statements.loads.is_uneven(server.service)
+            and self._evacuations.allows_copies(server.failure_domain)
+            and bool(self._omit_other_regions([server], restrictions))
+        )
+
     def has_left(self, server: ServerEntry) -> bool:
         """Return whether a server that was chosen may get nothing more meanwhile."""
         reasons = (
--- a/oleanderpier/routing/evacuations.py
+++ b/oleanderpier/routing/evacuations.py
@@ -3,7 +3,8 @@
 The module addresses these load patterns:
 
 - An operator evacuates a failure domain. Its servers must get no further request of any
-  kind, and the servers of the other domains take the load.
+  kind, and the servers of the other domains take the load. For a while these may still
+  copy from its caches (see ``copy_windows``).
 - The domain is taken back: all its servers are cold at once, so that they must not get
   their usual share immediately (see ``cold_starts``).
 - The store returns from an older copy that lacks the evacuation. The operator writes it
@@ -14,6 +15,7 @@
 
 from eliot import log_message
 
+from oleanderpier.routing.copy_windows import CopyWindows
 from oleanderpier.utils import Subscription, Timers
 
 __all__ = ["RETAINED_S", "Evacuations"]
@@ -30,6 +32,8 @@
         timers: The timer service.
         are_unconfirmed: Returns whether this host may not know of an evacuation that
             has been in force for long, since it stood still.
+        copy_windows: For how long caches may be copied from evacuated domains; None if
+            never.
 
     Examples:
         >>> from oleanderpier.utils import ManualTimers
@@ -43,9 +47,13 @@
     """
 
     def __init__(
-        self, timers: Timers, are_unconfirmed: Callable[[], bool] = lambda: False
+        self,
+        timers: Timers,
+        are_unconfirmed: Callable[[], bool] = lambda: False,
+        copy_windows: CopyWindows | None = None,
     ) -> None:
         self.are_unconfirmed = are_unconfirmed
+        self._copy_windows = copy_windows
         self._timers = timers
         self._begun_s: dict[str, float] = {}
         self._ended_s: dict[str, float] = {}
@@ -57,12 +65,14 @@
         """Return whether any failure domain is evacuated."""
         return bool(self._begun_s)
 
-    def update(self, domain: str, active: bool) -> None:
+    def update(self, domain: str, active: bool, is_new: bool = True) -> None:
         """Record that the evacuation of a failure domain has begun, or has ended.
 
         Args:
             domain: The failure domain.
             active: Whether it is evacuated.
+            is_new: Whether the store may have acknowledged this a moment ago. If not,
+                nothing may be copied from the domain.
         """
         self._retained_until_s.pop(domain, None)
         ending = self._endings.pop(domain, None)
@@ -73,10 +83,19 @@
         now_s = self._timers.now()
         if active:
             self._begun_s[domain] = now_s
+            if self._copy_windows is not None and is_new:
+                self._copy_windows.open(domain, now_s)
         else:
+            if self._copy_windows is not None:
+                self._copy_windows.close(domain)
             del self._begun_s[domain]
             self._ended_s[domain] = now_s
-        log_message("node:evacuation", domain=domain, active=active)
+        log_message(
+            "node:evacuation",
+            domain=domain,
+            active=active,
+            copies=self.allows_copies(domain),
+        )
 
     def retain(self, domain: str) -> None:
         """Record that an older copy of the store lacks the evacuation of a domain.
@@ -98,7 +117,7 @@
         """
         if domain in self._begun_s or not 0.0 < for_s <= RETAINED_S:
             return
-        self.update(domain, True)
+        self.update(domain, True, is_new=False)
         self._schedule_end(domain, for_s, source)
 
     def list_retained(self) -> dict[str, float]:
@@ -125,6 +144,13 @@
         """Return whether a failure domain is evacuated."""
         return domain in self._begun_s
 
+    def allows_copies(self, domain: str) -> bool:
+        """Return whether caches of a failure domain may be copied to other servers."""
+        if domain not in self._begun_s:
+            return True
+        windows = self._copy_windows
+        return windows is not None and windows.is_open(domain, self._timers.now())
+
     def list_domains(self) -> list[str]:
         """Return the evacuated failure domains."""
         return list(self._begun_s)
--- a/oleanderpier/routing/tests/fakes.py
+++ b/oleanderpier/routing/tests/fakes.py
@@ -5,6 +5,7 @@
 from oleanderpier.routing import (
     CacheMap,
     Chooser,
+    CopyWindows,
     Evacuations,
     RequestKind,
     Roster,
@@ -83,6 +84,7 @@
         servers: The number of servers, with the ids ``s0``, ``s1`` and so on.
         load_age_s: The age that load reports have, in seconds.
         regions: The region of each failure domain.
+        evacuate_s: The time within which evacuations take effect, None if unknown.
 
     Attributes:
         evacuations: The evacuated failure domains.
@@ -95,6 +97,7 @@
         servers: int = 9,
         load_age_s: float = 0.0,
         regions: dict[str, str] | None = None,
+        evacuate_s: float | None = None,
     ) -> None:
         self.timers = ManualTimers()
         self.roster = Roster(self.timers)
@@ -102,7 +105,11 @@
         self.caches = CacheMap(self.timers)
         self.statements = ServerStatements()
         self.are_unconfirmed = False
-        self.evacuations = Evacuations(self.timers, lambda: self.are_unconfirmed)
+        self.evacuations = Evacuations(
+            self.timers,
+            lambda: self.are_unconfirmed,
+            None if evacuate_s is None else CopyWindows(evacuate_s),
+        )
         self.remote_loads = FakeRemoteLoads(load_age_s)
         self.chooser = Chooser(
             self.roster,
