Give the least loaded server a copy source where speed varies

A request that found no server below the load limit went to the least loaded one, which prefilled the shared part of the prompt again although other servers had it cached: only servers below the limit got a copy source. In uneven services the least loaded server gets one as well. Even services are served as before.

OverloadedCopyTest.test_prompt_is_copied fails without the change.

--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -288,7 +288,9 @@
                 return choice
         server = self._pick_least_loaded(servers, weights, stats)
         reason = "least_loaded" if healthy else "last_resort"
-        return self._make_choice(server, reason, stats)
+        may_copy = bool(healthy) and stats.is_uneven
+        copy_source = self._find_copy_source(query, server) if may_copy else None
+        return self._make_choice(server, reason, stats, copy_source)
 
     def _names_limit(self, service: str) -> bool:
         """Return whether a server of a service names a limit."""
--- a/oleanderpier/routing/tests/test_load_model.py
+++ b/oleanderpier/routing/tests/test_load_model.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from oleanderpier.routing import LimitStatement, PromptPrefix, ServerQuery
+from oleanderpier.routing import Choice, LimitStatement, PromptPrefix, ServerQuery
 from oleanderpier.routing.residence import ResidenceTimes
 from oleanderpier.routing.tests.fakes import ENGINE, RoutingFixture
 
@@ -100,6 +100,41 @@
         self.assertGreater(min(chosen.values()), 50)
 
 
+class OverloadedCopyTest(TestCase):
+    """A request that finds no server below the load limit may copy its prompt."""
+
+    def list_choices(self, uneven: bool, holders: tuple[str, ...]) -> list[Choice]:
+        """Return choices among two servers over the limit and unreachable ones."""
+        fixture = make_fixture(30.0, {"s0": 20, "s1": 20})
+        fixture.statements.loads.set_all_under_permits(uneven)
+        fixture.statements.loads.allow_permits(False)
+        for number in range(2, 9):
+            fixture.health.record_unreachable(f"s{number}")
+        fixture.caches.apply_updates([("k", holder) for holder in holders])
+        choices = [fixture.chooser.choose(QUERY) for _ in range(100)]
+        self.assertEqual({"least_loaded"}, {choice.reason for choice in choices})
+        self.assertEqual({"s0", "s1"}, {choice.server.identity for choice in choices})
+        return choices
+
+    def test_prompt_is_copied(self):
+        """The least loaded server read it again, though another one has it cached."""
+        for choice in self.list_choices(True, ("s0",)):
+            if choice.server.identity == "s0":
+                self.assertIsNone(choice.copy_source)
+            else:
+                self.assertEqual("s0", choice.copy_source.identity)
+
+    def test_source_has_to_be_reachable(self):
+        """A copy from a server in backoff would delay the request."""
+        for choice in self.list_choices(True, ("s2",)):
+            self.assertIsNone(choice.copy_source)
+
+    def test_even_service_copies_as_before(self):
+        """Its requests in overload have no copy source."""
+        for choice in self.list_choices(False, ("s0",)):
+            self.assertIsNone(choice.copy_source)
+
+
 class ResidenceTest(TestCase):
     """Requests in flight are estimated to remain for half of a fixed duration."""
 
