--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -204,6 +204,13 @@
         """Return whether a server leaves or is evacuated since it was chosen."""
         return self._eligibility.has_left(server)
 
+    def confirm_source(self, choice: Choice) -> Choice:
+        """Return a choice without its copy source if that is evacuated by now."""
+        source = choice.copy_source
+        if source is None or self._eligibility.may_be_source(source):
+            return choice
+        return choice._replace(copy_source=None)
+
     def has_other(self, query: ServerQuery, tried: Iterable[str]) -> bool:
         """Return whether a healthy server is left besides those that were tried."""
         untried = self._eligibility.list_eligible(
@@ -294,7 +301,9 @@
                 return choice
         server = self._pick_least_loaded(servers, weights, stats)
         reason = "least_loaded" if healthy else "last_resort"
-        return self._make_choice(server, reason, stats)
+        may_copy = bool(healthy) and stats.is_uneven
+        copy_source = self._find_copy_source(query, server) if may_copy else None
+        return self._make_choice(server, reason, stats, copy_source)
 
     def count_in_flight(self, identity: str) -> int:
         """Return the number of requests in flight at a server, of all hosts."""
@@ -439,8 +448,8 @@
     ) -> ServerEntry | None:
         """Return a healthy holder, preferably of the server's failure domain.
 
-        Servers that are evacuated or in another region are no sources, while those that
-        leave or are full are.
+        Servers in another region are no sources, nor are evacuated ones after a while.
+        Those that leave or are full are.
         """
         restrictions = Restrictions(regions=regions)
         healthy = [
@@ -448,7 +457,7 @@
             for identity in sorted(holders)
             if (entry := self._roster.get_entry(identity)) is not None
             and not self._health.is_recovering(identity)
-            and self._eligibility.may_be_reached(entry, restrictions)
+            and self._eligibility.may_be_source(entry, restrictions)
         ]
         return min(
             healthy,
