--- a/oleanderpier/forwarding/tests/fakes.py
+++ b/oleanderpier/forwarding/tests/fakes.py
@@ -350,6 +350,16 @@
         (outcome,) = await self.forward_all(route, timeout_s, [self.caller])
         return outcome
 
+    def _record_reading(
+        self, statements: ServerStatements, roster: Roster, now_s: float
+    ) -> None:
+        """Record the servers that are reading a long prompt."""
+        statements.loads.allow_permits(not self.reading)
+        for identity in self.reading:
+            server = roster.get_entry(identity)
+            statements.loads.record_speed(server, 1.0, now_s)
+            statements.prefills.record(server, 12_000, 2.0, now_s)
+
     async def forward_all(
         self, route: Route, timeout_s: float, callers: list[RecordingCaller]
     ) -> list[RequestOutcome]:
@@ -381,11 +391,7 @@
         for identity in self.cold:
             entry = roster.get_entry(identity)
             cold_servers.update_entry(identity, entry._replace(cold_remaining_s=9.0))
-        statements.loads.allow_permits(not self.reading)
-        for identity in self.reading:
-            server = roster.get_entry(identity)
-            statements.loads.record_speed(server, 1.0, timers.now())
-            statements.prefills.record(server, 12_000, 2.0, timers.now())
+        self._record_reading(statements, roster, timers.now())
         if self.evacuated:
             evacuations.update("alpena", True)
         self.chooser = chooser = Chooser(
--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -28,6 +28,7 @@
 from collections.abc import Iterable, Mapping
 
 from oleanderpier.routing.caches import CacheMap
+from oleanderpier.routing.copy_sources import CopySources
 from oleanderpier.routing.cost_choice import CostChooser
 from oleanderpier.routing.eligibility import (
     Eligibility,
@@ -54,12 +55,6 @@
 # Weight added to a server of another failure domain, in requests in flight,
 # because traffic between failure domains is expensive.
 DOMAIN_PENALTY = 0.5
-# Shorter prefixes are computed again rather than copied. By the users' figures an
-# engine reads 57 tokens in 1 ms and sets a copy up in 5.3 ms, so that a request
-# breaks even at some 300 tokens. The minimum is a third of that: the request
-# itself loses time, but the engine time that the copy saves goes to other requests.
-MIN_COPIED_TOKENS = 100
-
 # The statistics of a service are computed again after STATS_LIFETIME_S, or sooner,
 # after as many choices as STATS_CHOICES_RATIO times its servers: until then the mean
 # load changes by less than one request.
@@ -125,6 +120,7 @@
             self._evacuations,
             regions or {},
         )
+        self._copy_sources = CopySources(roster, health, caches, self._eligibility)
         self.costs = CostChooser(
             roster,
             caches,
@@ -132,7 +128,7 @@
             self._model,
             self._statements,
             failure_domain,
-            self._pick_nearest_healthy,
+            self._copy_sources.pick_nearest,
             rng,
             timers,
         )
@@ -302,7 +298,7 @@
         server = self._pick_least_loaded(servers, weights, stats)
         reason = "least_loaded" if healthy else "last_resort"
         may_copy = bool(healthy) and stats.is_uneven
-        copy_source = self._find_copy_source(query, server) if may_copy else None
+        copy_source = self._copy_sources.find(query, server) if may_copy else None
         return self._make_choice(server, reason, stats, copy_source)
 
     def count_in_flight(self, identity: str) -> int:
@@ -406,65 +402,10 @@
         if self._caches.holds(key, server.identity):
             return self._make_choice(server, "cached", stats)
         reason = "spilled" if self._caches.list_holders(key) else "hashed"
-        copy_source = self._find_copy_source(query, server)
+        copy_source = self._copy_sources.find(query, server)
         choice = self._make_choice(server, reason, stats, copy_source)
         return choice._replace(left=chosen.left)
 
-    def _find_copy_source(
-        self, query: ServerQuery, server: ServerEntry
-    ) -> ServerEntry | None:
-        """Return the server to copy the longest possible prefix from.
-
-        None if a copy would save fewer than ``MIN_COPIED_TOKENS``, or if no healthy
-        server has such a prefix cached.
-        """
-        holders = {
-            prefix: set(self._caches.list_holders(prefix.key))
-            for prefix in query.prefixes
-        }
-        held_tokens = max(
-            (
-                prefix.tokens
-                for prefix in query.prefixes
-                if server.identity in holders[prefix]
-            ),
-            default=0,
-        )
-        for prefix in reversed(query.prefixes):
-            if prefix.tokens - held_tokens < MIN_COPIED_TOKENS:
-                return None
-            copy_source = self._pick_nearest_healthy(
-                holders[prefix], server, query.regions
-            )
-            if copy_source is not None:
-                return copy_source
-        return None
-
-    def _pick_nearest_healthy(
-        self,
-        holders: Iterable[str],
-        server: ServerEntry,
-        regions: frozenset[str] | None,
-    ) -> ServerEntry | None:
-        """Return a healthy holder, preferably of the server's failure domain.
-
-        Servers in another region are no sources, nor are evacuated ones after a while.
-        Those that leave or are full are.
-        """
-        restrictions = Restrictions(regions=regions)
-        healthy = [
-            entry
-            for identity in sorted(holders)
-            if (entry := self._roster.get_entry(identity)) is not None
-            and not self._health.is_recovering(identity)
-            and self._eligibility.may_be_source(entry, restrictions)
-        ]
-        return min(
-            healthy,
-            key=lambda entry: entry.failure_domain != server.failure_domain,
-            default=None,
-        )
-
     def _pick_by_headroom(
         self,
         servers: list[ServerEntry],
