--- a/oleanderpier/entry/node.py
+++ b/oleanderpier/entry/node.py
@@ -17,6 +17,7 @@
 from oleanderpier.entry.gauges import list_gauges
 from oleanderpier.entry.metrics import EntryMetrics
 from oleanderpier.entry.newcomers import NewcomerUpdates
+from oleanderpier.entry.server_uses import list_server_uses, record_peer_responses
 from oleanderpier.entry.settings import EntrySettings
 from oleanderpier.entry.staleness import convert_if_stale
 from oleanderpier.entry.standstill import make_evacuations
@@ -31,7 +32,6 @@
     FleetSite,
     FleetView,
     HostReport,
-    ServerUse,
 )
 from oleanderpier.forwarding import (
     Call,
@@ -451,15 +451,7 @@
 
     def _make_report(self) -> HostReport:
         responses, failures = self.forwarder.pop_response_counts()
-        in_flight = self.chooser.in_flight
-        servers = {
-            identity: ServerUse(
-                in_flight.get(identity, 0),
-                responses.get(identity, 0),
-                failures.get(identity, 0),
-            )
-            for identity in {*in_flight, *responses}
-        }
+        servers = list_server_uses(self.chooser.in_flight, responses, failures)
         return HostReport(
             self.settings.caller_address,
             self.state == "ready",
@@ -491,11 +483,7 @@
         self.sync.receive_summaries(host, report.replica_summaries)
         self.values.receive_summaries(host, report.replica_summaries)
         self.caches.apply_updates(report.placements)
-        for identity, use in report.servers.items():
-            for response_index in range(use.responses):
-                self.health.record_peer_response(
-                    identity, failed=response_index < use.failures
-                )
+        record_peer_responses(self.health, report.servers)
 
     def _list_ready(self) -> list[str]:
         """Return the ready hosts, including this one if it is ready."""
