--- a/oleanderpier/routing/choice.py
+++ b/oleanderpier/routing/choice.py
@@ -445,11 +445,12 @@
         prefer = self.prefill_choice.list_soonest
         if stats.survival == 1.0:
             equal = [entry for entry in servers if order[entry.identity] == least]
-            return self._rng.choice(prefer(equal))
+            return self._rng.choice(prefer(equal, stats.mean_load))
         below_limit = [
             entry for entry in servers if order[entry.identity] + 1 <= stats.load_limit
         ]
         if below_limit:
-            return self._pick_by_headroom(prefer(below_limit), order, stats)
+            chosen = prefer(below_limit, stats.mean_load)
+            return self._pick_by_headroom(chosen, order, stats)
         shares = [1 / (1 + order[entry.identity] - least) for entry in servers]
         return self._rng.choices(servers, shares)[0]
--- a/oleanderpier/routing/prefill_choice.py
+++ b/oleanderpier/routing/prefill_choice.py
@@ -65,6 +65,7 @@
         prefill_times: PrefillTimes,
         timers: Timers,
     ) -> None:
+        self._get_slots = statements.get_slots
         self._prefills = statements.prefills
         self._loads = statements.loads
         self._caches = caches
@@ -99,12 +100,30 @@
         reading = self._prefills.list_reading(self._timers.now())
         return _omit(servers, reading)
 
-    def list_soonest(self, servers: list[ServerEntry]) -> list[ServerEntry]:
-        """Return the servers of ``list_idle`` that are not slow, or all of these."""
+    def list_soonest(
+        self, servers: list[ServerEntry], mean_load: float = 0.0
+    ) -> list[ServerEntry]:
+        """Return the servers of ``list_idle`` that are not slow, or all of these.
+
+        Slow servers are left out only while the others have slots for their requests:
+        all hosts avoid them at once, and a small service in heavy use would refuse what
+        the slow servers still can take.
+
+        Args:
+            servers: Servers of one service, at least one.
+            mean_load: Expected requests in flight per server of the service.
+        """
         idle = self.list_idle(servers)
         if len(idle) == 1 or not self._loads.is_uneven(idle[0].service):
             return idle
-        return _omit(idle, self._loads.list_slow(self._timers.now()))
+        others = _omit(idle, self._loads.list_slow(self._timers.now()))
+        if len(others) == len(idle):
+            return idle
+        # The servers of a service run equally many requests at a time.
+        expected_load = mean_load * len(idle) / len(others) + 1.0
+        if expected_load > self._get_slots(others[0]):
+            return idle
+        return others
 
     def pick_hashed(
         self, query: ServerQuery, servers: list[ServerEntry]
--- a/oleanderpier/routing/tests/test_prefills.py
+++ b/oleanderpier/routing/tests/test_prefills.py
@@ -168,6 +168,19 @@
             chosen = {choose(fixture, PLAIN_QUERY) for _ in range(200)}
             self.assertEqual({"s5", "s6", "s7", "s8"}, chosen)
 
+    def test_slow_server_is_used_while_the_others_have_no_slots(self):
+        """Guards against refusals of a small service in heavy use."""
+        fixture = make_fixture(load_age_s=0.4)
+        state_speed(fixture, "s0", 2.5)
+        for number in range(9):
+            identity = f"s{number}"
+            fixture.statements.record_slots(fixture.roster.get_entry(identity), 6)
+        for load, is_used in ((2, False), (6, True)):
+            for number in range(9):
+                fixture.remote_loads.in_flight[f"s{number}"] = load
+            chosen = {choose(fixture, PLAIN_QUERY) for _ in range(200)}
+            self.assertEqual(is_used, "s0" in chosen, load)
+
     def test_lost_notice_costs_one_wait_only(self):
         """A host that was not told sends the request where it would have."""
         fixture = make_fixture()
