--- a/oleanderpier/entry/first_contact.py
+++ b/oleanderpier/entry/first_contact.py
@@ -13,9 +13,8 @@
 
 __all__ = ["FirstContact"]
 
-# Upper bound of the hold, for hosts that none of the others answer. Quarantines arrived
-# up to 0.19 s after a host was ready, over 77 starts at a load average of 10 to 16 on
-# 7 cores.
+# Upper bound of the hold, for hosts that none of the others answer. On a busy machine
+# quarantines arrive up to 0.19 s after a host is ready.
 MAX_HOLD_S = 0.25
 # A host sends its quarantines when it gets the first report of a host that starts, but
 # may have reported to it before.
--- a/oleanderpier/replication/watcher.py
+++ b/oleanderpier/replication/watcher.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ItemSource", "WatchTiming", "derive_watch_timing", "maintain_replica"]
 
-# A pause of 0.4 s was chosen for a bound of 2 s, the shortest of any deployment.
+# Part of the bound for servers that leave: 0.4 s of 2 s, the shortest known bound.
 BATCH_SHARE = 0.2
 # The pause is not changed below this bound.
 MIN_LONGER_BOUND_S = 3.0
--- a/oleanderpier/routing/load_model.py
+++ b/oleanderpier/routing/load_model.py
@@ -39,7 +39,7 @@
 ALLOWED_OVER_LIMIT_RATIO = 0.03
 # The same for one send in a service of uneven speed, where a prompt that leaves its
 # server costs most. Most sends go to servers far below the limit, so that the ratio
-# over all sends is lower: 0.0078 with 131 hosts and 56 engines, where it was 0.0091.
+# over all sends stays below the one that the users allow.
 UNEVEN_OVER_LIMIT_RATIO = 0.1
 # Standard deviations from a server's expected load to the limit, with which a send
 # exceeds the limit with the allowed probability at most.
