Bound the parts of a report and the hosts that send quarantines

Found in a read-through. A paced report of a large fleet would have taken seconds, with ages that count from its first part; one that is no longer paced could overtake it. Each host of a fleet sent a starting one its quarantines, which grows with the fleet; the first four in the hash order of the newcomer are enough if the selected one drains. Both kinds of notices share what sends and counts them.

--- a/oleanderpier/entry/newcomers.py
+++ b/oleanderpier/entry/newcomers.py
@@ -16,6 +16,10 @@
 # heartbeat intervals after which the entry of a server that is gone expires.
 ERA_SETTLE_S = 10.0
 
+# The hosts that send what is urgent, for each that starts. All of a large fleet would
+# fill the link of a small host.
+URGENT_SENDER_COUNT = 4
+
 
 class NewcomerUpdates:
     """Sends a host that appears what it cannot learn from the store, and receives it.
@@ -28,8 +32,8 @@
         timers: The timer service.
         outbox: Sends messages to other hosts.
         senders: Each sends a host one kind of further knowledge.
-        urgent_senders: Each sends what a host must know before it serves requests. The
-            hosts that are not selected call them, in any state.
+        urgent_senders: Each sends what a host must know before it serves requests.
+            ``URGENT_SENDER_COUNT`` hosts call them, in any state.
     """
 
     def __init__(
@@ -57,12 +61,14 @@
 
         Only one of the ready hosts, selected by rendezvous hashing, sends all of them.
         It may begin to drain, or hear of the host late, while the others still select
-        it; so each host sends what is urgent.
+        it; so the next ones, and those that drain, send what is urgent.
         """
         senders = [host for host in self._list_ready() if host != newcomer]
         if rank_candidates(newcomer, senders)[:1] != [self._host]:
-            for send in self._urgent_senders:
-                send(newcomer)
+            ranked = rank_candidates(newcomer, {*senders, self._host})
+            if self._host in ranked[:URGENT_SENDER_COUNT]:
+                for send in self._urgent_senders:
+                    send(newcomer)
             return
         placements = self._caches.list_entries()
         if placements:
--- a/oleanderpier/entry/prefill_notices.py
+++ b/oleanderpier/entry/prefill_notices.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 
-from oleanderpier.entry.metrics import EntryMetrics, NoticeEvent, NoticeKind
-from oleanderpier.entry.notice_bound import NoticeBound
+from oleanderpier.entry.metrics import EntryMetrics, NoticeKind
+from oleanderpier.entry.notice_sender import NoticeSender
 from oleanderpier.fleet import PrefillNotice
 from oleanderpier.routing import MIN_PREFILL_TOKENS, Choice, Prefills, ServerEntry
 from oleanderpier.utils import Outbox, Timers
@@ -41,11 +41,8 @@
         self._prefills = prefills
         self._estimate_s = estimate_s
         self._find_server = find_server
-        self._list_receivers = list_receivers
         self._timers = timers
-        self._outbox = outbox
-        self._metrics = metrics
-        self._bound = NoticeBound()
+        self._sender = NoticeSender(NoticeKind.PREFILL, list_receivers, outbox, metrics)
 
     def announce(self, choice: Choice) -> None:
         """Record that a request is sent to a server, and tell the others if it is long.
@@ -58,19 +55,13 @@
         now_s = self._timers.now()
         expected_s = self._estimate_s(server, tokens)
         self._prefills.record(server, tokens, expected_s, now_s)
-        receivers = self._list_receivers()
-        if not receivers:
-            return
-        if not self._bound.acquire(now_s):
-            self._metrics.record_notice(NoticeKind.PREFILL, NoticeEvent.OMITTED)
-            return
-        message = PrefillNotice(server.identity, server.born_ms, tokens, expected_s)
-        self._outbox.send_to_all(receivers, message)
-        self._metrics.record_notice(NoticeKind.PREFILL, NoticeEvent.SENT)
+        self._sender.send(
+            PrefillNotice(server.identity, server.born_ms, tokens, expected_s), now_s
+        )
 
     def receive(self, sender: str, message: PrefillNotice) -> None:
         """Record a long prompt that another host has sent to a server."""
-        self._metrics.record_notice(NoticeKind.PREFILL, NoticeEvent.RECEIVED)
+        self._sender.record_received()
         server = self._find_server(message.identity)
         # The last run of a server that has restarted reads nothing more.
         if server is not None and server.born_ms == message.born_ms:
--- a/oleanderpier/entry/speed_notices.py
+++ b/oleanderpier/entry/speed_notices.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from oleanderpier.entry.metrics import EntryMetrics, NoticeEvent, NoticeKind
-from oleanderpier.entry.notice_bound import NoticeBound
+from oleanderpier.entry.metrics import EntryMetrics, NoticeKind
+from oleanderpier.entry.notice_sender import NoticeSender
 from oleanderpier.fleet import SpeedNotice
 from oleanderpier.routing import (
     SLOW_FACTOR,
@@ -65,11 +65,8 @@
     ) -> None:
         self._loads = loads
         self._find_server = find_server
-        self._list_receivers = list_receivers
         self._timers = timers
-        self._outbox = outbox
-        self._metrics = metrics
-        self._bound = NoticeBound()
+        self._sender = NoticeSender(NoticeKind.SPEED, list_receivers, outbox, metrics)
         self._told: dict[str, _Told] = {}
         timers.subscribe(REMOVAL_INTERVAL_S, self._remove_expired)
 
@@ -83,20 +80,13 @@
         now_s = self._timers.now()
         if not self._is_news(server, slow_factor, now_s):
             return
-        receivers = self._list_receivers()
-        if not receivers:
-            return
-        if not self._bound.acquire(now_s):
-            self._metrics.record_notice(NoticeKind.SPEED, NoticeEvent.OMITTED)
-            return
-        self._record_told(server, slow_factor, now_s)
-        message = SpeedNotice(server.identity, server.born_ms, slow_factor, 0.0)
-        self._outbox.send_to_all(receivers, message)
-        self._metrics.record_notice(NoticeKind.SPEED, NoticeEvent.SENT)
+        notice = SpeedNotice(server.identity, server.born_ms, slow_factor, 0.0)
+        if self._sender.send(notice, now_s):
+            self._record_told(server, slow_factor, now_s)
 
     def receive(self, sender: str, message: SpeedNotice) -> None:
         """Record the speed that a server has stated to another host."""
-        self._metrics.record_notice(NoticeKind.SPEED, NoticeEvent.RECEIVED)
+        self._sender.record_received()
         server = self._find_server(message.identity)
         if server is None or server.born_ms != message.born_ms:
             return
--- a/oleanderpier/entry/tests/test_newcomers.py
+++ b/oleanderpier/entry/tests/test_newcomers.py
@@ -1,16 +1,18 @@
 """Tests of what hosts send one that has just started, without other processes."""
 
+from types import SimpleNamespace
 from typing import Any
 
 from testtools import TestCase
 
 from oleanderpier.entry import EntryNode
 from oleanderpier.entry.features import FEATURES
+from oleanderpier.entry.newcomers import URGENT_SENDER_COUNT, NewcomerUpdates
 from oleanderpier.entry.tests.test_node import SETTINGS
 from oleanderpier.fleet import CrashNews, HostReport
 from oleanderpier.replication import ReplicaSummary
 from oleanderpier.routing.poison import QUARANTINE_CRASHES
-from oleanderpier.utils import rank_candidates, run_coroutine
+from oleanderpier.utils import ManualTimers, rank_candidates, run_coroutine
 
 OWN = SETTINGS.peer_address
 OTHER = "127.0.0.1:4001"
@@ -82,6 +84,24 @@
         for first in (OWN, OTHER):
             self.assertEqual([REQUEST], self.list_keys("draining", first), first)
 
+    def test_few_hosts_of_a_large_fleet_send_quarantines(self):
+        """All of them would fill the link of the host that starts."""
+        hosts = [f"127.0.0.1:{port}" for port in range(5000, 5050)]
+        sent = []
+        for own in hosts:
+            updates = NewcomerUpdates(
+                own,
+                lambda: hosts,
+                SimpleNamespace(list_entries=list),
+                (),
+                ManualTimers(),
+                None,
+                (),
+                (sent.append,),
+            )
+            updates.send("127.0.0.1:6000")
+        self.assertEqual(URGENT_SENDER_COUNT - 1, len(sent))
+
     def test_selected_host_sends_quarantines_once(self):
         """They are among the updates that it sends."""
         self.assertEqual([REQUEST], self.list_keys("ready", OWN))
--- a/oleanderpier/entry/tests/test_notices.py
+++ b/oleanderpier/entry/tests/test_notices.py
@@ -7,7 +7,7 @@
 from bench.emulator.outboxes import NETWORK_LATENCY_S, DelayedOutbox
 from oleanderpier.entry.features import list_features
 from oleanderpier.entry.metrics import EntryMetrics
-from oleanderpier.entry.notice_bound import MAX_NOTICES_PER_S
+from oleanderpier.entry.notice_sender import MAX_NOTICES_PER_S
 from oleanderpier.entry.prefill_notices import PrefillNotices
 from oleanderpier.entry.speed_notices import SpeedNotices
 from oleanderpier.fleet import NOTICES_FEATURE, PrefillNotice, SpeedNotice
--- a/oleanderpier/fleet/tests/test_view.py
+++ b/oleanderpier/fleet/tests/test_view.py
@@ -193,6 +193,15 @@
         for view in fleet.views.values():
             self.assertEqual(89, len(view.list_ready()))
 
+    def test_paced_report_of_a_large_fleet_has_few_parts(self):
+        """The ages in it count from the first part."""
+        fleet = FakeFleet(260, is_paced=True)
+        fleet.run(1.0)
+        fleet.bursts.clear()
+        fleet.run(4.0)
+        parts = [count for host, _, count, _ in fleet.bursts if host == "h0"]
+        self.assertGreater(min(parts), PACED_HOSTS)
+
     def test_later_report_is_not_overtaken(self):
         """A host that drains would count as ready again."""
         fleet = FakeFleet(90, is_paced=True)
--- a/oleanderpier/fleet/view.py
+++ b/oleanderpier/fleet/view.py
@@ -54,6 +54,9 @@
 # hosts at once 70 to 150 ms, which the events of all streams on the link would wait.
 PACED_HOSTS = 15
 PACING_INTERVAL_S = 0.025
+# Upper bound of the parts of a report. Its ages count from the first part, so that it
+# must not take long in a large fleet.
+MAX_REPORT_PARTS = 6
 
 
 class _ReceivedReport(NamedTuple):
@@ -253,14 +256,16 @@
     def _send_paced_report(self, in_domain: bool, hosts: list[str]) -> None:
         """Send a report to a few hosts at a time, so that links stay free between."""
         if not self._is_paced():
+            self._send_all_parts()
             self._send_report(in_domain, hosts)
             return
         report, self._pending[in_domain] = self._pending[in_domain], None
         if report is None:
             return
         has_begun = bool(self._unsent_parts)
-        for start in range(0, len(hosts), PACED_HOSTS):
-            self._unsent_parts.append((hosts[start : start + PACED_HOSTS], report))
+        count = max(PACED_HOSTS, math.ceil(len(hosts) / MAX_REPORT_PARTS))
+        for start in range(0, len(hosts), count):
+            self._unsent_parts.append((hosts[start : start + count], report))
         if not has_begun:
             self._send_next_part()
 
